Add the design, schema, settings, timers and observability

Cause: the project has no code yet. The packages that all others depend on come first.

Weighed: pydantic for settings adds about 8.5 MB to each daemon, so a loader over data classes is used; it reports every problem with its path. One gRPC stream per pair of daemons is in the schema because a message for each token does not fit the target rate.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+# Every target creates the virtual environment from the lock file on first use.
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: test demo lint format unit behave proto clean
+
+$(STAMP): requirements.lock pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch $(STAMP)
+
+test: lint unit behave
+
+unit: $(STAMP)
+	$(BIN)/python -m pytest
+
+behave: $(STAMP)
+	$(BIN)/python -m behave --format progress --no-capture features
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+
+format: $(STAMP)
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+proto: $(STAMP)
+	$(BIN)/python -m grpc_tools.protoc -I schema --python_out=src/dragonflyhold/transport/schema \
+		--pyi_out=src/dragonflyhold/transport/schema \
+		--grpc_python_out=src/dragonflyhold/transport/schema schema/*.proto
+	$(BIN)/python schema/fix_imports.py src/dragonflyhold/transport/schema
+
+clean:
+	rm -rf $(VENV) build out
--- /dev/null
+++ b/src/dragonflyhold/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line with ``python -m dragonflyhold``."""
+
+from dragonflyhold.cli import main
+
+main()
--- /dev/null
+++ b/src/dragonflyhold/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter slots, popularity, load order and the load budget; no I/O."""
--- /dev/null
+++ b/src/dragonflyhold/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Policy harness, load generator and capacity measurements."""
--- /dev/null
+++ b/src/dragonflyhold/config/__init__.py
@@ -0,0 +1,1 @@
+"""Operator configuration: objects, change log, packed catalogue and propagation."""
--- /dev/null
+++ b/src/dragonflyhold/config/view.py
@@ -0,0 +1,45 @@
+"""What the other packages read of the configuration."""
+
+from collections.abc import Sequence
+from typing import Protocol
+
+from dragonflyhold.config.objects import (
+    AdapterVersion,
+    Freshness,
+    RequestKind,
+    Service,
+    Upstream,
+)
+from dragonflyhold.ids import AdapterKey, KindName, Revision, ServiceName, UpstreamName
+
+
+class ConfigView(Protocol):
+    """Read access to the configuration in force; safe to use from any thread.
+
+    All look-ups return ``None`` for what is not registered.
+    """
+
+    @property
+    def revision(self) -> Revision:
+        """Highest revision installed; never falls."""
+
+    def freshness(self, now: float) -> Freshness:
+        """Return the revision and its age at ``now`` (monotonic seconds)."""
+
+    def service(self, name: ServiceName) -> Service | None:
+        """Return a service."""
+
+    def upstream(self, name: UpstreamName) -> Upstream | None:
+        """Return an upstream."""
+
+    def upstreams_of(self, service: ServiceName) -> Sequence[Upstream]:
+        """Return the upstreams of a service, sorted by name."""
+
+    def has_adapter(self, service: ServiceName, adapter: str) -> bool:
+        """Whether the adapter is registered, in any version."""
+
+    def version(self, key: AdapterKey) -> AdapterVersion | None:
+        """Return a registered version of an adapter."""
+
+    def kind(self, service: ServiceName, name: KindName) -> RequestKind | None:
+        """Return a request kind."""
--- /dev/null
+++ b/src/dragonflyhold/observability/logs.py
@@ -0,0 +1,65 @@
+"""Log set-up: ``absl.logging`` with a fixed prefix per part and ``key=value`` fields."""
+
+import logging as std_logging
+import sys
+from typing import final
+
+from absl import logging
+
+_LEVELS = {
+    "debug": logging.DEBUG,
+    "info": logging.INFO,
+    "warning": logging.WARNING,
+    "error": logging.ERROR,
+}
+LEVEL_NAMES = tuple(_LEVELS)
+
+
+def setup_logging(level: str) -> None:
+    """Send logs of ``level`` (one of ``LEVEL_NAMES``) and above to standard error."""
+    logging.use_absl_handler()
+    handler = logging.get_absl_handler()
+    handler.use_absl_log_file = lambda *args, **kwargs: None  # type: ignore[method-assign]
+    handler.python_handler.stream = sys.stderr
+    logging.set_verbosity(_LEVELS[level])
+    # urllib3 logs each retry and connection itself; the platform clients report those.
+    std_logging.getLogger("urllib3").setLevel(std_logging.ERROR)
+
+
+@final
+class PartLogger:
+    """Logs short sentences of one part, followed by sorted ``key=value`` fields."""
+
+    def __init__(self, part: str) -> None:
+        self._prefix = f"{part}: "
+
+    def debug(self, sentence: str, **fields: object) -> None:
+        """Log a detail."""
+        logging.debug("%s", self._format(sentence, fields))
+
+    def info(self, sentence: str, **fields: object) -> None:
+        """Log a normal event."""
+        logging.info("%s", self._format(sentence, fields))
+
+    def warning(self, sentence: str, **fields: object) -> None:
+        """Log an event that an operator may have to look at."""
+        logging.warning("%s", self._format(sentence, fields))
+
+    def error(self, sentence: str, **fields: object) -> None:
+        """Log a fault of the program or of its environment."""
+        logging.error("%s", self._format(sentence, fields))
+
+    def exception(self, sentence: str, **fields: object) -> None:
+        """Log a fault with the traceback of the current exception."""
+        logging.exception("%s", self._format(sentence, fields))
+
+    def _format(self, sentence: str, fields: dict[str, object]) -> str:
+        text = " ".join(f"{name}={_quote(value)}" for name, value in sorted(fields.items()))
+        return f"{self._prefix}{sentence} {text}" if text else f"{self._prefix}{sentence}"
+
+
+def _quote(value: object) -> str:
+    text = str(value)
+    if not text or any(char.isspace() or char in '"=' for char in text):
+        return '"' + text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n") + '"'
+    return text
--- /dev/null
+++ b/src/dragonflyhold/observability/metrics.py
@@ -0,0 +1,93 @@
+"""Metrics of a daemon, in an ``aioprometheus`` registry of its own.
+
+Each metric is declared here once with its unit, so that the operators' page can list them all.
+"""
+
+import threading
+from typing import final
+
+from aioprometheus import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+
+SECONDS_BUCKETS = [0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 0.93, 2.0, 5.0, 15.0, 60.0]
+FILL_BUCKETS = [0.1, 0.25, 0.5, 0.75, 0.9, 1.0]
+
+
+@final
+class Metrics:
+    """All metrics of one daemon; safe to use from any thread."""
+
+    def __init__(self) -> None:
+        self._registry = Registry()
+        self._lock = threading.Lock()
+        reg = self._registry
+        name = "dragonflyhold_"
+        self._requests = Counter(name + "requests_total", "Requests by outcome.", registry=reg)
+        self._refusals = Counter(name + "refusals_total", "Refusals by code.", registry=reg)
+        self._retries = Counter(name + "retries_total", "Retries by reason.", registry=reg)
+        self._events = Counter(name + "events_total", "Other events by name.", registry=reg)
+        self._gauges = Gauge(name + "level", "Current levels by name.", registry=reg)
+        self._stall = Histogram(
+            name + "load_stall_seconds",
+            "Time requests waited for an adapter load, in seconds.",
+            registry=reg,
+            buckets=SECONDS_BUCKETS,
+        )
+        self._first_token = Histogram(
+            name + "first_token_seconds",
+            "Time from arrival to the first piece, in seconds.",
+            registry=reg,
+            buckets=SECONDS_BUCKETS,
+        )
+        self._fill = Histogram(
+            name + "batch_fill_ratio",
+            "In-flight requests over the batch limit.",
+            registry=reg,
+            buckets=FILL_BUCKETS,
+        )
+
+    def count_request(self, kind: str, outcome: str) -> None:
+        """Count an ended request."""
+        with self._lock:
+            self._requests.inc({"kind": kind, "outcome": outcome})
+
+    def count_refusal(self, code: str) -> None:
+        """Count a refusal by its error code."""
+        with self._lock:
+            self._refusals.inc({"code": code})
+
+    def count_retry(self, reason: str) -> None:
+        """Count a retry by its reason."""
+        with self._lock:
+            self._retries.inc({"reason": reason})
+
+    def count_event(self, event: str, amount: int = 1) -> None:
+        """Count any other event, such as a load, an eviction or a probe."""
+        with self._lock:
+            self._events.add({"event": event}, amount)
+
+    def set_level(self, name: str, value: float) -> None:
+        """Set a current level, such as the queue length."""
+        with self._lock:
+            self._gauges.set({"name": name}, value)
+
+    def observe_load_stall(self, kind: str, seconds: float) -> None:
+        """Record how long a request waited for an adapter load."""
+        with self._lock:
+            self._stall.observe({"kind": kind}, seconds)
+
+    def observe_first_token(self, kind: str, seconds: float) -> None:
+        """Record the time to the first piece."""
+        with self._lock:
+            self._first_token.observe({"kind": kind}, seconds)
+
+    def observe_batch_fill(self, ratio: float) -> None:
+        """Record how full the engine's batch is, 0 to 1."""
+        with self._lock:
+            self._fill.observe({}, ratio)
+
+    def render(self) -> tuple[bytes, str]:
+        """Return the exposition text and its content type."""
+        with self._lock:
+            body, headers = render(self._registry, ["text/plain"])
+        return body, headers["Content-Type"]
--- /dev/null
+++ b/src/dragonflyhold/operations/__init__.py
@@ -0,0 +1,1 @@
+"""The operator interface."""
--- /dev/null
+++ b/src/dragonflyhold/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform: table, object store and VM list."""
--- /dev/null
+++ b/src/dragonflyhold/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Permits, answers, admission and crash tracking; no I/O."""
--- /dev/null
+++ b/src/dragonflyhold/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routing decisions: candidates, choice, retries and liveness; no I/O."""
--- /dev/null
+++ b/src/dragonflyhold/settings/model.py
@@ -0,0 +1,258 @@
+"""Data classes of the settings.
+
+Units are part of the field names: ``_s`` seconds, ``_ms`` milliseconds, ``_bytes`` bytes. The
+bounds in the field metadata are checked by the loader.
+"""
+
+import dataclasses
+from typing import Any, final
+
+from dragonflyhold.ids import DataCentre, Region, UpstreamName
+from dragonflyhold.observability.logs import LEVEL_NAMES
+from dragonflyhold.states import ServiceType
+
+
+def _field(
+    default: Any = dataclasses.MISSING,
+    *,
+    low: float | None = None,
+    high: float | None = None,
+    form: str | None = None,
+    choices: tuple[str, ...] | None = None,
+) -> Any:
+    metadata = {"low": low, "high": high, "form": form, "choices": choices}
+    return dataclasses.field(default=default, metadata=metadata)
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LogSettings:
+    """What is logged."""
+
+    level: str = _field("info", choices=LEVEL_NAMES)
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class TlsSettings:
+    """Files of the certificate, the key and the authority, in PEM form.
+
+    All three empty: no TLS. With TLS, both sides of every gRPC connection show a certificate of
+    the authority. Operators' certificates must name one of ``operator_names``.
+    """
+
+    certificate: str = _field("")
+    key: str = _field("")
+    authority: str = _field("")
+    operator_names: tuple[str, ...] = _field(())
+
+    @property
+    def is_enabled(self) -> bool:
+        """Whether TLS is used."""
+        return bool(self.certificate)
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PlatformSettings:
+    """Base URLs of the platform's services."""
+
+    table_url: str = _field(form="url")
+    object_store_url: str = _field(form="url")
+    vm_list_url: str = _field(form="url")
+    timeout_ms: int = _field(1000, low=50, high=60_000)
+    vm_list_period_s: float = _field(5.0, low=0.2, high=300)
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ConfigSettings:
+    """Spread of the configuration between daemons."""
+
+    # host:port of peers to ask at the start, before the configuration names any.
+    seeds: tuple[str, ...] = _field((), form="address")
+    compare_period_s: float = _field(1.0, low=0.1, high=60)
+    push_fanout: int = _field(3, low=0, high=32)
+    # Lower bound on the mean time between two reads of the head row by one daemon.
+    head_read_period_s: float = _field(2.0, low=0.2, high=600)
+    # Head row reads per second of all daemons together.
+    head_reads_per_s: float = _field(100.0, low=0.1, high=2000)
+    # Cut off from the table and all peers for this long, a daemon refuses new work.
+    stale_s: float = _field(6.0, low=0.5, high=600)
+    snapshot_every: int = _field(64, low=1, high=100_000)
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class HttpSettings:
+    """The caller interface of an entry daemon."""
+
+    address: str = _field(form="address")
+    threads: int = _field(64, low=1, high=4096)
+    max_body_bytes: int = _field(1_048_576, low=1024, high=268_435_456)
+    # A caller that sends or takes nothing for this long is disconnected.
+    idle_timeout_s: float = _field(30.0, low=0.5, high=3600)
+    # Server-sent comments keep a silent stream recognisable on the caller's line.
+    keepalive_s: float = _field(5.0, low=0.2, high=300)
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class TransportSettings:
+    """Streams between entry daemons and sidecars."""
+
+    max_channels: int = _field(64, low=1, high=4096)
+    idle_close_s: float = _field(60.0, low=1, high=3600)
+    heartbeat_s: float = _field(1.0, low=0.05, high=60)
+    # Silence on a stream with open requests after which a new connection is probed.
+    silence_s: float = _field(3.0, low=0.1, high=300)
+    probe_timeout_s: float = _field(1.0, low=0.05, high=60)
+    probes: int = _field(3, low=1, high=20)
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RoutingSettings:
+    """Choice of an upstream."""
+
+    # A candidate above this multiple of the mean load is skipped.
+    bounded_load_factor: float = _field(1.25, low=1.0, high=10)
+    # Most upstreams that one adapter version is spread over.
+    max_copies: int = _field(4, low=1, high=64)
+    # Load (requests in flight) of one adapter version that justifies one more copy, as a share
+    # of the batch limit.
+    copy_load_share: float = _field(0.75, low=0.05, high=10)
+    residency_ttl_s: float = _field(60.0, low=0.5, high=3600)
+    # Time for which a refused or failed candidate is left out.
+    exclude_s: float = _field(1.0, low=0.05, high=60)
+    crash_limit: int = _field(3, low=1, high=10)
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RetrySettings:
+    """Retries by the entry daemon, the only layer that retries."""
+
+    budget_ratio: float = _field(0.1, low=0.0, high=1.0)
+    budget_floor_per_s: float = _field(10.0, low=0.0, high=10_000)
+    first_delay_ms: int = _field(20, low=1, high=10_000)
+    max_delay_ms: int = _field(1000, low=1, high=60_000)
+    max_attempts: int = _field(6, low=1, high=50)
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class UpstreamSettings:
+    """The upstream that a sidecar stands beside."""
+
+    name: UpstreamName = _field()
+    type: ServiceType = _field()
+    url: str = _field(form="url")
+    connect_timeout_s: float = _field(1.0, low=0.05, high=60)
+    # An upstream that sends nothing for this long is taken for silent.
+    read_timeout_s: float = _field(10.0, low=0.1, high=3600)
+    health_period_s: float = _field(0.5, low=0.05, high=60)
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SlotSettings:
+    """Adapter slots of an engine."""
+
+    popularity_half_life_s: float = _field(120.0, low=1, high=86_400)
+    backoff_first_s: float = _field(0.5, low=0.01, high=60)
+    backoff_max_s: float = _field(30.0, low=0.1, high=3600)
+    tick_s: float = _field(0.02, low=0.005, high=1)
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LoadBudgetSettings:
+    """The weight store's limits for the whole region."""
+
+    loads_per_s: float = _field(5.0, low=0.01, high=100_000)
+    burst: int = _field(3, low=1, high=10_000)
+    max_in_transit: int = _field(24, low=1, high=100_000)
+    grant_ttl_s: float = _field(5.0, low=0.5, high=300)
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class AdmissionSettings:
+    """The queue of a sidecar."""
+
+    max_queue: int = _field(512, low=1, high=1_000_000)
+    # Share of the queue and of the batch that one caller, or one adapter, may take.
+    caller_share: float = _field(0.25, low=0.01, high=1)
+    adapter_share: float = _field(0.5, low=0.01, high=1)
+    # Batch slots kept free for interactive kinds.
+    interactive_reserve: float = _field(0.25, low=0, high=0.9)
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PermitSettings:
+    """Request ids issued ahead."""
+
+    ttl_s: float = _field(600.0, low=1, high=86_400)
+    max_issued: int = _field(20_000, low=1, high=10_000_000)
+    max_per_call: int = _field(64, low=1, high=10_000)
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class AnswerSettings:
+    """Buffers of answers in the sidecar."""
+
+    ttl_s: float = _field(60.0, low=1, high=86_400)
+    max_bytes: int = _field(262_144, low=1024, high=1_073_741_824)
+    total_bytes: int = _field(8_388_608, low=1024, high=17_179_869_184)
+    detach_grace_s: float = _field(30.0, low=0.1, high=3600)
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class EntrySettings:
+    """Settings of an entry daemon."""
+
+    name: str = _field()
+    region: Region = _field()
+    data_centre: DataCentre = _field()
+    http: HttpSettings = _field()
+    # host:port of the operator and peer interface.
+    grpc_address: str = _field(form="address")
+    platform: PlatformSettings = _field()
+    tls: TlsSettings = _field(TlsSettings())
+    config: ConfigSettings = _field(ConfigSettings())
+    routing: RoutingSettings = _field(RoutingSettings())
+    retry: RetrySettings = _field(RetrySettings())
+    transport: TransportSettings = _field(TransportSettings())
+    # Time between leaving the balancer's pool and closing the listener.
+    balancer_lag_s: float = _field(5.0, low=0, high=600)
+    log: LogSettings = _field(LogSettings())
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SidecarSettings:
+    """Settings of the daemon beside an upstream."""
+
+    name: str = _field()
+    region: Region = _field()
+    data_centre: DataCentre = _field()
+    # host:port for entries and peers; holding this port makes the process the upstream's owner.
+    grpc_address: str = _field(form="address")
+    # host:port of /metrics and /healthz.
+    http_address: str = _field(form="address")
+    upstream: UpstreamSettings = _field()
+    platform: PlatformSettings = _field()
+    tls: TlsSettings = _field(TlsSettings())
+    config: ConfigSettings = _field(ConfigSettings())
+    slots: SlotSettings = _field(SlotSettings())
+    load_budget: LoadBudgetSettings = _field(LoadBudgetSettings())
+    admission: AdmissionSettings = _field(AdmissionSettings())
+    permits: PermitSettings = _field(PermitSettings())
+    answers: AnswerSettings = _field(AnswerSettings())
+    transport: TransportSettings = _field(TransportSettings())
+    crash_limit: int = _field(3, low=1, high=10)
+    log: LogSettings = _field(LogSettings())
--- /dev/null
+++ b/src/dragonflyhold/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon beside an upstream."""
--- /dev/null
+++ b/src/dragonflyhold/transport/__init__.py
@@ -0,0 +1,1 @@
+"""The gRPC schema's generated code, channels and TLS."""
--- /dev/null
+++ b/src/dragonflyhold/transport/schema/__init__.py
@@ -0,0 +1,1 @@
+"""Generated from ``schema/*.proto`` by ``make proto``."""
--- /dev/null
+++ b/src/dragonflyhold/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of model engines and plain services."""
