--- a/src/dragonflyhold/cli/root.py
+++ b/src/dragonflyhold/cli/root.py
@@ -3,6 +3,7 @@
 import click
 
 from dragonflyhold.cli.settings import settings_group
+from dragonflyhold.cli.standin import standin_group
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -12,3 +13,4 @@
 
 
 main.add_command(settings_group)
+main.add_command(standin_group)
--- /dev/null
+++ b/src/dragonflyhold/standins/base.py
@@ -0,0 +1,309 @@
+"""HTTP server, JSON helpers and fault control shared by all stand-ins."""
+
+import dataclasses
+import json
+import select
+import socket
+import threading
+import time
+import urllib.parse
+from collections.abc import Mapping
+from typing import Any
+
+import cheroot.server
+
+DEFAULT_ADDRESS = "127.0.0.1:0"
+# Also the bound on requests in progress; further connections wait in the server's queue.
+DEFAULT_THREADS = 64
+STOP_TIMEOUT_S = 2.0
+# The server's own limits (5 waiting, 10 kept) are below the number of a test's connections.
+MAX_CONNECTIONS = 256
+
+
+class DropConnection(Exception):  # noqa: N818 - control flow, not an error
+    """Raised by a handler to close the connection without (the rest of) an answer."""
+
+
+@dataclasses.dataclass(slots=True)
+class Faults:
+    """Faults that a stand-in shows; set and cleared through ``POST /control``."""
+
+    # "closed": connections are accepted and closed, "503": answered with that status, "": none.
+    down: str = ""
+    # Connections are accepted and never answered.
+    frozen: bool = False
+    # Delay of each answer.
+    slow_ms: float = 0.0
+    # Number of coming writes that take effect and whose answer is lost; -1: all.
+    fail_after_effect: int = 0
+    # How the answer is lost: "close", "hang" or "half" (half of the body).
+    fail_mode: str = "close"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """A complete answer."""
+
+    status: int
+    body: bytes = b""
+    content_type: str = "application/json"
+
+
+def json_reply(data: object, status: int = 200) -> Reply:
+    """Return an answer with a JSON body."""
+    return Reply(status, json.dumps(data).encode())
+
+
+def error_reply(status: int, code: str, message: str = "") -> Reply:
+    """Return an error answer in the form of OpenAI-style services."""
+    return json_reply({"error": {"code": code, "message": message or code}}, status)
+
+
+class RateLimit:
+    """A token bucket; safe to use from any thread."""
+
+    def __init__(self, rate_per_s: float, burst: float) -> None:
+        self.rate_per_s = rate_per_s
+        self._burst = burst
+        self._tokens = burst
+        self._updated = time.monotonic()
+        self._lock = threading.Lock()
+
+    def take(self, count: float = 1.0) -> bool:
+        """Take ``count`` tokens if they are there."""
+        with self._lock:
+            self._refill()
+            if self._tokens < min(count, self._burst):
+                return False
+            self._tokens -= count
+            return True
+
+    def reserve(self) -> float:
+        """Take a token, on credit if there is none; return seconds until it is covered."""
+        with self._lock:
+            self._refill()
+            self._tokens -= 1.0
+            return max(0.0, -self._tokens / self.rate_per_s)
+
+    def _refill(self) -> None:
+        now = time.monotonic()
+        gained = (now - self._updated) * self.rate_per_s
+        self._tokens = min(self._burst, self._tokens + gained)
+        self._updated = now
+
+
+class Call:
+    """One HTTP request."""
+
+    def __init__(self, request: Any) -> None:
+        self._request = request
+        parts = urllib.parse.urlsplit(request.uri.decode("ascii", "replace"))
+        self.method: str = request.method.decode("ascii")
+        # Still quoted, so that keys may contain slashes.
+        self.path = parts.path
+        self.query = dict(urllib.parse.parse_qsl(parts.query))
+        self.body: bytes = request.rfile.read()
+
+    def json(self) -> dict[str, Any]:
+        """Return the body, a JSON object; raise ``ValueError``."""
+        data = json.loads(self.body or b"{}")
+        if not isinstance(data, dict):
+            raise ValueError("the body is not a JSON object")
+        return data
+
+    def header(self, name: str) -> str:
+        """Return a request header, or an empty string."""
+        value: bytes = self._request.inheaders.get(name.title().encode(), b"")
+        return value.decode("latin-1")
+
+    def key(self, prefix: str) -> str:
+        """Return the unquoted rest of the path after ``prefix``."""
+        return urllib.parse.unquote(self.path.removeprefix(prefix))
+
+    def is_disconnected(self) -> bool:
+        """Whether the caller closed the connection."""
+        sock: socket.socket = self._request.conn.socket
+        try:
+            readable, _, _ = select.select([sock], [], [], 0)
+            return bool(readable) and sock.recv(1, socket.MSG_PEEK) == b""
+        except (OSError, ValueError):
+            return True
+
+    def start_stream(self, content_type: str) -> None:
+        """Send the head of an answer without a length; ``write`` follows."""
+        self._request.status = b"200 OK"
+        self._request.outheaders = [(b"Content-Type", content_type.encode())]
+        self._request.ensure_headers_sent()
+
+    def write(self, data: bytes) -> None:
+        """Send a part of a streamed answer; raise ``OSError`` if the caller is gone."""
+        self._request.write(data)
+
+    def send(self, reply: Reply, length: int | None = None) -> None:
+        """Send an answer; with ``length``, only that much of its body."""
+        phrase = {200: "OK", 404: "Not Found", 503: "Service Unavailable"}.get(reply.status, "-")
+        self._request.status = f"{reply.status} {phrase}".encode()
+        self._request.outheaders = [
+            (b"Content-Type", reply.content_type.encode()),
+            (b"Content-Length", str(len(reply.body)).encode()),
+        ]
+        self._request.ensure_headers_sent()
+        if reply.body and length != 0:
+            self._request.write(reply.body[:length])
+
+    def drop(self) -> None:
+        """Close the connection without a further byte; safe from any thread."""
+        self._detach()
+        try:
+            self._request.conn.socket.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            return
+
+    def hold(self) -> socket.socket:
+        """Leave the connection open and silent; return the socket that keeps it open."""
+        self._detach()
+        # With this flag the server forgets the socket without closing it.
+        self._request.conn.linger = True
+        held: socket.socket = self._request.conn.socket
+        return held
+
+    def _detach(self) -> None:
+        self._request.close_connection = True
+        self._request.sent_headers = True
+        self._request.chunked_write = False
+
+
+class StandIn:
+    """Base of the stand-ins: a server on a loopback port with fault control."""
+
+    name = "stand-in"
+
+    def __init__(self, address: str = DEFAULT_ADDRESS, threads: int = DEFAULT_THREADS) -> None:
+        self.faults = Faults()
+        self._address = address
+        self._threads = threads
+        self._stopping = threading.Event()
+        self._held: list[socket.socket] = []
+        self._faults_lock = threading.Lock()
+        self._server: Any = None
+        self._thread: threading.Thread | None = None
+
+    @property
+    def address(self) -> str:
+        """The ``host:port`` that the stand-in listens on."""
+        return self._address
+
+    @property
+    def url(self) -> str:
+        """Base URL; fixed after the first start."""
+        return f"http://{self._address}"
+
+    def start(self) -> None:
+        """Listen and serve from other threads; a stopped stand-in starts on the same port."""
+        stand_in = self
+
+        class Gateway(cheroot.server.Gateway):
+            def respond(self) -> None:
+                stand_in._serve(Call(self.req))
+
+        host, _, port = self._address.rpartition(":")
+        self._server = cheroot.server.HTTPServer(
+            (host, int(port)), Gateway, minthreads=self._threads, maxthreads=self._threads
+        )
+        self._server.shutdown_timeout = STOP_TIMEOUT_S
+        self._server.request_queue_size = MAX_CONNECTIONS
+        self._server.keep_alive_conn_limit = MAX_CONNECTIONS
+        # Also the period in which the server notices a stop; the default of 0.5 s slows tests.
+        self._server.expiration_interval = 0.05
+        self._stopping.clear()
+        self._server.prepare()
+        # The server sets it only for fixed ports. Accepted connections inherit it, so that they
+        # don't keep the port from being bound again after a stop.
+        self._server.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._address = f"{host}:{self._server.bind_addr[1]}"
+        self._thread = threading.Thread(target=self._server.serve, name=self.name, daemon=True)
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Close the listener and all connections."""
+        self._stopping.set()
+        self.release_held()
+        if self._server is not None:
+            self._server.stop()
+            self._server = None
+        if self._thread is not None:
+            self._thread.join()
+            self._thread = None
+
+    def handle(self, call: Call) -> Reply | None:
+        """Answer a call; ``None`` if the answer was streamed."""
+        raise NotImplementedError
+
+    def control(self, data: Mapping[str, Any]) -> object:
+        """Set and clear faults; returns what is reported to the caller."""
+        with self._faults_lock:
+            for field in dataclasses.fields(Faults):
+                if field.name in data:
+                    setattr(self.faults, field.name, data[field.name])
+        if not self.faults.frozen:
+            self.release_held()
+        return dataclasses.asdict(self.faults)
+
+    def release_held(self) -> None:
+        """Close the connections that were left silent."""
+        with self._faults_lock:
+            held, self._held = self._held, []
+        for sock in held:
+            sock.close()
+
+    def pause(self, seconds: float) -> None:
+        """Sleep, but no longer than until ``stop``."""
+        self._stopping.wait(seconds)
+
+    def _serve(self, call: Call) -> None:
+        try:
+            if call.path == "/control":
+                call.send(json_reply(self.control(call.json())))
+            else:
+                self._serve_with_faults(call)
+        except (DropConnection, OSError):
+            call.drop()
+        except (ValueError, KeyError, TypeError) as error:
+            call.send(error_reply(400, "bad_request", repr(error)))
+
+    def _serve_with_faults(self, call: Call) -> None:
+        if self.faults.frozen:
+            self._hold(call)
+            return
+        if self.faults.down == "503":
+            call.send(error_reply(503, "unavailable"))
+            return
+        if self.faults.down:
+            raise DropConnection
+        if self.faults.slow_ms:
+            self.pause(self.faults.slow_ms / 1000)
+        reply = self.handle(call)
+        if reply is None:
+            return
+        if call.method == "GET" or not self._take_lost_answer():
+            call.send(reply)
+            return
+        match self.faults.fail_mode:
+            case "hang":
+                self._hold(call)
+            case "half":
+                call.send(reply, len(reply.body) // 2)
+                raise DropConnection
+            case _:
+                raise DropConnection
+
+    def _take_lost_answer(self) -> bool:
+        with self._faults_lock:
+            left = self.faults.fail_after_effect
+            if left > 0:
+                self.faults.fail_after_effect = left - 1
+            return left != 0
+
+    def _hold(self, call: Call) -> None:
+        with self._faults_lock:
+            self._held.append(call.hold())
--- /dev/null
+++ b/src/dragonflyhold/standins/objects.py
@@ -0,0 +1,39 @@
+"""Stand-in for the platform's object store."""
+
+import threading
+from typing import final
+
+from dragonflyhold.standins.base import (
+    DEFAULT_ADDRESS,
+    Call,
+    Reply,
+    StandIn,
+    error_reply,
+    json_reply,
+)
+
+
+@final
+class ObjectStoreStandIn(StandIn):
+    """Objects that are written whole."""
+
+    name = "objects"
+
+    def __init__(self, address: str = DEFAULT_ADDRESS) -> None:
+        super().__init__(address)
+        self._objects: dict[str, bytes] = {}
+        self._lock = threading.Lock()
+
+    def handle(self, call: Call) -> Reply:
+        """Serve ``/v1/objects``."""
+        if not call.path.startswith("/v1/objects/"):
+            return error_reply(404, "not_found")
+        key = call.key("/v1/objects/")
+        with self._lock:
+            match call.method:
+                case "PUT":
+                    self._objects[key] = call.body
+                    return json_reply({})
+                case "GET" if key in self._objects:
+                    return Reply(200, self._objects[key], "application/octet-stream")
+        return error_reply(404, "not_found", key)
--- /dev/null
+++ b/src/dragonflyhold/standins/weights.py
@@ -0,0 +1,74 @@
+"""Stand-in for the weight store."""
+
+import threading
+from collections.abc import Mapping
+from typing import Any, final
+
+from dragonflyhold.standins.base import (
+    DEFAULT_ADDRESS,
+    Call,
+    RateLimit,
+    Reply,
+    StandIn,
+    error_reply,
+    json_reply,
+)
+
+LOADS_PER_S = 6.0
+# Loads that start at once at full speed.
+BURST = 3
+# Time of a load while at most ``MAX_FAST_IN_TRANSIT`` are in transit; in proportion beyond.
+LOAD_S = 0.25
+MAX_FAST_IN_TRANSIT = 24
+
+
+@final
+class WeightStoreStandIn(StandIn):
+    """Serves weights slowly: loads above the rate wait for their turn and count as in transit.
+
+    Control: ``loads_per_s``, ``slow_factor``, ``fail`` (all loads) and ``fail_paths``.
+    """
+
+    name = "weights"
+
+    def __init__(self, address: str = DEFAULT_ADDRESS, loads_per_s: float = LOADS_PER_S) -> None:
+        # Waiting loads each take a thread, and they must be more than the in-transit limit.
+        super().__init__(address, threads=4 * MAX_FAST_IN_TRANSIT)
+        self._limit = RateLimit(loads_per_s, burst=BURST)
+        self._slow_factor = 1.0
+        self._fail = False
+        self._fail_paths: frozenset[str] = frozenset()
+        self._lock = threading.Lock()
+        self._in_transit = 0
+        self._counts = {"loads": 0, "failed": 0, "max_in_transit": 0}
+
+    def handle(self, call: Call) -> Reply:
+        """Serve ``/v1/weights/<path>`` and ``/v1/counts``."""
+        if call.path == "/v1/counts":
+            return json_reply({**self._counts, "in_transit": self._in_transit})
+        if not call.path.startswith("/v1/weights/"):
+            return error_reply(404, "not_found")
+        path = call.key("/v1/weights/")
+        with self._lock:
+            self._in_transit += 1
+            in_transit = self._in_transit
+            self._counts["loads"] += 1
+            self._counts["max_in_transit"] = max(self._counts["max_in_transit"], in_transit)
+        try:
+            share = max(1.0, in_transit / MAX_FAST_IN_TRANSIT)
+            self.pause(self._limit.reserve() + LOAD_S * share * self._slow_factor)
+        finally:
+            with self._lock:
+                self._in_transit -= 1
+        if self._fail or path in self._fail_paths:
+            self._counts["failed"] += 1
+            return error_reply(500, "load_failed", path)
+        return json_reply({"path": path})
+
+    def control(self, data: Mapping[str, Any]) -> object:
+        """Set the rate, slowness and failures."""
+        self._limit.rate_per_s = float(data.get("loads_per_s", self._limit.rate_per_s))
+        self._slow_factor = float(data.get("slow_factor", self._slow_factor))
+        self._fail = bool(data.get("fail", self._fail))
+        self._fail_paths = frozenset(data.get("fail_paths", self._fail_paths))
+        return super().control(data)
--- /dev/null
+++ b/tests/standins/test_engine.py
@@ -0,0 +1,118 @@
+"""Tests of the engine stand-in's parts that only scenarios use."""
+
+import json
+from collections.abc import Iterator
+
+import pytest
+import urllib3
+
+from dragonflyhold.standins import EngineOptions, EngineStandIn
+from dragonflyhold.standins.engine_model import BLOCK_CHARS, Batch, PrefixCache, make_run
+
+
+@pytest.fixture
+def engine() -> Iterator[EngineStandIn]:
+    options = EngineOptions(slots=2, tokens_per_s=2000.0, restart_s=0.0)
+    stand_in = EngineStandIn(options=options)
+    stand_in.start()
+    yield stand_in
+    stand_in.stop()
+
+
+def post(engine: EngineStandIn, path: str, **data: object) -> urllib3.BaseHTTPResponse:
+    return urllib3.request(
+        "POST",
+        f"{engine.url}/v1/{path}",
+        json=data,
+        headers={"X-Request-Id": "r-1"},
+        preload_content=False,
+    )
+
+
+def load(engine: EngineStandIn, name: str) -> int:
+    reply = post(engine, "load_lora_adapter", lora_name=name, lora_path="ale/1")
+    reply.drain_conn()
+    return reply.status
+
+
+class TestEngineStandIn:
+    """Guards against an oracle that misses what it is there to record."""
+
+    def test_slots_are_bounded(self, engine: EngineStandIn) -> None:
+        assert [load(engine, name) for name in ("a", "b", "c")] == [200, 200, 400]
+
+    def test_records_an_unload_in_flight(self, engine: EngineStandIn) -> None:
+        load(engine, "a")
+        stream = post(engine, "completions", model="a", stream=True, max_tokens=100_000)
+        stream.read(10)
+        post(engine, "unload_lora_adapter", lora_name="a").drain_conn()
+        stream.close()
+        journal = urllib3.request("GET", f"{engine.url}/v1/journal").json()
+        assert journal["violations"] == ["a unloaded with 1 in flight"]
+
+    def test_resumes_a_stream_from_an_offset(self, engine: EngineStandIn) -> None:
+        load(engine, "a")
+        stream = post(engine, "completions", model="a", stream=True, max_tokens=20, resumable=True)
+        stream.read(10)
+        stream.close()
+        rest = urllib3.request("GET", f"{engine.url}/v1/streams/r-1?offset=17").data
+        texts = [
+            json.loads(line.removeprefix(b"data: "))["choices"][0]["text"]
+            for line in rest.splitlines()
+            if line.startswith(b"data: {")
+        ]
+        assert texts == [" t17", " t18", " t19"]
+        assert rest.endswith(b"data: [DONE]\n\n")
+
+    def test_whole_answer(self, engine: EngineStandIn) -> None:
+        load(engine, "a")
+        data = post(engine, "completions", model="a", prompt="x", max_tokens=2).json()
+        assert data["choices"][0]["text"].startswith("[weights=ale/1 prompt=")
+        assert data["choices"][0]["text"].endswith(" t1")
+
+
+class TestBatch:
+    """Guards against priorities that are ignored and a rate that does not depend on the fill."""
+
+    def test_waiting_run_can_be_cancelled(self) -> None:
+        batch = Batch(limit=1, tokens_per_s=10.0)
+        runs = [make_run(number, "", "", "", {"model": "a"}) for number in range(2)]
+        assert batch.enter(runs[0], lambda: False)
+        assert not batch.enter(runs[1], lambda: True)
+        batch.leave()
+        assert (batch.running, batch.waiting) == (0, 0)
+
+    def test_full_batch_is_slower_per_stream(self) -> None:
+        batch = Batch(limit=2, tokens_per_s=10.0)
+        times = []
+        for number in range(2):
+            batch.enter(make_run(number, "", "", "", {"model": "a"}), lambda: False)
+            times.append(batch.token_s())
+        assert times == [0.1, 0.2]
+
+
+class TestPrefixCache:
+    """Guards against a cache that never helps, never forgets or reports without gaps."""
+
+    def test_shared_prefix_shortens_the_prefill(self) -> None:
+        cache = PrefixCache()
+        prompt = "x" * BLOCK_CHARS * 4
+        first = cache.prefill_s("ale/1", prompt)
+        assert cache.prefill_s("ale/1", prompt + "y" * BLOCK_CHARS) == first / 4
+        assert cache.prefill_s("ale/2", prompt) == first
+
+    def test_export_and_import(self) -> None:
+        source, target = PrefixCache(), PrefixCache()
+        prompt = "x" * BLOCK_CHARS
+        source.prefill_s("ale/1", prompt)
+        assert target.import_blocks(source.export_blocks("ale/1", prompt)) == 1
+        assert target.prefill_s("ale/1", prompt) == 0.0
+
+    def test_events_have_gaps_and_come_late(self) -> None:
+        cache = PrefixCache(capacity=2, event_lag_s=0.0, gap_every=3)
+        cache.prefill_s("ale/1", "x" * BLOCK_CHARS * 4)
+        assert len(cache) == 2
+        assert [event["sequence"] for event in cache.events(0)] == [1, 2, 4, 5]
+        late = PrefixCache(event_lag_s=1000.0)
+        late.prefill_s("ale/1", "x" * BLOCK_CHARS)
+        assert late.events(0) == []
