--- /dev/null
+++ b/src/dragonflyhold/requests/admission.py
@@ -0,0 +1,258 @@
+"""The bounded queue in front of an upstream and the order in which requests leave it."""
+
+import bisect
+import collections
+import dataclasses
+import math
+from collections.abc import Callable, Iterator, Sequence
+from typing import final
+
+from dragonflyhold.errors import ErrorCode, not_run
+from dragonflyhold.ids import AdapterKey, CallerId, Fingerprint, RequestId
+from dragonflyhold.requests.inflight import InflightTable
+from dragonflyhold.settings import AdmissionSettings
+
+# Weight of the newest request in the mean service time.
+SERVICE_TIME_GAIN = 0.1
+
+
+@final
+@dataclasses.dataclass(slots=True, eq=False)
+class QueuedRequest:
+    """One admitted request that has not started; ``deadline`` is on the caller's clock ``now``."""
+
+    request_id: RequestId
+    key: AdapterKey | None
+    caller: CallerId
+    fingerprint: Fingerprint
+    worth: float
+    is_batch: bool
+    idempotent: bool
+    deadline: float
+    queued_at: float
+    # Starts of this request that the upstream took no byte of.
+    starts: int = 0
+    order: int = 0
+
+    @property
+    def rank(self) -> tuple[float, int]:
+        """Position in the queue: higher worth first, then older first."""
+        return (-self.worth, self.order)
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class WaitingGroup:
+    """Queued requests of one adapter version."""
+
+    key: AdapterKey
+    requests: int
+    worth: float
+    oldest_s: float
+
+
+@final
+class ServiceTime:
+    """Mean time that requests hold a place in the batch; 0 until one ended."""
+
+    def __init__(self) -> None:
+        self.mean_s = 0.0
+
+    def record(self, seconds: float) -> None:
+        """Learn the time of one ended request."""
+        if self.mean_s == 0.0:
+            self.mean_s = seconds
+        else:
+            self.mean_s += SERVICE_TIME_GAIN * (seconds - self.mean_s)
+
+
+@final
+class AdmissionQueue:
+    """Queue sorted by worth, with shares per caller and adapter."""
+
+    def __init__(self, settings: AdmissionSettings) -> None:
+        self._settings = settings
+        self._items: list[QueuedRequest] = []
+        self._by_id: dict[RequestId, QueuedRequest] = {}
+        self._by_caller: collections.Counter[CallerId] = collections.Counter()
+        self._by_key: collections.Counter[AdapterKey | None] = collections.Counter()
+        self._next_order = 0
+
+    def __len__(self) -> int:
+        return len(self._items)
+
+    def __iter__(self) -> Iterator[QueuedRequest]:
+        return iter(list(self._items))
+
+    def get(self, request_id: RequestId) -> QueuedRequest | None:
+        """Return a queued request."""
+        return self._by_id.get(request_id)
+
+    def check(
+        self, item: QueuedRequest, inflight: int, batch_limit: int, mean_s: float, now: float
+    ) -> None:
+        """Raise ``RequestError`` (``not_run``) if the request must be refused."""
+        if item.deadline <= now:
+            raise not_run(ErrorCode.DEADLINE_EXPIRED, "deadline has passed")
+        wait = self.estimate_wait(item, inflight, batch_limit, mean_s)
+        if now + wait > item.deadline:
+            text = f"estimated wait is {wait:.3f} s, above the time left"
+            raise not_run(ErrorCode.DEADLINE_UNREACHABLE, text, _to_ms(mean_s))
+        caller_limit = _share(self._settings.caller_share, self._settings.max_queue)
+        if self._by_caller.get(item.caller, 0) >= caller_limit:
+            text = f"caller has {caller_limit} queued requests, its share"
+            raise not_run(ErrorCode.CALLER_LIMIT, text, _to_ms(mean_s))
+        adapter_limit = _share(self._settings.adapter_share, self._settings.max_queue)
+        if item.key is not None and self._by_key.get(item.key, 0) >= adapter_limit:
+            text = f"adapter has {adapter_limit} queued requests, its share"
+            raise not_run(ErrorCode.ADAPTER_LIMIT, text, _to_ms(mean_s))
+        if len(self._items) >= self._settings.max_queue and item.worth <= self._items[-1].worth:
+            text = f"{len(self._items)} requests of no lower worth are queued"
+            raise not_run(ErrorCode.QUEUE_FULL, text, _to_ms(mean_s))
+
+    def add(self, item: QueuedRequest) -> QueuedRequest | None:
+        """Queue a checked request and return the one it displaced, if the queue was full."""
+        displaced = None
+        if len(self._items) >= self._settings.max_queue:
+            displaced = self._items[-1]
+            self.remove(displaced.request_id)
+        item.order = self._next_order
+        self._next_order += 1
+        self._insert(item)
+        return displaced
+
+    def put_back(self, item: QueuedRequest) -> None:
+        """Return a started request to its old place; the bound is exceeded by at most a batch."""
+        self._insert(item)
+
+    def remove(self, request_id: RequestId) -> QueuedRequest | None:
+        """Remove a request and return it, if it is queued."""
+        item = self._by_id.pop(request_id, None)
+        if item is None:
+            return None
+        index = bisect.bisect_left(self._items, item.rank, key=lambda other: other.rank)
+        del self._items[index]
+        _decrement(self._by_caller, item.caller)
+        _decrement(self._by_key, item.key)
+        return item
+
+    def estimate_wait(
+        self, item: QueuedRequest, inflight: int, batch_limit: int, mean_s: float
+    ) -> float:
+        """Return the expected wait of a new request, in seconds."""
+        ahead = bisect.bisect_right(self._items, -item.worth, key=lambda other: -other.worth)
+        places = inflight + ahead + 1 - batch_limit
+        return max(places, 0) * mean_s / max(batch_limit, 1)
+
+    def expired(self, now: float) -> list[QueuedRequest]:
+        """Return the queued requests whose deadline has passed."""
+        return [item for item in self._items if item.deadline <= now]
+
+    def waiting(self, now: float) -> list[WaitingGroup]:
+        """Return the queued requests grouped by adapter version."""
+        groups: dict[AdapterKey, WaitingGroup] = {}
+        for item in self._items:
+            if item.key is None:
+                continue
+            age = now - item.queued_at
+            old = groups.get(item.key, WaitingGroup(item.key, 0, 0.0, 0.0))
+            groups[item.key] = WaitingGroup(
+                item.key, old.requests + 1, old.worth + item.worth, max(old.oldest_s, age)
+            )
+        return list(groups.values())
+
+    def choose(
+        self,
+        inflight: InflightTable,
+        batch_limit: int,
+        is_ready: Callable[[QueuedRequest], bool],
+        must_run_alone: Callable[[QueuedRequest], bool],
+    ) -> Sequence[QueuedRequest]:
+        """Return the requests to start now, in order; they stay queued until removed.
+
+        A request above the share of its caller or adapter starts only if places are left. Batch
+        kinds leave the interactive reserve free. A request that must run alone starts on an idle
+        upstream, and once it is next in order nothing else starts before it.
+        """
+        if inflight.has_alone():
+            return []
+        ready = [item for item in self._items if is_ready(item)]
+        plan = _StartPlan(self._settings, inflight, batch_limit)
+        for within_shares in (True, False):
+            for item in ready:
+                if plan.free <= 0:
+                    return plan.chosen
+                if must_run_alone(item):
+                    if plan.is_idle:
+                        return [item]
+                    return plan.chosen
+                plan.offer(item, within_shares)
+        return plan.chosen
+
+    def _insert(self, item: QueuedRequest) -> None:
+        bisect.insort(self._items, item, key=lambda other: other.rank)
+        self._by_id[item.request_id] = item
+        self._by_caller[item.caller] += 1
+        self._by_key[item.key] += 1
+
+
+@final
+class _StartPlan:
+    """Requests chosen in one round, with the counts they lead to."""
+
+    def __init__(
+        self, settings: AdmissionSettings, inflight: InflightTable, batch_limit: int
+    ) -> None:
+        self.chosen: list[QueuedRequest] = []
+        self._chosen_ids: set[RequestId] = set()
+        self._inflight = inflight
+        self._limit = batch_limit
+        self._caller_limit = _share(settings.caller_share, batch_limit)
+        self._adapter_limit = _share(settings.adapter_share, batch_limit)
+        self._reserve = math.ceil(settings.interactive_reserve * batch_limit)
+        self._callers: collections.Counter[CallerId] = collections.Counter()
+        self._keys: collections.Counter[AdapterKey | None] = collections.Counter()
+
+    @property
+    def free(self) -> int:
+        """Places left in the batch."""
+        return self._limit - len(self._inflight) - len(self.chosen)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing runs and nothing was chosen."""
+        return not self.chosen and len(self._inflight) == 0
+
+    def offer(self, item: QueuedRequest, within_shares: bool) -> None:
+        """Choose the request if the reserve and, when asked, the shares allow it."""
+        if item.request_id in self._chosen_ids:
+            return
+        if item.is_batch and self.free <= self._reserve:
+            return
+        if within_shares and self._is_above_share(item):
+            return
+        self.chosen.append(item)
+        self._chosen_ids.add(item.request_id)
+        self._callers[item.caller] += 1
+        self._keys[item.key] += 1
+
+    def _is_above_share(self, item: QueuedRequest) -> bool:
+        of_caller = self._inflight.count_caller(item.caller) + self._callers[item.caller]
+        if of_caller >= self._caller_limit:
+            return True
+        of_key = self._inflight.count_adapter(item.key) + self._keys[item.key]
+        return item.key is not None and of_key >= self._adapter_limit
+
+
+def _share(share: float, total: int) -> int:
+    return max(1, math.ceil(share * total))
+
+
+def _to_ms(seconds: float) -> int:
+    return max(1, int(seconds * 1000))
+
+
+def _decrement(counter: collections.Counter, name: object) -> None:  # type: ignore[type-arg]
+    counter[name] -= 1
+    if counter[name] <= 0:
+        del counter[name]
