Add adapter and routing decisions with a simple policy

Cause: the daemons need the decision interfaces before the policy is measured.

Change: slot table, decayed popularity, load backoff, slot plan, load broker, local load share, upstream table and route choice, all pure: the time and the random source are arguments.

Refusals that concern one request (caller and adapter limits, deadlines, permits) do not exclude the upstream. UpstreamTable takes the routing settings, because the belief in a learned residency ends after residency_ttl_s.

Conclusion: interfaces stay, the policy behind them changes with measurements.

--- a/src/dragonflyhold/adapters/__init__.py
+++ b/src/dragonflyhold/adapters/__init__.py
@@ -1,1 +1,31 @@
 """Adapter slots, popularity, load order and the load budget; no I/O."""
+
+from dragonflyhold.adapters.backoff import LoadBackoff
+from dragonflyhold.adapters.broker import (
+    BrokerGrant,
+    LoadBroker,
+    LoadWish,
+    LocalLoadShare,
+    choose_broker,
+)
+from dragonflyhold.adapters.plan import StartEvict, StartLoad, WaitingAdapter, plan_slots
+from dragonflyhold.adapters.popularity import Popularity
+from dragonflyhold.adapters.slots import Slot, SlotState, SlotTable, SlotTransitionError
+
+__all__ = [
+    "BrokerGrant",
+    "LoadBackoff",
+    "LoadBroker",
+    "LoadWish",
+    "LocalLoadShare",
+    "Popularity",
+    "Slot",
+    "SlotState",
+    "SlotTable",
+    "SlotTransitionError",
+    "StartEvict",
+    "StartLoad",
+    "WaitingAdapter",
+    "choose_broker",
+    "plan_slots",
+]
--- /dev/null
+++ b/src/dragonflyhold/adapters/broker.py
@@ -0,0 +1,204 @@
+"""Shares the weight store's load rate among the sidecars of a region."""
+
+import dataclasses
+import hashlib
+from collections.abc import Iterable, Sequence
+from typing import final
+
+from dragonflyhold.ids import Incarnation, UpstreamName
+from dragonflyhold.settings.model import LoadBudgetSettings
+
+# A wish that is not repeated within this time is dropped with its place in the queue.
+WISH_TTL_S = 2.0
+MIN_RETRY_S = 0.02
+# Below half the wish's lifetime, so that one lost message does not cost a wish its place.
+MAX_RETRY_S = 0.9
+# Time after which a waiting wish counts double. Without ageing, a cheap wish never gets its turn
+# while dearer ones keep coming.
+AGEING_S = 5.0
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadWish:
+    """One load that an upstream wants; ``number`` is unique per incarnation."""
+
+    number: int
+    adapter: str
+    worth: float
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class BrokerGrant:
+    """Numbers of the granted wishes, and when to ask again for the others."""
+
+    granted: tuple[int, ...]
+    retry_after_s: float
+
+
+@final
+@dataclasses.dataclass(slots=True)
+class _Pending:
+    worth: float
+    first_seen: float
+    seen: float
+
+
+_Holder = tuple[UpstreamName, Incarnation]
+_GrantKey = tuple[UpstreamName, Incarnation, int]
+
+
+@final
+class LoadBroker:
+    """A token bucket that serves the wishes of the whole region by worth.
+
+    A call can only grant wishes of its own caller, so the broker remembers the recent wishes of
+    all callers and holds tokens back for those that rank higher; they ask again within
+    ``MAX_RETRY_S``.
+    """
+
+    def __init__(self, settings: LoadBudgetSettings) -> None:
+        self._settings = settings
+        self._tokens = 0.0
+        self._refilled_at: float | None = None
+        self._started_at = 0.0
+        self._lapses: dict[_GrantKey, float] = {}
+        self._pending: dict[_Holder, dict[str, _Pending]] = {}
+
+    @property
+    def in_transit(self) -> int:
+        """Grants that have neither ended nor lapsed as of the last call."""
+        return len(self._lapses)
+
+    def acquire(
+        self,
+        upstream: UpstreamName,
+        incarnation: Incarnation,
+        wishes: Sequence[LoadWish],
+        now: float,
+    ) -> BrokerGrant:
+        """Grant the wishes that the budget allows; ``wishes`` replaces the caller's earlier ones.
+
+        A wish that is already granted is granted again at no cost, because the reply to an
+        earlier call may have been lost.
+        """
+        self._advance(now)
+        holder = (upstream, incarnation)
+        repeated = [wish.number for wish in wishes if (*holder, wish.number) in self._lapses]
+        fresh = [wish for wish in wishes if wish.number not in repeated]
+        self._remember(holder, fresh, now)
+        granted = list(repeated)
+        refused: list[tuple[LoadWish, int]] = []
+        for wish in sorted(fresh, key=lambda wish: -wish.worth):
+            ahead = self._count_ahead(holder, wish.adapter, now)
+            if self._free() >= ahead + 1:
+                granted.append(self._grant(holder, wish, now))
+            else:
+                refused.append((wish, ahead))
+        retry = min((self._retry_after(ahead) for _, ahead in refused), default=0.0)
+        return BrokerGrant(tuple(granted), retry)
+
+    def release(
+        self, upstream: UpstreamName, incarnation: Incarnation, numbers: Iterable[int], now: float
+    ) -> None:
+        """End grants before they lapse; unknown ones are ignored."""
+        self._advance(now)
+        for number in numbers:
+            self._lapses.pop((upstream, incarnation, number), None)
+
+    def _advance(self, now: float) -> None:
+        if self._refilled_at is None:
+            self._refilled_at = now
+            self._started_at = now
+        burst = float(self._settings.burst)
+        if self._is_new(now):
+            # Grants of an earlier broker may still be in transit.
+            burst = 1.0
+        elapsed = max(now - self._refilled_at, 0.0)
+        self._tokens = min(self._tokens + elapsed * self._settings.loads_per_s, burst)
+        self._refilled_at = max(now, self._refilled_at)
+        for key in [key for key, lapse in self._lapses.items() if lapse <= now]:
+            del self._lapses[key]
+        for holder in list(self._pending):
+            wishes = self._pending[holder]
+            for adapter in [a for a, entry in wishes.items() if entry.seen + WISH_TTL_S < now]:
+                del wishes[adapter]
+            if not wishes:
+                del self._pending[holder]
+
+    def _is_new(self, now: float) -> bool:
+        return now - self._started_at < self._settings.grant_ttl_s
+
+    def _free(self) -> int:
+        room = self._settings.max_in_transit - len(self._lapses)
+        return max(min(int(self._tokens + 1e-9), room), 0)
+
+    def _remember(self, holder: _Holder, wishes: Sequence[LoadWish], now: float) -> None:
+        earlier = self._pending.pop(holder, {})
+        if not wishes:
+            return
+        entries: dict[str, _Pending] = {}
+        for wish in wishes:
+            known = earlier.get(wish.adapter)
+            first_seen = known.first_seen if known is not None else now
+            entries[wish.adapter] = _Pending(wish.worth, first_seen, now)
+        self._pending[holder] = entries
+
+    def _count_ahead(self, holder: _Holder, adapter: str, now: float) -> int:
+        mine = self._pending[holder][adapter]
+        rank = _aged_worth(mine, now)
+        # Equal worth: the one that waits longer is ahead.
+        return sum(
+            (_aged_worth(entry, now), -entry.first_seen) > (rank, -mine.first_seen)
+            for wishes in self._pending.values()
+            for entry in wishes.values()
+            if entry is not mine
+        )
+
+    def _grant(self, holder: _Holder, wish: LoadWish, now: float) -> int:
+        self._tokens -= 1.0
+        self._lapses[(*holder, wish.number)] = now + self._settings.grant_ttl_s
+        del self._pending[holder][wish.adapter]
+        return wish.number
+
+    def _retry_after(self, ahead: int) -> float:
+        missing = ahead + 1 - self._tokens
+        wait = missing / self._settings.loads_per_s
+        return min(max(wait, MIN_RETRY_S), MAX_RETRY_S)
+
+
+@final
+class LocalLoadShare:
+    """The rate of one sidecar while it reaches no broker: an equal share of the region's."""
+
+    def __init__(self, settings: LoadBudgetSettings, upstream_count: int) -> None:
+        self._rate = settings.loads_per_s / max(upstream_count, 1)
+        # Starts without a token: otherwise all sidecars that lose the broker load at once.
+        self._tokens = 0.0
+        self._refilled_at: float | None = None
+
+    def try_take(self, now: float) -> bool:
+        """Take one load from the share, if there is one."""
+        if self._refilled_at is None:
+            self._refilled_at = now
+        elapsed = max(now - self._refilled_at, 0.0)
+        self._tokens = min(self._tokens + elapsed * self._rate, 1.0)
+        self._refilled_at = max(now, self._refilled_at)
+        if self._tokens < 1.0 - 1e-9:
+            return False
+        self._tokens -= 1.0
+        return True
+
+
+def choose_broker(names: Iterable[UpstreamName]) -> UpstreamName:
+    """Return the name with the highest rendezvous score; raise ``ValueError`` if there is none."""
+    return max(names, key=lambda name: (_broker_score(name), name))
+
+
+def _broker_score(name: UpstreamName) -> bytes:
+    return hashlib.blake2b(name.encode(), digest_size=8, person=b"load-broker").digest()
+
+
+def _aged_worth(entry: _Pending, now: float) -> float:
+    return entry.worth * (1.0 + (now - entry.first_seen) / AGEING_S)
--- /dev/null
+++ b/src/dragonflyhold/adapters/slots.py
@@ -0,0 +1,178 @@
+"""The adapter slots of one engine and their legal transitions."""
+
+import dataclasses
+import enum
+from typing import final
+
+from dragonflyhold.ids import AdapterKey, EngineAdapterName
+
+
+class SlotState(enum.Enum):
+    """What a slot holds."""
+
+    EMPTY = "empty"
+    LOADING = "loading"
+    RESIDENT = "resident"
+    EVICTING = "evicting"
+
+
+class SlotTransitionError(ValueError):
+    """A transition that the state of the slot does not allow."""
+
+
+@final
+@dataclasses.dataclass(slots=True)
+class Slot:
+    """One adapter slot; times are in seconds of the caller's clock.
+
+    ``key`` and ``engine_name`` are set in every state but ``EMPTY``. ``since`` is the time of the
+    last transition, ``last_used`` the time of the last pin or unpin.
+    """
+
+    index: int
+    state: SlotState = SlotState.EMPTY
+    key: AdapterKey | None = None
+    engine_name: EngineAdapterName | None = None
+    in_flight: int = 0
+    since: float = 0.0
+    last_used: float = 0.0
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether the slot may be evicted."""
+        return self.state is SlotState.RESIDENT and self.in_flight == 0
+
+
+@final
+class SlotTable:
+    """The slots of one engine; a key is in at most one slot.
+
+    Every method raises ``SlotTransitionError`` when the state of the slot does not allow it.
+    """
+
+    def __init__(self, count: int) -> None:
+        self._slots = tuple(Slot(index) for index in range(count))
+        # Slots that are loading, resident or evicting.
+        self._by_key: dict[AdapterKey, Slot] = {}
+
+    @property
+    def slots(self) -> tuple[Slot, ...]:
+        """All slots by index; read only."""
+        return self._slots
+
+    def find(self, key: AdapterKey) -> Slot | None:
+        """Return the slot in which the adapter is resident."""
+        slot = self._by_key.get(key)
+        return slot if slot is not None and slot.state is SlotState.RESIDENT else None
+
+    def holder(self, key: AdapterKey) -> Slot | None:
+        """Return the slot that holds the adapter in any state."""
+        return self._by_key.get(key)
+
+    def pin(self, index: int, now: float) -> None:
+        """Count one more request in flight."""
+        slot = self._require(index, SlotState.RESIDENT, "pin")
+        slot.in_flight += 1
+        slot.last_used = now
+
+    def unpin(self, index: int, now: float) -> None:
+        """Count one request less in flight."""
+        slot = self._require(index, SlotState.RESIDENT, "unpin")
+        if slot.in_flight == 0:
+            raise SlotTransitionError(f"slot {index}: unpin with nothing in flight")
+        slot.in_flight -= 1
+        slot.last_used = now
+
+    def begin_load(
+        self, index: int, key: AdapterKey, engine_name: EngineAdapterName, now: float
+    ) -> None:
+        """Reserve an empty slot for an adapter before the load command is sent."""
+        slot = self._require(index, SlotState.EMPTY, "begin_load")
+        self._require_unheld(key, "begin_load")
+        self._fill(slot, SlotState.LOADING, key, engine_name, now)
+
+    def finish_load(self, index: int, now: float) -> None:
+        """Make a loaded adapter available."""
+        slot = self._require(index, SlotState.LOADING, "finish_load")
+        slot.state = SlotState.RESIDENT
+        slot.since = now
+        slot.last_used = now
+
+    def fail_load(self, index: int, now: float) -> None:
+        """Return the slot of a failed load."""
+        self._empty(self._require(index, SlotState.LOADING, "fail_load"), now)
+
+    def begin_evict(self, index: int, now: float) -> None:
+        """Close an idle slot to requests before the unload command is sent."""
+        slot = self._require(index, SlotState.RESIDENT, "begin_evict")
+        if slot.in_flight:
+            raise SlotTransitionError(f"slot {index}: evict with {slot.in_flight} in flight")
+        slot.state = SlotState.EVICTING
+        slot.since = now
+
+    def finish_evict(self, index: int, now: float) -> None:
+        """Return the slot of an unloaded adapter."""
+        self._empty(self._require(index, SlotState.EVICTING, "finish_evict"), now)
+
+    def fail_evict(self, index: int, now: float) -> None:
+        """Make an adapter available again whose unload command did not run."""
+        slot = self._require(index, SlotState.EVICTING, "fail_evict")
+        slot.state = SlotState.RESIDENT
+        slot.since = now
+
+    def adopt(
+        self,
+        index: int,
+        key: AdapterKey,
+        engine_name: EngineAdapterName,
+        in_flight: int,
+        now: float,
+    ) -> None:
+        """Record an adapter that the engine already holds."""
+        slot = self._require(index, SlotState.EMPTY, "adopt")
+        self._require_unheld(key, "adopt")
+        if in_flight < 0:
+            raise SlotTransitionError(f"slot {index}: adopt with {in_flight} in flight")
+        self._fill(slot, SlotState.RESIDENT, key, engine_name, now)
+        slot.in_flight = in_flight
+
+    def clear(self, now: float) -> None:
+        """Empty all slots; the engine has restarted and holds nothing."""
+        for slot in self._slots:
+            self._empty(slot, now)
+
+    def _require(self, index: int, state: SlotState, operation: str) -> Slot:
+        slot = self._slots[index]
+        if slot.state is not state:
+            raise SlotTransitionError(f"slot {index}: {operation} while {slot.state.value}")
+        return slot
+
+    def _require_unheld(self, key: AdapterKey, operation: str) -> None:
+        held = self._by_key.get(key)
+        if held is not None:
+            raise SlotTransitionError(f"{operation} of {key}: already in slot {held.index}")
+
+    def _fill(
+        self,
+        slot: Slot,
+        state: SlotState,
+        key: AdapterKey,
+        engine_name: EngineAdapterName,
+        now: float,
+    ) -> None:
+        slot.state = state
+        slot.key = key
+        slot.engine_name = engine_name
+        slot.in_flight = 0
+        slot.since = now
+        slot.last_used = now
+        self._by_key[key] = slot
+
+    def _empty(self, slot: Slot, now: float) -> None:
+        if slot.key is not None:
+            del self._by_key[slot.key]
+        slot.state = SlotState.EMPTY
+        slot.key = None
+        slot.engine_name = None
+        slot.in_flight = 0
+        slot.since = now
--- /dev/null
+++ b/src/dragonflyhold/routing/choice.py
@@ -0,0 +1,172 @@
+"""Choice of the upstream for one request."""
+
+import dataclasses
+import enum
+import math
+import random
+from collections.abc import Sequence
+from typing import final
+
+from dragonflyhold.errors import ErrorCode
+from dragonflyhold.ids import AdapterKey, Fingerprint, ServiceName, UpstreamName
+from dragonflyhold.routing.hashing import hash64
+from dragonflyhold.routing.table import UpstreamRow, UpstreamTable
+from dragonflyhold.settings.model import RoutingSettings
+
+
+class RouteReason(enum.Enum):
+    """Why an upstream was chosen; also a metric label."""
+
+    RESIDENT = "resident"
+    RANKED = "ranked"
+    LEAST_LOADED = "least_loaded"
+    SUSPECTED = "suspected"
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouteRequest:
+    """What the choice depends on; ``tried`` names the upstreams of earlier attempts."""
+
+    service: ServiceName
+    key: AdapterKey | None
+    fingerprint: Fingerprint
+    batch: bool
+    suspected: bool
+    tried: frozenset[UpstreamName]
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouteTo:
+    """Send the request to this upstream."""
+
+    upstream: UpstreamName
+    reason: RouteReason
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoRoute:
+    """No upstream takes the request now; it did not run."""
+
+    code: ErrorCode
+    message: str
+
+
+def choose_upstream(
+    request: RouteRequest,
+    table: UpstreamTable,
+    now: float,
+    settings: RoutingSettings,
+    rng: random.Random,
+) -> RouteTo | NoRoute:
+    """Choose the upstream for a request from this entry's view.
+
+    Upstreams in ``tried`` are chosen again only if no other takes work. Suspected requests with
+    one fingerprint go to the same upstream while it is usable.
+    """
+    if request.suspected:
+        return _choose_for_suspect(request, table, now)
+    usable = [row for row in table.rows(request.service) if row.is_usable()]
+    ready = [row for row in usable if not row.is_excluded(now)]
+    candidates = [row for row in ready if row.config.name not in request.tried] or ready
+    if not candidates:
+        return _no_route(request, table)
+    if request.key is None:
+        return _least_loaded_of_two(candidates, now, rng)
+    return _choose_for_key(request.key, candidates, table, now, settings, rng)
+
+
+def load_limit(candidates: Sequence[UpstreamRow], now: float, settings: RoutingSettings) -> float:
+    """Return the load at which a candidate is skipped.
+
+    The bounded-load factor times the mean, but at least half a batch: below that a request does
+    not wait for its turn, and moving it would only cost a load.
+    """
+    total = sum(row.load(now) for row in candidates)
+    mean = (total + 1) / len(candidates)
+    batch = min(row.batch_limit for row in candidates)
+    return max(settings.bounded_load_factor * mean, batch / 2, 1.0)
+
+
+def _choose_for_key(
+    key: AdapterKey,
+    candidates: Sequence[UpstreamRow],
+    table: UpstreamTable,
+    now: float,
+    settings: RoutingSettings,
+    rng: random.Random,
+) -> RouteTo:
+    limit = load_limit(candidates, now, settings)
+    allowed = {row.config.name for row in candidates if row.load(now) < limit}
+    ranking = table.ranking(key.service, hash64(str(key).encode()))
+    ranked = [row for row in ranking if row.config.name in allowed]
+    copies = _copies(key, table, candidates, now, settings)
+    preferred = ranked[:copies]
+    resident = [row for row in preferred if row.has_resident(key, now)]
+    if resident:
+        best = min(resident, key=lambda row: row.load(now))
+        return RouteTo(best.config.name, RouteReason.RESIDENT)
+    elsewhere = [
+        row for row in candidates if row.has_resident(key, now) and row.config.name in allowed
+    ]
+    if elsewhere:
+        best = min(elsewhere, key=lambda row: row.load(now))
+        return RouteTo(best.config.name, RouteReason.RESIDENT)
+    if preferred:
+        return RouteTo(preferred[0].config.name, RouteReason.RANKED)
+    return _least_loaded_of_two(candidates, now, rng)
+
+
+def _copies(
+    key: AdapterKey,
+    table: UpstreamTable,
+    candidates: Sequence[UpstreamRow],
+    now: float,
+    settings: RoutingSettings,
+) -> int:
+    own_total = sum(row.own for row in candidates)
+    total = sum(row.load(now) for row in candidates)
+    # Other entries send for the same adapter; this entry's share of the total load scales its
+    # own count up to an estimate for the region.
+    scale = total / own_total if own_total else 1.0
+    load = table.own_load(key) * scale
+    batch = min(row.batch_limit for row in candidates)
+    wanted = 1 + math.floor(load / (settings.copy_load_share * batch))
+    return min(wanted, settings.max_copies)
+
+
+def _choose_for_suspect(
+    request: RouteRequest, table: UpstreamTable, now: float
+) -> RouteTo | NoRoute:
+    ranking = table.ranking(request.service, hash64(request.fingerprint))
+    for row in ranking:
+        # A full upstream is waited for: another one must not meet the same request.
+        if row.is_usable() and row.excluded_until <= now:
+            return RouteTo(row.config.name, RouteReason.SUSPECTED)
+    return _no_route(request, table)
+
+
+def _least_loaded_of_two(
+    candidates: Sequence[UpstreamRow], now: float, rng: random.Random
+) -> RouteTo:
+    # Two random candidates instead of all: entries that share one view would otherwise all send
+    # to the same upstream until its next report.
+    first = rng.choice(candidates)
+    second = rng.choice(candidates)
+    best = min(first, second, key=lambda row: row.load(now) / row.batch_limit)
+    return RouteTo(best.config.name, RouteReason.LEAST_LOADED)
+
+
+def _no_route(request: RouteRequest, table: UpstreamTable) -> NoRoute:
+    rows = table.rows(request.service)
+    if not rows:
+        message = f"service {request.service} has no upstream"
+    else:
+        usable = sum(row.is_usable() for row in rows)
+        message = (
+            f"no upstream of {request.service} takes work: {len(rows)} configured, "
+            f"{len(rows) - usable} leaving or down, {usable} refused recently"
+        )
+    return NoRoute(ErrorCode.NO_UPSTREAM, message)
