--- a/src/dragonflyhold/requests/inflight.py
+++ b/src/dragonflyhold/requests/inflight.py
@@ -27,6 +27,7 @@
     # Number of the latest upstream check begun before the connection broke; a later check decides
     # whether the upstream crashed.
     broken_after: int | None = None
+    is_cancelled: bool = False
 
 
 @final
--- /dev/null
+++ b/src/dragonflyhold/sidecar/budget.py
@@ -0,0 +1,348 @@
+"""Grants of the region's load budget: broker, its client, and the fall-back to a local share."""
+
+import dataclasses
+import threading
+from collections.abc import Callable, Sequence
+from typing import final
+
+import grpc
+
+from dragonflyhold.adapters import (
+    BrokerGrant,
+    LoadBroker,
+    LoadWish,
+    LocalLoadShare,
+    StartLoad,
+    choose_broker,
+)
+from dragonflyhold.config.objects import Upstream
+from dragonflyhold.ids import AdapterKey, Incarnation, UpstreamName
+from dragonflyhold.observability import Metrics, PartLogger
+from dragonflyhold.settings import LoadBudgetSettings, TlsSettings
+from dragonflyhold.transport.grpc_endpoints import make_channel
+from dragonflyhold.transport.schema import broker_pb2 as pb
+from dragonflyhold.transport.schema import broker_pb2_grpc
+
+# A broker that does not answer in this time is passed over for ``BROKER_EXCLUDE_S``.
+ACQUIRE_TIMEOUT_S = 0.5
+BROKER_EXCLUDE_S = 5.0
+# Lower bound on the time between two calls to the broker.
+MIN_ASK_S = 0.02
+# Time between two calls while the local share is in use.
+FALLBACK_ASK_S = 1.0
+
+_logger = PartLogger("sidecar")
+
+
+@final
+class BrokerDirectory:
+    """Which upstream's sidecar is the broker in this process's view; safe from any thread."""
+
+    def __init__(self, own_name: UpstreamName, upstreams: Callable[[], Sequence[Upstream]]) -> None:
+        self._own_name = own_name
+        self._upstreams = upstreams
+        self._excluded: dict[UpstreamName, float] = {}
+        self._lock = threading.Lock()
+
+    @property
+    def count(self) -> int:
+        """Number of upstreams that share the budget, at least 1."""
+        return max(len(self._upstreams()), 1)
+
+    def broker(self, now: float) -> Upstream | None:
+        """Return the broker; ``None`` if it is this process."""
+        with self._lock:
+            self._excluded = {name: until for name, until in self._excluded.items() if until > now}
+            candidates = {
+                upstream.name: upstream
+                for upstream in self._upstreams()
+                if upstream.name not in self._excluded
+            }
+        names = [*candidates, self._own_name]
+        chosen = choose_broker(names)
+        return None if chosen == self._own_name else candidates[chosen]
+
+    def exclude(self, name: UpstreamName, now: float) -> None:
+        """Pass over a broker that did not answer."""
+        with self._lock:
+            self._excluded[name] = now + BROKER_EXCLUDE_S
+
+
+@final
+class BrokerDesk:
+    """The pure broker behind a lock, for the servicer and for this sidecar's own wishes."""
+
+    def __init__(self, settings: LoadBudgetSettings) -> None:
+        self._broker = LoadBroker(settings)
+        self._lock = threading.Lock()
+
+    def acquire(
+        self,
+        upstream: UpstreamName,
+        incarnation: Incarnation,
+        wishes: Sequence[LoadWish],
+        now: float,
+    ) -> BrokerGrant:
+        """Grant what the budget allows."""
+        with self._lock:
+            return self._broker.acquire(upstream, incarnation, wishes, now)
+
+    def release(
+        self,
+        upstream: UpstreamName,
+        incarnation: Incarnation,
+        numbers: Sequence[int],
+        now: float,
+    ) -> None:
+        """End grants."""
+        with self._lock:
+            self._broker.release(upstream, incarnation, numbers, now)
+
+
+@final
+class BrokerServicer(broker_pb2_grpc.LoadBrokerServicer):
+    """The gRPC side of the broker."""
+
+    def __init__(
+        self,
+        settings: LoadBudgetSettings,
+        desk: BrokerDesk,
+        directory: BrokerDirectory,
+        check_broker: Callable[[Upstream], None],
+        clock: Callable[[], float],
+    ) -> None:
+        self._settings = settings
+        self._desk = desk
+        self._directory = directory
+        self._check_broker = check_broker
+        self._clock = clock
+
+    def Acquire(  # noqa: N802
+        self, request: pb.AcquireRequest, context: grpc.ServicerContext
+    ) -> pb.AcquireReply:
+        """Grant wishes, or answer that another process is the broker."""
+        now = self._clock()
+        broker = self._directory.broker(now)
+        if broker is not None:
+            # The caller found the chosen broker dead, or has an older configuration.
+            self._check_broker(broker)
+            return pb.AcquireReply(not_broker=True)
+        wishes = [LoadWish(wish.number, wish.adapter, wish.worth) for wish in request.wishes]
+        upstream = UpstreamName(request.upstream)
+        grant = self._desk.acquire(upstream, Incarnation(request.incarnation), wishes, now)
+        return pb.AcquireReply(
+            granted=grant.granted,
+            grant_ttl_ms=int(self._settings.grant_ttl_s * 1000),
+            retry_after_ms=int(grant.retry_after_s * 1000),
+        )
+
+    def Release(  # noqa: N802
+        self, request: pb.ReleaseRequest, context: grpc.ServicerContext
+    ) -> pb.ReleaseReply:
+        """End grants."""
+        upstream, incarnation = UpstreamName(request.upstream), Incarnation(request.incarnation)
+        self._desk.release(upstream, incarnation, list(request.numbers), self._clock())
+        return pb.ReleaseReply()
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class BudgetReply:
+    """Result of one call to the broker; ``grant`` is ``None`` if there was no broker."""
+
+    grant: BrokerGrant | None
+    asked: tuple[int, ...]
+
+
+@final
+class BrokerCaller:
+    """Calls the broker of the moment; used in worker threads."""
+
+    def __init__(
+        self,
+        name: UpstreamName,
+        incarnation: Incarnation,
+        directory: BrokerDirectory,
+        desk: BrokerDesk,
+        tls: TlsSettings,
+        metrics: Metrics,
+        clock: Callable[[], float],
+    ) -> None:
+        self._name = name
+        self._incarnation = incarnation
+        self._directory = directory
+        self._desk = desk
+        self._tls = tls
+        self._metrics = metrics
+        self._clock = clock
+        self._channels: dict[str, grpc.Channel] = {}
+        self._lock = threading.Lock()
+
+    def acquire(self, wishes: Sequence[LoadWish]) -> BudgetReply:
+        """Ask for grants."""
+        asked = tuple(wish.number for wish in wishes)
+        now = self._clock()
+        broker = self._directory.broker(now)
+        if broker is None:
+            return BudgetReply(
+                self._desk.acquire(self._name, self._incarnation, wishes, now), asked
+            )
+        request = pb.AcquireRequest(upstream=self._name, incarnation=self._incarnation)
+        for wish in wishes:
+            request.wishes.add(number=wish.number, adapter=wish.adapter, worth=wish.worth)
+        try:
+            stub = broker_pb2_grpc.LoadBrokerStub(self._channel(broker.sidecar_address))
+            reply = stub.Acquire(request, timeout=ACQUIRE_TIMEOUT_S)
+        except grpc.RpcError as error:
+            self._directory.exclude(broker.name, self._clock())
+            self._forget_channel(broker.sidecar_address)
+            self._metrics.count_event("broker_unreachable")
+            _logger.warning("Load broker does not answer.", broker=broker.name, error=error.code())
+            return BudgetReply(None, asked)
+        if reply.not_broker:
+            self._metrics.count_event("broker_refused")
+            return BudgetReply(None, asked)
+        grant = BrokerGrant(tuple(reply.granted), reply.retry_after_ms / 1000)
+        return BudgetReply(grant, asked)
+
+    def release(self, numbers: Sequence[int]) -> None:
+        """End grants; a lost call only costs speed until they lapse."""
+        now = self._clock()
+        broker = self._directory.broker(now)
+        if broker is None:
+            self._desk.release(self._name, self._incarnation, numbers, now)
+            return
+        request = pb.ReleaseRequest(
+            upstream=self._name, incarnation=self._incarnation, numbers=numbers
+        )
+        try:
+            stub = broker_pb2_grpc.LoadBrokerStub(self._channel(broker.sidecar_address))
+            stub.Release(request, timeout=ACQUIRE_TIMEOUT_S)
+        except grpc.RpcError:
+            self._metrics.count_event("broker_release_lost")
+
+    def close(self) -> None:
+        """Close all channels."""
+        with self._lock:
+            for channel in self._channels.values():
+                channel.close()
+            self._channels.clear()
+
+    def _channel(self, address: str) -> grpc.Channel:
+        with self._lock:
+            channel = self._channels.get(address)
+            if channel is None:
+                channel = make_channel(address, self._tls)
+                self._channels[address] = channel
+            return channel
+
+    def _forget_channel(self, address: str) -> None:
+        # The next call uses a new connection: this one may be silent for good.
+        with self._lock:
+            channel = self._channels.pop(address, None)
+        if channel is not None:
+            channel.close()
+
+
+@final
+class LoadBudget:
+    """Wishes and grants of this sidecar; used by the thread that owns the tables."""
+
+    def __init__(
+        self,
+        settings: LoadBudgetSettings,
+        caller: BrokerCaller,
+        directory: BrokerDirectory,
+        submit: Callable[[Callable[[], object]], None],
+        tell: Callable[[object], None],
+    ) -> None:
+        self._settings = settings
+        self._caller = caller
+        self._directory = directory
+        self._submit = submit
+        self._tell = tell
+        self._wishes: dict[AdapterKey, LoadWish] = {}
+        self._grants: dict[int, float] = {}
+        self._numbers: dict[int, AdapterKey] = {}
+        self._next_number = 1
+        self._is_asking = False
+        self._ask_at = 0.0
+        self._share: LocalLoadShare | None = None
+        self._share_count = 0
+
+    def want(self, orders: Sequence[StartLoad], now: float) -> None:
+        """Replace the loads that are wished for; grants that no wish needs are given back."""
+        wishes: dict[AdapterKey, LoadWish] = {}
+        for order in orders:
+            known = self._wishes.get(order.key)
+            number = known.number if known is not None else self._new_number(order.key)
+            wishes[order.key] = LoadWish(number, str(order.key), order.worth)
+        kept = {wish.number for wish in wishes.values()}
+        for number in [number for number in self._numbers if number not in kept]:
+            del self._numbers[number]
+            if self._grants.pop(number, None) is not None:
+                self.release(number)
+        self._wishes = wishes
+
+    def take(self, key: AdapterKey, now: float) -> int | None:
+        """Return the number of a grant that may be used now, if there is one."""
+        wish = self._wishes.get(key)
+        if wish is None:
+            return None
+        lapse = self._grants.pop(wish.number, None)
+        is_granted = lapse is not None and lapse > now
+        if not is_granted and self._share is not None:
+            is_granted = self._share.try_take(now)
+        if not is_granted:
+            return None
+        del self._wishes[key]
+        self._numbers.pop(wish.number, None)
+        return wish.number
+
+    def release(self, number: int) -> None:
+        """End a grant after its load."""
+        self._submit(lambda: self._caller.release([number]))
+
+    def step(self, now: float) -> None:
+        """Ask the broker for the wishes that are not granted, when it is time."""
+        wishes = [wish for wish in self._wishes.values() if wish.number not in self._grants]
+        if not wishes or self._is_asking or now < self._ask_at:
+            return
+        self._is_asking = True
+        self._submit(lambda: self._ask(wishes))
+
+    def on_reply(self, reply: BudgetReply, now: float) -> None:
+        """Take over the broker's answer."""
+        self._is_asking = False
+        if reply.grant is None:
+            self._begin_fallback()
+            self._ask_at = now + FALLBACK_ASK_S
+            return
+        self._share = None
+        self._ask_at = now + max(reply.grant.retry_after_s, MIN_ASK_S)
+        for number in reply.grant.granted:
+            if number in self._numbers:
+                self._grants[number] = now + self._settings.grant_ttl_s
+            else:
+                self.release(number)
+
+    def _ask(self, wishes: Sequence[LoadWish]) -> None:
+        try:
+            reply = self._caller.acquire(wishes)
+        except Exception:
+            # A reply must always come, or this sidecar would never ask again.
+            _logger.exception("Call to the load broker failed.")
+            reply = BudgetReply(None, ())
+        self._tell(reply)
+
+    def _begin_fallback(self) -> None:
+        count = self._directory.count
+        if self._share is None or count != self._share_count:
+            self._share = LocalLoadShare(self._settings, count)
+            self._share_count = count
+
+    def _new_number(self, key: AdapterKey) -> int:
+        number = self._next_number
+        self._next_number += 1
+        self._numbers[number] = key
+        return number
--- /dev/null
+++ b/src/dragonflyhold/sidecar/core.py
@@ -0,0 +1,265 @@
+"""Owns the tables of a sidecar and steps the systems on messages and ticks.
+
+Not thread-safe: the actor calls it from one thread, tests call it directly.
+"""
+
+import dataclasses
+from collections.abc import Callable
+from typing import final
+
+from dragonflyhold.ids import AdapterKey, RequestId, Revision
+from dragonflyhold.observability import PartLogger
+from dragonflyhold.sidecar import messages as msg
+from dragonflyhold.sidecar.budget import BudgetReply, LoadBudget
+from dragonflyhold.sidecar.desk import RequestDesk
+from dragonflyhold.sidecar.execution import Execution
+from dragonflyhold.sidecar.outbox import StreamOutbox
+from dragonflyhold.sidecar.runs import RunFinished
+from dragonflyhold.sidecar.slot_commands import LoadFinished, UnloadFinished
+from dragonflyhold.sidecar.slots import SlotSystem
+from dragonflyhold.sidecar.supervision import Observation
+from dragonflyhold.sidecar.tables import Tables
+from dragonflyhold.sidecar.wire import UPSTREAM_STATES
+from dragonflyhold.states import UpstreamMode
+from dragonflyhold.transport.schema import sidecar_pb2 as pb
+
+# A submission from an entry with a higher revision waits this long for the revision.
+CATCH_UP_S = 1.0
+# Multiple of the silence limit after which an entry that reads answers counts as gone.
+GONE_FACTOR = 2.0
+
+_logger = PartLogger("sidecar")
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Parked:
+    outbox: StreamOutbox
+    submit: pb.Submit
+    revision: Revision
+    until: float
+
+
+@final
+class SidecarCore:
+    """All state of a sidecar but the connections."""
+
+    def __init__(
+        self,
+        tables: Tables,
+        desk: RequestDesk,
+        execution: Execution,
+        slots: SlotSystem | None,
+        budget: LoadBudget | None,
+        forget_claim: Callable[[], None],
+        clock: Callable[[], float],
+    ) -> None:
+        self._tables = tables
+        self._desk = desk
+        self._execution = execution
+        self._slots = slots
+        self._budget = budget
+        self._forget_claim = forget_claim
+        self._clock = clock
+        self._parked: list[_Parked] = []
+        self._last_step = 0.0
+        self._heartbeats = 0
+        self._boot: str | None = None
+
+    def handle(self, message: object) -> object:
+        """Process one message; calls return their reply."""
+        now = self._clock()
+        match message:
+            case msg.FrameReceived(outbox, frame):
+                self._on_frame(outbox, frame, now)
+            case msg.StreamEnded():
+                return None
+            case RunFinished():
+                self._execution.on_finished(message, now)
+            case Observation():
+                self._on_observation(message, now)
+            case LoadFinished():
+                self._on_load(message, now)
+            case UnloadFinished():
+                self._on_unload(message, now)
+            case BudgetReply():
+                if self._budget is not None:
+                    self._budget.on_reply(message, now)
+            case msg.LeavingChanged(source, is_leaving):
+                self._set_leaving(source, is_leaving)
+            case msg.TimerTick():
+                self._unpark(now)
+            case msg.HeartbeatTick():
+                self._on_heartbeat_tick(now)
+            case _:
+                return self._call(message, now)
+        return None
+
+    def step(self) -> None:
+        """Run the systems over the tables."""
+        now = self._clock()
+        self._execution.step(now)
+        if self._slots is None or not self._tables.condition.is_up:
+            return
+        self._slots.step(self._execution.waiting(now), self._weights, now)
+        if self._budget is not None:
+            self._budget.step(now)
+
+    def _call(self, message: object, now: float) -> object:
+        match message:
+            case msg.ProbeCall():
+                return self._probe()
+            case msg.IssueCall(request):
+                return self._desk.issue(request, now)
+            case msg.LookupCall(request_id):
+                return self._desk.lookup(RequestId(request_id), now)
+            case msg.DeclineCall(request_id):
+                return self._desk.decline(RequestId(request_id), now)
+            case msg.IsDrainedCall():
+                return self._is_drained(now)
+            case msg.IsReadyCall():
+                condition = self._tables.condition
+                is_fresh = self._tables.config.is_fresh(now)
+                return condition.is_up and not condition.leaving and is_fresh
+            case _:
+                raise TypeError(f"unknown message {type(message).__name__}")
+
+    def _on_frame(self, outbox: StreamOutbox, frame: pb.EntryFrame, now: float) -> None:
+        revision = Revision(frame.config_revision)
+        is_behind = revision > self._tables.config.view.revision
+        if is_behind:
+            self._tables.config.observe_revision(revision, "")
+        for item in frame.items:
+            match item.WhichOneof("item"):
+                case "hello":
+                    outbox.entry = item.hello.entry
+                    outbox.put_heartbeat(self._heartbeat())
+                case "submit" if is_behind:
+                    self._parked.append(_Parked(outbox, item.submit, revision, now + CATCH_UP_S))
+                case "submit":
+                    self._desk.submit(outbox, item.submit, now)
+                case "attach":
+                    self._desk.attach(outbox, item.attach, now)
+                case "cancel":
+                    self._desk.cancel(outbox, item.cancel, now)
+                case "heartbeat":
+                    outbox.put_heartbeat(self._heartbeat())
+                case "ack":
+                    request_id = RequestId(item.ack.request_id)
+                    self._tables.answers.acknowledge(request_id, item.ack.next_sequence, now)
+
+    def _unpark(self, now: float) -> None:
+        if not self._parked:
+            return
+        revision = self._tables.config.view.revision
+        parked, self._parked = self._parked, []
+        for entry in parked:
+            if entry.outbox.is_closed:
+                # The entry is told nothing, so the request never counts as accepted.
+                continue
+            if entry.revision <= revision:
+                self._desk.submit(entry.outbox, entry.submit, now)
+            elif entry.until <= now:
+                self._desk.refuse_stale(entry.outbox, entry.submit, now)
+            else:
+                self._parked.append(entry)
+
+    def _on_observation(self, observation: Observation, now: float) -> None:
+        status = observation.status
+        boot = status.boot_id if status is not None else None
+        is_restart = boot is not None and self._boot is not None and boot != self._boot
+        if is_restart:
+            _logger.warning("Engine has restarted.", boot=boot)
+            self._tables.metrics.count_event("engine_restarted")
+        # Requests in flight are ended before their slots are cleared.
+        self._execution.on_observation(observation, is_restart, now)
+        upstream = self._tables.config.view.upstream(self._tables.name)
+        if status is None or self._slots is None or upstream is None:
+            return
+        self._boot = status.boot_id
+        self._slots.observe(status, observation.epoch, upstream, now)
+
+    def _on_load(self, message: LoadFinished, now: float) -> None:
+        if message.is_stale:
+            self._forget_claim()
+        if self._slots is not None:
+            self._slots.on_load(message, now)
+
+    def _on_unload(self, message: UnloadFinished, now: float) -> None:
+        if message.is_stale:
+            self._forget_claim()
+        if self._slots is not None:
+            self._slots.on_unload(message, now)
+
+    def _set_leaving(self, source: str, is_leaving: bool) -> None:
+        leaving = self._tables.condition.leaving
+        was_leaving = bool(leaving)
+        if is_leaving:
+            leaving.add(source)
+        else:
+            leaving.discard(source)
+        if bool(leaving) == was_leaving:
+            return
+        _logger.info("Leaving." if leaving else "Taking work again.", source=source)
+        # Entries learn of the change at once, not at the next heartbeat.
+        for outbox in self._tables.hub.all():
+            outbox.put_heartbeat(self._heartbeat())
+
+    def _on_heartbeat_tick(self, now: float) -> None:
+        tables = self._tables
+        self._heartbeats += 1
+        upstream = tables.config.view.upstream(tables.name)
+        is_draining = upstream is not None and upstream.mode is UpstreamMode.DRAINING
+        self._set_leaving("configuration", is_draining)
+        tables.crashes.advance(now)
+        tables.answers.expire(now)
+        for request_id in tables.permits.expire(now):
+            tables.answers.discard(request_id)
+        limit = now - GONE_FACTOR * tables.settings.transport.silence_s
+        for outbox in tables.hub.all():
+            if outbox.has_open and outbox.last_heard < limit:
+                _logger.warning("Entry is silent.", entry=outbox.entry)
+                tables.metrics.count_event("entry_silent")
+                tables.hub.remove(outbox)
+            elif outbox.has_open:
+                outbox.put_heartbeat(self._heartbeat())
+        self._observe_levels()
+
+    def _observe_levels(self) -> None:
+        tables = self._tables
+        metrics = tables.metrics
+        metrics.set_level("in_flight", len(tables.inflight))
+        metrics.set_level("queued", len(tables.queue))
+        metrics.set_level("request_ids", len(tables.permits))
+        metrics.set_level("answer_bytes", tables.answers.total_bytes)
+        metrics.set_level("upstream_up", 1 if tables.condition.is_up else 0)
+        metrics.set_level("epoch", tables.condition.epoch)
+        if len(tables.inflight) or len(tables.queue):
+            metrics.observe_batch_fill(len(tables.inflight) / tables.condition.batch_limit)
+
+    def _heartbeat(self) -> pb.SidecarHeartbeat:
+        return pb.SidecarHeartbeat(
+            number=self._heartbeats,
+            upstream=self._tables.name,
+            incarnation=self._tables.incarnation,
+            state=UPSTREAM_STATES[self._tables.condition.state],
+            load=self._desk.load_report(),
+        )
+
+    def _probe(self) -> pb.ProbeReply:
+        return pb.ProbeReply(
+            upstream=self._tables.name,
+            incarnation=self._tables.incarnation,
+            state=UPSTREAM_STATES[self._tables.condition.state],
+            config_revision=self._tables.config.view.revision,
+            load=self._desk.load_report(),
+        )
+
+    def _is_drained(self, now: float) -> bool:
+        tables = self._tables
+        is_busy = len(tables.queue) or len(tables.inflight) or self._parked
+        return not is_busy and not tables.answers.has_undelivered(now)
+
+    def _weights(self, key: AdapterKey) -> str | None:
+        version = self._tables.config.view.version(key)
+        return version.weights if version is not None else None
--- /dev/null
+++ b/src/dragonflyhold/sidecar/daemon.py
@@ -0,0 +1,310 @@
+"""The daemon beside an upstream: wiring, start and graceful stop."""
+
+import concurrent.futures
+import dataclasses
+import random
+import threading
+import time
+from collections.abc import Callable, Sequence
+from typing import Protocol, final
+
+import grpc
+import pykka
+
+from dragonflyhold.config.objects import Upstream
+from dragonflyhold.ids import Incarnation, UpstreamName, new_incarnation
+from dragonflyhold.observability import Metrics, PartLogger
+from dragonflyhold.platform.interface import Table, VmList
+from dragonflyhold.requests import CrashTable, QueuedRequest
+from dragonflyhold.settings import SidecarSettings
+from dragonflyhold.sidecar import messages as msg
+from dragonflyhold.sidecar.actor import SidecarActor
+from dragonflyhold.sidecar.broker_probe import BrokerProbe
+from dragonflyhold.sidecar.budget import (
+    BrokerCaller,
+    BrokerDesk,
+    BrokerDirectory,
+    BrokerServicer,
+    LoadBudget,
+)
+from dragonflyhold.sidecar.core import SidecarCore
+from dragonflyhold.sidecar.desk import RequestDesk
+from dragonflyhold.sidecar.execution import Execution, Pins
+from dragonflyhold.sidecar.http import StatusServer
+from dragonflyhold.sidecar.ownership import OwnerEpoch
+from dragonflyhold.sidecar.runs import EngineRun, PlainRun, Run
+from dragonflyhold.sidecar.servicer import SidecarServicer
+from dragonflyhold.sidecar.slots import NoSlots, SlotSystem
+from dragonflyhold.sidecar.supervision import EngineCheck, PlainCheck, Supervisor
+from dragonflyhold.sidecar.tables import ConfigSource, make_tables
+from dragonflyhold.sidecar.watches import OneAtATime, QuarantineRows, VmWatch
+from dragonflyhold.timers import Tick, TimerService
+from dragonflyhold.transport.grpc_endpoints import bind_server, make_server
+from dragonflyhold.transport.schema import broker_pb2_grpc, sidecar_pb2_grpc
+from dragonflyhold.upstreams.interface import EngineClient, PlainClient
+
+# Each open stream takes one; about 43 entries have a channel to a sidecar at the target size.
+GRPC_WORKERS = 256
+# Upper bounds on threads, which are made only when needed.
+RUN_WORKERS = 1024
+COMMAND_WORKERS = 64
+DRAIN_POLL_S = 0.05
+QUARANTINE_PERIOD_S = 2.0
+STOP_GRACE_S = 1.0
+# Batch kinds run after all interactive ones in the engine.
+INTERACTIVE_PRIORITY = 0
+BATCH_PRIORITY = 10
+
+_logger = PartLogger("sidecar")
+
+
+class ManagedConfig(ConfigSource, Protocol):
+    """A configuration source with a life cycle."""
+
+    def start(self) -> None:
+        """Start to follow the configuration."""
+
+    def stop(self) -> None:
+        """Stop."""
+
+    def add_to_server(self, server: grpc.Server) -> None:
+        """Serve peers."""
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Surroundings:
+    """Everything outside the process that the daemon talks to."""
+
+    table: Table
+    vms: VmList
+    # Exactly one of the two is set.
+    engine: EngineClient | None = None
+    plain: PlainClient | None = None
+
+
+ConfigFactory = Callable[[TimerService, Metrics, CrashTable, Incarnation], ManagedConfig]
+
+
+@final
+class SidecarDaemon:
+    """Runs one sidecar; ``start`` once, then ``request_stop`` and ``wait``."""
+
+    def __init__(
+        self, settings: SidecarSettings, surroundings: Surroundings, make_config: ConfigFactory
+    ) -> None:
+        self._settings = settings
+        self._surroundings = surroundings
+        self._clock = time.monotonic
+        self.incarnation = new_incarnation()
+        self.metrics = Metrics()
+        self._timers = TimerService(self._clock)
+        self._crashes = CrashTable(settings.crash_limit)
+        self._config = make_config(self._timers, self.metrics, self._crashes, self.incarnation)
+        self._tables = make_tables(
+            settings, self.incarnation, self._config, self._crashes, self.metrics
+        )
+        self._runs = concurrent.futures.ThreadPoolExecutor(RUN_WORKERS, "run")
+        self._commands = concurrent.futures.ThreadPoolExecutor(COMMAND_WORKERS, "command")
+        self._actor: pykka.ActorRef | None = None
+        self._server = make_server(GRPC_WORKERS)
+        self._status = StatusServer(settings.http_address, self.metrics, self._is_ready)
+        self._directory = BrokerDirectory(settings.upstream.name, self._budget_upstreams)
+        self._broker = BrokerDesk(settings.load_budget)
+        self._caller = BrokerCaller(
+            settings.upstream.name,
+            self.incarnation,
+            self._directory,
+            self._broker,
+            settings.tls,
+            self.metrics,
+            self._clock,
+        )
+        self._supervisor = self._make_supervisor()
+        self._stop_lock = threading.Lock()
+        self._stop_thread: threading.Thread | None = None
+        self._done = threading.Event()
+        self.grpc_port = 0
+
+    @property
+    def http_port(self) -> int:
+        """Port of the status server."""
+        return self._status.port
+
+    def start(self) -> None:
+        """Start all parts; raise ``AddressInUseError`` if another process owns the upstream."""
+        # The port makes this process the owner, so it is held before any command.
+        self.grpc_port = bind_server(self._server, self._settings.grpc_address, self._settings.tls)
+        core = self._make_core()
+        self._actor = SidecarActor.start(core)
+        self._add_servicers(self._actor)
+        self._status.start()
+        self._server.start()
+        self._config.start()
+        self._supervisor.start()
+        self._subscribe()
+        self._timers.start()
+        _logger.info("Started.", upstream=self._settings.upstream.name, port=self.grpc_port)
+
+    def request_stop(self) -> None:
+        """Refuse new work, finish everything, then stop; returns at once, repeatable."""
+        with self._stop_lock:
+            if self._stop_thread is not None:
+                return
+            self._stop_thread = threading.Thread(target=self._stop, name="stop")
+            self._stop_thread.start()
+
+    def wait(self, timeout_s: float | None = None) -> bool:
+        """Wait until the daemon has stopped; return whether it has."""
+        return self._done.wait(timeout_s)
+
+    def _stop(self) -> None:
+        _logger.info("Stopping: open requests are finished first.")
+        self._tell(msg.LeavingChanged("stop", True))
+        while not self._ask_bool(msg.IsDrainedCall()):
+            time.sleep(DRAIN_POLL_S)
+        self._timers.stop()
+        self._supervisor.stop()
+        for outbox in self._tables.hub.all():
+            outbox.close()
+        self._server.stop(STOP_GRACE_S).wait()
+        self._config.stop()
+        if self._actor is not None:
+            self._actor.stop()
+        self._runs.shutdown()
+        self._commands.shutdown()
+        self._caller.close()
+        self._status.stop()
+        _logger.info("Stopped.")
+        self._done.set()
+
+    def _make_core(self) -> SidecarCore:
+        settings, surroundings = self._settings, self._surroundings
+        slots: SlotSystem | None = None
+        budget: LoadBudget | None = None
+        if surroundings.engine is not None:
+            budget = LoadBudget(
+                settings.load_budget, self._caller, self._directory, self._submit, self._tell
+            )
+            slots = SlotSystem(
+                settings.slots,
+                self.incarnation,
+                surroundings.engine,
+                budget,
+                self.metrics,
+                self._submit,
+                self._tell,
+                random.Random(self.incarnation),
+            )
+        pins: SlotSystem | NoSlots = slots or NoSlots()
+        desk = RequestDesk(self._tables, pins)
+        execution = Execution(
+            self._tables,
+            pins,
+            lambda item, slot: self._make_run(pins, item, slot),
+            self._start_run,
+            self._supervisor.check_soon,
+        )
+        return SidecarCore(
+            self._tables, desk, execution, slots, budget, self._forget_claim, self._clock
+        )
+
+    def _make_supervisor(self) -> Supervisor:
+        settings, surroundings = self._settings, self._surroundings
+        owner = OwnerEpoch(surroundings.table, settings.upstream.name, self.incarnation)
+        self._engine_check: EngineCheck | None = None
+        if surroundings.engine is not None:
+            self._engine_check = EngineCheck(surroundings.engine, owner)
+            check = self._engine_check
+            return Supervisor(check, self._tell, settings.upstream.health_period_s)
+        if surroundings.plain is None:
+            raise ValueError("neither an engine nor a plain service is given")
+        plain_check = PlainCheck(surroundings.plain, owner)
+        return Supervisor(plain_check, self._tell, settings.upstream.health_period_s)
+
+    def _add_servicers(self, actor: pykka.ActorRef) -> None:
+        servicer = SidecarServicer(self._tables, actor, self._clock)
+        sidecar_pb2_grpc.add_SidecarServicer_to_server(servicer, self._server)
+        probe = BrokerProbe(self._directory, self._settings.tls, self._submit, self._clock)
+        broker = BrokerServicer(
+            self._settings.load_budget, self._broker, self._directory, probe.check, self._clock
+        )
+        broker_pb2_grpc.add_LoadBrokerServicer_to_server(broker, self._server)
+        self._config.add_to_server(self._server)
+
+    def _subscribe(self) -> None:
+        settings, surroundings = self._settings, self._surroundings
+
+        def tick(event: Tick) -> None:
+            self._tell(msg.TimerTick(event.paused_s))
+
+        def heartbeat(event: Tick) -> None:
+            self._tell(msg.HeartbeatTick())
+
+        def report_leaving(is_leaving: bool) -> None:
+            self._tell(msg.LeavingChanged("vm_list", is_leaving))
+
+        watch = VmWatch(surroundings.vms, settings, report_leaving)
+        rows = QuarantineRows(surroundings.table, self._crashes, self.metrics)
+        self._timers.subscribe(settings.slots.tick_s, tick)
+        self._timers.subscribe(settings.transport.heartbeat_s, heartbeat)
+        self._timers.subscribe(
+            settings.platform.vm_list_period_s, OneAtATime(watch.poll, self._submit)
+        )
+        self._timers.subscribe(QUARANTINE_PERIOD_S, OneAtATime(rows.poll, self._submit))
+
+    def _make_run(self, pins: Pins, item: QueuedRequest, slot: int | None) -> Run:
+        tables, surroundings = self._tables, self._surroundings
+        payload = tables.payloads[item.request_id]
+        if surroundings.engine is not None and slot is not None:
+            return EngineRun(
+                item.request_id,
+                surroundings.engine,
+                pins.engine_name(slot),
+                payload.body,
+                BATCH_PRIORITY if item.is_batch else INTERACTIVE_PRIORITY,
+                tables.answers,
+                tables.hub.wake,
+            )
+        if surroundings.plain is None:
+            raise ValueError("a completion needs a slot")
+        left_s = max(item.deadline - self._clock(), 0.001)
+        return PlainRun(
+            item.request_id, surroundings.plain, payload, left_s, tables.answers, tables.hub.wake
+        )
+
+    def _start_run(self, run: Run) -> None:
+        self._runs.submit(lambda: self._tell(run.run()))
+
+    def _submit(self, function: Callable[[], object]) -> None:
+        self._commands.submit(function)
+
+    def _forget_claim(self) -> None:
+        if self._engine_check is not None:
+            self._engine_check.forget_claim()
+            self._supervisor.check_soon()
+
+    def _budget_upstreams(self) -> Sequence[Upstream]:
+        view = self._config.view
+        own = view.upstream(UpstreamName(self._settings.upstream.name))
+        return view.upstreams_of(own.service) if own is not None else ()
+
+    def _is_ready(self) -> bool:
+        return self._ask_bool(msg.IsReadyCall())
+
+    def _ask_bool(self, message: object) -> bool:
+        if self._actor is None:
+            return False
+        try:
+            return bool(self._actor.ask(message, timeout=5.0))
+        except (pykka.Timeout, pykka.ActorDeadError):
+            return False
+
+    def _tell(self, message: object) -> None:
+        actor = self._actor
+        if actor is None:
+            return
+        try:
+            actor.tell(message)
+        except pykka.ActorDeadError:
+            _logger.debug("Message after the end.", message=type(message).__name__)
--- /dev/null
+++ b/src/dragonflyhold/sidecar/endings.py
@@ -0,0 +1,62 @@
+"""How requests end: one place that updates every table and tells the readers."""
+
+from dragonflyhold.errors import ErrorCode, RefusalInfo, RequestError
+from dragonflyhold.ids import RequestId
+from dragonflyhold.requests import AnswerEnd, RequestRecord
+from dragonflyhold.sidecar.tables import Tables
+from dragonflyhold.states import Outcome, RequestState
+
+
+def decline(
+    tables: Tables, request_id: RequestId, info: RefusalInfo | None, now: float
+) -> RequestRecord:
+    """Record that an issued or queued request will not run; others are left as they are."""
+    before = tables.permits.lookup(request_id, now).state
+    record = tables.permits.decline(request_id, now, info)
+    if before in (RequestState.ISSUED, RequestState.QUEUED):
+        code = record.code or ErrorCode.DECLINED
+        tables.queue.remove(request_id)
+        tables.payloads.pop(request_id, None)
+        tables.explain.add(request_id, f"declined: {code.value}: {record.message}")
+        end = AnswerEnd(outcome=Outcome.NOT_RUN, code=code, message=record.message)
+        finish_answer(tables, request_id, end, now)
+    return record
+
+
+def refuse_queued(
+    tables: Tables, request_id: RequestId, code: ErrorCode, message: str, now: float
+) -> None:
+    """Refuse a request that was accepted and has not started."""
+    tables.metrics.count_refusal(code.value)
+    decline(tables, request_id, RefusalInfo(code, message, Outcome.NOT_RUN), now)
+
+
+def end_started(
+    tables: Tables, request_id: RequestId, state: RequestState, end: AnswerEnd, now: float
+) -> None:
+    """End a request that was handed to the upstream; the in-flight row is already removed."""
+    payload = tables.payloads.pop(request_id, None)
+    kind = payload.kind if payload is not None else ""
+    tables.runs.pop(request_id, None)
+    tables.permits.finish(request_id, state, now, end.code, end.message)
+    tables.explain.add(request_id, f"ended: {state.value} {end.message}".rstrip())
+    tables.metrics.count_request(kind, end.outcome.value)
+    if end.code is not None:
+        tables.metrics.count_event(f"ended_{end.code.value}")
+    finish_answer(tables, request_id, end, now)
+
+
+def finish_answer(tables: Tables, request_id: RequestId, end: AnswerEnd, now: float) -> None:
+    """End the answer and wake its readers."""
+    tables.answers.finish(request_id, end, now)
+    tables.hub.wake(request_id)
+
+
+def next_permit(tables: Tables, request_id: RequestId, now: float) -> str:
+    """Return a permit for the caller's next request if this one used a permit."""
+    if tables.condition.leaving or not tables.permits.lookup(request_id, now).is_permit:
+        return ""
+    try:
+        return tables.permits.issue(1, now)[0]
+    except RequestError:
+        return ""
--- /dev/null
+++ b/src/dragonflyhold/sidecar/execution.py
@@ -0,0 +1,343 @@
+"""Starts queued requests on the upstream and ends them; runs in the thread of the tables."""
+
+import dataclasses
+from collections.abc import Callable
+from typing import Protocol, final
+
+from dragonflyhold.adapters import WaitingAdapter
+from dragonflyhold.errors import ErrorCode
+from dragonflyhold.ids import AdapterKey, EngineAdapterName, RequestId
+from dragonflyhold.observability import PartLogger
+from dragonflyhold.requests import AnswerEnd, Inflight, QueuedRequest, Verdict
+from dragonflyhold.sidecar import endings
+from dragonflyhold.sidecar.runs import Run, RunFinished, RunResult
+from dragonflyhold.sidecar.supervision import Observation
+from dragonflyhold.sidecar.tables import Tables
+from dragonflyhold.states import Outcome, RequestState
+
+# Hand-overs of one request of which the upstream took no byte.
+MAX_STARTS = 4
+# Checks without an answer after which a silent upstream counts as down. One lost answer of a busy
+# engine must not refuse its queue.
+MAX_SILENT_CHECKS = 3
+# Refused checks after which an engine counts as gone although no request in flight broke off. One
+# can also come from an overflowing accept queue.
+MAX_REFUSED_CHECKS = 2
+
+_logger = PartLogger("sidecar")
+
+
+class Pins(Protocol):
+    """Slots that requests keep while they are in flight."""
+
+    def find(self, key: AdapterKey) -> int | None:
+        """Return the slot of a usable adapter version."""
+
+    def engine_name(self, index: int) -> EngineAdapterName:
+        """Return the engine-side name of the adapter in a slot."""
+
+    def pin(self, index: int, now: float) -> None:
+        """Keep a slot for one request."""
+
+    def unpin(self, index: int, now: float) -> None:
+        """Let go of a slot."""
+
+    def mark_lost(self, index: int) -> None:
+        """Use a slot no more."""
+
+    def stall_s(self, index: int, queued_at: float) -> float:
+        """Return how long a request that was queued then waited for the load."""
+
+    def clear(self, now: float) -> None:
+        """Empty all slots after a crash."""
+
+
+@final
+class Execution:
+    """The side of the tables that the upstream sees."""
+
+    def __init__(
+        self,
+        tables: Tables,
+        pins: Pins,
+        make_run: Callable[[QueuedRequest, int | None], Run],
+        start_run: Callable[[Run], None],
+        check_soon: Callable[[], int],
+    ) -> None:
+        self._tables = tables
+        self._pins = pins
+        self._make_run = make_run
+        self._start_run = start_run
+        self._check_soon = check_soon
+        self._queued: dict[RequestId, QueuedRequest] = {}
+        self._stall_ms: dict[RequestId, int] = {}
+        self._silent_checks = 0
+        self._refused_checks = 0
+
+    def waiting(self, now: float) -> list[WaitingAdapter]:
+        """Return the queued requests grouped by adapter version."""
+        return [
+            WaitingAdapter(group.key, group.requests, group.worth, group.oldest_s)
+            for group in self._tables.queue.waiting(now)
+        ]
+
+    def step(self, now: float) -> None:
+        """Expire what is over and start what can start."""
+        tables = self._tables
+        self._expire(now)
+        if not tables.condition.is_up or tables.answers.is_full:
+            return
+        chosen = tables.queue.choose(
+            tables.inflight,
+            tables.condition.batch_limit,
+            self._is_ready,
+            self._must_run_alone,
+        )
+        for item in chosen:
+            self._start(item, now)
+
+    def on_finished(self, message: RunFinished, now: float) -> None:
+        """Take over the end of a run."""
+        tables = self._tables
+        row = tables.inflight.get(message.request_id)
+        if row is None:
+            # Ended before by a crash of the upstream.
+            return
+        match message.result:
+            case RunResult.INTERRUPTED:
+                # Only the next check tells whether the upstream crashed.
+                row.broken_after = self._check_soon()
+                tables.explain.add(row.request_id, f"connection broke: {message.message}")
+            case RunResult.NOT_SENT | RunResult.UNKNOWN_ADAPTER:
+                self._return_unsent(row, message, now)
+            case RunResult.COMPLETE:
+                self._complete(row, message, now)
+            case RunResult.STATUS:
+                self._end_failed(row, RequestState.FAILED, _failure(message), now)
+            case RunResult.CANCELLED:
+                self._end_failed(row, _failed_state(row), _failure(message), now)
+            case RunResult.TOO_LARGE | RunResult.INTERNAL:
+                self._end_failed(row, _failed_state(row), _failure(message), now)
+
+    def on_observation(self, observation: Observation, is_restart: bool, now: float) -> None:
+        """Take over a check of the upstream: crash, outage or recovery.
+
+        ``is_restart`` tells that an engine runs under another boot id than before.
+        """
+        condition = self._tables.condition
+        condition.epoch = observation.epoch or condition.epoch
+        self._silent_checks = 0 if observation.is_up else self._silent_checks + 1
+        self._refused_checks = self._refused_checks + 1 if observation.refused else 0
+        is_gone = self._is_gone(observation)
+        if (is_gone or is_restart) and len(self._tables.inflight):
+            self._crash(now)
+        if is_gone:
+            self._pins.clear(now)
+        self._end_broken(observation, now)
+        if observation.is_up:
+            self._set_up(observation)
+        elif is_gone or self._silent_checks >= MAX_SILENT_CHECKS:
+            self._set_down(now)
+
+    def _is_gone(self, observation: Observation) -> bool:
+        if observation.is_up:
+            return False
+        if self._refused_checks >= MAX_REFUSED_CHECKS:
+            return True
+        has_broken = any(
+            row.broken_after is not None and row.broken_after < observation.number
+            for row in self._tables.inflight
+        )
+        return has_broken and (observation.refused or not self._tables.is_engine)
+
+    def _set_up(self, observation: Observation) -> None:
+        condition = self._tables.condition
+        if observation.status is not None:
+            condition.batch_limit = max(observation.status.batch_limit, 1)
+        if not condition.is_up:
+            _logger.info("Upstream is up.", epoch=condition.epoch)
+        condition.is_up = True
+
+    def _set_down(self, now: float) -> None:
+        condition = self._tables.condition
+        if condition.is_up:
+            _logger.warning("Upstream is down.")
+            self._tables.metrics.count_event("upstream_down")
+        condition.is_up = False
+        # Their entries can send them elsewhere; none has started.
+        for item in self._tables.queue:
+            text = "upstream went down before the request started"
+            endings.refuse_queued(self._tables, item.request_id, ErrorCode.UPSTREAM_DOWN, text, now)
+
+    def _end_broken(self, observation: Observation, now: float) -> None:
+        for row in self._tables.inflight:
+            if row.broken_after is None or observation.number <= row.broken_after:
+                continue
+            code = ErrorCode.UPSTREAM_ERROR if observation.is_up else ErrorCode.UPSTREAM_SILENT
+            end = AnswerEnd(
+                outcome=Outcome.FAILED, code=code, message="connection to the upstream broke"
+            )
+            self._end_failed(row, _failed_state(row), end, now)
+
+    def _crash(self, now: float) -> None:
+        tables = self._tables
+        rows = list(tables.inflight)
+        alone = len(rows) == 1 and rows[0].alone
+        confirmed = tables.crashes.record_crash([row.fingerprint for row in rows], alone)
+        tables.metrics.count_event("upstream_crashed")
+        if confirmed:
+            tables.metrics.count_event("request_quarantined", len(confirmed))
+        _logger.warning("Upstream crashed.", confirmed=len(confirmed), in_flight=len(rows))
+        for row in rows:
+            run = tables.runs.get(row.request_id)
+            if run is not None:
+                run.cancel()
+            end = AnswerEnd(
+                outcome=Outcome.FAILED,
+                code=ErrorCode.UPSTREAM_CRASHED,
+                message="upstream crashed while the request was in flight",
+                crashed=True,
+                crashed_alone=alone,
+            )
+            self._end_failed(row, _failed_state(row), end, now)
+
+    def _is_ready(self, item: QueuedRequest) -> bool:
+        return item.key is None or self._pins.find(item.key) is not None
+
+    def _must_run_alone(self, item: QueuedRequest) -> bool:
+        return self._tables.crashes.verdict(item.fingerprint) is Verdict.SUSPECT
+
+    def _start(self, item: QueuedRequest, now: float) -> None:
+        tables = self._tables
+        verdict = tables.crashes.verdict(item.fingerprint)
+        if verdict is Verdict.CONFIRMED:
+            text = "request crashed its upstreams"
+            endings.refuse_queued(tables, item.request_id, ErrorCode.QUARANTINED, text, now)
+            return
+        slot = self._pins.find(item.key) if item.key is not None else None
+        tables.queue.remove(item.request_id)
+        if slot is not None:
+            self._pins.pin(slot, now)
+            stall_s = self._pins.stall_s(slot, item.queued_at)
+            self._stall_ms[item.request_id] = int(stall_s * 1000)
+            if stall_s > 0:
+                kind = tables.payloads[item.request_id].kind
+                tables.metrics.observe_load_stall(kind, stall_s)
+        row = Inflight(
+            item.request_id,
+            item.key,
+            item.caller,
+            item.fingerprint,
+            item.is_batch,
+            item.idempotent,
+            slot,
+            now,
+            item.deadline,
+            alone=verdict is Verdict.SUSPECT,
+        )
+        tables.inflight.add(row)
+        tables.permits.start(item.request_id, now)
+        item.starts += 1
+        self._queued[item.request_id] = item
+        tables.explain.add(item.request_id, "started" + (" alone" if row.alone else ""))
+        run = self._make_run(item, slot)
+        tables.runs[item.request_id] = run
+        self._start_run(run)
+
+    def _remove(self, row: Inflight, now: float) -> QueuedRequest:
+        self._tables.inflight.remove(row.request_id)
+        if row.slot is not None:
+            self._pins.unpin(row.slot, now)
+        return self._queued.pop(row.request_id)
+
+    def _complete(self, row: Inflight, message: RunFinished, now: float) -> None:
+        tables = self._tables
+        self._remove(row, now)
+        tables.service_time.record(now - row.started)
+        if row.alone:
+            tables.crashes.clear(row.fingerprint)
+        end = AnswerEnd(
+            outcome=Outcome.OK,
+            status=message.status,
+            headers=message.headers,
+            next_permit=endings.next_permit(tables, row.request_id, now),
+            adapter=row.key.adapter if row.key is not None else "",
+            version=row.key.version if row.key is not None else 0,
+            load_stall_ms=self._stall_ms.pop(row.request_id, 0),
+        )
+        endings.end_started(tables, row.request_id, RequestState.DONE, end, now)
+
+    def _end_failed(self, row: Inflight, state: RequestState, end: AnswerEnd, now: float) -> None:
+        self._remove(row, now)
+        self._stall_ms.pop(row.request_id, None)
+        if row.alone and not end.crashed and end.code is ErrorCode.UPSTREAM_ERROR:
+            self._tables.crashes.clear(row.fingerprint)
+        outcome = Outcome.IN_DOUBT if state is RequestState.IN_DOUBT else end.outcome
+        ended = dataclasses.replace(end, outcome=outcome)
+        endings.end_started(self._tables, row.request_id, state, ended, now)
+
+    def _return_unsent(self, row: Inflight, message: RunFinished, now: float) -> None:
+        tables = self._tables
+        if message.result is RunResult.UNKNOWN_ADAPTER and row.slot is not None:
+            self._pins.mark_lost(row.slot)
+        self._check_soon()
+        item = self._remove(row, now)
+        self._stall_ms.pop(row.request_id, None)
+        tables.explain.add(row.request_id, f"not taken by the upstream: {message.message}")
+        if item.starts < MAX_STARTS and row.deadline > now:
+            tables.permits.requeue(row.request_id, now)
+            tables.runs.pop(row.request_id, None)
+            tables.queue.put_back(item)
+            return
+        end = AnswerEnd(
+            outcome=Outcome.NOT_RUN,
+            code=ErrorCode.UPSTREAM_DOWN,
+            message="upstream did not take the request",
+        )
+        tables.metrics.count_refusal(ErrorCode.UPSTREAM_DOWN.value)
+        endings.end_started(tables, row.request_id, RequestState.DECLINED, end, now)
+
+    def _expire(self, now: float) -> None:
+        tables = self._tables
+        for item in tables.queue.expired(now):
+            text = "deadline passed in the queue"
+            endings.refuse_queued(tables, item.request_id, ErrorCode.DEADLINE_EXPIRED, text, now)
+        for row in tables.inflight:
+            if row.deadline <= now and row.idempotent:
+                self._cancel(row, "deadline passed")
+        for request_id in tables.answers.abandoned(now):
+            self._abandon(request_id, now)
+
+    def _abandon(self, request_id: RequestId, now: float) -> None:
+        tables = self._tables
+        row = tables.inflight.get(request_id)
+        if row is not None:
+            if row.idempotent:
+                self._cancel(row, "no caller came back within the grace period")
+            return
+        item = tables.queue.get(request_id)
+        if item is not None and item.idempotent:
+            text = "no caller came back within the grace period"
+            endings.refuse_queued(tables, request_id, ErrorCode.CANCELLED, text, now)
+
+    def _cancel(self, row: Inflight, reason: str) -> None:
+        run = self._tables.runs.get(row.request_id)
+        if run is None or row.is_cancelled:
+            return
+        row.is_cancelled = True
+        self._tables.explain.add(row.request_id, reason)
+        run.cancel()
+
+
+def _failed_state(row: Inflight) -> RequestState:
+    return RequestState.FAILED if row.idempotent else RequestState.IN_DOUBT
+
+
+def _failure(message: RunFinished) -> AnswerEnd:
+    codes = {
+        RunResult.STATUS: ErrorCode.UPSTREAM_ERROR,
+        RunResult.CANCELLED: ErrorCode.CANCELLED,
+        RunResult.TOO_LARGE: ErrorCode.ANSWER_TOO_LARGE,
+        RunResult.INTERNAL: ErrorCode.INTERNAL,
+    }
+    return AnswerEnd(outcome=Outcome.FAILED, code=codes[message.result], message=message.message)
--- /dev/null
+++ b/src/dragonflyhold/sidecar/runs.py
@@ -0,0 +1,203 @@
+"""Hands requests to the upstream in worker threads and buffers their answers."""
+
+import dataclasses
+import enum
+import threading
+from collections.abc import Callable, Mapping
+from typing import Protocol, final
+
+from dragonflyhold.ids import EngineAdapterName, KindName, RequestId
+from dragonflyhold.observability import PartLogger
+from dragonflyhold.requests import AnswerStore, AnswerTooLargeError
+from dragonflyhold.upstreams.interface import (
+    CompletionStream,
+    EngineClient,
+    PlainClient,
+    UnknownEngineAdapterError,
+    UpstreamInterruptedError,
+    UpstreamNotSentError,
+    UpstreamStatusError,
+)
+
+# Pieces of a plain answer; small enough that one answer does not hold up others in a frame.
+PLAIN_PIECE_BYTES = 16_384
+
+_logger = PartLogger("sidecar")
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Payload:
+    """What is handed to the upstream for one request."""
+
+    kind: KindName
+    deadline: float
+    # Set for completions.
+    body: Mapping[str, object] = dataclasses.field(default_factory=dict)
+    # Set for plain-service calls.
+    method: str = ""
+    path: str = ""
+    headers: Mapping[str, str] = dataclasses.field(default_factory=dict)
+    data: bytes = b""
+
+
+class RunResult(enum.Enum):
+    """How the hand-over of a request ended."""
+
+    COMPLETE = "complete"
+    # No byte was written, or the engine holds no such adapter: nothing ran.
+    NOT_SENT = "not_sent"
+    UNKNOWN_ADAPTER = "unknown_adapter"
+    STATUS = "status"
+    INTERRUPTED = "interrupted"
+    TOO_LARGE = "too_large"
+    CANCELLED = "cancelled"
+    INTERNAL = "internal"
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunFinished:
+    """Message to the owner of the tables: a run has ended."""
+
+    request_id: RequestId
+    result: RunResult
+    message: str = ""
+    status: int = 0
+    headers: Mapping[str, str] = dataclasses.field(default_factory=dict)
+
+
+class Run(Protocol):
+    """One request on its way through the upstream."""
+
+    def run(self) -> RunFinished:
+        """Hand the request over and buffer its answer; returns when it has ended."""
+
+    def cancel(self) -> None:
+        """End the run early; safe from any thread, repeatable."""
+
+
+@final
+class EngineRun:
+    """A completion on an engine."""
+
+    def __init__(
+        self,
+        request_id: RequestId,
+        client: EngineClient,
+        name: EngineAdapterName,
+        body: Mapping[str, object],
+        priority: int,
+        answers: AnswerStore,
+        wake: Callable[[RequestId], None],
+    ) -> None:
+        self._request_id = request_id
+        self._client = client
+        self._name = name
+        self._body = body
+        self._priority = priority
+        self._answers = answers
+        self._wake = wake
+        self._cancelled = threading.Event()
+        self._stream: CompletionStream | None = None
+
+    def run(self) -> RunFinished:
+        """Hand the request over and buffer its answer; returns when it has ended."""
+        try:
+            finished = self._run()
+        except UpstreamNotSentError as error:
+            finished = self._finished(RunResult.NOT_SENT, str(error))
+        except UnknownEngineAdapterError as error:
+            finished = self._finished(RunResult.UNKNOWN_ADAPTER, str(error))
+        except UpstreamStatusError as error:
+            finished = self._finished(RunResult.STATUS, str(error))
+        except UpstreamInterruptedError as error:
+            finished = self._finished(RunResult.INTERRUPTED, str(error))
+        except AnswerTooLargeError:
+            self.cancel()
+            return self._finished(RunResult.TOO_LARGE, "answer is longer than the limit")
+        except KeyError:
+            # The answer was ended by a crash or dropped while pieces still came.
+            finished = self._finished(RunResult.CANCELLED, "answer has ended")
+        except Exception as error:
+            _logger.exception("Request run failed.", request=self._request_id)
+            finished = self._finished(RunResult.INTERNAL, str(error))
+        if self._cancelled.is_set() and finished.result is not RunResult.COMPLETE:
+            not_run = (RunResult.NOT_SENT, RunResult.UNKNOWN_ADAPTER)
+            if finished.result not in not_run:
+                return self._finished(RunResult.CANCELLED, "request was cancelled")
+        return finished
+
+    def cancel(self) -> None:
+        """End the run early; safe from any thread, repeatable."""
+        self._cancelled.set()
+        stream = self._stream
+        if stream is not None:
+            stream.cancel()
+
+    def _run(self) -> RunFinished:
+        stream = self._client.complete(self._name, self._body, self._priority, self._request_id)
+        self._stream = stream
+        if self._cancelled.is_set():
+            stream.cancel()
+        for piece in stream:
+            self._answers.append(self._request_id, piece)
+            self._wake(self._request_id)
+        if self._cancelled.is_set():
+            # A cancelled engine may end its answer in the regular way.
+            return self._finished(RunResult.CANCELLED, "request was cancelled")
+        return self._finished(RunResult.COMPLETE)
+
+    def _finished(self, result: RunResult, message: str = "") -> RunFinished:
+        return RunFinished(self._request_id, result, message)
+
+
+@final
+class PlainRun:
+    """One call to a plain service; it is sent once and cannot be cancelled."""
+
+    def __init__(
+        self,
+        request_id: RequestId,
+        client: PlainClient,
+        payload: Payload,
+        timeout_s: float,
+        answers: AnswerStore,
+        wake: Callable[[RequestId], None],
+    ) -> None:
+        self._request_id = request_id
+        self._client = client
+        self._payload = payload
+        self._timeout_s = timeout_s
+        self._answers = answers
+        self._wake = wake
+
+    def run(self) -> RunFinished:
+        """Hand the request over and buffer its answer; returns when it has ended."""
+        payload = self._payload
+        try:
+            response = self._client.call(
+                payload.method, payload.path, payload.headers, payload.data, self._timeout_s
+            )
+            for start in range(0, len(response.body), PLAIN_PIECE_BYTES):
+                piece = response.body[start : start + PLAIN_PIECE_BYTES]
+                self._answers.append(self._request_id, piece)
+                self._wake(self._request_id)
+        except UpstreamNotSentError as error:
+            return RunFinished(self._request_id, RunResult.NOT_SENT, str(error))
+        except UpstreamInterruptedError as error:
+            return RunFinished(self._request_id, RunResult.INTERRUPTED, str(error))
+        except AnswerTooLargeError:
+            text = "answer is longer than the limit"
+            return RunFinished(self._request_id, RunResult.TOO_LARGE, text)
+        except KeyError:
+            return RunFinished(self._request_id, RunResult.CANCELLED, "answer has ended")
+        except Exception as error:
+            _logger.exception("Plain call failed.", request=self._request_id)
+            return RunFinished(self._request_id, RunResult.INTERNAL, str(error))
+        return RunFinished(
+            self._request_id, RunResult.COMPLETE, "", response.status, response.headers
+        )
+
+    def cancel(self) -> None:
+        """Do nothing: the call may already have taken effect."""
--- /dev/null
+++ b/src/dragonflyhold/sidecar/slot_commands.py
@@ -0,0 +1,95 @@
+"""Load and unload commands to an engine, run in worker threads."""
+
+import dataclasses
+from typing import final
+
+from dragonflyhold.ids import AdapterKey, BootId, EngineAdapterName, Epoch
+from dragonflyhold.observability import PartLogger
+from dragonflyhold.upstreams.interface import (
+    EngineClient,
+    StaleEpochError,
+    UpstreamInterruptedError,
+    UpstreamNotSentError,
+    UpstreamStatusError,
+)
+
+_logger = PartLogger("sidecar")
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadFinished:
+    """A load command has ended."""
+
+    index: int
+    key: AdapterKey
+    name: EngineAdapterName
+    boot: BootId
+    is_loaded: bool
+    is_stale: bool
+    message: str = ""
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnloadFinished:
+    """An unload command has ended; ``is_done`` only if the engine confirmed it."""
+
+    name: EngineAdapterName
+    boot: BootId
+    is_done: bool
+    is_stale: bool
+    message: str = ""
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadCommand:
+    """Loads an adapter under a new name."""
+
+    client: EngineClient
+    index: int
+    key: AdapterKey
+    name: EngineAdapterName
+    weights: str
+    boot: BootId
+    epoch: Epoch
+
+    def run(self) -> LoadFinished:
+        """Send the command and return its result."""
+        try:
+            self.client.load_adapter(self.name, self.weights, self.epoch)
+        except (UpstreamNotSentError, UpstreamInterruptedError, UpstreamStatusError) as error:
+            return self._finished(False, isinstance(error, StaleEpochError), str(error))
+        except Exception as error:
+            _logger.exception("Load command failed.", adapter=self.key)
+            return self._finished(False, False, str(error))
+        return self._finished(True, False)
+
+    def _finished(self, is_loaded: bool, is_stale: bool, message: str = "") -> LoadFinished:
+        return LoadFinished(
+            self.index, self.key, self.name, self.boot, is_loaded, is_stale, message
+        )
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnloadCommand:
+    """Unloads an adapter."""
+
+    client: EngineClient
+    name: EngineAdapterName
+    boot: BootId
+    epoch: Epoch
+
+    def run(self) -> UnloadFinished:
+        """Send the command and return its result."""
+        try:
+            self.client.unload_adapter(self.name, self.epoch)
+        except (UpstreamNotSentError, UpstreamInterruptedError, UpstreamStatusError) as error:
+            is_stale = isinstance(error, StaleEpochError)
+            return UnloadFinished(self.name, self.boot, False, is_stale, str(error))
+        except Exception as error:
+            _logger.exception("Unload command failed.", name=self.name)
+            return UnloadFinished(self.name, self.boot, False, False, str(error))
+        return UnloadFinished(self.name, self.boot, True, False)
--- /dev/null
+++ b/src/dragonflyhold/sidecar/slots.py
@@ -0,0 +1,391 @@
+"""Runs the slot decisions against an engine: loads, evictions and adoption.
+
+All methods run in the thread that owns the tables; commands run in worker threads and report back
+with ``LoadFinished`` and ``UnloadFinished``.
+"""
+
+import dataclasses
+import random
+from collections.abc import Callable, Sequence
+from typing import Protocol, final
+
+from dragonflyhold.adapters import (
+    LoadBackoff,
+    Popularity,
+    SlotState,
+    SlotTable,
+    StartEvict,
+    StartLoad,
+    WaitingAdapter,
+    plan_slots,
+)
+from dragonflyhold.config.objects import Upstream
+from dragonflyhold.ids import (
+    AdapterKey,
+    AdapterName,
+    BootId,
+    EngineAdapterName,
+    Epoch,
+    Incarnation,
+    ServiceName,
+    Version,
+)
+from dragonflyhold.observability import Metrics, PartLogger
+from dragonflyhold.settings import SlotSettings
+from dragonflyhold.sidecar.slot_commands import (
+    LoadCommand,
+    LoadFinished,
+    UnloadCommand,
+    UnloadFinished,
+)
+from dragonflyhold.upstreams.interface import EngineClient, EngineStatus
+
+# Delay before an unload command without a clear result is sent again.
+UNLOAD_RETRY_S = 0.5
+
+_logger = PartLogger("sidecar")
+
+Submit = Callable[[Callable[[], object]], None]
+
+
+class Budget(Protocol):
+    """Grants of the region's load budget."""
+
+    def want(self, orders: Sequence[StartLoad], now: float) -> None:
+        """Replace the loads that are wished for."""
+
+    def take(self, key: AdapterKey, now: float) -> int | None:
+        """Return the number of a grant that may be used now, if there is one."""
+
+    def release(self, number: int) -> None:
+        """End a grant after its load."""
+
+
+@final
+@dataclasses.dataclass(slots=True)
+class _Unloading:
+    # None for adapters that are in no slot.
+    index: int | None
+    is_sent: bool
+    retry_at: float
+
+
+@final
+class SlotSystem:
+    """Slots of one engine, from its first observation on."""
+
+    def __init__(
+        self,
+        settings: SlotSettings,
+        incarnation: Incarnation,
+        client: EngineClient,
+        budget: Budget,
+        metrics: Metrics,
+        submit: Submit,
+        tell: Callable[[object], None],
+        rng: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._client = client
+        self._budget = budget
+        self._metrics = metrics
+        self._submit = submit
+        self._tell = tell
+        self._popularity = Popularity(settings.popularity_half_life_s)
+        self._backoff = LoadBackoff(settings, rng)
+        self._slots = SlotTable(0)
+        self._boot: BootId | None = None
+        self._epoch = Epoch(0)
+        # Names stay unique when two incarnations get the same epoch, which a table outage and an
+        # engine without a fencing number can cause.
+        self._next_number = int(incarnation, 16)
+        # In-flight requests of earlier owners per adopted slot.
+        self._adopted: dict[int, int] = {}
+        # Slots whose adapter the engine turned out not to hold.
+        self._lost: set[int] = set()
+        # Adapters in the engine that are in no slot.
+        self._orphans: set[EngineAdapterName] = set()
+        self._unloading: dict[EngineAdapterName, _Unloading] = {}
+        self._grants: dict[EngineAdapterName, int] = {}
+
+    @property
+    def count(self) -> int:
+        """Number of slots."""
+        return len(self._slots.slots)
+
+    @property
+    def table(self) -> SlotTable:
+        """The slot table; read only."""
+        return self._slots
+
+    def resident(self) -> list[AdapterKey]:
+        """Return the adapter versions that requests can run on now."""
+        return [
+            slot.key
+            for slot in self._slots.slots
+            if slot.state is SlotState.RESIDENT
+            and slot.key is not None
+            and slot.index not in self._lost
+        ]
+
+    def find(self, key: AdapterKey) -> int | None:
+        """Return the slot in which an adapter version is resident and usable."""
+        slot = self._slots.find(key)
+        if slot is None or slot.index in self._lost:
+            return None
+        return slot.index
+
+    def engine_name(self, index: int) -> EngineAdapterName:
+        """Return the engine-side name of a resident adapter."""
+        name = self._slots.slots[index].engine_name
+        if name is None:
+            raise ValueError(f"slot {index} is empty")
+        return name
+
+    def record_request(self, key: AdapterKey, now: float) -> None:
+        """Count an admitted request towards the popularity of its adapter."""
+        self._popularity.record(key, now)
+
+    def pin(self, index: int, now: float) -> None:
+        """Keep a slot for a request in flight."""
+        self._slots.pin(index, now)
+
+    def unpin(self, index: int, now: float) -> None:
+        """Let go of a slot after a request."""
+        self._slots.unpin(index, now)
+
+    def stall_s(self, index: int, queued_at: float) -> float:
+        """Return how long a request that was queued then waited for the load of the slot."""
+        return max(self._slots.slots[index].since - queued_at, 0.0)
+
+    def mark_lost(self, index: int) -> None:
+        """Use a slot no more: the engine does not hold its adapter."""
+        self._lost.add(index)
+
+    def observe(self, status: EngineStatus, epoch: Epoch, upstream: Upstream, now: float) -> None:
+        """Learn the state of the engine after it was claimed.
+
+        Resident adapters are adopted only if the engine refuses commands of earlier owners: one
+        that ignores fencing may still get a late unload for any name that it holds.
+        """
+        self._epoch = epoch
+        if status.boot_id == self._boot:
+            self._release_adopted(status, now)
+        else:
+            is_first = self._boot is None
+            self._begin_boot(status, now)
+            if upstream.checks_fencing and is_first:
+                self._adopt(status, upstream.service, now)
+        self._find_orphans(status)
+
+    def clear(self, now: float) -> None:
+        """Forget everything about an engine that has crashed."""
+        self._slots.clear(now)
+        self._adopted.clear()
+        self._lost.clear()
+        self._orphans.clear()
+        self._unloading.clear()
+        for number in self._grants.values():
+            self._budget.release(number)
+        self._grants.clear()
+
+    def step(
+        self,
+        waiting: Sequence[WaitingAdapter],
+        weights: Callable[[AdapterKey], str | None],
+        now: float,
+    ) -> None:
+        """Start the loads and evictions that are due."""
+        if self._boot is None:
+            return
+        self._retry_unloads(now)
+        self._evict_lost(now)
+        actions = plan_slots(
+            self._slots, waiting, self._popularity, self._backoff, now, self._settings
+        )
+        for action in actions:
+            if isinstance(action, StartEvict):
+                self._start_evict(action.index, now)
+        loads = [action for action in actions if isinstance(action, StartLoad)]
+        self._budget.want(loads, now)
+        for load in loads:
+            self._try_load(load, weights, now)
+
+    def on_load(self, message: LoadFinished, now: float) -> None:
+        """Take over the result of a load command."""
+        number = self._grants.pop(message.name, None)
+        if number is not None:
+            self._budget.release(number)
+        slot = self._slots.slots[message.index] if message.index < self.count else None
+        is_current = (
+            slot is not None
+            and message.boot == self._boot
+            and slot.state is SlotState.LOADING
+            and slot.engine_name == message.name
+        )
+        if not is_current:
+            return
+        if message.is_loaded:
+            self._slots.finish_load(message.index, now)
+            self._backoff.record_success(message.key)
+            self._metrics.count_event("adapter_loaded")
+            return
+        self._slots.fail_load(message.index, now)
+        self._backoff.record_failure(message.key, now)
+        self._metrics.count_event("adapter_load_failed")
+        _logger.warning("Adapter load failed.", adapter=message.key, error=message.message)
+
+    def on_unload(self, message: UnloadFinished, now: float) -> None:
+        """Take over the result of an unload command.
+
+        Without a confirmation the command may still take effect later, so the slot stays closed
+        and the command is repeated.
+        """
+        unloading = self._unloading.get(message.name)
+        if unloading is None or message.boot != self._boot:
+            return
+        if not message.is_done:
+            unloading.is_sent = False
+            unloading.retry_at = now + UNLOAD_RETRY_S
+            self._metrics.count_event("adapter_unload_failed")
+            return
+        del self._unloading[message.name]
+        self._orphans.discard(message.name)
+        self._metrics.count_event("adapter_evicted")
+        if unloading.index is not None:
+            self._lost.discard(unloading.index)
+            self._slots.finish_evict(unloading.index, now)
+
+    def _begin_boot(self, status: EngineStatus, now: float) -> None:
+        self.clear(now)
+        self._boot = status.boot_id
+        if status.slots != self.count:
+            self._slots = SlotTable(status.slots)
+
+    def _adopt(self, status: EngineStatus, service: ServiceName, now: float) -> None:
+        free = iter(range(self.count))
+        for name, in_flight in status.adapters.items():
+            key = parse_engine_name(service, name)
+            if key is None or self._slots.find(key) is not None:
+                continue
+            index = next(free, None)
+            if index is None:
+                return
+            self._slots.adopt(index, key, name, in_flight, now)
+            if in_flight:
+                self._adopted[index] = in_flight
+            self._metrics.count_event("adapter_adopted")
+
+    def _release_adopted(self, status: EngineStatus, now: float) -> None:
+        for index, in_flight in list(self._adopted.items()):
+            if status.adapters.get(self.engine_name(index), 0) == 0:
+                del self._adopted[index]
+                for _ in range(in_flight):
+                    self._slots.unpin(index, now)
+
+    def _find_orphans(self, status: EngineStatus) -> None:
+        known = {slot.engine_name for slot in self._slots.slots}
+        found = {name for name in status.adapters if name not in known}
+        self._orphans = found | (self._orphans & self._unloading.keys())
+        for name in found:
+            # Requests of an earlier owner may still use it.
+            if status.adapters[name] == 0 and name not in self._unloading:
+                self._unloading[name] = _Unloading(None, False, 0.0)
+
+    def _try_load(
+        self, load: StartLoad, weights: Callable[[AdapterKey], str | None], now: float
+    ) -> None:
+        occupied = sum(slot.state is not SlotState.EMPTY for slot in self._slots.slots)
+        if occupied + len(self._orphans) >= self.count:
+            return
+        path = weights(load.key)
+        if path is None:
+            return
+        number = self._budget.take(load.key, now)
+        if number is None:
+            return
+        name = self._new_name(load.key)
+        self._grants[name] = number
+        self._slots.begin_load(load.index, load.key, name, now)
+        assert self._boot is not None
+        command = LoadCommand(
+            self._client, load.index, load.key, name, path, self._boot, self._epoch
+        )
+        self._submit(lambda: self._tell(command.run()))
+
+    def _start_evict(self, index: int, now: float) -> None:
+        name = self.engine_name(index)
+        self._slots.begin_evict(index, now)
+        self._unloading[name] = _Unloading(index, False, now)
+        self._retry_unloads(now)
+
+    def _evict_lost(self, now: float) -> None:
+        for index in list(self._lost):
+            if self._slots.slots[index].is_idle:
+                self._start_evict(index, now)
+
+    def _retry_unloads(self, now: float) -> None:
+        for name, unloading in self._unloading.items():
+            if unloading.is_sent or unloading.retry_at > now:
+                continue
+            unloading.is_sent = True
+            assert self._boot is not None
+            command = UnloadCommand(self._client, name, self._boot, self._epoch)
+            self._submit(lambda command=command: self._tell(command.run()))  # type: ignore[misc]
+
+    def _new_name(self, key: AdapterKey) -> EngineAdapterName:
+        number = self._next_number
+        self._next_number += 1
+        return EngineAdapterName(f"{key.adapter}-{key.version}-{self._epoch}-{number}")
+
+
+def parse_engine_name(service: ServiceName, name: EngineAdapterName) -> AdapterKey | None:
+    """Return the adapter version in ``<adapter>-<version>-<epoch>-<n>``, if it has that form."""
+    parts = name.rsplit("-", 3)
+    if len(parts) != 4 or not parts[0]:
+        return None
+    adapter, *numbers = parts
+    if not all(number.isascii() and number.isdigit() for number in numbers):
+        return None
+    return AdapterKey(service, AdapterName(adapter), Version(int(numbers[0])))
+
+
+@final
+class NoSlots:
+    """Stands for the slots of a plain service, which has none."""
+
+    @property
+    def count(self) -> int:
+        """Number of slots."""
+        return 0
+
+    def resident(self) -> list[AdapterKey]:
+        """Return no adapter."""
+        return []
+
+    def find(self, key: AdapterKey) -> int | None:
+        """Return no slot."""
+        return None
+
+    def engine_name(self, index: int) -> EngineAdapterName:
+        """Raise ``LookupError``: there are no slots."""
+        raise LookupError("a plain service has no slots")
+
+    def record_request(self, key: AdapterKey, now: float) -> None:
+        """Do nothing."""
+
+    def pin(self, index: int, now: float) -> None:
+        """Do nothing."""
+
+    def unpin(self, index: int, now: float) -> None:
+        """Do nothing."""
+
+    def mark_lost(self, index: int) -> None:
+        """Do nothing."""
+
+    def stall_s(self, index: int, queued_at: float) -> float:
+        """Return 0."""
+        return 0.0
+
+    def clear(self, now: float) -> None:
+        """Do nothing."""
--- /dev/null
+++ b/src/dragonflyhold/sidecar/supervision.py
@@ -0,0 +1,157 @@
+"""Reads the state of the upstream in one thread and claims each run of an engine."""
+
+import dataclasses
+import threading
+from collections.abc import Callable
+from typing import final
+
+from dragonflyhold.ids import BootId, Epoch
+from dragonflyhold.observability import PartLogger
+from dragonflyhold.sidecar.ownership import OwnerEpoch
+from dragonflyhold.upstreams.interface import (
+    EngineClient,
+    EngineStatus,
+    PlainClient,
+    StaleEpochError,
+    UpstreamInterruptedError,
+    UpstreamNotSentError,
+    UpstreamStatusError,
+)
+
+_logger = PartLogger("sidecar")
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Observation:
+    """Result of one check of the upstream.
+
+    ``number`` counts the checks. ``status`` is ``None`` for plain services and when the upstream
+    did not answer. ``refused`` tells a process that is gone (no connection) from a silent one.
+    """
+
+    number: int
+    is_up: bool
+    refused: bool = False
+    status: EngineStatus | None = None
+    epoch: Epoch = Epoch(0)
+
+
+@final
+class Supervisor:
+    """Checks the upstream each period and whenever asked; reports each result."""
+
+    def __init__(
+        self,
+        check: Callable[[int], Observation],
+        report: Callable[[Observation], None],
+        period_s: float,
+    ) -> None:
+        self._check = check
+        self._report = report
+        self._period_s = period_s
+        self._started = 0
+        self._asked = threading.Event()
+        self._stopped = False
+        self._thread = threading.Thread(target=self._run, name="supervision", daemon=True)
+
+    @property
+    def started_checks(self) -> int:
+        """Number of the latest check that was begun."""
+        return self._started
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop the thread; a check under way is completed."""
+        self._stopped = True
+        self._asked.set()
+        self._thread.join()
+
+    def check_soon(self) -> int:
+        """Begin a check at once; return the number of the latest one that was begun before."""
+        started = self._started
+        self._asked.set()
+        return started
+
+    def _run(self) -> None:
+        while not self._stopped:
+            self._asked.clear()
+            self._started += 1
+            try:
+                self._report(self._check(self._started))
+            except Exception:
+                _logger.exception("Check of the upstream failed.")
+            self._asked.wait(self._period_s)
+
+
+@final
+class EngineCheck:
+    """Reads an engine's status and claims each new boot before it is reported."""
+
+    def __init__(self, client: EngineClient, owner: OwnerEpoch) -> None:
+        self._client = client
+        self._owner = owner
+        self._claimed: BootId | None = None
+        self._claimed_epoch = Epoch(0)
+        self._lock = threading.Lock()
+
+    def forget_claim(self) -> None:
+        """Claim again at the next check, because the engine refused this process's epoch."""
+        with self._lock:
+            self._claimed = None
+
+    def __call__(self, number: int) -> Observation:
+        """Return the state of the engine."""
+        try:
+            status = self._read_claimed()
+        except UpstreamNotSentError as error:
+            _logger.debug("Engine refuses connections.", error=error)
+            return Observation(number, False, refused=True)
+        except (UpstreamInterruptedError, UpstreamStatusError) as error:
+            _logger.debug("Engine does not answer.", error=error)
+            return Observation(number, False)
+        return Observation(number, True, status=status, epoch=self._owner.epoch)
+
+    def _read_claimed(self) -> EngineStatus:
+        status = self._client.status()
+        with self._lock:
+            claimed = self._claimed
+        if not self._owner.is_stored and self._owner.epoch:
+            self._owner.store()
+        if status.boot_id == claimed and self._owner.epoch == self._claimed_epoch:
+            return status
+        if not self._owner.epoch or status.epoch >= self._owner.epoch:
+            self._owner.raise_above(status.epoch)
+        try:
+            self._client.claim(self._owner.epoch)
+        except StaleEpochError:
+            # The status lagged behind the engine's number.
+            self._client.claim(self._owner.raise_above(self._client.status().epoch))
+        # Commands of earlier owners that arrived before the claim show in this status.
+        status = self._client.status()
+        with self._lock:
+            self._claimed = status.boot_id
+        self._claimed_epoch = self._owner.epoch
+        _logger.info("Claimed engine.", boot=status.boot_id, epoch=self._owner.epoch)
+        return status
+
+
+@final
+class PlainCheck:
+    """Asks a plain service whether it is healthy."""
+
+    def __init__(self, client: PlainClient, owner: OwnerEpoch) -> None:
+        self._client = client
+        self._owner = owner
+
+    def __call__(self, number: int) -> Observation:
+        """Return the state of the service."""
+        if not self._owner.epoch:
+            self._owner.raise_above(Epoch(0))
+        elif not self._owner.is_stored:
+            self._owner.store()
+        is_up = self._client.is_healthy()
+        return Observation(number, is_up, epoch=self._owner.epoch)
--- /dev/null
+++ b/src/dragonflyhold/sidecar/watches.py
@@ -0,0 +1,119 @@
+"""Periodic calls to the platform: the VM list and the quarantine rows."""
+
+import threading
+from collections.abc import Callable
+from typing import final
+
+from dragonflyhold.errors import ConditionFailedError, PlatformUnavailableError
+from dragonflyhold.ids import Fingerprint
+from dragonflyhold.observability import Metrics, PartLogger
+from dragonflyhold.platform.interface import Condition, Put, Table, VmList, VmState
+from dragonflyhold.requests import CrashTable
+from dragonflyhold.settings import SidecarSettings
+
+_PREFIX = "quarantine/"
+_PAGE = 1000
+
+_logger = PartLogger("sidecar")
+
+
+@final
+class OneAtATime:
+    """Runs a function in a worker unless its last run is still under way."""
+
+    def __init__(
+        self, function: Callable[[], None], submit: Callable[[Callable[[], object]], None]
+    ) -> None:
+        self._function = function
+        self._submit = submit
+        self._busy = threading.Lock()
+
+    def __call__(self, *args: object) -> None:
+        """Start a run, if none is under way."""
+        if self._busy.acquire(blocking=False):
+            self._submit(self._run)
+
+    def _run(self) -> None:
+        try:
+            self._function()
+        except Exception:
+            _logger.exception("Periodic call failed.")
+        finally:
+            self._busy.release()
+
+
+@final
+class VmWatch:
+    """Learns from the VM list that this VM is leaving."""
+
+    def __init__(
+        self, vms: VmList, settings: SidecarSettings, report: Callable[[bool], None]
+    ) -> None:
+        self._vms = vms
+        self._settings = settings
+        self._report = report
+
+    def poll(self) -> None:
+        """Read the list once; during an outage the last state stays."""
+        host = self._settings.grpc_address.rpartition(":")[0].strip("[]")
+        try:
+            vms = self._vms.list()
+        except PlatformUnavailableError as error:
+            _logger.debug("VM list does not answer.", error=error)
+            return
+        # The VM that replaces this one carries the same upstream on another address.
+        own = [
+            vm for vm in vms if vm.upstream == self._settings.upstream.name and vm.address == host
+        ]
+        if own:
+            self._report(all(vm.state is VmState.LEAVING for vm in own))
+
+
+@final
+class QuarantineRows:
+    """Stores confirmed fingerprints, and reads those that others stored before the start."""
+
+    def __init__(self, table: Table, crashes: CrashTable, metrics: Metrics) -> None:
+        self._table = table
+        self._crashes = crashes
+        self._metrics = metrics
+        self._start_after = ""
+        self._is_loaded = False
+
+    def poll(self) -> None:
+        """Write what is not written yet; during an outage it waits for the next call."""
+        try:
+            for fingerprint in self._crashes.unstored():
+                self._store(fingerprint)
+            if not self._is_loaded:
+                self._load()
+        except PlatformUnavailableError as error:
+            _logger.debug("Table does not answer.", error=error)
+
+    def _store(self, fingerprint: Fingerprint) -> None:
+        key = _PREFIX + fingerprint.hex()
+        try:
+            self._table.write([Condition(key, 0)], [Put(key, b"{}")])
+        except ConditionFailedError:
+            _logger.debug("Quarantine row exists.", key=key)
+        self._crashes.mark_stored(fingerprint)
+        self._metrics.count_event("quarantine_stored")
+
+    def _load(self) -> None:
+        while True:
+            rows = self._table.read_prefix(_PREFIX, self._start_after, _PAGE)
+            self._crashes.confirm(
+                Fingerprint(fingerprint) for row in rows if (fingerprint := _parse(row.key))
+            )
+            if len(rows) < _PAGE:
+                break
+            self._start_after = rows[-1].key
+        self._is_loaded = True
+
+
+def _parse(key: str) -> bytes:
+    try:
+        return bytes.fromhex(key.removeprefix(_PREFIX))
+    except ValueError:
+        _logger.error("Quarantine row has a bad key.", key=key)
+        return b""
--- /dev/null
+++ b/tests/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the tables of requests."""
