--- a/src/dragonflyhold/requests/answers.py
+++ b/src/dragonflyhold/requests/answers.py
@@ -68,6 +68,17 @@
     readers: int
     detached_at: float | None
     delivered_at: float | None = None
+    # A stream has taken the end; entries acknowledge only whole answers.
+    is_end_read: bool = False
+
+    @property
+    def is_fetched(self) -> bool:
+        """Whether nothing of an ended answer has to be fetched any more."""
+        if self.end is None:
+            return False
+        if self.end.outcome is Outcome.OK:
+            return self.delivered_at is not None
+        return self.is_end_read
 
 
 @final
@@ -137,16 +148,18 @@
     def read(self, request_id: RequestId, first: int) -> AnswerChunk | None:
         """Return all pieces from ``first`` on; ``None`` if the answer is gone.
 
-        An answer that has fewer pieces gives an empty chunk; its end is given only to readers
-        whose next piece is the end.
+        An answer that has fewer pieces gives an empty chunk without its end.
         """
         with self._lock:
             answer = self._answers.get(request_id)
             if answer is None:
                 return None
             pieces = tuple(answer.pieces[first:])
-            is_at_end = first <= len(answer.pieces)
-            return AnswerChunk(first, pieces, answer.end if is_at_end else None)
+            # A reader that asks beyond the end has another answer in mind.
+            end = answer.end if first <= len(answer.pieces) else None
+            if end is not None:
+                answer.is_end_read = True
+            return AnswerChunk(first, pieces, end)
 
     def attach(self, request_id: RequestId) -> bool:
         """Count a reader; ``False`` if the answer is gone."""
