Add the demo and example settings of both deployments

Cause: users need one command that shows the system at work, and scenarios need real processes that can be killed and frozen.

The launcher starts stand-ins, entries and sidecars, each a process with settings derived from one example per kind of daemon, and ends only those by their process handles. Ports are chosen below the range of outgoing connections: a port from that range can be taken by another connection before the daemon binds it.

Stand-ins now wait for signals with sigwait. With a handler that sets an event, SIGTERM after SIGSTOP and SIGCONT was not seen in 1 of 8 starts: the signal went to another thread, which does not wake the main thread from waiting on a lock.

--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,10 @@
 behave: $(STAMP)
 	$(BIN)/python -m behave --format progress --no-capture features
 
+# Starts both example deployments on loopback; takes up to two minutes.
+demo: $(STAMP)
+	$(BIN)/dragonflyhold demo
+
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- a/src/dragonflyhold/cli/standin.py
+++ b/src/dragonflyhold/cli/standin.py
@@ -1,7 +1,6 @@
 """Commands that run stand-ins as processes."""
 
 import signal
-import threading
 
 import click
 
@@ -93,10 +92,11 @@
 
 
 def _serve(stand_in: StandIn) -> None:
-    stopped = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stopped.set())
+    # Blocked before any thread starts, because a signal that another thread receives does not
+    # wake the main thread from waiting on a lock.
+    end_signals = (signal.SIGTERM, signal.SIGINT)
+    signal.pthread_sigmask(signal.SIG_BLOCK, end_signals)
     stand_in.start()
     click.echo(f"{stand_in.name} listens on {stand_in.url}")
-    stopped.wait()
+    signal.sigwait(end_signals)
     stand_in.stop()
--- /dev/null
+++ b/src/dragonflyhold/demo/caller.py
@@ -0,0 +1,143 @@
+"""A caller of an entry daemon that checks the answers it gets."""
+
+import dataclasses
+import hashlib
+import json
+import re
+from collections.abc import Callable, Mapping
+from typing import Any, final
+
+import urllib3
+
+from dragonflyhold.errors import DragonflyholdError
+
+TIMEOUT_S = 60.0
+
+_WEIGHTS = re.compile(r"\[weights=(\S+) prompt=([0-9a-f]+)\]")
+
+
+@final
+class AnswerError(DragonflyholdError):
+    """An answer with an error, as the entry daemon told it, or an incomplete one."""
+
+    def __init__(self, code: str, outcome: str, message: str) -> None:
+        super().__init__(f"{code} ({outcome}): {message}")
+        self.code = code
+        self.outcome = outcome
+        self.message = message
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """A complete answer."""
+
+    request_id: str
+    text: str
+
+    @property
+    def weights(self) -> str:
+        """Path of the weights that the stand-in engine answered with."""
+        found = _WEIGHTS.search(self.text)
+        return found[1] if found else ""
+
+    @property
+    def prompt_digest(self) -> str:
+        """Start of the SHA-256 of the prompt that the engine saw."""
+        found = _WEIGHTS.search(self.text)
+        return found[2] if found else ""
+
+
+@final
+class Caller:
+    """Sends requests to one entry daemon."""
+
+    def __init__(self, url: str, name: str = "demo") -> None:
+        self._url = url
+        self._name = name
+        self._http = urllib3.PoolManager(retries=False, timeout=TIMEOUT_S)
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._http.clear()
+
+    def complete(self, model: str, prompt: str, kind: str, permit: str = "") -> Answer:
+        """Send a request for a whole answer; raise ``AnswerError``."""
+        body = {"model": model, "prompt": prompt}
+        headers = self._headers(kind, permit)
+        reply = self._http.request(
+            "POST", f"{self._url}/v1/completions", json=body, headers=headers
+        )
+        data = _parse_reply(reply)
+        return Answer(reply.headers.get("X-Request-Id", ""), data["choices"][0]["text"])
+
+    def stream(
+        self,
+        model: str,
+        prompt: str,
+        kind: str,
+        max_tokens: int,
+        on_piece: Callable[[int], None],
+    ) -> Answer:
+        """Send a request for a stream; check its count and digest; raise ``AnswerError``.
+
+        ``on_piece`` is called with the number of each piece.
+        """
+        body = {"model": model, "prompt": prompt, "stream": True, "max_tokens": max_tokens}
+        reply = self._http.request(
+            "POST",
+            f"{self._url}/v1/completions",
+            json=body,
+            headers=self._headers(kind, ""),
+            preload_content=False,
+        )
+        if reply.status != 200:
+            _parse_reply(reply)
+        pieces: list[str] = []
+        end: Mapping[str, Any] = {}
+        event = ""
+        for line in reply:
+            name, _, value = line.decode().rstrip("\n").partition(": ")
+            match name, event:
+                case "event", _:
+                    event = value
+                case "data", "end":
+                    end = json.loads(value)
+                case "data", "error":
+                    raise _error_of(json.loads(value))
+                case "data", "":
+                    pieces.append(json.loads(value)["choices"][0]["text"])
+                    on_piece(len(pieces) - 1)
+                case "", _:
+                    event = ""
+        text = "".join(pieces)
+        digest = hashlib.sha256(text.encode()).hexdigest()
+        if end.get("count") != len(pieces) or end.get("digest") != digest:
+            message = f"{len(pieces)} pieces with digest {digest}; the end tells {end}"
+            raise AnswerError("incomplete", "in_doubt", message)
+        return Answer(reply.headers.get("X-Request-Id", ""), text)
+
+    def permit(self, service: str, adapter: str, kind: str) -> str:
+        """Return a permit for a request that is not idempotent."""
+        body = {"service": service, "adapter": adapter, "kind": kind, "count": 1}
+        headers = {"X-Caller-Id": self._name}
+        reply = self._http.request("POST", f"{self._url}/v1/permits", json=body, headers=headers)
+        return str(_parse_reply(reply)["permits"][0])
+
+    def _headers(self, kind: str, permit: str) -> dict[str, str]:
+        headers = {"X-Caller-Id": self._name, "X-Request-Kind": kind}
+        if permit:
+            headers["Idempotency-Key"] = permit
+        return headers
+
+
+def _parse_reply(reply: urllib3.BaseHTTPResponse) -> Any:
+    data = json.loads(reply.data)
+    if reply.status != 200:
+        raise _error_of(data)
+    return data
+
+
+def _error_of(data: Mapping[str, Any]) -> AnswerError:
+    error = data["error"]
+    return AnswerError(error["code"], error["outcome"], error["message"])
--- /dev/null
+++ b/src/dragonflyhold/demo/launcher.py
@@ -0,0 +1,240 @@
+"""Starts a deployment: stand-ins, entries and sidecars, each a process of its own."""
+
+import dataclasses
+import pathlib
+from typing import Any, final
+
+import urllib3
+
+from dragonflyhold.demo.operations import OperatorClient, adapter_changes, base_changes
+from dragonflyhold.demo.plans import DeploymentPlan, UpstreamPlan
+from dragonflyhold.demo.processes import (
+    DeploymentError,
+    ManagedProcess,
+    ProcessGroup,
+    free_address,
+    wait_until,
+)
+from dragonflyhold.demo.settings_files import derive_settings
+from dragonflyhold.states import ServiceType
+
+START_TIMEOUT_S = 60.0
+HTTP_TIMEOUT_S = 5.0
+PLATFORM_NAMES = ("table", "objects", "vms", "weights")
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class StandInProcess:
+    """A stand-in that runs as a process."""
+
+    url: str
+    process: ManagedProcess
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryProcess:
+    """An entry daemon."""
+
+    url: str
+    grpc_address: str
+    data_centre: str
+    process: ManagedProcess
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class SidecarProcess:
+    """A sidecar daemon with its upstream stand-in."""
+
+    plan: UpstreamPlan
+    grpc_address: str
+    http_url: str
+    upstream: StandInProcess
+    process: ManagedProcess
+
+
+@final
+class Deployment:
+    """The running processes of a plan; use as a context manager or call ``stop``."""
+
+    def __init__(
+        self, plan: DeploymentPlan, examples: pathlib.Path, directory: pathlib.Path
+    ) -> None:
+        self.plan = plan
+        self.platform: dict[str, StandInProcess] = {}
+        self.entries: list[EntryProcess] = []
+        self.sidecars: dict[str, SidecarProcess] = {}
+        self._upstreams: dict[str, StandInProcess] = {}
+        self._examples = examples / plan.name
+        self._directory = directory
+        self._group = ProcessGroup(directory)
+        self._http = urllib3.PoolManager(retries=False, timeout=HTTP_TIMEOUT_S)
+        # Known before the start, because each entry is a seed of all daemons.
+        self._entry_addresses = [free_address() for _ in range(plan.entries)]
+
+    def __enter__(self) -> "Deployment":
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.stop()
+
+    def start(self) -> None:
+        """Start all processes and wait until they answer."""
+        self.start_stand_ins()
+        self.start_daemons()
+
+    def start_stand_ins(self) -> None:
+        """Start the platform and the upstreams and wait until they answer."""
+        self._directory.mkdir(parents=True, exist_ok=True)
+        for name in PLATFORM_NAMES:
+            options = []
+            if name == "weights":
+                options = ["--loads-per-s", str(self.plan.loads_per_s)]
+            self.platform[name] = self._start_stand_in(name, name, options)
+        self._upstreams = {
+            upstream.name: self._start_upstream(upstream) for upstream in self.plan.upstreams()
+        }
+        stand_ins = [*self.platform.values(), *self._upstreams.values()]
+        for stand_in in stand_ins:
+            self._wait_for(stand_in.process, f"{stand_in.url}/control", "POST")
+
+    def start_daemons(self) -> None:
+        """Start the entries and sidecars and wait until they answer."""
+        for index in range(self.plan.entries):
+            self.entries.append(self._start_entry(index))
+        for upstream in self.plan.upstreams():
+            self.sidecars[upstream.name] = self._start_sidecar(upstream)
+        self._set_vm_list()
+        for entry in self.entries:
+            self._wait_for(entry.process, f"{entry.url}/healthz")
+        for sidecar in self.sidecars.values():
+            self._wait_for(sidecar.process, f"{sidecar.http_url}/healthz")
+
+    def configure(self) -> int:
+        """Apply the plan's configuration; return the revision, which is then in force."""
+        operator = OperatorClient(self.entries[0].grpc_address)
+        try:
+            addresses = {name: sidecar.grpc_address for name, sidecar in self.sidecars.items()}
+            revision = operator.apply(base_changes(self.plan, addresses))
+            for operations in adapter_changes(self.plan):
+                revision = operator.apply(operations)
+            operator.wait_in_force(revision)
+        finally:
+            operator.close()
+        for entry in self.entries:
+            self._wait_for(entry.process, f"{entry.url}/readyz")
+        return revision
+
+    def stop(self) -> None:
+        """End all processes."""
+        self._group.stop()
+        self._http.clear()
+
+    def check(self) -> None:
+        """Raise ``DeploymentError`` if a process has ended."""
+        self._group.check()
+
+    def set_fault(self, name: str, **faults: object) -> Any:
+        """Set faults of the platform stand-in or upstream ``name``."""
+        stand_in = self.platform.get(name) or self._upstreams[name]
+        reply = self._http.request("POST", f"{stand_in.url}/control", json=faults)
+        return reply.json()
+
+    def upstream_journal(self, name: str) -> Any:
+        """Return what ran on the upstream ``name``."""
+        return self._http.request("GET", f"{self._upstreams[name].url}/v1/journal").json()
+
+    def settings_path(self, name: str) -> pathlib.Path:
+        """Return the settings file of a daemon."""
+        return self._directory / f"{name}.json"
+
+    def _start_stand_in(self, name: str, kind: str, options: list[str]) -> StandInProcess:
+        address = free_address()
+        process = self._group.add(name, ["standin", kind, "--address", address, *options])
+        return StandInProcess(f"http://{address}", process)
+
+    def _start_upstream(self, upstream: UpstreamPlan) -> StandInProcess:
+        name = f"upstream-{upstream.name}"
+        if upstream.service.type is ServiceType.PLAIN:
+            return self._start_stand_in(name, "plain", [])
+        options = ["--weights-url", self.platform["weights"].url]
+        options += ["--slots", str(self.plan.slots), "--batch-limit", str(self.plan.batch_limit)]
+        if upstream.service.checks_fencing:
+            options.append("--checks-fencing")
+        return self._start_stand_in(name, "engine", options)
+
+    def _start_entry(self, index: int) -> EntryProcess:
+        name = f"entry-{index + 1}"
+        http_address = free_address()
+        grpc_address = self._entry_addresses[index]
+        data_centre = self.plan.data_centres[index % len(self.plan.data_centres)]
+        changes = {
+            **self._common_settings(name, data_centre),
+            "grpc_address": grpc_address,
+            "http.address": http_address,
+        }
+        derive_settings(self._examples / "entry.json", self.settings_path(name), changes)
+        process = self._group.add(name, ["run", "entry", str(self.settings_path(name))])
+        return EntryProcess(f"http://{http_address}", grpc_address, data_centre, process)
+
+    def _start_sidecar(self, upstream: UpstreamPlan) -> SidecarProcess:
+        name = f"sidecar-{upstream.name}"
+        grpc_address, http_address = free_address(), free_address()
+        stand_in = self._upstreams[upstream.name]
+        changes = {
+            **self._common_settings(name, upstream.data_centre),
+            "grpc_address": grpc_address,
+            "http_address": http_address,
+            "upstream.name": upstream.name,
+            "upstream.type": upstream.service.type.value,
+            "upstream.url": stand_in.url,
+            "load_budget.loads_per_s": self.plan.loads_per_s,
+        }
+        derive_settings(self._examples / "sidecar.json", self.settings_path(name), changes)
+        process = self._group.add(name, ["run", "sidecar", str(self.settings_path(name))])
+        return SidecarProcess(upstream, grpc_address, f"http://{http_address}", stand_in, process)
+
+    def _common_settings(self, name: str, data_centre: str) -> dict[str, object]:
+        return {
+            "name": name,
+            "region": self.plan.region,
+            "data_centre": data_centre,
+            "platform.table_url": self.platform["table"].url,
+            "platform.object_store_url": self.platform["objects"].url,
+            "platform.vm_list_url": self.platform["vms"].url,
+            "config.seeds": self._entry_addresses,
+        }
+
+    def _set_vm_list(self) -> None:
+        machines = [(f"vm-entry-{i + 1}", e.data_centre, "") for i, e in enumerate(self.entries)]
+        machines += [
+            (f"vm-{name}", sidecar.plan.data_centre, name)
+            for name, sidecar in self.sidecars.items()
+        ]
+        vms = [
+            {
+                "name": name,
+                "address": "127.0.0.1",
+                "data_centre": data_centre,
+                "state": "live",
+                "upstream": upstream,
+            }
+            for name, data_centre, upstream in machines
+        ]
+        self.set_fault("vms", vms=vms)
+
+    def _wait_for(self, process: ManagedProcess, url: str, method: str = "GET") -> None:
+        def is_answered() -> bool:
+            if not process.is_running:
+                text = process.log_tail()
+                raise DeploymentError(
+                    f"{process.name} ended with status {process.exit_status}:\n{text}"
+                )
+            try:
+                return self._http.request(method, url).status == 200
+            except urllib3.exceptions.HTTPError:
+                return False
+
+        wait_until(f"an answer of {process.name} at {url}", is_answered, START_TIMEOUT_S)
--- /dev/null
+++ b/src/dragonflyhold/demo/processes.py
@@ -0,0 +1,161 @@
+"""Starts, signals and ends processes; only those that were started here."""
+
+import os
+import pathlib
+import random
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from typing import final
+
+from dragonflyhold.errors import DragonflyholdError
+
+# Below the range from which Linux takes the ports of outgoing connections, so that a port chosen
+# here is still free when the process that was told to listen on it starts.
+PORT_RANGE = range(15_000, 32_000)
+PORT_ATTEMPTS = 200
+POLL_S = 0.05
+# A daemon may finish its requests after SIGTERM; a longer wait holds up the demo.
+TERMINATE_TIMEOUT_S = 15.0
+LOG_TAIL_BYTES = 2000
+
+
+@final
+class DeploymentError(DragonflyholdError):
+    """A process ended early, or something did not happen in time."""
+
+
+@final
+class ManagedProcess:
+    """A child process with its log file."""
+
+    def __init__(self, name: str, arguments: list[str], log_path: pathlib.Path) -> None:
+        self.name = name
+        self.arguments = arguments
+        self.log_path = log_path
+        self._process: subprocess.Popen[bytes] | None = None
+
+    @property
+    def is_running(self) -> bool:
+        """Whether it was started and has not ended."""
+        return self._process is not None and self._process.poll() is None
+
+    @property
+    def pid(self) -> int:
+        """Process id; raises ``DeploymentError`` if it was never started."""
+        if self._process is None:
+            raise DeploymentError(f"{self.name} was not started")
+        return self._process.pid
+
+    @property
+    def exit_status(self) -> int | None:
+        """Exit status, negative for a signal; ``None`` while it runs."""
+        return self._process.poll() if self._process is not None else None
+
+    def start(self) -> None:
+        """Start it, also again after it ended."""
+        if self.is_running:
+            return
+        with self.log_path.open("ab") as log:
+            command = [sys.executable, "-m", "dragonflyhold", *self.arguments]
+            self._process = subprocess.Popen(command, stdout=log, stderr=subprocess.STDOUT)
+
+    def kill(self) -> None:
+        """End it with SIGKILL and wait for its end."""
+        self._signal(signal.SIGKILL)
+        if self._process is not None:
+            self._process.wait()
+
+    def freeze(self) -> None:
+        """Stop it with SIGSTOP."""
+        self._signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let it go on with SIGCONT."""
+        self._signal(signal.SIGCONT)
+
+    def terminate(self) -> None:
+        """Ask it to end with SIGTERM; ``wait`` waits for it."""
+        self._signal(signal.SIGTERM)
+
+    def wait(self, timeout_s: float = TERMINATE_TIMEOUT_S) -> bool:
+        """Wait for its end; return whether it ended in time."""
+        if self._process is None:
+            return True
+        try:
+            self._process.wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            return False
+        return True
+
+    def log_tail(self) -> str:
+        """Return the last lines of its log."""
+        if not self.log_path.exists():
+            return ""
+        return self.log_path.read_bytes()[-LOG_TAIL_BYTES:].decode("utf-8", "replace")
+
+    def _signal(self, number: signal.Signals) -> None:
+        # A process that ended is a zombie until ``poll`` reaps it, so its id is not reused.
+        if self._process is not None and self._process.poll() is None:
+            self._process.send_signal(number)
+
+
+@final
+class ProcessGroup:
+    """The processes of one deployment."""
+
+    def __init__(self, log_directory: pathlib.Path) -> None:
+        self._log_directory = log_directory
+        self._processes: list[ManagedProcess] = []
+
+    def add(self, name: str, arguments: list[str]) -> ManagedProcess:
+        """Start ``dragonflyhold ARGUMENTS``."""
+        process = ManagedProcess(name, arguments, self._log_directory / f"{name}.log")
+        self._processes.append(process)
+        process.start()
+        return process
+
+    def check(self) -> None:
+        """Raise ``DeploymentError`` with the log of the first process that ended."""
+        for process in self._processes:
+            if not process.is_running:
+                raise DeploymentError(
+                    f"{process.name} ended with status {process.exit_status}:\n{process.log_tail()}"
+                )
+
+    def stop(self) -> None:
+        """End all processes, the last started first; kill those that do not end in time."""
+        for process in reversed(self._processes):
+            process.thaw()
+            process.terminate()
+        deadline = time.monotonic() + TERMINATE_TIMEOUT_S
+        for process in reversed(self._processes):
+            if not process.wait(max(0.0, deadline - time.monotonic())):
+                process.kill()
+        self._processes.clear()
+
+
+def free_address() -> str:
+    """Return a loopback ``host:port`` on which nothing listens."""
+    source = random.Random(f"{os.getpid()}.{time.monotonic_ns()}")
+    for _ in range(PORT_ATTEMPTS):
+        port = source.choice(PORT_RANGE)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return f"127.0.0.1:{port}"
+    raise DeploymentError("no free port was found")
+
+
+def wait_until(what: str, is_reached: Callable[[], bool], timeout_s: float) -> None:
+    """Poll until ``is_reached``; raise ``DeploymentError`` that names ``what`` on a timeout."""
+    deadline = time.monotonic() + timeout_s
+    while not is_reached():
+        if time.monotonic() >= deadline:
+            raise DeploymentError(f"{what} did not happen within {timeout_s:g} s")
+        time.sleep(POLL_S)
