Add the load generator

Cause: the added latency and the throughput of the serving path need figures that compare with the stand-in engine on its own.

Streams run in several processes, because one process that parses answers can be slower than the entry it measures. With a rate, latencies count from when a request was due, so that a stall also shows in the requests that wait behind it. Addresses other than loopback are refused, and count, time and concurrency are bounded.

Only the generator was run, against the stand-in engine in tests.

--- /dev/null
+++ b/src/dragonflyhold/bench/load.py
@@ -0,0 +1,247 @@
+"""Load generator: streams of completions over HTTP, with latencies as a caller sees them."""
+
+import concurrent.futures
+import dataclasses
+import ipaddress
+import itertools
+import json
+import math
+import multiprocessing
+import threading
+import time
+import urllib.parse
+from collections.abc import Iterator, Sequence
+from typing import final
+
+import urllib3
+
+from dragonflyhold.errors import UsageError
+
+# Bounds of one run, so that a wrong option cannot load the machine without end.
+MAX_REQUESTS = 100_000
+MAX_DURATION_S = 600.0
+MAX_CONCURRENCY = 512
+READ_TIMEOUT_S = 60.0
+READ_BYTES = 65_536
+
+_PIECE_MARK = b'"choices"'
+_END_MARKS = (b"event: end", b"data: [DONE]")
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LoadOptions:
+    """What is sent, and for how long."""
+
+    # Base URL of an entry daemon or an engine; loopback only.
+    url: str
+    models: tuple[str, ...]
+    # Empty for an engine.
+    kind: str = ""
+    concurrency: int = 32
+    # Starts of requests per second, evenly spaced; 0: each stream starts when one ends.
+    rate_per_s: float = 0.0
+    duration_s: float = 10.0
+    max_requests: int = 10_000
+    max_tokens: int = 64
+    prompt_chars: int = 256
+    # Processes that share the streams; one process parses about 20,000 tokens/s.
+    processes: int = 2
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sample:
+    """One request: seconds to the first token, between tokens, and its error or nothing."""
+
+    first_token_s: float
+    gaps_s: tuple[float, ...]
+    tokens: int
+    error: str = ""
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadResult:
+    """All requests of a run and the time they took."""
+
+    samples: tuple[Sample, ...]
+    elapsed_s: float
+
+    @property
+    def answered(self) -> list[Sample]:
+        """Requests that got a complete answer."""
+        return [sample for sample in self.samples if not sample.error]
+
+    def to_json(self) -> dict[str, object]:
+        """Return the figures; latencies in milliseconds."""
+        answered = self.answered
+        errors: dict[str, int] = {}
+        for sample in self.samples:
+            if sample.error:
+                errors[sample.error] = errors.get(sample.error, 0) + 1
+        return {
+            "requests": len(self.samples),
+            "errors": errors,
+            "elapsed_s": round(self.elapsed_s, 3),
+            "requests_per_s": round(len(answered) / self.elapsed_s, 2),
+            "tokens_per_s": round(sum(s.tokens for s in answered) / self.elapsed_s, 1),
+            "first_token_ms": _quantiles_ms([s.first_token_s for s in answered]),
+            "between_tokens_ms": _quantiles_ms(
+                list(itertools.chain.from_iterable(s.gaps_s for s in answered))
+            ),
+        }
+
+
+def run_load(options: LoadOptions) -> LoadResult:
+    """Send the load; raise ``UsageError`` if the options are out of bounds."""
+    check_options(options)
+    processes = max(1, min(options.processes, options.concurrency))
+    shares = [_share(options, index, processes) for index in range(processes)]
+    context = multiprocessing.get_context("spawn")
+    with concurrent.futures.ProcessPoolExecutor(processes, mp_context=context) as pool:
+        # Starts the processes, whose start-up would count as load time otherwise.
+        list(pool.map(_warm_up, range(processes)))
+        started = time.monotonic()
+        parts = list(pool.map(_run_share, shares))
+        elapsed_s = time.monotonic() - started
+    return LoadResult(tuple(itertools.chain.from_iterable(parts)), elapsed_s)
+
+
+def check_options(options: LoadOptions) -> None:
+    """Raise ``UsageError`` if the options are out of bounds."""
+    host = urllib.parse.urlsplit(options.url).hostname or ""
+    try:
+        is_loopback = ipaddress.ip_address(host).is_loopback
+    except ValueError:
+        is_loopback = False
+    if not is_loopback:
+        raise UsageError(f"{options.url!r} is not a loopback address")
+    bounds = (
+        ("max_requests", options.max_requests, MAX_REQUESTS),
+        ("duration_s", options.duration_s, MAX_DURATION_S),
+        ("concurrency", options.concurrency, MAX_CONCURRENCY),
+    )
+    for name, value, limit in bounds:
+        if not 0 < value <= limit:
+            raise UsageError(f"{name} is {value}; allowed: above 0, up to {limit:g}")
+    if not options.models:
+        raise UsageError("no model is given")
+
+
+def percentile(values: Sequence[float], share: float) -> float:
+    """Return the nearest-rank percentile of unsorted values; 0 if there are none."""
+    if not values:
+        return 0.0
+    ordered = sorted(values)
+    return ordered[max(0, math.ceil(share * len(ordered)) - 1)]
+
+
+def _quantiles_ms(values: Sequence[float]) -> dict[str, float]:
+    shares = {"p50": 0.5, "p95": 0.95, "p99": 0.99}
+    return {name: round(1000 * percentile(values, share), 2) for name, share in shares.items()}
+
+
+def _share(options: LoadOptions, index: int, processes: int) -> LoadOptions:
+    def part(total: int) -> int:
+        return total // processes + (index < total % processes)
+
+    return dataclasses.replace(
+        options,
+        # Different models first, so that the processes don't load one adapter after the other.
+        models=options.models[index:] + options.models[:index],
+        concurrency=part(options.concurrency),
+        max_requests=max(1, part(options.max_requests)),
+        rate_per_s=options.rate_per_s / processes,
+    )
+
+
+def _warm_up(index: int) -> int:
+    # Long enough that each process of the pool gets one of these calls.
+    time.sleep(0.2)
+    return index
+
+
+def _run_share(options: LoadOptions) -> list[Sample]:
+    end = time.monotonic() + options.duration_s
+    schedule = _schedule(options)
+    lock = threading.Lock()
+    samples: list[Sample] = []
+
+    def work() -> None:
+        with urllib3.PoolManager(retries=False, timeout=READ_TIMEOUT_S) as http:
+            while True:
+                with lock:
+                    number, due = next(schedule, (-1, 0.0))
+                if number < 0 or max(due, time.monotonic()) >= end:
+                    return
+                time.sleep(max(0.0, due - time.monotonic()))
+                # Counted from when it was due, so that a stall also counts for later requests.
+                sample = _send(http, options, number, due or time.monotonic())
+                with lock:
+                    samples.append(sample)
+
+    threads = [threading.Thread(target=work) for _ in range(options.concurrency)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return samples
+
+
+def _schedule(options: LoadOptions) -> Iterator[tuple[int, float]]:
+    """Yield the number of each request and its start time, 0 for at once."""
+    started = time.monotonic()
+    for number in range(options.max_requests):
+        due = started + number / options.rate_per_s if options.rate_per_s else 0.0
+        yield number, due
+
+
+def _send(http: urllib3.PoolManager, options: LoadOptions, number: int, due: float) -> Sample:
+    model = options.models[number % len(options.models)]
+    body = {
+        "model": model,
+        # A prefix of its own, so that the engine's prefix cache does not hide the prefill.
+        "prompt": f"{number} {model} ".ljust(options.prompt_chars, "x"),
+        "max_tokens": options.max_tokens,
+        "stream": True,
+    }
+    headers = {"X-Caller-Id": f"load-{number % options.concurrency}"}
+    if options.kind:
+        headers["X-Request-Kind"] = options.kind
+    url = f"{options.url}/v1/completions"
+    try:
+        reply = http.request("POST", url, json=body, headers=headers, preload_content=False)
+        try:
+            if reply.status != 200:
+                return Sample(0.0, (), 0, _error_code(reply.read()))
+            return _read_stream(reply, due)
+        finally:
+            reply.drain_conn()
+            reply.release_conn()
+    except urllib3.exceptions.HTTPError as error:
+        return Sample(0.0, (), 0, type(error).__name__)
+
+
+def _read_stream(reply: urllib3.BaseHTTPResponse, due: float) -> Sample:
+    times: list[float] = []
+    rest = b""
+    while chunk := reply.read1(READ_BYTES):
+        now = time.monotonic()
+        *events, rest = (rest + chunk).split(b"\n\n")
+        for event in events:
+            if event.startswith(_END_MARKS):
+                gaps = tuple(after - before for before, after in itertools.pairwise(times))
+                return Sample(times[0] - due if times else 0.0, gaps, len(times))
+            if event.startswith(b"event: error"):
+                return Sample(0.0, (), len(times), "error_event")
+            if _PIECE_MARK in event:
+                times.append(now)
+    return Sample(0.0, (), len(times), "broken_off")
+
+
+def _error_code(body: bytes) -> str:
+    try:
+        return str(json.loads(body)["error"]["code"])
+    except (ValueError, KeyError, TypeError):
+        return "no_error_code"
--- /dev/null
+++ b/src/dragonflyhold/cli/bench_load.py
@@ -0,0 +1,55 @@
+"""The command that measures the serving path."""
+
+import json
+import pathlib
+import tempfile
+
+import click
+
+from dragonflyhold.bench.load import LoadOptions
+from dragonflyhold.bench.load_runs import measure
+from dragonflyhold.demo.plans import PLANS
+
+
+@click.command(name="load")
+@click.option("--deployment", "name", type=click.Choice(list(PLANS)), default="association")
+@click.option(
+    "--examples",
+    type=click.Path(path_type=pathlib.Path, exists=True, file_okay=False),
+    default="examples",
+    show_default=True,
+)
+@click.option("--concurrency", default=32, show_default=True, help="Streams at once.")
+@click.option("--seconds", default=10.0, show_default=True, help="Length of each of 4 runs.")
+@click.option("--max-requests", default=10_000, show_default=True, help="Bound of each run.")
+@click.option("--max-tokens", default=64, show_default=True)
+@click.option("--processes", default=2, show_default=True, help="Of the load generator.")
+@click.option("--output", type=click.Path(path_type=pathlib.Path), help="JSON file to write.")
+def load_command(
+    name: str,
+    examples: pathlib.Path,
+    concurrency: int,
+    seconds: float,
+    max_requests: int,
+    max_tokens: int,
+    processes: int,
+    output: pathlib.Path | None,
+) -> None:
+    """Measure one entry, one sidecar and one stand-in engine, and the engine directly."""
+    options = LoadOptions(
+        url="",
+        models=(),
+        concurrency=concurrency,
+        duration_s=seconds,
+        max_requests=max_requests,
+        max_tokens=max_tokens,
+        processes=processes,
+    )
+    plan = PLANS[name].reduced(entries=1, upstreams=1, adapters=8)
+    with tempfile.TemporaryDirectory(prefix="dragonflyhold-") as scratch:
+        figures = measure(plan, examples, pathlib.Path(scratch), options, click.echo)
+    text = json.dumps(figures, indent=1)
+    click.echo(text)
+    if output is not None:
+        output.parent.mkdir(parents=True, exist_ok=True)
+        output.write_text(text + "\n", encoding="utf-8")
--- /dev/null
+++ b/tests/bench/test_load.py
@@ -0,0 +1,80 @@
+"""Tests of the load generator against the engine stand-in."""
+
+import dataclasses
+from collections.abc import Iterator
+
+import pytest
+import urllib3
+
+from dragonflyhold.bench.load import LoadOptions, check_options, percentile, run_load
+from dragonflyhold.errors import UsageError
+from dragonflyhold.standins import EngineOptions, EngineStandIn
+
+OPTIONS = LoadOptions(
+    url="http://127.0.0.1:1",
+    models=("a",),
+    concurrency=3,
+    max_requests=10,
+    max_tokens=5,
+    duration_s=30.0,
+)
+
+
+@pytest.fixture
+def engine() -> Iterator[EngineStandIn]:
+    stand_in = EngineStandIn(options=EngineOptions(tokens_per_s=2000.0))
+    stand_in.start()
+    body = {"lora_name": "a", "lora_path": "ale/1"}
+    urllib3.request("POST", f"{stand_in.url}/v1/load_lora_adapter", json=body)
+    yield stand_in
+    stand_in.stop()
+
+
+class TestRunLoad:
+    """Guards against figures that count requests or tokens that were not answered."""
+
+    def test_counts_requests_and_tokens(self, engine: EngineStandIn) -> None:
+        options = dataclasses.replace(OPTIONS, url=engine.url, processes=2)
+        result = run_load(options)
+        assert [sample.error for sample in result.samples] == [""] * 10
+        assert {(sample.tokens, len(sample.gaps_s)) for sample in result.samples} == {(5, 4)}
+        figures = result.to_json()
+        assert figures["errors"] == {}
+
+    def test_refusals_are_errors(self, engine: EngineStandIn) -> None:
+        options = dataclasses.replace(
+            OPTIONS, url=engine.url, models=("a", "missing"), processes=1, rate_per_s=1000.0
+        )
+        result = run_load(options)
+        assert result.to_json()["errors"] == {"model_not_found": 5}
+        assert len(result.answered) == 5
+
+
+class TestCheckOptions:
+    """Guards against load on other machines or without bounds."""
+
+    @pytest.mark.parametrize(
+        "changes",
+        [
+            {"url": "http://192.0.2.1:80"},
+            {"url": "http://example.invalid"},
+            {"models": ()},
+            {"max_requests": 0},
+            {"duration_s": 1e9},
+            {"concurrency": 100_000},
+        ],
+    )
+    def test_out_of_bounds(self, changes: dict[str, object]) -> None:
+        with pytest.raises(UsageError):
+            check_options(dataclasses.replace(OPTIONS, **changes))
+
+
+class TestPercentile:
+    """Guards against percentiles that are off by a rank at the ends."""
+
+    def test_nearest_rank(self) -> None:
+        values = [float(value) for value in range(100, 0, -1)]
+        assert percentile(values, 0.5) == 50.0
+        assert percentile(values, 0.99) == 99.0
+        assert percentile(values, 1.0) == 100.0
+        assert percentile([], 0.5) == 0.0
