Add the configuration service, platform clients and operator commands

Cause: the daemons need the configuration: start-up, changes, look-ups and propagation.

ConfigStore accepts a change by one conditional transaction and resolves a lost answer by the change id. Daemons compare with peers, fetch what they lack and pass it on. OperatorService and the click commands change and inspect it.

Ruled out: an overlay beside the packed catalogue. A change re-packs only the blocks it touches, so the overlay would add a second look-up and save nothing.

A daemon stands for its own data centre only while it missed no change sent there: after a start or a pause it must first read the table or hear from a daemon that did not miss it. Without this a restarted daemon that learned an old revision would complete a majority.

--- /dev/null
+++ b/src/dragonflyhold/cli/client.py
@@ -0,0 +1,218 @@
+"""Connection of the operator commands to an entry daemon."""
+
+import dataclasses
+import getpass
+import json
+import re
+import secrets
+import sys
+import time
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from typing import Any, NoReturn, TypeVar, final
+
+import click
+import grpc
+
+from dragonflyhold.cli.exits import Exit
+from dragonflyhold.settings import TlsSettings
+from dragonflyhold.transport.grpc_endpoints import make_channel
+from dragonflyhold.transport.schema import operator_pb2 as pb
+from dragonflyhold.transport.schema import operator_pb2_grpc as pb_grpc
+
+# Longer than an entry needs to decide on a change with the table out.
+APPLY_TIMEOUT_S = 20.0
+_RESUBMISSIONS = 3
+_UNREACHABLE = (grpc.StatusCode.UNAVAILABLE, grpc.StatusCode.DEADLINE_EXCEEDED)
+
+Function = TypeVar("Function", bound=Callable[..., Any])
+Reply = TypeVar("Reply")
+
+_EXIT_BY_RESULT = {
+    pb.CHANGE_RESULT_ACCEPTED: Exit.OK,
+    pb.CHANGE_RESULT_CONFLICT: Exit.CONFLICT,
+    pb.CHANGE_RESULT_INVALID: Exit.FAILED,
+    pb.CHANGE_RESULT_IN_DOUBT: Exit.IN_DOUBT,
+    pb.CHANGE_RESULT_UNKNOWN: Exit.FAILED,
+}
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Connection:
+    """How to reach the entry daemon and how to print."""
+
+    entry: str
+    tls: TlsSettings
+    timeout_s: float
+    as_json: bool
+
+    def call(self, method: str, request: Any, timeout_s: float | None = None) -> Any:
+        """Call a method that changes nothing; exit if it cannot be reached or refuses."""
+        with self._open() as channel:
+            try:
+                return self._invoke(channel, method, request, timeout_s or self.timeout_s)
+            except grpc.RpcError as error:
+                code = Exit.NOT_REACHABLE if error.code() in _UNREACHABLE else Exit.FAILED
+                fail(f"{self.entry}: {error.code().name.lower()}: {error.details()}", code)
+
+    def apply(self, request: pb.ChangeRequest) -> pb.ChangeReply:
+        """Submit a change; a lost answer is resolved by submitting the same change id again."""
+        with self._open() as channel:
+            for attempt in range(_RESUBMISSIONS):
+                try:
+                    return self._invoke(channel, "Apply", request, APPLY_TIMEOUT_S)
+                except grpc.RpcError as error:
+                    if error.code() not in _UNREACHABLE:
+                        fail(f"{error.code().name.lower()}: {error.details()}", Exit.FAILED)
+                    time.sleep(0.2 * (attempt + 1))
+        return pb.ChangeReply(result=pb.CHANGE_RESULT_IN_DOUBT)
+
+    def _open(self) -> grpc.Channel:
+        """Return a connected channel, so that later errors mean a lost answer."""
+        try:
+            channel = make_channel(self.entry, self.tls)
+        except OSError as error:
+            fail(f"TLS file: {error}", Exit.USAGE)
+        try:
+            grpc.channel_ready_future(channel).result(timeout=self.timeout_s)
+        except grpc.FutureTimeoutError:
+            channel.close()
+            fail(f"{self.entry}: no connection within {self.timeout_s:g} s", Exit.NOT_REACHABLE)
+        return channel
+
+    @staticmethod
+    def _invoke(channel: grpc.Channel, method: str, request: Any, timeout_s: float) -> Any:
+        return getattr(pb_grpc.OperatorStub(channel), method)(request, timeout=timeout_s)
+
+
+def connection_options(function: Function) -> Function:
+    """Add the options that every operator command has, as a ``connection`` argument."""
+
+    def callback(**values: Any) -> Any:
+        tls = TlsSettings(
+            certificate=values.pop("tls_certificate"),
+            key=values.pop("tls_key"),
+            authority=values.pop("tls_authority"),
+        )
+        connection = Connection(
+            values.pop("entry"), tls, values.pop("timeout"), values.pop("as_json")
+        )
+        return function(connection=connection, **values)
+
+    callback.__name__ = function.__name__
+    callback.__doc__ = function.__doc__
+    options: list[Any] = [
+        click.option(
+            "--entry",
+            envvar="DRAGONFLYHOLD_ENTRY",
+            default="127.0.0.1:8081",
+            show_default=True,
+            show_envvar=True,
+            metavar="ADDRESS",
+            help="gRPC address of an entry daemon.",
+        ),
+        click.option("--timeout", type=click.FloatRange(0.1, 600), default=5.0, help="Seconds."),
+        click.option("--json", "as_json", is_flag=True, help="Print JSON instead of a table."),
+        *(
+            click.option(
+                f"--tls-{name}",
+                default="",
+                envvar=f"DRAGONFLYHOLD_TLS_{name.upper()}",
+                metavar="FILE",
+                help=f"PEM file of the {name}.",
+            )
+            for name in ("certificate", "key", "authority")
+        ),
+    ]
+    params = list(getattr(function, "__click_params__", []))
+    callback.__click_params__ = params  # type: ignore[attr-defined]
+    decorated: Any = callback
+    for option in reversed(options):
+        decorated = option(decorated)
+    return decorated  # type: ignore[no-any-return]
+
+
+def new_change_id() -> str:
+    """Return an unused change id that names the operator."""
+    user = re.sub(r"[^A-Za-z0-9_-]", "-", author())
+    return f"{user or 'operator'}-{secrets.token_hex(8)}".lstrip("-_")
+
+
+def author() -> str:
+    """Return the name of the operator as the system knows it."""
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        return "unknown"
+
+
+def fail(message: str, code: Exit) -> NoReturn:
+    """Print an error and exit."""
+    click.echo(f"error: {message}", err=True)
+    sys.exit(code)
+
+
+def result_name(reply: pb.ChangeReply) -> str:
+    """Return the result of a change as printed."""
+    return str(pb.ChangeResult.Name(reply.result)).removeprefix("CHANGE_RESULT_").lower()
+
+
+def reply_fields(change_id: str, reply: pb.ChangeReply) -> dict[str, Any]:
+    """Return the reply to a change for JSON output."""
+    return {
+        "change_id": change_id,
+        "result": result_name(reply),
+        "revision": reply.revision,
+        "problems": [
+            {
+                "operation": problem.operation,
+                "code": problem.code,
+                "message": problem.message,
+                "current_revision": problem.current_revision,
+            }
+            for problem in reply.problems
+        ],
+    }
+
+
+def print_reply(connection: Connection, change_id: str, reply: pb.ChangeReply) -> Exit:
+    """Print the reply to a change; return the exit code."""
+    if connection.as_json:
+        print_json(reply_fields(change_id, reply))
+    else:
+        click.echo(f"change {change_id}: {result_name(reply)}, revision {reply.revision}")
+        for problem in reply.problems:
+            click.echo(f"  operation {problem.operation}: {problem.code}: {problem.message}")
+    return exit_of(reply)
+
+
+def exit_of(reply: pb.ChangeReply) -> Exit:
+    """Return the exit code of a reply to a change."""
+    return _EXIT_BY_RESULT.get(reply.result, Exit.FAILED)
+
+
+def print_json(value: Any) -> None:
+    """Print a value as JSON."""
+    click.echo(json.dumps(value, indent=2))
+
+
+def print_table(rows: Sequence[Mapping[str, Any]], columns: Iterable[str]) -> None:
+    """Print rows as aligned columns with a header."""
+    names = list(columns)
+    cells = [names, *([_cell(row.get(name)) for name in names] for row in rows)]
+    widths = [max(len(line[index]) for line in cells) for index in range(len(names))]
+    for line in cells:
+        text = "  ".join(cell.ljust(width) for cell, width in zip(line, widths, strict=True))
+        click.echo(text.rstrip())
+
+
+def _cell(value: Any) -> str:
+    match value:
+        case None | "":
+            return "-"
+        case bool():
+            return "yes" if value else "no"
+        case float():
+            return f"{value:g}"
+        case _:
+            return str(value)
--- /dev/null
+++ b/src/dragonflyhold/cli/exits.py
@@ -0,0 +1,21 @@
+"""Exit codes of the operator commands."""
+
+import enum
+
+
+class Exit(enum.IntEnum):
+    """Exit code of a command."""
+
+    OK = 0
+    FAILED = 1
+    USAGE = 2
+    CONFLICT = 3
+    IN_DOUBT = 4
+    NOT_REACHABLE = 5
+
+
+EXIT_HELP = (
+    "Exit codes: 0 done; 1 refused or failed; 2 wrong usage; 3 conflict with another change; "
+    "4 in doubt, the change may or may not be accepted (see 'change show'); "
+    "5 the entry daemon could not be reached."
+)
--- /dev/null
+++ b/src/dragonflyhold/cli/inspect.py
@@ -0,0 +1,87 @@
+"""Commands that show the state of an entry daemon and the route of a request."""
+
+import datetime
+
+import click
+from google.protobuf import json_format
+
+from dragonflyhold.cli.client import Connection, connection_options, print_json, print_table
+from dragonflyhold.cli.exits import EXIT_HELP
+from dragonflyhold.transport.schema import operator_pb2 as pb
+from dragonflyhold.transport.schema import sidecar_pb2
+
+
+@click.command("status", epilog=EXIT_HELP)
+@connection_options
+def status_command(connection: Connection) -> None:
+    """Show the entry daemon's configuration revision and its view of the upstreams."""
+    reply = connection.call("Status", pb.StatusRequest())
+    if connection.as_json:
+        print_json(_to_dict(reply))
+        return
+    table = "reachable" if reply.table_reachable else "not reachable"
+    click.echo(f"daemon {reply.daemon}, incarnation {reply.incarnation}")
+    click.echo(
+        f"configuration revision {reply.config_revision}, "
+        f"known to be current {reply.config_age_s:.1f} s ago, table {table}"
+    )
+    rows = [
+        {
+            "upstream": item.name,
+            "service": item.service,
+            "state": _enum_word(sidecar_pb2.UpstreamState.Name(item.state)),
+            "in_flight": item.in_flight,
+            "queued": item.load.queued,
+            "batch_limit": item.load.batch_limit,
+            "slots": item.load.slots,
+            "resident": len(item.load.resident),
+            "why": item.why,
+        }
+        for item in reply.upstreams
+    ]
+    columns = (
+        "upstream",
+        "service",
+        "state",
+        "in_flight",
+        "queued",
+        "batch_limit",
+        "slots",
+        "resident",
+        "why",
+    )
+    print_table(rows, columns)
+
+
+@click.command("explain", epilog=EXIT_HELP)
+@click.argument("request_id")
+@connection_options
+def explain_command(connection: Connection, request_id: str) -> None:
+    """Show the route of the request REQUEST_ID and each refusal and retry."""
+    reply = connection.call("Explain", pb.ExplainRequest(request_id=request_id))
+    if connection.as_json:
+        print_json(_to_dict(reply))
+        return
+    state = reply.state
+    if state.request_id:
+        word = _enum_word(sidecar_pb2.RequestState.Name(state.state))
+        outcome = _enum_word(sidecar_pb2.Outcome.Name(state.outcome))
+        click.echo(f"request {state.request_id}: {word}, outcome {outcome} {state.code}".rstrip())
+    events = sorted([*reply.events, *state.events], key=lambda event: event.at_ms)
+    for event in events:
+        at = datetime.datetime.fromtimestamp(event.at_ms / 1000, datetime.UTC)
+        click.echo(f"{at:%Y-%m-%d %H:%M:%S}.{event.at_ms % 1000:03d}  {event.text}")
+    if not events:
+        click.echo("no events are kept for this request")
+
+
+def _to_dict(message: pb.StatusReply | pb.ExplainReply) -> object:
+    return json_format.MessageToDict(
+        message, preserving_proto_field_name=True, always_print_fields_with_no_presence=True
+    )
+
+
+def _enum_word(name: str) -> str:
+    for prefix in ("UPSTREAM_STATE_", "REQUEST_STATE_", "OUTCOME_"):
+        name = name.removeprefix(prefix)
+    return name.lower()
--- a/src/dragonflyhold/cli/root.py
+++ b/src/dragonflyhold/cli/root.py
@@ -2,6 +2,15 @@
 
 import click
 
+from dragonflyhold.cli.changes import (
+    apply_command,
+    change_group,
+    drain_command,
+    undrain_command,
+    wait_command,
+)
+from dragonflyhold.cli.inspect import explain_command, status_command
+from dragonflyhold.cli.objects import object_groups
 from dragonflyhold.cli.settings import settings_group
 
 
@@ -12,3 +21,12 @@
 
 
 main.add_command(settings_group)
+for _group in object_groups():
+    main.add_command(_group)
+main.add_command(apply_command)
+main.add_command(change_group)
+main.add_command(wait_command)
+main.add_command(drain_command)
+main.add_command(undrain_command)
+main.add_command(status_command)
+main.add_command(explain_command)
--- /dev/null
+++ b/src/dragonflyhold/config/commit.py
@@ -0,0 +1,231 @@
+"""Accepts changes: validation, the conditional transaction and the answer after a lost one."""
+
+import dataclasses
+from collections.abc import Callable
+from typing import final
+
+from dragonflyhold.config.changes import (
+    Change,
+    Problem,
+    ProblemCode,
+    change_digest,
+    parse_change,
+    problem_message,
+)
+from dragonflyhold.config.deltas import Delta
+from dragonflyhold.config.objects import ObjectKey, ObjectType, Service
+from dragonflyhold.config.propagation import Propagation
+from dragonflyhold.config.replica import ConfigReplica
+from dragonflyhold.config.state import ConfigState
+from dragonflyhold.config.store import ConfigStore, StoreError
+from dragonflyhold.config.validation import MAX_OPERATIONS, validate, writes_of
+from dragonflyhold.errors import ConditionFailedError, PlatformUnavailableError
+from dragonflyhold.ids import ChangeId, Region, Revision
+from dragonflyhold.observability import Metrics, PartLogger
+from dragonflyhold.settings import ConfigSettings
+from dragonflyhold.transport.schema import operator_pb2 as pb
+
+_LOG = PartLogger("config")
+
+# Time for conflicts and lost answers before a change is reported as in doubt.
+APPLY_TIMEOUT_S = 8.0
+MAX_ATTEMPTS = 64
+# Contacts older than this are renewed just before a change is accepted, so that a link that was
+# cut meanwhile is noticed.
+_CONTACT_AGE_S = 0.25
+_RETRY_DELAY_S = 0.1
+
+
+@final
+@dataclasses.dataclass(slots=True)
+class _Attempt:
+    """Version of the head row for which a transaction has an unknown fate."""
+
+    in_doubt_at: int | None = None
+
+    def is_in_doubt(self, row_version: int) -> bool:
+        """Whether the transaction can still take effect with the head row at this version."""
+        return self.in_doubt_at == row_version
+
+
+@final
+class Committer:
+    """Accepts changes on behalf of operators; safe to use from any thread."""
+
+    def __init__(
+        self,
+        settings: ConfigSettings,
+        replica: ConfigReplica,
+        store: ConfigStore,
+        propagation: Propagation,
+        metrics: Metrics,
+        clock: Callable[[], float],
+        sleep: Callable[[float], object],
+        after_accept: Callable[[], None],
+    ) -> None:
+        self._settings = settings
+        self._replica = replica
+        self._store = store
+        self._propagation = propagation
+        self._metrics = metrics
+        self._clock = clock
+        self._sleep = sleep
+        self._after_accept = after_accept
+
+    def apply(self, request: pb.ChangeRequest) -> pb.ChangeReply:
+        """Accept or refuse a change; the reply says ``IN_DOUBT`` if neither is known."""
+        reply = self._apply(request)
+        result = pb.ChangeResult.Name(reply.result).removeprefix("CHANGE_RESULT_").lower()
+        self._metrics.count_event(f"config_change_{result}")
+        _LOG.info(
+            "Change decided.",
+            change=request.change_id,
+            author=request.author,
+            result=result,
+            revision=reply.revision,
+        )
+        return reply
+
+    def get_change(self, change_id: ChangeId) -> pb.ChangeReply:
+        """Return the fate of a change."""
+        try:
+            found = self._store.find_change(change_id)
+        except PlatformUnavailableError as error:
+            problem = Problem(0, ProblemCode.TABLE_UNAVAILABLE, str(error))
+            return self._reply(pb.CHANGE_RESULT_IN_DOUBT, [problem])
+        if found is None:
+            return self._reply(pb.CHANGE_RESULT_UNKNOWN, [])
+        return pb.ChangeReply(result=pb.CHANGE_RESULT_ACCEPTED, revision=found.revision)
+
+    def _apply(self, request: pb.ChangeRequest) -> pb.ChangeReply:
+        if len(request.operations) > MAX_OPERATIONS:
+            message = f"{len(request.operations)} operations; at most {MAX_OPERATIONS} are allowed"
+            return self._refuse([Problem(0, ProblemCode.CHANGE_TOO_LARGE, message)])
+        change, unreadable = parse_change(request)
+        if unreadable:
+            return self._refuse(unreadable)
+        attempt = _Attempt()
+        give_up = self._clock() + APPLY_TIMEOUT_S
+        for _ in range(MAX_ATTEMPTS):
+            try:
+                reply = self._attempt(request, change, attempt)
+            except (PlatformUnavailableError, StoreError) as error:
+                if attempt.in_doubt_at is None:
+                    problem = Problem(0, ProblemCode.TABLE_UNAVAILABLE, str(error))
+                    return self._refuse([problem])
+                reply = None
+            if reply is not None:
+                return reply
+            if self._clock() >= give_up:
+                break
+            self._sleep(_RETRY_DELAY_S if attempt.in_doubt_at is not None else 0.0)
+        if attempt.in_doubt_at is None:
+            message = f"other changes were accepted first in each of {MAX_ATTEMPTS} attempts"
+            return self._refuse([Problem(0, ProblemCode.REVISION_CONFLICT, message)])
+        return self._reply(pb.CHANGE_RESULT_IN_DOUBT, [])
+
+    def _attempt(
+        self, request: pb.ChangeRequest, change: Change, attempt: _Attempt
+    ) -> pb.ChangeReply | None:
+        """Try once; return ``None`` to try again."""
+        # The head row is read before the id row: if the head has moved past an attempt in doubt
+        # and the id row is absent, that attempt can no longer take effect.
+        head = self._store.read_head()
+        found = self._store.find_change(change.id) if change.id else None
+        if found is not None:
+            return self._reply_found(request, found.revision, found.digest)
+        if not attempt.is_in_doubt(head.row_version):
+            attempt.in_doubt_at = None
+        self._propagation.catch_up_from_table(head.revision)
+        state = self._replica.state
+        if state.revision != head.revision:
+            return None
+        problems = validate(change, state) or self._unreachable(change, state)
+        if problems:
+            # While an earlier attempt may still take effect, a refusal would not be true.
+            return None if attempt.in_doubt_at is not None else self._refuse(problems)
+        try:
+            revision = self._store.commit(head, request)
+        except ConditionFailedError:
+            return None
+        except PlatformUnavailableError:
+            attempt.in_doubt_at = head.row_version
+            raise
+        self._install(change, state, revision)
+        return pb.ChangeReply(result=pb.CHANGE_RESULT_ACCEPTED, revision=revision)
+
+    def _install(self, change: Change, state: ConfigState, revision: Revision) -> None:
+        writes = writes_of(change, revision)
+        deleted = {key: revision for key, stored in writes.items() if stored is None}
+        self._replica.install_delta(Delta(state.revision, revision, writes, deleted))
+        self._propagation.push_to_all_data_centres()
+        self._after_accept()
+
+    def _reply_found(
+        self, request: pb.ChangeRequest, revision: Revision, digest: bytes
+    ) -> pb.ChangeReply:
+        if digest != change_digest(request):
+            message = f"change id {request.change_id!r} was used for another change"
+            return self._refuse([Problem(0, ProblemCode.CHANGE_ID_REUSED, message)])
+        try:
+            self._propagation.catch_up_from_table(revision)
+        except (PlatformUnavailableError, StoreError) as error:
+            _LOG.warning("Accepted change not installed yet.", revision=revision, error=error)
+        self._propagation.push_to_all_data_centres()
+        return pb.ChangeReply(result=pb.CHANGE_RESULT_ACCEPTED, revision=revision)
+
+    def _unreachable(self, change: Change, state: ConfigState) -> list[Problem]:
+        problems = []
+        for region, index in sorted(_regions(change, state).items()):
+            if not self._reaches(region):
+                message = (
+                    f"region {region!r}: fewer than half of its data centres were in contact "
+                    f"within {self._settings.stale_s:g} s"
+                )
+                problems.append(Problem(index, ProblemCode.REGION_UNREACHABLE, message))
+        return problems
+
+    def _reaches(self, region: Region) -> bool:
+        """Whether more than half of the data centres of a region can be reached now."""
+        data_centres = self._replica.region_data_centres(region)
+        if not data_centres:
+            return True
+        if self._replica.majority_age(region, self._clock()) > _CONTACT_AGE_S:
+            self._propagation.contact_all(data_centres)
+        return self._replica.majority_age(region, self._clock()) <= self._settings.stale_s
+
+    def _refuse(self, problems: list[Problem]) -> pb.ChangeReply:
+        is_conflict = any(item.code is ProblemCode.REVISION_CONFLICT for item in problems)
+        result = pb.CHANGE_RESULT_CONFLICT if is_conflict else pb.CHANGE_RESULT_INVALID
+        return self._reply(result, problems)
+
+    def _reply(self, result: pb.ChangeResult, problems: list[Problem]) -> pb.ChangeReply:
+        return pb.ChangeReply(
+            result=result,
+            revision=self._replica.revision,
+            problems=[problem_message(problem) for problem in problems],
+        )
+
+
+def _regions(change: Change, state: ConfigState) -> dict[Region, int]:
+    """Return the regions that a change concerns, each with an operation that does."""
+    regions: dict[Region, int] = {}
+    for index, operation in enumerate(change.operations):
+        for service in _services(operation.key, operation.value, state):
+            regions.setdefault(service.region, index)
+    return regions
+
+
+def _services(key: ObjectKey, value: object, state: ConfigState) -> list[Service]:
+    names = {key.service, getattr(value, "service", ""), key.name}
+    if key.type is ObjectType.UPSTREAM:
+        stored = state.get(key)
+        names = {getattr(value, "service", ""), getattr(stored and stored.object, "service", "")}
+    elif key.type is not ObjectType.SERVICE:
+        names = {key.service}
+    found = [value] if isinstance(value, Service) else []
+    for name in sorted(names):
+        stored = state.get(ObjectKey(ObjectType.SERVICE, "", name))
+        if stored is not None and isinstance(stored.object, Service):
+            found.append(stored.object)
+    return found
--- a/src/dragonflyhold/config/objects.py
+++ b/src/dragonflyhold/config/objects.py
@@ -1,10 +1,12 @@
 """Configuration objects that operators create and change."""
 
 import dataclasses
-from typing import final
+import enum
+from typing import NamedTuple, final
 
 from dragonflyhold.ids import (
     AdapterKey,
+    AdapterName,
     DataCentre,
     KindName,
     Region,
@@ -45,6 +47,15 @@
     mode: UpstreamMode = UpstreamMode.ACTIVE
 
 
+@final
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Adapter:
+    """A registered adapter; its versions are objects of their own."""
+
+    service: ServiceName
+    name: AdapterName
+
+
 @final
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class AdapterVersion:
@@ -75,3 +86,54 @@
 
     revision: Revision
     age_s: float
+
+
+ConfigObject = Service | Upstream | Adapter | AdapterVersion | RequestKind
+
+
+class ObjectType(enum.StrEnum):
+    """Type of a configuration object; the value is what operators write."""
+
+    SERVICE = "service"
+    UPSTREAM = "upstream"
+    ADAPTER = "adapter"
+    VERSION = "version"
+    KIND = "kind"
+
+
+class ObjectKey(NamedTuple):
+    """Identity of an object; keys sort in the order of lists.
+
+    ``service`` is empty for services and upstreams, whose names are unique everywhere. ``version``
+    is 0 for all but versions.
+    """
+
+    type: ObjectType
+    service: str
+    name: str
+    version: int = 0
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stored:
+    """An object and the revision of the change that last wrote it."""
+
+    object: ConfigObject
+    revision: Revision
+
+
+def key_of(value: ConfigObject) -> ObjectKey:
+    """Return the identity of an object."""
+    match value:
+        case Service():
+            return ObjectKey(ObjectType.SERVICE, "", value.name)
+        case Upstream():
+            return ObjectKey(ObjectType.UPSTREAM, "", value.name)
+        case Adapter():
+            return ObjectKey(ObjectType.ADAPTER, value.service, value.name)
+        case AdapterVersion():
+            key = value.key
+            return ObjectKey(ObjectType.VERSION, key.service, key.adapter, key.version)
+        case RequestKind():
+            return ObjectKey(ObjectType.KIND, value.service, value.name)
--- /dev/null
+++ b/src/dragonflyhold/config/replica.py
@@ -0,0 +1,354 @@
+"""One daemon's copy of the configuration and what it knows about being current.
+
+Calls to peers and to the table are made by ``Propagation`` and ``Committer``; this class only
+holds the state, and its methods return at once.
+"""
+
+import random
+import threading
+from collections.abc import Callable, Sequence
+from typing import final
+
+from dragonflyhold.config.deltas import Delta, DeltaHistory
+from dragonflyhold.config.directory import PeerDirectory
+from dragonflyhold.config.exchange import fetch_chunks
+from dragonflyhold.config.freshness import FreshnessTracker
+from dragonflyhold.config.objects import (
+    AdapterVersion,
+    Freshness,
+    ObjectKey,
+    ObjectType,
+    RequestKind,
+    Service,
+    Stored,
+    Upstream,
+)
+from dragonflyhold.config.peers import DaemonIdentity
+from dragonflyhold.config.state import ConfigState
+from dragonflyhold.ids import (
+    AdapterKey,
+    DataCentre,
+    Fingerprint,
+    KindName,
+    Region,
+    Revision,
+    ServiceName,
+    UpstreamName,
+)
+from dragonflyhold.requests.crashes import CrashExchange, CrashReport
+from dragonflyhold.settings import ConfigSettings
+from dragonflyhold.transport.schema import operator_pb2 as pb
+
+MAX_CRASH_REPORTS = 32
+MAX_CONTACTS = 64
+
+
+@final
+class ConfigReplica:
+    """Implements ``ConfigView``; safe to use from any thread."""
+
+    def __init__(
+        self,
+        settings: ConfigSettings,
+        identity: DaemonIdentity,
+        crashes: CrashExchange | None,
+        clock: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        self._identity = identity
+        self._crashes = crashes
+        self._clock = clock
+        self._state = ConfigState()
+        self._history = DeltaHistory(Revision(0))
+        self._highest_seen = Revision(0)
+        self._freshness = FreshnessTracker(identity.data_centre, settings.stale_s)
+        self._directory = PeerDirectory(
+            identity.region, identity.data_centre, identity.address, settings.seeds, rng
+        )
+        self._lock = threading.Lock()
+        self._installed = threading.Condition(self._lock)
+
+    # Read access (ConfigView).
+
+    @property
+    def revision(self) -> Revision:
+        """Highest revision installed; never falls."""
+        return self._state.revision
+
+    @property
+    def highest_seen(self) -> Revision:
+        """Highest revision heard of, installed or not."""
+        return self._highest_seen
+
+    @property
+    def state(self) -> ConfigState:
+        """The configuration in force."""
+        return self._state
+
+    def freshness(self, now: float) -> Freshness:
+        """Return the revision and its age at ``now`` (monotonic seconds)."""
+        with self._lock:
+            current_at = self._freshness.current_at(now, self._own_data_centres())
+            return Freshness(self._state.revision, now - current_at)
+
+    def service(self, name: ServiceName) -> Service | None:
+        """Return a service."""
+        value = _object(self._state.get(ObjectKey(ObjectType.SERVICE, "", name)))
+        return value if isinstance(value, Service) else None
+
+    def upstream(self, name: UpstreamName) -> Upstream | None:
+        """Return an upstream."""
+        value = _object(self._state.get(ObjectKey(ObjectType.UPSTREAM, "", name)))
+        return value if isinstance(value, Upstream) else None
+
+    def upstreams_of(self, service: ServiceName) -> Sequence[Upstream]:
+        """Return the upstreams of a service, sorted by name."""
+        return self._state.upstreams_of(service)
+
+    def has_adapter(self, service: ServiceName, adapter: str) -> bool:
+        """Whether the adapter is registered, in any version."""
+        return self._state.get(ObjectKey(ObjectType.ADAPTER, service, adapter)) is not None
+
+    def version(self, key: AdapterKey) -> AdapterVersion | None:
+        """Return a registered version of an adapter."""
+        value = _object(self._state.get(ObjectKey(ObjectType.VERSION, *key)))
+        return value if isinstance(value, AdapterVersion) else None
+
+    def kind(self, service: ServiceName, name: KindName) -> RequestKind | None:
+        """Return a request kind."""
+        value = _object(self._state.get(ObjectKey(ObjectType.KIND, service, name)))
+        return value if isinstance(value, RequestKind) else None
+
+    # Freshness.
+
+    def is_fresh(self, now: float) -> bool:
+        """Whether the daemon may take new work."""
+        with self._lock:
+            return self._freshness.is_fresh(now, self._own_data_centres())
+
+    def record_tick(self, now: float, paused_s: float) -> None:
+        """Note that the process runs, or ran again after a pause."""
+        with self._lock:
+            if paused_s:
+                self._freshness.record_pause(now)
+            self._freshness.record_tick(now, self._own_data_centres())
+
+    def record_table_read(self, at: float, head: Revision) -> None:
+        """Note a read of the head row that was sent at ``at``, if its revision is installed."""
+        with self._lock:
+            self._see(head)
+            if self._state.revision >= head:
+                self._freshness.record_table_read(at)
+
+    def current_age(self, now: float) -> float:
+        """Return the time since the revision was last known to be current, in seconds."""
+        with self._lock:
+            return now - self._freshness.current_at(now, self._own_data_centres())
+
+    def table_age(self, now: float) -> float:
+        """Return the age of the last table read in seconds."""
+        with self._lock:
+            return self._freshness.table_age(now)
+
+    def majority_age(self, region: Region, now: float) -> float:
+        """Return the age of the contacts with more than half of a region's data centres."""
+        with self._lock:
+            return now - self._freshness.majority_at(now, self._data_centres(region))
+
+    def region_data_centres(self, region: Region) -> set[DataCentre]:
+        """Return the data centres of a region that have daemons registered."""
+        return set(self._state.data_centres(region))
+
+    # Installation.
+
+    def observe_revision(self, revision: Revision) -> bool:
+        """Note a revision that exists; return whether it is not installed yet."""
+        with self._lock:
+            self._see(revision)
+            return self._state.revision < revision
+
+    def install_delta(self, delta: Delta) -> bool:
+        """Apply merged changes; return whether the revision rose."""
+        with self._lock:
+            own = self._state.revision
+            if delta.since > own or delta.revision <= own:
+                return False
+            written = [
+                (key, delta.deleted[key] if stored is None else stored.revision)
+                for key, stored in delta.writes.items()
+            ]
+            self._history.record((key, last) for key, last in written if last > own)
+            self._set_state(self._state.with_writes(delta.writes, delta.revision))
+            return True
+
+    def install_snapshot(self, state: ConfigState) -> bool:
+        """Replace the state; return whether the revision rose."""
+        with self._lock:
+            if state.revision <= self._state.revision:
+                return False
+            self._history = DeltaHistory(state.revision)
+            self._set_state(state)
+            return True
+
+    def wait_installed(self, revision: Revision, timeout_s: float) -> bool:
+        """Wait until a revision is installed; return whether it is."""
+        with self._installed:
+            return self._installed.wait_for(lambda: self._state.revision >= revision, timeout_s)
+
+    # Exchange with peers.
+
+    def compare_request(self, now: float) -> pb.CompareRequest:
+        """Return the message that tells a peer what this daemon knows."""
+        with self._lock:
+            contacts = self._contact_messages(now)
+            age_ms = self._age_ms(now)
+            revision = self._state.revision
+        return pb.CompareRequest(
+            daemon=self._identity.name,
+            address=self._identity.address,
+            data_centre=self._identity.data_centre,
+            revision=revision,
+            age_ms=age_ms,
+            contacts=contacts,
+            crashes=self._crash_messages(),
+        )
+
+    def answer_compare(self, request: pb.CompareRequest) -> pb.CompareReply:
+        """Learn from a peer's message and return the answer.
+
+        The caller's contacts are not adopted: the request may have been delayed on its way for
+        longer than this daemon can tell.
+        """
+        now = self._clock()
+        self._merge_crashes(request.crashes)
+        with self._lock:
+            data_centre = DataCentre(request.data_centre)
+            self._directory.record_caller(request.address, data_centre, now)
+            self._see(Revision(request.revision))
+            contacts = self._contact_messages(now)
+            age_ms = self._age_ms(now)
+            revision = self._state.revision
+        return pb.CompareReply(
+            daemon=self._identity.name,
+            data_centre=self._identity.data_centre,
+            revision=revision,
+            age_ms=age_ms,
+            contacts=contacts,
+            crashes=self._crash_messages(),
+        )
+
+    def record_reply(self, address: str, sent: float, reply: pb.CompareReply) -> bool:
+        """Learn from a peer's answer; return whether its revision is installed here.
+
+        Contacts are adopted only then, see ``FreshnessTracker``.
+        """
+        self._merge_crashes(reply.crashes)
+        with self._lock:
+            self._directory.record_reply(address, DataCentre(reply.data_centre))
+            self._see(Revision(reply.revision))
+            if self._state.revision < reply.revision:
+                return False
+            ages = {
+                DataCentre(contact.data_centre): contact.age_ms / 1000
+                for contact in reply.contacts[:MAX_CONTACTS]
+            }
+            self._freshness.record_contacts(sent, ages, self._own_data_centres())
+            return True
+
+    def answer_fetch(self, since: Revision) -> list[pb.FetchChunk]:
+        """Return the merged changes since a revision, or a snapshot."""
+        with self._lock:
+            state = self._state
+            delta = self._history.since(since, state)
+        return list(fetch_chunks(delta, state))
+
+    def choose_peer(self, open_addresses: Sequence[str]) -> str | None:
+        """Return the next peer to compare with."""
+        now = self._clock()
+        with self._lock:
+
+            def age(data_centre: DataCentre) -> float:
+                return self._freshness.contact_age(data_centre, now)
+
+            return self._directory.choose(now, age, open_addresses)
+
+    def peers_in(self, data_centre: DataCentre, limit: int) -> list[str]:
+        """Return up to ``limit`` random peers of a data centre."""
+        with self._lock:
+            return self._directory.in_data_centre(data_centre, self._clock(), limit)
+
+    def push_targets(self, fanout: int) -> list[str]:
+        """Return peers to pass a new revision on to."""
+        with self._lock:
+            return self._directory.push_targets(self._clock(), fanout)
+
+    def peers(self) -> dict[str, DataCentre]:
+        """Return all known peers and their data centres."""
+        with self._lock:
+            return self._directory.peers(self._clock())
+
+    def known_data_centres(self) -> set[DataCentre]:
+        """Return the data centres of all known peers."""
+        with self._lock:
+            return self._directory.data_centres(self._clock())
+
+    def processes(self) -> int:
+        """Return the number of known daemons with this one."""
+        with self._lock:
+            return self._directory.processes(self._clock())
+
+    def _set_state(self, state: ConfigState) -> None:
+        self._state = state
+        self._directory.update(state)
+        self._see(state.revision)
+        self._installed.notify_all()
+
+    def _see(self, revision: Revision) -> None:
+        self._highest_seen = max(self._highest_seen, revision)
+        now = self._clock()
+        self._freshness.record_revisions(now, self._state.revision, self._highest_seen)
+
+    def _own_data_centres(self) -> set[DataCentre]:
+        return self._data_centres(self._identity.region) | {self._identity.data_centre}
+
+    def _data_centres(self, region: Region) -> set[DataCentre]:
+        return self._state.data_centres(region)
+
+    def _age_ms(self, now: float) -> int:
+        current_at = self._freshness.current_at(now, self._own_data_centres())
+        # Never current is sent as the largest age.
+        return int(min(max(now - current_at, 0.0), 2**31) * 1000)
+
+    def _contact_messages(self, now: float) -> list[pb.DataCentreContact]:
+        ages = self._freshness.ages(now)
+        # Rounded up, because an age must not be reported as too small.
+        return [
+            pb.DataCentreContact(data_centre=name, age_ms=int(age * 1000) + (age > 0))
+            for name, age in sorted(ages.items())
+        ]
+
+    def _crash_messages(self) -> list[pb.CrashReport]:
+        if self._crashes is None:
+            return []
+        return [
+            pb.CrashReport(
+                fingerprint=report.fingerprint,
+                crashes=report.crashes,
+                quarantined=report.quarantined,
+            )
+            for report in self._crashes.reports()[:MAX_CRASH_REPORTS]
+        ]
+
+    def _merge_crashes(self, messages: Sequence[pb.CrashReport]) -> None:
+        if self._crashes is None or not messages:
+            return
+        self._crashes.merge(
+            [
+                CrashReport(Fingerprint(item.fingerprint), item.crashes, item.quarantined)
+                for item in messages[:MAX_CRASH_REPORTS]
+            ]
+        )
+
+
+def _object(stored: Stored | None) -> object:
+    return None if stored is None else stored.object
--- /dev/null
+++ b/src/dragonflyhold/config/schedule.py
@@ -0,0 +1,67 @@
+"""When a daemon compares with peers, reads the head row and writes snapshots; no I/O."""
+
+import dataclasses
+import math
+import random
+from typing import Protocol, final
+
+from dragonflyhold.settings import ConfigSettings
+
+SNAPSHOT_RETRY_S = 10.0
+# Part of ``stale_s`` after which a missing contact is sought with a second compare per period.
+_URGENT_SHARE = 0.5
+
+
+class _Replica(Protocol):
+    def processes(self) -> int: ...
+
+    def current_age(self, now: float) -> float: ...
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Due:
+    """What to do now."""
+
+    compares: int
+    head_read: bool
+    snapshot: bool
+
+
+@final
+class Schedule:
+    """Times of the periodic work, jittered so that daemons do not act in step."""
+
+    def __init__(self, settings: ConfigSettings, rng: random.Random) -> None:
+        self._settings = settings
+        self._rng = rng
+        self._compare_due = -math.inf
+        self._head_due = -math.inf
+        self._snapshot_due = math.inf
+
+    def due(self, now: float, replica: _Replica, after_pause: bool) -> Due:
+        """Return the work that is due at ``now`` and plan the next."""
+        compares = 0
+        if now >= self._compare_due or after_pause:
+            age = replica.current_age(now)
+            is_urgent = age > self._settings.stale_s * _URGENT_SHARE
+            compares = 2 if is_urgent else 1
+            self._compare_due = now + self._settings.compare_period_s * self._rng.uniform(0.9, 1.1)
+        head_read = now >= self._head_due or after_pause
+        if head_read:
+            self._head_due = now + self.head_period(replica.processes()) * self._rng.uniform(
+                0.5, 1.5
+            )
+        snapshot = now >= self._snapshot_due
+        if snapshot:
+            self._snapshot_due = math.inf
+        return Due(compares, head_read, snapshot)
+
+    def head_period(self, processes: int) -> float:
+        """Return the mean time between two head reads in seconds."""
+        settings = self._settings
+        return max(settings.head_read_period_s, processes / settings.head_reads_per_s)
+
+    def retry_snapshot(self, now: float) -> None:
+        """Plan another try to write a snapshot."""
+        self._snapshot_due = now + SNAPSHOT_RETRY_S
