Add the policy harness

Cause: changes of the routing, eviction and load-order policy need figures.

Change: `dragonflyhold bench policy` steps the decision code on a virtual clock against models of engines and the weight store, under the workloads of both deployments, with baselines of the same slots, load order and information, and writes JSON. `bench compare` sets two files side by side.

--- /dev/null
+++ b/src/dragonflyhold/bench/policy_workloads.py
@@ -0,0 +1,309 @@
+"""Workloads of the two deployments and the disturbances they are measured under."""
+
+import bisect
+import dataclasses
+import enum
+import itertools
+import math
+import random
+from typing import final
+
+from dragonflyhold.config.objects import Upstream
+from dragonflyhold.ids import (
+    AdapterKey,
+    AdapterName,
+    DataCentre,
+    ServiceName,
+    UpstreamName,
+    Version,
+)
+from dragonflyhold.settings.model import LoadBudgetSettings
+
+# The first part of a run fills the slots and is not measured.
+WARM_UP_S = 60.0
+RUN_S = 300.0
+
+
+class Disturbance(enum.Enum):
+    """What happens at the random moment of a run."""
+
+    STEADY = "steady"
+    SHIFT = "shift"
+    COLD_BUSIEST = "cold_busiest"
+    RESTART_ALL = "restart_all"
+    LOSE_ONE = "lose_one"
+    STORE_SLOW = "store_slow"
+    STORE_FAILING = "store_failing"
+    FLOOD = "flood"
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Kind:
+    """A request kind with its load; ``rate`` is in requests per second at level 1."""
+
+    name: str
+    service: ServiceName
+    worth: float
+    deadline_s: float
+    mean_tokens: int
+    rate: float
+    batch: bool = False
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Deployment:
+    """One user's region."""
+
+    name: str
+    # Runners and adapters by service.
+    runners: dict[ServiceName, int]
+    adapters: dict[ServiceName, int]
+    kinds: tuple[Kind, ...]
+    budget: LoadBudgetSettings
+    load_stall_weight: float
+    batch_efficiency_weight: float
+    entries: int = 4
+    slots: int = 8
+    batch_limit: int = 32
+
+    def upstreams(self) -> list[Upstream]:
+        """Return the configuration objects of the runners."""
+        return [
+            Upstream(
+                name=UpstreamName(f"{service}-{number}"),
+                service=service,
+                data_centre=DataCentre(f"dc-{number % 3}"),
+                sidecar_address="127.0.0.1:1",
+                slots=self.slots,
+                batch_limit=self.batch_limit,
+            )
+            for service, count in self.runners.items()
+            for number in range(count)
+        ]
+
+
+TAPSTER = ServiceName("tapster-lm")
+KERNEL = ServiceName("kernel-assist")
+DESK = ServiceName("ticket-desk")
+
+
+def association(night: bool) -> Deployment:
+    """Return the association's region: gate traffic by day, settlement drafts at night."""
+    gate, settlement = (1.0, 1.5) if night else (10.0, 0.1)
+    return Deployment(
+        name="association-night" if night else "association",
+        runners={TAPSTER: 5},
+        adapters={TAPSTER: 3000},
+        kinds=(
+            Kind(
+                name="gate",
+                service=TAPSTER,
+                worth=10.0,
+                deadline_s=3.0,
+                mean_tokens=24,
+                rate=gate,
+            ),
+            Kind(
+                name="settlement",
+                service=TAPSTER,
+                worth=0.2,
+                deadline_s=3600.0,
+                mean_tokens=600,
+                rate=settlement,
+                batch=True,
+            ),
+        ),
+        budget=LoadBudgetSettings(loads_per_s=6.0, burst=3, max_in_transit=24),
+        load_stall_weight=3.0,
+        batch_efficiency_weight=1.0,
+    )
+
+
+def kauri_ridge(night: bool) -> Deployment:
+    """Return Kauri Ridge's region: counters by day, long summaries overnight."""
+    counter, assist, summary = (0.5, 1.0, 1.5) if night else (4.0, 5.0, 0.1)
+    return Deployment(
+        name="kauri-ridge-night" if night else "kauri-ridge",
+        runners={KERNEL: 6, DESK: 3},
+        adapters={KERNEL: 2000, DESK: 1000},
+        kinds=(
+            Kind(
+                name="counter",
+                service=DESK,
+                worth=10.0,
+                deadline_s=5.0,
+                mean_tokens=40,
+                rate=counter,
+            ),
+            Kind(
+                name="assist",
+                service=KERNEL,
+                worth=5.0,
+                deadline_s=5.0,
+                mean_tokens=80,
+                rate=assist,
+            ),
+            Kind(
+                name="summary",
+                service=KERNEL,
+                worth=0.2,
+                deadline_s=3600.0,
+                mean_tokens=900,
+                rate=summary,
+                batch=True,
+            ),
+        ),
+        budget=LoadBudgetSettings(loads_per_s=4.5, burst=3, max_in_transit=24),
+        load_stall_weight=1.0,
+        batch_efficiency_weight=3.0,
+    )
+
+
+DEPLOYMENTS = {
+    deployment.name: deployment
+    for make in (association, kauri_ridge)
+    for deployment in (make(False), make(True))
+}
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Cell:
+    """One run: a deployment under a load level, a popularity and a disturbance."""
+
+    deployment: str
+    disturbance: Disturbance
+    # Multiplies the request rates.
+    level: float
+    zipf: float
+    seed: int
+
+    @property
+    def name(self) -> str:
+        """Name of the cell without its seed."""
+        return f"{self.deployment}/{self.disturbance.value}/x{self.level:g}/zipf{self.zipf:g}"
+
+
+@final
+@dataclasses.dataclass(slots=True, eq=False)
+class Request:
+    """One request and what became of it; times are virtual seconds."""
+
+    kind: Kind
+    key: AdapterKey
+    arrival: float
+    tokens: int
+    fingerprint: bytes
+    tried: frozenset[UpstreamName] = frozenset()
+    attempts: int = 0
+    entry: int = 0
+    upstream: UpstreamName | None = None
+    enqueued: float = 0.0
+    stalled_since: float | None = None
+    stall_s: float = 0.0
+    queued: bool = False
+    first_token: float | None = None
+    outcome: str = ""
+
+    @property
+    def deadline(self) -> float:
+        """Time by which the request must start."""
+        return self.arrival + self.kind.deadline_s
+
+
+class _Popularity:
+    """Zipf ranks over the adapters of a service, in a random order."""
+
+    def __init__(self, service: ServiceName, count: int, zipf: float, rng: random.Random) -> None:
+        self._keys = [
+            AdapterKey(service, AdapterName(f"adapter-{n:05d}"), Version(1)) for n in range(count)
+        ]
+        weights = (1.0 / math.pow(rank, zipf) for rank in range(1, count + 1))
+        self._cumulative = list(itertools.accumulate(weights))
+        self._rng = rng
+        self.shuffle()
+
+    def shuffle(self) -> None:
+        self._rng.shuffle(self._keys)
+
+    def make_coldest_busiest(self) -> None:
+        self._keys[0], self._keys[-1] = self._keys[-1], self._keys[0]
+
+    def pick(self) -> AdapterKey:
+        point = self._rng.random() * self._cumulative[-1]
+        return self._keys[bisect.bisect_left(self._cumulative, point)]
+
+    @property
+    def middle(self) -> AdapterKey:
+        return self._keys[len(self._keys) // 2]
+
+
+FLOOD_S = 60.0
+# Requests per second of a flood on one adapter, as a multiple of the whole service's rate.
+FLOOD_FACTOR = 3.0
+# Interactive traffic comes in peaks: the rate alternates around its mean with this period.
+PEAK_PERIOD_S = 40.0
+PEAK_SHARE = 0.5
+
+
+def disturbed_at(cell: Cell) -> float:
+    """Return the moment of the disturbance, different for each seed."""
+    return WARM_UP_S + 60.0 + 30.0 * random.Random(f"moment {cell.seed}").random()
+
+
+def make_requests(cell: Cell) -> list[Request]:
+    """Return all requests of a run in the order of their arrival."""
+    deployment = DEPLOYMENTS[cell.deployment]
+    rng = random.Random(f"requests {cell.deployment} {cell.seed}")
+    moment = disturbed_at(cell)
+    popularity = {
+        service: _Popularity(service, count, cell.zipf, rng)
+        for service, count in deployment.adapters.items()
+    }
+    times = sorted(
+        (at, index)
+        for index, kind in enumerate(deployment.kinds)
+        for at in _arrivals(kind, cell.level, rng)
+    )
+    if cell.disturbance is Disturbance.FLOOD:
+        rate = FLOOD_FACTOR * deployment.kinds[0].rate * cell.level
+        flood = [(moment + n / rate, -1) for n in range(int(rate * FLOOD_S))]
+        times = sorted(times + flood)
+    requests = []
+    is_disturbed = False
+    for at, index in times:
+        if at >= moment and not is_disturbed:
+            is_disturbed = True
+            _disturb(cell.disturbance, popularity)
+        kind = deployment.kinds[max(index, 0)]
+        ranks = popularity[kind.service]
+        key = ranks.middle if index < 0 else ranks.pick()
+        tokens = max(int(rng.expovariate(1.0 / kind.mean_tokens)), 4)
+        requests.append(Request(kind, key, at, tokens, rng.randbytes(8)))
+    return requests
+
+
+def _disturb(disturbance: Disturbance, popularity: dict[ServiceName, _Popularity]) -> None:
+    for ranks in popularity.values():
+        match disturbance:
+            case Disturbance.SHIFT:
+                ranks.shuffle()
+            case Disturbance.COLD_BUSIEST:
+                ranks.make_coldest_busiest()
+            case _:
+                pass
+
+
+def _arrivals(kind: Kind, level: float, rng: random.Random) -> list[float]:
+    rate = kind.rate * level
+    top = rate * (1.0 + PEAK_SHARE)
+    times = []
+    at = rng.expovariate(top)
+    while at < RUN_S:
+        wave = 0.0 if kind.batch else PEAK_SHARE * math.sin(2 * math.pi * at / PEAK_PERIOD_S)
+        if rng.random() * top < rate * (1.0 + wave):
+            times.append(at)
+        at += rng.expovariate(top)
+    return times
--- a/src/dragonflyhold/cli/root.py
+++ b/src/dragonflyhold/cli/root.py
@@ -2,6 +2,7 @@
 
 import click
 
+from dragonflyhold.cli.bench import bench_group
 from dragonflyhold.cli.settings import settings_group
 
 
@@ -12,3 +13,4 @@
 
 
 main.add_command(settings_group)
+main.add_command(bench_group)
