Serve completions through an entry daemon

Callers need one HTTP interface in front of many sidecars. A cheroot server passes each request to its own thread, an actor chooses the upstream, and one gRPC stream per sidecar carries all requests of the entry. Pieces go from the stream's reader to the queue of their request and do not pass the actor.

A request that no connection took is told apart from one that was sent: the outbox marks a request when gRPC takes its frame, and withdraws it before.

--- /dev/null
+++ b/src/dragonflyhold/entry/answers.py
@@ -0,0 +1,210 @@
+"""Writes the answers of requests to callers."""
+
+import contextlib
+from collections.abc import Generator, Iterable, Mapping
+from typing import final
+
+from dragonflyhold.entry import replies
+from dragonflyhold.entry.answer_read import AnswerRead
+from dragonflyhold.entry.caller_input import CallerCall
+from dragonflyhold.entry.context import RunContext
+from dragonflyhold.entry.http_server import CallerExchange, CallerGoneError
+from dragonflyhold.entry.lookups import owner_of
+from dragonflyhold.entry.request_run import Ended, Passed, RequestRun, RunEvent, Started, Waiting
+from dragonflyhold.errors import RequestError
+from dragonflyhold.ids import RequestId
+from dragonflyhold.states import ServiceType
+from dragonflyhold.transport.schema import sidecar_pb2 as pb
+
+# Headers of the upstream's connection to its sidecar.
+_HOP_HEADERS = frozenset(
+    {"connection", "content-length", "keep-alive", "te", "trailer", "transfer-encoding", "upgrade"}
+)
+
+
+def reply_completion(
+    exchange: CallerExchange, run: RequestRun, call: CallerCall, context: RunContext
+) -> None:
+    """Answer a completion as one JSON object."""
+    pieces, end = _collect(exchange, run, call, context)
+    if end is None:
+        return
+    text = b"".join(pieces).decode("utf-8", "replace")
+    digest = end.digest.hex()
+    body = replies.completion_body(run.request_id, call.model, text, end.count, digest)
+    exchange.reply_json(200, body, _answer_headers(run.request_id, end.next_permit))
+
+
+def reply_plain(
+    exchange: CallerExchange, run: RequestRun, call: CallerCall, context: RunContext
+) -> None:
+    """Answer a plain call with the status, headers and body of the service."""
+    pieces, end = _collect(exchange, run, call, context)
+    if end is not None:
+        _reply_plain_end(exchange, run.request_id, pieces, end)
+
+
+def stream_completion(
+    exchange: CallerExchange, run: RequestRun, call: CallerCall, context: RunContext
+) -> None:
+    """Answer a completion as server-sent events."""
+    stream = _EventStream(exchange, call.model, context)
+    try:
+        with contextlib.closing(_counted(run, call, context)) as events:
+            stream.write_all(events)
+    except RequestError as error:
+        stream.write_error(error, run.public_id)
+
+
+def resume_answer(
+    exchange: CallerExchange, request_id: RequestId, start: int, context: RunContext
+) -> None:
+    """Send an answer from a sequence number on."""
+    upstream = owner_of(request_id, context)
+    read = AnswerRead(request_id, start, upstream, context)
+    service = context.config.view.service(upstream.service)
+    if service is not None and service.type is ServiceType.PLAIN:
+        pieces, end = _gather(exchange, read.events())
+        if end is not None:
+            _reply_plain_end(exchange, request_id, pieces, end)
+        return
+    stream = _EventStream(exchange, upstream.service, context)
+    try:
+        with contextlib.closing(read.events()) as events:
+            stream.write_all(events)
+    except RequestError as error:
+        stream.write_error(error, request_id)
+
+
+@final
+class _EventStream:
+    """Writes events; the status is sent with the first one, so that refusals have their own."""
+
+    def __init__(self, exchange: CallerExchange, model: str, context: RunContext) -> None:
+        self._exchange = exchange
+        self._model = model
+        self._context = context
+        self._request_id = ""
+        self._opened_at = context.clock()
+        self._sent_at = self._opened_at
+
+    def write_all(self, events: Iterable[RunEvent]) -> None:
+        """Write all events; raise ``CallerGoneError`` or the ``RequestError`` of the run."""
+        for event in events:
+            match event:
+                case Started(request_id):
+                    self._start(request_id)
+                case Passed(sequence, data):
+                    self._send(self._piece(sequence, data))
+                case Waiting():
+                    self._wait()
+                case Ended(request_id, end):
+                    digest = end.digest.hex()
+                    closing = replies.end_event(request_id, end.count, digest, end.next_permit)
+                    self._send(closing)
+
+    def write_error(self, error: RequestError, request_id: str) -> None:
+        """End the stream with a typed error."""
+        if not self._exchange.has_started:
+            self._exchange.reply_error(error.info, request_id)
+            return
+        self._send(replies.named_event("error", replies.error_body(error.info, request_id)))
+
+    def _start(self, request_id: str) -> None:
+        is_changed = request_id != self._request_id
+        self._request_id = request_id
+        if self._exchange.has_started and is_changed:
+            # After a retry the id in the header is that of an attempt that was given up.
+            self._send(replies.named_event("request", {"request_id": request_id}))
+
+    def _piece(self, sequence: int, data: bytes) -> bytes:
+        text = data.decode("utf-8", "replace")
+        return replies.piece_event(self._request_id, self._model, sequence, text)
+
+    def _wait(self) -> None:
+        if self._exchange.is_caller_gone():
+            raise CallerGoneError
+        keepalive_s = self._context.settings.http.keepalive_s
+        if self._context.clock() - self._sent_at >= keepalive_s:
+            self._send(replies.KEEPALIVE)
+
+    def _send(self, data: bytes) -> None:
+        if not self._exchange.has_started:
+            headers = {"Content-Type": replies.EVENT_STREAM_TYPE, "Cache-Control": "no-store"}
+            if self._request_id:
+                headers["X-Request-Id"] = self._request_id
+            self._exchange.start_stream(headers)
+        self._exchange.send(data)
+        self._sent_at = self._context.clock()
+
+
+def _collect(
+    exchange: CallerExchange, run: RequestRun, call: CallerCall, context: RunContext
+) -> tuple[list[bytes], pb.End | None]:
+    try:
+        return _gather(exchange, _counted(run, call, context))
+    except RequestError as error:
+        exchange.reply_error(error.info, run.public_id)
+        return [], None
+
+
+def _gather(
+    exchange: CallerExchange, events: Generator[RunEvent, None, None]
+) -> tuple[list[bytes], pb.End | None]:
+    pieces: list[bytes] = []
+    end: pb.End | None = None
+    with contextlib.closing(events) as open_events:
+        for event in open_events:
+            match event:
+                case Started():
+                    # After a retry the pieces of the earlier attempt do not count.
+                    pieces.clear()
+                case Passed(_, data):
+                    pieces.append(data)
+                case Waiting() if exchange.is_caller_gone():
+                    raise CallerGoneError
+                case Ended(_, found):
+                    end = found
+                case _:
+                    pass
+    return pieces, end
+
+
+def _counted(
+    run: RequestRun, call: CallerCall, context: RunContext
+) -> Generator[RunEvent, None, None]:
+    """Count the request by its outcome."""
+    outcome = "detached"
+    try:
+        with contextlib.closing(run.events()) as events:
+            yield from events
+        outcome = "ok"
+    except RequestError as error:
+        outcome = error.info.outcome.value
+        raise
+    finally:
+        context.metrics.count_request(call.kind.name, outcome)
+
+
+def _reply_plain_end(
+    exchange: CallerExchange, request_id: str, pieces: list[bytes], end: pb.End
+) -> None:
+    headers = {
+        name: value
+        for name, value in end.headers.items()
+        if name.lower() not in _HOP_HEADERS and _is_header(name) and _is_header(value)
+    }
+    headers.update(_answer_headers(request_id, end.next_permit))
+    status = end.status if 200 <= end.status <= 599 else 502
+    exchange.reply(status, headers, b"".join(pieces))
+
+
+def _answer_headers(request_id: str, next_permit: str) -> Mapping[str, str]:
+    headers = {"X-Request-Id": request_id}
+    if next_permit:
+        headers["X-Next-Permit"] = next_permit
+    return headers
+
+
+def _is_header(text: str) -> bool:
+    return not any(char in text for char in "\r\n\0")
--- /dev/null
+++ b/src/dragonflyhold/entry/context.py
@@ -0,0 +1,62 @@
+"""What the requests of one entry daemon share."""
+
+import dataclasses
+import itertools
+import time
+from collections.abc import Callable
+from typing import Protocol, final
+
+from dragonflyhold.config.view import ConfigView
+from dragonflyhold.entry.router import Router
+from dragonflyhold.ids import Fingerprint, Incarnation
+from dragonflyhold.observability import ExplainLog, Metrics
+from dragonflyhold.requests.crashes import CrashExchange
+from dragonflyhold.settings import EntrySettings
+from dragonflyhold.transport.channel_pool import ChannelPool
+
+
+class ConfigSource(Protocol):
+    """The configuration in force."""
+
+    @property
+    def view(self) -> ConfigView:
+        """The objects."""
+
+    def is_fresh(self, now: float) -> bool:
+        """Whether new work may be taken."""
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RunContext:
+    """Shared parts; safe to use from any thread."""
+
+    settings: EntrySettings
+    incarnation: Incarnation
+    config: ConfigSource
+    router: Router
+    pool: ChannelPool
+    crashes: CrashExchange
+    explain: ExplainLog
+    metrics: Metrics
+    clock: Callable[[], float] = time.monotonic
+    sleep: Callable[[float], None] = time.sleep
+    _numbers: "itertools.count[int]" = dataclasses.field(default_factory=itertools.count)
+
+    def new_local_id(self) -> str:
+        """Return an id for a request that has none yet; it cannot be taken for a request id."""
+        return f"{self.settings.name}-{self.incarnation}-{next(self._numbers)}"
+
+    def is_quarantined(self, fingerprint: Fingerprint) -> bool:
+        """Whether requests with this fingerprint are refused."""
+        return any(
+            report.quarantined and report.fingerprint == fingerprint
+            for report in self.crashes.reports()
+        )
+
+    def suspected_crashes(self, fingerprint: Fingerprint) -> int:
+        """Return the crashes that a fingerprint is suspected of."""
+        for report in self.crashes.reports():
+            if report.fingerprint == fingerprint:
+                return report.crashes
+        return 0
--- /dev/null
+++ b/src/dragonflyhold/entry/lookups.py
@@ -0,0 +1,140 @@
+"""Calls to the owner of a request id: state, decline and permits."""
+
+import time
+from typing import Any
+
+import grpc
+
+from dragonflyhold.config.objects import Upstream
+from dragonflyhold.entry.caller_input import PermitCall
+from dragonflyhold.entry.context import RunContext
+from dragonflyhold.entry.request_run import error_of, outcome_of
+from dragonflyhold.entry.router import AttemptEnded, ChooseRoute
+from dragonflyhold.errors import ErrorCode, RequestError, in_doubt, not_run
+from dragonflyhold.ids import Fingerprint, RequestId, UpstreamName, parse_request_id
+from dragonflyhold.routing import RouteRequest, RouteTo
+from dragonflyhold.states import RequestState
+from dragonflyhold.transport.schema import sidecar_pb2 as pb
+
+# Upstreams asked for permits before the caller is told to come back.
+MAX_PERMIT_ATTEMPTS = 3
+
+_STATES: dict[int, RequestState] = {
+    pb.REQUEST_STATE_ISSUED: RequestState.ISSUED,
+    pb.REQUEST_STATE_QUEUED: RequestState.QUEUED,
+    pb.REQUEST_STATE_RUNNING: RequestState.RUNNING,
+    pb.REQUEST_STATE_DONE: RequestState.DONE,
+    pb.REQUEST_STATE_FAILED: RequestState.FAILED,
+    pb.REQUEST_STATE_DECLINED: RequestState.DECLINED,
+}
+
+
+def owner_of(request_id: RequestId, context: RunContext) -> Upstream:
+    """Return the upstream in a request id; raise ``no_upstream`` (in doubt) if it is gone."""
+    name = parse_request_id(request_id).upstream
+    upstream = context.config.view.upstream(name)
+    if upstream is None:
+        raise in_doubt(ErrorCode.NO_UPSTREAM, f"upstream {name!r} is not configured")
+    return upstream
+
+
+def look_up(request_id: RequestId, context: RunContext) -> dict[str, Any]:
+    """Return the state of a request id as its owner knows it."""
+    reply = ask_owner("Lookup", pb.LookupRequest(request_id=request_id), request_id, context)
+    return _state(reply)
+
+
+def decline(request_id: RequestId, context: RunContext) -> dict[str, Any]:
+    """Record that a request will not run; cancel it if it runs already."""
+    reply = ask_owner("Decline", pb.DeclineRequest(request_id=request_id), request_id, context)
+    context.explain.add(request_id, "decline asked for")
+    if reply.state in (pb.REQUEST_STATE_QUEUED, pb.REQUEST_STATE_RUNNING):
+        link = context.pool.link(owner_of(request_id, context))
+        if not link.cancel(request_id, detach=False):
+            _cancel_on_new_stream(request_id, context)
+    return _state(reply)
+
+
+def issue_permits(call: PermitCall, context: RunContext) -> dict[str, Any]:
+    """Return permits of one upstream that takes work."""
+    tried: set[UpstreamName] = set()
+    error = not_run(ErrorCode.NO_UPSTREAM, "no upstream issues permits")
+    if not context.config.is_fresh(context.clock()):
+        message = "the entry cannot tell whether its configuration is current"
+        raise not_run(ErrorCode.CONFIG_STALE, message, 1000)
+    for attempt in range(MAX_PERMIT_ATTEMPTS):
+        request = RouteRequest(
+            service=call.service,
+            key=call.key,
+            fingerprint=Fingerprint(b""),
+            batch=call.kind.batch,
+            suspected=False,
+            tried=frozenset(tried),
+        )
+        route = context.router.choose(ChooseRoute(request, context.clock(), attempt == 0))
+        if not isinstance(route, RouteTo):
+            raise not_run(route.code, route.message, 1000)
+        refusal: ErrorCode | None = None
+        try:
+            return _issue(call, route.upstream, context)
+        except RequestError as refused:
+            error, refusal = refused, refused.info.code
+            tried.add(route.upstream)
+            context.metrics.count_retry(f"permit_{refusal.value}")
+        finally:
+            ended = AttemptEnded(route.upstream, call.key, refusal, context.clock())
+            context.router.tell(ended)
+    raise error
+
+
+def ask_owner(method: str, message: Any, request_id: RequestId, context: RunContext) -> Any:
+    """Call the sidecar that owns a request id; raise ``upstream_down`` (in doubt)."""
+    upstream = owner_of(request_id, context)
+    link = context.pool.link(upstream)
+    try:
+        return link.call(method, message, context.settings.transport.probe_timeout_s)
+    except grpc.RpcError as error:
+        text = f"the sidecar of {upstream.name} does not answer"
+        raise in_doubt(ErrorCode.UPSTREAM_DOWN, text) from error
+
+
+def _issue(call: PermitCall, name: UpstreamName, context: RunContext) -> dict[str, Any]:
+    upstream = context.config.view.upstream(name)
+    if upstream is None:
+        raise not_run(ErrorCode.NO_UPSTREAM, f"upstream {name} was removed")
+    message = pb.IssuePermitsRequest(service=call.service, caller=call.caller, count=call.count)
+    if call.key is not None:
+        message.adapter, message.version = call.key.adapter, call.key.version
+    try:
+        timeout_s = context.settings.transport.probe_timeout_s
+        reply = context.pool.link(upstream).call("IssuePermits", message, timeout_s)
+    except grpc.RpcError as error:
+        # A permit that was issued but not received is never used and expires.
+        raise not_run(ErrorCode.UPSTREAM_DOWN, f"{name} does not answer") from error
+    if reply.code:
+        raise error_of(reply.code, reply.message, pb.OUTCOME_NOT_RUN)
+    return {"permits": list(reply.permits), "expires_in_ms": reply.expires_in_ms}
+
+
+def _cancel_on_new_stream(request_id: RequestId, context: RunContext) -> None:
+    """Open a stream by reading the end of the answer, and cancel there."""
+    link = context.pool.link(owner_of(request_id, context))
+    now = context.clock()
+    opened = link.attach(request_id, 0, now + context.settings.transport.probe_timeout_s)
+    end_s = now + context.settings.transport.probe_timeout_s
+    while not opened.is_sent and not opened.is_ended and context.clock() < end_s:
+        time.sleep(0.01)
+    link.abandon(opened, detach=False)
+
+
+def _state(reply: pb.LookupReply) -> dict[str, Any]:
+    state = _STATES.get(reply.state, RequestState.IN_DOUBT)
+    return {
+        "request_id": reply.request_id,
+        "state": state.value,
+        "outcome": outcome_of(reply.outcome).value if state.is_final else None,
+        "count": reply.count,
+        "complete": reply.complete,
+        "code": reply.code,
+        "message": reply.message,
+    }
--- /dev/null
+++ b/src/dragonflyhold/entry/request_run.py
@@ -0,0 +1,336 @@
+"""Runs one checked request: route, attempts, retries, and the answer in order and once."""
+
+import contextlib
+import dataclasses
+import hashlib
+from collections.abc import Generator
+from typing import final
+
+from dragonflyhold.entry.caller_input import CallerCall, without_certainty
+from dragonflyhold.entry.context import RunContext
+from dragonflyhold.entry.router import (
+    AdapterResident,
+    AskRetry,
+    AttemptEnded,
+    ChooseRoute,
+    RouteFixed,
+)
+from dragonflyhold.errors import ErrorCode, RefusalInfo, RequestError, failed, in_doubt, not_run
+from dragonflyhold.ids import UpstreamName, parse_request_id
+from dragonflyhold.requests.crashes import CrashReport
+from dragonflyhold.routing import RouteRequest, RouteTo
+from dragonflyhold.routing.retry import FailedAttempt, GiveUp, RetryAfter, combine_outcomes
+from dragonflyhold.states import Outcome
+from dragonflyhold.transport.open_request import (
+    AnswerEnded,
+    OpenRequest,
+    PieceReceived,
+    RequestAccepted,
+    RequestLost,
+    RequestRefused,
+)
+from dragonflyhold.transport.schema import sidecar_pb2 as pb
+from dragonflyhold.transport.upstream_stream import UpstreamLink
+
+# The sidecar ends a request at its deadline; the entry waits this much longer for its word.
+DEADLINE_GRACE_S = 1.0
+# How often a silent wait looks for a caller that went away.
+POLL_S = 0.5
+
+_OUTCOMES: dict[int, Outcome] = {
+    pb.OUTCOME_NOT_RUN: Outcome.NOT_RUN,
+    pb.OUTCOME_FAILED: Outcome.FAILED,
+    pb.OUTCOME_OK: Outcome.OK,
+}
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Started:
+    """A sidecar took the request; after a retry this comes again with another id."""
+
+    request_id: str
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Passed:
+    """The next piece."""
+
+    sequence: int
+    data: bytes
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Waiting:
+    """Nothing came for ``POLL_S``."""
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ended:
+    """The answer is complete."""
+
+    request_id: str
+    end: pb.End
+
+
+RunEvent = Started | Passed | Waiting | Ended
+
+
+def outcome_of(number: int) -> Outcome:
+    """Return the outcome on the wire; what is not known is in doubt."""
+    return _OUTCOMES.get(number, Outcome.IN_DOUBT)
+
+
+def error_of(code: str, message: str, outcome: int, retry_after_ms: int = 0) -> RequestError:
+    """Return the error that a sidecar reported."""
+    try:
+        known = ErrorCode(code)
+    except ValueError:
+        known, message = ErrorCode.UPSTREAM_ERROR, f"{code}: {message}"
+    result = outcome_of(outcome)
+    if result is Outcome.OK:
+        result = Outcome.IN_DOUBT
+    return RequestError(RefusalInfo(known, message, result, retry_after_ms))
+
+
+@final
+class RequestRun:
+    """One request of a caller; iterate over ``events`` once and close the iterator."""
+
+    def __init__(self, call: CallerCall, context: RunContext) -> None:
+        self._call = call
+        self._context = context
+        self._tried: set[UpstreamName] = set()
+        self._attempts = 0
+        self._earlier = Outcome.NOT_RUN
+        self._passed_on = False
+        self._arrived_at = context.clock()
+        self._local_id = context.new_local_id()
+        self._digest = hashlib.sha256()
+        # The id by which the caller can ask for the request.
+        self.request_id: str = call.permit or ""
+
+    @property
+    def public_id(self) -> str:
+        """The id to report: the request id, or before there is one, the entry's own."""
+        return self.request_id or self._local_id
+
+    def events(self) -> Generator[RunEvent, None, None]:
+        """Yield what happens; raise ``RequestError`` if no complete answer comes."""
+        while True:
+            try:
+                # Closing this iterator closes the attempt, which detaches the request.
+                with contextlib.closing(self._attempt()) as attempt:
+                    yield from attempt
+            except RequestError as error:
+                self._explain(f"attempt {self._attempts}: {error}")
+                self._context.metrics.count_refusal(error.info.code.value)
+                yield from self._wait_for_retry(error.info)
+            else:
+                return
+
+    def _wait_for_retry(self, info: RefusalInfo) -> Generator[RunEvent, None, None]:
+        context, call = self._context, self._call
+        attempt = FailedAttempt(
+            info=info,
+            earlier=self._earlier,
+            idempotent=call.kind.idempotent,
+            has_permit=call.permit is not None,
+            passed_on=self._passed_on,
+            attempts=self._attempts,
+        )
+        match context.router.decide(AskRetry(attempt, context.clock(), call.deadline)):
+            case GiveUp(final_info):
+                raise RequestError(final_info)
+            case RetryAfter(delay_s, reason):
+                self._explain(f"retry in {delay_s * 1000:.0f} ms because of {reason.value}")
+                context.metrics.count_retry(reason.value)
+                self._earlier = combine_outcomes(self._earlier, info.outcome)
+                yield Waiting()
+                context.sleep(delay_s)
+
+    def _attempt(self) -> Generator[RunEvent, None, None]:
+        call, context = self._call, self._context
+        self._attempts += 1
+        self._check_admission()
+        name = self._route()
+        refusal: ErrorCode | None = None
+        try:
+            upstream = context.config.view.upstream(name)
+            if upstream is None:
+                raise not_run(ErrorCode.NO_UPSTREAM, f"upstream {name} was removed")
+            link = context.pool.link(upstream)
+            opened = link.submit(self._submit_message(), call.deadline)
+            try:
+                yield from self._follow(link, opened)
+            finally:
+                if not opened.is_ended:
+                    link.abandon(opened, detach=True)
+        except RequestError as error:
+            refusal = error.info.code
+            self._tried.add(name)
+            raise
+        finally:
+            context.router.tell(AttemptEnded(name, call.key, refusal, context.clock()))
+
+    def _check_admission(self) -> None:
+        call, context = self._call, self._context
+        error: RequestError | None = None
+        if not context.config.is_fresh(context.clock()):
+            message = "the entry cannot tell whether its configuration is current"
+            error = not_run(ErrorCode.CONFIG_STALE, message, 1000)
+        elif context.is_quarantined(call.fingerprint):
+            error = not_run(ErrorCode.QUARANTINED, "requests like this one crash upstreams")
+        elif not call.kind.idempotent and call.permit is None:
+            message = f"kind {call.kind.name} needs a permit in Idempotency-Key"
+            error = not_run(ErrorCode.PERMIT_REQUIRED, message)
+        if error is not None:
+            raise without_certainty(error, call.permit)
+
+    def _route(self) -> UpstreamName:
+        call, context = self._call, self._context
+        now = context.clock()
+        if call.permit is not None:
+            name = self._permit_owner()
+            context.router.tell(RouteFixed(name, call.key, now))
+            self._explain(f"route to {name}: owner of the permit")
+            return name
+        request = RouteRequest(
+            service=call.service,
+            key=call.key,
+            fingerprint=call.fingerprint,
+            batch=call.kind.batch,
+            suspected=context.suspected_crashes(call.fingerprint) > 0,
+            tried=frozenset(self._tried),
+        )
+        route = context.router.choose(ChooseRoute(request, now, self._attempts == 1))
+        if not isinstance(route, RouteTo):
+            raise not_run(route.code, route.message, 1000)
+        self._explain(f"route to {route.upstream}: {route.reason.value}")
+        return route.upstream
+
+    def _permit_owner(self) -> UpstreamName:
+        assert self._call.permit is not None
+        name = parse_request_id(self._call.permit).upstream
+        upstream = self._context.config.view.upstream(name)
+        if upstream is None:
+            raise in_doubt(ErrorCode.NO_UPSTREAM, f"the permit's upstream {name} was removed")
+        if upstream.service != self._call.service:
+            message = f"the permit is of service {upstream.service}"
+            raise in_doubt(ErrorCode.WRONG_UPSTREAM, message)
+        return name
+
+    def _submit_message(self) -> pb.Submit:
+        call = self._call
+        submit = pb.Submit(
+            request_id=call.permit or "",
+            service=call.service,
+            kind=call.kind.name,
+            caller=call.caller,
+            idempotent=call.kind.idempotent,
+            stream=call.stream,
+            body=call.body,
+            fingerprint=call.fingerprint,
+            attempt=self._attempts - 1,
+            suspected_crashes=self._context.suspected_crashes(call.fingerprint),
+        )
+        if call.key is not None:
+            submit.adapter = call.key.adapter
+            submit.version = call.key.version
+        if call.plain is not None:
+            plain = call.plain
+            target = pb.PlainCall(method=plain.method, path=plain.path, headers=plain.headers)
+            submit.call.CopyFrom(target)
+        return submit
+
+    def _follow(self, link: UpstreamLink, opened: OpenRequest) -> Generator[RunEvent, None, None]:
+        self._digest = hashlib.sha256()
+        give_up_at = self._call.deadline + DEADLINE_GRACE_S
+        while True:
+            left_s = give_up_at - self._context.clock()
+            if left_s <= 0:
+                raise self._expire(link, opened)
+            match opened.next_event(min(left_s, POLL_S)):
+                case None:
+                    yield Waiting()
+                case RequestAccepted(request_id, resident):
+                    yield self._start(link, request_id, resident)
+                case PieceReceived(sequence, data):
+                    yield self._pass_on(sequence, data)
+                case AnswerEnded(end):
+                    yield self._finish(link, opened, end)
+                    return
+                case RequestRefused(refused):
+                    raise self._refusal(refused)
+                case RequestLost(info):
+                    self.request_id = opened.request_id or self.request_id
+                    raise without_certainty_if_unsent(info, self._call)
+
+    def _start(self, link: UpstreamLink, request_id: str, resident: bool) -> Started:
+        if self.request_id:
+            self._explain(f"continued as {request_id}")
+        else:
+            self._context.explain.move(self._local_id, request_id)
+        self.request_id = request_id
+        self._explain(f"accepted by {link.upstream}")
+        key = self._call.key
+        if resident and key is not None:
+            router = self._context.router
+            router.tell(AdapterResident(link.upstream, key, self._context.clock()))
+        return Started(request_id)
+
+    def _pass_on(self, sequence: int, data: bytes) -> Passed:
+        if not self._passed_on:
+            waited = self._context.clock() - self._arrived_at
+            self._context.metrics.observe_first_token(self._call.kind.name, waited)
+        # A plain answer is passed on whole, after its end.
+        self._passed_on = self._call.plain is None and self._call.stream
+        self._digest.update(data)
+        return Passed(sequence, data)
+
+    def _finish(self, link: UpstreamLink, opened: OpenRequest, end: pb.End) -> Ended:
+        call = self._call
+        if end.crashed:
+            self._context.crashes.merge([self._crash_report(end)])
+        if end.outcome != pb.OUTCOME_OK:
+            raise error_of(end.code, end.message, end.outcome)
+        if end.count != opened.next_sequence or end.digest != self._digest.digest():
+            raise failed(ErrorCode.UPSTREAM_ERROR, "the answer does not match its digest")
+        if call.key is not None and end.adapter:
+            if (end.adapter, end.version) != (call.key.adapter, call.key.version):
+                message = f"answered by adapter {end.adapter}:{end.version}"
+                raise failed(ErrorCode.UPSTREAM_ERROR, message)
+            router = self._context.router
+            router.tell(AdapterResident(link.upstream, call.key, self._context.clock()))
+        if end.load_stall_ms:
+            stall_s = end.load_stall_ms / 1000
+            self._context.metrics.observe_load_stall(call.kind.name, stall_s)
+        link.acknowledge(opened)
+        self._explain(f"ended with {end.count} pieces")
+        return Ended(self.request_id, end)
+
+    def _crash_report(self, end: pb.End) -> CrashReport:
+        crashes = self._context.suspected_crashes(self._call.fingerprint) + 1
+        return CrashReport(self._call.fingerprint, crashes, end.crashed_alone)
+
+    def _refusal(self, refused: pb.Refused) -> RequestError:
+        self.request_id = refused.request_id or self.request_id
+        return error_of(refused.code, refused.message, refused.outcome, refused.retry_after_ms)
+
+    def _expire(self, link: UpstreamLink, opened: OpenRequest) -> RequestError:
+        if link.abandon(opened, detach=False):
+            error = not_run(ErrorCode.DEADLINE_EXPIRED, "the deadline expired before it was sent")
+            return without_certainty(error, self._call.permit)
+        return in_doubt(ErrorCode.DEADLINE_EXPIRED, "no answer came until the deadline")
+
+    def _explain(self, text: str) -> None:
+        self._context.explain.add(self.public_id, text)
+
+
+def without_certainty_if_unsent(info: RefusalInfo, call: CallerCall) -> RequestError:
+    """Return the error of a lost request; an earlier use of its permit is not excluded."""
+    error = RequestError(info)
+    return without_certainty(error, call.permit) if info.outcome is Outcome.NOT_RUN else error
--- /dev/null
+++ b/src/dragonflyhold/transport/dispatch.py
@@ -0,0 +1,100 @@
+"""Passes items of a stream to the requests they belong to, each piece once and in order."""
+
+import dataclasses
+from collections.abc import Mapping
+from typing import final
+
+from dragonflyhold.errors import ErrorCode, RefusalInfo
+from dragonflyhold.states import Outcome
+from dragonflyhold.transport.open_request import (
+    AnswerEnded,
+    OpenRequest,
+    PieceReceived,
+    RequestAccepted,
+    RequestLost,
+    RequestRefused,
+)
+from dragonflyhold.transport.schema import sidecar_pb2 as pb
+
+# A stream has no gaps, so a sidecar that keeps on leaving out a piece has a fault.
+MAX_RESYNCS = 5
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class DispatchResult:
+    """What the link has to do after an item."""
+
+    # Ask again for the answer from the next sequence number.
+    resync: OpenRequest | None = None
+    ended: OpenRequest | None = None
+    # The caller went away before the id was known; cancel it now.
+    abandoned: OpenRequest | None = None
+
+
+def dispatch_item(
+    open_requests: Mapping[int, OpenRequest], item: pb.SidecarItem
+) -> DispatchResult | None:
+    """Pass one item on; items of requests that are no longer open are dropped."""
+    match item.WhichOneof("item"):
+        case "accepted":
+            request = open_requests.get(item.accepted.tag)
+            return _accept(request, item.accepted) if request is not None else None
+        case "piece":
+            request = open_requests.get(item.piece.tag)
+            return _pass_piece(request, item.piece) if request is not None else None
+        case "end":
+            request = open_requests.get(item.end.tag)
+            return _end(request, item.end) if request is not None else None
+        case "refused":
+            request = open_requests.get(item.refused.tag)
+            return _refuse(request, item.refused) if request is not None else None
+        case _:
+            return None
+
+
+def _accept(request: OpenRequest, accepted: pb.Accepted) -> DispatchResult | None:
+    is_first = not request.is_accepted
+    request.request_id = accepted.request_id
+    request.is_accepted = True
+    if request.is_abandoned:
+        return DispatchResult(abandoned=request)
+    if is_first:
+        request.events.put(RequestAccepted(accepted.request_id, accepted.resident))
+    return None
+
+
+def _pass_piece(request: OpenRequest, piece: pb.Piece) -> DispatchResult | None:
+    if piece.sequence < request.next_sequence:
+        return None
+    if piece.sequence > request.next_sequence:
+        # The pieces after a gap all show it; one question is enough.
+        return _resync(request) if request.resync_from != request.next_sequence else None
+    request.next_sequence += 1
+    request.resyncs = 0
+    request.events.put(PieceReceived(piece.sequence, piece.data))
+    return None
+
+
+def _end(request: OpenRequest, end: pb.End) -> DispatchResult:
+    if end.count > request.next_sequence:
+        return _resync(request)
+    request.events.put(AnswerEnded(end))
+    return DispatchResult(ended=request)
+
+
+def _refuse(request: OpenRequest, refused: pb.Refused) -> DispatchResult:
+    request.events.put(RequestRefused(refused))
+    return DispatchResult(ended=request)
+
+
+def _resync(request: OpenRequest) -> DispatchResult:
+    """Ask for the missing pieces."""
+    request.resync_from = request.next_sequence
+    request.resyncs += 1
+    if request.resyncs <= MAX_RESYNCS and request.request_id:
+        return DispatchResult(resync=request)
+    message = f"pieces from {request.next_sequence} on are missing"
+    info = RefusalInfo(ErrorCode.UPSTREAM_ERROR, message, Outcome.IN_DOUBT)
+    request.events.put(RequestLost(info, was_sent=True))
+    return DispatchResult(ended=request)
--- /dev/null
+++ b/src/dragonflyhold/transport/open_request.py
@@ -0,0 +1,105 @@
+"""One attempt of a request that is open on a link to a sidecar."""
+
+import dataclasses
+import queue
+from typing import final
+
+from dragonflyhold.errors import RefusalInfo
+from dragonflyhold.ids import Incarnation
+from dragonflyhold.transport.schema import sidecar_pb2 as pb
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestAccepted:
+    """The sidecar took the request under an id."""
+
+    request_id: str
+    resident: bool
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class PieceReceived:
+    """The next piece of the answer."""
+
+    sequence: int
+    data: bytes
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerEnded:
+    """The request ended; all its pieces were received."""
+
+    end: pb.End
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestRefused:
+    """The sidecar refused the request, or does not know its answer."""
+
+    refused: pb.Refused
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestLost:
+    """The sidecar cannot be asked any more; ``was_sent`` tells whether it may have the request."""
+
+    info: RefusalInfo
+    was_sent: bool
+
+
+RequestEvent = RequestAccepted | PieceReceived | AnswerEnded | RequestRefused | RequestLost
+
+
+@final
+@dataclasses.dataclass(slots=True, eq=False)
+class OpenRequest:
+    """State shared between a request's thread and the stream; changed under the link's lock."""
+
+    tag: int
+    # None for requests that only read an answer.
+    submit: pb.Submit | None
+    # Monotonic seconds.
+    deadline: float
+    opened_at: float
+    # A permit, the id to attach to, or empty until the sidecar assigned an id.
+    request_id: str = ""
+    # Sequence number of the next piece to pass on.
+    next_sequence: int = 0
+    # A frame that contains the request was handed to the connection.
+    is_sent: bool = False
+    is_accepted: bool = False
+    # The caller went away before the id was known.
+    is_abandoned: bool = False
+    abandon_detach: bool = False
+    is_ended: bool = False
+    # Incarnation that the request was sent to.
+    sent_to: Incarnation | None = None
+    # Questions for missing pieces since the last piece, and the latest one's start.
+    resyncs: int = 0
+    resync_from: int = -1
+    events: "queue.SimpleQueue[RequestEvent]" = dataclasses.field(default_factory=queue.SimpleQueue)
+
+    def next_event(self, timeout_s: float) -> RequestEvent | None:
+        """Wait for the next event; ``None`` after ``timeout_s`` seconds without one."""
+        try:
+            return self.events.get(timeout=max(timeout_s, 0.0))
+        except queue.Empty:
+            return None
+
+    def start_item(self, now: float) -> pb.EntryItem:
+        """Return the item that starts, or continues, this request on a stream."""
+        if self.is_accepted or self.submit is None:
+            attach = pb.Attach(
+                tag=self.tag, request_id=self.request_id, from_sequence=self.next_sequence
+            )
+            return pb.EntryItem(attach=attach)
+        submit = pb.Submit()
+        submit.CopyFrom(self.submit)
+        submit.tag = self.tag
+        submit.deadline_ms = max(int((self.deadline - now) * 1000), 0)
+        return pb.EntryItem(submit=submit)
--- /dev/null
+++ b/src/dragonflyhold/transport/upstream_stream.py
@@ -0,0 +1,366 @@
+"""The client side of ``Sidecar.Exchange``: one shared stream per (entry, sidecar) pair.
+
+``UpstreamLink`` keeps the stream and the requests open on it. A stream that breaks or goes silent
+is replaced after a probe on a new connection; see ``routing.liveness`` for the rules.
+"""
+
+import dataclasses
+import threading
+import time
+from collections.abc import Callable
+from typing import Any, Protocol, final
+
+import grpc
+
+from dragonflyhold.errors import ErrorCode, RefusalInfo
+from dragonflyhold.ids import Incarnation, UpstreamName
+from dragonflyhold.observability import Metrics, PartLogger
+from dragonflyhold.routing import liveness
+from dragonflyhold.routing.liveness import StreamAction
+from dragonflyhold.settings import TlsSettings, TransportSettings
+from dragonflyhold.states import Outcome
+from dragonflyhold.transport.dispatch import dispatch_item
+from dragonflyhold.transport.exchange_stream import ExchangeStream
+from dragonflyhold.transport.grpc_endpoints import make_channel
+from dragonflyhold.transport.open_request import OpenRequest, RequestLost
+from dragonflyhold.transport.schema import sidecar_pb2 as pb
+from dragonflyhold.transport.schema import sidecar_pb2_grpc as pb_grpc
+
+_log = PartLogger("transport")
+
+# Time between probes of an upstream that is down.
+DOWN_PROBE_S = 1.0
+
+
+class LinkListener(Protocol):
+    """What the owner of the links learns; called from any thread, must not block."""
+
+    def on_report(
+        self, upstream: UpstreamName, incarnation: str, state: int, load: pb.LoadReport
+    ) -> None:
+        """Take the state and load that a sidecar reported."""
+
+    def on_revision(self, revision: int, address: str) -> None:
+        """Take the configuration revision of a sidecar."""
+
+    def on_down(self, upstream: UpstreamName) -> None:
+        """Learn that no probe was answered."""
+
+    def on_up(self, upstream: UpstreamName) -> None:
+        """Learn that a probe was answered."""
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LinkContext:
+    """What all links of an entry daemon share."""
+
+    settings: TransportSettings
+    tls: TlsSettings
+    hello: pb.Hello
+    listener: LinkListener
+    metrics: Metrics
+    config_revision: Callable[[], int]
+    clock: Callable[[], float] = time.monotonic
+
+
+@final
+class UpstreamLink:
+    """Requests open on one sidecar, over a stream that is replaced when it fails."""
+
+    def __init__(self, upstream: UpstreamName, address: str, context: LinkContext) -> None:
+        self.upstream = upstream
+        self.address = address
+        self._context = context
+        self._settings = context.settings
+        self._lock = threading.RLock()
+        self._state: liveness.StreamState = liveness.Closed()
+        self._stream: ExchangeStream | None = None
+        self._open: dict[int, OpenRequest] = {}
+        self._next_tag = 1
+        self._heartbeats = 0
+        self._busy_since: float | None = None
+        self._used_at = context.clock()
+        self._is_closed = False
+
+    @property
+    def open_count(self) -> int:
+        """Requests open on the link."""
+        with self._lock:
+            return len(self._open)
+
+    @property
+    def used_at(self) -> float:
+        """When a request was last opened or closed, monotonic seconds."""
+        return self._used_at
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether a stream is open."""
+        return self._stream is not None
+
+    def submit(self, submit: pb.Submit, deadline: float) -> OpenRequest:
+        """Open a request; connects if needed."""
+        return self._open_request(submit, submit.request_id, 0, deadline)
+
+    def attach(self, request_id: str, from_sequence: int, deadline: float) -> OpenRequest:
+        """Open an answer from a sequence number."""
+        return self._open_request(None, request_id, from_sequence, deadline)
+
+    def acknowledge(self, request: OpenRequest) -> None:
+        """Tell the sidecar that the pieces up to the next sequence number were passed on."""
+        ack = pb.Ack(request_id=request.request_id, next_sequence=request.next_sequence)
+        with self._lock:
+            if self._stream is not None:
+                self._stream.send(pb.EntryItem(ack=ack))
+
+    def cancel(self, request_id: str, *, detach: bool) -> bool:
+        """Cancel a request by its id; return whether a stream could take the message."""
+        cancel = pb.Cancel(request_id=request_id, detach=detach)
+        with self._lock:
+            if self._stream is None:
+                return False
+            self._stream.send(pb.EntryItem(cancel=cancel))
+            return True
+
+    def abandon(self, request: OpenRequest, *, detach: bool) -> bool:
+        """Stop waiting for a request and cancel it, as soon as its id is known.
+
+        Returns whether it was certainly not sent; then it never will be.
+        """
+        with self._lock:
+            if request.tag not in self._open or request.is_abandoned:
+                return False
+            if not request.is_sent and (self._stream is None or self._stream.withdraw(request)):
+                self._forget(request)
+                return True
+            if request.request_id:
+                self.cancel(request.request_id, detach=detach)
+                self._forget(request)
+            else:
+                request.is_abandoned = True
+                request.abandon_detach = detach
+            return False
+
+    def call(self, method: str, message: Any, timeout_s: float) -> Any:
+        """Make a unary call, on a new connection if the open one fails; raise ``RpcError``."""
+        with self._lock:
+            is_alive = isinstance(self._state, liveness.Alive)
+            channel = self._stream.channel if self._stream is not None and is_alive else None
+        if channel is not None:
+            try:
+                return getattr(pb_grpc.SidecarStub(channel), method)(message, timeout=timeout_s)
+            except (grpc.RpcError, ValueError):
+                _log.debug("Unary call failed on the open connection.", upstream=self.upstream)
+        channel = make_channel(self.address, self._context.tls)
+        try:
+            return getattr(pb_grpc.SidecarStub(channel), method)(message, timeout=timeout_s)
+        finally:
+            channel.close()
+
+    def tick(self, now: float, paused_s: float) -> None:
+        """Send a heartbeat and look for silence, both only while requests are open."""
+        with self._lock:
+            if isinstance(self._state, liveness.Down):
+                if now - self._state.since >= DOWN_PROBE_S:
+                    self._step(liveness.Needed())
+                return
+            if not self._open:
+                return
+            if paused_s > 0:
+                # Frames that came during the pause have not been read yet.
+                self._busy_since = now
+            if self._stream is not None:
+                self._heartbeats += 1
+                beat = pb.Heartbeat(number=self._heartbeats)
+                self._stream.send(pb.EntryItem(heartbeat=beat))
+            self._step(liveness.Checked(now, self._busy_since))
+
+    def close_if_idle(self, now: float, idle_s: float) -> bool:
+        """Close the stream if nothing is open and nothing was for ``idle_s``."""
+        with self._lock:
+            if self._open or now - self._used_at < idle_s:
+                return False
+            if isinstance(self._state, liveness.Down):
+                # Nobody probes it any more, so the next request has to try it.
+                self._context.listener.on_up(self.upstream)
+            self.close()
+            return True
+
+    def close(self) -> None:
+        """Close the stream; requests that are open end as lost."""
+        with self._lock:
+            self._is_closed = True
+            self._drop_stream()
+            self._lose_all(ErrorCode.UPSTREAM_DOWN, "the connection was closed")
+            self._state = liveness.Closed()
+
+    def _open_request(
+        self, submit: pb.Submit | None, request_id: str, sequence: int, deadline: float
+    ) -> OpenRequest:
+        now = self._context.clock()
+        with self._lock:
+            request = OpenRequest(self._next_tag, submit, deadline, now, request_id, sequence)
+            self._next_tag += 1
+            if not self._open:
+                self._busy_since = now
+            self._open[request.tag] = request
+            self._used_at = now
+            if self._is_closed:
+                self._lose(request, ErrorCode.UPSTREAM_DOWN, "the connection was closed")
+                return request
+            if self._stream is not None:
+                self._start(request)
+            self._step(liveness.Needed())
+        return request
+
+    def _start(self, request: OpenRequest) -> None:
+        assert self._stream is not None
+        match self._state:
+            case liveness.Alive(incarnation) | liveness.Moved(incarnation):
+                request.sent_to = incarnation
+            case liveness.Silent(known) | liveness.Probing(known):
+                request.sent_to = known
+            case _:
+                pass
+        self._stream.send(request.start_item(self._context.clock()), request)
+
+    def _forget(self, request: OpenRequest) -> None:
+        request.is_ended = True
+        self._open.pop(request.tag, None)
+        self._used_at = self._context.clock()
+        if not self._open:
+            self._busy_since = None
+
+    def _lose(self, request: OpenRequest, code: ErrorCode, message: str) -> None:
+        outcome = Outcome.IN_DOUBT if request.is_sent else Outcome.NOT_RUN
+        info = RefusalInfo(code, f"{self.upstream}: {message}", outcome)
+        request.events.put(RequestLost(info, request.is_sent))
+        self._forget(request)
+
+    def _lose_all(self, code: ErrorCode, message: str) -> None:
+        for request in list(self._open.values()):
+            self._lose(request, code, message)
+
+    def _drop_stream(self) -> None:
+        stream, self._stream = self._stream, None
+        if stream is not None:
+            stream.close()
+
+    def _step(self, event: liveness.StreamEvent) -> StreamAction:
+        before = self._state
+        result = liveness.step(before, event, self._settings)
+        self._state = result.state
+        if result.action is StreamAction.PROBE and isinstance(result.state, liveness.Silent):
+            _log.debug("Probing.", upstream=self.upstream, open=len(self._open))
+            threading.Thread(target=self._probe, name="probe", daemon=True).start()
+        return result.action
+
+    def _probe(self) -> None:
+        """Probe on new connections until one is answered or the upstream counts as down."""
+        while True:
+            channel = make_channel(self.address, self._context.tls)
+            reply = self._ask_probe(channel)
+            with self._lock:
+                if self._is_closed:
+                    channel.close()
+                    return
+                now = self._context.clock()
+                if reply is None:
+                    action = self._step(liveness.ProbeFailed(now))
+                else:
+                    action = self._step(liveness.ProbeAnswered(now, Incarnation(reply.incarnation)))
+                self._after_probe(action, channel)
+            if reply is not None:
+                self._report(reply, reply.config_revision)
+                self._context.listener.on_up(self.upstream)
+            if action is not StreamAction.PROBE:
+                return
+
+    def _ask_probe(self, channel: grpc.Channel) -> pb.ProbeReply | None:
+        self._context.metrics.count_event("probe")
+        request = pb.ProbeRequest(entry=self._context.hello.entry)
+        try:
+            reply: pb.ProbeReply = pb_grpc.SidecarStub(channel).Probe(
+                request, timeout=self._settings.probe_timeout_s
+            )
+        except grpc.RpcError:
+            self._context.metrics.count_event("probe_failed")
+            return None
+        return reply
+
+    def _after_probe(self, action: StreamAction, channel: grpc.Channel) -> None:
+        match action:
+            case StreamAction.MOVE | StreamAction.MOVE_TO_NEW_INCARNATION:
+                self._move(channel, is_new=action is StreamAction.MOVE_TO_NEW_INCARNATION)
+            case StreamAction.FAIL_OVER:
+                channel.close()
+                self._drop_stream()
+                _log.warning("No probe was answered.", upstream=self.upstream)
+                self._context.listener.on_down(self.upstream)
+                self._lose_all(ErrorCode.UPSTREAM_DOWN, "no probe was answered")
+            case _:
+                channel.close()
+
+    def _move(self, channel: grpc.Channel, *, is_new: bool) -> None:
+        """Continue the open requests on a new stream over ``channel``."""
+        self._drop_stream()
+        context = self._context
+        stream = ExchangeStream(
+            channel, context.hello, context.config_revision, self._on_frame, self._on_broken
+        )
+        self._stream = stream
+        for request in list(self._open.values()):
+            self._continue(request, is_new=is_new)
+        stream.start()
+        if self._open:
+            context.metrics.count_event("stream_opened")
+
+    def _continue(self, request: OpenRequest, *, is_new: bool) -> None:
+        if not request.is_sent:
+            self._start(request)
+        elif is_new:
+            self._lose(request, ErrorCode.OTHER_INCARNATION, "the sidecar was restarted")
+        elif request.request_id:
+            # Submitting a permit again attaches to the first submission.
+            self._start(request)
+        else:
+            self._lose(request, ErrorCode.UPSTREAM_SILENT, "the connection went silent")
+
+    def _on_frame(self, stream: ExchangeStream, frame: pb.SidecarFrame) -> None:
+        with self._lock:
+            if stream is not self._stream:
+                return
+            self._step(liveness.Heard(self._context.clock()))
+            for item in frame.items:
+                if item.WhichOneof("item") != "heartbeat":
+                    self._dispatch(item)
+        for item in frame.items:
+            if item.WhichOneof("item") == "heartbeat":
+                self._report(item.heartbeat, frame.config_revision)
+
+    def _dispatch(self, item: pb.SidecarItem) -> None:
+        result = dispatch_item(self._open, item)
+        if result is None:
+            return
+        if result.resync is not None:
+            self._context.metrics.count_event("resync")
+            self._start(result.resync)
+        if result.ended is not None:
+            self._forget(result.ended)
+        if result.abandoned is not None:
+            self.cancel(result.abandoned.request_id, detach=result.abandoned.abandon_detach)
+            self._forget(result.abandoned)
+
+    def _report(self, report: pb.SidecarHeartbeat | pb.ProbeReply, revision: int) -> None:
+        listener = self._context.listener
+        listener.on_report(self.upstream, report.incarnation, report.state, report.load)
+        listener.on_revision(revision, self.address)
+
+    def _on_broken(self, stream: ExchangeStream, reason: str) -> None:
+        with self._lock:
+            if stream is not self._stream:
+                return
+            _log.info("Stream ended.", upstream=self.upstream, reason=reason)
+            self._drop_stream()
+            self._step(liveness.Broken(bool(self._open)))
--- /dev/null
+++ b/tests/entry/test_completions.py
@@ -0,0 +1,33 @@
+"""Tests of completions through an entry daemon."""
+
+import hashlib
+
+from tests.fakes.config import MODEL
+from tests.fakes.entry import running_entry
+
+
+class TestCompletions:
+    """Guards against answers that are incomplete, out of order or of another request."""
+
+    def test_streamed_answer_has_numbered_pieces_and_a_digest(self) -> None:
+        with running_entry() as entry:
+            entry.add_sidecar("runner-1")
+            answer = entry.complete()
+            assert answer.status == 200
+            assert answer.headers["Content-Type"] == "text/event-stream"
+            assert [event[1] for event in answer.events[:-1]] == ["0", "1", "2"]
+            assert answer.text == "one two three"
+            name, _, data = answer.events[-1]
+            assert name == "end"
+            assert data["count"] == 3
+            assert data["digest"] == hashlib.sha256(b"one two three").hexdigest()
+            assert data["request_id"] == answer.headers["X-Request-Id"]
+
+    def test_whole_answer(self) -> None:
+        with running_entry() as entry:
+            entry.add_sidecar("runner-1")
+            answer = entry.complete(stream=False)
+            assert answer.status == 200
+            assert answer.json["choices"][0]["text"] == "one two three"
+            assert answer.json["model"] == MODEL
+            assert answer.json["id"] == answer.headers["X-Request-Id"]
