--- a/src/dragonflyhold/cli/root.py
+++ b/src/dragonflyhold/cli/root.py
@@ -2,6 +2,7 @@
 
 import click
 
+from dragonflyhold.cli.run import run_group
 from dragonflyhold.cli.settings import settings_group
 from dragonflyhold.cli.standin import standin_group
 
@@ -12,5 +13,6 @@
     """Serve very many LoRA adapters: run daemons and operate them."""
 
 
+main.add_command(run_group)
 main.add_command(settings_group)
 main.add_command(standin_group)
--- a/src/dragonflyhold/entry/context.py
+++ b/src/dragonflyhold/entry/context.py
@@ -10,7 +10,7 @@
 from dragonflyhold.entry.router import Router
 from dragonflyhold.ids import Fingerprint, Incarnation
 from dragonflyhold.observability import ExplainLog, Metrics
-from dragonflyhold.requests.crashes import CrashExchange
+from dragonflyhold.requests.crashes import CrashTable, Verdict
 from dragonflyhold.settings import EntrySettings
 from dragonflyhold.transport.channel_pool import ChannelPool
 
@@ -36,7 +36,7 @@
     config: ConfigSource
     router: Router
     pool: ChannelPool
-    crashes: CrashExchange
+    crashes: CrashTable
     explain: ExplainLog
     metrics: Metrics
     clock: Callable[[], float] = time.monotonic
@@ -49,14 +49,14 @@
 
     def is_quarantined(self, fingerprint: Fingerprint) -> bool:
         """Whether requests with this fingerprint are refused."""
-        return any(
-            report.quarantined and report.fingerprint == fingerprint
-            for report in self.crashes.reports()
-        )
+        return self.crashes.verdict(fingerprint) is Verdict.CONFIRMED
 
     def suspected_crashes(self, fingerprint: Fingerprint) -> int:
         """Return the crashes that a fingerprint is suspected of."""
+        if self.crashes.verdict(fingerprint) is not Verdict.SUSPECT:
+            return 0
         for report in self.crashes.reports():
             if report.fingerprint == fingerprint:
                 return report.crashes
-        return 0
+        # Only the latest reports are listed; an older suspicion counts as one crash.
+        return 1
--- a/src/dragonflyhold/entry/daemon.py
+++ b/src/dragonflyhold/entry/daemon.py
@@ -27,6 +27,7 @@
 GRPC_THREADS = 16
 GRPC_STOP_GRACE_S = 1.0
 SLOW_READ_CHECK_S = 0.5
+CRASH_TABLE_PERIOD_S = 1.0
 
 
 @final
@@ -102,6 +103,8 @@
         # Twice per heartbeat period, so that silence is found soon after it is long enough.
         parts.timers.subscribe(transport.heartbeat_s / 2, self._pool.tick)
         parts.timers.subscribe(SLOW_READ_CHECK_S, self._check_slow_reads)
+        crashes = parts.crashes
+        parts.timers.subscribe(CRASH_TABLE_PERIOD_S, lambda tick: crashes.advance(tick.now))
         reader = VmListReader(parts.vm_list, self._router)
         parts.timers.subscribe(settings.platform.vm_list_period_s, reader.tick)
         parts.timers.start()
--- a/src/dragonflyhold/entry/parts.py
+++ b/src/dragonflyhold/entry/parts.py
@@ -11,7 +11,7 @@
 from dragonflyhold.ids import Incarnation, Revision, new_incarnation
 from dragonflyhold.observability import Metrics
 from dragonflyhold.platform.interface import VmList
-from dragonflyhold.requests.crashes import CrashExchange
+from dragonflyhold.requests.crashes import CrashTable
 from dragonflyhold.settings import EntrySettings
 from dragonflyhold.timers import TimerService
 
@@ -42,7 +42,7 @@
     """What the daemon is wired to."""
 
     config: ConfigRunner
-    crashes: CrashExchange
+    crashes: CrashTable
     vm_list: VmList
     timers: TimerService
     metrics: Metrics
--- a/src/dragonflyhold/entry/request_run.py
+++ b/src/dragonflyhold/entry/request_run.py
@@ -17,7 +17,6 @@
 )
 from dragonflyhold.errors import ErrorCode, RefusalInfo, RequestError, failed, in_doubt, not_run
 from dragonflyhold.ids import UpstreamName, parse_request_id
-from dragonflyhold.requests.crashes import CrashReport
 from dragonflyhold.routing import RouteRequest, RouteTo
 from dragonflyhold.routing.retry import FailedAttempt, GiveUp, RetryAfter, combine_outcomes
 from dragonflyhold.states import Outcome
@@ -294,9 +293,12 @@
     def _finish(self, link: UpstreamLink, opened: OpenRequest, end: pb.End) -> Ended:
         call = self._call
         if end.crashed:
-            self._context.crashes.merge([self._crash_report(end)])
+            self._context.crashes.record_crash([call.fingerprint], end.crashed_alone)
         if end.outcome != pb.OUTCOME_OK:
             raise error_of(end.code, end.message, end.outcome)
+        if opened.submit is not None and opened.submit.suspected_crashes:
+            # A suspect runs with nothing beside it, so its end clears it.
+            self._context.crashes.clear(call.fingerprint)
         if end.count != opened.next_sequence or end.digest != self._digest.digest():
             raise failed(ErrorCode.UPSTREAM_ERROR, "the answer does not match its digest")
         if call.key is not None and end.adapter:
@@ -312,10 +314,6 @@
         self._explain(f"ended with {end.count} pieces")
         return Ended(self.request_id, end)
 
-    def _crash_report(self, end: pb.End) -> CrashReport:
-        crashes = self._context.suspected_crashes(self._call.fingerprint) + 1
-        return CrashReport(self._call.fingerprint, crashes, end.crashed_alone)
-
     def _refusal(self, refused: pb.Refused) -> RequestError:
         self.request_id = refused.request_id or self.request_id
         return error_of(refused.code, refused.message, refused.outcome, refused.retry_after_ms)
--- a/src/dragonflyhold/transport/upstream_stream.py
+++ b/src/dragonflyhold/transport/upstream_stream.py
@@ -111,7 +111,8 @@
         """Tell the sidecar that the pieces up to the next sequence number were passed on."""
         ack = pb.Ack(request_id=request.request_id, next_sequence=request.next_sequence)
         with self._lock:
-            if self._stream is not None:
+            # The sidecar may drop an acknowledged answer, which another reader still needs.
+            if self._stream is not None and not self._is_shared(request):
                 self._stream.send(pb.EntryItem(ack=ack))
 
     def cancel(self, request_id: str, *, detach: bool) -> bool:
@@ -135,7 +136,8 @@
                 self._forget(request)
                 return True
             if request.request_id:
-                self.cancel(request.request_id, detach=detach)
+                if not (detach and self._is_shared(request)):
+                    self.cancel(request.request_id, detach=detach)
                 self._forget(request)
             else:
                 request.is_abandoned = True
@@ -225,6 +227,11 @@
                 pass
         self._stream.send(request.start_item(self._context.clock()), request)
 
+    def _is_shared(self, request: OpenRequest) -> bool:
+        """Whether another open request on this link reads the same answer."""
+        others = (other for other in self._open.values() if other is not request)
+        return any(other.request_id == request.request_id for other in others)
+
     def _forget(self, request: OpenRequest) -> None:
         request.is_ended = True
         self._open.pop(request.tag, None)
--- a/tests/fakes/entry.py
+++ b/tests/fakes/entry.py
@@ -13,13 +13,12 @@
 from dragonflyhold.ids import DataCentre, Region
 from dragonflyhold.observability import Metrics
 from dragonflyhold.platform.interface import Vm
-from dragonflyhold.requests.crashes import CrashReport
+from dragonflyhold.requests.crashes import CrashTable
 from dragonflyhold.settings import (
     EntrySettings,
     HttpSettings,
     PlatformSettings,
     RetrySettings,
-    TlsSettings,
     TransportSettings,
 )
 from dragonflyhold.timers import TimerService
@@ -29,19 +28,6 @@
 WAIT_S = 20.0
 
 
-class FakeCrashes:
-    """Crash reports in a list."""
-
-    def __init__(self) -> None:
-        self.known: list[CrashReport] = []
-
-    def reports(self) -> Sequence[CrashReport]:
-        return list(self.known)
-
-    def merge(self, reports: Sequence[CrashReport]) -> None:
-        self.known.extend(reports)
-
-
 class FakeVmList:
     """VMs in a list."""
 
@@ -113,7 +99,7 @@
     def __init__(self, settings: EntrySettings | None = None) -> None:
         self.settings = settings if settings is not None else make_settings()
         self.config = FakeConfig()
-        self.crashes = FakeCrashes()
+        self.crashes = CrashTable(self.settings.routing.crash_limit)
         self.vms = FakeVmList()
         self.metrics = Metrics()
         self.timers = TimerService()
@@ -177,6 +163,3 @@
     while not condition():
         assert time.monotonic() < end, "condition did not become true"
         time.sleep(0.005)
-
-
-NO_TLS = TlsSettings()
--- /dev/null
+++ b/tests/routing/test_retry.py
@@ -0,0 +1,121 @@
+"""Tests of the retry rules."""
+
+import dataclasses
+import random
+
+import pytest
+
+from dragonflyhold.errors import ErrorCode, RefusalInfo
+from dragonflyhold.routing.retry import (
+    FailedAttempt,
+    GiveUp,
+    RetryAfter,
+    RetryBudget,
+    combine_outcomes,
+    decide_retry,
+    is_retryable,
+    retry_delay_s,
+)
+from dragonflyhold.settings import RetrySettings
+from dragonflyhold.states import Outcome
+
+SETTINGS = RetrySettings()
+
+
+def _attempt(code: ErrorCode, outcome: Outcome, **changes: object) -> FailedAttempt:
+    base = FailedAttempt(
+        info=RefusalInfo(code, "", outcome),
+        earlier=Outcome.NOT_RUN,
+        idempotent=True,
+        has_permit=False,
+        passed_on=False,
+        attempts=1,
+    )
+    return dataclasses.replace(base, **changes)  # type: ignore[arg-type]
+
+
+class TestRetryRules:
+    """Guards against a request that runs twice, or whose pieces come from two attempts."""
+
+    @pytest.mark.parametrize("outcome", [Outcome.IN_DOUBT, Outcome.FAILED])
+    def test_non_idempotent_is_retried_only_if_it_did_not_run(self, outcome: Outcome) -> None:
+        code = ErrorCode.UPSTREAM_DOWN
+        assert is_retryable(_attempt(code, Outcome.NOT_RUN, idempotent=False))
+        assert not is_retryable(_attempt(code, outcome, idempotent=False))
+        assert is_retryable(_attempt(code, outcome))
+
+    def test_non_idempotent_is_not_retried_after_a_doubtful_attempt(self) -> None:
+        attempt = _attempt(
+            ErrorCode.QUEUE_FULL, Outcome.NOT_RUN, idempotent=False, earlier=Outcome.IN_DOUBT
+        )
+        assert not is_retryable(attempt)
+
+    @pytest.mark.parametrize("change", ["passed_on", "has_permit"])
+    def test_never_after_a_piece_or_with_a_permit(self, change: str) -> None:
+        attempt = _attempt(ErrorCode.QUEUE_FULL, Outcome.NOT_RUN, **{change: True})
+        assert not is_retryable(attempt)
+
+    @pytest.mark.parametrize(
+        "code", [ErrorCode.BAD_REQUEST, ErrorCode.CALLER_LIMIT, ErrorCode.QUARANTINED]
+    )
+    def test_refusals_that_any_upstream_would_repeat(self, code: ErrorCode) -> None:
+        assert not is_retryable(_attempt(code, Outcome.NOT_RUN))
+
+    def test_refused_retry_does_not_hide_that_an_earlier_attempt_may_have_run(self) -> None:
+        assert combine_outcomes(Outcome.IN_DOUBT, Outcome.NOT_RUN) is Outcome.IN_DOUBT
+        assert combine_outcomes(Outcome.FAILED, Outcome.NOT_RUN) is Outcome.FAILED
+        assert combine_outcomes(Outcome.NOT_RUN, Outcome.NOT_RUN) is Outcome.NOT_RUN
+
+
+class TestRetryDecision:
+    """Guards against retries past the deadline or the budget, which make an overload worse."""
+
+    def _decide(
+        self, attempt: FailedAttempt, budget: RetryBudget, deadline: float = 100.0
+    ) -> RetryAfter | GiveUp:
+        return decide_retry(attempt, 0.0, deadline, budget, SETTINGS, random.Random(1))
+
+    def test_retry_has_a_delay_and_a_reason(self) -> None:
+        attempt = _attempt(ErrorCode.QUEUE_FULL, Outcome.NOT_RUN)
+        decision = self._decide(attempt, RetryBudget(SETTINGS, 0.0))
+        assert isinstance(decision, RetryAfter)
+        assert decision.reason is ErrorCode.QUEUE_FULL
+        assert 0.01 <= decision.delay_s <= 0.02
+
+    def test_not_past_the_deadline(self) -> None:
+        attempt = _attempt(ErrorCode.QUEUE_FULL, Outcome.NOT_RUN)
+        decision = self._decide(attempt, RetryBudget(SETTINGS, 0.0), deadline=0.005)
+        assert decision == GiveUp(attempt.info)
+
+    def test_attempts_are_limited(self) -> None:
+        attempt = _attempt(ErrorCode.QUEUE_FULL, Outcome.NOT_RUN, attempts=SETTINGS.max_attempts)
+        assert isinstance(self._decide(attempt, RetryBudget(SETTINGS, 0.0)), GiveUp)
+
+    def test_spent_budget_keeps_the_combined_outcome(self) -> None:
+        settings = dataclasses.replace(SETTINGS, budget_floor_per_s=0.0, budget_ratio=0.0)
+        attempt = _attempt(ErrorCode.QUEUE_FULL, Outcome.NOT_RUN, earlier=Outcome.IN_DOUBT)
+        decision = self._decide(attempt, RetryBudget(settings, 0.0))
+        assert isinstance(decision, GiveUp)
+        assert decision.info.code is ErrorCode.RETRY_BUDGET
+        assert decision.info.outcome is Outcome.IN_DOUBT
+
+    def test_delay_grows_to_a_limit(self) -> None:
+        rng = random.Random(2)
+        delays = [retry_delay_s(attempts, SETTINGS, rng) for attempts in range(1, 12)]
+        assert all(0.01 <= delay <= 1.0 for delay in delays)
+        assert min(delays[-3:]) >= 0.5
+
+
+class TestRetryBudget:
+    """Guards against retry storms: a share of requests plus a small floor."""
+
+    def test_floor_per_second(self) -> None:
+        budget = RetryBudget(SETTINGS, 0.0)
+        assert sum(budget.take(0.0) for _ in range(50)) == 10
+        assert sum(budget.take(0.5) for _ in range(50)) == 5
+
+    def test_share_of_requests(self) -> None:
+        budget = RetryBudget(dataclasses.replace(SETTINGS, budget_floor_per_s=0.0), 0.0)
+        for _ in range(205):
+            budget.record_request()
+        assert sum(budget.take(0.0) for _ in range(100)) == 20
