Check the caller interface against faulty callers and upstreams

Found by the tests and fixed: a refusal by no_upstream used up all attempts before the only upstream was eligible again, so its retry hint is now a lower bound; a restarted sidecar was left out for exclude_s because the loss of its old requests counted as a refusal; connections refused under load were not closed.

--- a/src/dragonflyhold/entry/http_server.py
+++ b/src/dragonflyhold/entry/http_server.py
@@ -368,5 +368,4 @@
                 return
             request = _CallerRequest(self, conn)
             request.simple_response("503", "all threads are busy")
-            conn.linger = True
             conn.close()
--- a/src/dragonflyhold/entry/request_run.py
+++ b/src/dragonflyhold/entry/request_run.py
@@ -106,6 +106,8 @@
         self._attempts = 0
         self._earlier = Outcome.NOT_RUN
         self._passed_on = False
+        # What the sidecar said of the current attempt; lost connections are reported by the link.
+        self._refused_with: ErrorCode | None = None
         self._arrived_at = context.clock()
         self._local_id = context.new_local_id()
         self._digest = hashlib.sha256()
@@ -156,7 +158,7 @@
         self._attempts += 1
         self._check_admission()
         name = self._route()
-        refusal: ErrorCode | None = None
+        self._refused_with = None
         try:
             upstream = context.config.view.upstream(name)
             if upstream is None:
@@ -168,12 +170,11 @@
             finally:
                 if not opened.is_ended:
                     link.abandon(opened, detach=True)
-        except RequestError as error:
-            refusal = error.info.code
+        except RequestError:
             self._tried.add(name)
             raise
         finally:
-            context.router.tell(AttemptEnded(name, call.key, refusal, context.clock()))
+            context.router.tell(AttemptEnded(name, call.key, self._refused_with, context.clock()))
 
     def _check_admission(self) -> None:
         call, context = self._call, self._context
@@ -207,7 +208,9 @@
         )
         route = context.router.choose(ChooseRoute(request, now, self._attempts == 1))
         if not isinstance(route, RouteTo):
-            raise not_run(route.code, route.message, 1000)
+            # A refused upstream is left out this long; before, the answer would be the same.
+            wait_ms = int(context.settings.routing.exclude_s * 1000)
+            raise not_run(route.code, route.message, wait_ms)
         self._explain(f"route to {route.upstream}: {route.reason.value}")
         return route.upstream
 
@@ -295,7 +298,7 @@
         if end.crashed:
             self._context.crashes.record_crash([call.fingerprint], end.crashed_alone)
         if end.outcome != pb.OUTCOME_OK:
-            raise error_of(end.code, end.message, end.outcome)
+            raise self._note_refusal(error_of(end.code, end.message, end.outcome))
         if opened.submit is not None and opened.submit.suspected_crashes:
             # A suspect runs with nothing beside it, so its end clears it.
             self._context.crashes.clear(call.fingerprint)
@@ -316,7 +319,12 @@
 
     def _refusal(self, refused: pb.Refused) -> RequestError:
         self.request_id = refused.request_id or self.request_id
-        return error_of(refused.code, refused.message, refused.outcome, refused.retry_after_ms)
+        error = error_of(refused.code, refused.message, refused.outcome, refused.retry_after_ms)
+        return self._note_refusal(error)
+
+    def _note_refusal(self, error: RequestError) -> RequestError:
+        self._refused_with = error.info.code
+        return error
 
     def _expire(self, link: UpstreamLink, opened: OpenRequest) -> RequestError:
         if link.abandon(opened, detach=False):
--- a/src/dragonflyhold/routing/retry.py
+++ b/src/dragonflyhold/routing/retry.py
@@ -139,6 +139,9 @@
     if not is_retryable(attempt) or attempt.attempts >= settings.max_attempts:
         return GiveUp(final_info)
     delay_s = retry_delay_s(attempt.attempts, settings, rng)
+    if info.code is ErrorCode.NO_UPSTREAM:
+        # Nobody else can be asked meanwhile, so the hint is a lower bound here.
+        delay_s = max(delay_s, info.retry_after_ms / 1000)
     if now + delay_s >= deadline:
         return GiveUp(final_info)
     if not budget.take(now):
--- a/tests/fakes/entry.py
+++ b/tests/fakes/entry.py
@@ -19,6 +19,7 @@
     HttpSettings,
     PlatformSettings,
     RetrySettings,
+    RoutingSettings,
     TransportSettings,
 )
 from dragonflyhold.timers import TimerService
@@ -33,8 +34,10 @@
 
     def __init__(self) -> None:
         self.vms: list[Vm] = []
+        self.reads = 0
 
     def list(self) -> Sequence[Vm]:
+        self.reads += 1
         return self.vms
 
 
@@ -55,6 +58,7 @@
             heartbeat_s=0.1, silence_s=0.5, probe_timeout_s=0.5, probes=2, idle_close_s=60.0
         ),
         retry=RetrySettings(first_delay_ms=5),
+        routing=RoutingSettings(exclude_s=0.05),
         balancer_lag_s=0.0,
     )
     return dataclasses.replace(settings, **changes)
@@ -74,7 +78,13 @@
 
     @property
     def error(self) -> dict[str, Any]:
-        error: dict[str, Any] = self.json["error"]
+        """The typed error, as the body or as the last event."""
+        if self.headers["Content-Type"] == "text/event-stream":
+            name, _, data = self.events[-1]
+            assert name == "error"
+        else:
+            data = self.json
+        error: dict[str, Any] = data["error"]
         return error
 
     @property
