--- /dev/null
+++ b/tests/entry/test_stateful.py
@@ -0,0 +1,196 @@
+"""Random faults under concurrent callers, checked against what the sidecars recorded as run."""
+
+import json
+import threading
+
+import hypothesis
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from dragonflyhold.errors import ErrorCode
+from dragonflyhold.transport.schema import sidecar_pb2 as pb
+from tests.fakes.entry import Answer, EntryHarness, make_settings
+from tests.fakes.sidecar import FakeSidecar, Plan
+
+SIDECARS = ("runner-0", "runner-1")
+DEADLINE_MS = "4000"
+
+plans = st.fixed_dictionaries(
+    {
+        "count": st.integers(0, 4),
+        "hold_at": st.none() | st.integers(0, 4),
+        "duplicate": st.frozensets(st.integers(0, 3)),
+        "omit": st.frozensets(st.integers(0, 3), max_size=1),
+        "refuse": st.sampled_from([None] * 6 + ["queue_full", "upstream_leaving", "caller_limit"]),
+        "fail": st.sampled_from([None] * 6 + ["upstream_crashed", "upstream_error"]),
+        "first_only": st.booleans(),
+    }
+)
+
+
+class _Caller:
+    """One request of a caller in a thread of its own."""
+
+    def __init__(self, entry: EntryHarness, prompt: str, stream: bool, permit: str | None) -> None:
+        self.prompt = prompt
+        self.permit = permit
+        self.answer: Answer | None = None
+        headers = {"X_Deadline_Ms": DEADLINE_MS}
+        if permit is not None:
+            headers |= {"X_Request_Kind": "issue", "Idempotency_Key": permit}
+
+        def run() -> None:
+            self.answer = entry.complete(stream, prompt, **headers)
+
+        self.thread = threading.Thread(target=run)
+        self.thread.start()
+
+    @property
+    def text(self) -> str:
+        assert self.answer is not None
+        if self.answer.headers["Content-Type"] == "text/event-stream":
+            return self.answer.text
+        return str(self.answer.json["choices"][0]["text"]) if self.answer.status == 200 else ""
+
+    @property
+    def error(self) -> dict[str, object] | None:
+        assert self.answer is not None
+        if self.answer.headers["Content-Type"] == "text/event-stream":
+            return None if self.answer.events[-1][0] == "end" else self.answer.error
+        return None if self.answer.status == 200 else self.answer.error
+
+
+class FaultsMachine(RuleBasedStateMachine):
+    """Whatever the sidecars do, an answer is complete and once, or the error is true."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.entry = EntryHarness(make_settings())
+        self.gate = threading.Event()
+        self.plan_of: dict[str, dict[str, object]] = {}
+        self.callers: list[_Caller] = []
+        self.permits: list[tuple[str, str]] = []
+        for name in SIDECARS:
+            self.entry.add_sidecar(name).plan = self._plan
+
+    def _plan(self, submit: pb.Submit) -> Plan:
+        prompt = json.loads(submit.body)["prompt"]
+        wish = self.plan_of[prompt]
+        if wish["first_only"] and submit.attempt:
+            return Plan(pieces=_pieces(prompt))
+        refuse, fail = wish["refuse"], wish["fail"]
+        hold_at = wish["hold_at"]
+        assert isinstance(wish["count"], int)
+        pieces = _pieces(prompt)
+        return Plan(
+            pieces=pieces if fail is None else pieces[: wish["count"]],
+            refuse=None if refuse is None else ErrorCode(refuse),
+            fail=None if fail is None else ErrorCode(fail),
+            gate=None if hold_at is None else self.gate,
+            gate_at=hold_at if isinstance(hold_at, int) else 0,
+            duplicate=wish["duplicate"],  # type: ignore[arg-type]
+            omit=wish["omit"],  # type: ignore[arg-type]
+        )
+
+    def _sidecar(self, index: int) -> FakeSidecar:
+        return self.entry.sidecars[SIDECARS[index]]
+
+    def _call(self, plan: dict[str, object], stream: bool, permit: str | None) -> None:
+        prompt = f"prompt-{len(self.plan_of)}"
+        self.plan_of[prompt] = plan
+        if permit is not None:
+            self.permits.append((permit, prompt))
+        self.callers.append(_Caller(self.entry, prompt, stream, permit))
+
+    @rule(plan=plans, stream=st.booleans())
+    def complete(self, plan: dict[str, object], stream: bool) -> None:
+        self._call(plan, stream, None)
+
+    @rule(plan=plans, stream=st.booleans())
+    def complete_with_permit(self, plan: dict[str, object], stream: bool) -> None:
+        body = {"service": "tapster-lm", "adapter": "stout:3", "kind": "issue"}
+        answer = self.entry.call("POST", "/v1/permits", body)
+        if answer.status == 200:
+            self._call(plan, stream, answer.json["permits"][0])
+
+    @rule(index=st.integers(0, 100), stream=st.booleans())
+    def use_permit_again(self, index: int, stream: bool) -> None:
+        if self.permits:
+            permit, prompt = self.permits[index % len(self.permits)]
+            self.callers.append(_Caller(self.entry, prompt, stream, permit))
+
+    @rule(index=st.integers(0, 1))
+    def go_silent(self, index: int) -> None:
+        self._sidecar(index).go_silent()
+
+    @rule(index=st.integers(0, 1))
+    def drop_streams(self, index: int) -> None:
+        self._sidecar(index).drop_streams()
+
+    @rule(index=st.integers(0, 1))
+    def restart(self, index: int) -> None:
+        self._sidecar(index).restart()
+
+    @rule(index=st.integers(0, 1), answers=st.booleans())
+    def answer_probes(self, index: int, answers: bool) -> None:
+        self._sidecar(index).answers_probes = answers
+
+    @rule()
+    def finish(self) -> None:
+        """Let all requests go on to their ends."""
+        self.gate.set()
+        for caller in self.callers:
+            caller.thread.join()
+        self.gate.clear()
+
+    @invariant()
+    def non_idempotent_requests_run_at_most_once(self) -> None:
+        for _, prompt in self.permits:
+            assert self._run_count(prompt) <= 1
+
+    def teardown(self) -> None:
+        self.gate.set()
+        for caller in self.callers:
+            caller.thread.join()
+        try:
+            for caller in self.callers:
+                self._check(caller)
+            assert self.entry.daemon.open_requests == 0
+        finally:
+            self.entry.stop()
+
+    def _run_count(self, prompt: str) -> int:
+        bodies = [body for name in SIDECARS for body in list(self.entry.sidecars[name].runs)]
+        return sum(json.loads(body)["prompt"] == prompt for body in bodies)
+
+    def _check(self, caller: _Caller) -> None:
+        whole = b"".join(_pieces(caller.prompt)).decode()
+        error, runs = caller.error, self._run_count(caller.prompt)
+        if error is None:
+            assert caller.text == whole
+            assert runs >= 1
+            return
+        assert error["code"] != "internal", error
+        assert whole.startswith(caller.text)
+        match error["outcome"]:
+            case "not_run":
+                assert runs == 0, error
+            case "failed":
+                assert runs >= 1, error
+            case outcome:
+                assert outcome == "in_doubt"
+
+
+def _pieces(prompt: str) -> tuple[bytes, ...]:
+    return tuple(f"{prompt}/{number} ".encode() for number in range(4))
+
+
+TestFaults = FaultsMachine.TestCase
+TestFaults.settings = hypothesis.settings(
+    max_examples=25,
+    stateful_step_count=14,
+    deadline=None,
+    derandomize=True,
+    database=None,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
