--- a/src/dragonflyhold/cli/bench.py
+++ b/src/dragonflyhold/cli/bench.py
@@ -9,6 +9,7 @@
 from dragonflyhold.bench import policy_report
 from dragonflyhold.bench.policy_baselines import POLICY_NAMES
 from dragonflyhold.bench.policy_workloads import DEPLOYMENTS, Disturbance
+from dragonflyhold.cli.bench_load import load_command
 
 
 @click.group(name="bench")
@@ -71,3 +72,6 @@
 def compare(old: pathlib.Path, new: pathlib.Path, policy_name: str) -> None:
     """Compare the policy figures of two output files."""
     click.echo(policy_report.compare(policy_report.load(old), policy_report.load(new), policy_name))
+
+
+bench_group.add_command(load_command)
--- a/tests/cli/test_operator_commands.py
+++ b/tests/cli/test_operator_commands.py
@@ -9,7 +9,7 @@
 
 from dragonflyhold.cli import main
 from tests.config.daemons import Daemon, running_cluster
-from tests.fakes import FakeTable
+from tests.fakes.platform import FakeTable
 
 
 class _Console:
--- a/tests/config/daemons.py
+++ b/tests/config/daemons.py
@@ -14,7 +14,7 @@
 from dragonflyhold.timers import TimerService
 from dragonflyhold.transport.grpc_endpoints import bind_server, make_server
 from dragonflyhold.transport.schema import operator_pb2 as pb
-from tests.fakes import FakeObjectStore, FakeTable
+from tests.fakes.platform import FakeObjectStore, FakeTable
 
 # Bound for waits on real threads; nothing asserts how long they take below it.
 WAIT_S = 30.0
--- a/tests/config/test_service.py
+++ b/tests/config/test_service.py
@@ -12,7 +12,7 @@
 from dragonflyhold.transport.schema import operator_pb2 as pb
 from tests.config import builders
 from tests.config.daemons import WAIT_S, Cluster, Daemon, running_cluster, wait_for
-from tests.fakes import FakeTable
+from tests.fakes.platform import FakeTable
 
 
 @pytest.fixture
