--- a/tests/fakes/entry.py
+++ b/tests/entry/harness.py
@@ -23,8 +23,8 @@
     TransportSettings,
 )
 from dragonflyhold.timers import TimerService
-from tests.fakes.config import MODEL, FakeConfig
-from tests.fakes.sidecar import FakeSidecar
+from tests.entry.fake_config import MODEL, FakeConfig
+from tests.entry.fake_sidecar import FakeSidecar
 
 WAIT_S = 20.0
 
--- a/tests/entry/test_fuzz.py
+++ b/tests/entry/test_fuzz.py
@@ -10,8 +10,8 @@
 from hypothesis import strategies as st
 
 from dragonflyhold.errors import ErrorCode
-from tests.fakes.config import MODEL, PLAIN_SERVICE
-from tests.fakes.entry import WAIT_S, EntryHarness, running_entry, wait_until
+from tests.entry.fake_config import MODEL, PLAIN_SERVICE
+from tests.entry.harness import WAIT_S, EntryHarness, running_entry, wait_until
 
 FUZZ = hypothesis.settings(
     max_examples=150,
--- a/tests/entry/test_http_server.py
+++ b/tests/entry/test_http_server.py
@@ -9,9 +9,9 @@
 import pytest
 
 from dragonflyhold.errors import ErrorCode
-from tests.fakes.config import MODEL
-from tests.fakes.entry import WAIT_S, EntryHarness, make_settings, running_entry, wait_until
-from tests.fakes.sidecar import Plan
+from tests.entry.fake_config import MODEL
+from tests.entry.fake_sidecar import Plan
+from tests.entry.harness import WAIT_S, EntryHarness, make_settings, running_entry, wait_until
 
 GOOD = {"model": MODEL, "prompt": "a"}
 
--- a/tests/entry/test_requests.py
+++ b/tests/entry/test_requests.py
@@ -2,9 +2,9 @@
 
 import threading
 
-from tests.fakes.config import PLAIN_SERVICE
-from tests.fakes.entry import EntryHarness, running_entry
-from tests.fakes.sidecar import Plan
+from tests.entry.fake_config import PLAIN_SERVICE
+from tests.entry.fake_sidecar import Plan
+from tests.entry.harness import EntryHarness, running_entry
 
 
 class TestRequestState:
--- a/tests/entry/test_stateful.py
+++ b/tests/entry/test_stateful.py
@@ -9,8 +9,8 @@
 
 from dragonflyhold.errors import ErrorCode
 from dragonflyhold.transport.schema import sidecar_pb2 as pb
-from tests.fakes.entry import Answer, EntryHarness, make_settings
-from tests.fakes.sidecar import FakeSidecar, Plan
+from tests.entry.fake_sidecar import FakeSidecar, Plan
+from tests.entry.harness import Answer, EntryHarness, make_settings
 
 SIDECARS = ("runner-0", "runner-1")
 DEADLINE_MS = "4000"
--- a/tests/transport/test_upstream_stream.py
+++ b/tests/transport/test_upstream_stream.py
@@ -24,8 +24,8 @@
 )
 from dragonflyhold.transport.schema import sidecar_pb2 as pb
 from dragonflyhold.transport.upstream_stream import LinkContext, UpstreamLink
-from tests.fakes.entry import WAIT_S, wait_until
-from tests.fakes.sidecar import FakeSidecar, Plan
+from tests.entry.fake_sidecar import FakeSidecar, Plan
+from tests.entry.harness import WAIT_S, wait_until
 
 SETTINGS = TransportSettings(
     max_channels=2, heartbeat_s=0.1, silence_s=3.0, probe_timeout_s=0.5, probes=2
