--- a/src/dragonflyhold/entry/daemon.py
+++ b/src/dragonflyhold/entry/daemon.py
@@ -24,7 +24,7 @@
 _log = PartLogger("entry")
 
 # Operators and peers; each open call takes one thread.
-GRPC_THREADS = 16
+GRPC_THREADS = 32
 GRPC_STOP_GRACE_S = 1.0
 SLOW_READ_CHECK_S = 0.5
 CRASH_TABLE_PERIOD_S = 1.0
--- a/src/dragonflyhold/entry/parts.py
+++ b/src/dragonflyhold/entry/parts.py
@@ -1,15 +1,21 @@
 """The parts of an entry daemon that reach outside the process, replaceable in tests."""
 
 import dataclasses
+import time
 from collections.abc import Callable
 from typing import Protocol, final
 
 import grpc
 
+from dragonflyhold.config.peers import DaemonIdentity
+from dragonflyhold.config.service import ConfigService
 from dragonflyhold.config.view import ConfigView
+from dragonflyhold.entry import operator_view
 from dragonflyhold.entry.context import RunContext
 from dragonflyhold.ids import Incarnation, Revision, new_incarnation
 from dragonflyhold.observability import Metrics
+from dragonflyhold.operations import OperatorService
+from dragonflyhold.platform import HttpObjectStore, HttpTable, HttpVmList
 from dragonflyhold.platform.interface import VmList
 from dragonflyhold.requests.crashes import CrashTable
 from dragonflyhold.settings import EntrySettings
@@ -53,4 +59,45 @@
 
 def make_parts(settings: EntrySettings) -> EntryParts:
     """Return the parts of a real daemon."""
-    raise NotImplementedError(settings.name)
+    timers, metrics, incarnation = TimerService(), Metrics(), new_incarnation()
+    crashes = CrashTable(settings.routing.crash_limit)
+    identity = DaemonIdentity(
+        settings.name,
+        settings.region,
+        settings.data_centre,
+        settings.grpc_address,
+        incarnation,
+    )
+    config = ConfigService(
+        settings.config,
+        identity,
+        HttpTable(settings.platform),
+        HttpObjectStore(settings.platform),
+        settings.tls,
+        timers,
+        metrics,
+        crashes,
+    )
+
+    def add_to_server(server: grpc.Server, context: RunContext) -> None:
+        def is_table_reachable() -> bool:
+            return config.table_age_s(time.monotonic()) < settings.config.stale_s
+
+        operators = OperatorService(
+            config,
+            lambda request_id: operator_view.explain(request_id, context),
+            lambda: operator_view.status(context, is_table_reachable()),
+            settings.tls,
+        )
+        config.add_to_server(server)
+        operators.add_to_server(server)
+
+    return EntryParts(
+        config=config,
+        crashes=crashes,
+        vm_list=HttpVmList(settings.platform),
+        timers=timers,
+        metrics=metrics,
+        add_to_server=add_to_server,
+        incarnation=incarnation,
+    )
