--- a/tests/entry/test_completions.py
+++ b/tests/entry/test_completions.py
@@ -2,8 +2,8 @@
 
 import hashlib
 
-from tests.fakes.config import MODEL
-from tests.fakes.entry import running_entry
+from tests.entry.fake_config import MODEL
+from tests.entry.harness import running_entry
 
 
 class TestCompletions:
--- a/tests/entry/test_permits.py
+++ b/tests/entry/test_permits.py
@@ -5,9 +5,9 @@
 
 from dragonflyhold.errors import ErrorCode
 from dragonflyhold.transport.schema import sidecar_pb2 as pb
-from tests.fakes.config import MODEL, PLAIN_SERVICE
-from tests.fakes.entry import EntryHarness, running_entry, wait_until
-from tests.fakes.sidecar import FakeSidecar, Plan
+from tests.entry.fake_config import MODEL, PLAIN_SERVICE
+from tests.entry.fake_sidecar import FakeSidecar, Plan
+from tests.entry.harness import EntryHarness, running_entry, wait_until
 
 _BODY = json.dumps({"model": MODEL, "prompt": "a", "stream": True}).encode()
 
