Wire the sidecar to the configuration and the platform

The load budget is shared by all engines of a region, over its services.

Hello gains the address of the entry's peer interface: a sidecar that is behind an entry has to fetch from it, and the port of the connection is not the one that the entry listens on. Without it any sidecar is asked.

--- a/src/dragonflyhold/sidecar/core.py
+++ b/src/dragonflyhold/sidecar/core.py
@@ -23,8 +23,9 @@
 from dragonflyhold.states import UpstreamMode
 from dragonflyhold.transport.schema import sidecar_pb2 as pb
 
-# A submission from an entry with a higher revision waits this long for the revision.
-CATCH_UP_S = 1.0
+# A submission from an entry with a higher revision waits this long for the revision. The table's
+# head row is read at least this often while there are few daemons.
+CATCH_UP_S = 3.0
 # Multiple of the silence limit after which an entry that reads answers counts as gone.
 GONE_FACTOR = 2.0
 
@@ -127,12 +128,11 @@
     def _on_frame(self, outbox: StreamOutbox, frame: pb.EntryFrame, now: float) -> None:
         revision = Revision(frame.config_revision)
         is_behind = revision > self._tables.config.view.revision
-        if is_behind:
-            self._tables.config.observe_revision(revision, "")
         for item in frame.items:
             match item.WhichOneof("item"):
                 case "hello":
                     outbox.entry = item.hello.entry
+                    outbox.address = item.hello.address
                     outbox.put_heartbeat(self._heartbeat())
                 case "submit" if is_behind:
                     self._parked.append(_Parked(outbox, item.submit, revision, now + CATCH_UP_S))
@@ -147,6 +147,8 @@
                 case "ack":
                     request_id = RequestId(item.ack.request_id)
                     self._tables.answers.acknowledge(request_id, item.ack.next_sequence, now)
+        if is_behind:
+            self._tables.config.observe_revision(revision, outbox.address)
 
     def _unpark(self, now: float) -> None:
         if not self._parked:
--- a/src/dragonflyhold/sidecar/daemon.py
+++ b/src/dragonflyhold/sidecar/daemon.py
@@ -12,7 +12,7 @@
 import pykka
 
 from dragonflyhold.config.objects import Upstream
-from dragonflyhold.ids import Incarnation, UpstreamName, new_incarnation
+from dragonflyhold.ids import Incarnation, new_incarnation
 from dragonflyhold.observability import Metrics, PartLogger
 from dragonflyhold.platform.interface import Table, VmList
 from dragonflyhold.requests import CrashTable, QueuedRequest
@@ -70,6 +70,9 @@
     def add_to_server(self, server: grpc.Server) -> None:
         """Serve peers."""
 
+    def budget_upstreams(self) -> Sequence[Upstream]:
+        """Return the upstreams of the region that share the load budget."""
+
 
 @final
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -109,7 +112,7 @@
         self._actor: pykka.ActorRef | None = None
         self._server = make_server(GRPC_WORKERS)
         self._status = StatusServer(settings.http_address, self.metrics, self._is_ready)
-        self._directory = BrokerDirectory(settings.upstream.name, self._budget_upstreams)
+        self._directory = BrokerDirectory(settings.upstream.name, self._config.budget_upstreams)
         self._broker = BrokerDesk(settings.load_budget)
         self._caller = BrokerCaller(
             settings.upstream.name,
@@ -284,11 +287,6 @@
             self._engine_check.forget_claim()
             self._supervisor.check_soon()
 
-    def _budget_upstreams(self) -> Sequence[Upstream]:
-        view = self._config.view
-        own = view.upstream(UpstreamName(self._settings.upstream.name))
-        return view.upstreams_of(own.service) if own is not None else ()
-
     def _is_ready(self) -> bool:
         return self._ask_bool(msg.IsReadyCall())
 
--- a/src/dragonflyhold/sidecar/outbox.py
+++ b/src/dragonflyhold/sidecar/outbox.py
@@ -34,6 +34,8 @@
         self, answers: AnswerStore, revision: Callable[[], int], clock: Callable[[], float]
     ) -> None:
         self.entry = ""
+        # Address of the entry's peer interface, if it told one.
+        self.address = ""
         self.last_heard = clock()
         self._answers = answers
         self._revision = revision
--- a/tests/sidecar/fakes.py
+++ b/tests/sidecar/fakes.py
@@ -162,6 +162,9 @@
     def add_to_server(self, server: grpc.Server) -> None:
         pass
 
+    def budget_upstreams(self) -> Sequence[Upstream]:
+        return self.view.upstreams_of(SERVICE)
+
 
 class FakeTable:
     """The table, with outages and lost answers."""
