Test the slots against fake engines that lose and delay commands

A stateful test (derandomized, 200 examples of 40 steps, engines that check fencing and that ignore it) submits, loads, evicts, restarts both sides and delivers commands late in any order. It holds that no adapter is evicted in flight, that each run has the exact adapter and version, and that all requests end once the faults are over.

--- /dev/null
+++ b/tests/sidecar/rig.py
@@ -0,0 +1,241 @@
+"""A sidecar core without threads: tests choose when each command and each run makes progress."""
+
+import random
+from collections.abc import Callable, Mapping, Sequence
+
+from dragonflyhold.adapters import StartLoad
+from dragonflyhold.ids import AdapterKey, EngineAdapterName, Epoch, Incarnation, RequestId
+from dragonflyhold.observability import Metrics
+from dragonflyhold.requests import CrashTable, QueuedRequest
+from dragonflyhold.sidecar import messages as msg
+from dragonflyhold.sidecar.core import SidecarCore
+from dragonflyhold.sidecar.desk import RequestDesk
+from dragonflyhold.sidecar.execution import Execution
+from dragonflyhold.sidecar.outbox import StreamOutbox
+from dragonflyhold.sidecar.ownership import OwnerEpoch
+from dragonflyhold.sidecar.runs import RunFinished, RunResult
+from dragonflyhold.sidecar.slots import SlotSystem
+from dragonflyhold.sidecar.supervision import EngineCheck
+from dragonflyhold.sidecar.tables import make_tables
+from dragonflyhold.transport.schema import sidecar_pb2 as pb
+from dragonflyhold.upstreams.interface import (
+    EngineStatus,
+    UnknownEngineAdapterError,
+    UpstreamInterruptedError,
+    UpstreamNotSentError,
+)
+from tests.sidecar.client import make_submit
+from tests.sidecar.fakes import UPSTREAM, FakeConfig, FakeEngine, FakeStream, FakeTable
+from tests.sidecar.fakes import make_settings as make_fake_settings
+
+
+class LossyEngine:
+    """The way to an engine, on which commands can take effect long after they failed."""
+
+    def __init__(self, engine: FakeEngine) -> None:
+        self.engine = engine
+        self.is_delaying = False
+        self.delayed: list[Callable[[], None]] = []
+
+    def status(self) -> EngineStatus:
+        return self.engine.status()
+
+    def claim(self, epoch: Epoch) -> None:
+        self.engine.claim(epoch)
+
+    def load_adapter(self, name: EngineAdapterName, weights: str, epoch: Epoch) -> None:
+        self._send(lambda: self.engine.load_adapter(name, weights, epoch))
+
+    def unload_adapter(self, name: EngineAdapterName, epoch: Epoch) -> None:
+        self._send(lambda: self.engine.unload_adapter(name, epoch))
+
+    def complete(
+        self, name: EngineAdapterName, body: Mapping[str, object], priority: int, request_id: str
+    ) -> FakeStream:
+        return self.engine.complete(name, body, priority, request_id)
+
+    def _send(self, command: Callable[[], None]) -> None:
+        if self.is_delaying:
+            self.delayed.append(command)
+            raise UpstreamInterruptedError("no answer")
+        command()
+
+
+class FreeBudget:
+    """A load budget that grants everything."""
+
+    def want(self, orders: Sequence[StartLoad], now: float) -> None:
+        pass
+
+    def take(self, key: AdapterKey, now: float) -> int | None:
+        return 1
+
+    def release(self, number: int) -> None:
+        pass
+
+
+class ManualRun:
+    """A run that a test begins and ends."""
+
+    def __init__(self, rig: "CoreRig", request_id: RequestId, name: EngineAdapterName) -> None:
+        self._rig = rig
+        self.request_id = request_id
+        self._name = name
+        self._stream: FakeStream | None = None
+        self.has_begun = False
+
+    def run(self) -> RunFinished:
+        raise NotImplementedError
+
+    def cancel(self) -> None:
+        if self._stream is not None:
+            self._stream.cancel()
+
+    def begin(self) -> RunFinished | None:
+        """Hand the request over; return the result if it was not taken."""
+        self.has_begun = True
+        body = {"prompt": self.request_id, "max_tokens": 2}
+        try:
+            self._stream = self._rig.engine.complete(self._name, body, 0, self.request_id)
+        except UpstreamNotSentError as error:
+            return RunFinished(self.request_id, RunResult.NOT_SENT, str(error))
+        except UnknownEngineAdapterError as error:
+            return RunFinished(self.request_id, RunResult.UNKNOWN_ADAPTER, str(error))
+        return None
+
+    def end(self) -> RunFinished:
+        """Read the answer to its end."""
+        assert self._stream is not None
+        try:
+            for piece in self._stream:
+                self._rig.tables.answers.append(self.request_id, piece)
+        except UpstreamInterruptedError as error:
+            return RunFinished(self.request_id, RunResult.INTERRUPTED, str(error))
+        except KeyError:
+            return RunFinished(self.request_id, RunResult.CANCELLED, "answer has ended")
+        if self._stream.is_cancelled:
+            return RunFinished(self.request_id, RunResult.CANCELLED, "cancelled")
+        return RunFinished(self.request_id, RunResult.COMPLETE)
+
+
+class CoreRig:
+    """One sidecar incarnation; several may follow each other on one engine."""
+
+    def __init__(
+        self, engine: LossyEngine, table: FakeTable, config: FakeConfig, number: int = 1
+    ) -> None:
+        self.now = 1000.0
+        self.engine = engine
+        self.config = config
+        self.commands: list[Callable[[], object]] = []
+        self.runs: list[ManualRun] = []
+        self.checks = 0
+        incarnation = Incarnation(f"{number:016x}")
+        settings = make_fake_settings()
+        metrics = Metrics()
+        self.crashes = CrashTable(settings.crash_limit)
+        self.tables = make_tables(settings, incarnation, config, self.crashes, metrics)
+        self.slots = SlotSystem(
+            settings.slots,
+            incarnation,
+            engine,
+            FreeBudget(),
+            metrics,
+            self.commands.append,
+            self.tell,
+            random.Random(number),
+        )
+        self.check = EngineCheck(engine, OwnerEpoch(table, UPSTREAM, incarnation))
+        execution = Execution(
+            self.tables, self.slots, self._make_run, self._start_run, lambda: self.checks
+        )
+        desk = RequestDesk(self.tables, self.slots)
+        self.core = SidecarCore(
+            self.tables,
+            desk,
+            execution,
+            self.slots,
+            None,
+            self.check.forget_claim,
+            lambda: self.now,
+        )
+        self.outbox = self.open_stream()
+
+    def open_stream(self) -> StreamOutbox:
+        """Return a new stream of an entry."""
+        outbox = StreamOutbox(self.tables.answers, lambda: 1, lambda: self.now)
+        self.tables.hub.add(outbox)
+        return outbox
+
+    def tell(self, message: object) -> None:
+        """Process a message and step the systems."""
+        self.core.handle(message)
+        self.core.step()
+
+    def tick(self, seconds: float = 0.1) -> None:
+        """Let time pass."""
+        self.now += seconds
+        self.tell(msg.TimerTick(0.0))
+        self.tell(msg.HeartbeatTick())
+
+    def observe(self) -> None:
+        """Check the engine."""
+        self.checks += 1
+        self.tell(self.check(self.checks))
+
+    def submit(self, submit: pb.Submit, outbox: StreamOutbox | None = None) -> None:
+        """Submit a request."""
+        frame = pb.EntryFrame(items=[pb.EntryItem(submit=submit)], config_revision=1)
+        self.tell(msg.FrameReceived(outbox or self.outbox, frame))
+
+    def run_command(self, index: int = 0) -> None:
+        """Run one waiting command."""
+        self.commands.pop(index)()
+
+    def begin_run(self, index: int = 0) -> None:
+        """Hand one started request over to the engine."""
+        waiting = [run for run in self.runs if not run.has_begun]
+        run = waiting[index]
+        finished = run.begin()
+        if finished is not None:
+            self.runs.remove(run)
+            self.tell(finished)
+
+    def end_run(self, index: int = 0) -> None:
+        """Let one request run to its end."""
+        run = [run for run in self.runs if run.has_begun][index]
+        self.runs.remove(run)
+        self.tell(run.end())
+
+    def settle(self, rounds: int = 100, seconds: float = 1.0) -> None:
+        """Let everything make progress until nothing is left to do."""
+        for _ in range(rounds):
+            self.tick(seconds)
+            self.observe()
+            while self.commands:
+                self.run_command()
+            while self.runs:
+                while any(not run.has_begun for run in self.runs):
+                    self.begin_run()
+                if self.runs:
+                    self.end_run()
+            if not len(self.tables.queue) and not len(self.tables.inflight):
+                return
+
+    def items(self, outbox: StreamOutbox | None = None) -> list[pb.SidecarItem]:
+        """Return the items that wait to be sent."""
+        stream = outbox or self.outbox
+        stream.put_heartbeat(pb.SidecarHeartbeat())
+        items = list(next(stream.frames()).items)
+        return [item for item in items if item.WhichOneof("item") != "heartbeat"]
+
+    def _make_run(self, item: QueuedRequest, slot: int | None) -> ManualRun:
+        assert slot is not None
+        return ManualRun(self, item.request_id, self.slots.engine_name(slot))
+
+    def _start_run(self, run: object) -> None:
+        assert isinstance(run, ManualRun)
+        self.runs.append(run)
+
+
+__all__ = ["CoreRig", "FreeBudget", "LossyEngine", "ManualRun", "make_submit"]
--- /dev/null
+++ b/tests/sidecar/test_slots.py
@@ -0,0 +1,312 @@
+"""Tests of the slots against a fake engine."""
+
+import hypothesis.strategies as st
+import pytest
+from hypothesis import settings
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from dragonflyhold.ids import AdapterKey, EngineAdapterName, Epoch, ServiceName
+from dragonflyhold.sidecar.slots import parse_engine_name
+from dragonflyhold.transport.schema import sidecar_pb2 as pb
+from dragonflyhold.upstreams.interface import StaleEpochError
+from tests.sidecar.fakes import SERVICE, FakeConfig, FakeEngine, FakeTable, adapter_key
+from tests.sidecar.rig import CoreRig, LossyEngine, make_submit
+
+MACHINE = settings(derandomize=True, max_examples=200, stateful_step_count=40, deadline=None)
+
+
+class SlotMachine(RuleBasedStateMachine):
+    """Requests, loads, evictions, restarts of both sides and late commands in any order."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.number = 1
+        self.table = FakeTable()
+        self.config = FakeConfig()
+        self.tag = 0
+        self.keys: dict[str, AdapterKey] = {}
+
+    @initialize(checks_fencing=st.booleans())
+    def set_up(self, checks_fencing: bool) -> None:
+        self.engine = FakeEngine(checks_fencing)
+        self.way = LossyEngine(self.engine)
+        upstream = self.config.view.upstreams["runner-1"]
+        object.__setattr__(upstream, "checks_fencing", checks_fencing)
+        self.rig = CoreRig(self.way, self.table, self.config, self.number)
+        self.rig.observe()
+
+    @rule(name=st.sampled_from(["pale", "stout", "mild"]), version=st.sampled_from([1, 1, 2]))
+    def submit(self, name: str, version: int) -> None:
+        self.tag += 1
+        before = set(self.rig.tables.payloads)
+        self.rig.submit(
+            make_submit(self.tag, name, version=version, deadline_ms=10_000_000, caller=name)
+        )
+        for request_id in set(self.rig.tables.payloads) - before:
+            self.keys[request_id] = adapter_key(name, version)
+
+    @precondition(lambda self: self.rig.commands)
+    @rule(index=st.integers(0, 3), is_late=st.sampled_from([False, False, True]))
+    def run_command(self, index: int, is_late: bool) -> None:
+        self.way.is_delaying = is_late
+        self.rig.run_command(index % len(self.rig.commands))
+        self.way.is_delaying = False
+
+    @rule()
+    def progress(self) -> None:
+        """Complete all commands and hand all started requests over."""
+        for _ in range(8):
+            while self.rig.commands:
+                self.rig.run_command()
+            if any(not run.has_begun for run in self.rig.runs):
+                self.rig.begin_run()
+
+    @precondition(lambda self: self.way.delayed)
+    @rule(index=st.integers(0, 3))
+    def deliver_late_command(self, index: int) -> None:
+        command = self.way.delayed.pop(index % len(self.way.delayed))
+        try:
+            command()
+        except Exception:
+            # Its sender has stopped to wait for the result.
+            return
+
+    @precondition(lambda self: any(not run.has_begun for run in self.rig.runs))
+    @rule()
+    def begin_run(self) -> None:
+        self.rig.begin_run()
+
+    @precondition(lambda self: any(run.has_begun for run in self.rig.runs))
+    @rule()
+    def end_run(self) -> None:
+        self.rig.end_run()
+
+    @rule(seconds=st.sampled_from([0.1, 1.0, 10.0]))
+    def tick(self, seconds: float) -> None:
+        self.rig.tick(seconds)
+
+    @rule()
+    def observe(self) -> None:
+        self.rig.observe()
+
+    @precondition(lambda self: self.tag > 3)
+    @rule()
+    def restart_engine(self) -> None:
+        self.engine.restart()
+
+    @precondition(lambda self: self.tag > 3)
+    @rule(is_table_out=st.booleans())
+    def replace_sidecar(self, is_table_out: bool) -> None:
+        """Kill the sidecar: its commands on the way may still arrive, its runs go on."""
+        old = self.rig
+        self.way.is_delaying = True
+        for command in list(old.commands):
+            command()
+        self.way.is_delaying = False
+        self.number += 1
+        self.table.is_out = is_table_out
+        self.rig = CoreRig(self.way, self.table, self.config, self.number)
+        self.rig.now = old.now
+        self.rig.runs = []
+        self.rig.observe()
+        self.table.is_out = False
+
+    @invariant()
+    def no_adapter_is_evicted_in_flight(self) -> None:
+        assert self.engine.evicted_in_flight == []
+
+    @invariant()
+    def every_run_has_the_exact_adapter_and_version(self) -> None:
+        for request_id, _, weights, _ in self.engine.runs:
+            key = self.keys[request_id]
+            assert weights == f"weights/{key.adapter}/{key.version}"
+
+    @invariant()
+    def every_request_runs_once_per_engine_boot(self) -> None:
+        ids = [request_id for request_id, _, _, _ in self.engine.runs]
+        assert len(set(ids)) == len(ids)
+
+    def teardown(self) -> None:
+        """All requests of the last sidecar end once the faults are over."""
+        if not hasattr(self, "rig"):
+            return
+        for command in self.way.delayed:
+            try:
+                command()
+            except Exception:
+                continue
+        # Runs of earlier sidecars end.
+        for name in list(self.engine.in_flight):
+            own = sum(run.has_begun and run._name == name for run in self.rig.runs)
+            self.engine.in_flight[name] = own
+        self.rig.settle()
+        assert len(self.rig.tables.queue) == 0
+        assert len(self.rig.tables.inflight) == 0
+
+
+class TestSlotMachine(SlotMachine.TestCase):
+    """Guards against wrong adapters, evictions in flight, and slots that never recover."""
+
+    settings = MACHINE
+
+
+def make_rig(checks_fencing: bool, engine: FakeEngine | None = None, number: int = 1) -> CoreRig:
+    config = FakeConfig()
+    upstream = config.view.upstreams["runner-1"]
+    object.__setattr__(upstream, "checks_fencing", checks_fencing)
+    return CoreRig(LossyEngine(engine or FakeEngine(checks_fencing)), FakeTable(), config, number)
+
+
+class TestAdoption:
+    """Guards against a new sidecar that uses what a late command of the old one can remove."""
+
+    @pytest.mark.parametrize("checks_fencing", [True, False])
+    def test_resident_adapters_are_adopted_only_with_fencing(self, checks_fencing: bool) -> None:
+        engine = FakeEngine(checks_fencing)
+        engine.load_adapter(EngineAdapterName("pale-1-1-7"), "weights/pale/1", Epoch(1))
+        rig = make_rig(checks_fencing, engine)
+        rig.observe()
+        assert (rig.slots.find(adapter_key("pale")) is not None) == checks_fencing
+        rig.settle()
+        assert (EngineAdapterName("pale-1-1-7") in engine.adapters) == checks_fencing
+
+    def test_adopted_slot_stays_pinned_until_the_engine_shows_it_idle(self) -> None:
+        engine = FakeEngine()
+        name = EngineAdapterName("pale-1-1-7")
+        engine.load_adapter(name, "weights/pale/1", Epoch(1))
+        engine.in_flight[name] = 1
+        rig = make_rig(True, engine)
+        rig.observe()
+        for tag, adapter in enumerate(["stout", "mild"]):
+            rig.submit(make_submit(tag, adapter))
+        rig.settle(rounds=5, seconds=0.1)
+        assert name in engine.adapters
+        engine.in_flight[name] = 0
+        rig.settle(rounds=20)
+        assert engine.evicted_in_flight == []
+        assert len(rig.tables.queue) == 0
+
+    def test_orphan_in_use_is_not_unloaded(self) -> None:
+        engine = FakeEngine(checks_fencing=False)
+        name = EngineAdapterName("pale-1-1-7")
+        engine.load_adapter(name, "weights/pale/1", Epoch(1))
+        engine.in_flight[name] = 1
+        rig = make_rig(False, engine)
+        rig.observe()
+        rig.tick()
+        assert rig.commands == []
+        engine.in_flight[name] = 0
+        rig.observe()
+        rig.tick()
+        rig.run_command()
+        assert name not in engine.adapters
+
+
+class TestLateCommands:
+    """Guards against commands of a dead sidecar that arrive after its successor took over."""
+
+    def test_fencing_engine_refuses_a_late_unload_of_an_adopted_adapter(self) -> None:
+        engine, table, config = FakeEngine(), FakeTable(), FakeConfig()
+        way = LossyEngine(engine)
+        old = CoreRig(way, table, config, 1)
+        old.observe()
+        old.submit(make_submit(1, "pale"))
+        old.settle()
+        name = next(iter(engine.adapters))
+        new = CoreRig(way, table, config, 2)
+        new.observe()
+        new.submit(make_submit(1, "pale"))
+        new.begin_run()
+        with pytest.raises(StaleEpochError):
+            way.unload_adapter(name, old.tables.condition.epoch)
+        assert engine.evicted_in_flight == []
+        new.end_run()
+        assert len(engine.runs) == 2
+
+
+class TestEngineState:
+    """Guards against slots that differ from what the engine holds."""
+
+    def test_restart_clears_the_slots_and_ends_what_was_in_flight(self) -> None:
+        rig = make_rig(True)
+        rig.observe()
+        rig.submit(make_submit(1, "pale"))
+        rig.tick()
+        rig.run_command()
+        rig.begin_run()
+        rig.engine.engine.restart()
+        rig.observe()
+        assert rig.slots.find(adapter_key("pale")) is None
+        end = rig.items()[-1].end
+        assert (end.code, end.outcome, end.crashed) == (
+            "upstream_crashed",
+            pb.OUTCOME_FAILED,
+            True,
+        )
+
+    def test_adapter_that_the_engine_lost_is_loaded_again(self) -> None:
+        rig = make_rig(True)
+        rig.observe()
+        rig.submit(make_submit(1, "pale"))
+        rig.settle()
+        rig.engine.engine.adapters.clear()
+        rig.submit(make_submit(2, "pale"))
+        rig.settle()
+        ends = [item.end for item in rig.items() if item.WhichOneof("item") == "end"]
+        assert [end.outcome for end in ends] == [pb.OUTCOME_OK] * 2
+
+
+class TestEvictionWithoutAnswer:
+    """Guards against reuse of a slot whose unload command may still take effect."""
+
+    def test_slot_stays_closed_until_the_unload_is_confirmed(self) -> None:
+        rig = make_rig(True)
+        rig.observe()
+        for tag, adapter in enumerate(["pale", "stout"]):
+            rig.submit(make_submit(tag, adapter))
+        rig.settle()
+        rig.submit(make_submit(9, "mild"))
+        victim = next(slot.key for slot in rig.slots.table.slots if not slot.is_idle)
+        assert victim is not None
+        rig.submit(make_submit(10, victim.adapter))
+        rig.engine.is_delaying = True
+        rig.run_command()
+        rig.engine.is_delaying = False
+        assert rig.slots.find(victim) is None
+        for run in list(rig.runs):
+            run.begin()
+        rig.engine.delayed.pop()()
+        assert rig.engine.engine.evicted_in_flight == []
+        rig.settle()
+        assert len(rig.tables.queue) == 0
+
+
+class TestEngineNames:
+    """Guards against names that are used twice and against adapters taken for others."""
+
+    def test_adapter_names_may_contain_dashes(self) -> None:
+        key = parse_engine_name(SERVICE, EngineAdapterName("old-pale-3-12-99"))
+        assert key == AdapterKey(ServiceName(SERVICE), key.adapter, key.version)
+        assert (key.adapter, key.version) == ("old-pale", 3)
+
+    @pytest.mark.parametrize("name", ["base", "pale-1", "pale-1-x-2", "-1-2-3"])
+    def test_foreign_names_are_not_adopted(self, name: str) -> None:
+        assert parse_engine_name(SERVICE, EngineAdapterName(name)) is None
+
+    def test_two_incarnations_with_one_epoch_use_different_names(self) -> None:
+        engine = FakeEngine(checks_fencing=False)
+        names = set()
+        for number in (1, 2):
+            engine.restart()
+            rig = make_rig(False, engine, number)
+            rig.observe()
+            rig.submit(make_submit(1))
+            rig.settle()
+            names.update(name for _, name, _, _ in engine.runs)
+        assert len(names) == 2
