--- a/tests/sidecar/fakes.py
+++ b/tests/sidecar/fakes.py
@@ -338,6 +338,8 @@
     def __init__(self) -> None:
         self.calls: list[tuple[str, str, bytes]] = []
         self.is_up = True
+        # Calls are refused although the health check is answered.
+        self.is_refusing = False
         # Raised instead of an answer, after the call was recorded.
         self.error: Exception | None = None
         self.answer = b"done"
@@ -345,7 +347,7 @@
     def call(
         self, method: str, path: str, headers: Mapping[str, str], body: bytes, timeout_s: float
     ) -> PlainResponse:
-        if not self.is_up:
+        if not self.is_up or self.is_refusing:
             raise UpstreamNotSentError("connection refused")
         self.calls.append((method, path, body))
         if self.error is not None:
--- a/tests/sidecar/test_daemon.py
+++ b/tests/sidecar/test_daemon.py
@@ -1,30 +1,50 @@
 """Tests of the daemon over gRPC, with a fake upstream."""
 
+import dataclasses
 import hashlib
 import time
 import urllib.error
 import urllib.request
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import pytest
 
+from dragonflyhold.ids import Revision
+from dragonflyhold.platform.interface import Vm, VmState
 from dragonflyhold.sidecar.daemon import SidecarDaemon, Surroundings
+from dragonflyhold.states import ServiceType, UpstreamMode
 from dragonflyhold.transport.schema import sidecar_pb2 as pb
+from dragonflyhold.upstreams.interface import UpstreamInterruptedError
 from tests.sidecar.client import TIMEOUT_S, EntryClient, make_submit
-from tests.sidecar.fakes import FakeConfig, FakeEngine, FakeTable, FakeVms, make_settings
+from tests.sidecar.fakes import (
+    SERVICE,
+    FakeConfig,
+    FakeEngine,
+    FakePlain,
+    FakeTable,
+    FakeView,
+    FakeVms,
+    make_settings,
+)
 
 
 class Rig:
     """A daemon beside a fake engine."""
 
-    def __init__(self, engine: FakeEngine | None = None) -> None:
-        self.engine = engine or FakeEngine()
-        self.config = FakeConfig()
+    def __init__(self, plain: FakePlain | None = None) -> None:
+        self.engine = FakeEngine()
+        type_ = ServiceType.ENGINE if plain is None else ServiceType.PLAIN
+        self.config = FakeConfig(FakeView(type_))
         self.table = FakeTable()
         self.vms = FakeVms()
-        surroundings = Surroundings(table=self.table, vms=self.vms, engine=self.engine)
+        surroundings = Surroundings(
+            table=self.table,
+            vms=self.vms,
+            engine=self.engine if plain is None else None,
+            plain=plain,
+        )
         self.daemon = SidecarDaemon(
-            make_settings(detach_grace_s=0.5), surroundings, lambda *args: self.config
+            make_settings(type_, detach_grace_s=0.5), surroundings, lambda *args: self.config
         )
         self.daemon.start()
         self.wait_ready()
@@ -71,3 +91,251 @@
         assert (end.adapter, end.version) == ("pale", 1)
         client.acknowledge(end)
         client.close()
+
+    def test_broken_stream_is_resumed_from_a_sequence_number(self, rig: Rig) -> None:
+        rig.engine.gate.clear()
+        first = EntryClient(rig.daemon.grpc_port)
+        first.submit(make_submit(1))
+        request_id = first.next_item("accepted").accepted.request_id
+        first.close()
+        second = EntryClient(rig.daemon.grpc_port)
+        second.attach(5, request_id, 1)
+        rig.engine.gate.set()
+        item = second.next_item("piece")
+        assert (item.piece.tag, item.piece.sequence) == (5, 1)
+        end = second.next_item("end").end
+        assert (end.outcome, end.count) == (pb.OUTCOME_OK, 3)
+        second.acknowledge(end)
+        second.close()
+
+    def test_refused_requests_tell_code_outcome_and_load(self, rig: Rig) -> None:
+        client = EntryClient(rig.daemon.grpc_port)
+        cases = {
+            1: ("unknown_adapter", make_submit(1, "porter")),
+            2: ("unknown_version", make_submit(2, version=9)),
+            3: ("unknown_kind", make_submit(3, kind="none")),
+            4: ("permit_required", make_submit(4, kind="redeem", idempotent=False)),
+            5: ("wrong_upstream", make_submit(5, service="other")),
+            6: ("bad_request", make_submit(6, body=b"no json")),
+        }
+        for tag, (code, submit) in cases.items():
+            client.submit(submit)
+            refused = client.next_item("refused").refused
+            assert (refused.tag, refused.code) == (tag, code)
+            assert refused.outcome == pb.OUTCOME_NOT_RUN
+            assert refused.load.batch_limit == 4
+        client.close()
+        assert rig.engine.runs == []
+        assert 'refusals_total{code="bad_request"} 1' in rig.get("/metrics")
+
+    def test_stale_configuration_refuses_new_work(self, rig: Rig) -> None:
+        client = EntryClient(rig.daemon.grpc_port)
+        rig.config.fresh = False
+        client.submit(make_submit(1))
+        assert client.next_item("refused").refused.code == "config_stale"
+        client.close()
+
+    def test_submission_waits_for_the_revision_of_its_entry(self, rig: Rig) -> None:
+        client = EntryClient(rig.daemon.grpc_port)
+        client.submit(make_submit(1), revision=2)
+        while not rig.config.observed:
+            time.sleep(0.01)
+        assert rig.engine.runs == []
+        rig.config.view.revision = Revision(2)
+        _, end = client.answer(1)
+        assert end.outcome == pb.OUTCOME_OK
+        client.acknowledge(end)
+        client.close()
+
+
+class TestPermits:
+    """Guards against a second run of a non-idempotent request."""
+
+    def issue(self, client: EntryClient) -> str:
+        """Return a permit."""
+        request = pb.IssuePermitsRequest(service=SERVICE, adapter="pale", version=1, count=1)
+        return client.stub.IssuePermits(request).permits[0]
+
+    def test_two_submissions_run_once_and_get_the_same_answer(self, rig: Rig) -> None:
+        client = EntryClient(rig.daemon.grpc_port)
+        permit = self.issue(client)
+        answers = []
+        for tag in (1, 2):
+            submit = make_submit(tag, kind="redeem", idempotent=False, prompt="redeem 7")
+            submit.request_id = permit
+            client.submit(submit)
+            answers.append(client.answer(tag))
+        (first, first_end), (second, second_end) = answers
+        assert first == second
+        assert first_end.digest == second_end.digest
+        assert first_end.next_permit == second_end.next_permit != ""
+        assert len(rig.engine.runs) == 1
+        client.acknowledge(first_end)
+        client.close()
+
+    def test_declined_permit_never_runs(self, rig: Rig) -> None:
+        client = EntryClient(rig.daemon.grpc_port)
+        permit = self.issue(client)
+        reply = client.stub.Decline(pb.DeclineRequest(request_id=permit))
+        assert (reply.state, reply.outcome) == (
+            pb.REQUEST_STATE_DECLINED,
+            pb.OUTCOME_NOT_RUN,
+        )
+        client.submit(make_submit(1, kind="redeem", idempotent=False, request_id=permit))
+        refused = client.next_item("refused").refused
+        assert (refused.code, refused.outcome) == ("declined", pb.OUTCOME_NOT_RUN)
+        client.close()
+        assert rig.engine.runs == []
+
+    def test_permit_of_another_process_run_is_in_doubt(self, rig: Rig) -> None:
+        client = EntryClient(rig.daemon.grpc_port)
+        permit = f"runner-1.{'ab' * 8}.0"
+        client.submit(make_submit(1, kind="redeem", idempotent=False, request_id=permit))
+        refused = client.next_item("refused").refused
+        assert (refused.code, refused.outcome) == ("other_incarnation", pb.OUTCOME_IN_DOUBT)
+        reply = client.stub.Lookup(pb.LookupRequest(request_id=permit))
+        assert reply.outcome == pb.OUTCOME_IN_DOUBT
+        client.close()
+
+
+class TestStop:
+    """Guards against requests that a shutdown cuts off."""
+
+    def test_open_and_queued_requests_are_finished(self) -> None:
+        rig = Rig()
+        rig.engine.gate.clear()
+        client = EntryClient(rig.daemon.grpc_port)
+        # More than the batch holds.
+        for tag in range(6):
+            client.submit(make_submit(tag))
+            client.next_item("accepted")
+        rig.daemon.request_stop()
+        client.submit(make_submit(9))
+        assert client.next_item("refused").refused.code == "upstream_leaving"
+        rig.engine.gate.set()
+        ends = [client.next_item("end").end for _ in range(6)]
+        assert {end.outcome for end in ends} == {pb.OUTCOME_OK}
+        assert not rig.daemon.wait(0.1)
+        for end in ends:
+            client.acknowledge(end)
+        assert rig.daemon.wait(TIMEOUT_S)
+        client.close()
+
+    @pytest.mark.parametrize("source", ["configuration", "vm_list"])
+    def test_leaving_is_learnt_and_told(self, rig: Rig, source: str) -> None:
+        client = EntryClient(rig.daemon.grpc_port)
+        upstream = rig.config.view.upstreams["runner-1"]
+        if source == "configuration":
+            draining = dataclasses.replace(upstream, mode=UpstreamMode.DRAINING)
+            rig.config.view.upstreams["runner-1"] = draining
+        else:
+            vm = Vm("vm-1", "127.0.0.1", upstream.data_centre, VmState.LEAVING, "runner-1")
+            rig.vms.vms = [vm]
+        while not any(beat.state == pb.UPSTREAM_STATE_LEAVING for beat in list(client.heartbeats)):
+            time.sleep(0.01)
+        client.submit(make_submit(1))
+        assert client.next_item("refused").refused.code == "upstream_leaving"
+        client.close()
+
+
+class TestCrashes:
+    """Guards against requests that crash one upstream after the other."""
+
+    def test_suspect_runs_alone_and_is_quarantined_after_its_second_crash(self) -> None:
+        rig = Rig()
+        client = EntryClient(rig.daemon.grpc_port)
+        rig.engine.gate.clear()
+        for tag in (1, 2):
+            client.submit(make_submit(tag, fingerprint=bytes([tag])))
+            client.next_item("accepted")
+        while len(rig.engine.runs) < 2:
+            time.sleep(0.01)
+        rig.engine.restart()
+        for end in (client.next_item("end").end, client.next_item("end").end):
+            assert (end.code, end.crashed, end.crashed_alone) == ("upstream_crashed", True, False)
+        # A suspect and a harmless request: the suspect runs with nothing beside it.
+        client.submit(make_submit(3, fingerprint=b"\x01"))
+        client.submit(make_submit(4, fingerprint=b"other"))
+        while len(rig.engine.runs) < 3:
+            time.sleep(0.01)
+        time.sleep(0.1)
+        assert len(rig.engine.runs) == 3
+        rig.engine.restart()
+        end = client.next_item("end").end
+        assert (end.tag, end.crashed_alone) == (3, True)
+        client.submit(make_submit(5, fingerprint=b"\x01"))
+        assert client.next_item("refused").refused.code == "quarantined"
+        while "quarantine/01" not in rig.table.rows:
+            time.sleep(0.01)
+        rig.engine.gate.set()
+        _, end = client.answer(4)
+        assert end.outcome == pb.OUTCOME_OK
+        client.acknowledge(end)
+        client.close()
+        rig.stop()
+
+    def test_down_engine_refuses_and_recovers(self, rig: Rig) -> None:
+        client = EntryClient(rig.daemon.grpc_port)
+        rig.engine.is_down = True
+        code = ""
+        for tag in range(100, 200):
+            client.submit(make_submit(tag, deadline_ms=5000))
+            item = client.next_item("refused", "end")
+            code = item.refused.code if item.WhichOneof("item") == "refused" else item.end.code
+            if item.WhichOneof("item") == "refused":
+                break
+        assert code == "upstream_down"
+        rig.engine.is_down = False
+        rig.wait_ready()
+        client.submit(make_submit(1))
+        _, end = client.answer(1)
+        assert end.outcome == pb.OUTCOME_OK
+        client.acknowledge(end)
+        client.close()
+
+
+class TestPlainService:
+    """Guards against calls that are sent twice and outcomes that claim too much."""
+
+    def call(self, plain: FakePlain, prepare: Callable[[], None]) -> pb.End:
+        """Make one non-idempotent call and return its end."""
+        rig = Rig(plain=plain)
+        client = EntryClient(rig.daemon.grpc_port)
+        request = pb.IssuePermitsRequest(service=SERVICE, count=1)
+        permit = client.stub.IssuePermits(request).permits[0]
+        prepare()
+        submit = make_submit(1, "", version=0, kind="redeem", idempotent=False, body=b"token 7")
+        submit.request_id = permit
+        submit.call.CopyFrom(pb.PlainCall(method="POST", path="/redeem"))
+        client.submit(submit)
+        self.pieces, end = client.answer(1)
+        client.acknowledge(end)
+        client.close()
+        rig.stop()
+        return end
+
+    def test_answer_comes_in_pieces_with_its_status(self) -> None:
+        plain = FakePlain()
+        plain.answer = b"x" * 40_000
+        end = self.call(plain, lambda: None)
+        assert (end.outcome, end.status) == (pb.OUTCOME_OK, 200)
+        assert b"".join(self.pieces) == plain.answer
+        assert len(self.pieces) == 3
+        assert plain.calls == [("POST", "/redeem", b"token 7")]
+
+    def test_interrupted_call_is_in_doubt_and_not_repeated(self) -> None:
+        plain = FakePlain()
+        plain.error = UpstreamInterruptedError("connection reset")
+        end = self.call(plain, lambda: None)
+        assert end.outcome == pb.OUTCOME_IN_DOUBT
+        assert len(plain.calls) == 1
+
+    def test_call_that_was_not_sent_did_not_run(self) -> None:
+        plain = FakePlain()
+
+        def go_down() -> None:
+            plain.is_refusing = True
+
+        end = self.call(plain, go_down)
+        assert (end.outcome, end.code) == (pb.OUTCOME_NOT_RUN, "upstream_down")
+        assert plain.calls == []
