Measure the serving path with several entries and engines

Cause: one engine saturates before an entry does, so that a run against one engine says nothing about the entry's limit.

Targets are pairs of address and model. The demo asks the entry that served a request to explain it, and sends a call to the plain service twice under one permit. Entries of the load run get a thread per stream: with 64 threads and 100 streams, requests waited for a thread.

--- a/src/dragonflyhold/bench/load.py
+++ b/src/dragonflyhold/bench/load.py
@@ -28,14 +28,23 @@
 _END_MARKS = (b"event: end", b"data: [DONE]")
 
 
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """Where requests go: base URL of an entry daemon or an engine, and the model to name."""
+
+    # Loopback only.
+    url: str
+    model: str
+
+
 @final
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class LoadOptions:
     """What is sent, and for how long."""
 
-    # Base URL of an entry daemon or an engine; loopback only.
-    url: str
-    models: tuple[str, ...]
+    # Taken in turn.
+    targets: tuple[Target, ...]
     # Empty for an engine.
     kind: str = ""
     concurrency: int = 32
@@ -110,13 +119,9 @@
 
 def check_options(options: LoadOptions) -> None:
     """Raise ``UsageError`` if the options are out of bounds."""
-    host = urllib.parse.urlsplit(options.url).hostname or ""
-    try:
-        is_loopback = ipaddress.ip_address(host).is_loopback
-    except ValueError:
-        is_loopback = False
-    if not is_loopback:
-        raise UsageError(f"{options.url!r} is not a loopback address")
+    for target in options.targets:
+        if not _is_loopback(target.url):
+            raise UsageError(f"{target.url!r} is not a loopback address")
     bounds = (
         ("max_requests", options.max_requests, MAX_REQUESTS),
         ("duration_s", options.duration_s, MAX_DURATION_S),
@@ -125,8 +130,8 @@
     for name, value, limit in bounds:
         if not 0 < value <= limit:
             raise UsageError(f"{name} is {value}; allowed: above 0, up to {limit:g}")
-    if not options.models:
-        raise UsageError("no model is given")
+    if not options.targets:
+        raise UsageError("no target is given")
 
 
 def percentile(values: Sequence[float], share: float) -> float:
@@ -137,6 +142,14 @@
     return ordered[max(0, math.ceil(share * len(ordered)) - 1)]
 
 
+def _is_loopback(url: str) -> bool:
+    try:
+        host = urllib.parse.urlsplit(url).hostname or ""
+        return ipaddress.ip_address(host).is_loopback
+    except ValueError:
+        return False
+
+
 def _quantiles_ms(values: Sequence[float]) -> dict[str, float]:
     shares = {"p50": 0.5, "p95": 0.95, "p99": 0.99}
     return {name: round(1000 * percentile(values, share), 2) for name, share in shares.items()}
@@ -148,8 +161,8 @@
 
     return dataclasses.replace(
         options,
-        # Different models first, so that the processes don't load one adapter after the other.
-        models=options.models[index:] + options.models[:index],
+        # Each process begins elsewhere, so that they don't all send to one target at a time.
+        targets=options.targets[index:] + options.targets[:index],
         concurrency=part(options.concurrency),
         max_requests=max(1, part(options.max_requests)),
         rate_per_s=options.rate_per_s / processes,
@@ -198,18 +211,18 @@
 
 
 def _send(http: urllib3.PoolManager, options: LoadOptions, number: int, due: float) -> Sample:
-    model = options.models[number % len(options.models)]
+    target = options.targets[number % len(options.targets)]
     body = {
-        "model": model,
+        "model": target.model,
         # A prefix of its own, so that the engine's prefix cache does not hide the prefill.
-        "prompt": f"{number} {model} ".ljust(options.prompt_chars, "x"),
+        "prompt": f"{number} {target.model} ".ljust(options.prompt_chars, "x"),
         "max_tokens": options.max_tokens,
         "stream": True,
     }
     headers = {"X-Caller-Id": f"load-{number % options.concurrency}"}
     if options.kind:
         headers["X-Request-Kind"] = options.kind
-    url = f"{options.url}/v1/completions"
+    url = f"{target.url}/v1/completions"
     try:
         reply = http.request("POST", url, json=body, headers=headers, preload_content=False)
         try:
--- a/src/dragonflyhold/bench/load_runs.py
+++ b/src/dragonflyhold/bench/load_runs.py
@@ -1,4 +1,4 @@
-"""Measures a deployment on loopback through its entry, and its engine directly for a ratio."""
+"""Measures a deployment on loopback, and its engines directly for a ratio."""
 
 import dataclasses
 import pathlib
@@ -7,14 +7,15 @@
 
 import urllib3
 
-from dragonflyhold.bench.load import LoadOptions, LoadResult, run_load
+from dragonflyhold.bench.load import LoadOptions, LoadResult, Target, run_load
 from dragonflyhold.demo.launcher import Deployment
 from dragonflyhold.demo.plans import DeploymentPlan
 from dragonflyhold.errors import DragonflyholdError
 
 KIND = "question"
-LOAD_TIMEOUT_S = 30.0
+TIMEOUT_S = 30.0
 WARM_UP_S = 5.0
+SPARE_THREADS = 16
 # Load at which the added latency is stated, as a share of the rate at saturation.
 LATENCY_SHARE = 0.1
 
@@ -22,7 +23,7 @@
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
 class Comparison:
-    """The same load through an entry and directly against an engine."""
+    """The same load through entries and directly against engines."""
 
     entry: LoadResult
     engine: LoadResult
@@ -48,51 +49,59 @@
 ) -> dict[str, Any]:
     """Start ``plan``, measure it at saturation and at a tenth of it; return the figures.
 
-    The URLs and models in ``options`` are replaced. Only as many adapters as the engine has
-    slots are used, so that no loads are measured.
+    The targets in ``options`` are replaced. Only as many adapters as one engine has slots are
+    used, so that no loads are measured.
     """
-    with Deployment(plan, examples, directory) as deployment:
+    # Each open stream takes a thread of an entry; with too few, streams wait for one.
+    threads = {"http.threads": options.concurrency + SPARE_THREADS}
+    with Deployment(plan, examples, directory, entry_settings=threads) as deployment:
         deployment.start()
         deployment.configure()
-        models = _entry_models(plan)
-        through = dataclasses.replace(
-            options, url=deployment.entries[0].url, models=models, kind=KIND
-        )
+        through = dataclasses.replace(options, targets=_entry_targets(deployment), kind=KIND)
         report("warming up")
         run_load(dataclasses.replace(through, duration_s=WARM_UP_S))
-        report("measuring at saturation through the entry")
+        report("measuring at saturation through the entries")
         saturated = run_load(through)
         rate = LATENCY_SHARE * len(saturated.answered) / saturated.elapsed_s
-        report(f"measuring at {rate:.2f} requests/s through the entry")
+        report(f"measuring at {rate:.2f} requests/s through the entries")
         slow = run_load(dataclasses.replace(through, rate_per_s=rate))
-        # The sidecar's adapters leave no free slot, so the engine's own names are used.
-        direct = dataclasses.replace(
-            options, url=next(iter(deployment.sidecars.values())).upstream.url, kind=""
-        )
-        direct = dataclasses.replace(direct, models=_engine_models(direct.url))
+        direct = dataclasses.replace(options, targets=_engine_targets(deployment))
         report("measuring at saturation directly")
         saturated_direct = run_load(direct)
         report(f"measuring at {rate:.2f} requests/s directly")
         slow_direct = run_load(dataclasses.replace(direct, rate_per_s=rate))
     return {
-        "options": dataclasses.asdict(options),
+        "entries": plan.entries,
+        "upstreams": len(list(plan.upstreams())),
+        "engine_tokens_per_s": plan.tokens_per_s,
+        "concurrency": options.concurrency,
+        "duration_s": options.duration_s,
+        "max_tokens": options.max_tokens,
         "saturation": Comparison(saturated, saturated_direct).to_json(),
         "tenth": Comparison(slow, slow_direct).to_json(),
     }
 
 
-def _entry_models(plan: DeploymentPlan) -> tuple[str, ...]:
-    service = plan.engine_service
-    names = service.adapter_names()[: plan.slots]
-    return tuple(f"{service.name}/{name}:1" for name in names)
-
-
-def _engine_models(url: str) -> tuple[str, ...]:
-    reply = urllib3.request("GET", f"{url}/v1/status", timeout=LOAD_TIMEOUT_S, retries=False)
-    names = tuple(str(item["name"]) for item in reply.json()["adapters"])
-    if not names:
-        raise DragonflyholdError("the engine has no adapter; did any request reach it?")
-    return names
+def _entry_targets(deployment: Deployment) -> tuple[Target, ...]:
+    service = deployment.plan.engine_service
+    return tuple(
+        Target(entry.url, f"{service.name}/{name}:1")
+        for name in service.adapter_names()[: deployment.plan.slots]
+        for entry in deployment.entries
+    )
+
+
+def _engine_targets(deployment: Deployment) -> tuple[Target, ...]:
+    """Return the adapters that the sidecars have loaded, under the engines' own names."""
+    targets = []
+    for sidecar in deployment.sidecars.values():
+        url = sidecar.upstream.url
+        if sidecar.plan.service is deployment.plan.engine_service:
+            reply = urllib3.request("GET", f"{url}/v1/status", timeout=TIMEOUT_S, retries=False)
+            targets += [Target(url, str(item["name"])) for item in reply.json()["adapters"]]
+    if not targets:
+        raise DragonflyholdError("no engine has an adapter; did any request reach one?")
+    return tuple(targets)
 
 
 def _ratio(value: Any, base: Any) -> float:
--- a/src/dragonflyhold/cli/bench_load.py
+++ b/src/dragonflyhold/cli/bench_load.py
@@ -1,5 +1,6 @@
 """The command that measures the serving path."""
 
+import dataclasses
 import json
 import pathlib
 import tempfile
@@ -19,6 +20,9 @@
     default="examples",
     show_default=True,
 )
+@click.option("--entries", default=1, show_default=True)
+@click.option("--upstreams", default=1, show_default=True)
+@click.option("--tokens-per-s", default=100.0, show_default=True, help="Of an engine's stream.")
 @click.option("--concurrency", default=32, show_default=True, help="Streams at once.")
 @click.option("--seconds", default=10.0, show_default=True, help="Length of each of 4 runs.")
 @click.option("--max-requests", default=10_000, show_default=True, help="Bound of each run.")
@@ -28,6 +32,9 @@
 def load_command(
     name: str,
     examples: pathlib.Path,
+    entries: int,
+    upstreams: int,
+    tokens_per_s: float,
     concurrency: int,
     seconds: float,
     max_requests: int,
@@ -35,17 +42,17 @@
     processes: int,
     output: pathlib.Path | None,
 ) -> None:
-    """Measure one entry, one sidecar and one stand-in engine, and the engine directly."""
+    """Measure entries with sidecars and stand-in engines, and the engines directly."""
     options = LoadOptions(
-        url="",
-        models=(),
+        targets=(),
         concurrency=concurrency,
         duration_s=seconds,
         max_requests=max_requests,
         max_tokens=max_tokens,
         processes=processes,
     )
-    plan = PLANS[name].reduced(entries=1, upstreams=1, adapters=8)
+    plan = PLANS[name].reduced(entries, upstreams, adapters=PLANS[name].slots)
+    plan = dataclasses.replace(plan, tokens_per_s=tokens_per_s)
     with tempfile.TemporaryDirectory(prefix="dragonflyhold-") as scratch:
         figures = measure(plan, examples, pathlib.Path(scratch), options, click.echo)
     text = json.dumps(figures, indent=1)
--- a/src/dragonflyhold/demo/caller.py
+++ b/src/dragonflyhold/demo/caller.py
@@ -117,8 +117,16 @@
             raise AnswerError("incomplete", "in_doubt", message)
         return Answer(reply.headers.get("X-Request-Id", ""), text)
 
+    def call_service(
+        self, service: str, path: str, body: Mapping[str, object], kind: str, permit: str
+    ) -> Any:
+        """Send a call to a plain service; return its JSON answer; raise ``AnswerError``."""
+        url = f"{self._url}/v1/services/{service}/call/{path}"
+        headers = self._headers(kind, permit)
+        return _parse_reply(self._http.request("POST", url, json=body, headers=headers))
+
     def permit(self, service: str, adapter: str, kind: str) -> str:
-        """Return a permit for a request that is not idempotent."""
+        """Return a permit for a request that is not idempotent; no adapter for plain services."""
         body = {"service": service, "adapter": adapter, "kind": kind, "count": 1}
         headers = {"X-Caller-Id": self._name}
         reply = self._http.request("POST", f"{self._url}/v1/permits", json=body, headers=headers)
--- a/src/dragonflyhold/demo/launcher.py
+++ b/src/dragonflyhold/demo/launcher.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import pathlib
+from collections.abc import Mapping
 from typing import Any, final
 
 import urllib3
@@ -20,6 +21,7 @@
 
 START_TIMEOUT_S = 60.0
 HTTP_TIMEOUT_S = 5.0
+BALANCER_LAG_S = 0.2
 PLATFORM_NAMES = ("table", "objects", "vms", "weights")
 
 
@@ -57,10 +59,19 @@
 
 @final
 class Deployment:
-    """The running processes of a plan; use as a context manager or call ``stop``."""
+    """The running processes of a plan; use as a context manager or call ``stop``.
+
+    ``entry_settings`` and ``sidecar_settings`` replace settings of all daemons of a kind, named by
+    dotted paths.
+    """
 
     def __init__(
-        self, plan: DeploymentPlan, examples: pathlib.Path, directory: pathlib.Path
+        self,
+        plan: DeploymentPlan,
+        examples: pathlib.Path,
+        directory: pathlib.Path,
+        entry_settings: Mapping[str, object] | None = None,
+        sidecar_settings: Mapping[str, object] | None = None,
     ) -> None:
         self.plan = plan
         self.platform: dict[str, StandInProcess] = {}
@@ -69,6 +80,8 @@
         self._upstreams: dict[str, StandInProcess] = {}
         self._examples = examples / plan.name
         self._directory = directory
+        self._entry_settings = dict(entry_settings or {})
+        self._sidecar_settings = dict(sidecar_settings or {})
         self._group = ProcessGroup(directory)
         self._http = urllib3.PoolManager(retries=False, timeout=HTTP_TIMEOUT_S)
         # Known before the start, because each entry is a seed of all daemons.
@@ -161,6 +174,7 @@
             return self._start_stand_in(name, "plain", [])
         options = ["--weights-url", self.platform["weights"].url]
         options += ["--slots", str(self.plan.slots), "--batch-limit", str(self.plan.batch_limit)]
+        options += ["--tokens-per-s", str(self.plan.tokens_per_s)]
         if upstream.service.checks_fencing:
             options.append("--checks-fencing")
         return self._start_stand_in(name, "engine", options)
@@ -174,6 +188,9 @@
             **self._common_settings(name, data_centre),
             "grpc_address": grpc_address,
             "http.address": http_address,
+            # No balancer has to notice that the entry leaves.
+            "balancer_lag_s": BALANCER_LAG_S,
+            **self._entry_settings,
         }
         derive_settings(self._examples / "entry.json", self.settings_path(name), changes)
         process = self._group.add(name, ["run", "entry", str(self.settings_path(name))])
@@ -191,6 +208,7 @@
             "upstream.type": upstream.service.type.value,
             "upstream.url": stand_in.url,
             "load_budget.loads_per_s": self.plan.loads_per_s,
+            **self._sidecar_settings,
         }
         derive_settings(self._examples / "sidecar.json", self.settings_path(name), changes)
         process = self._group.add(name, ["run", "sidecar", str(self.settings_path(name))])
--- a/src/dragonflyhold/demo/plans.py
+++ b/src/dragonflyhold/demo/plans.py
@@ -63,6 +63,8 @@
     loads_per_s: float
     slots: int = 8
     batch_limit: int = 32
+    # Of one stream that has an engine's batch for itself.
+    tokens_per_s: float = 100.0
 
     @property
     def engine_service(self) -> ServicePlan:
--- a/src/dragonflyhold/demo/steps.py
+++ b/src/dragonflyhold/demo/steps.py
@@ -34,25 +34,26 @@
         self._deployment = deployment
         self._print = print_line
         self._callers = [Caller(entry.url) for entry in deployment.entries]
-        self._operator = OperatorClient(deployment.entries[0].grpc_address)
+        self._operators = [OperatorClient(entry.grpc_address) for entry in deployment.entries]
 
     def close(self) -> None:
         """Close all connections."""
         for caller in self._callers:
             caller.close()
-        self._operator.close()
+        for operator in self._operators:
+            operator.close()
 
     def run(self) -> None:
         """Run all steps; raise ``DeploymentError`` or ``AnswerError`` if one fails."""
-        last = self._serve_requests()
+        self._serve_requests()
         self._change_during_request()
         self._refuse()
         self._send_permit_twice()
-        self._explain(last)
+        self._call_plain_services()
+        self._explain()
         self._check_violations()
 
-    def _serve_requests(self) -> Answer:
-        answer = Answer("", "")
+    def _serve_requests(self) -> None:
         for service in self._engine_services():
             names = service.adapter_names()
             for number in range(REQUESTS_PER_SERVICE):
@@ -63,7 +64,6 @@
                 answer = caller.complete(model, prompt, "question")
                 _check(answer, service.name, adapter, 1, prompt)
                 self._print(f"served   {model} by weights {answer.weights} as {answer.request_id}")
-        return answer
 
     def _change_during_request(self) -> None:
         service = self._deployment.plan.engine_service
@@ -93,8 +93,8 @@
             put_version(service.name, adapter, 2),
             delete_version(service.name, adapter, 1),
         ]
-        revision = self._operator.apply(operations)
-        self._operator.wait_in_force(revision)
+        revision = self._operators[0].apply(operations)
+        self._operators[0].wait_in_force(revision)
         was_running = thread.is_alive()
         thread.join(STEP_TIMEOUT_S)
         answer = answers[0] if answers else DeploymentError("the stream did not end")
@@ -141,8 +141,27 @@
             raise DeploymentError(f"permit {permit} ran {runs} times: {answers}")
         self._print(f"permit   {permit} was sent twice as {kind}, ran once, same answer twice")
 
-    def _explain(self, answer: Answer) -> None:
-        reply = self._operator.explain(answer.request_id)
+    def _call_plain_services(self) -> None:
+        plans = self._deployment.plan.services
+        for service in (plan for plan in plans if plan.type is ServiceType.PLAIN):
+            kind = next(plan.name for plan in service.kinds if not plan.idempotent)
+            permit = self._callers[0].permit(service.name, "", kind)
+            body = {"account": "guest-1", "count": 1}
+            answers = [
+                caller.call_service(service.name, "redeem", body, kind, permit)
+                for caller in (self._callers[0], self._callers[-1])
+            ]
+            # The service does not recognise repeated calls, so its balance shows a second run.
+            if answers != [{"action": "redeem", "account": "guest-1", "balance": -1}] * 2:
+                raise DeploymentError(f"permit {permit} did not run once: {answers}")
+            self._print(f"permit   {permit} was sent twice to {service.name}, ran once")
+
+    def _explain(self) -> None:
+        service = self._deployment.plan.engine_service
+        model = f"{service.name}/{service.adapter_names()[2]}:1"
+        # An entry keeps the events of the requests that it passed on itself.
+        answer = self._callers[-1].complete(model, "Explain this", "question")
+        reply = self._operators[-1].explain(answer.request_id)
         if not reply.events:
             raise DeploymentError(f"nothing is known about {answer.request_id}")
         self._print(f"explain  {answer.request_id}")
--- a/tests/bench/test_load.py
+++ b/tests/bench/test_load.py
@@ -6,13 +6,12 @@
 import pytest
 import urllib3
 
-from dragonflyhold.bench.load import LoadOptions, check_options, percentile, run_load
+from dragonflyhold.bench.load import LoadOptions, Target, check_options, percentile, run_load
 from dragonflyhold.errors import UsageError
 from dragonflyhold.standins import EngineOptions, EngineStandIn
 
 OPTIONS = LoadOptions(
-    url="http://127.0.0.1:1",
-    models=("a",),
+    targets=(Target("http://127.0.0.1:1", "a"),),
     concurrency=3,
     max_requests=10,
     max_tokens=5,
@@ -34,7 +33,8 @@
     """Guards against figures that count requests or tokens that were not answered."""
 
     def test_counts_requests_and_tokens(self, engine: EngineStandIn) -> None:
-        options = dataclasses.replace(OPTIONS, url=engine.url, processes=2)
+        targets = (Target(engine.url, "a"),)
+        options = dataclasses.replace(OPTIONS, targets=targets, processes=2)
         result = run_load(options)
         assert [sample.error for sample in result.samples] == [""] * 10
         assert {(sample.tokens, len(sample.gaps_s)) for sample in result.samples} == {(5, 4)}
@@ -42,9 +42,8 @@
         assert figures["errors"] == {}
 
     def test_refusals_are_errors(self, engine: EngineStandIn) -> None:
-        options = dataclasses.replace(
-            OPTIONS, url=engine.url, models=("a", "missing"), processes=1, rate_per_s=1000.0
-        )
+        targets = (Target(engine.url, "a"), Target(engine.url, "missing"))
+        options = dataclasses.replace(OPTIONS, targets=targets, processes=1, rate_per_s=1000.0)
         result = run_load(options)
         assert result.to_json()["errors"] == {"model_not_found": 5}
         assert len(result.answered) == 5
@@ -56,9 +55,10 @@
     @pytest.mark.parametrize(
         "changes",
         [
-            {"url": "http://192.0.2.1:80"},
-            {"url": "http://example.invalid"},
-            {"models": ()},
+            {"targets": (Target("http://127.0.0.1:1", "a"), Target("http://192.0.2.1:80", "a"))},
+            {"targets": (Target("http://example.invalid", "a"),)},
+            {"targets": (Target("http://[", "a"),)},
+            {"targets": ()},
             {"max_requests": 0},
             {"duration_s": 1e9},
             {"concurrency": 100_000},
