--- a/src/dragonflyhold/cli/root.py
+++ b/src/dragonflyhold/cli/root.py
@@ -1,18 +1,58 @@
-"""Root of the command line; each group of commands is a module of its own."""
+"""Root of the command line; each group of commands is a module of its own.
+
+Commands are imported on use, so that a daemon does not hold the modules of the other commands in
+its memory.
+"""
+
+import importlib
 
 import click
 
-from dragonflyhold.cli.demo import demo_command
-from dragonflyhold.cli.settings import settings_group
-from dragonflyhold.cli.standin import standin_group
+# Command name: module and attribute.
+_COMMANDS = {
+    "apply": ("dragonflyhold.cli.changes", "apply_command"),
+    "bench": ("dragonflyhold.cli.bench", "bench_group"),
+    "change": ("dragonflyhold.cli.changes", "change_group"),
+    "demo": ("dragonflyhold.cli.demo", "demo_command"),
+    "drain": ("dragonflyhold.cli.changes", "drain_command"),
+    "explain": ("dragonflyhold.cli.inspect", "explain_command"),
+    "run": ("dragonflyhold.cli.run", "run_group"),
+    "settings": ("dragonflyhold.cli.settings", "settings_group"),
+    "standin": ("dragonflyhold.cli.standin", "standin_group"),
+    "status": ("dragonflyhold.cli.inspect", "status_command"),
+    "undrain": ("dragonflyhold.cli.changes", "undrain_command"),
+    "wait": ("dragonflyhold.cli.changes", "wait_command"),
+}
+
+_OBJECT_GROUPS = ("adapter", "kind", "service", "upstream", "version")
+
+
+class _LazyGroup(click.Group):
+    """A group that imports its commands on use."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        """Return the names of all commands."""
+        return sorted([*_COMMANDS, *_OBJECT_GROUPS])
 
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        """Import a command."""
+        if cmd_name in _OBJECT_GROUPS:
+            return _object_group(cmd_name)
+        if cmd_name not in _COMMANDS:
+            return None
+        module, attribute = _COMMANDS[cmd_name]
+        command = getattr(importlib.import_module(module), attribute)
+        assert isinstance(command, click.Command)
+        return command
 
-@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+
+def _object_group(name: str) -> click.Command:
+    module = importlib.import_module("dragonflyhold.cli.objects")
+    groups: list[click.Command] = module.object_groups()
+    return next(group for group in groups if group.name == name)
+
+
+@click.group(cls=_LazyGroup, context_settings={"help_option_names": ["-h", "--help"]})
 @click.version_option(package_name="dragonflyhold")
 def main() -> None:
     """Serve very many LoRA adapters: run daemons and operate them."""
-
-
-main.add_command(demo_command)
-main.add_command(settings_group)
-main.add_command(standin_group)
