--- /dev/null
+++ b/tests/entry/test_process.py
@@ -0,0 +1,217 @@
+"""Tests of an entry daemon as a process, with stand-ins for the platform."""
+
+import contextlib
+import dataclasses
+import http.client
+import json
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import threading
+from collections.abc import Iterator
+
+import grpc
+import pytest
+
+from dragonflyhold.settings import TlsSettings
+from dragonflyhold.standins import ObjectStoreStandIn, TableStandIn, VmListStandIn
+from dragonflyhold.transport.grpc_endpoints import make_channel
+from dragonflyhold.transport.schema import operator_pb2 as pb
+from dragonflyhold.transport.schema import operator_pb2_grpc as pb_grpc
+from tests.entry.certificates import Authority
+from tests.entry.fake_config import MODEL
+from tests.entry.fake_sidecar import FakeSidecar, Plan
+from tests.entry.harness import WAIT_S, wait_until
+
+BODY = json.dumps({"model": MODEL, "prompt": "a"}).encode()
+
+
+@dataclasses.dataclass
+class Running:
+    """An entry process, its ports, and the certificates used."""
+
+    process: subprocess.Popen[bytes]
+    http_port: int
+    grpc_port: int
+    operator: TlsSettings
+    sidecar: FakeSidecar
+
+    def operate(self, tls: TlsSettings | None = None) -> pb_grpc.OperatorStub:
+        address = f"127.0.0.1:{self.grpc_port}"
+        return pb_grpc.OperatorStub(make_channel(address, tls or self.operator))
+
+    def connect(self) -> http.client.HTTPConnection:
+        return http.client.HTTPConnection("127.0.0.1", self.http_port, timeout=WAIT_S)
+
+    def get_status(self, path: str) -> int:
+        with contextlib.closing(self.connect()) as connection:
+            connection.request("GET", path)
+            return connection.getresponse().status
+
+
+def _free_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        port: int = listener.getsockname()[1]
+        return port
+
+
+def _write_settings(
+    path: pathlib.Path, urls: list[str], tls: TlsSettings, ports: list[int]
+) -> None:
+    settings = {
+        "name": "entry-1",
+        "region": "almaty",
+        "data_centre": "almaty-a",
+        "http": {"address": f"127.0.0.1:{ports[0]}", "threads": 8},
+        "grpc_address": f"127.0.0.1:{ports[1]}",
+        "platform": dict(zip(("table_url", "object_store_url", "vm_list_url"), urls, strict=True)),
+        "tls": {
+            "certificate": tls.certificate,
+            "key": tls.key,
+            "authority": tls.authority,
+            "operator_names": ["operator"],
+        },
+        "balancer_lag_s": 0.2,
+    }
+    path.write_text(json.dumps(settings), encoding="utf-8")
+
+
+def _start(path: pathlib.Path) -> "subprocess.Popen[bytes]":
+    command = [sys.executable, "-m", "dragonflyhold", "run", "entry", str(path)]
+    return subprocess.Popen(command, stderr=subprocess.PIPE)
+
+
+def _answers(running: Running) -> bool:
+    try:
+        return running.get_status("/readyz") == 200
+    except OSError:
+        return False
+
+
+@pytest.fixture
+def running(tmp_path: pathlib.Path) -> Iterator[Running]:
+    authority = Authority(tmp_path)
+    with contextlib.ExitStack() as stack:
+        stand_ins = [TableStandIn(), ObjectStoreStandIn(), VmListStandIn()]
+        for stand_in in stand_ins:
+            stand_in.start()
+            stack.callback(stand_in.stop)
+        ports = [_free_port(), _free_port()]
+        path = tmp_path / "entry.json"
+        tls = authority.issue("entry-1")
+        _write_settings(path, [stand_in.url for stand_in in stand_ins], tls, ports)
+        sidecar = FakeSidecar("runner-1", tls=authority.issue("runner-1"))
+        stack.callback(sidecar.stop)
+        process = _start(path)
+        stack.callback(process.wait)
+        stack.callback(process.kill)
+        assert process.stderr is not None
+        stack.callback(process.stderr.close)
+        made = Running(process, *ports, authority.issue("operator"), sidecar)
+        wait_until(lambda: _answers(made))
+        _configure(made)
+        yield made
+
+
+def _configure(running: Running) -> None:
+    service = pb.Service(name="tapster-lm", region="almaty", type=pb.SERVICE_TYPE_ENGINE)
+    service.base_model = "base"
+    upstream = pb.Upstream(
+        name="runner-1",
+        service="tapster-lm",
+        data_centre="almaty-a",
+        sidecar_address=running.sidecar.address,
+        slots=8,
+        batch_limit=32,
+        mode=pb.UPSTREAM_MODE_ACTIVE,
+    )
+    version = pb.AdapterVersion(service="tapster-lm", adapter="stout", version=3, weights="w/3")
+    kind = pb.RequestKind(
+        service="tapster-lm", name="default", worth=1.0, deadline_ms=10_000, idempotent=True
+    )
+    objects = [
+        pb.ConfigObject(service=service),
+        pb.ConfigObject(upstream=upstream),
+        pb.ConfigObject(adapter=pb.Adapter(service="tapster-lm", name="stout")),
+        pb.ConfigObject(version=version),
+        pb.ConfigObject(kind=kind),
+    ]
+    change = pb.ChangeRequest(change_id="first", author="test")
+    for item in objects:
+        change.operations.add(put=item)
+    reply = running.operate().Apply(change, timeout=WAIT_S)
+    assert reply.result == pb.CHANGE_RESULT_ACCEPTED, reply
+
+
+class TestEntryProcess:
+    """Guards against parts that work alone but not as the daemon that operators start."""
+
+    def test_serves_and_stops_gracefully(self, running: Running) -> None:
+        gate = threading.Event()
+        running.sidecar.plan = lambda submit: Plan(gate=gate, gate_at=1)
+        with contextlib.closing(running.connect()) as connection:
+            connection.request("POST", "/v1/completions", BODY)
+            wait_until(lambda: len(running.sidecar.requests) == 1)
+            running.process.send_signal(signal.SIGTERM)
+            wait_until(lambda: running.get_status("/readyz") == 503)
+            gate.set()
+            response = connection.getresponse()
+            assert response.status == 200
+            text = json.loads(response.read())["choices"][0]["text"]
+            assert text == "one two three"
+        assert running.process.wait(WAIT_S) == 0
+
+    def test_operators_see_the_route_of_a_request(self, running: Running) -> None:
+        with contextlib.closing(running.connect()) as connection:
+            connection.request("POST", "/v1/completions", BODY)
+            response = connection.getresponse()
+            request_id = response.headers["X-Request-Id"]
+            assert response.status == 200
+        operator = running.operate()
+        reply = operator.Explain(pb.ExplainRequest(request_id=request_id), timeout=WAIT_S)
+        texts = [event.text for event in reply.events]
+        assert texts[0].startswith("entry-1: route to runner-1")
+        assert reply.state.complete
+        status = operator.Status(pb.StatusRequest(), timeout=WAIT_S)
+        assert status.table_reachable
+        assert [row.name for row in status.upstreams] == ["runner-1"]
+
+    def test_certificate_of_a_daemon_is_no_operator(
+        self, running: Running, tmp_path: pathlib.Path
+    ) -> None:
+        authority = pathlib.Path(running.operator.authority)
+        daemon = TlsSettings(
+            certificate=str(authority.with_name("authority-entry-1.pem")),
+            key=str(authority.with_name("authority-entry-1.key")),
+            authority=str(authority),
+        )
+        with pytest.raises(grpc.RpcError) as caught:
+            running.operate(daemon).Status(pb.StatusRequest(), timeout=WAIT_S)
+        assert caught.value.code() is grpc.StatusCode.PERMISSION_DENIED
+        with pytest.raises(grpc.RpcError):
+            running.operate(TlsSettings()).Status(pb.StatusRequest(), timeout=WAIT_S)
+
+
+class TestExitStatus:
+    """Guards against a daemon that fails to start without telling the process manager."""
+
+    def test_wrong_settings(self, tmp_path: pathlib.Path) -> None:
+        path = tmp_path / "entry.json"
+        path.write_text("{}", encoding="utf-8")
+        process = _start(path)
+        _, errors = process.communicate()
+        assert process.returncode == 2
+        assert b"http" in errors
+
+    def test_port_in_use(self, tmp_path: pathlib.Path) -> None:
+        tls = Authority(tmp_path).issue("entry-1")
+        with socket.create_server(("127.0.0.1", 0)) as taken:
+            path = tmp_path / "entry.json"
+            port = taken.getsockname()[1]
+            _write_settings(path, ["http://127.0.0.1:1"] * 3, tls, [port, _free_port()])
+            process = _start(path)
+            _, errors = process.communicate()
+        assert process.returncode == 3
+        assert b"cannot start" in errors
