Correct the quarantine test: the sidecars crashed on every request

The test let all sidecars crash on any request and then expected another request to be served. The other request now meets sidecars that work.

--- a/tests/entry/test_crashes.py
+++ b/tests/entry/test_crashes.py
@@ -32,7 +32,9 @@
             again = entry.complete(stream=False)
             assert (again.error["code"], again.error["outcome"]) == ("quarantined", "not_run")
             assert len(_submits(entry)) == 2
-            assert entry.complete(stream=False, prompt="b").error["code"] != "quarantined"
+            for sidecar in entry.sidecars.values():
+                sidecar.plan = lambda submit: Plan()
+            assert entry.complete(stream=False, prompt="b").status == 200
 
     def test_third_suspected_crash_quarantines(self) -> None:
         with running_entry() as entry:
