--- a/src/dragonflyhold/entry/request_run.py
+++ b/src/dragonflyhold/entry/request_run.py
@@ -135,6 +135,10 @@
 
     def _wait_for_retry(self, info: RefusalInfo) -> Generator[RunEvent, None, None]:
         context, call = self._context, self._call
+        if info.code is ErrorCode.CONFIG_STALE and self._refused_with is None:
+            # The entry itself is cut off; its attempts would only spend the retry budget.
+            outcome = combine_outcomes(self._earlier, info.outcome)
+            raise RequestError(dataclasses.replace(info, outcome=outcome))
         attempt = FailedAttempt(
             info=info,
             earlier=self._earlier,
@@ -156,9 +160,9 @@
     def _attempt(self) -> Generator[RunEvent, None, None]:
         call, context = self._call, self._context
         self._attempts += 1
+        self._refused_with = None
         self._check_admission()
         name = self._route()
-        self._refused_with = None
         try:
             upstream = context.config.view.upstream(name)
             if upstream is None:
--- a/tests/entry/test_http_server.py
+++ b/tests/entry/test_http_server.py
@@ -1,6 +1,8 @@
 """Tests of the caller interface against malformed input and faulty callers."""
 
 import json
+import pathlib
+import re
 import socket
 import threading
 from collections.abc import Iterator
@@ -8,6 +10,7 @@
 
 import pytest
 
+from dragonflyhold.entry.replies import STATUS_BY_CODE
 from dragonflyhold.errors import ErrorCode
 from tests.entry.fake_config import MODEL
 from tests.entry.fake_sidecar import Plan
@@ -242,10 +245,15 @@
     """Guards against a code without an HTTP status or without a line in the reference."""
 
     def test_every_code_has_a_status(self) -> None:
-        from dragonflyhold.entry.replies import STATUS_BY_CODE
-
         assert set(STATUS_BY_CODE) == set(ErrorCode)
 
+    def test_reference_lists_every_code_with_its_status(self) -> None:
+        text = (pathlib.Path(__file__).parents[2] / "docs/errors.md").read_text(encoding="utf-8")
+        rows = re.findall(r"^\| `(\w+)` \| (\d+) \|", text, re.M)
+        expected = {(code.value, str(status)) for code, status in STATUS_BY_CODE.items()}
+        assert set(rows) == expected
+        assert len(rows) == len(expected)
+
 
 def _is_closed(entry: EntryHarness) -> bool:
     try:
