--- a/tests/entry/test_stateful.py
+++ b/tests/entry/test_stateful.py
@@ -192,5 +192,7 @@
     deadline=None,
     derandomize=True,
     database=None,
+    # Shrinking repeats the scenario with its threads hundreds of times, past the test timeout.
+    phases=(hypothesis.Phase.generate,),
     suppress_health_check=list(hypothesis.HealthCheck),
 )
