--- a/tests/entry/test_process.py
+++ b/tests/entry/test_process.py
@@ -51,7 +51,7 @@
             return connection.getresponse().status
 
 
-def _free_port() -> int:
+def free_port() -> int:
     with socket.create_server(("127.0.0.1", 0)) as listener:
         port: int = listener.getsockname()[1]
         return port
@@ -98,7 +98,7 @@
         for stand_in in stand_ins:
             stand_in.start()
             stack.callback(stand_in.stop)
-        ports = [_free_port(), _free_port()]
+        ports = [free_port(), free_port()]
         path = tmp_path / "entry.json"
         tls = authority.issue("entry-1")
         _write_settings(path, [stand_in.url for stand_in in stand_ins], tls, ports)
@@ -210,7 +210,7 @@
         with socket.create_server(("127.0.0.1", 0)) as taken:
             path = tmp_path / "entry.json"
             port = taken.getsockname()[1]
-            _write_settings(path, ["http://127.0.0.1:1"] * 3, tls, [port, _free_port()])
+            _write_settings(path, ["http://127.0.0.1:1"] * 3, tls, [port, free_port()])
             process = _start(path)
             _, errors = process.communicate()
         assert process.returncode == 3
