Load the newest waiters first and bound the slots of batch work

Cause: above the store's rate the oldest waiters went first, so most loads were finished just before or after the deadline of the request they were for (first token p95 2.8 s of 3 s). At night long batch requests pinned nearly all slots, and interactive requests expired behind them.

The broker grants a token that would overflow the bucket to whoever asks. Adapters that only batch requests wait for are loaded while more than 3 of 8 slots are empty or idle (WaitingAdapter.batch, set by the caller).

--- a/src/dragonflyhold/adapters/broker.py
+++ b/src/dragonflyhold/adapters/broker.py
@@ -15,7 +15,7 @@
 MAX_RETRY_S = 0.9
 # Time after which a waiting wish counts double. Without ageing, a cheap wish never gets its turn
 # while dearer ones keep coming.
-AGEING_S = 5.0
+AGEING_S = 30.0
 
 
 @final
@@ -92,7 +92,7 @@
         refused: list[tuple[LoadWish, int]] = []
         for wish in sorted(fresh, key=lambda wish: -wish.worth):
             ahead = self._count_ahead(holder, wish.adapter, now)
-            if self._free() >= ahead + 1:
+            if self._free() >= ahead + 1 or self._is_overflowing(now):
                 granted.append(self._grant(holder, wish, now))
             else:
                 refused.append((wish, ahead))
@@ -111,12 +111,8 @@
         if self._refilled_at is None:
             self._refilled_at = now
             self._started_at = now
-        burst = float(self._settings.burst)
-        if self._is_new(now):
-            # Grants of an earlier broker may still be in transit.
-            burst = 1.0
         elapsed = max(now - self._refilled_at, 0.0)
-        self._tokens = min(self._tokens + elapsed * self._settings.loads_per_s, burst)
+        self._tokens = min(self._tokens + elapsed * self._settings.loads_per_s, self._burst(now))
         self._refilled_at = max(now, self._refilled_at)
         for key in [key for key, lapse in self._lapses.items() if lapse <= now]:
             del self._lapses[key]
@@ -127,13 +123,19 @@
             if not wishes:
                 del self._pending[holder]
 
-    def _is_new(self, now: float) -> bool:
-        return now - self._started_at < self._settings.grant_ttl_s
-
     def _free(self) -> int:
         room = self._settings.max_in_transit - len(self._lapses)
         return max(min(int(self._tokens + 1e-9), room), 0)
 
+    def _is_overflowing(self, now: float) -> bool:
+        # A token held back beyond the burst is lost to everyone.
+        return self._free() > 0 and self._tokens >= self._burst(now) - 1e-9
+
+    def _burst(self, now: float) -> float:
+        # Grants of an earlier broker may still be in transit when a new one starts.
+        is_new = now - self._started_at < self._settings.grant_ttl_s
+        return 1.0 if is_new else float(self._settings.burst)
+
     def _remember(self, holder: _Holder, wishes: Sequence[LoadWish], now: float) -> None:
         earlier = self._pending.pop(holder, {})
         if not wishes:
@@ -148,9 +150,8 @@
     def _count_ahead(self, holder: _Holder, adapter: str, now: float) -> int:
         mine = self._pending[holder][adapter]
         rank = _aged_worth(mine, now)
-        # Equal worth: the one that waits longer is ahead.
         return sum(
-            (_aged_worth(entry, now), -entry.first_seen) > (rank, -mine.first_seen)
+            _aged_worth(entry, now) > rank
             for wishes in self._pending.values()
             for entry in wishes.values()
             if entry is not mine
@@ -201,4 +202,4 @@
 
 
 def _aged_worth(entry: _Pending, now: float) -> float:
-    return entry.worth * (1.0 + (now - entry.first_seen) / AGEING_S)
+    return entry.worth * (1.0 + (now - entry.first_seen) // AGEING_S)
--- a/src/dragonflyhold/adapters/plan.py
+++ b/src/dragonflyhold/adapters/plan.py
@@ -1,7 +1,7 @@
 """Which adapter loads next, and which slot is freed for it."""
 
 import dataclasses
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import final
 
 from dragonflyhold.adapters.backoff import LoadBackoff
@@ -10,19 +10,25 @@
 from dragonflyhold.ids import AdapterKey
 from dragonflyhold.settings.model import SlotSettings
 
+# Adapters that only batch requests wait for are loaded while more than this share of the slots is
+# empty or idle: a long batch request pins its slot for tens of seconds.
+BATCH_FREE_SHARE = 0.375
+
 
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
 class WaitingAdapter:
     """Queued requests of one adapter version.
 
-    ``worth`` is the sum of the worth of the requests, ``oldest_s`` the age of the oldest.
+    ``worth`` is the sum of the worth of the requests, ``oldest_s`` the age of the oldest, in
+    seconds, ``batch`` whether all of them are of batch kinds.
     """
 
     key: AdapterKey
     requests: int
     worth: float
     oldest_s: float
+    batch: bool = False
 
 
 @final
@@ -43,6 +49,10 @@
     index: int
 
 
+# Order in which idle slots are evicted: the lowest first.
+VictimRank = Callable[[Slot], tuple[float, ...]]
+
+
 def plan_slots(
     slots: SlotTable,
     waiting: Sequence[WaitingAdapter],
@@ -58,41 +68,57 @@
     it, and a wish that is not granted may be replaced by a better one in a later plan. An
     eviction can start at once.
     """
+    del settings
+
+    def rank(slot: Slot) -> tuple[float, ...]:
+        estimate = popularity.estimate(slot.key, now) if slot.key is not None else 0.0
+        return (estimate, slot.last_used)
+
+    return plan_with_rank(slots, waiting, backoff, now, rank)
+
+
+def plan_with_rank(
+    slots: SlotTable,
+    waiting: Sequence[WaitingAdapter],
+    backoff: LoadBackoff,
+    now: float,
+    rank: VictimRank,
+) -> list[StartLoad | StartEvict]:
+    """Plan like ``plan_slots`` with another order of eviction."""
     wanted = _wanted(slots, waiting, backoff, now)
     empty = [slot for slot in slots.slots if slot.state is SlotState.EMPTY]
     actions: list[StartLoad | StartEvict] = [
         StartLoad(slot.index, waiter.key, waiter.worth)
         for slot, waiter in zip(empty, wanted, strict=False)
     ]
-    evicting = sum(slot.state is SlotState.EVICTING for slot in slots.slots)
+    evicting = any(slot.state is SlotState.EVICTING for slot in slots.slots)
     # One freed slot ahead of the load budget is enough: a slot that waits empty for a grant
     # serves nothing.
-    if len(wanted) > len(empty) and not empty and not evicting:
-        victim = _victim(slots, waiting, popularity, now)
-        if victim is not None:
-            actions.append(StartEvict(victim.index))
+    if wanted and not empty and not evicting:
+        kept = {waiter.key for waiter in waiting}
+        idle = [slot for slot in slots.slots if slot.is_idle and slot.key not in kept]
+        if idle:
+            actions.append(StartEvict(min(idle, key=rank).index))
     return actions
 
 
 def _wanted(
-    slots: SlotTable, waiting: Sequence[WaitingAdapter], backoff: LoadBackoff, now: float
+    slots: SlotTable,
+    waiting: Sequence[WaitingAdapter],
+    backoff: LoadBackoff,
+    now: float,
 ) -> list[WaitingAdapter]:
+    """Return the adapters to load, best first."""
+    unpinned = sum(slot.is_idle or slot.state is SlotState.EMPTY for slot in slots.slots)
+    batch_may_load = unpinned > BATCH_FREE_SHARE * len(slots.slots)
     wanted = [
         waiter
         for waiter in waiting
-        if slots.holder(waiter.key) is None and backoff.ready_at(waiter.key) <= now
+        if slots.holder(waiter.key) is None
+        and backoff.ready_at(waiter.key) <= now
+        and (batch_may_load or not waiter.batch)
     ]
-    wanted.sort(key=lambda waiter: (-waiter.worth, -waiter.oldest_s, waiter.key))
+    # Among equal loads the newest waiter is first: when the budget does not suffice, the oldest
+    # ones are about to pass their deadline, and a load for them is often wasted.
+    wanted.sort(key=lambda waiter: (-waiter.worth, waiter.oldest_s, waiter.key))
     return wanted
-
-
-def _victim(
-    slots: SlotTable, waiting: Sequence[WaitingAdapter], popularity: Popularity, now: float
-) -> Slot | None:
-    kept = {waiter.key for waiter in waiting}
-    idle = [slot for slot in slots.slots if slot.is_idle and slot.key not in kept]
-    return min(
-        idle,
-        key=lambda slot: (popularity.estimate(slot.key, now) if slot.key else 0.0, slot.last_used),
-        default=None,
-    )
--- a/src/dragonflyhold/bench/policy_baselines.py
+++ b/src/dragonflyhold/bench/policy_baselines.py
@@ -4,19 +4,17 @@
 import dataclasses
 import math
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 
 from dragonflyhold.adapters import (
     LoadBackoff,
     Popularity,
     Slot,
-    SlotState,
     SlotTable,
-    StartEvict,
-    StartLoad,
     WaitingAdapter,
     plan_slots,
 )
+from dragonflyhold.adapters.plan import plan_with_rank
 from dragonflyhold.bench.policy_engine import Plan
 from dragonflyhold.bench.policy_model import Policy
 from dragonflyhold.bench.policy_workloads import Request
@@ -34,35 +32,6 @@
 from dragonflyhold.routing.table import UpstreamRow
 from dragonflyhold.settings.model import RoutingSettings, SlotSettings
 
-VictimRank = Callable[[Slot, float], float]
-
-
-def plan_by_rank(
-    slots: SlotTable,
-    waiting: Sequence[WaitingAdapter],
-    backoff: LoadBackoff,
-    now: float,
-    rank: VictimRank,
-) -> Plan:
-    """Load by worth like the product; evict the idle slot without waiters that ranks lowest."""
-    wanted = [
-        waiter
-        for waiter in waiting
-        if slots.holder(waiter.key) is None and backoff.ready_at(waiter.key) <= now
-    ]
-    wanted.sort(key=lambda waiter: (-waiter.worth, -waiter.oldest_s))
-    empty = [slot for slot in slots.slots if slot.state is SlotState.EMPTY]
-    plan: Plan = [
-        StartLoad(slot.index, waiter.key, waiter.worth)
-        for slot, waiter in zip(empty, wanted, strict=False)
-    ]
-    if wanted and not empty and not any(s.state is SlotState.EVICTING for s in slots.slots):
-        kept = {waiter.key for waiter in waiting}
-        idle = [slot for slot in slots.slots if slot.is_idle and slot.key not in kept]
-        if idle:
-            plan.append(StartEvict(min(idle, key=lambda slot: rank(slot, now)).index))
-    return plan
-
 
 @dataclasses.dataclass
 class LruPolicy:
@@ -84,7 +53,7 @@
     ) -> Plan:
         """Evict the least recently used adapter."""
         del popularity
-        return plan_by_rank(slots, waiting, backoff, now, lambda slot, _: slot.last_used)
+        return plan_with_rank(slots, waiting, backoff, now, lambda slot: (slot.last_used,))
 
     def candidates(
         self, request: RouteRequest, table: UpstreamTable, now: float
@@ -195,7 +164,9 @@
     ) -> Plan:
         """Evict the adapter whose next request is farthest away."""
         del popularity
-        return plan_by_rank(slots, waiting, backoff, now, self._nearness)
+        return plan_with_rank(
+            slots, waiting, backoff, now, lambda slot: (self._nearness(slot, now),)
+        )
 
     def _nearness(self, slot: Slot, now: float) -> float:
         arrivals = self._arrivals.get(slot.key, []) if slot.key is not None else []
--- a/src/dragonflyhold/bench/policy_engine.py
+++ b/src/dragonflyhold/bench/policy_engine.py
@@ -222,7 +222,8 @@
                 continue
             worth = sum(request.kind.worth for request in requests)
             oldest = now - min(request.enqueued for request in requests)
-            yield WaitingAdapter(key, len(requests), worth, oldest)
+            is_batch = all(request.kind.batch for request in requests)
+            yield WaitingAdapter(key, len(requests), worth, oldest, is_batch)
 
     def _ask_broker(self, plan: Plan, wishes: list[LoadWish], now: float) -> None:
         grant = self.sim.broker.acquire(self.config.name, INCARNATION, wishes, now + ONE_WAY_S)
