Evict adapters that fell silent before less frequent ones

Cause: after a shift the counts of the formerly popular adapters kept them resident for minutes, while the new popular ones were evicted.

Change: an adapter that is silent for more than 4 of its mean gaps loses its rank exponentially. At a constant rate that happens with a probability of 2%.

Ruled out: a shorter half-life, which makes the order of rarely requested adapters random.

--- a/src/dragonflyhold/adapters/plan.py
+++ b/src/dragonflyhold/adapters/plan.py
@@ -1,6 +1,7 @@
 """Which adapter loads next, and which slot is freed for it."""
 
 import dataclasses
+import math
 from collections.abc import Callable, Sequence
 from typing import final
 
@@ -13,6 +14,8 @@
 # Adapters that only batch requests wait for are loaded while more than this share of the slots is
 # empty or idle: a long batch request pins its slot for tens of seconds.
 BATCH_FREE_SHARE = 0.375
+# Mean gaps between requests after which a silent adapter counts as no longer popular.
+STALE_GAPS = 4.0
 
 
 @final
@@ -68,11 +71,9 @@
     it, and a wish that is not granted may be replaced by a better one in a later plan. An
     eviction can start at once.
     """
-    del settings
 
     def rank(slot: Slot) -> tuple[float, ...]:
-        estimate = popularity.estimate(slot.key, now) if slot.key is not None else 0.0
-        return (estimate, slot.last_used)
+        return (_likely_use(slot, popularity, now, settings), slot.last_used)
 
     return plan_with_rank(slots, waiting, backoff, now, rank)
 
@@ -122,3 +123,17 @@
     # ones are about to pass their deadline, and a load for them is often wasted.
     wanted.sort(key=lambda waiter: (-waiter.worth, waiter.oldest_s, waiter.key))
     return wanted
+
+
+def _likely_use(slot: Slot, popularity: Popularity, now: float, settings: SlotSettings) -> float:
+    """Return the decayed request count, lowered once the adapter is silent for too long.
+
+    At its estimated rate an adapter is silent for ``STALE_GAPS`` mean gaps with a probability of
+    2%, so a longer silence means that its popularity has changed.
+    """
+    if slot.key is None:
+        return 0.0
+    estimate = popularity.estimate(slot.key, now)
+    rate = estimate * math.log(2) / settings.popularity_half_life_s
+    gaps = rate * (now - slot.last_used)
+    return estimate * math.exp(min(STALE_GAPS - gaps, 0.0))
