Add fault experiments against real processes

Cause: the promises hold under overlapping faults only if something draws them together and compares what callers were told with what the upstreams recorded.

Change: 'dragonflyhold faults' draws kills, freezes, stops, engine crashes, silences, failed loads and platform outages from a seed, sends requests and racing changes meanwhile, and checks each promise against the journals of the stand-ins. Plain services now get the request id as Idempotency-Key.

--- a/src/dragonflyhold/cli/root.py
+++ b/src/dragonflyhold/cli/root.py
@@ -16,6 +16,7 @@
     "demo": ("dragonflyhold.cli.demo", "demo_command"),
     "drain": ("dragonflyhold.cli.changes", "drain_command"),
     "explain": ("dragonflyhold.cli.inspect", "explain_command"),
+    "faults": ("dragonflyhold.cli.faults", "faults_command"),
     "run": ("dragonflyhold.cli.run", "run_group"),
     "settings": ("dragonflyhold.cli.settings", "settings_group"),
     "standin": ("dragonflyhold.cli.standin", "standin_group"),
--- /dev/null
+++ b/src/dragonflyhold/faults/callers.py
@@ -0,0 +1,236 @@
+"""Callers of an experiment: they send, try other entries, and record what they are told.
+
+A caller sends a request again only as the interface allows: an idempotent one after any outcome,
+one with a permit under the same permit.
+"""
+
+import dataclasses
+import itertools
+import json
+import random
+import threading
+import time
+import urllib.parse
+from collections.abc import Callable, Sequence
+from typing import Any, final
+
+import urllib3
+
+from dragonflyhold.faults.oracle import Told
+from dragonflyhold.states import Outcome
+
+CALL_TIMEOUT_S = 25.0
+DEADLINE_MS = 20_000
+MAX_SENDS = 4
+SEND_GAP_S = 0.3
+PERMIT_SENDS = 10
+# Connections of a caller are not kept: an entry that is killed must not look like a silent line.
+_HEADERS = {"Connection": "close", "X-Deadline-Ms": str(DEADLINE_MS)}
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RequestPlan:
+    """One request to send; the prompt is unique."""
+
+    service: str
+    # Empty for plain-service calls.
+    adapter: str
+    version: int
+    weights: str
+    kind: str
+    idempotent: bool
+    prompt: str
+    max_tokens: int
+    stream: bool
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Heard:
+    outcome: Outcome
+    code: str
+    text: str
+
+
+@final
+class ExperimentCaller:
+    """Sends requests to all entries in turn."""
+
+    def __init__(self, name: str, entry_urls: Sequence[str], rng: random.Random) -> None:
+        self._name = name
+        self._urls = list(entry_urls)
+        self._rng = rng
+        self._http = urllib3.PoolManager(retries=False, timeout=CALL_TIMEOUT_S)
+
+    def send(self, plan: RequestPlan) -> Told | None:
+        """Send a request until its fate is known; ``None`` if no permit was to be had."""
+        sent_at = time.time()
+        permit = "" if plan.idempotent else self._fetch_permit(plan)
+        if not plan.idempotent and not permit:
+            return None
+        heard: list[_Heard] = []
+        for url in itertools.islice(itertools.cycle(self._shuffled()), MAX_SENDS):
+            heard.append(self._send_once(url, plan, permit))
+            if heard[-1].outcome in (Outcome.OK, Outcome.FAILED):
+                break
+            if heard[-1].code in ("unknown_version", "quarantined"):
+                break
+            time.sleep(SEND_GAP_S)
+        return Told(
+            prompt=plan.prompt,
+            weights=plan.weights,
+            idempotent=plan.idempotent,
+            outcomes=tuple(item.outcome for item in heard),
+            codes=tuple(item.code for item in heard),
+            text=heard[-1].text,
+            max_tokens=plan.max_tokens,
+            sent_at=sent_at,
+            ended_at=time.time(),
+            permit=permit,
+        )
+
+    def _shuffled(self) -> list[str]:
+        return self._rng.sample(self._urls, len(self._urls))
+
+    def _fetch_permit(self, plan: RequestPlan) -> str:
+        body: dict[str, object] = {"service": plan.service, "kind": plan.kind, "count": 1}
+        if plan.adapter:
+            body["adapter"] = f"{plan.adapter}:{plan.version}"
+        for _ in range(PERMIT_SENDS):
+            try:
+                reply = self._http.request(
+                    "POST",
+                    f"{self._rng.choice(self._urls)}/v1/permits",
+                    json=body,
+                    headers=self._headers(plan, ""),
+                )
+                if reply.status == 200:
+                    return str(reply.json()["permits"][0])
+            except (urllib3.exceptions.HTTPError, ValueError):
+                pass
+            time.sleep(SEND_GAP_S)
+        return ""
+
+    def _send_once(self, url: str, plan: RequestPlan, permit: str) -> _Heard:
+        try:
+            if not plan.adapter:
+                return self._call_plain(url, plan, permit)
+            return self._complete(url, plan, permit)
+        except (urllib3.exceptions.HTTPError, ValueError, KeyError) as error:
+            # The line broke, so the caller knows nothing.
+            return _Heard(Outcome.IN_DOUBT, type(error).__name__, "")
+
+    def _complete(self, url: str, plan: RequestPlan, permit: str) -> _Heard:
+        body = {
+            "model": f"{plan.service}/{plan.adapter}:{plan.version}",
+            "prompt": plan.prompt,
+            "max_tokens": plan.max_tokens,
+            "stream": plan.stream,
+        }
+        reply = self._http.request(
+            "POST",
+            f"{url}/v1/completions",
+            json=body,
+            headers=self._headers(plan, permit),
+            preload_content=not plan.stream,
+        )
+        if reply.status != 200:
+            return _error(json.loads(reply.data))
+        if plan.stream:
+            return _read_events(reply)
+        return _Heard(Outcome.OK, "", reply.json()["choices"][0]["text"])
+
+    def _call_plain(self, url: str, plan: RequestPlan, permit: str) -> _Heard:
+        service = urllib.parse.quote(plan.service, safe="")
+        reply = self._http.request(
+            "POST",
+            f"{url}/v1/services/{service}/call/redeem",
+            json={"account": plan.prompt},
+            headers=self._headers(plan, permit),
+        )
+        data = json.loads(reply.data)
+        if reply.status != 200:
+            return _error(data)
+        return _Heard(Outcome.OK, "", "")
+
+    def _headers(self, plan: RequestPlan, permit: str) -> dict[str, str]:
+        headers = {**_HEADERS, "X-Caller-Id": self._name, "X-Request-Kind": plan.kind}
+        if permit:
+            headers["Idempotency-Key"] = permit
+        return headers
+
+
+def _read_events(reply: urllib3.BaseHTTPResponse) -> _Heard:
+    pieces: list[str] = []
+    event = ""
+    for line in reply:
+        name, _, value = line.decode().rstrip("\n").partition(": ")
+        match name, event:
+            case "event", _:
+                event = value
+            case "data", "end":
+                return _Heard(Outcome.OK, "", "".join(pieces))
+            case "data", "error":
+                return _error(json.loads(value))
+            case "data", "":
+                pieces.append(json.loads(value)["choices"][0]["text"])
+            case "", _:
+                event = ""
+    return _Heard(Outcome.IN_DOUBT, "stream_cut", "".join(pieces))
+
+
+def _error(data: Any) -> _Heard:
+    error = data["error"]
+    return _Heard(Outcome(error["outcome"]), str(error["code"]), "")
+
+
+@final
+class CallerThreads:
+    """Threads that send requests until told to stop."""
+
+    def __init__(
+        self,
+        count: int,
+        entry_urls: Sequence[str],
+        seed: int,
+        make_plan: Callable[[random.Random, int], RequestPlan],
+    ) -> None:
+        self.told: list[Told] = []
+        self.without_permit = 0
+        self._make_plan = make_plan
+        self._numbers = itertools.count()
+        self._stopping = threading.Event()
+        self._lock = threading.Lock()
+        self._threads = [
+            threading.Thread(
+                target=self._run,
+                args=(f"caller-{index}", list(entry_urls), random.Random(f"{seed}.{index}")),
+                daemon=True,
+            )
+            for index in range(count)
+        ]
+
+    def start(self) -> None:
+        """Start sending."""
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> bool:
+        """Stop sending; return whether every request has ended."""
+        self._stopping.set()
+        deadline = time.monotonic() + MAX_SENDS * CALL_TIMEOUT_S
+        for thread in self._threads:
+            thread.join(max(0.0, deadline - time.monotonic()))
+        return not any(thread.is_alive() for thread in self._threads)
+
+    def _run(self, name: str, entry_urls: Sequence[str], rng: random.Random) -> None:
+        caller = ExperimentCaller(name, entry_urls, rng)
+        while not self._stopping.is_set():
+            told = caller.send(self._make_plan(rng, next(self._numbers)))
+            with self._lock:
+                if told is None:
+                    self.without_permit += 1
+                else:
+                    self.told.append(told)
+            self._stopping.wait(rng.uniform(0.0, 0.2))
--- /dev/null
+++ b/src/dragonflyhold/faults/injector.py
@@ -0,0 +1,100 @@
+"""Applies a schedule of faults to the processes and stand-ins of a deployment."""
+
+import threading
+import time
+from collections.abc import Sequence
+from typing import final
+
+import urllib3
+
+from dragonflyhold.demo.launcher import Deployment
+from dragonflyhold.demo.processes import ManagedProcess
+from dragonflyhold.faults.schedule import (
+    CrashEngine,
+    Fault,
+    FreezeProcess,
+    KillProcess,
+    SetStandInFault,
+    StopProcess,
+    TimedFault,
+)
+from dragonflyhold.observability import PartLogger
+
+# A graceful stop is given up, and the process killed, after this time.
+STOP_TIMEOUT_S = 40.0
+
+_logger = PartLogger("faults")
+
+
+@final
+class FaultInjector:
+    """Runs each fault in a thread of its own."""
+
+    def __init__(self, deployment: Deployment) -> None:
+        self._deployment = deployment
+        self._threads: list[threading.Thread] = []
+        self._stops: dict[str, list[tuple[float, float]]] = {}
+        self.overdue_stops: list[str] = []
+
+    @property
+    def stops(self) -> dict[str, list[tuple[float, float]]]:
+        """Per upstream: Unix times of SIGTERM of its sidecar and of the next start."""
+        return self._stops
+
+    def run(self, schedule: Sequence[TimedFault]) -> None:
+        """Start the faults at their times; return when all have ended."""
+        started = time.monotonic()
+        for timed in schedule:
+            time.sleep(max(0.0, started + timed.at_s - time.monotonic()))
+            _logger.info("Fault.", at_s=round(timed.at_s, 1), fault=timed.fault)
+            thread = threading.Thread(target=self._apply, args=(timed.fault,), daemon=True)
+            thread.start()
+            self._threads.append(thread)
+        for thread in self._threads:
+            thread.join()
+
+    def _apply(self, fault: Fault) -> None:
+        match fault:
+            case KillProcess(name, down_s):
+                process = self._process(name)
+                process.kill()
+                time.sleep(down_s)
+                process.start()
+            case FreezeProcess(name, down_s):
+                process = self._process(name)
+                process.freeze()
+                time.sleep(down_s)
+                process.thaw()
+            case StopProcess(name, down_s):
+                self._stop_process(name, down_s)
+            case SetStandInFault(name, faults, cleared, down_s):
+                self._set(name, dict(faults))
+                time.sleep(down_s)
+                self._set(name, dict(cleared))
+            case CrashEngine(upstream):
+                self._set(upstream, {"crash": True})
+
+    def _stop_process(self, name: str, down_s: float) -> None:
+        process = self._process(name)
+        stopped_at = time.time()
+        process.terminate()
+        if not process.wait(STOP_TIMEOUT_S):
+            self.overdue_stops.append(name)
+            process.kill()
+        time.sleep(down_s)
+        upstream = name.removeprefix("sidecar-")
+        if upstream != name:
+            self._stops.setdefault(upstream, []).append((stopped_at, time.time()))
+        process.start()
+
+    def _set(self, name: str, faults: dict[str, object]) -> None:
+        try:
+            self._deployment.set_fault(name, **faults)
+        except urllib3.exceptions.HTTPError as error:
+            _logger.error("Fault was not set.", stand_in=name, error=error)
+
+    def _process(self, name: str) -> ManagedProcess:
+        deployment = self._deployment
+        processes = [entry.process for entry in deployment.entries]
+        processes += [sidecar.process for sidecar in deployment.sidecars.values()]
+        return next(process for process in processes if process.name == name)
--- /dev/null
+++ b/src/dragonflyhold/faults/oracle.py
@@ -0,0 +1,228 @@
+"""Compares what callers and operators were told with what the upstreams recorded; no I/O."""
+
+import collections
+import dataclasses
+import hashlib
+import itertools
+from collections.abc import Iterable, Mapping, Sequence
+from typing import Any, final
+
+from dragonflyhold.states import Outcome
+
+# Time after its acceptance from which a change must be in force everywhere.
+IN_FORCE_S = 7.0
+# Time after SIGTERM from which a sidecar's upstream must start nothing new.
+LEAVING_S = 3.0
+# Crashes of upstreams that one request may cause in a region.
+CRASH_BOUND = 3
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Told:
+    """What a caller was told about one request, after all its own attempts."""
+
+    # Unique per request, so that runs can be found by it.
+    prompt: str
+    # Empty for plain-service calls.
+    weights: str
+    idempotent: bool
+    outcomes: tuple[Outcome, ...]
+    codes: tuple[str, ...]
+    text: str
+    max_tokens: int
+    # Unix times in seconds.
+    sent_at: float
+    ended_at: float
+    permit: str = ""
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class AcceptedChange:
+    """A version that replaced the one before."""
+
+    service: str
+    adapter: str
+    old_version: int
+    new_version: int
+    accepted_at: float
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Violation:
+    """A promise that was broken."""
+
+    promise: str
+    text: str
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Evidence:
+    """Everything that an experiment recorded."""
+
+    told: Sequence[Told]
+    # Per upstream.
+    engine_journals: Mapping[str, Mapping[str, Any]]
+    plain_journals: Mapping[str, Mapping[str, Any]]
+    changes: Sequence[AcceptedChange]
+    # Versions per (service, adapter) in the configuration at the end.
+    final_versions: Mapping[tuple[str, str], frozenset[int]]
+    # Per upstream: Unix times of SIGTERM and of the next start.
+    stops: Mapping[str, Sequence[tuple[float, float]]]
+    # Per daemon run, in order of time.
+    revisions: Mapping[str, Sequence[int]]
+    poison_prompts: Sequence[str]
+
+
+def prompt_digest(prompt: str) -> str:
+    """Return the digest that the engine stand-in records of a prompt."""
+    return hashlib.sha256(prompt.encode()).hexdigest()[:16]
+
+
+def expected_text(weights: str, prompt: str, max_tokens: int) -> str:
+    """Return the complete answer of the engine stand-in."""
+    rest = "".join(f" t{index}" for index in range(1, max_tokens))
+    return f"[weights={weights} prompt={prompt_digest(prompt)}]{rest}"
+
+
+def find_violations(evidence: Evidence) -> list[Violation]:
+    """Check every promise."""
+    return [
+        *_check_answers(evidence),
+        *_check_not_run(evidence),
+        *_check_at_most_once(evidence),
+        *_check_evictions(evidence),
+        *_check_leaving(evidence),
+        *_check_configuration(evidence),
+        *_check_crashes(evidence),
+    ]
+
+
+def _check_answers(evidence: Evidence) -> Iterable[Violation]:
+    for told in evidence.told:
+        if not told.weights or told.outcomes[-1] is not Outcome.OK:
+            continue
+        expected = expected_text(told.weights, told.prompt, told.max_tokens)
+        if told.text != expected:
+            text = f"{told.prompt!r} got {told.text[:200]!r}, expected {expected[:200]!r}"
+            yield Violation("exact adapter and whole answer", text)
+
+
+def _check_not_run(evidence: Evidence) -> Iterable[Violation]:
+    runs = collections.Counter(_completion_runs(evidence))
+    calls = collections.Counter(_plain_runs(evidence))
+    for told in evidence.told:
+        if told.permit:
+            # Later attempts under the same permit may have run it.
+            is_refused = told.outcomes[-1] is Outcome.NOT_RUN
+            count = runs[("permit", told.permit)] + calls[told.permit]
+        else:
+            is_refused = all(outcome is Outcome.NOT_RUN for outcome in told.outcomes)
+            count = runs[("prompt", prompt_digest(told.prompt))]
+        if is_refused and count:
+            text = f"{told.prompt!r} told {told.codes}, but ran {count} times"
+            yield Violation("not run is true", text)
+
+
+def _check_at_most_once(evidence: Evidence) -> Iterable[Violation]:
+    runs = collections.Counter(_completion_runs(evidence))
+    calls = collections.Counter(_plain_runs(evidence))
+    for told in evidence.told:
+        if told.idempotent or not told.permit:
+            continue
+        by_prompt = runs[("prompt", prompt_digest(told.prompt))]
+        count = max(by_prompt, runs[("permit", told.permit)]) + calls[told.permit]
+        if count > 1:
+            yield Violation("at most once", f"permit {told.permit} ran {count} times")
+        if told.outcomes[-1] is Outcome.OK and count == 0:
+            yield Violation("at most once", f"permit {told.permit} answered without a run")
+
+
+def _check_evictions(evidence: Evidence) -> Iterable[Violation]:
+    for upstream, journal in evidence.engine_journals.items():
+        for text in journal["violations"]:
+            yield Violation("never evicted in flight", f"{upstream}: {text}")
+
+
+def _check_leaving(evidence: Evidence) -> Iterable[Violation]:
+    for upstream, windows in evidence.stops.items():
+        journal = evidence.engine_journals.get(upstream)
+        if journal is None:
+            continue
+        for stopped_at, restarted_at in windows:
+            late = [
+                run["request_id"]
+                for run in journal["runs"]
+                if stopped_at + LEAVING_S < run["started_at"] < restarted_at
+            ]
+            told = [t for t in evidence.told if t.sent_at > stopped_at + LEAVING_S]
+            digests = {prompt_digest(t.prompt) for t in told}
+            late = [
+                run["request_id"]
+                for run in journal["runs"]
+                if run["request_id"] in late and run["prompt_digest"] in digests
+            ]
+            if late:
+                yield Violation("leaving upstream", f"{upstream} started {late}")
+
+
+def _check_configuration(evidence: Evidence) -> Iterable[Violation]:
+    removed_at: dict[str, float] = {}
+    added_at: dict[str, float] = {}
+    for change in evidence.changes:
+        base = f"{change.service}/{change.adapter}"
+        removed_at[f"{base}/{change.old_version}"] = change.accepted_at
+        added_at[f"{base}/{change.new_version}"] = change.accepted_at
+        versions = evidence.final_versions.get((change.service, change.adapter), frozenset())
+        newest = max(
+            other.new_version
+            for other in evidence.changes
+            if (other.service, other.adapter) == (change.service, change.adapter)
+        )
+        if newest not in versions:
+            text = f"{base} has versions {sorted(versions)}, {newest} was accepted"
+            yield Violation("configuration never reverts", text)
+    for told in evidence.told:
+        added, removed = added_at.get(told.weights), removed_at.get(told.weights)
+        is_late = added is not None and told.sent_at > added + IN_FORCE_S
+        was_there = removed is None or told.ended_at < removed
+        if is_late and was_there and "unknown_version" in told.codes:
+            yield Violation("in force everywhere", f"{told.weights} unknown when sent")
+        is_removed = removed is not None and told.sent_at > removed + IN_FORCE_S
+        if is_removed and told.outcomes[-1] is Outcome.OK:
+            yield Violation("in force everywhere", f"{told.weights} served after removal")
+    for daemon, revisions in evidence.revisions.items():
+        if any(later < earlier for earlier, later in itertools.pairwise(revisions)):
+            yield Violation("configuration never reverts", f"{daemon} went back: {revisions}")
+
+
+def _check_crashes(evidence: Evidence) -> Iterable[Violation]:
+    crashes = collections.Counter(
+        run["prompt_digest"]
+        for journal in evidence.engine_journals.values()
+        for run in journal["runs"]
+        if run["state"] == "crashed"
+    )
+    poison = {prompt_digest(prompt): prompt for prompt in evidence.poison_prompts}
+    for digest, prompt in poison.items():
+        if crashes[digest] > CRASH_BOUND:
+            yield Violation("crashing request", f"{prompt!r} crashed {crashes[digest]} upstreams")
+    for told in evidence.told:
+        if "quarantined" in told.codes and told.prompt not in evidence.poison_prompts:
+            yield Violation("crashing request", f"{told.prompt!r} was condemned for another")
+
+
+def _completion_runs(evidence: Evidence) -> Iterable[tuple[str, str]]:
+    for journal in evidence.engine_journals.values():
+        for run in journal["runs"]:
+            yield "permit", run["request_id"]
+            yield "prompt", run["prompt_digest"]
+
+
+def _plain_runs(evidence: Evidence) -> Iterable[str]:
+    for journal in evidence.plain_journals.values():
+        for call in journal["calls"]:
+            yield str(call["key"])
--- a/src/dragonflyhold/sidecar/runs.py
+++ b/src/dragonflyhold/sidecar/runs.py
@@ -175,9 +175,11 @@
     def run(self) -> RunFinished:
         """Hand the request over and buffer its answer; returns when it has ended."""
         payload = self._payload
+        # Lets the plain service recognise the request in its own records.
+        headers = {**payload.headers, "Idempotency-Key": self._request_id}
         try:
             response = self._client.call(
-                payload.method, payload.path, payload.headers, payload.data, self._timeout_s
+                payload.method, payload.path, headers, payload.data, self._timeout_s
             )
             for start in range(0, len(response.body), PLAIN_PIECE_BYTES):
                 piece = response.body[start : start + PLAIN_PIECE_BYTES]
--- a/src/dragonflyhold/standins/engine_model.py
+++ b/src/dragonflyhold/standins/engine_model.py
@@ -44,6 +44,8 @@
     produced: int = 0
     # Shows an open connection that goes silent for good.
     silenced: bool = False
+    # Unix time in seconds.
+    started_at: float = dataclasses.field(default_factory=time.time)
 
     @property
     def crash_after(self) -> int | None:
@@ -51,12 +53,16 @@
         marker = _CRASH_MARKER.search(self.prompt)
         return int(marker[1] or 0) if marker else None
 
+    @property
+    def prompt_digest(self) -> str:
+        """Start of the SHA-256 of the prompt, in hexadecimal."""
+        return hashlib.sha256(self.prompt.encode()).hexdigest()[:16]
+
     def piece(self, index: int) -> str:
         """Return a piece of the answer; the first names the weights and the prompt."""
         if index:
             return f" t{index}"
-        digest = hashlib.sha256(self.prompt.encode()).hexdigest()[:16]
-        return f"[weights={self.weights} prompt={digest}]"
+        return f"[weights={self.weights} prompt={self.prompt_digest}]"
 
     def event(self, index: int) -> bytes:
         """Return a piece as a server-sent event."""
@@ -67,7 +73,7 @@
     def to_json(self) -> dict[str, object]:
         """Return the journal entry."""
         names = ("number", "request_id", "model", "weights", "boot_id", "state", "produced")
-        return {name: getattr(self, name) for name in names}
+        return {name: getattr(self, name) for name in (*names, "prompt_digest", "started_at")}
 
 
 def make_run(
