Add scenarios for the promises under failure

Cause: each promise needs a run against real processes that are killed, frozen, stopped or cut off from the platform.

The scenario of a request that crashes its engines fails: its caller is told no_upstream and not quarantined.

--- a/features/steps/deployment_steps.py
+++ b/features/steps/deployment_steps.py
@@ -3,7 +3,7 @@
 import json
 
 import urllib3
-from behave import given, then, when
+from behave import given, step, then, when
 from behave.runner import Context
 
 from dragonflyhold.demo.caller import AnswerError
@@ -72,7 +72,7 @@
     ask(context, model, prompt)
 
 
-@when('the caller asks "{model}" until there is an answer')
+@step('the caller asks "{model}" until there is an answer')
 def ask_until_answered(context: Context, model: str) -> None:
     def is_answered() -> bool:
         ask(context, model, "until answered")
--- /dev/null
+++ b/features/steps/promise_steps.py
@@ -0,0 +1,291 @@
+"""Steps about the promises that must hold under failure."""
+
+import hashlib
+import json
+import subprocess
+import sys
+import threading
+import time
+
+import urllib3
+from behave import given, step, then, when
+from behave.runner import Context
+from steps.deployment_steps import find_process
+
+from dragonflyhold.demo.caller import Answer, AnswerError, Caller
+from dragonflyhold.demo.operations import weights_path
+from dragonflyhold.demo.processes import wait_until
+from dragonflyhold.faults.oracle import expected_text, prompt_digest
+from dragonflyhold.transport.schema import operator_pb2 as pb
+
+SERVICE = "tapster-lm"
+LEDGER = "token-ledger"
+PIECE_TIMEOUT_S = 20.0
+STREAM_TIMEOUT_S = 40.0
+END_TIMEOUT_S = 30.0
+CRASHING_PROMPT = "[[crash:1]] please"
+
+
+class _Stream:
+    """One stream that runs in a thread."""
+
+    def __init__(self, caller: Caller, adapter: str, prompt: str, pieces: int) -> None:
+        self.prompt, self.adapter, self.pieces = prompt, adapter, pieces
+        self.result: Answer | Exception | None = None
+        self.passed = 0
+        self._caller = caller
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    @property
+    def expected(self) -> str:
+        weights = weights_path(SERVICE, self.adapter, 1)
+        return expected_text(weights, self.prompt, self.pieces)
+
+    def join(self) -> None:
+        self._thread.join(STREAM_TIMEOUT_S)
+
+    def _on_piece(self, index: int) -> None:
+        self.passed = index + 1
+
+    def _run(self) -> None:
+        model = f"{SERVICE}/{self.adapter}:1"
+        try:
+            self.result = self._caller.stream(
+                model, self.prompt, "question", self.pieces, self._on_piece
+            )
+        except Exception as error:  # Looked at by the step that joins.
+            self.result = error
+
+
+@given("{count:d} streams of {pieces:d} pieces are running")
+def start_streams(context: Context, count: int, pieces: int) -> None:
+    callers = context.callers
+    context.streams = [
+        _Stream(callers[i % len(callers)], f"stall-{i % 4 + 1:04}", f"stream {i}", pieces)
+        for i in range(count)
+    ]
+    wait_until(
+        "a piece of every stream",
+        lambda: all(stream.passed for stream in context.streams),
+        PIECE_TIMEOUT_S,
+    )
+
+
+@then("every stream is complete")
+def streams_are_complete(context: Context) -> None:
+    for stream in context.streams:
+        stream.join()
+        assert isinstance(stream.result, Answer), stream.result
+        assert stream.result.text == stream.expected, stream.result
+
+
+@then('process "{name}" ends with status {status:d}')
+def process_ends(context: Context, name: str, status: int) -> None:
+    process = find_process(context, name)
+    assert process.wait(END_TIMEOUT_S), process.log_tail()
+    assert process.exit_status == status, process.log_tail()
+
+
+@step("{seconds:d} seconds have passed")
+def let_time_pass(context: Context, seconds: int) -> None:
+    del context
+    time.sleep(seconds)
+
+
+@when('the operator drains "{upstream}"')
+def drain(context: Context, upstream: str) -> None:
+    plan = next(p for p in context.deployment.plan.upstreams() if p.name == upstream)
+    message = pb.Upstream(
+        name=upstream,
+        service=plan.service.name,
+        data_centre=plan.data_centre,
+        sidecar_address=context.deployment.sidecars[upstream].grpc_address,
+        checks_fencing=plan.service.checks_fencing,
+        slots=context.deployment.plan.slots,
+        batch_limit=context.deployment.plan.batch_limit,
+        mode=pb.UPSTREAM_MODE_DRAINING,
+    )
+    context.operator.apply([pb.Operation(put=pb.ConfigObject(upstream=message))])
+
+
+@when('the VM list shows the VM of "{upstream}" as leaving')
+def mark_leaving(context: Context, upstream: str) -> None:
+    sidecar = context.deployment.sidecars[upstream]
+    vm = {
+        "name": f"vm-{upstream}",
+        "address": "127.0.0.1",
+        "data_centre": sidecar.plan.data_centre,
+        "state": "leaving",
+        "upstream": upstream,
+    }
+    context.deployment.set_fault("vms", vm=vm)
+
+
+@when("{count:d} requests are sent to each entry")
+def send_requests(context: Context, count: int) -> None:
+    context.step_started_at = time.time()
+    for caller in context.callers:
+        for number in range(count):
+            caller.complete(f"{SERVICE}/stall-{number + 1:04}:1", f"late {number}", "question")
+
+
+@then('"{upstream}" started nothing in the last step')
+def started_nothing(context: Context, upstream: str) -> None:
+    runs = context.deployment.upstream_journal(upstream)["runs"]
+    late = [run for run in runs if run["started_at"] >= context.step_started_at]
+    assert not late, late
+
+
+@given("a stream of {pieces:d} pieces through entry 1 has passed {passed:d} pieces")
+def start_resumable(context: Context, pieces: int, passed: int) -> None:
+    url = context.deployment.entries[0].url
+    body = {
+        "model": f"{SERVICE}/stall-0001:1",
+        "prompt": "resumed",
+        "max_tokens": pieces,
+        "stream": True,
+    }
+    reply = urllib3.PoolManager(retries=False).request(
+        "POST",
+        f"{url}/v1/completions",
+        json=body,
+        headers={"X-Request-Kind": "question"},
+        preload_content=False,
+    )
+    context.request_id = reply.headers["X-Request-Id"]
+    context.expected = expected_text(weights_path(SERVICE, "stall-0001", 1), "resumed", pieces)
+    context.pieces = []
+    for line in reply:
+        if line.startswith(b"data: "):
+            context.pieces.append(json.loads(line[6:])["choices"][0]["text"])
+        if len(context.pieces) == passed:
+            return
+
+
+@when("the caller resumes the answer through entry 2")
+def resume(context: Context) -> None:
+    url = context.deployment.entries[1].url
+    start = len(context.pieces)
+    reply = urllib3.PoolManager(retries=False, timeout=STREAM_TIMEOUT_S).request(
+        "GET",
+        f"{url}/v1/requests/{context.request_id}/answer?from={start}",
+        preload_content=False,
+    )
+    assert reply.status == 200, reply.data
+    event = ""
+    for line in reply:
+        name, _, value = line.decode().rstrip("\n").partition(": ")
+        if name == "event":
+            event = value
+        elif name == "data" and event == "end":
+            context.end = json.loads(value)
+        elif name == "data":
+            context.pieces.append(json.loads(value)["choices"][0]["text"])
+
+
+@then("the joined answer is whole")
+def joined_is_whole(context: Context) -> None:
+    text = "".join(context.pieces)
+    assert text == context.expected, text
+    assert context.end["digest"] == hashlib.sha256(text.encode()).hexdigest()
+
+
+def _redeem(context: Context, index: int) -> None:
+    try:
+        body = {"account": "guest"}
+        context.callers[index].call_service(LEDGER, "redeem", body, "redeem", context.permit)
+        context.outcomes.append("ok")
+    except AnswerError as error:
+        context.outcomes.append(error.outcome)
+    except urllib3.exceptions.HTTPError:
+        context.outcomes.append("no answer")
+
+
+def _new_redemption(context: Context) -> None:
+    context.permit = context.callers[0].permit(LEDGER, "", "redeem")
+    context.outcomes = []
+
+
+@when("a redemption is sent through both entries, one after the other")
+def redeem_twice(context: Context) -> None:
+    _new_redemption(context)
+    _redeem(context, 0)
+    _redeem(context, 1)
+
+
+@given("a redemption is running through entry 1")
+def start_redemption(context: Context) -> None:
+    _new_redemption(context)
+    threading.Thread(target=_redeem, args=(context, 0), daemon=True).start()
+    wait_until("the redemption", lambda: _redemptions(context) == 1, PIECE_TIMEOUT_S)
+
+
+@when("the redemption is sent again until the new sidecar answers")
+def redeem_until_answered(context: Context) -> None:
+    sidecar = context.deployment.sidecars[f"{LEDGER}-1"]
+
+    def is_ready() -> bool:
+        try:
+            reply = urllib3.PoolManager(retries=False).request("GET", f"{sidecar.http_url}/readyz")
+        except urllib3.exceptions.HTTPError:
+            return False
+        return reply.status == 200
+
+    wait_until("the new sidecar", is_ready, END_TIMEOUT_S)
+    for _ in range(3):
+        _redeem(context, 1)
+
+
+@then('the redemption was told as "{outcome}"')
+def told_as(context: Context, outcome: str) -> None:
+    assert context.outcomes
+    assert set(context.outcomes) == {outcome}, context.outcomes
+
+
+@then("the redemption ran {count:d} time")
+def redemption_ran(context: Context, count: int) -> None:
+    assert _redemptions(context) == count, context.deployment.upstream_journal(f"{LEDGER}-1")
+
+
+def _redemptions(context: Context) -> int:
+    calls = context.deployment.upstream_journal(f"{LEDGER}-1")["calls"]
+    return sum(call["key"] == context.permit for call in calls)
+
+
+@when("a request that crashes its engine is sent {count:d} times")
+def send_crashing(context: Context, count: int) -> None:
+    context.errors = []
+    for number in range(count):
+        caller = context.callers[number % len(context.callers)]
+        try:
+            caller.complete(f"{SERVICE}/stall-0009:1", CRASHING_PROMPT, "question")
+        except AnswerError as error:
+            context.errors.append(error)
+
+
+@then('the request was last refused with "{code}"')
+def last_refused(context: Context, code: str) -> None:
+    assert context.errors[-1].code == code, context.errors
+    assert context.errors[-1].outcome == "not_run", context.errors
+
+
+@then("it crashed at most {count:d} engines")
+def crashed_at_most(context: Context, count: int) -> None:
+    digest = prompt_digest(CRASHING_PROMPT)
+    crashed = [
+        run
+        for name, sidecar in context.deployment.sidecars.items()
+        if sidecar.plan.service.name == SERVICE
+        for run in context.deployment.upstream_journal(name)["runs"]
+        if run["prompt_digest"] == digest and run["state"] == "crashed"
+    ]
+    assert 0 < len(crashed) <= count, crashed
+
+
+@then('a second "{name}" ends with status {status:d}')
+def second_cannot_start(context: Context, name: str, status: int) -> None:
+    path = context.deployment.settings_path(name)
+    command = [sys.executable, "-m", "dragonflyhold", "run", "sidecar", str(path)]
+    result = subprocess.run(command, capture_output=True, text=True, timeout=60, check=False)
+    assert result.returncode == status, result
