--- a/tests/entry/fake_sidecar.py
+++ b/tests/entry/fake_sidecar.py
@@ -69,10 +69,16 @@
         self.out: queue.SimpleQueue[pb.SidecarItem | None] = queue.SimpleQueue()
         self.is_silent = False
         self.entry = ""
+        # What a silent connection holds back in each direction.
+        self.held_out: list[pb.SidecarItem] = []
+        self.held_in: list[pb.EntryItem] = []
 
     def put(self, **item: Any) -> None:
-        if not self.is_silent:
-            self.out.put(pb.SidecarItem(**item))
+        made = pb.SidecarItem(**item)
+        if self.is_silent:
+            self.held_out.append(made)
+        else:
+            self.out.put(made)
 
 
 class FakeSidecar(pb_grpc.SidecarServicer):
@@ -119,6 +125,18 @@
             for stream in self.streams:
                 stream.is_silent = True
 
+    def speak_again(self) -> None:
+        """Deliver what the silent streams held back, in both directions."""
+        with self._lock:
+            for stream in self.streams:
+                stream.is_silent = False
+                for item in stream.held_out:
+                    stream.out.put(item)
+                stream.held_out.clear()
+                held, stream.held_in = stream.held_in, []
+                for entry_item in held:
+                    self._take(stream, entry_item)
+
     def restart(self) -> None:
         """Forget everything and end all streams, as a new process would."""
         with self._lock:
@@ -221,14 +239,20 @@
         try:
             for frame in frames:
                 for item in frame.items:
-                    if not stream.is_silent:
-                        self._take(stream, item)
+                    self._take_or_hold(stream, item)
         except grpc.RpcError:
             pass
         except Exception:
             # gRPC raises a plain Exception from the iterator when the call is cancelled.
             return
 
+    def _take_or_hold(self, stream: Stream, item: pb.EntryItem) -> None:
+        with self._lock:
+            if stream.is_silent:
+                stream.held_in.append(item)
+            else:
+                self._take(stream, item)
+
     def _take(self, stream: Stream, item: pb.EntryItem) -> None:
         match item.WhichOneof("item"):
             case "hello":
--- a/tests/entry/test_stateful.py
+++ b/tests/entry/test_stateful.py
@@ -10,7 +10,7 @@
 from dragonflyhold.errors import ErrorCode
 from dragonflyhold.transport.schema import sidecar_pb2 as pb
 from tests.entry.fake_sidecar import FakeSidecar, Plan
-from tests.entry.harness import Answer, EntryHarness, make_settings
+from tests.entry.harness import Answer, EntryHarness, make_settings, wait_until
 
 SIDECARS = ("runner-0", "runner-1")
 DEADLINE_MS = "4000"
@@ -123,6 +123,10 @@
     def go_silent(self, index: int) -> None:
         self._sidecar(index).go_silent()
 
+    @rule(index=st.integers(0, 1))
+    def speak_again(self, index: int) -> None:
+        self._sidecar(index).speak_again()
+
     @rule(index=st.integers(0, 1))
     def drop_streams(self, index: int) -> None:
         self._sidecar(index).drop_streams()
@@ -135,6 +139,23 @@
     def answer_probes(self, index: int, answers: bool) -> None:
         self._sidecar(index).answers_probes = answers
 
+    @rule(fresh=st.booleans())
+    def change_freshness(self, fresh: bool) -> None:
+        self.entry.config.fresh = fresh
+
+    @rule()
+    def outage(self) -> None:
+        """Cut the entry off from all sidecars until every caller has its error."""
+        for name in SIDECARS:
+            self.entry.sidecars[name].answers_probes = False
+            self.entry.sidecars[name].go_silent()
+        for permit, prompt in self.permits[-2:]:
+            self.callers.append(_Caller(self.entry, prompt, False, permit))
+        for caller in self.callers:
+            caller.thread.join()
+        for name in SIDECARS:
+            self.entry.sidecars[name].answers_probes = True
+
     @rule()
     def finish(self) -> None:
         """Let all requests go on to their ends."""
@@ -155,7 +176,7 @@
         try:
             for caller in self.callers:
                 self._check(caller)
-            assert self.entry.daemon.open_requests == 0
+            wait_until(lambda: self.entry.daemon.open_requests == 0)
         finally:
             self.entry.stop()
 
--- a/tests/transport/test_upstream_stream.py
+++ b/tests/transport/test_upstream_stream.py
@@ -175,6 +175,21 @@
         assert _text(events) == b"one two three"
         assert len(setup.sidecar.runs) == 1
 
+    def test_late_frames_of_the_old_stream_change_nothing(self, setup: _Setup) -> None:
+        gate = threading.Event()
+        setup.sidecar.plan = lambda submit: Plan(gate=gate, gate_at=1)
+        request = setup.submit()
+        wait_until(lambda: request.next_sequence == 1)
+        setup.sidecar.go_silent()
+        gate.set()
+        wait_until(lambda: any(r.end is not None for r in setup.sidecar.requests.values()))
+        setup.pass_time(3.1)
+        events = _rest(request)
+        setup.sidecar.speak_again()
+        assert _text(events) == b"one two three"
+        assert _text(_rest(setup.submit())) == b"one two three"
+        assert request.events.empty()
+
     def test_broken_stream_is_replaced_without_waiting(self, setup: _Setup) -> None:
         gate = threading.Event()
         setup.sidecar.plan = lambda submit: Plan(gate=gate, gate_at=1)
