--- a/src/dragonflyhold/cli/root.py
+++ b/src/dragonflyhold/cli/root.py
@@ -12,6 +12,7 @@
 from dragonflyhold.cli.inspect import explain_command, status_command
 from dragonflyhold.cli.objects import object_groups
 from dragonflyhold.cli.settings import settings_group
+from dragonflyhold.cli.standin import standin_group
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -30,3 +31,4 @@
 main.add_command(undrain_command)
 main.add_command(status_command)
 main.add_command(explain_command)
+main.add_command(standin_group)
