Add unit tests of the configuration core

Cause: the pure parts of config/ were tested only through whole clusters.

Contact ages are rounded up without the extra millisecond for whole numbers.

--- a/src/dragonflyhold/config/replica.py
+++ b/src/dragonflyhold/config/replica.py
@@ -4,6 +4,7 @@
 holds the state, and its methods return at once.
 """
 
+import math
 import random
 import threading
 from collections.abc import Callable, Sequence
@@ -323,7 +324,7 @@
         ages = self._freshness.ages(now)
         # Rounded up, because an age must not be reported as too small.
         return [
-            pb.DataCentreContact(data_centre=name, age_ms=int(age * 1000) + (age > 0))
+            pb.DataCentreContact(data_centre=name, age_ms=math.ceil(age * 1000))
             for name, age in sorted(ages.items())
         ]
 
--- /dev/null
+++ b/tests/config/test_directory.py
@@ -0,0 +1,105 @@
+"""Tests of the choice of peers and of the times of the periodic work."""
+
+import random
+
+from dragonflyhold.config.directory import CALLER_TTL_S, PeerDirectory
+from dragonflyhold.config.objects import key_of
+from dragonflyhold.config.schedule import Schedule
+from dragonflyhold.config.state import ConfigState
+from dragonflyhold.config.validation import Stored
+from dragonflyhold.ids import DataCentre, Region, Revision
+from dragonflyhold.settings import ConfigSettings
+from tests.config import builders
+
+PLACES = ["almaty-a", "almaty-b", "almaty-c", "almaty-d"]
+
+
+def make_directory(*seeds: str) -> PeerDirectory:
+    return PeerDirectory(
+        Region("almaty"), DataCentre("almaty-a"), "10.0.0.1:1", seeds, random.Random(1)
+    )
+
+
+def region(per_place: int = 5) -> ConfigState:
+    values = [builders.service()] + [
+        builders.upstream(f"r-{place}-{n}", f"10.1.{PLACES.index(place)}.{n + 1}:1", place)
+        for place in PLACES
+        for n in range(per_place)
+    ]
+    writes = {key_of(value): Stored(value, Revision(1)) for value in values}
+    return ConfigState().with_writes(writes, Revision(1))
+
+
+class TestPeerDirectory:
+    """Guards against data centres that are left out until the majority rule fails."""
+
+    def test_dead_data_centre_does_not_take_all_tries(self) -> None:
+        directory = make_directory()
+        directory.update(region())
+        contacts = {DataCentre(place): 0.0 for place in PLACES}
+        oldest = 0.0
+        for second in range(1, 200):
+            address = directory.choose(second, lambda name, now=second: now - contacts[name])
+            assert address is not None
+            place = directory.peers(second)[address]
+            if place != "almaty-d":
+                contacts[place] = second
+            live = [contacts[DataCentre(place)] for place in PLACES[:3]]
+            oldest = max(oldest, second - min(live))
+        assert oldest <= 5
+
+    def test_seeds_until_other_peers_are_known(self) -> None:
+        directory = make_directory("10.0.0.1:1", "10.0.0.2:1")
+        assert directory.choose(1.0, lambda name: 1.0) == "10.0.0.2:1"
+
+    def test_callers_are_peers_for_a_time(self) -> None:
+        directory = make_directory()
+        directory.record_caller("10.0.0.7:1", DataCentre("almaty-b"), 1.0)
+        assert directory.processes(2.0) == 2
+        assert directory.processes(2.0 + CALLER_TTL_S) == 1
+
+    def test_push_reaches_the_own_data_centre_and_another(self) -> None:
+        directory = make_directory()
+        directory.update(region())
+        peers = directory.peers(1.0)
+        places = [peers[address] for address in directory.push_targets(1.0, 3)]
+        assert places.count(DataCentre("almaty-a")) == 3
+        assert len(places) == 4
+
+
+class _Replica:
+    def __init__(self, processes: int, age: float) -> None:
+        self._processes = processes
+        self._age = age
+
+    def processes(self) -> int:
+        return self._processes
+
+    def current_age(self, now: float) -> float:
+        return self._age
+
+
+class TestSchedule:
+    """Guards against table reads that grow with the number of daemons."""
+
+    def head_reads(self, processes: int, seconds: int) -> int:
+        schedule = Schedule(ConfigSettings(), random.Random(1))
+        replica = _Replica(processes, 0.0)
+        ticks = (tick / 10 for tick in range(seconds * 10))
+        return sum(schedule.due(now, replica, False).head_read for now in ticks)
+
+    def test_head_reads(self) -> None:
+        assert 480 <= self.head_reads(2, 1000) <= 520
+        assert 90 <= self.head_reads(1000, 1000) <= 110
+
+    def test_pause_makes_all_work_due(self) -> None:
+        schedule = Schedule(ConfigSettings(), random.Random(1))
+        replica = _Replica(2, 0.0)
+        schedule.due(0.0, replica, False)
+        assert schedule.due(0.1, replica, False).compares == 0
+        due = schedule.due(0.2, replica, True)
+        assert (due.compares, due.head_read) == (1, True)
+
+    def test_old_contacts_are_sought_faster(self) -> None:
+        schedule = Schedule(ConfigSettings(), random.Random(1))
+        assert schedule.due(0.0, _Replica(2, 4.0), False).compares == 2
