--- /dev/null
+++ b/src/dragonflyhold/bench/load_runs.py
@@ -0,0 +1,112 @@
+"""Measures a deployment on loopback, and its engines directly for a ratio."""
+
+import dataclasses
+import pathlib
+from collections.abc import Callable
+from typing import Any, final
+
+import urllib3
+
+from dragonflyhold.bench.load import LoadOptions, LoadResult, Target, run_load
+from dragonflyhold.demo.launcher import Deployment
+from dragonflyhold.demo.plans import DeploymentPlan
+from dragonflyhold.errors import DragonflyholdError
+
+KIND = "question"
+TIMEOUT_S = 30.0
+WARM_UP_S = 5.0
+SPARE_THREADS = 16
+# Load at which the added latency is stated, as a share of the rate at saturation.
+LATENCY_SHARE = 0.1
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Comparison:
+    """The same load through entries and directly against engines."""
+
+    entry: LoadResult
+    engine: LoadResult
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the figures of both, their ratio and the added latency."""
+        entry, engine = self.entry.to_json(), self.engine.to_json()
+        return {
+            "entry": entry,
+            "engine": engine,
+            "tokens_per_s_ratio": _ratio(entry["tokens_per_s"], engine["tokens_per_s"]),
+            "added_first_token_p95_ms": _added(entry, engine, "first_token_ms"),
+            "added_between_tokens_p95_ms": _added(entry, engine, "between_tokens_ms"),
+        }
+
+
+def measure(
+    plan: DeploymentPlan,
+    examples: pathlib.Path,
+    directory: pathlib.Path,
+    options: LoadOptions,
+    report: Callable[[str], None],
+) -> dict[str, Any]:
+    """Start ``plan``, measure it at saturation and at a tenth of it; return the figures.
+
+    The targets in ``options`` are replaced. Only as many adapters as one engine has slots are
+    used, so that no loads are measured.
+    """
+    # Each open stream takes a thread of an entry; with too few, streams wait for one.
+    threads = {"http.threads": options.concurrency + SPARE_THREADS}
+    with Deployment(plan, examples, directory, entry_settings=threads) as deployment:
+        deployment.start()
+        deployment.configure()
+        through = dataclasses.replace(options, targets=_entry_targets(deployment), kind=KIND)
+        report("warming up")
+        run_load(dataclasses.replace(through, duration_s=WARM_UP_S))
+        report("measuring at saturation through the entries")
+        saturated = run_load(through)
+        rate = LATENCY_SHARE * len(saturated.answered) / saturated.elapsed_s
+        report(f"measuring at {rate:.2f} requests/s through the entries")
+        slow = run_load(dataclasses.replace(through, rate_per_s=rate))
+        direct = dataclasses.replace(options, targets=_engine_targets(deployment))
+        report("measuring at saturation directly")
+        saturated_direct = run_load(direct)
+        report(f"measuring at {rate:.2f} requests/s directly")
+        slow_direct = run_load(dataclasses.replace(direct, rate_per_s=rate))
+    return {
+        "entries": plan.entries,
+        "upstreams": len(list(plan.upstreams())),
+        "engine_tokens_per_s": plan.tokens_per_s,
+        "concurrency": options.concurrency,
+        "duration_s": options.duration_s,
+        "max_tokens": options.max_tokens,
+        "saturation": Comparison(saturated, saturated_direct).to_json(),
+        "tenth": Comparison(slow, slow_direct).to_json(),
+    }
+
+
+def _entry_targets(deployment: Deployment) -> tuple[Target, ...]:
+    service = deployment.plan.engine_service
+    return tuple(
+        Target(entry.url, f"{service.name}/{name}:1")
+        for name in service.adapter_names()[: deployment.plan.slots]
+        for entry in deployment.entries
+    )
+
+
+def _engine_targets(deployment: Deployment) -> tuple[Target, ...]:
+    """Return the adapters that the sidecars have loaded, under the engines' own names."""
+    targets = []
+    for sidecar in deployment.sidecars.values():
+        url = sidecar.upstream.url
+        if sidecar.plan.service is deployment.plan.engine_service:
+            reply = urllib3.request("GET", f"{url}/v1/status", timeout=TIMEOUT_S, retries=False)
+            targets += [Target(url, str(item["name"])) for item in reply.json()["adapters"]]
+    if not targets:
+        raise DragonflyholdError("no engine has an adapter; did any request reach one?")
+    return tuple(targets)
+
+
+def _ratio(value: Any, base: Any) -> float:
+    return round(value / base, 3) if base else 0.0
+
+
+def _added(entry: dict[str, Any], engine: dict[str, Any], name: str) -> float:
+    return round(entry[name]["p95"] - engine[name]["p95"], 2)
