Test the adapter and routing decisions and the policy harness

Cause: the decisions had no tests, and the first run of the new ones found two faults.

Change: Hypothesis stateful tests against oracles for the slot table, the broker and the upstream table, properties of the slot plan and of the route choice, and tests of the harness. Faults found: a suspected request had no route once its first 16 ranked upstreams were out although others took work, and a route beyond the kept ranking could exceed the load limit. Both are fixed.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: test demo lint format unit behave proto clean
+.PHONY: test demo lint format unit behave proto bench capacity clean
 
 $(STAMP): requirements.lock pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -35,5 +35,11 @@
 		--grpc_python_out=src/dragonflyhold/transport/schema schema/*.proto
 	$(BIN)/python schema/fix_imports.py src/dragonflyhold/transport/schema
 
+bench: $(STAMP)
+	$(BIN)/dragonflyhold bench policy --output out/policy.json --plot out/policy.png
+
+capacity: $(STAMP)
+	$(BIN)/dragonflyhold bench capacity --output out/capacity.json
+
 clean:
 	rm -rf $(VENV) build out
--- a/src/dragonflyhold/routing/choice.py
+++ b/src/dragonflyhold/routing/choice.py
@@ -9,7 +9,7 @@
 
 from dragonflyhold.errors import ErrorCode
 from dragonflyhold.ids import AdapterKey, Fingerprint, ServiceName, UpstreamName
-from dragonflyhold.routing.hashing import hash64
+from dragonflyhold.routing.hashing import combine, hash64
 from dragonflyhold.routing.table import UpstreamRow, UpstreamTable
 from dragonflyhold.settings.model import RoutingSettings
 
@@ -99,7 +99,8 @@
     rng: random.Random,
 ) -> RouteTo:
     limit = load_limit(candidates, now, settings)
-    allowed = {row.config.name for row in candidates if row.load(now) < limit}
+    free = [row for row in candidates if row.load(now) < limit] or candidates
+    allowed = {row.config.name for row in free}
     ranking = table.ranking(key.service, hash64(str(key).encode()))
     ranked = [row for row in ranking if row.config.name in allowed]
     copies = _copies(key, table, candidates, now, settings)
@@ -108,15 +109,13 @@
     if resident:
         best = min(resident, key=lambda row: row.load(now))
         return RouteTo(best.config.name, RouteReason.RESIDENT)
-    elsewhere = [
-        row for row in candidates if row.has_resident(key, now) and row.config.name in allowed
-    ]
+    elsewhere = [row for row in free if row.has_resident(key, now)]
     if elsewhere:
         best = min(elsewhere, key=lambda row: row.load(now))
         return RouteTo(best.config.name, RouteReason.RESIDENT)
     if preferred:
         return RouteTo(preferred[0].config.name, RouteReason.RANKED)
-    return _least_loaded_of_two(candidates, now, rng)
+    return _least_loaded_of_two(free, now, rng)
 
 
 def _copies(
@@ -140,12 +139,19 @@
 def _choose_for_suspect(
     request: RouteRequest, table: UpstreamTable, now: float
 ) -> RouteTo | NoRoute:
-    ranking = table.ranking(request.service, hash64(request.fingerprint))
-    for row in ranking:
-        # A full upstream is waited for: another one must not meet the same request.
+    point = hash64(request.fingerprint)
+    # A full upstream is waited for: another one must not meet the same request.
+    for row in table.ranking(request.service, point):
         if row.is_usable() and row.excluded_until <= now:
             return RouteTo(row.config.name, RouteReason.SUSPECTED)
-    return _no_route(request, table)
+    # All upstreams of the kept ranking are out, so the others are ranked.
+    others = [
+        row for row in table.rows(request.service) if row.is_usable() and row.excluded_until <= now
+    ]
+    if not others:
+        return _no_route(request, table)
+    best = max(others, key=lambda row: (combine(point, row.point), row.config.name))
+    return RouteTo(best.config.name, RouteReason.SUSPECTED)
 
 
 def _least_loaded_of_two(
--- /dev/null
+++ b/tests/adapters/test_plan.py
@@ -0,0 +1,138 @@
+"""Tests of the slot plan."""
+
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from dragonflyhold.adapters import (
+    LoadBackoff,
+    Popularity,
+    SlotState,
+    SlotTable,
+    StartEvict,
+    StartLoad,
+    WaitingAdapter,
+    plan_slots,
+)
+from dragonflyhold.ids import AdapterKey, AdapterName, EngineAdapterName, ServiceName, Version
+from dragonflyhold.settings.model import SlotSettings
+
+SETTINGS = SlotSettings()
+NOW = 1000.0
+
+
+def _key(number: int) -> AdapterKey:
+    return AdapterKey(ServiceName("s"), AdapterName(f"a{number}"), Version(1))
+
+
+def _waiter(
+    number: int, worth: float = 1.0, oldest_s: float = 1.0, batch: bool = False
+) -> WaitingAdapter:
+    return WaitingAdapter(_key(number), 1, worth, oldest_s, batch)
+
+
+class _Case:
+    """A slot table with adapters 0..n-1 resident, and everything plan_slots needs."""
+
+    def __init__(self, slots: int, resident: int) -> None:
+        self.slots = SlotTable(slots)
+        for index in range(resident):
+            self.slots.adopt(index, _key(index), EngineAdapterName(f"e{index}"), 0, NOW - 50.0)
+        self.popularity = Popularity(SETTINGS.popularity_half_life_s)
+        self.backoff = LoadBackoff(SETTINGS, random.Random(1))
+
+    def plan(self, *waiting: WaitingAdapter) -> list[StartLoad | StartEvict]:
+        return plan_slots(self.slots, waiting, self.popularity, self.backoff, NOW, SETTINGS)
+
+
+class TestPlanSlots:
+    """Guards against loads in the wrong order and evictions of adapters that are in use."""
+
+    def test_loads_the_most_valuable_adapter_first(self) -> None:
+        plan = _Case(1, 0).plan(_waiter(1, worth=1.0), _waiter(2, worth=5.0))
+        assert plan == [StartLoad(0, _key(2), 5.0)]
+
+    def test_equal_loads_start_with_the_newest_waiter(self) -> None:
+        plan = _Case(1, 0).plan(_waiter(1, oldest_s=2.9), _waiter(2, oldest_s=0.1))
+        assert plan == [StartLoad(0, _key(2), 1.0)]
+
+    def test_evicts_the_least_frequent_not_the_oldest(self) -> None:
+        case = _Case(2, 2)
+        for _ in range(20):
+            case.popularity.record(_key(0), NOW - 40.0)
+        case.popularity.record(_key(1), NOW - 1.0)
+        case.slots.slots[0].last_used = NOW - 2.0
+        case.slots.slots[1].last_used = NOW - 1.0
+        assert case.plan(_waiter(9)) == [StartEvict(1)]
+
+    def test_evicts_a_formerly_popular_adapter_that_fell_silent(self) -> None:
+        case = _Case(2, 2)
+        for second in range(60):
+            case.popularity.record(_key(0), NOW - 120.0 + second)
+        for at in (NOW - 50.0, NOW - 20.0, NOW - 3.0):
+            case.popularity.record(_key(1), at)
+        case.slots.slots[0].last_used = NOW - 60.0
+        case.slots.slots[1].last_used = NOW - 3.0
+        assert case.plan(_waiter(9)) == [StartEvict(0)]
+
+    def test_keeps_a_resident_adapter_while_its_requests_drain(self) -> None:
+        assert _Case(1, 1).plan(_waiter(9, worth=100.0), _waiter(0)) == []
+
+    def test_failed_adapter_waits_and_delays_no_other(self) -> None:
+        case = _Case(1, 0)
+        case.backoff.record_failure(_key(1), NOW)
+        plan = case.plan(_waiter(1, worth=9.0), _waiter(2))
+        assert plan == [StartLoad(0, _key(2), 1.0)]
+
+    def test_batch_work_leaves_slots_to_interactive_work(self) -> None:
+        case = _Case(8, 8)
+        for index in range(5):
+            case.slots.pin(index, NOW)
+        assert case.plan(_waiter(9, batch=True)) == []
+        assert len(case.plan(_waiter(9, batch=False))) == 1
+
+    def test_frees_one_slot_at_a_time(self) -> None:
+        case = _Case(4, 4)
+        plan = case.plan(_waiter(8), _waiter(9))
+        assert len(plan) == 1
+        assert isinstance(plan[0], StartEvict)
+        case.slots.begin_evict(plan[0].index, NOW)
+        assert case.plan(_waiter(8), _waiter(9)) == []
+
+    @settings(max_examples=200, derandomize=True, deadline=None)
+    @given(
+        pins=st.lists(st.integers(0, 3), min_size=6, max_size=6),
+        states=st.lists(st.sampled_from(list(SlotState)), min_size=6, max_size=6),
+        waiting=st.dictionaries(
+            st.integers(0, 12), st.tuples(st.floats(0, 10), st.floats(0, 5), st.booleans())
+        ),
+    )
+    def test_every_action_is_legal(
+        self,
+        pins: list[int],
+        states: list[SlotState],
+        waiting: dict[int, tuple[float, float, bool]],
+    ) -> None:
+        case = _Case(6, 0)
+        for index, state in enumerate(states):
+            if state is SlotState.EMPTY:
+                continue
+            case.slots.begin_load(index, _key(index), EngineAdapterName("e"), NOW)
+            if state is SlotState.LOADING:
+                continue
+            case.slots.finish_load(index, NOW)
+            if state is SlotState.EVICTING:
+                case.slots.begin_evict(index, NOW)
+                continue
+            for _ in range(pins[index]):
+                case.slots.pin(index, NOW)
+        waiters = [_waiter(n, *values) for n, values in waiting.items()]
+        for action in case.plan(*waiters):
+            # The slot table raises on an illegal transition.
+            match action:
+                case StartLoad(index=index, key=key):
+                    case.slots.begin_load(index, key, EngineAdapterName("e"), NOW)
+                case StartEvict(index=index):
+                    assert case.slots.slots[index].key not in [w.key for w in waiters]
+                    case.slots.begin_evict(index, NOW)
--- /dev/null
+++ b/tests/adapters/test_popularity.py
@@ -0,0 +1,80 @@
+"""Tests of the decayed request counts and of the load backoff."""
+
+import random
+
+import pytest
+
+from dragonflyhold.adapters import LoadBackoff, Popularity
+from dragonflyhold.adapters.popularity import MAX_ENTRIES
+from dragonflyhold.ids import AdapterKey, AdapterName, ServiceName, Version
+from dragonflyhold.settings.model import SlotSettings
+
+
+def _key(number: int) -> AdapterKey:
+    return AdapterKey(ServiceName("s"), AdapterName(f"a{number}"), Version(1))
+
+
+class TestPopularity:
+    """Guards against estimates that drift from the counts, and against unbounded memory."""
+
+    def test_matches_the_sum_of_decayed_requests(self) -> None:
+        rng = random.Random(1)
+        popularity = Popularity(10.0)
+        times = sorted(rng.uniform(1e6, 1e6 + 100.0) for _ in range(200))
+        for at in times:
+            popularity.record(_key(0), at)
+        now = 1e6 + 130.0
+        expected = sum(0.5 ** ((now - at) / 10.0) for at in times)
+        assert popularity.estimate(_key(0), now) == pytest.approx(expected, rel=1e-6)
+
+    def test_unknown_keys_count_nothing(self) -> None:
+        assert Popularity(10.0).estimate(_key(0), 5.0) == 0.0
+
+    def test_drops_entries_that_decayed_away(self) -> None:
+        popularity = Popularity(1.0)
+        for number in range(500):
+            popularity.record(_key(number), 0.0)
+        popularity.record(_key(1000), 100.0)
+        assert len(popularity) == 1
+
+    def test_flood_of_new_adapters_keeps_the_popular_ones(self) -> None:
+        popularity = Popularity(1000.0)
+        for _ in range(5):
+            popularity.record(_key(0), 0.0)
+        for number in range(1, 3 * MAX_ENTRIES):
+            popularity.record(_key(number), 1.0)
+        assert len(popularity) <= MAX_ENTRIES
+        assert popularity.estimate(_key(0), 1.0) > 4.9
+
+
+class TestLoadBackoff:
+    """Guards against load storms after failures, and against one failure delaying others."""
+
+    settings = SlotSettings(backoff_first_s=0.5, backoff_max_s=30.0)
+
+    def test_delay_doubles_up_to_the_maximum(self) -> None:
+        backoff = LoadBackoff(self.settings, random.Random(1))
+        delays = []
+        for _ in range(10):
+            backoff.record_failure(_key(0), 100.0)
+            delays.append(backoff.ready_at(_key(0)) - 100.0)
+        bounds = [min(0.5 * 2**n, 30.0) for n in range(10)]
+        assert all(b / 2 <= d <= b for d, b in zip(delays, bounds, strict=True))
+
+    def test_other_adapters_are_not_delayed(self) -> None:
+        backoff = LoadBackoff(self.settings, random.Random(1))
+        backoff.record_failure(_key(0), 100.0)
+        assert backoff.ready_at(_key(1)) <= 100.0
+
+    def test_success_forgets_failures(self) -> None:
+        backoff = LoadBackoff(self.settings, random.Random(1))
+        backoff.record_failure(_key(0), 100.0)
+        backoff.record_success(_key(0))
+        assert backoff.ready_at(_key(0)) <= 100.0
+
+    def test_old_failures_take_no_memory(self) -> None:
+        backoff = LoadBackoff(self.settings, random.Random(1))
+        for number in range(100):
+            backoff.record_failure(_key(number), float(number) / 100)
+        backoff.record_failure(_key(1000), 1000.0)
+        assert len(backoff) == 1
--- /dev/null
+++ b/tests/routing/test_table.py
@@ -0,0 +1,217 @@
+"""Tests of the upstream table."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from dragonflyhold.config.objects import Upstream
+from dragonflyhold.errors import ErrorCode
+from dragonflyhold.ids import (
+    AdapterKey,
+    AdapterName,
+    DataCentre,
+    Incarnation,
+    ServiceName,
+    UpstreamName,
+    Version,
+)
+from dragonflyhold.routing import LoadSnapshot, UpstreamTable
+from dragonflyhold.routing.table import LEAVING_GUARD_S
+from dragonflyhold.settings.model import RoutingSettings
+from dragonflyhold.states import UpstreamMode, UpstreamState
+
+SERVICE = ServiceName("s")
+KEY = AdapterKey(SERVICE, AdapterName("a"), Version(1))
+SETTINGS = RoutingSettings()
+NAMES = [UpstreamName(f"u{n}") for n in range(3)]
+RUNS = [Incarnation(str(n) * 16) for n in range(2)]
+
+names = st.sampled_from(NAMES)
+
+
+def make_upstream(name: str, mode: UpstreamMode = UpstreamMode.ACTIVE) -> Upstream:
+    return Upstream(
+        name=UpstreamName(name),
+        service=SERVICE,
+        data_centre=DataCentre("dc"),
+        sidecar_address="127.0.0.1:1",
+        mode=mode,
+    )
+
+
+def make_load(in_flight: int = 0, *resident: AdapterKey) -> LoadSnapshot:
+    return LoadSnapshot(in_flight, 0, 32, 8, resident)
+
+
+class _Model:
+    """Oracle of one upstream: why it takes no work, and the requests of this entry."""
+
+    def __init__(self) -> None:
+        self.run: Incarnation | None = None
+        self.reported = UpstreamState.ACTIVE
+        self.refused_at: float | None = None
+        self.down = False
+        self.own = 0
+
+    @property
+    def takes_work(self) -> bool:
+        return self.reported is UpstreamState.ACTIVE and self.refused_at is None and not self.down
+
+
+class UpstreamTableMachine(RuleBasedStateMachine):
+    """Compares availability and own requests with an oracle under any order of calls."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 100.0
+        self.table = UpstreamTable(SETTINGS)
+        self.table.sync([make_upstream(name) for name in NAMES], self.now)
+        self.model = {name: _Model() for name in NAMES}
+
+    @rule(seconds=st.floats(0.0, 4.0))
+    def wait(self, seconds: float) -> None:
+        self.now += seconds
+
+    @rule(name=names)
+    def send(self, name: UpstreamName) -> None:
+        self.table.record_sent(name, KEY, self.now)
+        self.model[name].own += 1
+
+    @rule(name=names)
+    def end(self, name: UpstreamName) -> None:
+        if self.model[name].own:
+            self.table.record_ended(name, KEY, self.now)
+            self.model[name].own -= 1
+
+    @rule(
+        name=names,
+        run=st.sampled_from(RUNS),
+        state=st.sampled_from([UpstreamState.ACTIVE, UpstreamState.LEAVING]),
+        in_flight=st.integers(0, 40),
+    )
+    def report(
+        self, name: UpstreamName, run: Incarnation, state: UpstreamState, in_flight: int
+    ) -> None:
+        model = self.model[name]
+        is_new = run != model.run
+        is_late = model.refused_at is not None and self.now < model.refused_at + LEAVING_GUARD_S
+        if is_new or not is_late:
+            model.refused_at = None
+        model.run = run
+        model.reported = state
+        model.down = False
+        self.table.record_report(name, run, state, make_load(in_flight, KEY), self.now)
+
+    @rule(name=names)
+    def refuse_as_leaving(self, name: UpstreamName) -> None:
+        self.model[name].refused_at = self.now
+        self.table.record_refusal(name, ErrorCode.UPSTREAM_LEAVING, self.now)
+
+    @rule(name=names)
+    def go_down(self, name: UpstreamName) -> None:
+        self.model[name].down = True
+        self.table.record_down(name, self.now)
+
+    @rule(name=names)
+    def come_up(self, name: UpstreamName) -> None:
+        self.model[name].down = False
+        self.table.record_up(name, self.now)
+
+    @invariant()
+    def offers_exactly_the_upstreams_that_take_work(self) -> None:
+        for row in self.table.rows(SERVICE):
+            assert row.is_usable() == self.model[row.config.name].takes_work
+
+    @invariant()
+    def load_is_never_below_the_own_requests(self) -> None:
+        for row in self.table.rows(SERVICE):
+            model = self.model[row.config.name]
+            assert row.own == model.own
+            assert row.load(self.now) >= model.own >= 0
+        total = sum(model.own for model in self.model.values())
+        assert self.table.own_load(KEY) == total
+
+
+class TestUpstreamTableStates(UpstreamTableMachine.TestCase):  # type: ignore[misc]
+    """Guards against work for a leaving upstream and against negative load."""
+
+    settings = settings(max_examples=60, stateful_step_count=40, derandomize=True, deadline=None)
+
+
+class TestUpstreamTable:
+    """Guards against stale beliefs about upstreams."""
+
+    def _table(self) -> UpstreamTable:
+        table = UpstreamTable(SETTINGS)
+        table.sync([make_upstream(name) for name in NAMES], 0.0)
+        return table
+
+    def test_adds_requests_sent_since_the_report(self) -> None:
+        table = self._table()
+        table.record_sent(NAMES[0], KEY, 1.0)
+        table.record_report(NAMES[0], RUNS[0], UpstreamState.ACTIVE, make_load(10), 2.0)
+        table.record_sent(NAMES[0], KEY, 2.1)
+        table.record_sent(NAMES[0], KEY, 2.2)
+        table.record_ended(NAMES[0], KEY, 2.3)
+        row = table.row(NAMES[0])
+        assert row is not None
+        assert row.load(2.4) == 11
+
+    def test_old_report_is_forgotten(self) -> None:
+        table = self._table()
+        table.record_report(NAMES[0], RUNS[0], UpstreamState.ACTIVE, make_load(30), 2.0)
+        row = table.row(NAMES[0])
+        assert row is not None
+        assert row.load(60.0) == 0
+
+    def test_residency_ends_with_the_incarnation(self) -> None:
+        table = self._table()
+        table.record_report(NAMES[0], RUNS[0], UpstreamState.ACTIVE, make_load(0, KEY), 2.0)
+        row = table.row(NAMES[0])
+        assert row is not None
+        assert row.has_resident(KEY, 2.1)
+        table.record_report(NAMES[0], RUNS[1], UpstreamState.ACTIVE, make_load(0), 2.2)
+        assert not row.has_resident(KEY, 2.3)
+
+    def test_learned_residency_expires_and_is_bounded(self) -> None:
+        table = self._table()
+        keys = [KEY._replace(version=Version(n)) for n in range(100)]
+        for number, key in enumerate(keys):
+            table.record_residency(NAMES[0], key, float(number))
+        row = table.row(NAMES[0])
+        assert row is not None
+        assert len(row.resident) <= 16
+        assert row.has_resident(keys[-1], 100.0)
+        assert not row.has_resident(keys[-1], 99.0 + SETTINGS.residency_ttl_s)
+
+    def test_full_upstream_is_left_out_for_a_moment(self) -> None:
+        table = self._table()
+        table.record_refusal(NAMES[0], ErrorCode.QUEUE_FULL, 5.0)
+        row = table.row(NAMES[0])
+        assert row is not None
+        assert row.is_excluded(5.5)
+        assert not row.is_excluded(5.0 + SETTINGS.exclude_s)
+
+    def test_limit_of_one_caller_does_not_exclude_the_upstream(self) -> None:
+        table = self._table()
+        table.record_refusal(NAMES[0], ErrorCode.CALLER_LIMIT, 5.0)
+        row = table.row(NAMES[0])
+        assert row is not None
+        assert not row.is_excluded(5.1)
+
+    def test_drained_upstream_returns_when_reactivated(self) -> None:
+        table = self._table()
+        table.sync([make_upstream(name, UpstreamMode.DRAINING) for name in NAMES], 1.0)
+        table.record_refusal(NAMES[0], ErrorCode.UPSTREAM_LEAVING, 1.1)
+        table.sync([make_upstream(name) for name in NAMES], 1.5)
+        row = table.row(NAMES[0])
+        assert row is not None
+        assert row.is_usable()
+
+    def test_removed_upstream_is_not_offered_and_later_ends_are_ignored(self) -> None:
+        table = self._table()
+        table.record_sent(NAMES[0], KEY, 1.0)
+        table.sync([make_upstream(name) for name in NAMES[1:]], 2.0)
+        table.record_ended(NAMES[0], KEY, 3.0)
+        assert [row.config.name for row in table.rows(SERVICE)] == NAMES[1:]
+        assert table.own_load(KEY) == 0
