Record crashes of engines that accept connections while they restart

Cause: after its connection broke, a request was ended as soon as one check of the engine failed, as upstream_silent and without a crash.

Ruled out: taking each closed connection for a crash. A lost connection of a healthy engine would then condemn what ran on it.

Change: the request waits for up to 3 checks. If the engine then answers with another boot id, what was in flight is suspected; the same holds when it answers later.

The scenario 'A request that crashes engines is stopped' fails before and passes now.

--- a/src/dragonflyhold/sidecar/execution.py
+++ b/src/dragonflyhold/sidecar/execution.py
@@ -6,7 +6,7 @@
 
 from dragonflyhold.adapters import WaitingAdapter
 from dragonflyhold.errors import ErrorCode
-from dragonflyhold.ids import AdapterKey, EngineAdapterName, RequestId
+from dragonflyhold.ids import AdapterKey, EngineAdapterName, Fingerprint, RequestId
 from dragonflyhold.observability import PartLogger
 from dragonflyhold.requests import AnswerEnd, Inflight, QueuedRequest, Verdict
 from dragonflyhold.sidecar import endings
@@ -73,6 +73,10 @@
         self._stall_ms: dict[RequestId, int] = {}
         self._silent_checks = 0
         self._refused_checks = 0
+        # Fingerprints that were in flight when the upstream went silent: whether they crashed it
+        # shows when it answers again.
+        self._unresolved: set[Fingerprint] = set()
+        self._unresolved_alone = False
 
     def waiting(self, now: float) -> list[WaitingAdapter]:
         """Return the queued requests grouped by adapter version."""
@@ -131,6 +135,8 @@
         is_gone = self._is_gone(observation)
         if (is_gone or is_restart) and len(self._tables.inflight):
             self._crash(now)
+        if observation.is_up:
+            self._resolve_silence(is_restart)
         if is_gone:
             self._pins.clear(now)
         self._end_broken(observation, now)
@@ -169,10 +175,27 @@
             text = "upstream went down before the request started"
             endings.refuse_queued(self._tables, item.request_id, ErrorCode.UPSTREAM_DOWN, text, now)
 
+    def _resolve_silence(self, is_restart: bool) -> None:
+        """Record a crash if an upstream that went silent comes back as another run."""
+        fingerprints, alone = self._unresolved, self._unresolved_alone
+        self._unresolved, self._unresolved_alone = set(), False
+        if is_restart and fingerprints:
+            self._record_crash(fingerprints, alone)
+
     def _end_broken(self, observation: Observation, now: float) -> None:
-        for row in self._tables.inflight:
-            if row.broken_after is None or observation.number <= row.broken_after:
-                continue
+        if not observation.is_up and self._silent_checks < MAX_SILENT_CHECKS:
+            # A crashed engine may accept connections before it answers. Its boot id then tells.
+            return
+        rows = [
+            row
+            for row in self._tables.inflight
+            if row.broken_after is not None and row.broken_after < observation.number
+        ]
+        if not observation.is_up:
+            alone = len(self._tables.inflight) == 1 and all(row.alone for row in rows)
+            self._unresolved_alone = alone and not self._unresolved
+            self._unresolved.update(row.fingerprint for row in rows)
+        for row in rows:
             code = ErrorCode.UPSTREAM_ERROR if observation.is_up else ErrorCode.UPSTREAM_SILENT
             end = AnswerEnd(
                 outcome=Outcome.FAILED, code=code, message="connection to the upstream broke"
@@ -183,11 +206,7 @@
         tables = self._tables
         rows = list(tables.inflight)
         alone = len(rows) == 1 and rows[0].alone
-        confirmed = tables.crashes.record_crash([row.fingerprint for row in rows], alone)
-        tables.metrics.count_event("upstream_crashed")
-        if confirmed:
-            tables.metrics.count_event("request_quarantined", len(confirmed))
-        _logger.warning("Upstream crashed.", confirmed=len(confirmed), in_flight=len(rows))
+        self._record_crash({row.fingerprint for row in rows}, alone)
         for row in rows:
             run = tables.runs.get(row.request_id)
             if run is not None:
@@ -201,6 +220,14 @@
             )
             self._end_failed(row, _failed_state(row), end, now)
 
+    def _record_crash(self, fingerprints: set[Fingerprint], alone: bool) -> None:
+        metrics = self._tables.metrics
+        confirmed = self._tables.crashes.record_crash(fingerprints, alone)
+        metrics.count_event("upstream_crashed")
+        if confirmed:
+            metrics.count_event("request_quarantined", len(confirmed))
+        _logger.warning("Upstream crashed.", confirmed=len(confirmed), suspects=len(fingerprints))
+
     def _is_ready(self, item: QueuedRequest) -> bool:
         return item.key is None or self._pins.find(item.key) is not None
 
