Judge changes by when they were submitted and when they were accepted

Cause: a change whose reply is lost takes effect before its acceptance is known.

Change: the oracle keeps both times. A graceful stop is overdue after the stated bound, the request deadline and the detach grace, instead of 40 s.

--- a/src/dragonflyhold/faults/experiment.py
+++ b/src/dragonflyhold/faults/experiment.py
@@ -255,7 +255,7 @@
             outcomes=dict(collections.Counter(t.outcomes[-1].value for t in told)),
             codes=dict(collections.Counter(code for t in told for code in t.codes if code)),
             faults=dict(collections.Counter(type(t.fault).__name__ for t in schedule)),
-            changes=len(self._operators.book.changes),
+            changes=len(self._operators.book.changes) - self._operators.refused,
             refused_changes=self._operators.refused,
             without_permit=callers.without_permit,
             overdue_stops=injector.overdue_stops,
--- a/src/dragonflyhold/faults/injector.py
+++ b/src/dragonflyhold/faults/injector.py
@@ -9,6 +9,7 @@
 
 from dragonflyhold.demo.launcher import Deployment
 from dragonflyhold.demo.processes import ManagedProcess
+from dragonflyhold.faults.callers import DEADLINE_MS
 from dragonflyhold.faults.schedule import (
     CrashEngine,
     Fault,
@@ -19,9 +20,11 @@
     TimedFault,
 )
 from dragonflyhold.observability import PartLogger
+from dragonflyhold.settings import AnswerSettings
 
-# A graceful stop is given up, and the process killed, after this time.
-STOP_TIMEOUT_S = 40.0
+# A graceful stop lasts as long as the deadline of the last request, and then the time for which an
+# answer waits for a caller that went away. Later it is overdue, and the process is killed.
+STOP_TIMEOUT_S = DEADLINE_MS / 1000 + AnswerSettings().detach_grace_s + 10.0
 
 _logger = PartLogger("faults")
 
--- a/src/dragonflyhold/faults/operators.py
+++ b/src/dragonflyhold/faults/operators.py
@@ -1,5 +1,6 @@
 """Operators of an experiment: they race to replace adapter versions and watch the revisions."""
 
+import contextlib
 import dataclasses
 import itertools
 import random
@@ -12,7 +13,7 @@
 
 from dragonflyhold.demo.operations import OperatorClient, delete_version, put_version
 from dragonflyhold.demo.processes import DeploymentError
-from dragonflyhold.faults.oracle import AcceptedChange
+from dragonflyhold.faults.oracle import VersionChange
 
 CHANGE_PERIOD_S = 3.0
 
@@ -24,7 +25,7 @@
 
     # Per (service, adapter): the version to ask for now.
     current: dict[tuple[str, str], int] = dataclasses.field(default_factory=dict)
-    changes: list[AcceptedChange] = dataclasses.field(default_factory=list)
+    changes: list[VersionChange] = dataclasses.field(default_factory=list)
 
 
 @final
@@ -68,16 +69,17 @@
                 put_version(service, adapter, old + 1),
                 delete_version(service, adapter, old),
             ]
-            try:
+            submitted_at = time.time()
+            accepted_at: float | None = None
+            with contextlib.suppress(DeploymentError, grpc.RpcError):
                 client.apply(operations)
-            except (DeploymentError, grpc.RpcError):
-                with self._lock:
-                    self.refused += 1
-                # Its fate is not known, so this adapter is left as it is from now on.
-                adapters = [item for item in adapters if item != (service, adapter)]
-                break
+                accepted_at = time.time()
             with self._lock:
-                change = AcceptedChange(service, adapter, old, old + 1, time.time())
+                change = VersionChange(service, adapter, old, old + 1, submitted_at, accepted_at)
                 self.book.changes.append(change)
+                if accepted_at is None:
+                    # Its fate is not known, so this adapter is left as it is from now on.
+                    self.refused += 1
+                    break
                 self.book.current[service, adapter] = old + 1
         client.close()
--- a/src/dragonflyhold/faults/oracle.py
+++ b/src/dragonflyhold/faults/oracle.py
@@ -39,14 +39,17 @@
 
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
-class AcceptedChange:
-    """A version that replaced the one before."""
+class VersionChange:
+    """A change that replaces the version of an adapter by the next one."""
 
     service: str
     adapter: str
     old_version: int
     new_version: int
-    accepted_at: float
+    # Unix times in seconds. The change took effect between the two; it is not known to have been
+    # accepted if the second is ``None``.
+    submitted_at: float
+    accepted_at: float | None
 
 
 @final
@@ -67,7 +70,7 @@
     # Per upstream.
     engine_journals: Mapping[str, Mapping[str, Any]]
     plain_journals: Mapping[str, Mapping[str, Any]]
-    changes: Sequence[AcceptedChange]
+    changes: Sequence[VersionChange]
     # Versions per (service, adapter) in the configuration at the end.
     final_versions: Mapping[tuple[str, str], frozenset[int]]
     # Per upstream: Unix times of SIGTERM and of the next start.
@@ -170,35 +173,35 @@
 
 
 def _check_configuration(evidence: Evidence) -> Iterable[Violation]:
-    removed_at: dict[str, float] = {}
-    added_at: dict[str, float] = {}
+    by_old = {f"{c.service}/{c.adapter}/{c.old_version}": c for c in evidence.changes}
+    by_new = {f"{c.service}/{c.adapter}/{c.new_version}": c for c in evidence.changes}
     for change in evidence.changes:
-        base = f"{change.service}/{change.adapter}"
-        removed_at[f"{base}/{change.old_version}"] = change.accepted_at
-        added_at[f"{base}/{change.new_version}"] = change.accepted_at
         versions = evidence.final_versions.get((change.service, change.adapter), frozenset())
-        newest = max(
-            other.new_version
-            for other in evidence.changes
-            if (other.service, other.adapter) == (change.service, change.adapter)
-        )
-        if newest not in versions:
-            text = f"{base} has versions {sorted(versions)}, {newest} was accepted"
+        # Later changes only go up, so a version below an accepted one means that it was reverted.
+        if change.accepted_at is not None and max(versions, default=0) < change.new_version:
+            text = f"{change} was accepted, the versions are {sorted(versions)}"
             yield Violation("configuration never reverts", text)
     for told in evidence.told:
-        added, removed = added_at.get(told.weights), removed_at.get(told.weights)
-        is_late = added is not None and told.sent_at > added + IN_FORCE_S
-        was_there = removed is None or told.ended_at < removed
+        added, removed = by_new.get(told.weights), by_old.get(told.weights)
+        is_late = _is_in_force(added, told.sent_at)
+        was_there = removed is None or told.ended_at < removed.submitted_at
         if is_late and was_there and "unknown_version" in told.codes:
-            yield Violation("in force everywhere", f"{told.weights} unknown when sent")
-        is_removed = removed is not None and told.sent_at > removed + IN_FORCE_S
-        if is_removed and told.outcomes[-1] is Outcome.OK:
-            yield Violation("in force everywhere", f"{told.weights} served after removal")
+            yield Violation("in force everywhere", f"{told.weights} unknown when sent: {told}")
+        if _is_in_force(removed, told.sent_at) and told.outcomes[-1] is Outcome.OK:
+            yield Violation("in force everywhere", f"{told.weights} served after removal: {told}")
     for daemon, revisions in evidence.revisions.items():
         if any(later < earlier for earlier, later in itertools.pairwise(revisions)):
             yield Violation("configuration never reverts", f"{daemon} went back: {revisions}")
 
 
+def _is_in_force(change: VersionChange | None, at: float) -> bool:
+    return (
+        change is not None
+        and change.accepted_at is not None
+        and at > (change.accepted_at + IN_FORCE_S)
+    )
+
+
 def _check_crashes(evidence: Evidence) -> Iterable[Violation]:
     crashes = collections.Counter(
         run["prompt_digest"]
