Meet more requests and faults per example in the stateful test

Before, outcomes taken from the last attempt only, permits refused by the entry as not_run, and lost requests reported as not_run went unnoticed in this test (unit tests saw them).

--- a/tests/entry/test_http_server.py
+++ b/tests/entry/test_http_server.py
@@ -1,5 +1,6 @@
 """Tests of the caller interface against malformed input and faulty callers."""
 
+import dataclasses
 import json
 import pathlib
 import re
@@ -161,7 +162,9 @@
                     received = b""
 
     def test_silent_connections_take_no_thread(self) -> None:
-        with running_entry() as entry:
+        settings = make_settings()
+        http = dataclasses.replace(settings.http, idle_timeout_s=60.0)
+        with running_entry(make_settings(http=http)) as entry:
             entry.add_sidecar("runner-1")
             silent = [_connect(entry) for _ in range(entry.settings.http.threads * 3)]
             assert entry.complete().status == 200
@@ -187,9 +190,8 @@
 
     def test_busy_server_refuses_with_a_typed_error(self) -> None:
         settings = make_settings()
-        http = settings.http
-        settings = make_settings(http=type(http)(address=http.address, threads=1))
-        with running_entry(settings) as entry:
+        http = dataclasses.replace(settings.http, threads=1)
+        with running_entry(make_settings(http=http)) as entry:
             sidecar = entry.add_sidecar("runner-1")
             gate = threading.Event()
             sidecar.plan = lambda submit: Plan(gate=gate)
--- a/tests/entry/test_stateful.py
+++ b/tests/entry/test_stateful.py
@@ -18,7 +18,7 @@
 plans = st.fixed_dictionaries(
     {
         "count": st.integers(0, 3),
-        "hold_at": st.none() | st.integers(0, 4),
+        "hold_at": st.sampled_from([None, 0, 0, 1, 3, 4]),
         "duplicate": st.frozensets(st.integers(0, 3)),
         "omit": st.frozensets(st.integers(0, 3), max_size=1),
         "refuse": st.sampled_from([None] * 4 + ["queue_full", "upstream_leaving", "caller_limit"]),
@@ -102,16 +102,18 @@
             self.permits.append((permit, prompt))
         self.callers.append(_Caller(self.entry, prompt, stream, permit))
 
-    @rule(plan=plans, stream=st.booleans())
-    def complete(self, plan: dict[str, object], stream: bool) -> None:
-        self._call(plan, stream, None)
+    @rule(calls=st.lists(st.tuples(plans, st.booleans()), min_size=1, max_size=4))
+    def complete(self, calls: list[tuple[dict[str, object], bool]]) -> None:
+        for plan, stream in calls:
+            self._call(plan, stream, None)
 
-    @rule(plan=plans, stream=st.booleans())
-    def complete_with_permit(self, plan: dict[str, object], stream: bool) -> None:
+    @rule(calls=st.lists(st.tuples(plans, st.booleans()), min_size=2, max_size=3))
+    def complete_with_permits(self, calls: list[tuple[dict[str, object], bool]]) -> None:
         body = {"service": "tapster-lm", "adapter": "stout:3", "kind": "issue"}
-        answer = self.entry.call("POST", "/v1/permits", body)
-        if answer.status == 200:
-            self._call(plan, stream, answer.json["permits"][0])
+        answer = self.entry.call("POST", "/v1/permits", {**body, "count": len(calls)})
+        permits = answer.json["permits"] if answer.status == 200 else []
+        for (plan, stream), permit in zip(calls, permits, strict=False):
+            self._call(plan, stream, permit)
 
     @rule(index=st.integers(0, 100), stream=st.booleans())
     def use_permit_again(self, index: int, stream: bool) -> None:
@@ -139,9 +141,16 @@
     def answer_probes(self, index: int, answers: bool) -> None:
         self._sidecar(index).answers_probes = answers
 
-    @rule(fresh=st.booleans())
-    def change_freshness(self, fresh: bool) -> None:
-        self.entry.config.fresh = fresh
+    @rule()
+    def lose_freshness(self) -> None:
+        """Refuse a new request and the permits used so far."""
+        self.entry.config.fresh = False
+        for permit, prompt in [*self.permits[-2:], (None, "stale")]:
+            self.plan_of.setdefault(prompt, {})
+            caller = _Caller(self.entry, prompt, False, permit)
+            caller.thread.join()
+            self.callers.append(caller)
+        self.entry.config.fresh = True
 
     @rule()
     def outage(self) -> None:
@@ -153,8 +162,7 @@
             self.callers.append(_Caller(self.entry, prompt, False, permit))
         for caller in self.callers:
             caller.thread.join()
-        for name in SIDECARS:
-            self.entry.sidecars[name].answers_probes = True
+        self._recover()
 
     @rule()
     def finish(self) -> None:
@@ -163,6 +171,7 @@
         for caller in self.callers:
             caller.thread.join()
         self.gate.clear()
+        self._recover()
 
     @invariant()
     def non_idempotent_requests_run_at_most_once(self) -> None:
@@ -180,6 +189,11 @@
         finally:
             self.entry.stop()
 
+    def _recover(self) -> None:
+        for name in SIDECARS:
+            self.entry.sidecars[name].answers_probes = True
+            self.entry.sidecars[name].speak_again()
+
     def _run_count(self, prompt: str) -> int:
         bodies = [body for name in SIDECARS for body in list(self.entry.sidecars[name].runs)]
         return sum(json.loads(body)["prompt"] == prompt for body in bodies)
@@ -209,7 +223,7 @@
 TestFaults = FaultsMachine.TestCase
 TestFaults.settings = hypothesis.settings(
     max_examples=40,
-    stateful_step_count=14,
+    stateful_step_count=20,
     deadline=None,
     derandomize=True,
     database=None,
