--- a/tests/entry/test_retries.py
+++ b/tests/entry/test_retries.py
@@ -44,6 +44,18 @@
                 assert entry.complete(prompt=str(number)).status == 200
             assert len(leaving.submits) <= 1
 
+    def test_one_refusal_is_enough(self) -> None:
+        with running_entry() as entry:
+            for number in range(2):
+                entry.add_sidecar(f"runner-{number}")
+            entry.complete()
+            (used,) = [sidecar for sidecar in entry.sidecars.values() if sidecar.submits]
+            # Its reports do not say yet that it leaves.
+            used.plan = lambda submit: Plan(refuse=ErrorCode.UPSTREAM_LEAVING)
+            for number in range(10):
+                assert entry.complete(prompt=str(number)).status == 200
+            assert len(used.submits) == 2
+
     def test_upstream_leaving_by_the_vm_list_is_not_chosen(self) -> None:
         with running_entry() as entry:
             for number in range(2):
