--- a/tests/entry/test_http_server.py
+++ b/tests/entry/test_http_server.py
@@ -1,6 +1,9 @@
 """Tests of the caller interface against malformed input and faulty callers."""
 
+import dataclasses
 import json
+import pathlib
+import re
 import socket
 import threading
 from collections.abc import Iterator
@@ -8,6 +11,7 @@
 
 import pytest
 
+from dragonflyhold.entry.replies import STATUS_BY_CODE
 from dragonflyhold.errors import ErrorCode
 from tests.entry.fake_config import MODEL
 from tests.entry.fake_sidecar import Plan
@@ -158,7 +162,9 @@
                     received = b""
 
     def test_silent_connections_take_no_thread(self) -> None:
-        with running_entry() as entry:
+        settings = make_settings()
+        http = dataclasses.replace(settings.http, idle_timeout_s=60.0)
+        with running_entry(make_settings(http=http)) as entry:
             entry.add_sidecar("runner-1")
             silent = [_connect(entry) for _ in range(entry.settings.http.threads * 3)]
             assert entry.complete().status == 200
@@ -184,9 +190,8 @@
 
     def test_busy_server_refuses_with_a_typed_error(self) -> None:
         settings = make_settings()
-        http = settings.http
-        settings = make_settings(http=type(http)(address=http.address, threads=1))
-        with running_entry(settings) as entry:
+        http = dataclasses.replace(settings.http, threads=1)
+        with running_entry(make_settings(http=http)) as entry:
             sidecar = entry.add_sidecar("runner-1")
             gate = threading.Event()
             sidecar.plan = lambda submit: Plan(gate=gate)
@@ -222,7 +227,8 @@
             wait_until(lambda: len(sidecar.requests) == 5)
             entry.daemon.request_stop()
             wait_until(lambda: _is_closed(entry))
-            assert not entry.daemon.wait(0.1)
+            # Longer than the default of the server's own limit, 5 s.
+            assert not entry.daemon.wait(5.5)
             gate.set()
             for caller in callers:
                 caller.join()
@@ -242,10 +248,15 @@
     """Guards against a code without an HTTP status or without a line in the reference."""
 
     def test_every_code_has_a_status(self) -> None:
-        from dragonflyhold.entry.replies import STATUS_BY_CODE
-
         assert set(STATUS_BY_CODE) == set(ErrorCode)
 
+    def test_reference_lists_every_code_with_its_status(self) -> None:
+        text = (pathlib.Path(__file__).parents[2] / "docs/errors.md").read_text(encoding="utf-8")
+        rows = re.findall(r"^\| `(\w+)` \| (\d+) \|", text, re.M)
+        expected = {(code.value, str(status)) for code, status in STATUS_BY_CODE.items()}
+        assert set(rows) == expected
+        assert len(rows) == len(expected)
+
 
 def _is_closed(entry: EntryHarness) -> bool:
     try:
--- a/tests/transport/test_upstream_stream.py
+++ b/tests/transport/test_upstream_stream.py
@@ -127,10 +127,11 @@
         setup.sidecar.plan = lambda submit: Plan(duplicate=frozenset({0, 2}))
         assert _text(_rest(setup.submit())) == b"one two three"
 
-    def test_missing_piece_is_asked_for(self, setup: _Setup) -> None:
-        setup.sidecar.plan = lambda submit: Plan(omit=frozenset({1}))
+    @pytest.mark.parametrize("missing", [0, 1, 2])
+    def test_missing_piece_is_asked_for(self, setup: _Setup, missing: int) -> None:
+        setup.sidecar.plan = lambda submit: Plan(omit=frozenset({missing}))
         assert _text(_rest(setup.submit())) == b"one two three"
-        assert setup.sidecar.attaches[0].from_sequence == 1
+        assert setup.sidecar.attaches[0].from_sequence == missing
 
     def test_cancel_waits_for_the_id(self, setup: _Setup) -> None:
         gate = threading.Event()
@@ -174,6 +175,21 @@
         assert _text(events) == b"one two three"
         assert len(setup.sidecar.runs) == 1
 
+    def test_late_frames_of_the_old_stream_change_nothing(self, setup: _Setup) -> None:
+        gate = threading.Event()
+        setup.sidecar.plan = lambda submit: Plan(gate=gate, gate_at=1)
+        request = setup.submit()
+        wait_until(lambda: request.next_sequence == 1)
+        setup.sidecar.go_silent()
+        gate.set()
+        wait_until(lambda: any(r.end is not None for r in setup.sidecar.requests.values()))
+        setup.pass_time(3.1)
+        events = _rest(request)
+        setup.sidecar.speak_again()
+        assert _text(events) == b"one two three"
+        assert _text(_rest(setup.submit())) == b"one two three"
+        assert request.events.empty()
+
     def test_broken_stream_is_replaced_without_waiting(self, setup: _Setup) -> None:
         gate = threading.Event()
         setup.sidecar.plan = lambda submit: Plan(gate=gate, gate_at=1)
