Cut the sidecar's work per piece and per message

Each piece took the lock of every open stream; now only the streams that read the answer are told. Deadlines are checked on ticks and abandoned answers once a heartbeat, not after each message. A new wish asks the load broker at once: its retry hint was for the wishes it knew.

--- a/src/dragonflyhold/sidecar/budget.py
+++ b/src/dragonflyhold/sidecar/budget.py
@@ -267,6 +267,8 @@
         self._next_number = 1
         self._is_asking = False
         self._ask_at = 0.0
+        self._asked: set[int] = set()
+        self._asked_at = 0.0
         self._share: LocalLoadShare | None = None
         self._share_count = 0
 
@@ -282,6 +284,10 @@
             del self._numbers[number]
             if self._grants.pop(number, None) is not None:
                 self.release(number)
+        is_new = any(wish.number not in self._asked for wish in wishes.values())
+        if is_new and self._share is None:
+            # The broker's hint was for the wishes it knew.
+            self._ask_at = min(self._ask_at, self._asked_at + MIN_ASK_S)
         self._wishes = wishes
 
     def take(self, key: AdapterKey, now: float) -> int | None:
@@ -309,6 +315,8 @@
         if not wishes or self._is_asking or now < self._ask_at:
             return
         self._is_asking = True
+        self._asked = {wish.number for wish in wishes}
+        self._asked_at = now
         self._submit(lambda: self._ask(wishes))
 
     def on_reply(self, reply: BudgetReply, now: float) -> None:
--- a/src/dragonflyhold/sidecar/core.py
+++ b/src/dragonflyhold/sidecar/core.py
@@ -90,6 +90,7 @@
                 self._set_leaving(source, is_leaving)
             case msg.TimerTick():
                 self._unpark(now)
+                self._execution.expire(now)
             case msg.HeartbeatTick():
                 self._on_heartbeat_tick(now)
             case _:
@@ -142,7 +143,8 @@
                     self._desk.attach(outbox, item.attach, now)
                 case "cancel":
                     self._desk.cancel(outbox, item.cancel, now)
-                case "heartbeat":
+                case "heartbeat" if not outbox.has_open:
+                    # While answers are read, heartbeats are sent each period anyway.
                     outbox.put_heartbeat(self._heartbeat())
                 case "ack":
                     request_id = RequestId(item.ack.request_id)
@@ -215,6 +217,7 @@
         self._set_leaving("configuration", is_draining)
         tables.crashes.advance(now)
         tables.answers.expire(now)
+        self._execution.expire_abandoned(now)
         for request_id in tables.permits.expire(now):
             tables.answers.discard(request_id)
         limit = now - GONE_FACTOR * tables.settings.transport.silence_s
--- a/src/dragonflyhold/sidecar/daemon.py
+++ b/src/dragonflyhold/sidecar/daemon.py
@@ -254,7 +254,9 @@
         self._timers.subscribe(
             settings.platform.vm_list_period_s, OneAtATime(watch.poll, self._submit)
         )
-        self._timers.subscribe(QUARANTINE_PERIOD_S, OneAtATime(rows.poll, self._submit))
+        poll_rows = OneAtATime(rows.poll, self._submit)
+        poll_rows()
+        self._timers.subscribe(QUARANTINE_PERIOD_S, poll_rows)
 
     def _make_run(self, pins: Pins, item: QueuedRequest, slot: int | None) -> Run:
         tables, surroundings = self._tables, self._surroundings
--- a/src/dragonflyhold/sidecar/execution.py
+++ b/src/dragonflyhold/sidecar/execution.py
@@ -86,9 +86,8 @@
         ]
 
     def step(self, now: float) -> None:
-        """Expire what is over and start what can start."""
+        """Start what can start."""
         tables = self._tables
-        self._expire(now)
         if not tables.condition.is_up or tables.answers.is_full:
             return
         chosen = tables.queue.choose(
@@ -324,7 +323,8 @@
         tables.metrics.count_refusal(ErrorCode.UPSTREAM_DOWN.value)
         endings.end_started(tables, row.request_id, RequestState.DECLINED, end, now)
 
-    def _expire(self, now: float) -> None:
+    def expire(self, now: float) -> None:
+        """End requests whose deadline has passed."""
         tables = self._tables
         for item in tables.queue.expired(now):
             text = "deadline passed in the queue"
@@ -332,7 +332,10 @@
         for row in tables.inflight:
             if row.deadline <= now and row.idempotent:
                 self._cancel(row, "deadline passed")
-        for request_id in tables.answers.abandoned(now):
+
+    def expire_abandoned(self, now: float) -> None:
+        """End requests that no caller has come back for."""
+        for request_id in self._tables.answers.abandoned(now):
             self._abandon(request_id, now)
 
     def _abandon(self, request_id: RequestId, now: float) -> None:
--- a/src/dragonflyhold/sidecar/outbox.py
+++ b/src/dragonflyhold/sidecar/outbox.py
@@ -31,13 +31,18 @@
     """
 
     def __init__(
-        self, answers: AnswerStore, revision: Callable[[], int], clock: Callable[[], float]
+        self,
+        answers: AnswerStore,
+        hub: "StreamHub",
+        revision: Callable[[], int],
+        clock: Callable[[], float],
     ) -> None:
         self.entry = ""
         # Address of the entry's peer interface, if it told one.
         self.address = ""
         self.last_heard = clock()
         self._answers = answers
+        self._hub = hub
         self._revision = revision
         self._clock = clock
         self._condition = threading.Condition()
@@ -78,6 +83,7 @@
             self._drop_cursor(tag)
             self._cursors[tag] = _Cursor(request_id, first)
             self._tags.setdefault(request_id, set()).add(tag)
+            self._hub.add_reader(request_id, self)
             self._dirty[tag] = None
             self._condition.notify()
             return True
@@ -88,16 +94,12 @@
             for tag in list(self._tags.get(request_id, ())):
                 self._drop_cursor(tag)
 
-    def wake(self, request_id: RequestId) -> bool:
-        """Note new pieces of an answer; ``False`` if the stream does not read it."""
+    def wake(self, request_id: RequestId) -> None:
+        """Note new pieces of an answer."""
         with self._condition:
-            tags = self._tags.get(request_id)
-            if not tags:
-                return False
-            for tag in tags:
+            for tag in self._tags.get(request_id, ()):
                 self._dirty[tag] = None
             self._condition.notify()
-            return True
 
     def close(self) -> None:
         """End the stream; its answers may be attached to another."""
@@ -161,15 +163,20 @@
         tags.discard(tag)
         if not tags:
             del self._tags[cursor.request_id]
+            self._hub.remove_reader(cursor.request_id, self)
         self._answers.detach(cursor.request_id, self._clock())
 
 
 @final
 class StreamHub:
-    """All open Exchange streams."""
+    """All open Exchange streams, and which of them read an answer.
+
+    Its lock is taken inside those of the streams and never the other way round.
+    """
 
     def __init__(self) -> None:
         self._outboxes: set[StreamOutbox] = set()
+        self._readers: dict[RequestId, set[StreamOutbox]] = {}
         self._lock = threading.Lock()
 
     def add(self, outbox: StreamOutbox) -> None:
@@ -188,7 +195,22 @@
         with self._lock:
             return list(self._outboxes)
 
+    def add_reader(self, request_id: RequestId, outbox: StreamOutbox) -> None:
+        """Note that a stream reads an answer."""
+        with self._lock:
+            self._readers.setdefault(request_id, set()).add(outbox)
+
+    def remove_reader(self, request_id: RequestId, outbox: StreamOutbox) -> None:
+        """Note that a stream reads an answer no more."""
+        with self._lock:
+            readers = self._readers.get(request_id, set())
+            readers.discard(outbox)
+            if not readers:
+                self._readers.pop(request_id, None)
+
     def wake(self, request_id: RequestId) -> None:
-        """Tell the streams that read an answer that it has grown."""
-        for outbox in self.all():
+        """Tell the streams that read an answer that it has grown; called for each piece."""
+        with self._lock:
+            readers = list(self._readers.get(request_id, ()))
+        for outbox in readers:
             outbox.wake(request_id)
--- a/src/dragonflyhold/sidecar/servicer.py
+++ b/src/dragonflyhold/sidecar/servicer.py
@@ -34,7 +34,12 @@
     ) -> Iterator[pb.SidecarFrame]:
         """Carry all requests of one entry."""
         config = self._tables.config
-        outbox = StreamOutbox(self._tables.answers, lambda: int(config.view.revision), self._clock)
+        outbox = StreamOutbox(
+            self._tables.answers,
+            self._tables.hub,
+            lambda: int(config.view.revision),
+            self._clock,
+        )
         self._tables.hub.add(outbox)
         context.add_callback(outbox.close)
         reader = threading.Thread(
--- a/tests/sidecar/rig.py
+++ b/tests/sidecar/rig.py
@@ -163,7 +163,7 @@
 
     def open_stream(self) -> StreamOutbox:
         """Return a new stream of an entry."""
-        outbox = StreamOutbox(self.tables.answers, lambda: 1, lambda: self.now)
+        outbox = StreamOutbox(self.tables.answers, self.tables.hub, lambda: 1, lambda: self.now)
         self.tables.hub.add(outbox)
         return outbox
 
