--- a/src/dragonflyhold/faults/oracle.py
+++ b/src/dragonflyhold/faults/oracle.py
@@ -118,6 +118,9 @@
     runs = collections.Counter(_completion_runs(evidence))
     calls = collections.Counter(_plain_runs(evidence))
     for told in evidence.told:
+        if told.prompt in evidence.poison_prompts:
+            # Sent many times, so its runs do not tell which of the requests ran.
+            continue
         if told.permit:
             # Later attempts under the same permit may have run it.
             is_refused = told.outcomes[-1] is Outcome.NOT_RUN
