Measure capacity slopes and decide common cases without scans

Cause: `dragonflyhold bench capacity` showed that a routing decision at 600 upstreams took 1.6 ms and a broker call 5.0 ms. At 200 sidecars that ask about once a second the broker alone would have taken a third of a core.

Change: the upstream table keeps the holders of each adapter, so a request whose home or holder is free needs no look at all upstreams. The broker keeps the ranks of pending wishes sorted and holders in the order of their calls. plan_slots sorts only what fits and returns early when no slot can be freed. Memory tests bound the bytes per row.

Ruled out: caching the mean load per service, because loads change with every request and report.

With all upstreams busy a decision still takes 2.6 ms at 600.

--- a/src/dragonflyhold/adapters/broker.py
+++ b/src/dragonflyhold/adapters/broker.py
@@ -1,5 +1,6 @@
 """Shares the weight store's load rate among the sidecars of a region."""
 
+import bisect
 import dataclasses
 import hashlib
 from collections.abc import Iterable, Sequence
@@ -40,9 +41,16 @@
 @final
 @dataclasses.dataclass(slots=True)
 class _Pending:
-    worth: float
     first_seen: float
+    # Worth with its ageing at the last call of the holder.
+    rank: float
+
+
+@final
+@dataclasses.dataclass(slots=True)
+class _HolderWishes:
     seen: float
+    by_adapter: dict[str, _Pending]
 
 
 _Holder = tuple[UpstreamName, Incarnation]
@@ -64,7 +72,10 @@
         self._refilled_at: float | None = None
         self._started_at = 0.0
         self._lapses: dict[_GrantKey, float] = {}
-        self._pending: dict[_Holder, dict[str, _Pending]] = {}
+        # Holders by their last call, the oldest first.
+        self._pending: dict[_Holder, _HolderWishes] = {}
+        # Ranks of all pending wishes in ascending order, so that a call needs no scan of them.
+        self._ranks: list[float] = []
 
     @property
     def in_transit(self) -> int:
@@ -91,7 +102,7 @@
         granted = list(repeated)
         refused: list[tuple[LoadWish, int]] = []
         for wish in sorted(fresh, key=lambda wish: -wish.worth):
-            ahead = self._count_ahead(holder, wish.adapter, now)
+            ahead = self._count_ahead(holder, wish.adapter)
             if self._free() >= ahead + 1 or self._is_overflowing(now):
                 granted.append(self._grant(holder, wish, now))
             else:
@@ -116,12 +127,11 @@
         self._refilled_at = max(now, self._refilled_at)
         for key in [key for key, lapse in self._lapses.items() if lapse <= now]:
             del self._lapses[key]
-        for holder in list(self._pending):
-            wishes = self._pending[holder]
-            for adapter in [a for a, entry in wishes.items() if entry.seen + WISH_TTL_S < now]:
-                del wishes[adapter]
-            if not wishes:
-                del self._pending[holder]
+        while self._pending:
+            holder = next(iter(self._pending))
+            if self._pending[holder].seen + WISH_TTL_S >= now:
+                break
+            self._forget(holder)
 
     def _free(self) -> int:
         room = self._settings.max_in_transit - len(self._lapses)
@@ -137,30 +147,44 @@
         return 1.0 if is_new else float(self._settings.burst)
 
     def _remember(self, holder: _Holder, wishes: Sequence[LoadWish], now: float) -> None:
-        earlier = self._pending.pop(holder, {})
+        earlier = self._forget(holder)
         if not wishes:
             return
         entries: dict[str, _Pending] = {}
         for wish in wishes:
             known = earlier.get(wish.adapter)
             first_seen = known.first_seen if known is not None else now
-            entries[wish.adapter] = _Pending(wish.worth, first_seen, now)
-        self._pending[holder] = entries
-
-    def _count_ahead(self, holder: _Holder, adapter: str, now: float) -> int:
-        mine = self._pending[holder][adapter]
-        rank = _aged_worth(mine, now)
-        return sum(
-            _aged_worth(entry, now) > rank
-            for wishes in self._pending.values()
-            for entry in wishes.values()
-            if entry is not mine
-        )
+            rank = wish.worth * (1.0 + (now - first_seen) // AGEING_S)
+            if wish.adapter in entries:
+                self._remove_rank(entries[wish.adapter].rank)
+            entries[wish.adapter] = _Pending(first_seen, rank)
+            bisect.insort(self._ranks, rank)
+        self._pending[holder] = _HolderWishes(now, entries)
+
+    def _forget(self, holder: _Holder) -> dict[str, _Pending]:
+        wishes = self._pending.pop(holder, None)
+        if wishes is None:
+            return {}
+        for entry in wishes.by_adapter.values():
+            self._remove_rank(entry.rank)
+        return wishes.by_adapter
+
+    def _remove_rank(self, rank: float) -> None:
+        del self._ranks[bisect.bisect_left(self._ranks, rank)]
+
+    def _count_ahead(self, holder: _Holder, adapter: str) -> int:
+        entry = self._pending[holder].by_adapter.get(adapter)
+        if entry is None:
+            # A second wish for an adapter that this call has granted goes last.
+            return len(self._ranks)
+        return len(self._ranks) - bisect.bisect_right(self._ranks, entry.rank)
 
     def _grant(self, holder: _Holder, wish: LoadWish, now: float) -> int:
         self._tokens -= 1.0
         self._lapses[(*holder, wish.number)] = now + self._settings.grant_ttl_s
-        del self._pending[holder][wish.adapter]
+        entry = self._pending[holder].by_adapter.pop(wish.adapter, None)
+        if entry is not None:
+            self._remove_rank(entry.rank)
         return wish.number
 
     def _retry_after(self, ahead: int) -> float:
@@ -199,7 +223,3 @@
 
 def _broker_score(name: UpstreamName) -> bytes:
     return hashlib.blake2b(name.encode(), digest_size=8, person=b"load-broker").digest()
-
-
-def _aged_worth(entry: _Pending, now: float) -> float:
-    return entry.worth * (1.0 + (now - entry.first_seen) // AGEING_S)
--- a/src/dragonflyhold/adapters/plan.py
+++ b/src/dragonflyhold/adapters/plan.py
@@ -1,6 +1,7 @@
 """Which adapter loads next, and which slot is freed for it."""
 
 import dataclasses
+import heapq
 import math
 from collections.abc import Callable, Sequence
 from typing import final
@@ -86,21 +87,22 @@
     rank: VictimRank,
 ) -> list[StartLoad | StartEvict]:
     """Plan like ``plan_slots`` with another order of eviction."""
-    wanted = _wanted(slots, waiting, backoff, now)
     empty = [slot for slot in slots.slots if slot.state is SlotState.EMPTY]
-    actions: list[StartLoad | StartEvict] = [
-        StartLoad(slot.index, waiter.key, waiter.worth)
-        for slot, waiter in zip(empty, wanted, strict=False)
-    ]
-    evicting = any(slot.state is SlotState.EVICTING for slot in slots.slots)
+    if empty:
+        wanted = _wanted(slots, waiting, backoff, now, len(empty))
+        return [
+            StartLoad(slot.index, waiter.key, waiter.worth)
+            for slot, waiter in zip(empty, wanted, strict=False)
+        ]
     # One freed slot ahead of the load budget is enough: a slot that waits empty for a grant
     # serves nothing.
-    if wanted and not empty and not evicting:
-        kept = {waiter.key for waiter in waiting}
-        idle = [slot for slot in slots.slots if slot.is_idle and slot.key not in kept]
-        if idle:
-            actions.append(StartEvict(min(idle, key=rank).index))
-    return actions
+    if any(slot.state is SlotState.EVICTING for slot in slots.slots):
+        return []
+    kept = {waiter.key for waiter in waiting}
+    idle = [slot for slot in slots.slots if slot.is_idle and slot.key not in kept]
+    if not idle or not _wanted(slots, waiting, backoff, now, 1):
+        return []
+    return [StartEvict(min(idle, key=rank).index)]
 
 
 def _wanted(
@@ -108,8 +110,9 @@
     waiting: Sequence[WaitingAdapter],
     backoff: LoadBackoff,
     now: float,
+    count: int,
 ) -> list[WaitingAdapter]:
-    """Return the adapters to load, best first."""
+    """Return the ``count`` adapters to load, best first."""
     unpinned = sum(slot.is_idle or slot.state is SlotState.EMPTY for slot in slots.slots)
     batch_may_load = unpinned > BATCH_FREE_SHARE * len(slots.slots)
     wanted = [
@@ -121,8 +124,9 @@
     ]
     # Among equal loads the newest waiter is first: when the budget does not suffice, the oldest
     # ones are about to pass their deadline, and a load for them is often wasted.
-    wanted.sort(key=lambda waiter: (-waiter.worth, waiter.oldest_s, waiter.key))
-    return wanted
+    return heapq.nsmallest(
+        count, wanted, key=lambda waiter: (-waiter.worth, waiter.oldest_s, waiter.key)
+    )
 
 
 def _likely_use(slot: Slot, popularity: Popularity, now: float, settings: SlotSettings) -> float:
--- a/src/dragonflyhold/cli/bench.py
+++ b/src/dragonflyhold/cli/bench.py
@@ -5,6 +5,7 @@
 
 import click
 
+from dragonflyhold.bench import capacity as capacity_bench
 from dragonflyhold.bench import policy as policy_bench
 from dragonflyhold.bench import policy_report
 from dragonflyhold.bench.policy_baselines import POLICY_NAMES
@@ -75,3 +76,15 @@
 
 
 bench_group.add_command(load_command)
+
+
+@bench_group.command()
+@click.option("--output", type=click.Path(path_type=pathlib.Path), help="JSON file to write.")
+def capacity(output: pathlib.Path | None) -> None:
+    """Measure the cost of rows, decisions and messages at several sizes."""
+    series = capacity_bench.measure_all()
+    click.echo(capacity_bench.format_series(series))
+    if output is not None:
+        output.parent.mkdir(parents=True, exist_ok=True)
+        text = json.dumps(capacity_bench.to_json(series), indent=1)
+        output.write_text(text + "\n", encoding="utf-8")
--- a/src/dragonflyhold/routing/choice.py
+++ b/src/dragonflyhold/routing/choice.py
@@ -13,6 +13,10 @@
 from dragonflyhold.routing.table import UpstreamRow, UpstreamTable
 from dragonflyhold.settings.model import RoutingSettings
 
+# Share of the batch up to which an upstream counts as free whatever the others' load is: a request
+# does not wait for its turn there, and moving it would only cost a load.
+FREE_SHARE = 0.5
+
 
 class RouteReason(enum.Enum):
     """Why an upstream was chosen; also a metric label."""
@@ -68,6 +72,10 @@
     """
     if request.suspected:
         return _choose_for_suspect(request, table, now)
+    if request.key is not None:
+        quick = _choose_free(request, request.key, table, now)
+        if quick is not None:
+            return quick
     usable = [row for row in table.rows(request.service) if row.is_usable()]
     ready = [row for row in usable if not row.is_excluded(now)]
     candidates = [row for row in ready if row.config.name not in request.tried] or ready
@@ -81,13 +89,45 @@
 def load_limit(candidates: Sequence[UpstreamRow], now: float, settings: RoutingSettings) -> float:
     """Return the load at which a candidate is skipped.
 
-    The bounded-load factor times the mean, but at least half a batch: below that a request does
-    not wait for its turn, and moving it would only cost a load.
+    The bounded-load factor times the mean, but at least ``FREE_SHARE`` of a batch.
     """
     total = sum(row.load(now) for row in candidates)
     mean = (total + 1) / len(candidates)
     batch = min(row.batch_limit for row in candidates)
-    return max(settings.bounded_load_factor * mean, batch / 2, 1.0)
+    return max(settings.bounded_load_factor * mean, batch * FREE_SHARE, 1.0)
+
+
+def _choose_free(
+    request: RouteRequest, key: AdapterKey, table: UpstreamTable, now: float
+) -> RouteTo | None:
+    """Return the first ranked upstream, or one that holds the adapter, if it is free.
+
+    The common case, decided without a look at all upstreams.
+    """
+    ranking = table.ranking(key.service, hash64(str(key).encode()))
+    if not ranking:
+        return None
+    home = ranking[0]
+    is_home_free = _is_free(home, request, now)
+    if is_home_free and home.has_resident(key, now):
+        return RouteTo(home.config.name, RouteReason.RESIDENT)
+    holders = [row for row in table.holders(key) if row.has_resident(key, now)]
+    free = [row for row in holders if _is_free(row, request, now)]
+    if free:
+        best = min(free, key=lambda row: row.load(now))
+        return RouteTo(best.config.name, RouteReason.RESIDENT)
+    if is_home_free and not holders:
+        return RouteTo(home.config.name, RouteReason.RANKED)
+    return None
+
+
+def _is_free(row: UpstreamRow, request: RouteRequest, now: float) -> bool:
+    return (
+        row.is_usable()
+        and not row.is_excluded(now)
+        and row.config.name not in request.tried
+        and row.load(now) < row.batch_limit * FREE_SHARE
+    )
 
 
 def _choose_for_key(
--- a/src/dragonflyhold/routing/table.py
+++ b/src/dragonflyhold/routing/table.py
@@ -3,7 +3,7 @@
 import dataclasses
 import heapq
 import math
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from typing import final
 
 from dragonflyhold.config.objects import Upstream
@@ -119,6 +119,8 @@
         self._by_service: dict[ServiceName, tuple[UpstreamRow, ...]] = {}
         # Requests of this entry in flight per adapter version, over all upstreams.
         self._own_by_key: dict[AdapterKey, int] = {}
+        # Upstreams that are believed to hold an adapter version, or were until lately.
+        self._holders: dict[AdapterKey, list[UpstreamRow]] = {}
         self._rankings: dict[tuple[ServiceName, int], tuple[UpstreamRow, ...]] = {}
 
     def rows(self, service: ServiceName) -> tuple[UpstreamRow, ...]:
@@ -133,6 +135,10 @@
         """Return this entry's requests in flight for an adapter version."""
         return self._own_by_key.get(key, 0)
 
+    def holders(self, key: AdapterKey) -> Sequence[UpstreamRow]:
+        """Return the upstreams that may hold an adapter version; no other one does."""
+        return self._holders.get(key, ())
+
     def ranking(self, service: ServiceName, point: int) -> tuple[UpstreamRow, ...]:
         """Return the first upstreams of a service by rendezvous score of a hashed key.
 
@@ -168,6 +174,9 @@
             row.config = upstream
             rows[upstream.name] = row
         self._rows = rows
+        self._holders.clear()
+        for row in rows.values():
+            self._add_holder(row, row.resident)
         by_service: dict[ServiceName, list[UpstreamRow]] = {}
         for row in rows.values():
             by_service.setdefault(row.config.service, []).append(row)
@@ -221,7 +230,7 @@
         row.since_report = 0
         row.batch_limit = max(load.batch_limit, 1)
         until = now + self._settings.residency_ttl_s
-        row.resident = dict.fromkeys(load.resident, until)
+        self._set_resident(row, dict.fromkeys(load.resident, until))
 
     def record_refusal(self, name: UpstreamName, code: ErrorCode, now: float) -> None:
         """Leave an upstream out after a refusal that concerns it as a whole.
@@ -248,7 +257,11 @@
             return
         if len(row.resident) >= 2 * max(row.config.slots, 1):
             # More than the slots can hold: the oldest beliefs are wrong.
-            del row.resident[min(row.resident, key=lambda k: row.resident[k])]
+            oldest = min(row.resident, key=lambda k: row.resident[k])
+            del row.resident[oldest]
+            self._drop_holder(row, (oldest,))
+        if key not in row.resident:
+            self._add_holder(row, (key,))
         row.resident[key] = now + self._settings.residency_ttl_s
 
     def record_down(self, name: UpstreamName, now: float) -> None:
@@ -257,7 +270,7 @@
         row = self._rows.get(name)
         if row is not None:
             row.is_down = True
-            row.resident.clear()
+            self._set_resident(row, {})
 
     def record_up(self, name: UpstreamName, now: float) -> None:
         """End ``record_down``."""
@@ -271,7 +284,23 @@
         row.leaving_guard_until = -math.inf
         row.excluded_until = -math.inf
         row.full_until = -math.inf
-        row.resident.clear()
+        self._set_resident(row, {})
+
+    def _set_resident(self, row: UpstreamRow, resident: dict[AdapterKey, float]) -> None:
+        self._drop_holder(row, row.resident.keys() - resident.keys())
+        self._add_holder(row, resident.keys() - row.resident.keys())
+        row.resident = resident
+
+    def _add_holder(self, row: UpstreamRow, keys: Iterable[AdapterKey]) -> None:
+        for key in keys:
+            self._holders.setdefault(key, []).append(row)
+
+    def _drop_holder(self, row: UpstreamRow, keys: Iterable[AdapterKey]) -> None:
+        for key in keys:
+            holders = self._holders[key]
+            holders.remove(row)
+            if not holders:
+                del self._holders[key]
 
 
 def _is_reactivated(old: Upstream, new: Upstream) -> bool:
--- /dev/null
+++ b/tests/bench/test_capacity.py
@@ -0,0 +1,49 @@
+"""Tests of the capacity measurements."""
+
+import pytest
+
+from dragonflyhold.bench import capacity
+
+
+class TestSeries:
+    """Guards against slopes that mix up fixed and growing cost."""
+
+    def test_slope_leaves_out_the_fixed_part(self) -> None:
+        series = capacity.Series("x", "bytes", "row", ((10, 150.0), (20, 250.0), (30, 350.0)))
+        assert series.slope == pytest.approx(10.0)
+
+    def test_single_point_has_no_slope(self) -> None:
+        series = capacity.Series("x", "MB", "", ((1, 40.0),))
+        assert capacity.to_json([series])[0]["slope"] is None
+        assert "per" not in capacity.format_series([series])
+
+
+@pytest.fixture(scope="module")
+def rows() -> list[capacity.Series]:
+    return capacity.measure_rows()
+
+
+class TestMemory:
+    """Guards against rows that outgrow the memory of a daemon; memory does not vary with time."""
+
+    @pytest.mark.parametrize(
+        ("name", "limit_bytes"),
+        [
+            ("popularity", 300),
+            ("upstream table", 4000),
+            ("rankings", 400),
+            ("in-flight table", 800),
+            ("slot table", 500),
+            ("broker", 400),
+        ],
+    )
+    def test_bytes_per_row(
+        self, rows: list[capacity.Series], name: str, limit_bytes: float
+    ) -> None:
+        series = next(item for item in rows if name in item.name)
+        assert 0 < series.slope < limit_bytes
+
+    def test_heartbeat_fits_the_budget(self) -> None:
+        # 64 channels with a heartbeat each second and 7 KB/s per daemon.
+        beats = capacity.measure_heartbeats()
+        assert dict(beats.points)[0] < 110
--- a/tests/routing/test_table.py
+++ b/tests/routing/test_table.py
@@ -67,6 +67,8 @@
         self.table = UpstreamTable(SETTINGS)
         self.table.sync([make_upstream(name) for name in NAMES], self.now)
         self.model = {name: _Model() for name in NAMES}
+        # Requests sent to upstreams that were removed; their ends are not simulated.
+        self.lost = 0
 
     @rule(seconds=st.floats(0.0, 4.0))
     def wait(self, seconds: float) -> None:
@@ -102,6 +104,18 @@
         model.down = False
         self.table.record_report(name, run, state, make_load(in_flight, KEY), self.now)
 
+    @rule(name=names, version=st.integers(1, 30))
+    def learn_residency(self, name: UpstreamName, version: int) -> None:
+        self.table.record_residency(name, KEY._replace(version=Version(version)), self.now)
+
+    @rule(kept=st.sets(names, min_size=1))
+    def replace_and_return_upstreams(self, kept: set[UpstreamName]) -> None:
+        self.table.sync([make_upstream(name) for name in sorted(kept)], self.now)
+        self.table.sync([make_upstream(name) for name in NAMES], self.now)
+        for name in set(NAMES) - kept:
+            self.lost += self.model[name].own
+            self.model[name] = _Model()
+
     @rule(name=names)
     def refuse_as_leaving(self, name: UpstreamName) -> None:
         self.model[name].refused_at = self.now
@@ -129,7 +143,16 @@
             assert row.own == model.own
             assert row.load(self.now) >= model.own >= 0
         total = sum(model.own for model in self.model.values())
-        assert self.table.own_load(KEY) == total
+        assert self.table.own_load(KEY) == total + self.lost
+
+    @invariant()
+    def finds_the_holders_of_every_adapter(self) -> None:
+        rows = self.table.rows(SERVICE)
+        for key in {key for row in rows for key in row.resident} | {KEY}:
+            holders = self.table.holders(key)
+            assert sorted(row.config.name for row in holders) == sorted(
+                row.config.name for row in rows if key in row.resident
+            )
 
 
 class TestUpstreamTableStates(UpstreamTableMachine.TestCase):  # type: ignore[misc]
