Write all waiting pieces of an answer at once

A write per token cost most of the entry's time per token. Pieces that wait are taken together and written as one block of events, and the part of the event that is the same for all pieces is encoded once per write.

--- a/src/dragonflyhold/entry/answer_read.py
+++ b/src/dragonflyhold/entry/answer_read.py
@@ -14,14 +14,13 @@
     RunEvent,
     Started,
     Waiting,
+    merge_pieces,
 )
 from dragonflyhold.errors import in_doubt
 from dragonflyhold.ids import RequestId
 from dragonflyhold.transport.open_request import (
     AnswerEnded,
     OpenRequest,
-    PieceReceived,
-    RequestAccepted,
     RequestLost,
     RequestRefused,
 )
@@ -58,22 +57,28 @@
     def _follow(self, link: UpstreamLink, opened: OpenRequest) -> Generator[RunEvent, None, None]:
         yield Started(self._request_id)
         while True:
-            match opened.next_event(POLL_S):
-                case None:
-                    yield Waiting()
-                case RequestAccepted():
-                    continue
-                case PieceReceived(sequence, data):
-                    yield Passed(sequence, data)
-                case AnswerEnded(end):
-                    if end.outcome != pb.OUTCOME_OK:
-                        raise error_of(end.code, end.message, end.outcome)
-                    link.acknowledge(opened)
-                    yield Ended(self._request_id, end)
-                    return
-                case RequestRefused(refused):
-                    raise error_of(
-                        refused.code, refused.message, refused.outcome, refused.retry_after_ms
-                    )
-                case RequestLost(info):
-                    raise in_doubt(info.code, info.message)
+            events = opened.next_events(POLL_S)
+            if not events:
+                yield Waiting()
+            for event in merge_pieces(events):
+                match event:
+                    case Passed():
+                        yield event
+                    case AnswerEnded(end):
+                        yield self._finish(link, opened, end)
+                        return
+                    case RequestRefused(refused):
+                        raise error_of(
+                            refused.code, refused.message, refused.outcome, refused.retry_after_ms
+                        )
+                    case RequestLost(info):
+                        raise in_doubt(info.code, info.message)
+                    case _:
+                        # Accepted: the id is known already.
+                        continue
+
+    def _finish(self, link: UpstreamLink, opened: OpenRequest, end: pb.End) -> Ended:
+        if end.outcome != pb.OUTCOME_OK:
+            raise error_of(end.code, end.message, end.outcome)
+        link.acknowledge(opened)
+        return Ended(self._request_id, end)
--- a/src/dragonflyhold/entry/answers.py
+++ b/src/dragonflyhold/entry/answers.py
@@ -1,7 +1,7 @@
 """Writes the answers of requests to callers."""
 
 import contextlib
-from collections.abc import Generator, Iterable, Mapping
+from collections.abc import Generator, Iterable, Mapping, Sequence
 from typing import final
 
 from dragonflyhold.entry import replies
@@ -94,8 +94,8 @@
             match event:
                 case Started(request_id):
                     self._start(request_id)
-                case Passed(sequence, data):
-                    self._send(self._piece(sequence, data))
+                case Passed(sequence, pieces):
+                    self._send(self._format(sequence, pieces))
                 case Waiting():
                     self._wait()
                 case Ended(request_id, end):
@@ -117,9 +117,9 @@
             # After a retry the id in the header is that of an attempt that was given up.
             self._send(replies.named_event("request", {"request_id": request_id}))
 
-    def _piece(self, sequence: int, data: bytes) -> bytes:
-        text = data.decode("utf-8", "replace")
-        return replies.piece_event(self._request_id, self._model, sequence, text)
+    def _format(self, sequence: int, pieces: Sequence[bytes]) -> bytes:
+        texts = [piece.decode("utf-8", "replace") for piece in pieces]
+        return replies.piece_events(self._request_id, self._model, sequence, texts)
 
     def _wait(self) -> None:
         if self._exchange.is_caller_gone():
@@ -159,8 +159,8 @@
                 case Started():
                     # After a retry the pieces of the earlier attempt do not count.
                     pieces.clear()
-                case Passed(_, data):
-                    pieces.append(data)
+                case Passed(_, received):
+                    pieces.extend(received)
                 case Waiting() if exchange.is_caller_gone():
                     raise CallerGoneError
                 case Ended(_, found):
--- a/src/dragonflyhold/entry/replies.py
+++ b/src/dragonflyhold/entry/replies.py
@@ -2,7 +2,7 @@
 
 import json
 import math
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import Any
 
 from dragonflyhold.errors import ErrorCode, RefusalInfo
@@ -10,6 +10,8 @@
 JSON_TYPE = "application/json"
 EVENT_STREAM_TYPE = "text/event-stream"
 KEEPALIVE = b": keep-alive\n\n"
+# End of a chunk with an empty text.
+_CHUNK_END = b'""}]}'
 
 STATUS_BY_CODE: Mapping[ErrorCode, int] = {
     ErrorCode.BAD_REQUEST: 400,
@@ -91,11 +93,17 @@
     }
 
 
-def piece_event(request_id: str, model: str, sequence: int, text: str) -> bytes:
-    """Return one piece as a server-sent event."""
-    choice = {"index": 0, "text": text, "logprobs": None, "finish_reason": None}
+def piece_events(request_id: str, model: str, sequence: int, texts: Sequence[str]) -> bytes:
+    """Return pieces as server-sent events, the first one with the number ``sequence``."""
+    choice = {"index": 0, "logprobs": None, "finish_reason": None, "text": ""}
     chunk = {"id": request_id, "object": "text_completion", "model": model, "choices": [choice]}
-    return b"id: %d\ndata: %s\n\n" % (sequence, to_json(chunk))
+    # Only the text differs between the pieces of an answer, and it stands last.
+    head, tail = to_json(chunk)[: -len(_CHUNK_END)], _CHUNK_END[2:]
+    events = [
+        b"id: %d\ndata: %s%s%s\n\n" % (number, head, to_json(text), tail)
+        for number, text in enumerate(texts, sequence)
+    ]
+    return b"".join(events)
 
 
 def named_event(name: str, value: Any) -> bytes:
--- a/src/dragonflyhold/entry/request_run.py
+++ b/src/dragonflyhold/entry/request_run.py
@@ -3,7 +3,7 @@
 import contextlib
 import dataclasses
 import hashlib
-from collections.abc import Generator
+from collections.abc import Generator, Iterable, Iterator
 from typing import final
 
 from dragonflyhold.entry.caller_input import CallerCall, without_certainty
@@ -27,6 +27,7 @@
     OpenRequest,
     PieceReceived,
     RequestAccepted,
+    RequestEvent,
     RequestLost,
     RequestRefused,
 )
@@ -50,10 +51,10 @@
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
 class Passed:
-    """The next piece."""
+    """The next pieces, the first of them with the number ``sequence``."""
 
     sequence: int
-    data: bytes
+    pieces: tuple[bytes, ...]
 
 
 @final
@@ -252,21 +253,23 @@
             left_s = give_up_at - self._context.clock()
             if left_s <= 0:
                 raise self._expire(link, opened)
-            match opened.next_event(min(left_s, POLL_S)):
-                case None:
-                    yield Waiting()
-                case RequestAccepted(request_id, resident):
-                    yield self._start(link, request_id, resident)
-                case PieceReceived(sequence, data):
-                    yield self._pass_on(sequence, data)
-                case AnswerEnded(end):
-                    yield self._finish(link, opened, end)
-                    return
-                case RequestRefused(refused):
-                    raise self._refusal(refused)
-                case RequestLost(info):
-                    self.request_id = opened.request_id or self.request_id
-                    raise without_certainty_if_unsent(info, self._call)
+            events = opened.next_events(min(left_s, POLL_S))
+            if not events:
+                yield Waiting()
+            for event in merge_pieces(events):
+                match event:
+                    case Passed():
+                        yield self._pass_on(event)
+                    case RequestAccepted(request_id, resident):
+                        yield self._start(link, request_id, resident)
+                    case AnswerEnded(end):
+                        yield self._finish(link, opened, end)
+                        return
+                    case RequestRefused(refused):
+                        raise self._refusal(refused)
+                    case RequestLost(info):
+                        self.request_id = opened.request_id or self.request_id
+                        raise without_certainty_if_unsent(info, self._call)
 
     def _start(self, link: UpstreamLink, request_id: str, resident: bool) -> Started:
         if self.request_id:
@@ -278,14 +281,14 @@
         self._explain(f"accepted by {link.upstream}, {found}")
         return Started(request_id)
 
-    def _pass_on(self, sequence: int, data: bytes) -> Passed:
+    def _pass_on(self, passed: Passed) -> Passed:
         if not self._passed_on:
             waited = self._context.clock() - self._arrived_at
             self._context.metrics.observe_first_token(self._call.kind.name, waited)
         # A plain answer is passed on whole, after its end.
         self._passed_on = self._call.plain is None and self._call.stream
-        self._digest.update(data)
-        return Passed(sequence, data)
+        self._digest.update(b"".join(passed.pieces))
+        return passed
 
     def _finish(self, link: UpstreamLink, opened: OpenRequest, end: pb.End) -> Ended:
         call = self._call
@@ -330,6 +333,24 @@
         self._context.explain.add(self.public_id, text)
 
 
+def merge_pieces(events: Iterable[RequestEvent]) -> Iterator[RequestEvent | Passed]:
+    """Yield the events with pieces that follow each other joined, for one write to the caller."""
+    sequence = 0
+    pieces: list[bytes] = []
+    for event in events:
+        if isinstance(event, PieceReceived):
+            if not pieces:
+                sequence = event.sequence
+            pieces.append(event.data)
+            continue
+        if pieces:
+            yield Passed(sequence, tuple(pieces))
+            pieces = []
+        yield event
+    if pieces:
+        yield Passed(sequence, tuple(pieces))
+
+
 def without_certainty_if_unsent(info: RefusalInfo, call: CallerCall) -> RequestError:
     """Return the error of a lost request; an earlier use of its permit is not excluded."""
     error = RequestError(info)
--- a/src/dragonflyhold/transport/open_request.py
+++ b/src/dragonflyhold/transport/open_request.py
@@ -1,5 +1,6 @@
 """One attempt of a request that is open on a link to a sidecar."""
 
+import contextlib
 import dataclasses
 import queue
 from typing import final
@@ -8,6 +9,9 @@
 from dragonflyhold.ids import Incarnation
 from dragonflyhold.transport.schema import sidecar_pb2 as pb
 
+# Events taken at once: bounds the size of one write to the caller.
+MAX_EVENTS = 256
+
 
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -91,6 +95,17 @@
         except queue.Empty:
             return None
 
+    def next_events(self, timeout_s: float) -> "list[RequestEvent]":
+        """Wait for events and return all that are there; empty after ``timeout_s`` seconds."""
+        first = self.next_event(timeout_s)
+        if first is None:
+            return []
+        events = [first]
+        with contextlib.suppress(queue.Empty):
+            while len(events) < MAX_EVENTS:
+                events.append(self.events.get_nowait())
+        return events
+
     def start_item(self, now: float) -> pb.EntryItem:
         """Return the item that starts, or continues, this request on a stream."""
         if self.is_accepted or self.submit is None:
--- a/tests/entry/fake_sidecar.py
+++ b/tests/entry/fake_sidecar.py
@@ -168,7 +168,13 @@
         reader.start()
         self._beat(stream, 0)
         while (item := stream.out.get()) is not None:
-            yield pb.SidecarFrame(items=[item], config_revision=self.revision)
+            items = [item]
+            while not stream.out.empty():
+                more = stream.out.get()
+                if more is None:
+                    return
+                items.append(more)
+            yield pb.SidecarFrame(items=items, config_revision=self.revision)
 
     def Probe(self, request: pb.ProbeRequest, context: grpc.ServicerContext) -> pb.ProbeReply:  # noqa: N802
         self.probes += 1
--- a/tests/entry/test_completions.py
+++ b/tests/entry/test_completions.py
@@ -3,6 +3,7 @@
 import hashlib
 
 from tests.entry.fake_config import MODEL
+from tests.entry.fake_sidecar import Plan
 from tests.entry.harness import running_entry
 
 
@@ -31,3 +32,14 @@
             assert answer.json["choices"][0]["text"] == "one two three"
             assert answer.json["model"] == MODEL
             assert answer.json["id"] == answer.headers["X-Request-Id"]
+
+    def test_pieces_keep_their_text(self) -> None:
+        texts = ('"}]}', "\n\ndata: x", "\u2028", "\U0001f37a", "")
+        with running_entry() as entry:
+            sidecar = entry.add_sidecar("runner-1")
+            sidecar.plan = lambda submit: Plan(tuple(text.encode() for text in texts))
+            answer = entry.complete()
+            chunks = [data for name, _, data in answer.events if not name]
+            assert tuple(chunk["choices"][0]["text"] for chunk in chunks) == texts
+            assert [event[1] for event in answer.events[:-1]] == ["0", "1", "2", "3", "4"]
+            assert {chunk["id"] for chunk in chunks} == {answer.headers["X-Request-Id"]}
