Push crash reports to peers at once

Cause: a confirmation travelled with the next comparison, up to a second later. A caller that sent its crashing request again at once, through another entry, crashed one more engine.

Change: the crash table tells of news, and the configuration service pushes it to a few peers, which pass on only what is new to them.

With the subscription removed, test_crash_reports_are_pushed_at_once fails.

--- a/src/dragonflyhold/config/service.py
+++ b/src/dragonflyhold/config/service.py
@@ -87,12 +87,20 @@
         self._lock = threading.Lock()
         self._subscription: Subscription | None = None
         self._stopped = False
+        if crashes is not None:
+            # A caller may send a crashing request again at once, through another entry.
+            crashes.subscribe(self._push_news)
 
     @property
     def view(self) -> ConfigView:
         """Read access to the configuration in force."""
         return self._replica
 
+    @property
+    def replica(self) -> ConfigReplica:
+        """This daemon's copy of the configuration."""
+        return self._replica
+
     @property
     def state(self) -> ConfigState:
         """The configuration in force, for lists."""
@@ -201,6 +209,9 @@
 
     def _after_install(self) -> None:
         """Pass a newly installed revision on."""
+        self._push_news()
+
+    def _push_news(self) -> None:
         self._submit("push", 2, self._propagation.push)
 
     def _after_accept(self) -> None:
--- a/src/dragonflyhold/requests/crashes.py
+++ b/src/dragonflyhold/requests/crashes.py
@@ -4,7 +4,7 @@
 import dataclasses
 import enum
 import threading
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from typing import Protocol, final
 
 from dragonflyhold.ids import Fingerprint
@@ -37,6 +37,9 @@
     def merge(self, reports: Sequence[CrashReport]) -> None:
         """Learn reports of a peer."""
 
+    def subscribe(self, on_news: Callable[[], None]) -> None:
+        """Call ``on_news``, from any thread, when there is something new to pass on."""
+
 
 class Verdict(enum.Enum):
     """How a fingerprint may run."""
@@ -74,6 +77,7 @@
         self._confirmed: collections.OrderedDict[Fingerprint, None] = collections.OrderedDict()
         self._unstored: set[Fingerprint] = set()
         self._lock = threading.Lock()
+        self._on_news: Callable[[], None] | None = None
 
     def __len__(self) -> int:
         return len(self._suspects) + len(self._confirmed)
@@ -88,6 +92,10 @@
                     break
                 del self._suspects[fingerprint]
 
+    def subscribe(self, on_news: Callable[[], None]) -> None:
+        """Call ``on_news``, from any thread, when there is something new to pass on."""
+        self._on_news = on_news
+
     def verdict(self, fingerprint: Fingerprint) -> Verdict:
         """Return how a fingerprint may run."""
         with self._lock:
@@ -107,6 +115,7 @@
                 crashes = self._crashes(fingerprint) + 1
                 if self._suspect(fingerprint, crashes, alone):
                     confirmed.append(fingerprint)
+        self._tell_news()
         return confirmed
 
     def clear(self, fingerprint: Fingerprint) -> None:
@@ -157,20 +166,27 @@
     def merge(self, reports: Sequence[CrashReport]) -> None:
         """Learn reports of a peer or of an entry."""
         with self._lock:
-            for report in reports:
-                self._merge(report)
+            news = [report for report in reports if self._merge(report)]
+        if news:
+            self._tell_news()
 
-    def _merge(self, report: CrashReport) -> None:
+    def _merge(self, report: CrashReport) -> bool:
         if report.fingerprint in self._confirmed:
-            return
+            return False
         if report.quarantined:
             # The daemon that confirmed it writes the row.
             self._confirm(report.fingerprint)
-            return
+            return True
         row = self._suspects.get(report.fingerprint)
         known = max(row.crashes, row.cleared) if row is not None else 0
-        if report.crashes > known:
-            self._suspect(report.fingerprint, report.crashes, False)
+        if report.crashes <= known:
+            return False
+        self._suspect(report.fingerprint, report.crashes, False)
+        return True
+
+    def _tell_news(self) -> None:
+        if self._on_news is not None:
+            self._on_news()
 
     def _crashes(self, fingerprint: Fingerprint) -> int:
         row = self._suspects.get(fingerprint)
--- a/tests/config/test_service.py
+++ b/tests/config/test_service.py
@@ -3,7 +3,7 @@
 import hashlib
 import socket
 import time
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 
 import pytest
 
@@ -44,6 +44,9 @@
     def merge(self, reports: Sequence[CrashReport]) -> None:
         self.known.update({report.fingerprint: report for report in reports})
 
+    def subscribe(self, on_news: Callable[[], None]) -> None:
+        self.on_news = on_news
+
 
 class TestConfigService:
     """Guards against changes that do not reach all daemons, and against starts that hang."""
@@ -103,6 +106,22 @@
         cluster.start("sidecar-1", "almaty-a", dead_table(), (entry.address,), crashes=learns)
         wait_for(lambda: learns.known == {report.fingerprint: report})
 
+    def test_crash_reports_are_pushed_at_once(self, cluster: Cluster) -> None:
+        report = CrashReport(Fingerprint(b"f" * 32), 2, True)
+        knows, learns = _Crashes(), _Crashes()
+        entry = cluster.start("entry-1", "almaty-a", FakeTable(), crashes=knows)
+        other = cluster.start(
+            "sidecar-1", "almaty-a", dead_table(), (entry.address,), crashes=learns
+        )
+        wait_for(lambda: entry.address in other.service.replica.peers())
+        wait_for(lambda: other.address in entry.service.replica.peers())
+        # Without a push the report would have to wait for a comparison that never comes.
+        entry.timers.stop()
+        other.timers.stop()
+        knows.known[report.fingerprint] = report
+        knows.on_news()
+        wait_for(lambda: learns.known == {report.fingerprint: report})
+
     def test_large_change_travels_in_parts(self, cluster: Cluster) -> None:
         table = FakeTable()
         entry = cluster.start("entry-1", "almaty-a", table)
--- a/tests/requests/test_crashes.py
+++ b/tests/requests/test_crashes.py
@@ -150,6 +150,20 @@
         assert table.verdict(INNOCENT[0]) is Verdict.CLEAR
         assert table.verdict(POISON) is Verdict.CONFIRMED
 
+    def test_only_news_is_passed_on(self) -> None:
+        # Peers that pass on what they know already would never stop.
+        table = CrashTable(LIMIT)
+        news: list[int] = []
+        table.subscribe(lambda: news.append(len(news)))
+        table.record_crash([POISON], alone=False)
+        assert len(news) == 1
+        table.merge(table.reports())
+        assert len(news) == 1
+        table.merge([CrashReport(POISON, LIMIT, True)])
+        assert len(news) == 2
+        table.merge(table.reports())
+        assert len(news) == 2
+
     def test_size_and_reports_are_bounded(self) -> None:
         table = CrashTable(LIMIT)
         names = [Fingerprint(str(number).encode()) for number in range(5000)]
