--- a/tests/upstreams/conftest.py
+++ b/tests/upstreams/conftest.py
@@ -17,6 +17,8 @@
         name=UpstreamName("up-1"),
         type=ServiceType.ENGINE,
         url=url,
+        # A busy machine can take longer than the default to answer a health check.
+        connect_timeout_s=30.0,
         read_timeout_s=read_timeout_s,
     )
 
