--- a/src/dragonflyhold/config/service.py
+++ b/src/dragonflyhold/config/service.py
@@ -93,6 +93,11 @@
         """Read access to the configuration in force."""
         return self._replica
 
+    @property
+    def replica(self) -> ConfigReplica:
+        """This daemon's copy of the configuration."""
+        return self._replica
+
     @property
     def state(self) -> ConfigState:
         """The configuration in force, for lists."""
