--- a/src/dragonflyhold/entry/request_run.py
+++ b/src/dragonflyhold/entry/request_run.py
@@ -3,11 +3,13 @@
 import contextlib
 import dataclasses
 import hashlib
-from collections.abc import Generator
+from collections.abc import Generator, Iterable, Iterator
 from typing import final
 
 from dragonflyhold.entry.caller_input import CallerCall, without_certainty
 from dragonflyhold.entry.context import RunContext
+from dragonflyhold.entry.lookups import ask_owner
+from dragonflyhold.entry.outcomes import error_of
 from dragonflyhold.entry.router import (
     AdapterResident,
     AskRetry,
@@ -25,6 +27,7 @@
     OpenRequest,
     PieceReceived,
     RequestAccepted,
+    RequestEvent,
     RequestLost,
     RequestRefused,
 )
@@ -36,12 +39,6 @@
 # How often a silent wait looks for a caller that went away.
 POLL_S = 0.5
 
-_OUTCOMES: dict[int, Outcome] = {
-    pb.OUTCOME_NOT_RUN: Outcome.NOT_RUN,
-    pb.OUTCOME_FAILED: Outcome.FAILED,
-    pb.OUTCOME_OK: Outcome.OK,
-}
-
 
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -54,10 +51,10 @@
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
 class Passed:
-    """The next piece."""
+    """The next pieces, the first of them with the number ``sequence``."""
 
     sequence: int
-    data: bytes
+    pieces: tuple[bytes, ...]
 
 
 @final
@@ -78,23 +75,6 @@
 RunEvent = Started | Passed | Waiting | Ended
 
 
-def outcome_of(number: int) -> Outcome:
-    """Return the outcome on the wire; what is not known is in doubt."""
-    return _OUTCOMES.get(number, Outcome.IN_DOUBT)
-
-
-def error_of(code: str, message: str, outcome: int, retry_after_ms: int = 0) -> RequestError:
-    """Return the error that a sidecar reported."""
-    try:
-        known = ErrorCode(code)
-    except ValueError:
-        known, message = ErrorCode.UPSTREAM_ERROR, f"{code}: {message}"
-    result = outcome_of(outcome)
-    if result is Outcome.OK:
-        result = Outcome.IN_DOUBT
-    return RequestError(RefusalInfo(known, message, result, retry_after_ms))
-
-
 @final
 class RequestRun:
     """One request of a caller; iterate over ``events`` once and close the iterator."""
@@ -188,12 +168,26 @@
             error = not_run(ErrorCode.CONFIG_STALE, message, 1000)
         elif context.is_quarantined(call.fingerprint):
             error = not_run(ErrorCode.QUARANTINED, "requests like this one crash upstreams")
+            if self._is_permit_declined():
+                raise error
         elif not call.kind.idempotent and call.permit is None:
             message = f"kind {call.kind.name} needs a permit in Idempotency-Key"
             error = not_run(ErrorCode.PERMIT_REQUIRED, message)
         if error is not None:
             raise without_certainty(error, call.permit)
 
+    def _is_permit_declined(self) -> bool:
+        """Have the owner record that the permit will not run; return whether it did."""
+        permit = self._call.permit
+        if permit is None:
+            return False
+        try:
+            message = pb.DeclineRequest(request_id=permit)
+            reply = ask_owner("Decline", message, permit, self._context)
+        except RequestError:
+            return False
+        return bool(reply.state == pb.REQUEST_STATE_DECLINED)
+
     def _route(self) -> UpstreamName:
         call, context = self._call, self._context
         now = context.clock()
@@ -259,21 +253,23 @@
             left_s = give_up_at - self._context.clock()
             if left_s <= 0:
                 raise self._expire(link, opened)
-            match opened.next_event(min(left_s, POLL_S)):
-                case None:
-                    yield Waiting()
-                case RequestAccepted(request_id, resident):
-                    yield self._start(link, request_id, resident)
-                case PieceReceived(sequence, data):
-                    yield self._pass_on(sequence, data)
-                case AnswerEnded(end):
-                    yield self._finish(link, opened, end)
-                    return
-                case RequestRefused(refused):
-                    raise self._refusal(refused)
-                case RequestLost(info):
-                    self.request_id = opened.request_id or self.request_id
-                    raise without_certainty_if_unsent(info, self._call)
+            events = opened.next_events(min(left_s, POLL_S))
+            if not events:
+                yield Waiting()
+            for event in merge_pieces(events):
+                match event:
+                    case Passed():
+                        yield self._pass_on(event)
+                    case RequestAccepted(request_id, resident):
+                        yield self._start(link, request_id, resident)
+                    case AnswerEnded(end):
+                        yield self._finish(link, opened, end)
+                        return
+                    case RequestRefused(refused):
+                        raise self._refusal(refused)
+                    case RequestLost(info):
+                        self.request_id = opened.request_id or self.request_id
+                        raise without_certainty_if_unsent(info, self._call)
 
     def _start(self, link: UpstreamLink, request_id: str, resident: bool) -> Started:
         if self.request_id:
@@ -281,21 +277,18 @@
         else:
             self._context.explain.move(self._local_id, request_id)
         self.request_id = request_id
-        self._explain(f"accepted by {link.upstream}")
-        key = self._call.key
-        if resident and key is not None:
-            router = self._context.router
-            router.tell(AdapterResident(link.upstream, key, self._context.clock()))
+        found = "adapter loaded" if resident else "adapter not loaded"
+        self._explain(f"accepted by {link.upstream}, {found}")
         return Started(request_id)
 
-    def _pass_on(self, sequence: int, data: bytes) -> Passed:
+    def _pass_on(self, passed: Passed) -> Passed:
         if not self._passed_on:
             waited = self._context.clock() - self._arrived_at
             self._context.metrics.observe_first_token(self._call.kind.name, waited)
         # A plain answer is passed on whole, after its end.
         self._passed_on = self._call.plain is None and self._call.stream
-        self._digest.update(data)
-        return Passed(sequence, data)
+        self._digest.update(b"".join(passed.pieces))
+        return passed
 
     def _finish(self, link: UpstreamLink, opened: OpenRequest, end: pb.End) -> Ended:
         call = self._call
@@ -340,6 +333,24 @@
         self._context.explain.add(self.public_id, text)
 
 
+def merge_pieces(events: Iterable[RequestEvent]) -> Iterator[RequestEvent | Passed]:
+    """Yield the events with pieces that follow each other joined, for one write to the caller."""
+    sequence = 0
+    pieces: list[bytes] = []
+    for event in events:
+        if isinstance(event, PieceReceived):
+            if not pieces:
+                sequence = event.sequence
+            pieces.append(event.data)
+            continue
+        if pieces:
+            yield Passed(sequence, tuple(pieces))
+            pieces = []
+        yield event
+    if pieces:
+        yield Passed(sequence, tuple(pieces))
+
+
 def without_certainty_if_unsent(info: RefusalInfo, call: CallerCall) -> RequestError:
     """Return the error of a lost request; an earlier use of its permit is not excluded."""
     error = RequestError(info)
--- a/src/dragonflyhold/routing/choice.py
+++ b/src/dragonflyhold/routing/choice.py
@@ -9,10 +9,14 @@
 
 from dragonflyhold.errors import ErrorCode
 from dragonflyhold.ids import AdapterKey, Fingerprint, ServiceName, UpstreamName
-from dragonflyhold.routing.hashing import hash64
+from dragonflyhold.routing.hashing import combine, hash64
 from dragonflyhold.routing.table import UpstreamRow, UpstreamTable
 from dragonflyhold.settings.model import RoutingSettings
 
+# Share of the batch up to which an upstream counts as free whatever the others' load is: a request
+# does not wait for its turn there, and moving it would only cost a load.
+FREE_SHARE = 0.5
+
 
 class RouteReason(enum.Enum):
     """Why an upstream was chosen; also a metric label."""
@@ -68,6 +72,10 @@
     """
     if request.suspected:
         return _choose_for_suspect(request, table, now)
+    if request.key is not None:
+        quick = _choose_free(request, request.key, table, now)
+        if quick is not None:
+            return quick
     usable = [row for row in table.rows(request.service) if row.is_usable()]
     ready = [row for row in usable if not row.is_excluded(now)]
     candidates = [row for row in ready if row.config.name not in request.tried] or ready
@@ -81,13 +89,45 @@
 def load_limit(candidates: Sequence[UpstreamRow], now: float, settings: RoutingSettings) -> float:
     """Return the load at which a candidate is skipped.
 
-    The bounded-load factor times the mean, but at least half a batch: below that a request does
-    not wait for its turn, and moving it would only cost a load.
+    The bounded-load factor times the mean, but at least ``FREE_SHARE`` of a batch.
     """
     total = sum(row.load(now) for row in candidates)
     mean = (total + 1) / len(candidates)
     batch = min(row.batch_limit for row in candidates)
-    return max(settings.bounded_load_factor * mean, batch / 2, 1.0)
+    return max(settings.bounded_load_factor * mean, batch * FREE_SHARE, 1.0)
+
+
+def _choose_free(
+    request: RouteRequest, key: AdapterKey, table: UpstreamTable, now: float
+) -> RouteTo | None:
+    """Return the first ranked upstream, or one that holds the adapter, if it is free.
+
+    The common case, decided without a look at all upstreams.
+    """
+    ranking = table.ranking(key.service, hash64(str(key).encode()))
+    if not ranking:
+        return None
+    home = ranking[0]
+    is_home_free = _is_free(home, request, now)
+    if is_home_free and home.has_resident(key, now):
+        return RouteTo(home.config.name, RouteReason.RESIDENT)
+    holders = [row for row in table.holders(key) if row.has_resident(key, now)]
+    free = [row for row in holders if _is_free(row, request, now)]
+    if free:
+        best = min(free, key=lambda row: row.load(now))
+        return RouteTo(best.config.name, RouteReason.RESIDENT)
+    if is_home_free and not holders:
+        return RouteTo(home.config.name, RouteReason.RANKED)
+    return None
+
+
+def _is_free(row: UpstreamRow, request: RouteRequest, now: float) -> bool:
+    return (
+        row.is_usable()
+        and not row.is_excluded(now)
+        and row.config.name not in request.tried
+        and row.load(now) < row.batch_limit * FREE_SHARE
+    )
 
 
 def _choose_for_key(
@@ -99,7 +139,8 @@
     rng: random.Random,
 ) -> RouteTo:
     limit = load_limit(candidates, now, settings)
-    allowed = {row.config.name for row in candidates if row.load(now) < limit}
+    free = [row for row in candidates if row.load(now) < limit] or candidates
+    allowed = {row.config.name for row in free}
     ranking = table.ranking(key.service, hash64(str(key).encode()))
     ranked = [row for row in ranking if row.config.name in allowed]
     copies = _copies(key, table, candidates, now, settings)
@@ -108,15 +149,13 @@
     if resident:
         best = min(resident, key=lambda row: row.load(now))
         return RouteTo(best.config.name, RouteReason.RESIDENT)
-    elsewhere = [
-        row for row in candidates if row.has_resident(key, now) and row.config.name in allowed
-    ]
+    elsewhere = [row for row in free if row.has_resident(key, now)]
     if elsewhere:
         best = min(elsewhere, key=lambda row: row.load(now))
         return RouteTo(best.config.name, RouteReason.RESIDENT)
     if preferred:
         return RouteTo(preferred[0].config.name, RouteReason.RANKED)
-    return _least_loaded_of_two(candidates, now, rng)
+    return _least_loaded_of_two(free, now, rng)
 
 
 def _copies(
@@ -140,12 +179,19 @@
 def _choose_for_suspect(
     request: RouteRequest, table: UpstreamTable, now: float
 ) -> RouteTo | NoRoute:
-    ranking = table.ranking(request.service, hash64(request.fingerprint))
-    for row in ranking:
-        # A full upstream is waited for: another one must not meet the same request.
+    point = hash64(request.fingerprint)
+    # A full upstream is waited for: another one must not meet the same request.
+    for row in table.ranking(request.service, point):
         if row.is_usable() and row.excluded_until <= now:
             return RouteTo(row.config.name, RouteReason.SUSPECTED)
-    return _no_route(request, table)
+    # All upstreams of the kept ranking are out, so the others are ranked.
+    others = [
+        row for row in table.rows(request.service) if row.is_usable() and row.excluded_until <= now
+    ]
+    if not others:
+        return _no_route(request, table)
+    best = max(others, key=lambda row: (combine(point, row.point), row.config.name))
+    return RouteTo(best.config.name, RouteReason.SUSPECTED)
 
 
 def _least_loaded_of_two(
