--- a/src/dragonflyhold/bench/config_costs.py
+++ b/src/dragonflyhold/bench/config_costs.py
@@ -270,6 +270,9 @@
     def merge(self, reports: Any) -> None:
         pass
 
+    def subscribe(self, on_news: Any) -> None:
+        pass
+
 
 class _NoPlatform:
     """A table and an object store that are out."""
