--- a/src/dragonflyhold/faults/oracle.py
+++ b/src/dragonflyhold/faults/oracle.py
@@ -118,6 +118,9 @@
     runs = collections.Counter(_completion_runs(evidence))
     calls = collections.Counter(_plain_runs(evidence))
     for told in evidence.told:
+        if told.prompt in evidence.poison_prompts:
+            # Sent many times, so its runs do not tell which of the requests ran.
+            continue
         if told.permit:
             # Later attempts under the same permit may have run it.
             is_refused = told.outcomes[-1] is Outcome.NOT_RUN
@@ -214,7 +217,10 @@
         if crashes[digest] > CRASH_BOUND:
             yield Violation("crashing request", f"{prompt!r} crashed {crashes[digest]} upstreams")
     for told in evidence.told:
-        if "quarantined" in told.codes and told.prompt not in evidence.poison_prompts:
+        # A suspect that is alone at a second, unrelated crash is confirmed by the stated rule.
+        was_at_two_crashes = crashes[prompt_digest(told.prompt)] > 1
+        is_poison = told.prompt in evidence.poison_prompts
+        if "quarantined" in told.codes and not is_poison and not was_at_two_crashes:
             yield Violation("crashing request", f"{told.prompt!r} was condemned for another")
 
 
