--- a/src/dragonflyhold/requests/answers.py
+++ b/src/dragonflyhold/requests/answers.py
@@ -101,12 +101,19 @@
         """Whether new requests must be refused."""
         return self._bytes >= self._settings.total_bytes
 
+    def check_room(self) -> None:
+        """Raise ``RequestError`` (``answer_buffer_full``) if new requests must be refused."""
+        if self.is_full:
+            text = f"{self._bytes} bytes of answers are waiting to be fetched"
+            raise not_run(ErrorCode.ANSWER_BUFFER_FULL, text, retry_after_ms=200)
+
     def open(self, request_id: RequestId, is_permit: bool) -> None:
-        """Create an empty answer; raise ``RequestError`` (``answer_buffer_full``) if full."""
+        """Create an empty answer.
+
+        It does not check for room again: running answers grow meanwhile, and a request that has
+        its id must not fail here.
+        """
         with self._lock:
-            if self.is_full:
-                text = f"{self._bytes} bytes of answers are waiting to be fetched"
-                raise not_run(ErrorCode.ANSWER_BUFFER_FULL, text, retry_after_ms=200)
             self._answers[request_id] = _Answer(
                 is_permit, [], 0, hashlib.sha256(), None, 0.0, 0, None
             )
--- a/src/dragonflyhold/sidecar/desk.py
+++ b/src/dragonflyhold/sidecar/desk.py
@@ -184,9 +184,7 @@
             tables.service_time.mean_s,
             now,
         )
-        if tables.answers.is_full:
-            text = f"{tables.answers.total_bytes} bytes of answers wait to be fetched"
-            raise not_run(ErrorCode.ANSWER_BUFFER_FULL, text, RETRY_ELSEWHERE_MS)
+        tables.answers.check_room()
         return item, payload
 
     def _accept(
--- /dev/null
+++ b/tests/sidecar/test_process.py
@@ -0,0 +1,105 @@
+"""Tests of the sidecar as a process of its own."""
+
+import json
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+
+import pytest
+
+from dragonflyhold.sidecar.main import EXIT_CANNOT_START
+from dragonflyhold.standins.engine import EngineStandIn
+from dragonflyhold.standins.objects import ObjectStoreStandIn
+from dragonflyhold.standins.table import TableStandIn
+from dragonflyhold.standins.vms import VmListStandIn
+
+# Long enough for a busy machine; no test passes or fails by it.
+TIMEOUT_S = 60.0
+
+
+def free_address() -> str:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+class Surroundings:
+    """Stand-ins for all that is outside the process."""
+
+    def __init__(self) -> None:
+        self.engine = EngineStandIn()
+        self.table = TableStandIn()
+        self.objects = ObjectStoreStandIn()
+        self.vms = VmListStandIn()
+        self._all = [self.engine, self.table, self.objects, self.vms]
+        for standin in self._all:
+            standin.start()
+
+    def settings(self, grpc_address: str) -> dict[str, object]:
+        """Return settings of a sidecar beside the engine."""
+        return {
+            "name": "sidecar-1",
+            "region": "almaty",
+            "data_centre": "almaty-a",
+            "grpc_address": grpc_address,
+            "http_address": free_address(),
+            "upstream": {"name": "runner-1", "type": "engine", "url": self.engine.url},
+            "platform": {
+                "table_url": self.table.url,
+                "object_store_url": self.objects.url,
+                "vm_list_url": self.vms.url,
+            },
+        }
+
+    def stop(self) -> None:
+        """Stop the stand-ins."""
+        for standin in self._all:
+            standin.stop()
+
+
+@pytest.fixture
+def surroundings() -> Iterator[Surroundings]:
+    surroundings = Surroundings()
+    yield surroundings
+    surroundings.stop()
+
+
+def start(path: pathlib.Path, settings: dict[str, object]) -> "subprocess.Popen[bytes]":
+    path.write_text(json.dumps(settings))
+    command = [sys.executable, "-m", "dragonflyhold", "run", "sidecar", str(path)]
+    return subprocess.Popen(command, stderr=subprocess.DEVNULL)
+
+
+def wait_for_port(address: str) -> None:
+    host, port = address.split(":")
+    for _ in range(int(TIMEOUT_S / 0.05)):
+        with socket.socket() as probe:
+            if probe.connect_ex((host, int(port))) == 0:
+                return
+        time.sleep(0.05)
+    raise AssertionError("the sidecar does not listen")
+
+
+class TestProcess:
+    """Guards against two owners of one upstream, and against a stop that hangs."""
+
+    def test_paused_owner_keeps_the_port_and_a_signal_stops_it(
+        self, surroundings: Surroundings, tmp_path: pathlib.Path
+    ) -> None:
+        address = free_address()
+        owner = start(tmp_path / "owner.json", surroundings.settings(address))
+        try:
+            wait_for_port(address)
+            owner.send_signal(signal.SIGSTOP)
+            second = start(tmp_path / "second.json", surroundings.settings(address))
+            assert second.wait(TIMEOUT_S) == EXIT_CANNOT_START
+            owner.send_signal(signal.SIGCONT)
+            owner.send_signal(signal.SIGTERM)
+            assert owner.wait(TIMEOUT_S) == 0
+        finally:
+            owner.kill()
+            owner.wait()
