Let the broker allow fewer loads at once while they are slow

Cause: while the weight store was slow, the broker went on granting at the full rate. Grants lapsed after 5 s although their loads were still queued in the store, so new ones were granted on top. The queue outlived the fault: a minute after it began, stalls were 6 to 18 times the steady rate.

Change: the broker halves the loads it allows in transit when a load takes longer than 2 s or a grant lapses, down to the burst, and adds one with each fast load.

Ruled out: a longer time to live of grants, which strands the budget of dead sidecars longer.

--- a/src/dragonflyhold/adapters/broker.py
+++ b/src/dragonflyhold/adapters/broker.py
@@ -3,6 +3,7 @@
 import bisect
 import dataclasses
 import hashlib
+import math
 from collections.abc import Iterable, Sequence
 from typing import final
 
@@ -17,6 +18,9 @@
 # Time after which a waiting wish counts double. Without ageing, a cheap wish never gets its turn
 # while dearer ones keep coming.
 AGEING_S = 30.0
+# A load that takes longer than this is taken for a sign that the weight store is slow. At full
+# speed it takes 0.25 s, and 1 s with four times the usual loads in transit.
+SLOW_LOAD_S = 2.0
 
 
 @final
@@ -63,7 +67,7 @@
 
     A call can only grant wishes of its own caller, so the broker remembers the recent wishes of
     all callers and holds tokens back for those that rank higher; they ask again within
-    ``MAX_RETRY_S``.
+    ``MAX_RETRY_S``. When loads become slow or their grants lapse, fewer are allowed at once.
     """
 
     def __init__(self, settings: LoadBudgetSettings) -> None:
@@ -72,6 +76,10 @@
         self._refilled_at: float | None = None
         self._started_at = 0.0
         self._lapses: dict[_GrantKey, float] = {}
+        # Loads that may be in transit. Halved when loads are slow, because a slow store only gets
+        # longer queues from more loads, and raised by one with each fast load.
+        self._window = float(settings.max_in_transit)
+        self._narrowed_at = -math.inf
         # Holders by their last call, the oldest first.
         self._pending: dict[_Holder, _HolderWishes] = {}
         # Ranks of all pending wishes in ascending order, so that a call needs no scan of them.
@@ -116,7 +124,14 @@
         """End grants before they lapse; unknown ones are ignored."""
         self._advance(now)
         for number in numbers:
-            self._lapses.pop((upstream, incarnation, number), None)
+            lapse = self._lapses.pop((upstream, incarnation, number), None)
+            if lapse is None:
+                continue
+            granted_at = lapse - self._settings.grant_ttl_s
+            if now - granted_at > SLOW_LOAD_S:
+                self._narrow(granted_at, now)
+            else:
+                self._window = min(self._window + 1.0, self._settings.max_in_transit)
 
     def _advance(self, now: float) -> None:
         if self._refilled_at is None:
@@ -126,15 +141,23 @@
         self._tokens = min(self._tokens + elapsed * self._settings.loads_per_s, self._burst(now))
         self._refilled_at = max(now, self._refilled_at)
         for key in [key for key, lapse in self._lapses.items() if lapse <= now]:
-            del self._lapses[key]
+            self._narrow(self._lapses.pop(key) - self._settings.grant_ttl_s, now)
         while self._pending:
             holder = next(iter(self._pending))
             if self._pending[holder].seen + WISH_TTL_S >= now:
                 break
             self._forget(holder)
 
+    def _narrow(self, granted_at: float, now: float) -> None:
+        # A load that was granted before the last change says nothing about the window since.
+        if granted_at < self._narrowed_at:
+            return
+        lowest = min(self._settings.burst, self._settings.max_in_transit)
+        self._window = max(self._window / 2, lowest)
+        self._narrowed_at = now
+
     def _free(self) -> int:
-        room = self._settings.max_in_transit - len(self._lapses)
+        room = int(self._window) - len(self._lapses)
         return max(min(int(self._tokens + 1e-9), room), 0)
 
     def _is_overflowing(self, now: float) -> bool:
--- a/src/dragonflyhold/bench/capacity.py
+++ b/src/dragonflyhold/bench/capacity.py
@@ -41,7 +41,7 @@
 from dragonflyhold.routing import LoadSnapshot, RouteRequest, UpstreamTable, choose_upstream
 from dragonflyhold.settings.model import LoadBudgetSettings, RoutingSettings, SlotSettings
 from dragonflyhold.states import UpstreamState
-from dragonflyhold.transport.schema import operator_pb2, sidecar_pb2
+from dragonflyhold.transport.schema import broker_pb2, operator_pb2, sidecar_pb2
 
 SERVICE = ServiceName("kernel-assist")
 RUN = Incarnation("0123456789abcdef")
@@ -80,6 +80,7 @@
         *(_measure_plans(slots) for slots in (8, 16, 64)),
         _measure_broker(),
         measure_heartbeats(),
+        _measure_acquires(),
         _measure_compares(),
     ]
 
@@ -328,6 +329,16 @@
     return Series("bytes of a sidecar heartbeat", "bytes", "resident adapter", tuple(points))
 
 
+def _measure_acquires() -> Series:
+    points = []
+    for size in (1, 4, 8):
+        request = broker_pb2.AcquireRequest(upstream=f"{SERVICE}-0001", incarnation=RUN)
+        for number in range(size):
+            request.wishes.add(number=10_000 + number, adapter=str(_key(number)), worth=10.0)
+        points.append((size, float(request.ByteSize())))
+    return Series("bytes of an Acquire message", "bytes", "wish", tuple(points))
+
+
 def _measure_compares() -> Series:
     points = []
     for size in (0, 8, 32):
--- a/tests/adapters/test_broker.py
+++ b/tests/adapters/test_broker.py
@@ -145,6 +145,28 @@
         wishes = [LoadWish(n, f"live{n}", 1.0) for n in range(BUDGET.burst)]
         assert len(broker.acquire(NAMES[0], RUN, wishes, 20.0).granted) == BUDGET.burst
 
+    def _most_in_transit(self, broker: LoadBroker, start: float, load_s: float) -> int:
+        """Return the most loads in transit over 30 s while every load takes ``load_s``."""
+        most = 0
+        running: list[tuple[float, int]] = []
+        for step in range(300):
+            now = start + step * 0.1
+            for end, number in [item for item in running if item[0] <= now]:
+                broker.release(NAMES[0], RUN, [number], now)
+                running.remove((end, number))
+            wish = LoadWish(int(start * 1000) + step, f"a{step}", 1.0)
+            for number in broker.acquire(NAMES[0], RUN, [wish], now).granted:
+                running.append((now + load_s, number))
+            if step >= 150:
+                most = max(most, broker.in_transit)
+        return most
+
+    def test_slow_store_gets_fewer_loads_at_once_until_it_is_fast_again(self) -> None:
+        broker = LoadBroker(BUDGET)
+        assert self._most_in_transit(broker, 0.0, 1.2) == BUDGET.max_in_transit
+        assert self._most_in_transit(broker, 100.0, 4.0) == BUDGET.burst
+        assert self._most_in_transit(broker, 200.0, 1.2) == BUDGET.max_in_transit
+
     def test_grants_of_a_dead_upstream_lapse(self) -> None:
         broker = self._settled()
         for second in range(5, 9):
