Halve the half-life of popularity and shorten the tolerated silence

Cause: in the first minute after a shift stalls were up to 3 times the steady rate, because old counts had lost only 30% of their weight after a minute. The goal is to be back within 60 s, so the half-life must not be longer than that.

Change: half-life 120 to 60 s; an adapter counts as fallen silent after 3 mean gaps instead of 4 (5% instead of 2% at a constant rate).

Ruled out: 2 gaps, which takes one in seven adapters of a constant rate for silent.

--- a/src/dragonflyhold/adapters/plan.py
+++ b/src/dragonflyhold/adapters/plan.py
@@ -16,7 +16,7 @@
 # empty or idle: a long batch request pins its slot for tens of seconds.
 BATCH_FREE_SHARE = 0.375
 # Mean gaps between requests after which a silent adapter counts as no longer popular.
-STALE_GAPS = 4.0
+STALE_GAPS = 3.0
 
 
 @final
@@ -133,7 +133,7 @@
     """Return the decayed request count, lowered once the adapter is silent for too long.
 
     At its estimated rate an adapter is silent for ``STALE_GAPS`` mean gaps with a probability of
-    2%, so a longer silence means that its popularity has changed.
+    5%, so a longer silence means that its popularity has changed.
     """
     if slot.key is None:
         return 0.0
--- a/src/dragonflyhold/settings/model.py
+++ b/src/dragonflyhold/settings/model.py
@@ -159,7 +159,7 @@
 class SlotSettings:
     """Adapter slots of an engine."""
 
-    popularity_half_life_s: float = _field(120.0, low=1, high=86_400)
+    popularity_half_life_s: float = _field(60.0, low=1, high=86_400)
     backoff_first_s: float = _field(0.5, low=0.01, high=60)
     backoff_max_s: float = _field(30.0, low=0.1, high=3600)
     tick_s: float = _field(0.02, low=0.005, high=1)
