--- a/tests/entry/test_fuzz.py
+++ b/tests/entry/test_fuzz.py
@@ -118,6 +118,16 @@
         start = method + b" " + path + b" HTTP/1.1\r\n"
         _check(entry, _exchange(entry, start + b"\r\n".join(lines) + b"\r\n\r\n" + body))
 
+    @FUZZ
+    @hypothesis.given(
+        length=st.integers(-20, 200).map(lambda value: b"%d" % value)
+        | st.sampled_from([b"+3", b"1_0", b"x", b"", b"0x5", b"9" * 30]),
+        body=bodies,
+    )
+    def test_wrong_lengths(self, entry: EntryHarness, length: bytes, body: bytes) -> None:
+        head = b"POST /v1/completions HTTP/1.1\r\nContent-Length: " + length
+        _check(entry, _exchange(entry, head + b"\r\nConnection: close\r\n\r\n" + body))
+
     @FUZZ
     @hypothesis.given(data=st.binary(max_size=200))
     def test_bytes(self, entry: EntryHarness, data: bytes) -> None:
