Bound the slots that batch requests hold

Cause: batch requests that joined interactive ones on a resident adapter kept its slot pinned after them. At three times the base load at night all 8 slots of a runner were held by single batch requests, and interactive requests expired.

Change: may_start_batch tells whether a batch request may start: in a slot that batch requests already hold, or in one more while they hold at most 5 of 8. Queued batch requests no longer protect an idle adapter from eviction for an interactive load.

The sidecar has to ask may_start_batch and set WaitingAdapter.batch; it does neither yet.

--- a/src/dragonflyhold/adapters/__init__.py
+++ b/src/dragonflyhold/adapters/__init__.py
@@ -8,7 +8,13 @@
     LocalLoadShare,
     choose_broker,
 )
-from dragonflyhold.adapters.plan import StartEvict, StartLoad, WaitingAdapter, plan_slots
+from dragonflyhold.adapters.plan import (
+    StartEvict,
+    StartLoad,
+    WaitingAdapter,
+    may_start_batch,
+    plan_slots,
+)
 from dragonflyhold.adapters.popularity import Popularity
 from dragonflyhold.adapters.slots import Slot, SlotState, SlotTable, SlotTransitionError
 
@@ -27,5 +33,6 @@
     "StartLoad",
     "WaitingAdapter",
     "choose_broker",
+    "may_start_batch",
     "plan_slots",
 ]
--- a/src/dragonflyhold/adapters/plan.py
+++ b/src/dragonflyhold/adapters/plan.py
@@ -3,7 +3,7 @@
 import dataclasses
 import heapq
 import math
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from typing import final
 
 from dragonflyhold.adapters.backoff import LoadBackoff
@@ -79,6 +79,20 @@
     return plan_with_rank(slots, waiting, backoff, now, rank)
 
 
+def may_start_batch(slots: SlotTable, key: AdapterKey, batch_slots: Collection[int]) -> bool:
+    """Whether a batch request may start on its resident adapter.
+
+    ``batch_slots`` are the indexes of the slots with batch requests in flight. A request may join
+    them, and a slot more may be taken only while enough others are left: a batch request that
+    joins interactive ones would otherwise keep their slot after they ended.
+    """
+    slot = slots.find(key)
+    if slot is None:
+        return False
+    most = (1.0 - BATCH_FREE_SHARE) * len(slots.slots)
+    return slot.index in batch_slots or len(batch_slots) + 1 <= most
+
+
 def plan_with_rank(
     slots: SlotTable,
     waiting: Sequence[WaitingAdapter],
@@ -98,9 +112,13 @@
     # serves nothing.
     if any(slot.state is SlotState.EVICTING for slot in slots.slots):
         return []
-    kept = {waiter.key for waiter in waiting}
+    wanted = _wanted(slots, waiting, backoff, now, 1)
+    if not wanted:
+        return []
+    # Batch requests that wait for a resident adapter give way to interactive ones.
+    kept = {waiter.key for waiter in waiting if wanted[0].batch or not waiter.batch}
     idle = [slot for slot in slots.slots if slot.is_idle and slot.key not in kept]
-    if not idle or not _wanted(slots, waiting, backoff, now, 1):
+    if not idle:
         return []
     return [StartEvict(min(idle, key=rank).index)]
 
--- a/src/dragonflyhold/bench/policy_engine.py
+++ b/src/dragonflyhold/bench/policy_engine.py
@@ -19,6 +19,7 @@
     StartEvict,
     StartLoad,
     WaitingAdapter,
+    may_start_batch,
 )
 from dragonflyhold.bench.policy_workloads import Request
 from dragonflyhold.config.objects import Upstream
@@ -283,10 +284,17 @@
             queue = queues.get(slot.key)
             while queue and not queue[0].queued:
                 queue.popleft()
+            if queue and queue is self.batch.get(slot.key) and not self._may_start(slot.key):
+                continue
             if queue and (best is None or queue[0].enqueued < best[0].enqueued):
                 best = queue
         return best.popleft() if best else None
 
+    def _may_start(self, key: AdapterKey) -> bool:
+        used = {request.key for request in self.running if request.kind.batch}
+        slots = (self.slots.find(key) for key in used)
+        return may_start_batch(self.slots, key, {slot.index for slot in slots if slot})
+
     def _start(self, request: Request, now: float) -> None:
         self._leave_queue(request, now)
         slot = self.slots.find(request.key)
--- a/tests/adapters/test_plan.py
+++ b/tests/adapters/test_plan.py
@@ -13,6 +13,7 @@
     StartEvict,
     StartLoad,
     WaitingAdapter,
+    may_start_batch,
     plan_slots,
 )
 from dragonflyhold.ids import AdapterKey, AdapterName, EngineAdapterName, ServiceName, Version
@@ -92,6 +93,11 @@
         assert case.plan(_waiter(9, batch=True)) == []
         assert len(case.plan(_waiter(9, batch=False))) == 1
 
+    def test_waiting_batch_work_gives_way_to_interactive_work(self) -> None:
+        case = _Case(1, 1)
+        assert case.plan(_waiter(0, batch=True), _waiter(9)) == [StartEvict(0)]
+        assert case.plan(_waiter(0, batch=True), _waiter(9, batch=True)) == []
+
     def test_frees_one_slot_at_a_time(self) -> None:
         case = _Case(4, 4)
         plan = case.plan(_waiter(8), _waiter(9))
@@ -136,3 +142,23 @@
                 case StartEvict(index=index):
                     assert case.slots.slots[index].key not in [w.key for w in waiters]
                     case.slots.begin_evict(index, NOW)
+
+
+class TestMayStartBatch:
+    """Guards against long batch requests that hold all slots and starve interactive ones."""
+
+    def test_joins_slots_that_batch_work_holds(self) -> None:
+        assert may_start_batch(_Case(8, 8).slots, _key(2), {0, 1, 2, 3, 4})
+
+    def test_takes_no_slot_beyond_its_share(self) -> None:
+        slots = _Case(8, 8).slots
+        assert may_start_batch(slots, _key(7), {0, 1, 2, 3})
+        assert not may_start_batch(slots, _key(7), {0, 1, 2, 3, 4})
+
+    def test_does_not_keep_a_slot_of_interactive_requests(self) -> None:
+        slots = _Case(8, 8).slots
+        slots.pin(7, NOW)
+        assert not may_start_batch(slots, _key(7), {0, 1, 2, 3, 4})
+
+    def test_needs_a_resident_adapter(self) -> None:
+        assert not may_start_batch(_Case(8, 2).slots, _key(7), set())
