--- a/src/dragonflyhold/cli/bench.py
+++ b/src/dragonflyhold/cli/bench.py
@@ -6,8 +6,8 @@
 import click
 
 from dragonflyhold.bench import capacity as capacity_bench
+from dragonflyhold.bench import capacity_roles, policy_report
 from dragonflyhold.bench import policy as policy_bench
-from dragonflyhold.bench import policy_report
 from dragonflyhold.bench.policy_baselines import POLICY_NAMES
 from dragonflyhold.bench.policy_workloads import DEPLOYMENTS, Disturbance
 from dragonflyhold.cli.bench_load import load_command
@@ -81,9 +81,11 @@
 @bench_group.command()
 @click.option("--output", type=click.Path(path_type=pathlib.Path), help="JSON file to write.")
 def capacity(output: pathlib.Path | None) -> None:
-    """Measure the cost of rows, decisions and messages at several sizes."""
+    """Measure slopes of rows, decisions and messages; work out each role at the target size."""
     series = capacity_bench.measure_all()
     click.echo(capacity_bench.format_series(series))
+    click.echo()
+    click.echo(capacity_roles.format_roles(capacity_roles.work_out(series)))
     if output is not None:
         output.parent.mkdir(parents=True, exist_ok=True)
         text = json.dumps(capacity_bench.to_json(series), indent=1)
--- a/tests/bench/test_capacity.py
+++ b/tests/bench/test_capacity.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from dragonflyhold.bench import capacity
+from dragonflyhold.bench import capacity, capacity_roles
 
 
 class TestSeries:
@@ -47,3 +47,18 @@
         # 64 channels with a heartbeat each second and 7 KB/s per daemon.
         beats = capacity.measure_heartbeats()
         assert dict(beats.points)[0] < 110
+
+
+class TestRoles:
+    """Guards against role figures that are worked out from the wrong size."""
+
+    def test_interpolates_between_sizes(self) -> None:
+        series = capacity.Series("cold adapter", "us", "upstream", ((5, 10.0), (50, 100.0)))
+        values = capacity_roles._Values([series])
+        assert values.at("cold adapter", 50) == pytest.approx(100.0)
+        assert values.at("cold adapter", 27.5) == pytest.approx(55.0)
+        assert values.at("cold adapter", 100) == pytest.approx(200.0)
+
+    def test_share_of_the_budget(self) -> None:
+        figure = capacity_roles.RoleFigure("entry", "memory", 32.0, 64.0, "MB")
+        assert "50.0%" in capacity_roles.format_roles([figure])
