Probe upstreams that went out of use, resume broken engine streams, and keep their slots pinned

Causes: - An entry that knew all upstreams of a service as leaving or down chose none, so it had no stream on which their next incarnations could report.

A broken stream goes on at its event number; a run that may still be in the engine is stopped there, and its slot stays pinned until two checks of the engine show it idle. Only the first submission of a permit is refused as stale. The end of a request carries the sidecar's count of crashes.

--- a/features/promises.feature
+++ b/features/promises.feature
@@ -84,3 +84,11 @@
   Scenario: A second sidecar cannot command the engine of a frozen one
     When process "sidecar-tapster-lm-1" is frozen
     Then a second "sidecar-tapster-lm-1" ends with status 3
+
+  @fixture.entries.2 @fixture.deployment.association
+  Scenario: Answers go on after connections to an engine went silent
+    Given 6 streams of 200 pieces are running
+    When stand-in "tapster-lm-1" has faults '{"silence": true}'
+    And stand-in "tapster-lm-2" has faults '{"silence": true}'
+    Then every stream is complete
+    And no request ran twice and no adapter was unloaded in flight
--- a/src/dragonflyhold/entry/daemon.py
+++ b/src/dragonflyhold/entry/daemon.py
@@ -12,6 +12,7 @@
 from dragonflyhold.entry.http_server import CallerServer
 from dragonflyhold.entry.observer import LinkObserver, VmListReader
 from dragonflyhold.entry.parts import EntryParts, make_parts
+from dragonflyhold.entry.recovery import RecoveryProbes
 from dragonflyhold.entry.router import Router, RouterActor
 from dragonflyhold.observability import ExplainLog, PartLogger
 from dragonflyhold.settings import EntrySettings
@@ -48,16 +49,16 @@
         )
         self._router = Router(actor)
         observer = LinkObserver(self._router, parts.config)
-        self._pool = ChannelPool(
-            LinkContext(
-                settings=settings.transport,
-                tls=settings.tls,
-                hello=pb.Hello(entry=settings.name, incarnation=parts.incarnation),
-                listener=observer,
-                metrics=self._metrics,
-                config_revision=lambda: int(parts.config.view.revision),
-            )
+        links = LinkContext(
+            settings=settings.transport,
+            tls=settings.tls,
+            hello=pb.Hello(entry=settings.name, incarnation=parts.incarnation),
+            listener=observer,
+            metrics=self._metrics,
+            config_revision=lambda: int(parts.config.view.revision),
         )
+        self._pool = ChannelPool(links)
+        self._recovery = RecoveryProbes(self._router, links)
         self.context = RunContext(
             settings=settings,
             incarnation=parts.incarnation,
@@ -102,6 +103,7 @@
         transport = settings.transport
         # Twice per heartbeat period, so that silence is found soon after it is long enough.
         parts.timers.subscribe(transport.heartbeat_s / 2, self._pool.tick)
+        parts.timers.subscribe(transport.heartbeat_s, self._recovery.tick)
         parts.timers.subscribe(SLOW_READ_CHECK_S, self._check_slow_reads)
         crashes = parts.crashes
         parts.timers.subscribe(CRASH_TABLE_PERIOD_S, lambda tick: crashes.advance(tick.now))
--- a/src/dragonflyhold/entry/request_run.py
+++ b/src/dragonflyhold/entry/request_run.py
@@ -19,6 +19,7 @@
 )
 from dragonflyhold.errors import ErrorCode, RefusalInfo, RequestError, failed, in_doubt, not_run
 from dragonflyhold.ids import UpstreamName, parse_request_id
+from dragonflyhold.requests.crashes import CrashReport
 from dragonflyhold.routing import RouteRequest, RouteTo
 from dragonflyhold.routing.retry import FailedAttempt, GiveUp, RetryAfter, combine_outcomes
 from dragonflyhold.states import Outcome
@@ -293,7 +294,9 @@
     def _finish(self, link: UpstreamLink, opened: OpenRequest, end: pb.End) -> Ended:
         call = self._call
         if end.crashed:
-            self._context.crashes.record_crash([call.fingerprint], end.crashed_alone)
+            # The sidecar's count: an own one would count the crash again that a peer has told.
+            report = CrashReport(call.fingerprint, end.suspected_crashes, end.quarantined)
+            self._context.crashes.merge([report])
         if end.outcome != pb.OUTCOME_OK:
             raise self._note_refusal(error_of(end.code, end.message, end.outcome))
         if opened.submit is not None and opened.submit.suspected_crashes:
--- a/src/dragonflyhold/requests/answers.py
+++ b/src/dragonflyhold/requests/answers.py
@@ -32,6 +32,9 @@
     version: int = 0
     crashed: bool = False
     crashed_alone: bool = False
+    # Crashes that the request is suspected of, and whether it was confirmed to cause them.
+    suspected_crashes: int = 0
+    quarantined: bool = False
     load_stall_ms: int = 0
     retry_after_ms: int = 0
 
--- a/src/dragonflyhold/requests/crashes.py
+++ b/src/dragonflyhold/requests/crashes.py
@@ -104,6 +104,11 @@
             row = self._suspects.get(fingerprint)
             return Verdict.SUSPECT if row is not None and row.crashes else Verdict.CLEAR
 
+    def count(self, fingerprint: Fingerprint) -> int:
+        """Return the crashes that a fingerprint is suspected of."""
+        with self._lock:
+            return self._limit if fingerprint in self._confirmed else self._crashes(fingerprint)
+
     def record_crash(self, fingerprints: Iterable[Fingerprint], alone: bool) -> list[Fingerprint]:
         """Suspect all that were in flight at a crash; return those that are now confirmed.
 
--- a/src/dragonflyhold/sidecar/daemon.py
+++ b/src/dragonflyhold/sidecar/daemon.py
@@ -31,10 +31,11 @@
 from dragonflyhold.sidecar.desk import RequestDesk
 from dragonflyhold.sidecar.execution import Execution, Pins
 from dragonflyhold.sidecar.http import StatusServer
+from dragonflyhold.sidecar.no_slots import NoSlots
 from dragonflyhold.sidecar.ownership import OwnerEpoch
 from dragonflyhold.sidecar.runs import EngineRun, PlainRun, Run
 from dragonflyhold.sidecar.servicer import SidecarServicer
-from dragonflyhold.sidecar.slots import NoSlots, SlotSystem
+from dragonflyhold.sidecar.slots import SlotSystem
 from dragonflyhold.sidecar.supervision import EngineCheck, PlainCheck, Supervisor
 from dragonflyhold.sidecar.tables import ConfigSource, make_tables
 from dragonflyhold.sidecar.watches import OneAtATime, QuarantineRows, VmWatch
--- a/src/dragonflyhold/sidecar/desk.py
+++ b/src/dragonflyhold/sidecar/desk.py
@@ -57,6 +57,10 @@
 
     def refuse_stale(self, outbox: StreamOutbox, submit: pb.Submit, now: float) -> None:
         """Refuse a request from an entry with a revision that did not arrive here in time."""
+        if submit.request_id and not self._is_issued(submit.request_id, now):
+            # Only its first submission is new work; any other gets what is known of the permit.
+            self.submit(outbox, submit, now)
+            return
         info = not_run(ErrorCode.CONFIG_STALE, "configuration is behind the entry's").info
         self._decline_permit(submit, info, now)
         self._refuse(outbox, submit.tag, submit.request_id, info)
@@ -288,16 +292,17 @@
         )
         return self._tables.is_engine and self._residency.find(key) is not None
 
-    def _decline_permit(self, submit: pb.Submit, info: RefusalInfo, now: float) -> None:
-        if not submit.request_id:
-            return
+    def _is_issued(self, request_id: str, now: float) -> bool:
         try:
-            record = self._tables.permits.lookup(RequestId(submit.request_id), now)
-            if record.state is RequestState.ISSUED:
-                endings.decline(self._tables, record.request_id, info, now)
+            record = self._tables.permits.lookup(RequestId(request_id), now)
         except RequestError:
             # An id of another process run: nothing here can run it.
-            return
+            return False
+        return record.state is RequestState.ISSUED
+
+    def _decline_permit(self, submit: pb.Submit, info: RefusalInfo, now: float) -> None:
+        if submit.request_id and self._is_issued(submit.request_id, now):
+            endings.decline(self._tables, RequestId(submit.request_id), info, now)
 
     def _refuse(self, outbox: StreamOutbox, tag: int, request_id: str, info: RefusalInfo) -> None:
         self._tables.metrics.count_refusal(info.code.value)
--- a/src/dragonflyhold/sidecar/execution.py
+++ b/src/dragonflyhold/sidecar/execution.py
@@ -42,6 +42,9 @@
     def unpin(self, index: int, now: float) -> None:
         """Let go of a slot."""
 
+    def unpin_when_idle(self, index: int, now: float) -> None:
+        """Let go of a slot once the engine shows no request in flight on it."""
+
     def mark_lost(self, index: int) -> None:
         """Use a slot no more."""
 
@@ -216,6 +219,8 @@
                 message="upstream crashed while the request was in flight",
                 crashed=True,
                 crashed_alone=alone,
+                suspected_crashes=tables.crashes.count(row.fingerprint),
+                quarantined=tables.crashes.verdict(row.fingerprint) is Verdict.CONFIRMED,
             )
             self._end_failed(row, _failed_state(row), end, now)
 
@@ -270,10 +275,13 @@
         tables.runs[item.request_id] = run
         self._start_run(run)
 
-    def _remove(self, row: Inflight, now: float) -> QueuedRequest:
+    def _remove(self, row: Inflight, now: float, has_ended: bool = True) -> QueuedRequest:
+        """Remove a row; ``has_ended`` tells that the engine has ended the request too."""
         self._tables.inflight.remove(row.request_id)
-        if row.slot is not None:
+        if row.slot is not None and has_ended:
             self._pins.unpin(row.slot, now)
+        elif row.slot is not None:
+            self._pins.unpin_when_idle(row.slot, now)
         return self._queued.pop(row.request_id)
 
     def _complete(self, row: Inflight, message: RunFinished, now: float) -> None:
@@ -294,7 +302,8 @@
         endings.end_started(tables, row.request_id, RequestState.DONE, end, now)
 
     def _end_failed(self, row: Inflight, state: RequestState, end: AnswerEnd, now: float) -> None:
-        self._remove(row, now)
+        # After a crash the engine holds nothing. Otherwise a broken connection does not tell.
+        self._remove(row, now, has_ended=end.crashed)
         self._stall_ms.pop(row.request_id, None)
         if row.alone and not end.crashed and end.code is ErrorCode.UPSTREAM_ERROR:
             self._tables.crashes.clear(row.fingerprint)
--- /dev/null
+++ b/src/dragonflyhold/sidecar/no_slots.py
@@ -0,0 +1,49 @@
+"""Stands for the slots of a plain service, which has none."""
+
+from typing import final
+
+from dragonflyhold.ids import AdapterKey, EngineAdapterName
+
+
+@final
+class NoSlots:
+    """Stands for the slots of a plain service, which has none."""
+
+    @property
+    def count(self) -> int:
+        """Number of slots."""
+        return 0
+
+    def resident(self) -> list[AdapterKey]:
+        """Return no adapter."""
+        return []
+
+    def find(self, key: AdapterKey) -> int | None:
+        """Return no slot."""
+        return None
+
+    def engine_name(self, index: int) -> EngineAdapterName:
+        """Raise ``LookupError``: there are no slots."""
+        raise LookupError("a plain service has no slots")
+
+    def record_request(self, key: AdapterKey, now: float) -> None:
+        """Do nothing."""
+
+    def pin(self, index: int, now: float) -> None:
+        """Do nothing."""
+
+    def unpin(self, index: int, now: float) -> None:
+        """Do nothing."""
+
+    def unpin_when_idle(self, index: int, now: float) -> None:
+        """Do nothing."""
+
+    def mark_lost(self, index: int) -> None:
+        """Do nothing."""
+
+    def stall_s(self, index: int, queued_at: float) -> float:
+        """Return 0."""
+        return 0.0
+
+    def clear(self, now: float) -> None:
+        """Do nothing."""
--- a/src/dragonflyhold/sidecar/runs.py
+++ b/src/dragonflyhold/sidecar/runs.py
@@ -19,6 +19,8 @@
     UpstreamStatusError,
 )
 
+# Times in a row that a broken stream is resumed without a new piece.
+MAX_RESUMES = 3
 # Pieces of a plain answer; small enough that one answer does not hold up others in a frame.
 PLAIN_PIECE_BYTES = 16_384
 
@@ -55,6 +57,12 @@
     INTERNAL = "internal"
 
 
+# Ends after which the engine may still be running the request.
+_MAY_STILL_RUN = frozenset(
+    {RunResult.INTERRUPTED, RunResult.TOO_LARGE, RunResult.CANCELLED, RunResult.INTERNAL}
+)
+
+
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunFinished:
@@ -114,8 +122,7 @@
         except UpstreamInterruptedError as error:
             finished = self._finished(RunResult.INTERRUPTED, str(error))
         except AnswerTooLargeError:
-            self.cancel()
-            return self._finished(RunResult.TOO_LARGE, "answer is longer than the limit")
+            finished = self._finished(RunResult.TOO_LARGE, "answer is longer than the limit")
         except KeyError:
             # The answer was ended by a crash or dropped while pieces still came.
             finished = self._finished(RunResult.CANCELLED, "answer has ended")
@@ -125,7 +132,9 @@
         if self._cancelled.is_set() and finished.result is not RunResult.COMPLETE:
             not_run = (RunResult.NOT_SENT, RunResult.UNKNOWN_ADAPTER)
             if finished.result not in not_run:
-                return self._finished(RunResult.CANCELLED, "request was cancelled")
+                finished = self._finished(RunResult.CANCELLED, "request was cancelled")
+        if finished.result in _MAY_STILL_RUN:
+            self._stop()
         return finished
 
     def cancel(self) -> None:
@@ -137,16 +146,40 @@
 
     def _run(self) -> RunFinished:
         stream = self._client.complete(self._name, self._body, self._priority, self._request_id)
+        received, resumes = 0, 0
+        while True:
+            try:
+                self._read(stream)
+                break
+            except UpstreamInterruptedError:
+                resumes = 0 if stream.received else resumes + 1
+                received += stream.received
+                if self._cancelled.is_set() or resumes >= MAX_RESUMES:
+                    raise
+                # A connection can go silent while the engine goes on with the request.
+                stream = self._client.resume(self._request_id, received)
+        if self._cancelled.is_set():
+            # A cancelled engine may end its answer in the regular way.
+            return self._finished(RunResult.CANCELLED, "request was cancelled")
+        return self._finished(RunResult.COMPLETE)
+
+    def _read(self, stream: CompletionStream) -> None:
         self._stream = stream
         if self._cancelled.is_set():
             stream.cancel()
         for piece in stream:
             self._answers.append(self._request_id, piece)
             self._wake(self._request_id)
-        if self._cancelled.is_set():
-            # A cancelled engine may end its answer in the regular way.
-            return self._finished(RunResult.CANCELLED, "request was cancelled")
-        return self._finished(RunResult.COMPLETE)
+
+    def _stop(self) -> None:
+        """Free the engine of a run that nobody reads; if that fails, its slot stays pinned."""
+        stream = self._stream
+        if stream is not None:
+            stream.cancel()
+        try:
+            self._client.stop(self._request_id)
+        except (UpstreamNotSentError, UpstreamInterruptedError, UpstreamStatusError) as error:
+            _logger.warning("Run not stopped.", request=self._request_id, error=error)
 
     def _finished(self, result: RunResult, message: str = "") -> RunFinished:
         return RunFinished(self._request_id, result, message)
--- a/src/dragonflyhold/sidecar/slots.py
+++ b/src/dragonflyhold/sidecar/slots.py
@@ -99,8 +99,11 @@
         # Names stay unique when two incarnations get the same epoch, which a table outage and an
         # engine without a fencing number can cause.
         self._next_number = int(incarnation, 16)
-        # In-flight requests of earlier owners per adopted slot.
+        # Pins per slot that end when the engine shows it idle: those of requests of earlier owners,
+        # and of requests whose connection broke.
         self._adopted: dict[int, int] = {}
+        # Slots of these that one status showed idle.
+        self._idle_once: set[int] = set()
         # Slots whose adapter the engine turned out not to hold.
         self._lost: set[int] = set()
         # Adapters in the engine that are in no slot.
@@ -187,6 +190,7 @@
         """Forget everything about an engine that has crashed."""
         self._slots.clear(now)
         self._adopted.clear()
+        self._idle_once.clear()
         self._lost.clear()
         self._orphans.clear()
         self._unloading.clear()
@@ -261,6 +265,12 @@
             self._lost.discard(unloading.index)
             self._slots.finish_evict(unloading.index, now)
 
+    def unpin_when_idle(self, index: int, now: float) -> None:
+        """Let go of a slot once the engine shows no request in flight on it."""
+        del now
+        self._adopted[index] = self._adopted.get(index, 0) + 1
+        self._idle_once.discard(index)
+
     def _begin_boot(self, status: EngineStatus, now: float) -> None:
         self.clear(now)
         self._boot = status.boot_id
@@ -283,7 +293,13 @@
 
     def _release_adopted(self, status: EngineStatus, now: float) -> None:
         for index, in_flight in list(self._adopted.items()):
-            if status.adapters.get(self.engine_name(index), 0) == 0:
+            if status.adapters.get(self.engine_name(index), 0):
+                self._idle_once.discard(index)
+            elif index not in self._idle_once:
+                # This status can be older than the request. The next one is not.
+                self._idle_once.add(index)
+            else:
+                self._idle_once.discard(index)
                 del self._adopted[index]
                 for _ in range(in_flight):
                     self._slots.unpin(index, now)
@@ -353,44 +369,3 @@
     if not all(number.isascii() and number.isdigit() for number in numbers):
         return None
     return AdapterKey(service, AdapterName(adapter), Version(int(numbers[0])))
-
-
-@final
-class NoSlots:
-    """Stands for the slots of a plain service, which has none."""
-
-    @property
-    def count(self) -> int:
-        """Number of slots."""
-        return 0
-
-    def resident(self) -> list[AdapterKey]:
-        """Return no adapter."""
-        return []
-
-    def find(self, key: AdapterKey) -> int | None:
-        """Return no slot."""
-        return None
-
-    def engine_name(self, index: int) -> EngineAdapterName:
-        """Raise ``LookupError``: there are no slots."""
-        raise LookupError("a plain service has no slots")
-
-    def record_request(self, key: AdapterKey, now: float) -> None:
-        """Do nothing."""
-
-    def pin(self, index: int, now: float) -> None:
-        """Do nothing."""
-
-    def unpin(self, index: int, now: float) -> None:
-        """Do nothing."""
-
-    def mark_lost(self, index: int) -> None:
-        """Do nothing."""
-
-    def stall_s(self, index: int, queued_at: float) -> float:
-        """Return 0."""
-        return 0.0
-
-    def clear(self, now: float) -> None:
-        """Do nothing."""
--- a/src/dragonflyhold/sidecar/wire.py
+++ b/src/dragonflyhold/sidecar/wire.py
@@ -48,6 +48,8 @@
     message.version = end.version
     message.crashed = end.crashed
     message.crashed_alone = end.crashed_alone
+    message.suspected_crashes = end.suspected_crashes
+    message.quarantined = end.quarantined
     message.load_stall_ms = end.load_stall_ms
     return item
 
--- a/src/dragonflyhold/standins/engine.py
+++ b/src/dragonflyhold/standins/engine.py
@@ -31,6 +31,9 @@
 # Ended runs whose streams can still be resumed.
 MAX_RESUMABLE = 512
 SILENT_STEP_S = 0.02
+# A resumable run that nobody reads goes on for this long.
+RESUME_WINDOW_S = 5.0
+STOP_TIMEOUT_S = 5.0
 
 
 @final
@@ -143,6 +146,8 @@
                 return json_reply({"events": events})
             case "GET", _ if call.path.startswith("/v1/streams/"):
                 return self._resume(call)
+            case "DELETE", _ if call.path.startswith("/v1/streams/"):
+                return self._stop_run(call)
             case "POST", "/v1/completions":
                 return self._complete(call)
             case "POST", "/v1/load_lora_adapter":
@@ -256,14 +261,18 @@
             while len(self._runs) > MAX_RESUMABLE:
                 self._runs.popitem(last=False)
         try:
-            return self._execute(call, run, bool(data.get("stream")))
+            return self._execute(call, run, adapter, bool(data.get("stream")))
         finally:
             with self._lock:
-                adapter.in_flight -= 1
+                self._leave(adapter, run)
                 if run.state == "running":
                     run.state = "cancelled"
 
-    def _execute(self, call: Call, run: Run, stream: bool) -> Reply | None:
+    def _leave(self, adapter: _Adapter, run: Run) -> None:
+        adapter.in_flight -= not run.has_left
+        run.has_left = True
+
+    def _execute(self, call: Call, run: Run, adapter: _Adapter, stream: bool) -> Reply | None:
         if stream:
             call.start_stream("text/event-stream")
         if not self._batch.enter(run, lambda: self._is_over(call, run)):
@@ -277,6 +286,12 @@
             if run.state != "running":
                 raise DropConnection
             run.state = "done"
+            # The adapter is free before the end is told.
+            self._leave(adapter, run)
+        if stream and run.silenced:
+            while not call.is_disconnected() and not self._stopping.is_set():
+                self.pause(SILENT_STEP_S)
+            raise DropConnection
         if stream:
             call.write(b"data: [DONE]\n\n")
             return None
@@ -292,18 +307,33 @@
                 self.crash()
             due = max(due + self._batch.token_s(), time.monotonic())
             self.pause(due - time.monotonic())
-            while (run.silenced or self.faults.frozen) and not self._is_over(call, run):
+            while self.faults.frozen and not self._is_over(call, run):
                 self.pause(SILENT_STEP_S)
             if self._is_over(call, run):
                 raise DropConnection
             run.produced = index + 1
-            if stream and not call.is_disconnected():
+            if stream and not run.silenced and not call.is_disconnected():
                 call.write(run.event(index))
 
     def _is_over(self, call: Call, run: Run) -> bool:
-        is_gone = call.is_disconnected() and not run.resumable
+        now = time.monotonic()
+        if not call.is_disconnected():
+            run.read_at = now
+        is_gone = now - run.read_at > (RESUME_WINDOW_S if run.resumable else 0.0)
         return is_gone or run.state != "running" or self._stopping.is_set()
 
+    def _stop_run(self, call: Call) -> Reply:
+        with self._lock:
+            run = self._runs.get(call.key("/v1/streams/"))
+            if run is None:
+                return error_reply(404, "unknown_stream")
+            if run.state == "running":
+                run.state = "cancelled"
+        give_up = time.monotonic() + STOP_TIMEOUT_S
+        while not run.has_left and time.monotonic() < give_up:
+            self.pause(SILENT_STEP_S)
+        return json_reply({}) if run.has_left else error_reply(503, "still_running")
+
     def _resume(self, call: Call) -> Reply | None:
         with self._lock:
             run = self._runs.get(call.key("/v1/streams/"))
@@ -314,6 +344,7 @@
         while True:
             # Read before the pieces, so that none is missed when the run ends.
             state = run.state
+            run.read_at = time.monotonic()
             while index < run.produced:
                 call.write(run.event(index))
                 index += 1
--- a/src/dragonflyhold/standins/engine_model.py
+++ b/src/dragonflyhold/standins/engine_model.py
@@ -42,8 +42,12 @@
     state: str = "running"
     # Pieces produced so far.
     produced: int = 0
-    # Shows an open connection that goes silent for good.
+    # Shows an open connection that goes silent for good; the run goes on.
     silenced: bool = False
+    # The run holds its adapter no more.
+    has_left: bool = False
+    # Time of the monotonic clock at which the stream was last read.
+    read_at: float = dataclasses.field(default_factory=time.monotonic)
     # Unix time in seconds.
     started_at: float = dataclasses.field(default_factory=time.time)
 
--- a/src/dragonflyhold/upstreams/engine.py
+++ b/src/dragonflyhold/upstreams/engine.py
@@ -1,6 +1,7 @@
 """Client of a model engine with an OpenAI-style interface."""
 
 import json
+import urllib.parse
 from collections.abc import Iterator, Mapping
 from typing import Any, final
 
@@ -12,6 +13,7 @@
     StaleEpochError,
     UnknownEngineAdapterError,
     UpstreamInterruptedError,
+    UpstreamNotSentError,
     UpstreamStatusError,
 )
 
@@ -30,6 +32,12 @@
 
     def __init__(self, call: HttpCall) -> None:
         self._call = call
+        self._received = 0
+
+    @property
+    def received(self) -> int:
+        """Number of the engine's events that have come, from which the stream can go on."""
+        return self._received
 
     def __iter__(self) -> Iterator[bytes]:
         """Yield pieces of text in UTF-8; raise ``UpstreamInterruptedError`` if it breaks off."""
@@ -38,6 +46,7 @@
                 if data == _DONE:
                     return
                 text = _parse_piece(data)
+                self._received += 1
                 if text:
                     yield text
         finally:
@@ -45,7 +54,7 @@
         raise UpstreamInterruptedError("the stream ended before its end mark")
 
     def cancel(self) -> None:
-        """Close the connection, on which the engine stops; safe from any thread, repeatable."""
+        """Close the connection; safe from any thread, repeatable."""
         self._call.cancel()
 
     def _events(self) -> Iterator[bytes]:
@@ -100,12 +109,33 @@
         self, name: EngineAdapterName, body: Mapping[str, object], priority: int, request_id: str
     ) -> HttpCompletionStream:
         """Start a completion; lower priority numbers run first."""
-        data = {**body, "model": name, "stream": True, "priority": priority}
+        own = {"model": name, "stream": True, "priority": priority, "resumable": True}
+        data = {**body, **own}
         call = self._send("POST", "/v1/completions", {REQUEST_ID_HEADER: request_id}, data)
         if call.status != 200:
             raise _status_error(call.status, _read_all(call))
         return HttpCompletionStream(call)
 
+    def resume(self, request_id: str, offset: int) -> HttpCompletionStream:
+        """Go on with a stream on a new connection, from the event with number ``offset``."""
+        path = f"{_stream_path(request_id)}?offset={offset}"
+        try:
+            call = self._send("GET", path, {}, None)
+        except UpstreamNotSentError as error:
+            # The request was sent before, so this does not tell that nothing ran.
+            raise UpstreamInterruptedError(str(error)) from error
+        if call.status != 200:
+            refusal = _status_error(call.status, _read_all(call))
+            raise UpstreamInterruptedError(f"the stream cannot be resumed: {refusal}")
+        return HttpCompletionStream(call)
+
+    def stop(self, request_id: str) -> None:
+        """End a run and return when it has ended; an unknown one counts as ended."""
+        try:
+            self._exchange("DELETE", _stream_path(request_id), {}, None)
+        except UnknownEngineAdapterError:
+            return
+
     def _order(self, path: str, data: Mapping[str, object], epoch: Epoch) -> None:
         self._exchange("POST", path, {FENCING_HEADER: str(epoch)}, data)
 
@@ -130,6 +160,10 @@
         return send_call(settings, method, path, all_headers, body, settings.read_timeout_s)
 
 
+def _stream_path(request_id: str) -> str:
+    return f"/v1/streams/{urllib.parse.quote(request_id, safe='')}"
+
+
 def _read_all(call: HttpCall) -> bytes:
     try:
         chunks = []
--- a/src/dragonflyhold/upstreams/interface.py
+++ b/src/dragonflyhold/upstreams/interface.py
@@ -62,8 +62,12 @@
     def __iter__(self) -> Iterator[bytes]:
         """Yield pieces of text in UTF-8; raise ``UpstreamInterruptedError`` if it breaks off."""
 
+    @property
+    def received(self) -> int:
+        """Number of the engine's events that have come, from which the stream can go on."""
+
     def cancel(self) -> None:
-        """Tell the engine to stop and close the connection; safe from any thread, repeatable."""
+        """Close the connection; safe from any thread, repeatable."""
 
 
 class EngineClient(Protocol):
@@ -90,6 +94,15 @@
     ) -> CompletionStream:
         """Start a completion; lower priority numbers run first."""
 
+    def resume(self, request_id: str, offset: int) -> CompletionStream:
+        """Go on with a stream on a new connection, from the event with number ``offset``.
+
+        Raise ``UpstreamInterruptedError`` also if the engine does not know the stream.
+        """
+
+    def stop(self, request_id: str) -> None:
+        """End a run and return when it has ended; an unknown one counts as ended."""
+
 
 class PlainClient(Protocol):
     """Calls to a plain service; safe to use from any thread."""
--- a/tests/entry/fake_sidecar.py
+++ b/tests/entry/fake_sidecar.py
@@ -375,6 +375,10 @@
             crashed=plan.crashed,
             crashed_alone=plan.crashed_alone,
         )
+        if plan.crashed:
+            crashes = submit.suspected_crashes + 1
+            end.suspected_crashes = crashes
+            end.quarantined = crashes > 2 or (plan.crashed_alone and crashes > 1)
         if plan.fail is not None:
             end.code, end.message = plan.fail.value, "failed by the test"
         if submit.request_id:
--- a/tests/entry/test_retries.py
+++ b/tests/entry/test_retries.py
@@ -56,6 +56,28 @@
                 assert entry.complete(prompt=str(number)).status == 200
             assert len(used.submits) == 2
 
+    @pytest.mark.parametrize(
+        ("state", "code"),
+        [
+            (pb.UPSTREAM_STATE_LEAVING, ErrorCode.UPSTREAM_LEAVING),
+            (pb.UPSTREAM_STATE_DOWN, ErrorCode.UPSTREAM_DOWN),
+        ],
+    )
+    def test_only_upstream_is_used_again_after_it_came_back(
+        self, state: int, code: ErrorCode
+    ) -> None:
+        # Nothing is sent to it meanwhile, so it has no stream on which it could report.
+        with running_entry() as entry:
+            sidecar = entry.add_sidecar("runner-0")
+            sidecar.state = state
+            sidecar.plan = lambda submit: Plan(refuse=code)
+            for prompt in ("a", "b"):
+                assert entry.complete(stream=False, prompt=prompt).status == 503
+            sidecar.state = pb.UPSTREAM_STATE_ACTIVE
+            sidecar.plan = lambda submit: Plan()
+            sidecar.restart()
+            wait_until(lambda: entry.complete(stream=False, prompt="c").status == 200)
+
     def test_upstream_leaving_by_the_vm_list_is_not_chosen(self) -> None:
         with running_entry() as entry:
             for number in range(2):
--- a/tests/sidecar/fakes.py
+++ b/tests/sidecar/fakes.py
@@ -223,6 +223,7 @@
         self._pieces = pieces
         self._boot = engine.boot
         self.is_cancelled = False
+        self.received = 0
 
     def __iter__(self) -> Iterator[bytes]:
         try:
@@ -233,6 +234,7 @@
                     raise UpstreamInterruptedError("engine has gone")
                 if self.is_cancelled:
                     return
+                self.received += 1
                 yield f"{self._name}#{index} ".encode()
         finally:
             self._engine.leave(self._name, self._boot)
@@ -307,6 +309,13 @@
             self.runs.append((request_id, name, self.adapters[name], body.get("prompt")))
         return FakeStream(self, name, int(str(body.get("max_tokens", 3))))
 
+    def resume(self, request_id: str, offset: int) -> FakeStream:
+        raise UpstreamInterruptedError(f"{request_id} is not known")
+
+    def stop(self, request_id: str) -> None:
+        with self._lock:
+            self._check_up()
+
     def leave(self, name: EngineAdapterName, boot: int) -> None:
         """End a run."""
         with self._lock:
--- a/tests/sidecar/test_slots.py
+++ b/tests/sidecar/test_slots.py
@@ -13,6 +13,7 @@
 
 from dragonflyhold.ids import AdapterKey, EngineAdapterName, Epoch, ServiceName
 from dragonflyhold.sidecar import messages as msg
+from dragonflyhold.sidecar.runs import RunFinished, RunResult
 from dragonflyhold.sidecar.slots import parse_engine_name
 from dragonflyhold.transport.schema import sidecar_pb2 as pb
 from dragonflyhold.upstreams.interface import StaleEpochError
@@ -219,6 +220,66 @@
     return CoreRig(LossyEngine(engine or FakeEngine(checks_fencing)), FakeTable(), config, number)
 
 
+class TestUnpinWhenIdle:
+    """Guards against an eviction while the engine still runs a request whose connection broke."""
+
+    def test_broken_request_keeps_its_slot_until_the_engine_shows_it_idle(self) -> None:
+        engine = FakeEngine(True, slots=1)
+        rig = make_rig(True, engine)
+        rig.observe()
+        rig.submit(make_submit(1, "pale", version=1, deadline_ms=10_000_000))
+        self._run_commands(rig)
+        rig.begin_run()
+        broken = rig.runs.pop()
+        name = rig.slots.engine_name(0)
+        rig.tell(RunFinished(broken.request_id, RunResult.INTERRUPTED, "silent"))
+        rig.observe()
+        assert len(rig.tables.inflight) == 0
+        rig.submit(make_submit(2, "stout", version=1, deadline_ms=10_000_000))
+        for _ in range(3):
+            self._run_commands(rig)
+            rig.observe()
+        assert list(engine.adapters) == [name]
+        # The engine notices that nobody reads.
+        engine.leave(name, engine.boot)
+        rig.settle()
+        assert engine.evicted_in_flight == []
+        assert [weights for _, _, weights, _ in engine.runs] == [
+            "weights/pale/1",
+            "weights/stout/1",
+        ]
+
+    def _run_commands(self, rig: CoreRig) -> None:
+        rig.tick()
+        while rig.commands:
+            rig.run_command()
+        rig.tick()
+
+
+class TestRefuseStale:
+    """Guards against ``not_run`` for a permit that runs, told while the configuration is behind."""
+
+    def test_running_permit_is_not_told_as_not_run(self) -> None:
+        rig = make_rig(True)
+        rig.observe()
+        permit = rig.tables.permits.issue(1, rig.now)[0]
+        submit = make_submit(1, "pale", request_id=permit, deadline_ms=10_000_000)
+        rig.submit(submit)
+        rig.tick()
+        rig.run_command()
+        rig.begin_run()
+        other = rig.open_stream()
+        frame = pb.EntryFrame(items=[pb.EntryItem(submit=submit)], config_revision=99)
+        rig.tell(msg.FrameReceived(other, frame))
+        for _ in range(20):
+            rig.tick()
+        rig.end_run()
+        for outbox in (rig.outbox, other):
+            items = rig.items(outbox)
+            assert [item.refused for item in items if item.HasField("refused")] == []
+            assert [item.end.outcome for item in items if item.HasField("end")] == [pb.OUTCOME_OK]
+
+
 class TestAdoption:
     """Guards against a new sidecar that uses what a late command of the old one can remove."""
 
