Start nothing between a broken connection and the next check of the engine

Cause: a request that is sent to an engine which has crashed, but still accepts connections, breaks off like the one that crashed it, and was suspected too. Two such breaks quarantined it.

--- a/src/dragonflyhold/sidecar/execution.py
+++ b/src/dragonflyhold/sidecar/execution.py
@@ -93,6 +93,10 @@
         tables = self._tables
         if not tables.condition.is_up or tables.answers.is_full:
             return
+        if any(row.broken_after is not None for row in tables.inflight):
+            # The next check tells whether the upstream crashed. A request that is sent to a crashed
+            # one breaks off too, and would be suspected of the crash.
+            return
         chosen = tables.queue.choose(
             tables.inflight,
             tables.condition.batch_limit,
--- a/tests/sidecar/rig.py
+++ b/tests/sidecar/rig.py
@@ -35,9 +35,12 @@
     def __init__(self, engine: FakeEngine) -> None:
         self.engine = engine
         self.is_delaying = False
+        self.is_closing = False
         self.delayed: list[Callable[[], None]] = []
 
     def status(self) -> EngineStatus:
+        if self.is_closing:
+            raise UpstreamInterruptedError("closed without an answer")
         return self.engine.status()
 
     def claim(self, epoch: Epoch) -> None:
--- a/tests/sidecar/test_slots.py
+++ b/tests/sidecar/test_slots.py
@@ -367,6 +367,46 @@
             True,
         )
 
+    def test_nothing_starts_between_a_broken_connection_and_the_next_check(self) -> None:
+        # It would be suspected of a crash that happened before.
+        rig = make_rig(True)
+        rig.observe()
+        rig.submit(make_submit(1, "pale", deadline_ms=10_000_000))
+        rig.tick()
+        rig.run_command()
+        rig.begin_run()
+        broken = rig.runs.pop()
+        rig.engine.engine.restart()
+        rig.tell(RunFinished(broken.request_id, RunResult.INTERRUPTED, "closed"))
+        rig.submit(make_submit(2, "pale", prompt="other", deadline_ms=10_000_000))
+        rig.tick()
+        assert rig.runs == []
+        rig.observe()
+        (report,) = rig.crashes.reports()
+        assert report.crashes == 1
+        rig.settle()
+        assert len(rig.engine.engine.runs) == 2
+
+    def test_silent_engine_that_comes_back_restarted_has_crashed(self) -> None:
+        rig = make_rig(True)
+        rig.observe()
+        rig.submit(make_submit(1, "pale", deadline_ms=10_000_000))
+        rig.tick()
+        rig.run_command()
+        rig.begin_run()
+        broken = rig.runs.pop()
+        # It accepts connections and closes them.
+        rig.engine.is_closing = True
+        rig.tell(RunFinished(broken.request_id, RunResult.INTERRUPTED, "closed"))
+        for _ in range(5):
+            rig.observe()
+        assert rig.crashes.reports() == []
+        rig.engine.is_closing = False
+        rig.engine.engine.restart()
+        rig.observe()
+        (report,) = rig.crashes.reports()
+        assert report.crashes == 1
+
     def test_adapter_that_the_engine_lost_is_loaded_again(self) -> None:
         rig = make_rig(True)
         rig.observe()
