--- a/src/dragonflyhold/entry/daemon.py
+++ b/src/dragonflyhold/entry/daemon.py
@@ -52,7 +52,11 @@
         links = LinkContext(
             settings=settings.transport,
             tls=settings.tls,
-            hello=pb.Hello(entry=settings.name, incarnation=parts.incarnation),
+            hello=pb.Hello(
+                entry=settings.name,
+                incarnation=parts.incarnation,
+                address=settings.grpc_address,
+            ),
             listener=observer,
             metrics=self._metrics,
             config_revision=lambda: int(parts.config.view.revision),
--- a/tests/sidecar/test_process.py
+++ b/tests/sidecar/test_process.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from dragonflyhold.sidecar.main import EXIT_CANNOT_START
+from dragonflyhold.process import EXIT_CANNOT_START
 from dragonflyhold.standins.engine import EngineStandIn
 from dragonflyhold.standins.objects import ObjectStoreStandIn
 from dragonflyhold.standins.table import TableStandIn
