Refuse connections to a crashed engine stand-in

The stand-in accepted and closed connections until it was back. A request that is sent then breaks off just like one that crashed the engine, so the sidecar counted it as a suspect; the retry met the other engine in the same state, and two such breaks are a quarantine. The sidecar cannot tell the two apart, and an engine whose process is gone does not accept connections, so the stand-in was wrong. It now closes its listener for the restart time. Calls of the launcher to a stand-in wait while their connections are refused.

--- a/src/dragonflyhold/demo/launcher.py
+++ b/src/dragonflyhold/demo/launcher.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import pathlib
+import time
 from collections.abc import Mapping
 from typing import Any, final
 
@@ -10,6 +11,7 @@
 from dragonflyhold.demo.operations import OperatorClient, adapter_changes, base_changes
 from dragonflyhold.demo.plans import DeploymentPlan, UpstreamPlan
 from dragonflyhold.demo.processes import (
+    POLL_S,
     DeploymentError,
     ManagedProcess,
     ProcessGroup,
@@ -21,6 +23,7 @@
 
 START_TIMEOUT_S = 60.0
 HTTP_TIMEOUT_S = 5.0
+RESTART_TIMEOUT_S = 10.0
 BALANCER_LAG_S = 0.2
 PLATFORM_NAMES = ("table", "objects", "vms", "weights")
 
@@ -152,17 +155,27 @@
     def set_fault(self, name: str, **faults: object) -> Any:
         """Set faults of the platform stand-in or upstream ``name``."""
         stand_in = self.platform.get(name) or self._upstreams[name]
-        reply = self._http.request("POST", f"{stand_in.url}/control", json=faults)
-        return reply.json()
+        return self._call_stand_in("POST", f"{stand_in.url}/control", faults)
 
     def upstream_journal(self, name: str) -> Any:
         """Return what ran on the upstream ``name``."""
-        return self._http.request("GET", f"{self._upstreams[name].url}/v1/journal").json()
+        return self._call_stand_in("GET", f"{self._upstreams[name].url}/v1/journal", {})
 
     def settings_path(self, name: str) -> pathlib.Path:
         """Return the settings file of a daemon."""
         return self._directory / f"{name}.json"
 
+    def _call_stand_in(self, method: str, url: str, data: Mapping[str, object]) -> Any:
+        """Call a stand-in; wait for an engine that restarts, which refuses connections."""
+        deadline = time.monotonic() + RESTART_TIMEOUT_S
+        while True:
+            try:
+                return self._http.request(method, url, json=data).json()
+            except urllib3.exceptions.NewConnectionError:
+                if time.monotonic() >= deadline:
+                    raise
+                time.sleep(POLL_S)
+
     def _start_stand_in(self, name: str, kind: str, options: list[str]) -> StandInProcess:
         address = free_address()
         process = self._group.add(name, ["standin", kind, "--address", address, *options])
--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -6,9 +6,12 @@
 import pytest
 import urllib3
 
+from dragonflyhold.demo.processes import wait_until
 from dragonflyhold.standins import EngineOptions, EngineStandIn
 from dragonflyhold.standins.engine_model import BLOCK_CHARS, Batch, PrefixCache, make_run
 
+WAIT_S = 60.0
+
 
 @pytest.fixture
 def engine() -> Iterator[EngineStandIn]:
@@ -64,6 +67,21 @@
         assert texts == [" t17", " t18", " t19"]
         assert rest.endswith(b"data: [DONE]\n\n")
 
+    def test_refuses_connections_until_it_is_back(self) -> None:
+        # Guards against a crashed engine that accepts requests: they would look as if they had
+        # been in flight when it crashed, and count as its suspects.
+        engine = EngineStandIn(options=EngineOptions(restart_s=0.5))
+        engine.start()
+        try:
+            engine.crash()
+            wait_until("the end of the listener", lambda: not engine.is_listening, WAIT_S)
+            with pytest.raises(urllib3.exceptions.NewConnectionError):
+                urllib3.request("GET", f"{engine.url}/v1/status", retries=False)
+            wait_until("the restart", lambda: engine.is_listening, WAIT_S)
+            assert urllib3.request("GET", f"{engine.url}/v1/status").status == 200
+        finally:
+            engine.stop()
+
     def test_whole_answer(self, engine: EngineStandIn) -> None:
         load(engine, "a")
         data = post(engine, "completions", model="a", prompt="x", max_tokens=2).json()
