Leave requests that wait for loads out of the load of an upstream

Cause: above the weight store's rate the queues of requests that wait for adapters counted as load, so adapters were sent beyond the load limit to upstreams that had to load them again.

Change: queued requests count only while at least 0.7 of the batch is in flight; below that they wait for loads, which other upstreams do not do any faster.

Ruled out: a higher bounded-load factor, which would also hide full batches.

--- a/src/dragonflyhold/routing/table.py
+++ b/src/dragonflyhold/routing/table.py
@@ -23,6 +23,10 @@
 # A report ACTIVE that follows a refusal "leaving" sooner than this may be older than the refusal.
 LEAVING_GUARD_S = 3.0
 
+# Share of the batch in flight from which queued requests wait for a place in it. Batch kinds leave
+# the interactive reserve of a quarter free.
+BATCH_FULL_SHARE = 0.7
+
 # Refusals that concern the request or its caller, not the upstream as a whole.
 _REQUEST_CODES = frozenset(
     {
@@ -225,7 +229,10 @@
         if state is not UpstreamState.ACTIVE or now >= row.leaving_guard_until:
             row.state = state
         row.is_down = False
-        row.reported = load.in_flight + load.queued
+        # While the batch has room, queued requests wait for adapter loads. They are not counted:
+        # to send others elsewhere would only add loads there.
+        is_batch_full = load.in_flight >= load.batch_limit * BATCH_FULL_SHARE
+        row.reported = load.in_flight + (load.queued if is_batch_full else 0)
         row.reported_at = now
         row.since_report = 0
         row.batch_limit = max(load.batch_limit, 1)
--- a/tests/routing/test_table.py
+++ b/tests/routing/test_table.py
@@ -180,6 +180,17 @@
         assert row is not None
         assert row.load(2.4) == 11
 
+    def test_requests_that_wait_for_loads_do_not_count_as_load(self) -> None:
+        table = self._table()
+        row = table.row(NAMES[0])
+        assert row is not None
+        waiting = LoadSnapshot(5, 40, 32, 8, ())
+        table.record_report(NAMES[0], RUNS[0], UpstreamState.ACTIVE, waiting, 2.0)
+        assert row.load(2.1) == 5
+        full = LoadSnapshot(30, 40, 32, 8, ())
+        table.record_report(NAMES[0], RUNS[0], UpstreamState.ACTIVE, full, 3.0)
+        assert row.load(3.1) == 70
+
     def test_old_report_is_forgotten(self) -> None:
         table = self._table()
         table.record_report(NAMES[0], RUNS[0], UpstreamState.ACTIVE, make_load(30), 2.0)
