Measure what idle and busy daemons cost in the load command

Cause: the control budget of a daemon (2.4% of a core, 64 MB) was measured only inside one process.

Change: 'bench load' reads processor time and resident memory of the daemons from /proc, over 10 s idle and during the run at saturation.

--- a/src/dragonflyhold/bench/load_runs.py
+++ b/src/dragonflyhold/bench/load_runs.py
@@ -2,12 +2,14 @@
 
 import dataclasses
 import pathlib
+import time
 from collections.abc import Callable
 from typing import Any, final
 
 import urllib3
 
 from dragonflyhold.bench.load import LoadOptions, LoadResult, Target, run_load
+from dragonflyhold.bench.process_cost import CostSample, describe, sample
 from dragonflyhold.demo.launcher import Deployment
 from dragonflyhold.demo.plans import DeploymentPlan
 from dragonflyhold.errors import DragonflyholdError
@@ -15,6 +17,9 @@
 KIND = "question"
 TIMEOUT_S = 30.0
 WARM_UP_S = 5.0
+# Start-up work is over after this time.
+SETTLE_S = 5.0
+IDLE_S = 10.0
 SPARE_THREADS = 16
 # Load at which the added latency is stated, as a share of the rate at saturation.
 LATENCY_SHARE = 0.1
@@ -57,11 +62,19 @@
     with Deployment(plan, examples, directory, entry_settings=threads) as deployment:
         deployment.start()
         deployment.configure()
+        report("measuring idle daemons")
+        costs = _Costs(deployment)
+        time.sleep(SETTLE_S)
+        costs.begin()
+        time.sleep(IDLE_S)
+        idle = costs.end()
         through = dataclasses.replace(options, targets=_entry_targets(deployment), kind=KIND)
         report("warming up")
         run_load(dataclasses.replace(through, duration_s=WARM_UP_S))
         report("measuring at saturation through the entries")
+        costs.begin()
         saturated = run_load(through)
+        busy = costs.end(len(saturated.answered))
         rate = LATENCY_SHARE * len(saturated.answered) / saturated.elapsed_s
         report(f"measuring at {rate:.2f} requests/s through the entries")
         slow = run_load(dataclasses.replace(through, rate_per_s=rate))
@@ -77,11 +90,36 @@
         "concurrency": options.concurrency,
         "duration_s": options.duration_s,
         "max_tokens": options.max_tokens,
+        "idle": idle,
+        "busy": busy,
         "saturation": Comparison(saturated, saturated_direct).to_json(),
         "tenth": Comparison(slow, slow_direct).to_json(),
     }
 
 
+@final
+class _Costs:
+    """What the daemons of a deployment cost between ``begin`` and ``end``."""
+
+    def __init__(self, deployment: Deployment) -> None:
+        self._groups = {
+            "entry": [entry.process for entry in deployment.entries],
+            "sidecar": [sidecar.process for sidecar in deployment.sidecars.values()],
+        }
+        self._before: dict[str, CostSample] = {}
+
+    def begin(self) -> None:
+        """Remember the processor time so far."""
+        self._before = {name: sample(group) for name, group in self._groups.items()}
+
+    def end(self, requests: int = 0) -> dict[str, dict[str, Any]]:
+        """Return the cost of one process of each kind since ``begin``."""
+        return {
+            name: describe(self._before[name], sample(group), requests)
+            for name, group in self._groups.items()
+        }
+
+
 def _entry_targets(deployment: Deployment) -> tuple[Target, ...]:
     service = deployment.plan.engine_service
     return tuple(
