--- a/src/dragonflyhold/standins/engine.py
+++ b/src/dragonflyhold/standins/engine.py
@@ -31,6 +31,9 @@
 # Ended runs whose streams can still be resumed.
 MAX_RESUMABLE = 512
 SILENT_STEP_S = 0.02
+# A resumable run that nobody reads goes on for this long.
+RESUME_WINDOW_S = 5.0
+STOP_TIMEOUT_S = 5.0
 
 
 @final
@@ -75,9 +78,10 @@
         self._batch = Batch(self._options.batch_limit, self._options.tokens_per_s)
         self._cache = PrefixCache()
         self._lock = threading.RLock()
+        self._restart_lock = threading.Lock()
+        self._is_ended = False
         self._boot_id = secrets.token_hex(8)
         self._epoch = 0
-        self._restarted_at = 0.0
         self._fail_loads = 0
         self._adapters: dict[str, _Adapter] = {}
         self._calls: set[Call] = set()
@@ -90,15 +94,20 @@
 
     def stop(self) -> None:
         """Close the listener and all connections."""
-        super().stop()
+        with self._restart_lock:
+            self._is_ended = True
+            super().stop()
         self._weights.clear()
 
+    def start(self) -> None:
+        """Listen and serve from other threads."""
+        self._is_ended = False
+        super().start()
+
     def handle(self, call: Call) -> Reply | None:
         """Serve completions, orders, status and the journal."""
         if call.path == "/v1/journal":
             return self._show_journal()
-        if time.monotonic() < self._restarted_at:
-            raise DropConnection
         with self._lock:
             self._calls.add(call)
         try:
@@ -120,9 +129,12 @@
         return super().control(data)
 
     def crash(self) -> None:
-        """Drop all connections, empty the slots and come back with a new boot id."""
+        """Drop all connections, empty the slots and come back with a new boot id.
+
+        Until then connections are refused, as they are when a process is gone. With
+        ``restart_s`` 0 it is back at once.
+        """
         with self._lock:
-            self._restarted_at = time.monotonic() + self._options.restart_s
             self._boot_id = secrets.token_hex(8)
             self._epoch = 0
             self._adapters = {}
@@ -133,6 +145,18 @@
             calls = list(self._calls)
         for call in calls:
             call.drop()
+        if self._options.restart_s:
+            # Not from a thread of the server, which waits for its threads when it stops.
+            threading.Thread(target=self._restart, name="restart", daemon=True).start()
+
+    def _restart(self) -> None:
+        with self._restart_lock:
+            if not self._is_ended:
+                super().stop()
+        time.sleep(self._options.restart_s)
+        with self._restart_lock:
+            if not self._is_ended and not self.is_listening:
+                super().start()
 
     def _dispatch(self, call: Call) -> Reply | None:
         match call.method, call.path:
@@ -143,6 +167,8 @@
                 return json_reply({"events": events})
             case "GET", _ if call.path.startswith("/v1/streams/"):
                 return self._resume(call)
+            case "DELETE", _ if call.path.startswith("/v1/streams/"):
+                return self._stop_run(call)
             case "POST", "/v1/completions":
                 return self._complete(call)
             case "POST", "/v1/load_lora_adapter":
@@ -256,14 +282,18 @@
             while len(self._runs) > MAX_RESUMABLE:
                 self._runs.popitem(last=False)
         try:
-            return self._execute(call, run, bool(data.get("stream")))
+            return self._execute(call, run, adapter, bool(data.get("stream")))
         finally:
             with self._lock:
-                adapter.in_flight -= 1
+                self._leave(adapter, run)
                 if run.state == "running":
                     run.state = "cancelled"
 
-    def _execute(self, call: Call, run: Run, stream: bool) -> Reply | None:
+    def _leave(self, adapter: _Adapter, run: Run) -> None:
+        adapter.in_flight -= not run.has_left
+        run.has_left = True
+
+    def _execute(self, call: Call, run: Run, adapter: _Adapter, stream: bool) -> Reply | None:
         if stream:
             call.start_stream("text/event-stream")
         if not self._batch.enter(run, lambda: self._is_over(call, run)):
@@ -277,6 +307,12 @@
             if run.state != "running":
                 raise DropConnection
             run.state = "done"
+            # The adapter is free before the end is told.
+            self._leave(adapter, run)
+        if stream and run.silenced:
+            while not call.is_disconnected() and not self._stopping.is_set():
+                self.pause(SILENT_STEP_S)
+            raise DropConnection
         if stream:
             call.write(b"data: [DONE]\n\n")
             return None
@@ -292,18 +328,33 @@
                 self.crash()
             due = max(due + self._batch.token_s(), time.monotonic())
             self.pause(due - time.monotonic())
-            while (run.silenced or self.faults.frozen) and not self._is_over(call, run):
+            while self.faults.frozen and not self._is_over(call, run):
                 self.pause(SILENT_STEP_S)
             if self._is_over(call, run):
                 raise DropConnection
             run.produced = index + 1
-            if stream and not call.is_disconnected():
+            if stream and not run.silenced and not call.is_disconnected():
                 call.write(run.event(index))
 
     def _is_over(self, call: Call, run: Run) -> bool:
-        is_gone = call.is_disconnected() and not run.resumable
+        now = time.monotonic()
+        if not call.is_disconnected():
+            run.read_at = now
+        is_gone = now - run.read_at > (RESUME_WINDOW_S if run.resumable else 0.0)
         return is_gone or run.state != "running" or self._stopping.is_set()
 
+    def _stop_run(self, call: Call) -> Reply:
+        with self._lock:
+            run = self._runs.get(call.key("/v1/streams/"))
+            if run is None:
+                return error_reply(404, "unknown_stream")
+            if run.state == "running":
+                run.state = "cancelled"
+        give_up = time.monotonic() + STOP_TIMEOUT_S
+        while not run.has_left and time.monotonic() < give_up:
+            self.pause(SILENT_STEP_S)
+        return json_reply({}) if run.has_left else error_reply(503, "still_running")
+
     def _resume(self, call: Call) -> Reply | None:
         with self._lock:
             run = self._runs.get(call.key("/v1/streams/"))
@@ -314,6 +365,7 @@
         while True:
             # Read before the pieces, so that none is missed when the run ends.
             state = run.state
+            run.read_at = time.monotonic()
             while index < run.produced:
                 call.write(run.event(index))
                 index += 1
