--- a/src/dragonflyhold/bench/capacity_roles.py
+++ b/src/dragonflyhold/bench/capacity_roles.py
@@ -6,6 +6,7 @@
 from typing import final
 
 from dragonflyhold.bench.capacity import Series
+from dragonflyhold.config.crash_spread import REPORTS_PER_COMPARE
 
 # Target size and budget of docs/design.md, section 1.
 ENTRIES = 400
@@ -24,6 +25,10 @@
 TICKS_PER_S = 50
 MAX_QUEUE = 512
 BROKER_ASKS_PER_S = 1 / 0.9
+# Rate of one region's weight store today.
+LOADS_PER_S = 6.0
+# The field of a load report that says that the resident adapters have not changed.
+UNCHANGED_FLAG_BYTES = 2
 
 RUNNERS_PER_REGION = RUNNERS // REGIONS
 
@@ -86,6 +91,13 @@
         return low + (high - low) * (size - left) / (right - left)
 
 
+def _heartbeat_bytes(values: _Values) -> float:
+    """Return the mean size: the resident adapters are told only after a load or an eviction."""
+    changed_share = min(1.0, 2 * REGIONS * LOADS_PER_S / RUNNERS)
+    unchanged = values.point("sidecar heartbeat", 0) + UNCHANGED_FLAG_BYTES
+    return unchanged + changed_share * SLOTS * values.slope("sidecar heartbeat")
+
+
 def _entry(values: _Values) -> list[RoleFigure]:
     requests = REQUESTS_PER_S / ENTRIES
     memory = (
@@ -96,7 +108,7 @@
     )
     free = requests * values.at("cold adapter", RUNNERS_PER_REGION) / 1e6
     busy = requests * values.at("all upstreams busy", RUNNERS_PER_REGION) / 1e6
-    beats = CHANNELS * values.at("sidecar heartbeat", SLOTS)
+    beats = CHANNELS * _heartbeat_bytes(values)
     return [
         RoleFigure("entry", "memory: import, catalogue, upstreams, rankings", memory, 64, "MB"),
         RoleFigure("entry", "routing decisions, upstreams free", free, BUDGET_CORE, "cores"),
@@ -116,7 +128,7 @@
     usual = TICKS_PER_S * values.at("plan_slots with 8 slots", 10) / 1e6
     full = TICKS_PER_S * values.at("plan_slots with 8 slots", MAX_QUEUE) / 1e6
     channels = ENTRIES * CHANNELS / RUNNERS
-    beats = channels * values.at("sidecar heartbeat", SLOTS)
+    beats = channels * _heartbeat_bytes(values)
     return [
         RoleFigure("sidecar", "memory: import, catalogue, popularity, rows", memory, 64, "MB"),
         RoleFigure("sidecar", "slot plans, 10 adapters waiting", usual, BUDGET_CORE, "cores"),
@@ -141,12 +153,12 @@
 def _config_peer(values: _Values) -> list[RoleFigure]:
     # One Compare sent and, on average, one received per second, with about equal replies.
     quiet = 4 * values.point("Compare message", 0)
-    crashes = 4 * values.point("Compare message", 32)
+    crashes = 4 * values.point("Compare message", REPORTS_PER_COMPARE)
     catalogue = values.slope("catalogue") * ADAPTERS / 1e6
     return [
         RoleFigure("config peer", "memory of the catalogue", catalogue, BUDGET_MB, "MB"),
         _traffic("config peer", "Compare, no crash reports", quiet),
-        _traffic("config peer", "Compare, 32 crash reports each", crashes),
+        _traffic("config peer", "Compare, 8 crash reports each", crashes),
     ]
 
 
