--- a/features/steps/promise_steps.py
+++ b/features/steps/promise_steps.py
@@ -1,7 +1,6 @@
 """Steps about the promises that must hold under failure."""
 
 import hashlib
-import json
 import subprocess
 import sys
 import threading
@@ -13,6 +12,7 @@
 from steps.deployment_steps import find_process
 
 from dragonflyhold.demo.caller import Answer, AnswerError, Caller
+from dragonflyhold.demo.events import read_events
 from dragonflyhold.demo.operations import weights_path
 from dragonflyhold.demo.processes import wait_until
 from dragonflyhold.faults.oracle import expected_text, prompt_digest
@@ -156,9 +156,8 @@
     context.request_id = reply.headers["X-Request-Id"]
     context.expected = expected_text(weights_path(SERVICE, "stall-0001", 1), "resumed", pieces)
     context.pieces = []
-    for line in reply:
-        if line.startswith(b"data: "):
-            context.pieces.append(json.loads(line[6:])["choices"][0]["text"])
+    for event in read_events(reply):
+        context.pieces.append(event.piece)
         if len(context.pieces) == passed:
             return
 
@@ -173,15 +172,11 @@
         preload_content=False,
     )
     assert reply.status == 200, reply.data
-    event = ""
-    for line in reply:
-        name, _, value = line.decode().rstrip("\n").partition(": ")
-        if name == "event":
-            event = value
-        elif name == "data" and event == "end":
-            context.end = json.loads(value)
-        elif name == "data":
-            context.pieces.append(json.loads(value)["choices"][0]["text"])
+    for event in read_events(reply):
+        if event.name == "end":
+            context.end = event.data
+        else:
+            context.pieces.append(event.piece)
 
 
 @then("the joined answer is whole")
--- a/src/dragonflyhold/demo/caller.py
+++ b/src/dragonflyhold/demo/caller.py
@@ -9,6 +9,7 @@
 
 import urllib3
 
+from dragonflyhold.demo.events import read_events
 from dragonflyhold.errors import DragonflyholdError
 
 TIMEOUT_S = 60.0
@@ -95,21 +96,15 @@
             _parse_reply(reply)
         pieces: list[str] = []
         end: Mapping[str, Any] = {}
-        event = ""
-        for line in reply:
-            name, _, value = line.decode().rstrip("\n").partition(": ")
-            match name, event:
-                case "event", _:
-                    event = value
-                case "data", "end":
-                    end = json.loads(value)
-                case "data", "error":
-                    raise _error_of(json.loads(value))
-                case "data", "":
-                    pieces.append(json.loads(value)["choices"][0]["text"])
+        for event in read_events(reply):
+            match event.name:
+                case "end":
+                    end = event.data
+                case "error":
+                    raise _error_of(event.data)
+                case "":
+                    pieces.append(event.piece)
                     on_piece(len(pieces) - 1)
-                case "", _:
-                    event = ""
         text = "".join(pieces)
         digest = hashlib.sha256(text.encode()).hexdigest()
         if end.get("count") != len(pieces) or end.get("digest") != digest:
--- a/src/dragonflyhold/faults/callers.py
+++ b/src/dragonflyhold/faults/callers.py
@@ -16,6 +16,7 @@
 
 import urllib3
 
+from dragonflyhold.demo.events import read_events
 from dragonflyhold.faults.oracle import Told
 from dragonflyhold.states import Outcome
 
@@ -163,20 +164,14 @@
 
 def _read_events(reply: urllib3.BaseHTTPResponse) -> _Heard:
     pieces: list[str] = []
-    event = ""
-    for line in reply:
-        name, _, value = line.decode().rstrip("\n").partition(": ")
-        match name, event:
-            case "event", _:
-                event = value
-            case "data", "end":
+    for event in read_events(reply):
+        match event.name:
+            case "end":
                 return _Heard(Outcome.OK, "", "".join(pieces))
-            case "data", "error":
-                return _error(json.loads(value))
-            case "data", "":
-                pieces.append(json.loads(value)["choices"][0]["text"])
-            case "", _:
-                event = ""
+            case "error":
+                return _error(event.data)
+            case "":
+                pieces.append(event.piece)
     return _Heard(Outcome.IN_DOUBT, "stream_cut", "".join(pieces))
 
 
