Give a few parts the usual terms of the field

Cause: desk, surroundings, endings and told are words of their own that a reader has to learn.

Change: RequestDesk is RequestIntake, BrokerDesk SharedBroker, Surroundings ExternalServices, endings termination, Told CallerRecord.

--- a/src/dragonflyhold/faults/callers.py
+++ b/src/dragonflyhold/faults/callers.py
@@ -17,7 +17,7 @@
 import urllib3
 
 from dragonflyhold.demo.events import read_events
-from dragonflyhold.faults.oracle import Told
+from dragonflyhold.faults.oracle import CallerRecord
 from dragonflyhold.states import Outcome
 
 CALL_TIMEOUT_S = 25.0
@@ -48,7 +48,7 @@
 
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Heard:
+class _Response:
     outcome: Outcome
     code: str
     text: str
@@ -64,27 +64,27 @@
         self._rng = rng
         self._http = urllib3.PoolManager(retries=False, timeout=CALL_TIMEOUT_S)
 
-    def send(self, plan: RequestPlan) -> Told | None:
+    def send(self, plan: RequestPlan) -> CallerRecord | None:
         """Send a request until its fate is known; ``None`` if no permit was to be had."""
         sent_at = time.time()
         permit = "" if plan.idempotent else self._fetch_permit(plan)
         if not plan.idempotent and not permit:
             return None
-        heard: list[_Heard] = []
+        responses: list[_Response] = []
         for url in itertools.islice(itertools.cycle(self._shuffled()), MAX_SENDS):
-            heard.append(self._send_once(url, plan, permit))
-            if heard[-1].outcome in (Outcome.OK, Outcome.FAILED):
+            responses.append(self._send_once(url, plan, permit))
+            if responses[-1].outcome in (Outcome.OK, Outcome.FAILED):
                 break
-            if heard[-1].code in ("unknown_version", "quarantined"):
+            if responses[-1].code in ("unknown_version", "quarantined"):
                 break
             time.sleep(SEND_GAP_S)
-        return Told(
+        return CallerRecord(
             prompt=plan.prompt,
             weights=plan.weights,
             idempotent=plan.idempotent,
-            outcomes=tuple(item.outcome for item in heard),
-            codes=tuple(item.code for item in heard),
-            text=heard[-1].text,
+            outcomes=tuple(item.outcome for item in responses),
+            codes=tuple(item.code for item in responses),
+            text=responses[-1].text,
             max_tokens=plan.max_tokens,
             sent_at=sent_at,
             ended_at=time.time(),
@@ -113,16 +113,16 @@
             time.sleep(SEND_GAP_S)
         return ""
 
-    def _send_once(self, url: str, plan: RequestPlan, permit: str) -> _Heard:
+    def _send_once(self, url: str, plan: RequestPlan, permit: str) -> _Response:
         try:
             if not plan.adapter:
                 return self._call_plain(url, plan, permit)
             return self._complete(url, plan, permit)
         except (urllib3.exceptions.HTTPError, ValueError, KeyError) as error:
             # The line broke, so the caller knows nothing.
-            return _Heard(Outcome.IN_DOUBT, type(error).__name__, "")
+            return _Response(Outcome.IN_DOUBT, type(error).__name__, "")
 
-    def _complete(self, url: str, plan: RequestPlan, permit: str) -> _Heard:
+    def _complete(self, url: str, plan: RequestPlan, permit: str) -> _Response:
         body = {
             "model": f"{plan.service}/{plan.adapter}:{plan.version}",
             "prompt": plan.prompt,
@@ -140,9 +140,9 @@
             return _error(json.loads(reply.data))
         if plan.stream:
             return _read_events(reply)
-        return _Heard(Outcome.OK, "", reply.json()["choices"][0]["text"])
+        return _Response(Outcome.OK, "", reply.json()["choices"][0]["text"])
 
-    def _call_plain(self, url: str, plan: RequestPlan, permit: str) -> _Heard:
+    def _call_plain(self, url: str, plan: RequestPlan, permit: str) -> _Response:
         service = urllib.parse.quote(plan.service, safe="")
         reply = self._http.request(
             "POST",
@@ -153,7 +153,7 @@
         data = json.loads(reply.data)
         if reply.status != 200:
             return _error(data)
-        return _Heard(Outcome.OK, "", "")
+        return _Response(Outcome.OK, "", "")
 
     def _headers(self, plan: RequestPlan, permit: str) -> dict[str, str]:
         headers = {**_HEADERS, "X-Caller-Id": self._name, "X-Request-Kind": plan.kind}
@@ -162,22 +162,22 @@
         return headers
 
 
-def _read_events(reply: urllib3.BaseHTTPResponse) -> _Heard:
+def _read_events(reply: urllib3.BaseHTTPResponse) -> _Response:
     pieces: list[str] = []
     for event in read_events(reply):
         match event.name:
             case "end":
-                return _Heard(Outcome.OK, "", "".join(pieces))
+                return _Response(Outcome.OK, "", "".join(pieces))
             case "error":
                 return _error(event.data)
             case "":
                 pieces.append(event.piece)
-    return _Heard(Outcome.IN_DOUBT, "stream_cut", "".join(pieces))
+    return _Response(Outcome.IN_DOUBT, "stream_cut", "".join(pieces))
 
 
-def _error(data: Any) -> _Heard:
+def _error(data: Any) -> _Response:
     error = data["error"]
-    return _Heard(Outcome(error["outcome"]), str(error["code"]), "")
+    return _Response(Outcome(error["outcome"]), str(error["code"]), "")
 
 
 @final
@@ -191,7 +191,7 @@
         seed: int,
         make_plan: Callable[[random.Random, int], RequestPlan],
     ) -> None:
-        self.told: list[Told] = []
+        self.records: list[CallerRecord] = []
         self.without_permit = 0
         self._make_plan = make_plan
         self._numbers = itertools.count()
@@ -222,10 +222,10 @@
     def _run(self, name: str, entry_urls: Sequence[str], rng: random.Random) -> None:
         caller = ExperimentCaller(name, entry_urls, rng)
         while not self._stopping.is_set():
-            told = caller.send(self._make_plan(rng, next(self._numbers)))
+            record = caller.send(self._make_plan(rng, next(self._numbers)))
             with self._lock:
-                if told is None:
+                if record is None:
                     self.without_permit += 1
                 else:
-                    self.told.append(told)
+                    self.records.append(record)
             self._stopping.wait(rng.uniform(0.0, 0.2))
--- a/src/dragonflyhold/faults/experiment.py
+++ b/src/dragonflyhold/faults/experiment.py
@@ -16,7 +16,7 @@
 from dragonflyhold.faults.callers import CallerThreads, ExperimentCaller, RequestPlan
 from dragonflyhold.faults.injector import FaultInjector
 from dragonflyhold.faults.operators import OperatorThreads
-from dragonflyhold.faults.oracle import Evidence, Told, Violation, find_violations
+from dragonflyhold.faults.oracle import CallerRecord, Evidence, Violation, find_violations
 from dragonflyhold.faults.schedule import Targets, TimedFault, draw_schedule
 from dragonflyhold.observability import PartLogger
 from dragonflyhold.settings import TlsSettings
@@ -113,7 +113,7 @@
         has_ended = callers.stop()
         self._operators.stop()
         watch.stop()
-        violations = find_violations(self._collect(callers.told, injector, watch))
+        violations = find_violations(self._collect(callers.records, injector, watch))
         if not has_ended:
             violations.append(Violation("typed error", "a caller was left hanging"))
         violations += [
@@ -193,7 +193,7 @@
                     return None
                 adapter = service.adapter_names()[-2]
                 kind = next(kind for kind in service.kinds if kind.idempotent)
-                told = caller.send(
+                record = caller.send(
                     RequestPlan(
                         service=service.name,
                         adapter=adapter,
@@ -206,12 +206,12 @@
                         stream=False,
                     )
                 )
-                is_first = told is not None and told.outcomes == (Outcome.OK,)
+                is_first = record is not None and record.outcomes == (Outcome.OK,)
                 answers = answers + 1 if is_first else 0
         return time.monotonic() - started
 
     def _collect(
-        self, told: list[Told], injector: FaultInjector, watch: "_RevisionWatch"
+        self, records: list[CallerRecord], injector: FaultInjector, watch: "_RevisionWatch"
     ) -> Evidence:
         deployment = self._deployment
         plain = {service.name for service in self._plain}
@@ -221,7 +221,7 @@
             target = plains if upstream.service.name in plain else engines
             target[upstream.name] = deployment.upstream_journal(upstream.name)
         return Evidence(
-            told=told,
+            records=records,
             engine_journals=engines,
             plain_journals=plains,
             changes=self._operators.book.changes,
@@ -248,12 +248,12 @@
         recovery_s: float | None,
         violations: list[Violation],
     ) -> ExperimentReport:
-        told = callers.told
+        records = callers.records
         return ExperimentReport(
             seed=self._options.seed,
-            requests=len(told),
-            outcomes=dict(collections.Counter(t.outcomes[-1].value for t in told)),
-            codes=dict(collections.Counter(code for t in told for code in t.codes if code)),
+            requests=len(records),
+            outcomes=dict(collections.Counter(r.outcomes[-1].value for r in records)),
+            codes=dict(collections.Counter(code for r in records for code in r.codes if code)),
             faults=dict(collections.Counter(type(t.fault).__name__ for t in schedule)),
             changes=len(self._operators.book.changes) - self._operators.refused,
             refused_changes=self._operators.refused,
--- a/src/dragonflyhold/faults/operators.py
+++ b/src/dragonflyhold/faults/operators.py
@@ -20,7 +20,7 @@
 
 @final
 @dataclasses.dataclass(slots=True)
-class VersionBook:
+class VersionTable:
     """Versions of the adapters that operators change, as far as replies tell."""
 
     # Per (service, adapter): the version to ask for now.
@@ -35,7 +35,7 @@
     def __init__(
         self, addresses: Sequence[str], adapters: Sequence[tuple[str, str]], seed: int
     ) -> None:
-        self.book = VersionBook(dict.fromkeys(adapters, 1))
+        self.book = VersionTable(dict.fromkeys(adapters, 1))
         self.refused = 0
         self._lock = threading.Lock()
         self._stopping = threading.Event()
--- a/src/dragonflyhold/faults/oracle.py
+++ b/src/dragonflyhold/faults/oracle.py
@@ -19,7 +19,7 @@
 
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
-class Told:
+class CallerRecord:
     """What a caller was told about one request, after all its own attempts."""
 
     # Unique per request, so that runs can be found by it.
@@ -66,7 +66,7 @@
 class Evidence:
     """Everything that an experiment recorded."""
 
-    told: Sequence[Told]
+    records: Sequence[CallerRecord]
     # Per upstream.
     engine_journals: Mapping[str, Mapping[str, Any]]
     plain_journals: Mapping[str, Mapping[str, Any]]
@@ -105,46 +105,46 @@
 
 
 def _check_answers(evidence: Evidence) -> Iterable[Violation]:
-    for told in evidence.told:
-        if not told.weights or told.outcomes[-1] is not Outcome.OK:
+    for record in evidence.records:
+        if not record.weights or record.outcomes[-1] is not Outcome.OK:
             continue
-        expected = expected_text(told.weights, told.prompt, told.max_tokens)
-        if told.text != expected:
-            text = f"{told.prompt!r} got {told.text[:200]!r}, expected {expected[:200]!r}"
+        expected = expected_text(record.weights, record.prompt, record.max_tokens)
+        if record.text != expected:
+            text = f"{record.prompt!r} got {record.text[:200]!r}, expected {expected[:200]!r}"
             yield Violation("exact adapter and whole answer", text)
 
 
 def _check_not_run(evidence: Evidence) -> Iterable[Violation]:
     runs = collections.Counter(_completion_runs(evidence))
     calls = collections.Counter(_plain_runs(evidence))
-    for told in evidence.told:
-        if told.prompt in evidence.poison_prompts:
+    for record in evidence.records:
+        if record.prompt in evidence.poison_prompts:
             # Sent many times, so its runs do not tell which of the requests ran.
             continue
-        if told.permit:
+        if record.permit:
             # Later attempts under the same permit may have run it.
-            is_refused = told.outcomes[-1] is Outcome.NOT_RUN
-            count = runs[("permit", told.permit)] + calls[told.permit]
+            is_refused = record.outcomes[-1] is Outcome.NOT_RUN
+            count = runs[("permit", record.permit)] + calls[record.permit]
         else:
-            is_refused = all(outcome is Outcome.NOT_RUN for outcome in told.outcomes)
-            count = runs[("prompt", prompt_digest(told.prompt))]
+            is_refused = all(outcome is Outcome.NOT_RUN for outcome in record.outcomes)
+            count = runs[("prompt", prompt_digest(record.prompt))]
         if is_refused and count:
-            text = f"{told.prompt!r} told {told.codes}, but ran {count} times"
+            text = f"{record.prompt!r} was refused as {record.codes}, but ran {count} times"
             yield Violation("not run is true", text)
 
 
 def _check_at_most_once(evidence: Evidence) -> Iterable[Violation]:
     runs = collections.Counter(_completion_runs(evidence))
     calls = collections.Counter(_plain_runs(evidence))
-    for told in evidence.told:
-        if told.idempotent or not told.permit:
+    for record in evidence.records:
+        if record.idempotent or not record.permit:
             continue
-        by_prompt = runs[("prompt", prompt_digest(told.prompt))]
-        count = max(by_prompt, runs[("permit", told.permit)]) + calls[told.permit]
+        by_prompt = runs[("prompt", prompt_digest(record.prompt))]
+        count = max(by_prompt, runs[("permit", record.permit)]) + calls[record.permit]
         if count > 1:
-            yield Violation("at most once", f"permit {told.permit} ran {count} times")
-        if told.outcomes[-1] is Outcome.OK and count == 0:
-            yield Violation("at most once", f"permit {told.permit} answered without a run")
+            yield Violation("at most once", f"permit {record.permit} ran {count} times")
+        if record.outcomes[-1] is Outcome.OK and count == 0:
+            yield Violation("at most once", f"permit {record.permit} answered without a run")
 
 
 def _check_evictions(evidence: Evidence) -> Iterable[Violation]:
@@ -164,8 +164,8 @@
                 for run in journal["runs"]
                 if stopped_at + LEAVING_S < run["started_at"] < ended_at
             ]
-            told = [t for t in evidence.told if t.sent_at > stopped_at + LEAVING_S]
-            digests = {prompt_digest(t.prompt) for t in told}
+            late_records = [r for r in evidence.records if r.sent_at > stopped_at + LEAVING_S]
+            digests = {prompt_digest(r.prompt) for r in late_records}
             late = [
                 run["request_id"]
                 for run in journal["runs"]
@@ -184,14 +184,16 @@
         if change.accepted_at is not None and max(versions, default=0) < change.new_version:
             text = f"{change} was accepted, the versions are {sorted(versions)}"
             yield Violation("configuration never reverts", text)
-    for told in evidence.told:
-        added, removed = by_new.get(told.weights), by_old.get(told.weights)
-        is_late = _is_in_force(added, told.sent_at)
-        was_there = removed is None or told.ended_at < removed.submitted_at
-        if is_late and was_there and "unknown_version" in told.codes:
-            yield Violation("in force everywhere", f"{told.weights} unknown when sent: {told}")
-        if _is_in_force(removed, told.sent_at) and told.outcomes[-1] is Outcome.OK:
-            yield Violation("in force everywhere", f"{told.weights} served after removal: {told}")
+    for record in evidence.records:
+        added, removed = by_new.get(record.weights), by_old.get(record.weights)
+        is_late = _is_in_force(added, record.sent_at)
+        was_there = removed is None or record.ended_at < removed.submitted_at
+        if is_late and was_there and "unknown_version" in record.codes:
+            yield Violation("in force everywhere", f"{record.weights} unknown when sent: {record}")
+        if _is_in_force(removed, record.sent_at) and record.outcomes[-1] is Outcome.OK:
+            yield Violation(
+                "in force everywhere", f"{record.weights} served after removal: {record}"
+            )
     for daemon, revisions in evidence.revisions.items():
         if any(later < earlier for earlier, later in itertools.pairwise(revisions)):
             yield Violation("configuration never reverts", f"{daemon} went back: {revisions}")
@@ -216,12 +218,12 @@
     for digest, prompt in poison.items():
         if crashes[digest] > CRASH_BOUND:
             yield Violation("crashing request", f"{prompt!r} crashed {crashes[digest]} upstreams")
-    for told in evidence.told:
+    for record in evidence.records:
         # A suspect that is alone at a second, unrelated crash is confirmed by the stated rule.
-        was_at_two_crashes = crashes[prompt_digest(told.prompt)] > 1
-        is_poison = told.prompt in evidence.poison_prompts
-        if "quarantined" in told.codes and not is_poison and not was_at_two_crashes:
-            yield Violation("crashing request", f"{told.prompt!r} was condemned for another")
+        was_at_two_crashes = crashes[prompt_digest(record.prompt)] > 1
+        is_poison = record.prompt in evidence.poison_prompts
+        if "quarantined" in record.codes and not is_poison and not was_at_two_crashes:
+            yield Violation("crashing request", f"{record.prompt!r} was condemned for another")
 
 
 def _completion_runs(evidence: Evidence) -> Iterable[tuple[str, str]]:
--- a/src/dragonflyhold/sidecar/budget.py
+++ b/src/dragonflyhold/sidecar/budget.py
@@ -69,7 +69,7 @@
 
 
 @final
-class BrokerDesk:
+class SharedBroker:
     """The pure broker behind a lock, for the servicer and for this sidecar's own wishes."""
 
     def __init__(self, settings: LoadBudgetSettings) -> None:
@@ -106,13 +106,13 @@
     def __init__(
         self,
         settings: LoadBudgetSettings,
-        desk: BrokerDesk,
+        broker: SharedBroker,
         directory: BrokerDirectory,
         check_broker: Callable[[Upstream], None],
         clock: Callable[[], float],
     ) -> None:
         self._settings = settings
-        self._desk = desk
+        self._broker = broker
         self._directory = directory
         self._check_broker = check_broker
         self._clock = clock
@@ -129,7 +129,7 @@
             return pb.AcquireReply(not_broker=True)
         wishes = [LoadWish(wish.number, wish.adapter, wish.worth) for wish in request.wishes]
         upstream = UpstreamName(request.upstream)
-        grant = self._desk.acquire(upstream, Incarnation(request.incarnation), wishes, now)
+        grant = self._broker.acquire(upstream, Incarnation(request.incarnation), wishes, now)
         return pb.AcquireReply(
             granted=grant.granted,
             grant_ttl_ms=int(self._settings.grant_ttl_s * 1000),
@@ -141,7 +141,7 @@
     ) -> pb.ReleaseReply:
         """End grants."""
         upstream, incarnation = UpstreamName(request.upstream), Incarnation(request.incarnation)
-        self._desk.release(upstream, incarnation, list(request.numbers), self._clock())
+        self._broker.release(upstream, incarnation, list(request.numbers), self._clock())
         return pb.ReleaseReply()
 
 
@@ -163,7 +163,7 @@
         name: UpstreamName,
         incarnation: Incarnation,
         directory: BrokerDirectory,
-        desk: BrokerDesk,
+        broker: SharedBroker,
         tls: TlsSettings,
         metrics: Metrics,
         clock: Callable[[], float],
@@ -171,7 +171,7 @@
         self._name = name
         self._incarnation = incarnation
         self._directory = directory
-        self._desk = desk
+        self._broker = broker
         self._tls = tls
         self._metrics = metrics
         self._clock = clock
@@ -185,7 +185,7 @@
         broker = self._directory.broker(now)
         if broker is None:
             return BudgetReply(
-                self._desk.acquire(self._name, self._incarnation, wishes, now), asked
+                self._broker.acquire(self._name, self._incarnation, wishes, now), asked
             )
         request = pb.AcquireRequest(upstream=self._name, incarnation=self._incarnation)
         for wish in wishes:
@@ -210,7 +210,7 @@
         now = self._clock()
         broker = self._directory.broker(now)
         if broker is None:
-            self._desk.release(self._name, self._incarnation, numbers, now)
+            self._broker.release(self._name, self._incarnation, numbers, now)
             return
         request = pb.ReleaseRequest(
             upstream=self._name, incarnation=self._incarnation, numbers=numbers
--- a/src/dragonflyhold/sidecar/core.py
+++ b/src/dragonflyhold/sidecar/core.py
@@ -11,8 +11,8 @@
 from dragonflyhold.observability import PartLogger
 from dragonflyhold.sidecar import messages as msg
 from dragonflyhold.sidecar.budget import BudgetReply, LoadBudget
-from dragonflyhold.sidecar.desk import RequestDesk
 from dragonflyhold.sidecar.execution import Execution
+from dragonflyhold.sidecar.intake import RequestIntake
 from dragonflyhold.sidecar.outbox import StreamOutbox
 from dragonflyhold.sidecar.runs import RunFinished
 from dragonflyhold.sidecar.slot_commands import LoadFinished, UnloadFinished
@@ -48,7 +48,7 @@
     def __init__(
         self,
         tables: Tables,
-        desk: RequestDesk,
+        intake: RequestIntake,
         execution: Execution,
         slots: SlotSystem | None,
         budget: LoadBudget | None,
@@ -56,7 +56,7 @@
         clock: Callable[[], float],
     ) -> None:
         self._tables = tables
-        self._desk = desk
+        self._intake = intake
         self._execution = execution
         self._slots = slots
         self._budget = budget
@@ -119,11 +119,11 @@
             case msg.ProbeCall():
                 return self._probe()
             case msg.IssueCall(request):
-                return self._desk.issue(request, now)
+                return self._intake.issue(request, now)
             case msg.LookupCall(request_id):
-                return self._desk.lookup(RequestId(request_id), now)
+                return self._intake.lookup(RequestId(request_id), now)
             case msg.DeclineCall(request_id):
-                return self._desk.decline(RequestId(request_id), now)
+                return self._intake.decline(RequestId(request_id), now)
             case msg.IsDrainedCall():
                 return self._is_drained(now)
             case msg.IsReadyCall():
@@ -145,11 +145,11 @@
                 case "submit" if is_behind:
                     self._parked.append(_Parked(outbox, item.submit, revision, now + CATCH_UP_S))
                 case "submit":
-                    self._desk.submit(outbox, item.submit, now)
+                    self._intake.submit(outbox, item.submit, now)
                 case "attach":
-                    self._desk.attach(outbox, item.attach, now)
+                    self._intake.attach(outbox, item.attach, now)
                 case "cancel":
-                    self._desk.cancel(outbox, item.cancel, now)
+                    self._intake.cancel(outbox, item.cancel, now)
                 case "heartbeat" if not outbox.has_open:
                     # While answers are read, heartbeats are sent each period anyway.
                     outbox.put_heartbeat(self._heartbeat())
@@ -169,9 +169,9 @@
                 # The entry is told nothing, so the request never counts as accepted.
                 continue
             if entry.revision <= revision:
-                self._desk.submit(entry.outbox, entry.submit, now)
+                self._intake.submit(entry.outbox, entry.submit, now)
             elif entry.until <= now:
-                self._desk.refuse_stale(entry.outbox, entry.submit, now)
+                self._intake.refuse_stale(entry.outbox, entry.submit, now)
             else:
                 self._parked.append(entry)
 
@@ -255,7 +255,7 @@
             upstream=self._tables.name,
             incarnation=self._tables.incarnation,
             state=UPSTREAM_STATES[self._tables.condition.state],
-            load=self._desk.load_report(),
+            load=self._intake.load_report(),
         )
 
     def _probe(self) -> pb.ProbeReply:
@@ -264,7 +264,7 @@
             incarnation=self._tables.incarnation,
             state=UPSTREAM_STATES[self._tables.condition.state],
             config_revision=self._tables.config.view.revision,
-            load=self._desk.load_report(),
+            load=self._intake.load_report(),
         )
 
     def _is_drained(self, now: float) -> bool:
--- a/src/dragonflyhold/sidecar/daemon.py
+++ b/src/dragonflyhold/sidecar/daemon.py
@@ -22,15 +22,15 @@
 from dragonflyhold.sidecar.broker_probe import BrokerProbe
 from dragonflyhold.sidecar.budget import (
     BrokerCaller,
-    BrokerDesk,
     BrokerDirectory,
     BrokerServicer,
     LoadBudget,
+    SharedBroker,
 )
 from dragonflyhold.sidecar.core import SidecarCore
-from dragonflyhold.sidecar.desk import RequestDesk
 from dragonflyhold.sidecar.execution import Execution, Pins
 from dragonflyhold.sidecar.http import StatusServer
+from dragonflyhold.sidecar.intake import RequestIntake
 from dragonflyhold.sidecar.no_slots import NoSlots
 from dragonflyhold.sidecar.ownership import OwnerEpoch
 from dragonflyhold.sidecar.runs import EngineRun, PlainRun, Run
@@ -77,7 +77,7 @@
 
 @final
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Surroundings:
+class ExternalServices:
     """Everything outside the process that the daemon talks to."""
 
     table: Table
@@ -95,10 +95,10 @@
     """Runs one sidecar; ``start`` once, then ``request_stop`` and ``wait``."""
 
     def __init__(
-        self, settings: SidecarSettings, surroundings: Surroundings, make_config: ConfigFactory
+        self, settings: SidecarSettings, external: ExternalServices, make_config: ConfigFactory
     ) -> None:
         self._settings = settings
-        self._surroundings = surroundings
+        self._external = external
         self._clock = time.monotonic
         self.incarnation = new_incarnation()
         self.metrics = Metrics()
@@ -114,7 +114,7 @@
         self._server = make_server(GRPC_WORKERS)
         self._status = StatusServer(settings.http_address, self.metrics, self._is_ready)
         self._directory = BrokerDirectory(settings.upstream.name, self._config.budget_upstreams)
-        self._broker = BrokerDesk(settings.load_budget)
+        self._broker = SharedBroker(settings.load_budget)
         self._caller = BrokerCaller(
             settings.upstream.name,
             self.incarnation,
@@ -183,17 +183,17 @@
         self._done.set()
 
     def _make_core(self) -> SidecarCore:
-        settings, surroundings = self._settings, self._surroundings
+        settings, external = self._settings, self._external
         slots: SlotSystem | None = None
         budget: LoadBudget | None = None
-        if surroundings.engine is not None:
+        if external.engine is not None:
             budget = LoadBudget(
                 settings.load_budget, self._caller, self._directory, self._submit, self._tell
             )
             slots = SlotSystem(
                 settings.slots,
                 self.incarnation,
-                surroundings.engine,
+                external.engine,
                 budget,
                 self.metrics,
                 self._submit,
@@ -201,7 +201,7 @@
                 random.Random(self.incarnation),
             )
         pins: SlotSystem | NoSlots = slots or NoSlots()
-        desk = RequestDesk(self._tables, pins)
+        intake = RequestIntake(self._tables, pins)
         execution = Execution(
             self._tables,
             pins,
@@ -210,20 +210,20 @@
             self._supervisor.check_soon,
         )
         return SidecarCore(
-            self._tables, desk, execution, slots, budget, self._forget_claim, self._clock
+            self._tables, intake, execution, slots, budget, self._forget_claim, self._clock
         )
 
     def _make_supervisor(self) -> Supervisor:
-        settings, surroundings = self._settings, self._surroundings
-        owner = OwnerEpoch(surroundings.table, settings.upstream.name, self.incarnation)
+        settings, external = self._settings, self._external
+        owner = OwnerEpoch(external.table, settings.upstream.name, self.incarnation)
         self._engine_check: EngineCheck | None = None
-        if surroundings.engine is not None:
-            self._engine_check = EngineCheck(surroundings.engine, owner)
+        if external.engine is not None:
+            self._engine_check = EngineCheck(external.engine, owner)
             check = self._engine_check
             return Supervisor(check, self._tell, settings.upstream.health_period_s)
-        if surroundings.plain is None:
+        if external.plain is None:
             raise ValueError("neither an engine nor a plain service is given")
-        plain_check = PlainCheck(surroundings.plain, owner)
+        plain_check = PlainCheck(external.plain, owner)
         return Supervisor(plain_check, self._tell, settings.upstream.health_period_s)
 
     def _add_servicers(self, actor: pykka.ActorRef) -> None:
@@ -237,7 +237,7 @@
         self._config.add_to_server(self._server)
 
     def _subscribe(self, core: SidecarCore) -> None:
-        settings, surroundings = self._settings, self._surroundings
+        settings, external = self._settings, self._external
 
         def tick(event: Tick) -> None:
             # An idle sidecar needs no ticks: 50 messages a second cost 1 to 2% of a core.
@@ -250,8 +250,8 @@
         def report_leaving(is_leaving: bool) -> None:
             self._tell(msg.LeavingChanged("vm_list", is_leaving))
 
-        watch = VmWatch(surroundings.vms, settings, report_leaving)
-        rows = QuarantineRows(surroundings.table, self._crashes, self.metrics)
+        watch = VmWatch(external.vms, settings, report_leaving)
+        rows = QuarantineRows(external.table, self._crashes, self.metrics)
         self._timers.subscribe(settings.slots.tick_s, tick)
         self._timers.subscribe(settings.transport.heartbeat_s, heartbeat)
         self._timers.subscribe(
@@ -262,23 +262,23 @@
         self._timers.subscribe(QUARANTINE_PERIOD_S, poll_rows)
 
     def _make_run(self, pins: Pins, item: QueuedRequest, slot: int | None) -> Run:
-        tables, surroundings = self._tables, self._surroundings
+        tables, external = self._tables, self._external
         payload = tables.payloads[item.request_id]
-        if surroundings.engine is not None and slot is not None:
+        if external.engine is not None and slot is not None:
             return EngineRun(
                 item.request_id,
-                surroundings.engine,
+                external.engine,
                 pins.engine_name(slot),
                 payload.body,
                 BATCH_PRIORITY if item.is_batch else INTERACTIVE_PRIORITY,
                 tables.answers,
                 tables.hub.wake,
             )
-        if surroundings.plain is None:
+        if external.plain is None:
             raise ValueError("a completion needs a slot")
         left_s = max(item.deadline - self._clock(), 0.001)
         return PlainRun(
-            item.request_id, surroundings.plain, payload, left_s, tables.answers, tables.hub.wake
+            item.request_id, external.plain, payload, left_s, tables.answers, tables.hub.wake
         )
 
     def _start_run(self, run: Run) -> None:
--- a/src/dragonflyhold/sidecar/execution.py
+++ b/src/dragonflyhold/sidecar/execution.py
@@ -9,7 +9,7 @@
 from dragonflyhold.ids import Fingerprint, RequestId
 from dragonflyhold.observability import PartLogger
 from dragonflyhold.requests import AnswerEnd, Inflight, QueuedRequest, Verdict
-from dragonflyhold.sidecar import endings
+from dragonflyhold.sidecar import termination
 from dragonflyhold.sidecar.pins import BatchSlots, Pins
 from dragonflyhold.sidecar.runs import Run, RunFinished, RunResult
 from dragonflyhold.sidecar.supervision import Observation
@@ -155,7 +155,9 @@
         # Their entries can send them elsewhere; none has started.
         for item in self._tables.queue:
             text = "upstream went down before the request started"
-            endings.refuse_queued(self._tables, item.request_id, ErrorCode.UPSTREAM_DOWN, text, now)
+            termination.refuse_queued(
+                self._tables, item.request_id, ErrorCode.UPSTREAM_DOWN, text, now
+            )
 
     def _resolve_silence(self, is_restart: bool) -> None:
         """Record a crash if an upstream that went silent comes back as another run."""
@@ -223,7 +225,7 @@
         verdict = tables.crashes.verdict(item.fingerprint)
         if verdict is Verdict.CONFIRMED:
             text = "request crashed its upstreams"
-            endings.refuse_queued(tables, item.request_id, ErrorCode.QUARANTINED, text, now)
+            termination.refuse_queued(tables, item.request_id, ErrorCode.QUARANTINED, text, now)
             return
         slot = self._pins.find(item.key) if item.key is not None else None
         tables.queue.remove(item.request_id)
@@ -274,12 +276,12 @@
             outcome=Outcome.OK,
             status=message.status,
             headers=message.headers,
-            next_permit=endings.next_permit(tables, row.request_id, now),
+            next_permit=termination.next_permit(tables, row.request_id, now),
             adapter=row.key.adapter if row.key is not None else "",
             version=row.key.version if row.key is not None else 0,
             load_stall_ms=self._stall_ms.pop(row.request_id, 0),
         )
-        endings.end_started(tables, row.request_id, RequestState.DONE, end, now)
+        termination.end_started(tables, row.request_id, RequestState.DONE, end, now)
 
     def _end_failed(self, row: Inflight, state: RequestState, end: AnswerEnd, now: float) -> None:
         # After a crash the engine holds nothing. Otherwise a broken connection does not tell.
@@ -289,7 +291,7 @@
             self._tables.crashes.clear(row.fingerprint)
         outcome = Outcome.IN_DOUBT if state is RequestState.IN_DOUBT else end.outcome
         ended = dataclasses.replace(end, outcome=outcome)
-        endings.end_started(self._tables, row.request_id, state, ended, now)
+        termination.end_started(self._tables, row.request_id, state, ended, now)
 
     def _return_unsent(self, row: Inflight, message: RunFinished, now: float) -> None:
         tables = self._tables
@@ -310,14 +312,16 @@
             message="upstream did not take the request",
         )
         tables.metrics.count_refusal(ErrorCode.UPSTREAM_DOWN.value)
-        endings.end_started(tables, row.request_id, RequestState.DECLINED, end, now)
+        termination.end_started(tables, row.request_id, RequestState.DECLINED, end, now)
 
     def expire(self, now: float) -> None:
         """End requests whose deadline has passed."""
         tables = self._tables
         for item in tables.queue.expired(now):
             text = "deadline passed in the queue"
-            endings.refuse_queued(tables, item.request_id, ErrorCode.DEADLINE_EXPIRED, text, now)
+            termination.refuse_queued(
+                tables, item.request_id, ErrorCode.DEADLINE_EXPIRED, text, now
+            )
         for row in tables.inflight:
             if row.deadline <= now and row.idempotent:
                 self._cancel(row, "deadline passed")
@@ -337,7 +341,7 @@
         item = tables.queue.get(request_id)
         if item is not None and item.idempotent:
             text = "no caller came back within the grace period"
-            endings.refuse_queued(tables, request_id, ErrorCode.CANCELLED, text, now)
+            termination.refuse_queued(tables, request_id, ErrorCode.CANCELLED, text, now)
 
     def _cancel(self, row: Inflight, reason: str) -> None:
         run = self._tables.runs.get(row.request_id)
--- a/src/dragonflyhold/sidecar/desk.py
+++ b/src/dragonflyhold/sidecar/intake.py
@@ -20,7 +20,7 @@
 from dragonflyhold.requests import CrashReport, QueuedRequest, RequestRecord, Verdict
 from dragonflyhold.requests.answers import gone
 from dragonflyhold.requests.permits import refusal_of
-from dragonflyhold.sidecar import endings
+from dragonflyhold.sidecar import termination
 from dragonflyhold.sidecar.outbox import StreamOutbox
 from dragonflyhold.sidecar.runs import Payload
 from dragonflyhold.sidecar.tables import Residency, Tables
@@ -41,7 +41,7 @@
 
 
 @final
-class RequestDesk:
+class RequestIntake:
     """The side of the tables that entries see."""
 
     def __init__(self, tables: Tables, residency: Residency) -> None:
@@ -81,7 +81,7 @@
         if cancel.detach:
             return
         try:
-            record = endings.decline(self._tables, request_id, None, now)
+            record = termination.decline(self._tables, request_id, None, now)
         except RequestError:
             return
         if record.state is RequestState.RUNNING:
@@ -99,7 +99,7 @@
     def decline(self, request_id: RequestId, now: float) -> pb.LookupReply:
         """Record that a request will not run, if it has not started."""
         try:
-            record = endings.decline(self._tables, request_id, None, now)
+            record = termination.decline(self._tables, request_id, None, now)
         except RequestError as error:
             return self._unknown_reply(request_id, error)
         return self._lookup_reply(record)
@@ -218,7 +218,7 @@
             tables.answers.detach(item.request_id, now)
         if displaced is not None:
             text = "a request of higher worth took the place"
-            endings.refuse_queued(tables, displaced.request_id, ErrorCode.QUEUE_FULL, text, now)
+            termination.refuse_queued(tables, displaced.request_id, ErrorCode.QUEUE_FULL, text, now)
 
     def _attach(
         self, outbox: StreamOutbox, tag: int, record: RequestRecord, from_sequence: int
@@ -302,7 +302,7 @@
 
     def _decline_permit(self, submit: pb.Submit, info: RefusalInfo, now: float) -> None:
         if submit.request_id and self._is_issued(submit.request_id, now):
-            endings.decline(self._tables, RequestId(submit.request_id), info, now)
+            termination.decline(self._tables, RequestId(submit.request_id), info, now)
 
     def _refuse(self, outbox: StreamOutbox, tag: int, request_id: str, info: RefusalInfo) -> None:
         self._tables.metrics.count_refusal(info.code.value)
--- a/src/dragonflyhold/sidecar/wiring.py
+++ b/src/dragonflyhold/sidecar/wiring.py
@@ -15,7 +15,7 @@
 from dragonflyhold.platform import HttpObjectStore, HttpTable, HttpVmList
 from dragonflyhold.requests import CrashTable
 from dragonflyhold.settings import SidecarSettings
-from dragonflyhold.sidecar.daemon import SidecarDaemon, Surroundings
+from dragonflyhold.sidecar.daemon import ExternalServices, SidecarDaemon
 from dragonflyhold.states import ServiceType
 from dragonflyhold.timers import TimerService
 from dragonflyhold.upstreams import HttpEngineClient, HttpPlainClient
@@ -82,7 +82,7 @@
     """Return a daemon for the platform and the upstream in the settings."""
     table = HttpTable(settings.platform)
     is_engine = settings.upstream.type is ServiceType.ENGINE
-    surroundings = Surroundings(
+    external = ExternalServices(
         table=table,
         vms=HttpVmList(settings.platform),
         engine=HttpEngineClient(settings.upstream) if is_engine else None,
@@ -105,4 +105,4 @@
         )
         return SidecarConfig(service, settings.region, settings.grpc_address)
 
-    return SidecarDaemon(settings, surroundings, make_config)
+    return SidecarDaemon(settings, external, make_config)
--- a/tests/faults/test_oracle.py
+++ b/tests/faults/test_oracle.py
@@ -6,8 +6,8 @@
 import pytest
 
 from dragonflyhold.faults.oracle import (
+    CallerRecord,
     Evidence,
-    Told,
     VersionChange,
     expected_text,
     find_violations,
@@ -19,7 +19,7 @@
 SENT_AT = 100.0
 PERMIT = "svc-1.0000000000000000.1"
 
-ANSWERED = Told(
+ANSWERED = CallerRecord(
     prompt="p",
     weights=WEIGHTS,
     idempotent=True,
@@ -45,9 +45,11 @@
     return {**entry, **fields}
 
 
-def evidence(*told: Told, runs: tuple[dict[str, Any], ...] = (), **fields: Any) -> Evidence:
+def evidence(
+    *records: CallerRecord, runs: tuple[dict[str, Any], ...] = (), **fields: Any
+) -> Evidence:
     base = Evidence(
-        told=told,
+        records=records,
         engine_journals={"svc-1": {"runs": list(runs), "violations": []}},
         plain_journals={},
         changes=(),
--- a/tests/sidecar/fakes.py
+++ b/tests/sidecar/fakes.py
@@ -1,4 +1,4 @@
-"""In-memory surroundings of a sidecar."""
+"""In-memory external of a sidecar."""
 
 import threading
 from collections.abc import Iterator, Mapping, Sequence
--- a/tests/sidecar/rig.py
+++ b/tests/sidecar/rig.py
@@ -9,8 +9,8 @@
 from dragonflyhold.requests import CrashTable, QueuedRequest
 from dragonflyhold.sidecar import messages as msg
 from dragonflyhold.sidecar.core import SidecarCore
-from dragonflyhold.sidecar.desk import RequestDesk
 from dragonflyhold.sidecar.execution import Execution
+from dragonflyhold.sidecar.intake import RequestIntake
 from dragonflyhold.sidecar.outbox import StreamOutbox
 from dragonflyhold.sidecar.ownership import OwnerEpoch
 from dragonflyhold.sidecar.runs import RunFinished, RunResult
@@ -152,10 +152,10 @@
         execution = Execution(
             self.tables, self.slots, self._make_run, self._start_run, lambda: self.checks
         )
-        desk = RequestDesk(self.tables, self.slots)
+        intake = RequestIntake(self.tables, self.slots)
         self.core = SidecarCore(
             self.tables,
-            desk,
+            intake,
             execution,
             self.slots,
             None,
--- a/tests/sidecar/test_budget.py
+++ b/tests/sidecar/test_budget.py
@@ -12,11 +12,11 @@
 from dragonflyhold.settings import LoadBudgetSettings, TlsSettings
 from dragonflyhold.sidecar.budget import (
     BrokerCaller,
-    BrokerDesk,
     BrokerDirectory,
     BrokerServicer,
     BudgetReply,
     LoadBudget,
+    SharedBroker,
 )
 from dragonflyhold.transport.grpc_endpoints import bind_server, make_server
 from dragonflyhold.transport.schema import broker_pb2_grpc
@@ -50,10 +50,10 @@
     def __init__(self, name: UpstreamName, upstreams: list[Upstream]) -> None:
         self.clock = Clock()
         self.directory = BrokerDirectory(name, lambda: upstreams)
-        self.desk = BrokerDesk(SETTINGS)
+        self.shared = SharedBroker(SETTINGS)
         incarnation = Incarnation("0" * 16)
         self.caller = BrokerCaller(
-            name, incarnation, self.directory, self.desk, TlsSettings(), Metrics(), self.clock
+            name, incarnation, self.directory, self.shared, TlsSettings(), Metrics(), self.clock
         )
         self.replies: list[BudgetReply] = []
         self.checked: list[Upstream] = []
@@ -62,7 +62,7 @@
         )
         self.server = make_server(4)
         servicer = BrokerServicer(
-            SETTINGS, self.desk, self.directory, self.checked.append, self.clock
+            SETTINGS, self.shared, self.directory, self.checked.append, self.clock
         )
         broker_pb2_grpc.add_LoadBrokerServicer_to_server(servicer, self.server)
         self.port = bind_server(self.server, "127.0.0.1:0", TlsSettings())
@@ -108,7 +108,7 @@
         other.want("pale")
         assert other.take("pale") is None
         # A new broker starts without tokens.
-        broker.desk.acquire(BROKER, Incarnation("1" * 16), [], broker.clock.now)
+        broker.shared.acquire(BROKER, Incarnation("1" * 16), [], broker.clock.now)
         broker.clock.now += 10.0
         other.budget.step(other.clock.now)
         number = other.take("pale")
--- a/tests/sidecar/test_daemon.py
+++ b/tests/sidecar/test_daemon.py
@@ -11,7 +11,7 @@
 
 from dragonflyhold.ids import Revision
 from dragonflyhold.platform.interface import Vm, VmState
-from dragonflyhold.sidecar.daemon import SidecarDaemon, Surroundings
+from dragonflyhold.sidecar.daemon import ExternalServices, SidecarDaemon
 from dragonflyhold.states import ServiceType, UpstreamMode
 from dragonflyhold.transport.schema import sidecar_pb2 as pb
 from dragonflyhold.upstreams.interface import UpstreamInterruptedError
@@ -37,14 +37,14 @@
         self.config = FakeConfig(FakeView(type_))
         self.table = FakeTable()
         self.vms = FakeVms()
-        surroundings = Surroundings(
+        external = ExternalServices(
             table=self.table,
             vms=self.vms,
             engine=self.engine if plain is None else None,
             plain=plain,
         )
         self.daemon = SidecarDaemon(
-            make_settings(type_, detach_grace_s=0.5), surroundings, lambda *args: self.config
+            make_settings(type_, detach_grace_s=0.5), external, lambda *args: self.config
         )
         self.daemon.start()
         self.wait_ready()
--- a/tests/sidecar/test_process.py
+++ b/tests/sidecar/test_process.py
@@ -27,7 +27,7 @@
         return f"127.0.0.1:{probe.getsockname()[1]}"
 
 
-class Surroundings:
+class ExternalServices:
     """Stand-ins for all that is outside the process."""
 
     def __init__(self) -> None:
@@ -62,10 +62,10 @@
 
 
 @pytest.fixture
-def surroundings() -> Iterator[Surroundings]:
-    surroundings = Surroundings()
-    yield surroundings
-    surroundings.stop()
+def external() -> Iterator[ExternalServices]:
+    external = ExternalServices()
+    yield external
+    external.stop()
 
 
 def start(path: pathlib.Path, settings: dict[str, object]) -> "subprocess.Popen[bytes]":
@@ -88,14 +88,14 @@
     """Guards against two owners of one upstream, and against a stop that hangs."""
 
     def test_paused_owner_keeps_the_port_and_a_signal_stops_it(
-        self, surroundings: Surroundings, tmp_path: pathlib.Path
+        self, external: ExternalServices, tmp_path: pathlib.Path
     ) -> None:
         address = free_address()
-        owner = start(tmp_path / "owner.json", surroundings.settings(address))
+        owner = start(tmp_path / "owner.json", external.settings(address))
         try:
             wait_for_port(address)
             owner.send_signal(signal.SIGSTOP)
-            second = start(tmp_path / "second.json", surroundings.settings(address))
+            second = start(tmp_path / "second.json", external.settings(address))
             assert second.wait(TIMEOUT_S) == EXIT_CANNOT_START
             owner.send_signal(signal.SIGCONT)
             owner.send_signal(signal.SIGTERM)
