--- a/src/dragonflyhold/demo/caller.py
+++ b/src/dragonflyhold/demo/caller.py
@@ -13,6 +13,8 @@
 from dragonflyhold.errors import DragonflyholdError
 
 TIMEOUT_S = 60.0
+# Connections that are kept; more would be opened and closed with a warning.
+MAX_STREAMS = 16
 
 _WEIGHTS = re.compile(r"\[weights=(\S+) prompt=([0-9a-f]+)\]")
 
@@ -56,7 +58,7 @@
     def __init__(self, url: str, name: str = "demo") -> None:
         self._url = url
         self._name = name
-        self._http = urllib3.PoolManager(retries=False, timeout=TIMEOUT_S)
+        self._http = urllib3.PoolManager(maxsize=MAX_STREAMS, retries=False, timeout=TIMEOUT_S)
 
     def close(self) -> None:
         """Close the connections."""
