--- a/src/dragonflyhold/adapters/plan.py
+++ b/src/dragonflyhold/adapters/plan.py
@@ -60,7 +60,7 @@
 def plan_slots(
     slots: SlotTable,
     waiting: Sequence[WaitingAdapter],
-    popularity: Popularity,
+    popularity: Popularity[AdapterKey],
     backoff: LoadBackoff,
     now: float,
     settings: SlotSettings,
@@ -147,7 +147,9 @@
     )
 
 
-def _likely_use(slot: Slot, popularity: Popularity, now: float, settings: SlotSettings) -> float:
+def _likely_use(
+    slot: Slot, popularity: Popularity[AdapterKey], now: float, settings: SlotSettings
+) -> float:
     """Return the decayed request count, lowered once the adapter is silent for too long.
 
     At its estimated rate an adapter is silent for ``STALE_GAPS`` mean gaps with a probability of
--- a/src/dragonflyhold/adapters/popularity.py
+++ b/src/dragonflyhold/adapters/popularity.py
@@ -2,9 +2,10 @@
 
 import heapq
 import math
-from typing import final
+from collections.abc import Hashable
+from typing import Generic, TypeVar, final
 
-from dragonflyhold.ids import AdapterKey
+Key = TypeVar("Key", bound=Hashable)
 
 # An estimate below this many requests no longer changes an eviction, so the entry is dropped.
 NEGLIGIBLE = 0.01
@@ -14,7 +15,7 @@
 
 
 @final
-class Popularity:
+class Popularity(Generic[Key]):
     """Exponentially decayed request counts.
 
     Stores one float for each key: the base-2 logarithm of its count scaled to time zero. All
@@ -24,13 +25,13 @@
 
     def __init__(self, half_life_s: float) -> None:
         self._half_life_s = half_life_s
-        self._levels: dict[AdapterKey, float] = {}
+        self._levels: dict[Key, float] = {}
         self._next_prune = -math.inf
 
     def __len__(self) -> int:
         return len(self._levels)
 
-    def record(self, key: AdapterKey, now: float) -> None:
+    def record(self, key: Key, now: float) -> None:
         """Count one request at ``now`` seconds."""
         shift = now / self._half_life_s
         level = self._levels.get(key)
@@ -41,7 +42,7 @@
             # Above 2**60 the added request is lost in the float's precision anyway.
             self._levels[key] = shift + math.log2(1.0 + 2.0 ** min(level - shift, 60.0))
 
-    def estimate(self, key: AdapterKey, now: float) -> float:
+    def estimate(self, key: Key, now: float) -> float:
         """Return the decayed count of a key, 0 if unknown."""
         level = self._levels.get(key)
         if level is None:
--- a/src/dragonflyhold/bench/capacity.py
+++ b/src/dragonflyhold/bench/capacity.py
@@ -180,7 +180,7 @@
 
 
 def _make_popularity(size: int) -> Popularity:
-    popularity = Popularity(120.0)
+    popularity: Popularity[AdapterKey] = Popularity(120.0)
     for number in range(size):
         popularity.record(_key(number), 1000.0)
     return popularity
--- a/src/dragonflyhold/bench/config_costs.py
+++ b/src/dragonflyhold/bench/config_costs.py
@@ -42,9 +42,9 @@
     Version,
 )
 from dragonflyhold.observability import Metrics
-from dragonflyhold.platform.interface import Row
 from dragonflyhold.requests.crashes import CrashReport
 from dragonflyhold.settings import ConfigSettings, TlsSettings
+from dragonflyhold.storage.interface import Row
 from dragonflyhold.timers import TimerService
 from dragonflyhold.transport.grpc_endpoints import bind_server, make_server
 from dragonflyhold.transport.schema import operator_pb2 as pb
--- a/src/dragonflyhold/bench/policy_baselines.py
+++ b/src/dragonflyhold/bench/policy_baselines.py
@@ -47,7 +47,7 @@
         self,
         slots: SlotTable,
         waiting: Sequence[WaitingAdapter],
-        popularity: Popularity,
+        popularity: Popularity[AdapterKey],
         backoff: LoadBackoff,
         now: float,
     ) -> Plan:
@@ -137,7 +137,7 @@
         self,
         slots: SlotTable,
         waiting: Sequence[WaitingAdapter],
-        popularity: Popularity,
+        popularity: Popularity[AdapterKey],
         backoff: LoadBackoff,
         now: float,
     ) -> Plan:
@@ -158,7 +158,7 @@
         self,
         slots: SlotTable,
         waiting: Sequence[WaitingAdapter],
-        popularity: Popularity,
+        popularity: Popularity[AdapterKey],
         backoff: LoadBackoff,
         now: float,
     ) -> Plan:
--- a/src/dragonflyhold/bench/policy_engine.py
+++ b/src/dragonflyhold/bench/policy_engine.py
@@ -94,7 +94,9 @@
         self.sim = sim
         self.config = upstream
         self.slots = SlotTable(upstream.slots)
-        self.popularity = Popularity(sim.slot_settings.popularity_half_life_s)
+        self.popularity: Popularity[AdapterKey] = Popularity(
+            sim.slot_settings.popularity_half_life_s
+        )
         self.backoff = LoadBackoff(sim.slot_settings, rng)
         self.running: set[Request] = set()
         self.interactive: dict[AdapterKey, collections.deque[Request]] = {}
--- a/src/dragonflyhold/bench/policy_model.py
+++ b/src/dragonflyhold/bench/policy_model.py
@@ -20,7 +20,7 @@
     make_requests,
 )
 from dragonflyhold.errors import ErrorCode
-from dragonflyhold.ids import Fingerprint, UpstreamName
+from dragonflyhold.ids import AdapterKey, Fingerprint, UpstreamName
 from dragonflyhold.routing import NoRoute, RouteRequest, RouteTo, UpstreamTable
 from dragonflyhold.settings.model import RoutingSettings, SlotSettings
 from dragonflyhold.states import UpstreamState
@@ -50,7 +50,7 @@
         self,
         slots: SlotTable,
         waiting: Sequence[WaitingAdapter],
-        popularity: Popularity,
+        popularity: Popularity[AdapterKey],
         backoff: LoadBackoff,
         now: float,
     ) -> Plan:
--- a/src/dragonflyhold/cli/root.py
+++ b/src/dragonflyhold/cli/root.py
@@ -17,6 +17,7 @@
     "drain": ("dragonflyhold.cli.changes", "drain_command"),
     "explain": ("dragonflyhold.cli.inspect", "explain_command"),
     "faults": ("dragonflyhold.cli.faults", "faults_command"),
+    "platform": ("dragonflyhold.cli.platform", "platform_group"),
     "run": ("dragonflyhold.cli.run", "run_group"),
     "settings": ("dragonflyhold.cli.settings", "settings_group"),
     "standin": ("dragonflyhold.cli.standin", "standin_group"),
--- a/src/dragonflyhold/config/service.py
+++ b/src/dragonflyhold/config/service.py
@@ -20,9 +20,9 @@
 from dragonflyhold.config.view import ConfigView
 from dragonflyhold.ids import ChangeId, Revision
 from dragonflyhold.observability import Metrics, PartLogger
-from dragonflyhold.platform.interface import ObjectStore, Table
 from dragonflyhold.requests.crashes import CrashExchange
 from dragonflyhold.settings import ConfigSettings, TlsSettings
+from dragonflyhold.storage.interface import ObjectStore, Table
 from dragonflyhold.timers import Subscription, Tick, TimerService
 from dragonflyhold.transport.schema import operator_pb2 as pb
 from dragonflyhold.transport.schema import operator_pb2_grpc as pb_grpc
--- a/src/dragonflyhold/config/store.py
+++ b/src/dragonflyhold/config/store.py
@@ -15,7 +15,7 @@
 from dragonflyhold.config.state import ConfigState
 from dragonflyhold.errors import ConditionFailedError, DragonflyholdError
 from dragonflyhold.ids import ChangeId, Revision
-from dragonflyhold.platform.interface import Condition, ObjectStore, Put, Row, Table
+from dragonflyhold.storage.interface import Condition, ObjectStore, Put, Row, Table
 from dragonflyhold.transport.schema import operator_pb2 as pb
 
 HEAD_KEY = "config/head"
--- a/src/dragonflyhold/entry/observer.py
+++ b/src/dragonflyhold/entry/observer.py
@@ -16,9 +16,9 @@
     Version,
 )
 from dragonflyhold.observability import PartLogger
-from dragonflyhold.platform.interface import VmList, VmState
 from dragonflyhold.routing import LoadSnapshot
 from dragonflyhold.states import UpstreamState
+from dragonflyhold.storage.interface import VmList, VmState
 from dragonflyhold.timers import Tick
 from dragonflyhold.transport.schema import sidecar_pb2 as pb
 
--- a/src/dragonflyhold/entry/parts.py
+++ b/src/dragonflyhold/entry/parts.py
@@ -15,10 +15,10 @@
 from dragonflyhold.ids import Incarnation, Revision, new_incarnation
 from dragonflyhold.observability import Metrics
 from dragonflyhold.operations import OperatorService
-from dragonflyhold.platform import HttpObjectStore, HttpTable, HttpVmList
-from dragonflyhold.platform.interface import VmList
 from dragonflyhold.requests.crashes import CrashTable
 from dragonflyhold.settings import EntrySettings
+from dragonflyhold.storage import HttpObjectStore, HttpTable, HttpVmList
+from dragonflyhold.storage.interface import VmList
 from dragonflyhold.timers import TimerService
 
 
--- /dev/null
+++ b/src/dragonflyhold/gateway/agent.py
@@ -0,0 +1,276 @@
+"""The agent beside an engine: the one process that gives it orders.
+
+It adds up what the gateways wait for, plans the engine's adapter slots, carries the plan out and
+tells the gateways what the engine holds. A gateway that loses its agent goes on with what the
+engine held; nothing new is loaded there meanwhile.
+"""
+
+import asyncio
+import time
+from typing import final
+
+import orjson
+
+from dragonflyhold.adapters.popularity import Popularity
+from dragonflyhold.errors import PlatformUnavailableError
+from dragonflyhold.gateway.catalogue import Catalogue
+from dragonflyhold.gateway.link import HEARTBEAT_S, Link
+from dragonflyhold.gateway.logs import Part
+from dragonflyhold.gateway.messages import (
+    AdapterDemand,
+    DemandUpdate,
+    EngineUpdate,
+    Message,
+    SuspectUpdate,
+)
+from dragonflyhold.gateway.model import (
+    EngineReport,
+    EngineSpec,
+    ModelAdapter,
+    Order,
+    OrderKind,
+    OrderResult,
+)
+from dragonflyhold.gateway.placement import EngineView, missing_adapters, plan_orders, sum_demands
+from dragonflyhold.ids import ServiceName
+from dragonflyhold.platform.engine import EngineControl, EngineUnavailableError
+from dragonflyhold.platform.store import MetadataStore
+
+# Table and key prefix of the rows from whose versions fencing tokens are taken.
+FENCE_TABLE = "dragonflyhold"
+# Pause between looks at the engine while an order is under way, and otherwise.
+BUSY_PERIOD_S = 0.008
+IDLE_PERIOD_S = 0.1
+# Gateways get the load numbers at least this often.
+PUBLISH_PERIOD_S = HEARTBEAT_S / 2
+# Requests of this many seconds ago count half when an adapter to evict is chosen.
+POPULARITY_HALF_LIFE_S = 6.0
+# Load times in seconds from the protocol: a first load, and one that the engine held recently.
+COLD_LOAD_S = 0.25
+# Reads of the engine that fail in a row before its state is taken as unknown.
+MAX_FAILED_READS = 2
+
+
+@final
+class Agent:
+    """Owns the slots of one engine."""
+
+    def __init__(
+        self,
+        holder: str,
+        service: ServiceName | None,
+        engine: EngineControl,
+        store: MetadataStore,
+        catalogue: Catalogue,
+    ) -> None:
+        self._holder = holder
+        self._service = service
+        self._engine = engine
+        self._store = store
+        self._catalogue = catalogue
+        self._log = Part("agent")
+        self._links: dict[Link, dict[ModelAdapter, AdapterDemand]] = {}
+        self._popularity: Popularity[ModelAdapter] = Popularity(POPULARITY_HALF_LIFE_S)
+        self._report: EngineReport | None = None
+        self._failed_reads = 0
+        self._unloading: set[ModelAdapter] = set()
+        self._fencing_token: int | None = None
+        self._changed = asyncio.Event()
+        self._published: tuple[object, ...] = ()
+        self._published_at = 0.0
+
+    # Links with gateways.
+
+    def link_opened(self, link: Link) -> None:
+        """Tell a gateway the whole state."""
+        self._links[link] = {}
+        self._log.info("A gateway joined.", peer=link.peer, gateways=len(self._links))
+        link.send(self._update())
+
+    def link_closed(self, link: Link) -> None:
+        """Forget the demand of a gateway."""
+        self._links.pop(link, None)
+        self._log.info("A gateway left.", peer=link.peer, gateways=len(self._links))
+        self._changed.set()
+
+    def link_message(self, link: Link, message: Message) -> None:
+        """Take in the demand of a gateway."""
+        match message:
+            case DemandUpdate(demands):
+                for demand in demands:
+                    self._take_demand(link, demand)
+                if demands:
+                    self._changed.set()
+            case SuspectUpdate():
+                for other in self._links:
+                    if other is not link:
+                        other.send(message)
+            case EngineUpdate():
+                self._log.warning("A gateway sent an engine's state.", peer=link.peer)
+
+    def _take_demand(self, link: Link, demand: AdapterDemand) -> None:
+        by_adapter = self._links.setdefault(link, {})
+        old = by_adapter.get(demand.key)
+        started = demand.started - (old.started if old else 0)
+        now = time.monotonic()
+        for _ in range(min(max(started, 0), 64)):
+            self._popularity.record(demand.key, now)
+        by_adapter[demand.key] = demand
+
+    # The work loop.
+
+    def wake(self) -> None:
+        """Plan anew, for instance after a change of the catalogue."""
+        self._changed.set()
+
+    async def run(self) -> None:
+        """Read, plan, order and publish until cancelled."""
+        while True:
+            await self._read_engine()
+            if self._report is not None:
+                await self._carry_out(self._report)
+            self._publish()
+            is_busy = self._report is not None and bool(
+                self._report.coming or self._report.busy or self._unloading
+            )
+            self._changed.clear()
+            try:
+                async with asyncio.timeout(BUSY_PERIOD_S if is_busy else IDLE_PERIOD_S):
+                    await self._changed.wait()
+            except TimeoutError:
+                # The period ended without a change: look at the engine again.
+                pass
+
+    async def _read_engine(self) -> None:
+        try:
+            report = await self._engine.report()
+        except EngineUnavailableError as error:
+            self._failed_reads += 1
+            if self._report is not None and self._failed_reads >= MAX_FAILED_READS:
+                self._log.warning("The engine is lost.", error=str(error))
+                self._report = None
+            return
+        self._failed_reads = 0
+        old, self._report = self._report, report
+        if old is None or old.born != report.born:
+            self._log.info(
+                "The engine is there.",
+                born=report.born,
+                sequence=report.sequence,
+                adapters=len(report.adapters),
+            )
+            self._unloading.clear()
+        self._unloading &= report.adapters.keys()
+
+    async def _carry_out(self, report: EngineReport) -> None:
+        spec = self._catalogue.engine(self._service)
+        if spec is None or not await self._ensure_token():
+            return
+        if not report.models:
+            await self._load_model(report, spec)
+            return
+        for order in plan_orders(self._view(report, spec)):
+            if self._report is None or not _has_room(order, self._report, spec):
+                return
+            if not await self._give(order, self._report):
+                return
+            await self._read_engine()
+
+    async def _load_model(self, report: EngineReport, spec: EngineSpec) -> None:
+        if not report.busy and spec.models:
+            await self._give(Order(OrderKind.LOAD, spec.models[0]), report)
+
+    async def _give(self, order: Order, report: EngineReport) -> bool:
+        assert self._fencing_token is not None
+        result = await self._engine.order(order, report.sequence, self._fencing_token)
+        self._log.info(
+            "An order was given.",
+            order=order.kind.value,
+            model=order.model,
+            adapter=order.adapter,
+            version=order.version,
+            sequence=report.sequence,
+            token=self._fencing_token,
+            result=result.value,
+        )
+        if (
+            result is OrderResult.ACCEPTED
+            and order.kind is OrderKind.UNLOAD
+            and order.adapter is not None
+        ):
+            # It waits for its runs.
+            self._unloading.add(ModelAdapter(order.model, order.adapter))
+        return result in (OrderResult.ACCEPTED, OrderResult.DONE)
+
+    async def _ensure_token(self) -> bool:
+        """Take a token from the store's one counter, which never falls, once per lifetime."""
+        if self._fencing_token is not None:
+            return True
+        try:
+            self._fencing_token = await self._store.write(
+                FENCE_TABLE, f"fence/{self._holder}", orjson.dumps({"holder": self._holder})
+            )
+        except PlatformUnavailableError as error:
+            self._log.warning("No fencing token yet.", error=str(error))
+            return False
+        self._log.info("Took a fencing token.", token=self._fencing_token)
+        return True
+
+    # What the gateways are told.
+
+    def _view(self, report: EngineReport, spec: EngineSpec) -> EngineView:
+        now = time.monotonic()
+        wanted = {item.key: item for item in sum_demands(self._links.values())}
+        return EngineView(
+            report=report,
+            slots=spec.adapter_slots,
+            wanted=wanted,
+            versions=self._catalogue.versions,
+            frequency={key: self._popularity.estimate(key, now) for key in report.adapters},
+            unloading=frozenset(self._unloading),
+        )
+
+    def _publish(self) -> None:
+        now = time.monotonic()
+        update = self._update()
+        state = (update.born, update.resident, update.has_model, update.free_places > 0)
+        if state == self._published and now - self._published_at < PUBLISH_PERIOD_S:
+            return
+        self._published, self._published_at = state, now
+        for link in list(self._links):
+            if link.is_silent(now):
+                link.close()
+            else:
+                link.send(update)
+
+    def _update(self) -> EngineUpdate:
+        report, spec = self._report, self._catalogue.engine(self._service)
+        if report is None or spec is None:
+            return EngineUpdate(0, [], [], 0, 0, 0, 0, 0.0, has_model=False)
+        view = self._view(report, spec)
+        hidden = self._unloading | report.coming.keys()
+        used = sum(view.is_used(key) or key in hidden for key in report.adapters)
+        new = sum(key not in report.adapters for key in report.coming)
+        free = max(0, spec.adapter_slots - used - new)
+        backlog = len(missing_adapters(view))
+        return EngineUpdate(
+            born=report.born,
+            resident=sorted(
+                (key, version) for key, version in report.adapters.items() if key not in hidden
+            ),
+            coming=sorted(report.coming.items()),
+            running=report.running,
+            waiting=report.waiting,
+            free_places=free,
+            backlog=backlog,
+            load_wait_s=COLD_LOAD_S,
+            has_model=bool(report.models),
+        )
+
+
+def _has_room(order: Order, report: EngineReport, spec: EngineSpec) -> bool:
+    """Whether a load fits: an unload before it may still wait for its runs."""
+    if order.kind is OrderKind.UNLOAD or order.adapter is None:
+        return True
+    held = report.adapters.keys() | report.coming.keys()
+    return ModelAdapter(order.model, order.adapter) in held or len(held) < spec.adapter_slots
--- /dev/null
+++ b/src/dragonflyhold/gateway/budget.py
@@ -0,0 +1,59 @@
+"""The share of the common retry budget that one gateway may spend."""
+
+import collections
+import time
+from collections.abc import Callable
+from typing import final
+
+from dragonflyhold.ids import ServiceName
+
+# Windows are kept in parts of this many seconds.
+PART_S = 0.5
+# Gateways that may spend the fixed part of the budget at the same time; the sheets have at most
+# five, and a restarted one starts with a new share.
+SLACK_SHARES = 8
+# Part of the ratio that is spent; the rest covers requests whose arrivals other gateways repeat.
+RATIO_SHARE = 0.8
+
+
+@final
+class RetryBudget:
+    """Counts requests and repeats by service over a sliding window."""
+
+    def __init__(
+        self,
+        ratio: float,
+        window_s: float,
+        slack: float,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._ratio = ratio * RATIO_SHARE
+        self._slack = slack / SLACK_SHARES
+        self._parts = int(window_s / PART_S) + 1
+        self._clock = clock
+        self._requests: dict[ServiceName, collections.Counter[int]] = {}
+        self._repeats: dict[ServiceName, collections.Counter[int]] = {}
+
+    def note_request(self, service: ServiceName) -> None:
+        """Count a request of a client."""
+        self._add(self._requests, service)
+
+    def try_spend(self, service: ServiceName) -> bool:
+        """Count one more arrival of a request, if the budget has room for it."""
+        allowed = self._ratio * self._sum(self._requests, service) + self._slack
+        if self._sum(self._repeats, service) + 1 > allowed:
+            return False
+        self._add(self._repeats, service)
+        return True
+
+    def _add(self, table: dict[ServiceName, collections.Counter[int]], name: ServiceName) -> None:
+        part = int(self._clock() / PART_S)
+        counts = table.setdefault(name, collections.Counter())
+        if part not in counts:
+            for old in [key for key in counts if key <= part - self._parts]:
+                del counts[old]
+        counts[part] += 1
+
+    def _sum(self, table: dict[ServiceName, collections.Counter[int]], name: ServiceName) -> int:
+        oldest = int(self._clock() / PART_S) - self._parts
+        return sum(n for part, n in table.get(name, {}).items() if part > oldest)
--- /dev/null
+++ b/src/dragonflyhold/gateway/catalogue.py
@@ -0,0 +1,86 @@
+"""What the operator has put in force: the configuration and the versions of adapters."""
+
+import time
+from collections.abc import Callable
+from typing import final
+
+import orjson
+
+from dragonflyhold.gateway.logs import Part
+from dragonflyhold.gateway.model import Configuration, EngineSpec, ModelAdapter
+from dragonflyhold.ids import ServiceName, Version
+from dragonflyhold.platform.codec import DecodeError, decode_adapter_version, decode_configuration
+from dragonflyhold.platform.store import StoredRow
+
+CONFIG_KEY = "config"
+VERSION_PREFIX = "version/"
+
+
+@final
+class Catalogue:
+    """Keeps the newest configuration and adapter versions seen; neither ever goes back."""
+
+    def __init__(
+        self,
+        on_configuration: Callable[[Configuration], None] = lambda configuration: None,
+        on_version: Callable[[ModelAdapter, Version], None] = lambda key, version: None,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.configuration: Configuration | None = None
+        self.versions: dict[ModelAdapter, Version] = {}
+        # Monotonic time at which this process learned of each version.
+        self.learned: dict[ModelAdapter, float] = {}
+        self._on_configuration = on_configuration
+        self._on_version = on_version
+        self._clock = clock
+        self._log = Part("config")
+
+    def engine(self, service: ServiceName | None) -> EngineSpec | None:
+        """Return the engine limits of a service; without a name of the only engine service."""
+        if self.configuration is None:
+            return None
+        if service is not None and service in self.configuration.services:
+            return self.configuration.services[service].engine
+        specs = [item.engine for item in self.configuration.services.values() if item.engine]
+        return specs[0] if specs else None
+
+    def apply(self, row: StoredRow) -> None:
+        """Take in a changed row of the operator's table."""
+        if row.removed:
+            return
+        try:
+            value = orjson.loads(row.value)
+            if row.key == CONFIG_KEY:
+                self._take_configuration(decode_configuration(value), row.version)
+            elif row.key.startswith(VERSION_PREFIX):
+                key, version = decode_adapter_version(value)
+                self.take_version(key, version)
+        except (ValueError, DecodeError) as error:
+            self._log.warning("A row of the operator is not usable.", key=row.key, error=str(error))
+
+    def take_version(self, key: ModelAdapter, version: Version) -> None:
+        """Learn that a version of an adapter exists."""
+        if version <= self.versions.get(key, Version(0)):
+            return
+        self.versions[key] = version
+        self.learned[key] = self._clock()
+        self._log.info("A version is named.", model=key.model, adapter=key.adapter, version=version)
+        self._on_version(key, version)
+
+    def _take_configuration(self, configuration: Configuration, row_version: int) -> None:
+        old = self.configuration
+        if old is not None and configuration.version <= old.version:
+            self._log.warning(
+                "An older configuration was ignored.",
+                version=configuration.version,
+                in_force=old.version,
+            )
+            return
+        self.configuration = configuration
+        self._log.info(
+            "A configuration is in force.",
+            version=configuration.version,
+            row_version=row_version,
+            routes=sum(len(group) for group in configuration.routes.values()),
+        )
+        self._on_configuration(configuration)
--- /dev/null
+++ b/src/dragonflyhold/gateway/daemon.py
@@ -0,0 +1,282 @@
+"""Runs a gateway or an agent as a process: start, signals, reload, graceful stop."""
+
+import asyncio
+import dataclasses
+import os
+import signal
+import sys
+import time
+from collections.abc import Callable, Coroutine
+from typing import final
+
+from dragonflyhold.errors import UsageError
+from dragonflyhold.gateway.agent import Agent
+from dragonflyhold.gateway.catalogue import Catalogue
+from dragonflyhold.gateway.gateway import Gateway
+from dragonflyhold.gateway.http_client import ConnectionPool
+from dragonflyhold.gateway.http_server import ClientRequest, HttpServer, Responder
+from dragonflyhold.gateway.link import HEARTBEAT_S, Link
+from dragonflyhold.gateway.logs import Part, setup_json_logging
+from dragonflyhold.gateway.model import Address, IngressLimits
+from dragonflyhold.gateway.registry import LAPSE_GRACE_S
+from dragonflyhold.gateway.tasks import supervise
+from dragonflyhold.gateway.watch import TableWatch
+from dragonflyhold.ids import ServiceName
+from dragonflyhold.observability.metrics import Metrics
+from dragonflyhold.platform.engine import HttpEngineControl
+from dragonflyhold.platform.settings import PATH_VARIABLE, DaemonSettings, load_settings
+from dragonflyhold.platform.store import MetadataStore
+
+# Tables of the platform's store.
+OPERATOR_TABLE = "op"
+REGISTRY_TABLE = "servers"
+# Pause between two looks at the registry, whose rows change with every check-in of a runner.
+REGISTRY_PAUSE_S = 0.3
+# Ports of the metrics pages; the deploy file names the same ones.
+GATEWAY_METRICS_PORT = 9464
+AGENT_METRICS_PORT = 9465
+HOUSEKEEPING_PERIOD_S = 0.25
+# The platform takes a daemon out of rotation after two missed checks, one a second.
+ROTATION_S = 3.2
+# Kept back from the grace of a stop, so that the process ends by itself.
+STOP_MARGIN_S = 0.4
+# Pause of the loop beyond which the process counts as having been paused.
+PAUSE_S = 1.0
+EXIT_SETTINGS = 2
+
+
+@final
+class SettingsFile:
+    """The settings file, read again after a signal or when it has changed."""
+
+    def __init__(self) -> None:
+        self.current = load_settings()
+        self._path = os.environ[PATH_VARIABLE]
+        self._stamp = self._read_stamp()
+        self._log = Part("settings")
+
+    def reload_if_changed(self, force: bool = False) -> bool:
+        """Read the file if it changed; a file with problems leaves the last one in force."""
+        stamp = self._read_stamp()
+        if stamp == self._stamp and not force:
+            return False
+        self._stamp = stamp
+        try:
+            settings = load_settings()
+        except UsageError as error:
+            self._log.error("The settings are not usable.", error=str(error))
+            return False
+        changed = [
+            field.name
+            for field in dataclasses.fields(settings)
+            if getattr(settings, field.name) != getattr(self.current, field.name)
+        ]
+        self.current = settings
+        self._log.info("The settings were read.", changed=changed, signalled=force)
+        return bool(changed)
+
+    def _read_stamp(self) -> tuple[int, int]:
+        try:
+            status = os.stat(self._path)
+        except OSError:
+            # A file that is being replaced is looked at again a moment later.
+            return (0, 0)
+        return (status.st_mtime_ns, status.st_size)
+
+
+@final
+class GatewayDaemon:
+    """The process on an entry VM."""
+
+    def __init__(self, settings_file: SettingsFile) -> None:
+        self._file = settings_file
+        self._settings = settings_file.current
+        self._metrics = Metrics()
+        self._log = Part("daemon")
+        self._stop = asyncio.Event()
+        self.gateway = Gateway(self._settings, self._metrics)
+        self._store = MetadataStore(self._settings.store, self.gateway.pool)
+        self._operator = TableWatch(self._store, OPERATOR_TABLE, self.gateway.catalogue.apply)
+        self._registry = TableWatch(
+            self._store, REGISTRY_TABLE, self.gateway.registry.apply, REGISTRY_PAUSE_S
+        )
+        self._ready = HttpServer(self._answer_ready, IngressLimits())
+        self._is_stopping = False
+
+    async def run(self) -> None:
+        """Serve until SIGTERM and the end of the open requests."""
+        settings = self._settings
+        _handle_signals(self._stop.set, lambda: self._reload(force=True))
+        tasks = [
+            _start(self._log, "operator", self._operator.run),
+            _start(self._log, "registry", self._registry.run),
+            _start(self._log, "heartbeat", self._beat),
+            _start(self._log, "housekeeping", self._keep_house),
+        ]
+        assert settings.client_listener is not None
+        await _listen(self.gateway.server, settings.client_listener)
+        if settings.ready_listener is not None:
+            await _listen(self._ready, settings.ready_listener)
+        await _listen_metrics(self._metrics, settings.ip, GATEWAY_METRICS_PORT, self._log)
+        self._log.info("Started.", role="gateway", vm=settings.vm, store=settings.store)
+        await self._stop.wait()
+        await self._drain()
+        for task in tasks:
+            task.cancel()
+        self._log.info("Stopped.", open_requests=self.gateway.server.open_requests)
+
+    async def _drain(self) -> None:
+        """Leave the rotation, finish the open requests, then end."""
+        server, started = self.gateway.server, time.monotonic()
+        self._is_stopping = True
+        server.is_draining = True
+        self._log.info("Stopping.", open_requests=server.open_requests)
+        end = started + self._settings.bounds.grace_s - STOP_MARGIN_S
+        await asyncio.sleep(min(ROTATION_S, max(0.0, end - time.monotonic())))
+        server.close_listener()
+        while time.monotonic() < end:
+            server.close_idle()
+            if not server.connections:
+                return
+            await asyncio.sleep(0.02)
+
+    async def _beat(self) -> None:
+        while True:
+            self.gateway.heartbeat()
+            await asyncio.sleep(HEARTBEAT_S)
+
+    async def _keep_house(self) -> None:
+        last = time.monotonic()
+        was_steady = False
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_PERIOD_S)
+            now = time.monotonic()
+            if now - last > PAUSE_S:
+                self._log.warning("The process was paused.", for_s=round(now - last, 3))
+            last = now
+            watch = self._registry
+            is_up = watch.unavailable_since is None
+            steady = is_up and now - watch.available_since > LAPSE_GRACE_S
+            self.gateway.is_store_steady = steady
+            if steady and not was_steady:
+                self._log.info("The registry is steady.", runners=len(self.gateway.table.views))
+            was_steady = steady
+            self.gateway.registry.expire()
+            self.gateway.pool.close_expired(now)
+            self._metrics.set_level("waiting_requests", self.gateway.demands.waiting)
+            self._metrics.set_level("runner_connections_opened", self.gateway.pool.opened)
+            self._reload(force=False)
+
+    def _reload(self, force: bool) -> None:
+        if self._file.reload_if_changed(force):
+            self._settings = self._file.current
+            self._store.address = self._settings.store
+
+    async def _answer_ready(self, request: ClientRequest, responder: Responder) -> None:
+        del request
+        is_ready = self.gateway.is_ready and not self._is_stopping
+        responder.send(200 if is_ready else 503, [], b"ready" if is_ready else b"not ready")
+
+
+@final
+class AgentDaemon:
+    """The process beside an engine."""
+
+    def __init__(self, settings_file: SettingsFile) -> None:
+        self._file = settings_file
+        settings = settings_file.current
+        self._settings = settings
+        self._metrics = Metrics()
+        self._log = Part("daemon")
+        self._stop = asyncio.Event()
+        pool = ConnectionPool()
+        self._pool = pool
+        self._store = MetadataStore(settings.store, pool)
+        self._catalogue = Catalogue(on_version=lambda key, version: self._agent.wake())
+        self._operator = TableWatch(self._store, OPERATOR_TABLE, self._catalogue.apply)
+        assert settings.engine is not None
+        engine = HttpEngineControl(settings.engine, settings.vm, pool)
+        service = ServiceName(settings.service) if settings.service else None
+        self._agent = Agent(settings.vm, service, engine, self._store, self._catalogue)
+
+    async def run(self) -> None:
+        """Serve until SIGTERM."""
+        settings = self._settings
+        _handle_signals(self._stop.set, lambda: self._reload(force=True))
+        tasks = [
+            _start(self._log, "operator", self._operator.run),
+            _start(self._log, "agent", self._agent.run),
+            _start(self._log, "housekeeping", self._keep_house),
+        ]
+        loop = asyncio.get_running_loop()
+        await loop.create_server(
+            lambda: Link(self._agent), settings.ip, settings.agent_port, reuse_address=True
+        )
+        await _listen_metrics(self._metrics, settings.ip, AGENT_METRICS_PORT, self._log)
+        self._log.info("Started.", role="agent", vm=settings.vm, engine=settings.engine)
+        await self._stop.wait()
+        for task in tasks:
+            task.cancel()
+        self._log.info("Stopped.")
+
+    async def _keep_house(self) -> None:
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_PERIOD_S)
+            self._pool.close_expired(time.monotonic())
+            self._reload(force=False)
+
+    def _reload(self, force: bool) -> None:
+        if self._file.reload_if_changed(force):
+            self._settings = self._file.current
+            self._store.address = self._settings.store
+
+
+def run_role() -> int:
+    """Run the role that the settings call for; return the exit status."""
+    try:
+        settings_file = SettingsFile()
+    except UsageError as error:
+        print(error, file=sys.stderr)
+        return EXIT_SETTINGS
+    settings = settings_file.current
+    setup_json_logging(settings.vm)
+    asyncio.run(_run(settings_file, settings))
+    return 0
+
+
+async def _run(settings_file: SettingsFile, settings: DaemonSettings) -> None:
+    if settings.client_listener is not None:
+        await GatewayDaemon(settings_file).run()
+    else:
+        await AgentDaemon(settings_file).run()
+
+
+def _start(
+    log: Part, name: str, run: Callable[[], Coroutine[None, None, None]]
+) -> asyncio.Task[None]:
+    return asyncio.get_running_loop().create_task(supervise(log, name, run))
+
+
+def _handle_signals(stop: Callable[[], None], reload: Callable[[], None]) -> None:
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stop)
+    loop.add_signal_handler(signal.SIGINT, stop)
+    loop.add_signal_handler(signal.SIGHUP, reload)
+
+
+async def _listen(server: HttpServer, address: Address) -> None:
+    host, _, port = address.rpartition(":")
+    await server.listen(host, int(port))
+
+
+async def _listen_metrics(metrics: Metrics, ip: str, port: int, log: Part) -> None:
+    async def answer(request: ClientRequest, responder: Responder) -> None:
+        del request
+        body, content_type = metrics.render()
+        responder.send(200, [(b"Content-Type", content_type.encode())], body)
+
+    try:
+        await HttpServer(answer, IngressLimits()).listen(ip, port)
+    except OSError as error:
+        # Requests are served without a metrics page too.
+        log.error("The metrics page cannot be served.", port=port, error=str(error))
--- /dev/null
+++ b/src/dragonflyhold/gateway/dispatch.py
@@ -0,0 +1,277 @@
+"""Chooses the runner of each request: pure code over the table of runners."""
+
+import dataclasses
+import random
+from collections.abc import Collection, Iterable
+from typing import final
+
+from dragonflyhold.gateway.messages import EngineUpdate
+from dragonflyhold.gateway.model import ModelAdapter, Runner, RunnerId, RunnerState
+from dragonflyhold.ids import DataCentre, ServiceName, Version
+from dragonflyhold.routing.hashing import combine, hash64
+
+# Pause after a failed connection or a crash before a runner is tried again, doubling.
+MIN_SUSPENSION_S = 0.25
+MAX_SUSPENSION_S = 2.0
+# A runner that owes an answer and sent nothing for this long gets no new work meanwhile.
+STALL_S = 0.6
+# Weight of the newest outcome in a runner's failure rate.
+FAILURE_WEIGHT = 0.2
+# Seconds after which half of a failure rate is forgotten.
+FAILURE_HALF_LIFE_S = 3.0
+# Requests that a runner in another data centre may run less before it is preferred: bytes between
+# data centres have a price, waiting has a higher one.
+LOCAL_BONUS = 0.5
+# An agent's numbers older than this no longer count.
+REPORT_AGE_S = 1.5
+# Adapters waiting for a place at the first choice before the second is considered.
+BACKLOG_LIMIT = 2
+
+
+@final
+@dataclasses.dataclass(slots=True)
+class RunnerView:
+    """What one gateway knows of one runner."""
+
+    runner: Runner
+    score: int
+    is_linked: bool = False
+    # Whether an agent said that the engine holds its model.
+    has_model: bool = True
+    resident: dict[ModelAdapter, Version] = dataclasses.field(default_factory=dict)
+    coming: frozenset[ModelAdapter] = frozenset()
+    free_places: int = 0
+    backlog: int = 0
+    # Adapters that this gateway sent there to wait for, beyond what the last update counts.
+    sent_to_wait: int = 0
+    # Requests of this gateway that the runner has now.
+    in_flight: int = 0
+    # Requests of all gateways as of ``reported_at``, and of this gateway then.
+    reported: int = 0
+    reported_own: int = 0
+    reported_at: float = -1e9
+    suspended_until: float = -1e9
+    suspension_s: float = MIN_SUSPENSION_S
+    failure_rate: float = 0.0
+    failure_at: float = 0.0
+    # Monotonic time of the last byte from the runner, and since when it owes an answer.
+    last_heard: float = 0.0
+    owes_since: float | None = None
+
+    def load(self, now: float) -> float:
+        """Return the requests that the runner has, as far as known."""
+        if now - self.reported_at > REPORT_AGE_S:
+            return float(self.in_flight)
+        return max(self.in_flight, self.reported + self.in_flight - self.reported_own)
+
+    def current_failure_rate(self, now: float) -> float:
+        """Return the decayed share of failures, 0 to 1."""
+        return float(self.failure_rate * 0.5 ** ((now - self.failure_at) / FAILURE_HALF_LIFE_S))
+
+    def is_available(self, now: float) -> bool:
+        """Whether new work may go there."""
+        return (
+            self.runner.state is RunnerState.READY
+            and self.has_model
+            and now >= self.suspended_until
+            and not self.is_stalled(now)
+        )
+
+    def is_stalled(self, now: float) -> bool:
+        """Whether the runner owes an answer and has been silent for too long."""
+        return (
+            self.owes_since is not None
+            and now - self.owes_since > STALL_S
+            and now - self.last_heard > STALL_S
+        )
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendNow:
+    """Hand the request to this runner; its adapter, if any, is in place."""
+
+    runner_id: RunnerId
+    # Version of the adapter in place, ``None`` for requests without an adapter.
+    version: Version | None
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class WaitFor:
+    """Wait until this runner has loaded the adapter."""
+
+    runner_id: RunnerId
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoRunner:
+    """No runner can take the request now."""
+
+    known: int
+
+
+Choice = SendNow | WaitFor | NoRunner
+
+
+@final
+class RunnerTable:
+    """All runners that this gateway knows, by id."""
+
+    def __init__(self, data_centre: DataCentre, rng: random.Random) -> None:
+        self.views: dict[RunnerId, RunnerView] = {}
+        self._data_centre = data_centre
+        self._rng = rng
+
+    def put(self, runner: Runner) -> bool:
+        """Add or change a runner; return whether this is a new lifetime."""
+        view = self.views.get(runner.runner_id)
+        if view is not None and view.runner.born == runner.born:
+            view.runner = runner
+            return False
+        view = RunnerView(runner, hash64(runner.address.encode()))
+        view.resident = dict(runner.adapters)
+        self.views[runner.runner_id] = view
+        return True
+
+    def remove(self, runner_id: RunnerId) -> None:
+        """Forget a runner."""
+        self.views.pop(runner_id, None)
+
+    def apply_update(self, runner_id: RunnerId, update: EngineUpdate, now: float) -> None:
+        """Take in what an agent says of its engine."""
+        view = self.views.get(runner_id)
+        if view is None:
+            return
+        view.is_linked = True
+        view.has_model = update.has_model
+        view.resident = dict(update.resident)
+        view.coming = frozenset(key for key, _ in update.coming)
+        view.free_places = update.free_places
+        view.backlog = update.backlog
+        view.sent_to_wait = 0
+        view.reported = update.running + update.waiting
+        view.reported_own = view.in_flight
+        view.reported_at = now
+
+    def of_service(self, service: ServiceName) -> list[RunnerView]:
+        """Return the runners of a service."""
+        return [view for view in self.views.values() if view.runner.service == service]
+
+    def choose(
+        self,
+        service: ServiceName,
+        target: ModelAdapter | None,
+        oldest: Version,
+        now: float,
+        excluded: Collection[RunnerId] = (),
+    ) -> Choice:
+        """Choose for one request; ``oldest`` is the oldest version of its adapter that will do."""
+        views = self.of_service(service)
+        open_views = [
+            view
+            for view in views
+            if view.runner.runner_id not in excluded and view.is_available(now)
+        ]
+        if not open_views:
+            return NoRunner(len(views))
+        if target is None:
+            return SendNow(self._least_loaded(open_views, now).runner.runner_id, None)
+        holders = [view for view in open_views if view.resident.get(target, -1) >= oldest]
+        if holders:
+            best = self._least_loaded(holders, now)
+            return SendNow(best.runner.runner_id, best.resident[target])
+        linked = [view for view in open_views if view.is_linked]
+        if not linked:
+            return NoRunner(len(views))
+        home = self._home(linked, target)
+        home.sent_to_wait += 1
+        return WaitFor(home.runner.runner_id)
+
+    def _home(self, views: Iterable[RunnerView], target: ModelAdapter) -> RunnerView:
+        """Return the runner that loads an adapter.
+
+        The same adapter goes to the same runner as long as that one has room, so that it finds
+        the copy that the runner's VM kept; a runner already fetching it comes first.
+        """
+        mark = hash64(f"{target.model}/{target.adapter}".encode())
+        ranked = sorted(views, key=lambda view: combine(mark, view.score), reverse=True)
+        for view in ranked:
+            if target in view.coming:
+                return view
+        for view in ranked[:2]:
+            if view.free_places - view.sent_to_wait > 0 and view.backlog <= BACKLOG_LIMIT:
+                return view
+        return max(ranked, key=lambda view: view.free_places - view.backlog - view.sent_to_wait)
+
+    def _least_loaded(self, views: list[RunnerView], now: float) -> RunnerView:
+        self._rng.shuffle(views)
+
+        def cost(view: RunnerView) -> float:
+            load = view.load(now) / view.runner.slots
+            local = view.runner.data_centre == self._data_centre
+            bonus = LOCAL_BONUS / view.runner.slots if local else 0.0
+            return load - bonus + 2.0 * view.current_failure_rate(now)
+
+        return min(views, key=cost)
+
+    # Outcomes of requests.
+
+    def started(self, runner_id: RunnerId, now: float) -> None:
+        """Count a request that was handed over."""
+        view = self.views.get(runner_id)
+        if view is not None:
+            view.in_flight += 1
+            if view.owes_since is None:
+                view.owes_since = now
+
+    def heard(self, runner_id: RunnerId, now: float) -> None:
+        """Note bytes from a runner."""
+        view = self.views.get(runner_id)
+        if view is not None:
+            view.last_heard = now
+            if view.owes_since is not None:
+                view.owes_since = now
+
+    def ended(self, runner_id: RunnerId) -> None:
+        """Count the end of a request."""
+        view = self.views.get(runner_id)
+        if view is not None:
+            view.in_flight = max(0, view.in_flight - 1)
+            if view.in_flight == 0:
+                view.owes_since = None
+
+    def record_outcome(self, runner_id: RunnerId, failed: bool, now: float) -> None:
+        """Fold an outcome into the runner's failure rate."""
+        view = self.views.get(runner_id)
+        if view is None:
+            return
+        rate = view.current_failure_rate(now)
+        view.failure_rate = rate + FAILURE_WEIGHT * ((1.0 if failed else 0.0) - rate)
+        view.failure_at = now
+        if not failed:
+            view.suspension_s = MIN_SUSPENSION_S
+
+    def suspend(self, runner_id: RunnerId, now: float) -> None:
+        """Send nothing new to a runner that refused a connection or broke off, for a while."""
+        view = self.views.get(runner_id)
+        if view is None or now < view.suspended_until:
+            return
+        view.suspended_until = now + view.suspension_s
+        view.suspension_s = min(view.suspension_s * 2, MAX_SUSPENSION_S)
+
+    def report_load(self, runner_id: RunnerId, running: int, waiting: int, now: float) -> None:
+        """Take in the load that a runner of a plain service tells in an answer."""
+        view = self.views.get(runner_id)
+        if view is not None and not view.is_linked:
+            # The answer's own request has ended by the time it is read.
+            view.reported = max(0, running + waiting - 1)
+            view.reported_own = max(0, view.in_flight - 1)
+            view.reported_at = now
+
+    def drop_resident(self, runner_id: RunnerId, target: ModelAdapter) -> None:
+        """Forget an adapter that a runner said it does not have."""
+        view = self.views.get(runner_id)
+        if view is not None:
+            view.resident.pop(target, None)
--- /dev/null
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -0,0 +1,418 @@
+"""The gateway: takes requests of clients and hands each to a runner."""
+
+import asyncio
+import random
+import time
+from collections.abc import Coroutine
+from typing import final
+
+from dragonflyhold.gateway.budget import RetryBudget
+from dragonflyhold.gateway.catalogue import Catalogue
+from dragonflyhold.gateway.dispatch import RunnerTable
+from dragonflyhold.gateway.http_client import (
+    ConnectionPool,
+    Head,
+    strip_hop_by_hop,
+)
+from dragonflyhold.gateway.http_server import ClientRequest, HttpServer, Responder
+from dragonflyhold.gateway.link import Link, keep_link
+from dragonflyhold.gateway.logs import Part
+from dragonflyhold.gateway.messages import (
+    DemandUpdate,
+    EngineUpdate,
+    Message,
+    SuspectUpdate,
+)
+from dragonflyhold.gateway.model import (
+    Configuration,
+    IngressLimits,
+    ModelAdapter,
+    RequestFacts,
+    Route,
+    Runner,
+    RunnerId,
+)
+from dragonflyhold.gateway.outcomes import InDoubtError, Reason, RefusedError
+from dragonflyhold.gateway.registry import Registry
+from dragonflyhold.gateway.request import RequestRun
+from dragonflyhold.gateway.suspects import SuspectTable
+from dragonflyhold.gateway.waiting import DemandBook
+from dragonflyhold.ids import ServiceName, Version
+from dragonflyhold.observability.metrics import Metrics
+from dragonflyhold.platform import codec
+from dragonflyhold.platform.settings import DaemonSettings
+
+# How long the old version of an adapter is still used after a new one was named: under the bound
+# of the platform, with room for a request that waits at its runner before it begins.
+VERSION_GRACE_S = 2.0
+# Time after which callers come back, and the spread over which they do, in seconds.
+RETRY_AFTER_S = 0.3
+RETRY_SPREAD_S = 0.5
+# Weight of the newest request in the mean size of a route's requests.
+SIZE_WEIGHT = 0.02
+# Engines take 10 levels of urgency.
+MAX_URGENCY = 9
+# An answer's tokens weigh this much against a prompt's, from the platform's price list.
+OUTPUT_TOKEN_WEIGHT = 10
+
+
+@final
+class _AgentLink:
+    """Ties the link to one VM's agent to the runner beside it."""
+
+    def __init__(self, gateway: "Gateway", ip: str) -> None:
+        self.ip = ip
+        self.link: Link | None = None
+        self.task: asyncio.Task[None] | None = None
+        self._gateway = gateway
+
+    def link_opened(self, link: Link) -> None:
+        """Send the whole demand."""
+        self.link = link
+        self._gateway.agent_joined(self)
+
+    def link_message(self, link: Link, message: Message) -> None:
+        """Pass a message on."""
+        del link
+        self._gateway.agent_message(self, message)
+
+    def link_closed(self, link: Link) -> None:
+        """Note the loss."""
+        if self.link is link:
+            self.link = None
+            self._gateway.agent_lost(self)
+
+
+@final
+class Gateway:
+    """Owns the tables of one entry process; everything runs on one event loop."""
+
+    def __init__(self, settings: DaemonSettings, metrics: Metrics) -> None:
+        self.log = Part("gateway")
+        self.pool = ConnectionPool()
+        self.catalogue = Catalogue(self._configuration_changed, self._version_named)
+        self.table = RunnerTable(settings.data_centre, random.Random())
+        self.registry = Registry(self, self._is_store_steady)
+        self.budget = RetryBudget(
+            settings.bounds.retry_ratio,
+            settings.bounds.retry_window_s,
+            settings.bounds.retry_slack,
+        )
+        self.suspects = SuspectTable(settings.vm)
+        self.demands = DemandBook(
+            lambda key: self.catalogue.versions.get(key, Version(0)),
+            self._send_demand,
+            lambda call: asyncio.get_running_loop().call_soon(call),
+        )
+        self.server = HttpServer(self.handle, IngressLimits(), self._ingress_refused)
+        self.is_store_steady = False
+        self._settings = settings
+        self._metrics = metrics
+        self._agents: dict[str, _AgentLink] = {}
+        self._mean_sizes: dict[str, float] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._rng = random.Random()
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether requests can be served: a configuration and runners are known."""
+        return self.catalogue.configuration is not None and bool(self.registry.runners)
+
+    # Requests.
+
+    async def handle(self, request: ClientRequest, responder: Responder) -> None:
+        """Serve one request of a client."""
+        facts = codec.decode_request(request.fields)
+        run: RequestRun | None = None
+        try:
+            run = self._admit(request, facts, responder)
+            async with asyncio.timeout(max(0.0, run.deadline - time.monotonic())):
+                await run.run()
+            self._ended(run, facts, "answered", responder)
+        except RefusedError as error:
+            self._refuse(responder, error, facts, run)
+        except InDoubtError as error:
+            self._fail(responder, 502, error.reason, facts, run)
+        except TimeoutError:
+            assert run is not None
+            if run.progress.runner is None and not responder.is_started:
+                refusal = RefusedError(Reason.TIMEOUT, RETRY_AFTER_S)
+                self._refuse(responder, refusal, facts, run)
+            else:
+                self._fail(responder, 504, Reason.TIMEOUT, facts, run)
+        except asyncio.CancelledError:
+            self._ended(run, facts, "client_left", responder)
+            raise
+        except Exception as error:
+            # A fault of the program must not leave the client without an answer.
+            self.log.error("A request failed inside.", id=facts.request_id, error=repr(error))
+            self._fail(responder, 502, Reason.INTERNAL, facts, run)
+
+    def _admit(
+        self, request: ClientRequest, facts: RequestFacts, responder: Responder
+    ) -> RequestRun:
+        configuration = self.catalogue.configuration
+        if configuration is None:
+            raise RefusedError(Reason.NO_CONFIGURATION, RETRY_AFTER_S)
+        host = request.fields.get(b"host", b"").decode("latin-1").lower()
+        path = request.target.partition(b"?")[0].decode("latin-1")
+        route = configuration.find_route(host, path) or configuration.find_route(
+            host.rpartition(":")[0], path
+        )
+        if route is None:
+            raise RefusedError(Reason.NO_ROUTE, 0.0)
+        service = self._pick_service(route)
+        self.budget.note_request(service)
+        return RequestRun(self, request, facts, route, service, responder)
+
+    def _pick_service(self, route: Route) -> ServiceName:
+        if len(route.shares) == 1:
+            return route.shares[0].service
+        weights = [share.weight for share in route.shares]
+        return self._rng.choices(route.shares, weights)[0].service
+
+    def _refuse(
+        self,
+        responder: Responder,
+        error: RefusedError,
+        facts: RequestFacts,
+        run: RequestRun | None,
+    ) -> None:
+        self._metrics.count_refusal(error.reason.value)
+        if error.reason is Reason.NO_ROUTE:
+            responder.send(404, [(b"Content-Type", b"text/plain")], b"no route")
+        else:
+            headers = codec.refusal_headers(error.retry_after_s)
+            responder.send(503, headers, f"not run: {error.reason.value}\n".encode())
+        self._ended(run, facts, str(error).strip(), responder)
+
+    def _fail(
+        self,
+        responder: Responder,
+        status: int,
+        reason: Reason,
+        facts: RequestFacts,
+        run: RequestRun | None,
+    ) -> None:
+        self._metrics.count_event(f"failed_{reason.value}")
+        if not responder.is_started:
+            responder.send(status, [(b"Content-Type", b"text/plain")], b"in doubt\n")
+        elif not responder.is_ended:
+            responder.break_off()
+        self._ended(run, facts, f"in doubt: {reason.value}", responder)
+
+    def _ended(
+        self, run: RequestRun | None, facts: RequestFacts, outcome: str, responder: Responder
+    ) -> None:
+        fields: dict[str, object] = {"id": facts.request_id, "outcome": outcome}
+        fields["status"] = responder.status
+        if run is not None:
+            progress = run.progress
+            fields.update(
+                runner=progress.runner,
+                waited_ms=round(progress.waited_s * 1000),
+                total_ms=round((time.monotonic() - progress.arrived) * 1000),
+                attempts=progress.attempts,
+                refusals=progress.refusals,
+            )
+            if progress.first_byte_s is not None:
+                fields["first_ms"] = round(progress.first_byte_s * 1000)
+                self._metrics.observe_first_token("all", progress.first_byte_s)
+            if facts.target is not None:
+                fields["adapter"] = facts.target.adapter
+                if progress.waited_s:
+                    self._metrics.observe_load_stall("all", progress.waited_s)
+        self._metrics.count_request("all", outcome.partition(" ")[0])
+        if outcome == "answered":
+            self.log.info("A request ended.", **fields)
+        else:
+            self.log.failure("A request ended.", **fields)
+
+    def _ingress_refused(self, status: int, detail: str) -> None:
+        self._metrics.count_refusal(f"ingress_{status}")
+        self.log.failure("A request was not proper.", status=status, detail=detail)
+
+    # What a request asks of the tables.
+
+    def required_version(self, target: ModelAdapter | None) -> Version:
+        """Return the oldest version of an adapter on which a request may begin now."""
+        if target is None or target not in self.catalogue.versions:
+            return Version(0)
+        if time.monotonic() - self.catalogue.learned[target] < VERSION_GRACE_S:
+            return Version(0)
+        return self.catalogue.versions[target]
+
+    def estimate_worth(self, route: Route, facts: RequestFacts) -> float:
+        """Return what a request is worth against the mean of its route, 0.3 to 4."""
+        size = facts.prompt_tokens + OUTPUT_TOKEN_WEIGHT * facts.output_tokens
+        if size <= 0:
+            return 1.0
+        mean = self._mean_sizes.get(route.name, float(size))
+        self._mean_sizes[route.name] = mean + SIZE_WEIGHT * (size - mean)
+        return min(4.0, 0.3 + 0.7 * size / max(mean, 1.0))
+
+    def urgency(self, route: Route) -> int | None:
+        """Return the urgency that an engine is told, ``None`` for plain services."""
+        return min(MAX_URGENCY, route.priority) if route.is_stream else None
+
+    def end_to_end(self, request: ClientRequest) -> list[tuple[bytes, bytes]]:
+        """Return the headers of a client that are passed on."""
+        return strip_hop_by_hop(request.headers, request.fields)
+
+    def retry_after(self, service: ServiceName) -> float:
+        """Return when a refused caller should come back, spread over time."""
+        del service
+        return RETRY_AFTER_S + self._rng.random() * RETRY_SPREAD_S
+
+    def note_started(self, runner_id: RunnerId, target: ModelAdapter | None) -> None:
+        """Count a request that is handed over."""
+        self.table.started(runner_id, time.monotonic())
+        if target is not None:
+            self.demands.started(runner_id, target)
+
+    def note_ended(self, runner_id: RunnerId, target: ModelAdapter | None) -> None:
+        """Count a request that ended."""
+        self.table.ended(runner_id)
+        if target is not None:
+            self.demands.ended(runner_id, target)
+
+    def note_load(self, runner_id: RunnerId, head: Head) -> None:
+        """Take in the load that a runner tells."""
+        load = codec.server_load(head)
+        if load is not None:
+            self.table.report_load(runner_id, load[0], load[1], time.monotonic())
+
+    def note_outcome(self, runner_id: RunnerId, failed: bool) -> None:
+        """Count an answer or its lack."""
+        self.table.record_outcome(runner_id, failed, time.monotonic())
+
+    def count_retry(self, reason: Reason) -> None:
+        """Count a repeated request."""
+        self._metrics.count_retry(reason.value)
+
+    def check_crash(self, runner_id: RunnerId, mark: bytes) -> None:
+        """Find out whether a runner that broke off has crashed; if so, suspect the request."""
+        view = self.table.views.get(runner_id)
+        if view is not None:
+            self._spawn(self._check_crash(view.runner, mark))
+
+    async def _check_crash(self, runner: Runner, mark: bytes) -> None:
+        if await self.pool.can_connect(runner.address):
+            return
+        self.table.suspend(runner.runner_id, time.monotonic())
+        update = self.suspects.record_break(mark)
+        self.log.info(
+            "A request was at a crash.",
+            mark=mark.hex(),
+            runner=runner.runner_id,
+            breaks=update.suspects[0][1],
+        )
+        for agent in list(self._agents.values()):
+            if agent.link is not None:
+                agent.link.send(update)
+                return
+
+    # Events of the store.
+
+    def _configuration_changed(self, configuration: Configuration) -> None:
+        self.server.limits = configuration.limits
+
+    def _version_named(self, key: ModelAdapter, version: Version) -> None:
+        del version
+        self.demands.wake_target(key)
+
+    def _is_store_steady(self) -> bool:
+        return self.is_store_steady
+
+    def runner_changed(self, runner: Runner) -> None:
+        """Add or change a runner."""
+        is_new = self.table.put(runner)
+        if is_new:
+            self.pool.forget(runner.address)
+        if self._has_engine(runner) and runner.ip not in self._agents:
+            agent = _AgentLink(self, runner.ip)
+            self._agents[runner.ip] = agent
+            agent.task = asyncio.get_running_loop().create_task(
+                keep_link(
+                    agent, runner.ip, self._settings.agent_port, lambda: self._is_wanted(agent)
+                )
+            )
+        self.demands.wake_runner(runner.runner_id)
+
+    def runner_gone(self, runner: Runner) -> None:
+        """Forget a runner; requests that it has go on."""
+        self.table.remove(runner.runner_id)
+        self.demands.forget(runner.runner_id)
+        self.pool.forget(runner.address)
+
+    def _has_engine(self, runner: Runner) -> bool:
+        configuration = self.catalogue.configuration
+        if configuration is None:
+            return bool(runner.adapters)
+        service = configuration.services.get(runner.service)
+        return service is not None and service.engine is not None
+
+    def _is_wanted(self, agent: _AgentLink) -> bool:
+        if any(runner.ip == agent.ip for runner in self.registry.runners.values()):
+            return True
+        self._agents.pop(agent.ip, None)
+        return False
+
+    # Agents.
+
+    def agent_joined(self, agent: _AgentLink) -> None:
+        """Send an agent the whole demand."""
+        self.log.info("An agent is linked.", ip=agent.ip)
+        runner_id = self._runner_at(agent.ip)
+        if agent.link is not None and runner_id is not None:
+            agent.link.send(self.demands.snapshot(runner_id))
+
+    def agent_lost(self, agent: _AgentLink) -> None:
+        """Let requests that wait there choose again."""
+        self.log.warning("An agent is lost.", ip=agent.ip)
+        runner_id = self._runner_at(agent.ip)
+        if runner_id is not None:
+            self.table.views[runner_id].is_linked = False
+            self.demands.wake_runner(runner_id)
+
+    def agent_message(self, agent: _AgentLink, message: Message) -> None:
+        """Take in the state of an engine."""
+        match message:
+            case EngineUpdate():
+                runner_id = self._runner_at(agent.ip)
+                if runner_id is None:
+                    return
+                self.table.apply_update(runner_id, message, time.monotonic())
+                waited = self.demands.waited_targets()
+                for key, version in message.resident:
+                    if key in waited and version >= self.required_version(key):
+                        self.demands.wake_target(key)
+                if not message.has_model:
+                    self.demands.wake_runner(runner_id)
+            case SuspectUpdate():
+                self.suspects.apply(message)
+            case DemandUpdate():
+                self.log.warning("An agent sent a demand.", ip=agent.ip)
+
+    def heartbeat(self) -> None:
+        """Tell each agent that this gateway is alive; run each heartbeat period."""
+        for agent in self._agents.values():
+            if agent.link is not None:
+                agent.link.send(DemandUpdate([]))
+
+    def _send_demand(self, runner_id: RunnerId, update: DemandUpdate) -> None:
+        view = self.table.views.get(runner_id)
+        if view is None:
+            return
+        agent = self._agents.get(view.runner.ip)
+        if agent is not None and agent.link is not None:
+            agent.link.send(update)
+
+    def _runner_at(self, ip: str) -> RunnerId | None:
+        found = [view.runner for view in self.table.views.values() if view.runner.ip == ip]
+        return max(found, key=lambda runner: runner.born).runner_id if found else None
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/src/dragonflyhold/gateway/http_server.py
@@ -0,0 +1,409 @@
+"""HTTP/1.1 server for the event loop: one request at a time on a connection, strict framing.
+
+A client that leaves cancels the task that serves its request. Requests that break the framing
+rules or the configured limits get a 4xx answer and the connection is closed.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import time
+from collections.abc import Awaitable, Callable, Sequence
+from typing import final
+
+import httptools
+
+from dragonflyhold.gateway.http_client import set_dead_peer_detection
+from dragonflyhold.gateway.model import IngressLimits
+
+# Requests that may wait behind the one in progress before reading pauses.
+MAX_PIPELINED = 8
+# Time for the body of a request after its head, in seconds.
+BODY_TIMEOUT_S = 10.0
+# A client that reads nothing for this long while an answer waits is gone.
+WRITE_STALL_S = 10.0
+
+_REASONS = {
+    200: b"OK",
+    400: b"Bad Request",
+    404: b"Not Found",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    429: b"Too Many Requests",
+    431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClientRequest:
+    """A whole request of a client; ``fields`` has lower-case names."""
+
+    method: bytes
+    target: bytes
+    headers: Sequence[tuple[bytes, bytes]]
+    fields: dict[bytes, bytes]
+    body: bytes
+    # Monotonic time of the last byte.
+    received: float
+
+
+Handler = Callable[[ClientRequest, "Responder"], Awaitable[None]]
+
+
+@final
+class Responder:
+    """Writes the answer to one request."""
+
+    def __init__(self, connection: "ServerConnection", keep_alive: bool, http_10: bool) -> None:
+        self.is_started = False
+        self.is_ended = False
+        self.status = 0
+        self._connection = connection
+        self._keep_alive = keep_alive
+        self._http_10 = http_10
+        self._chunked = False
+
+    def send(self, status: int, headers: Sequence[tuple[bytes, bytes]], body: bytes = b"") -> None:
+        """Send a whole answer."""
+        self._start(status, headers, b"Content-Length: %d\r\n" % len(body), body)
+        self._end()
+
+    def start_stream(self, status: int, headers: Sequence[tuple[bytes, bytes]]) -> None:
+        """Send the head of an answer whose length is not known."""
+        if self._http_10:
+            self._keep_alive = False
+            self._start(status, headers, b"", b"")
+            return
+        self._chunked = True
+        self._start(status, headers, b"Transfer-Encoding: chunked\r\n", b"")
+
+    async def write(self, data: bytes) -> None:
+        """Send a part of the body; waits while the client does not read."""
+        if self._chunked:
+            data = b"%x\r\n%s\r\n" % (len(data), data)
+        self._connection.write(data)
+        await self._connection.drain()
+
+    def end_stream(self) -> None:
+        """End the body as complete."""
+        if self._chunked:
+            self._connection.write(b"0\r\n\r\n")
+        self._end()
+
+    def break_off(self) -> None:
+        """Close the connection so that the answer does not look complete."""
+        self.is_ended = True
+        self._connection.abort()
+
+    def _start(
+        self, status: int, headers: Sequence[tuple[bytes, bytes]], framing: bytes, body: bytes
+    ) -> None:
+        self.is_started = True
+        self.status = status
+        keep = self._keep_alive and not self._connection.is_closing
+        reason = _REASONS.get(status, b"Status")
+        lines = [b"HTTP/1.1 %d %s\r\n" % (status, reason)]
+        lines.extend(b"%s: %s\r\n" % header for header in headers)
+        lines.append(framing)
+        if not keep:
+            self._keep_alive = False
+            lines.append(b"Connection: close\r\n")
+        lines.append(b"\r\n")
+        lines.append(body)
+        self._connection.write(b"".join(lines))
+
+    def _end(self) -> None:
+        self.is_ended = True
+        if not self._keep_alive:
+            self._connection.close_after_answer()
+
+
+@final
+class ServerConnection(asyncio.Protocol):
+    """One connection of a client."""
+
+    def __init__(self, server: "HttpServer") -> None:
+        self._server = server
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._queue: collections.deque[tuple[ClientRequest, bool, bool]] = collections.deque()
+        self._task: asyncio.Task[None] | None = None
+        self._deadline: asyncio.TimerHandle | None = None
+        self._can_write = asyncio.Event()
+        self._can_write.set()
+        self._must_close = False
+        self._refused = False
+        self._url = b""
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._head_bytes = 0
+        self._headers_done = False
+        self._in_message = False
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+
+    @property
+    def is_closing(self) -> bool:
+        """Whether the connection ends after the current answer."""
+        return self._must_close or self._server.is_draining
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is open or partly read."""
+        return self._task is None and not self._queue and not self._in_message
+
+    # Calls of the transport.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Register the connection and wait for the first request."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            set_dead_peer_detection(sock)
+        self._server.connections.add(self)
+        self._set_deadline(self._server.limits.idle_timeout_s, self._close_idle)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel the work for a client that has left."""
+        del exc
+        self._server.connections.discard(self)
+        self._clear_deadline()
+        self._queue.clear()
+        self._can_write.set()
+        if self._task is not None:
+            self._task.cancel()
+
+    def eof_received(self) -> bool | None:
+        """Treat a half-closed connection as closed."""
+        return None
+
+    def data_received(self, data: bytes) -> None:
+        """Parse bytes of requests."""
+        if self._refused or (self._must_close and self._task is None):
+            return
+        if not self._headers_done:
+            # The parser reports no position, so a read counts whole until the head has ended.
+            self._head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse(400, "upgrade is not supported")
+        except httptools.HttpParserError as error:
+            self._refuse(400, str(error))
+        if not self._headers_done and self._head_bytes > self._server.limits.header_bytes:
+            self._refuse(431, "header section is too large")
+
+    def pause_writing(self) -> None:
+        """Hold writers back while the client does not read."""
+        self._can_write.clear()
+
+    def resume_writing(self) -> None:
+        """Let writers go on."""
+        self._can_write.set()
+
+    # Calls of the parser.
+
+    def on_message_begin(self) -> None:
+        """Start to read a request."""
+        self._url = b""
+        self._headers = []
+        self._headers_done = False
+        self._in_message = True
+        self._body = []
+        self._body_bytes = 0
+        if self._task is None:
+            self._set_deadline(self._server.limits.header_timeout_s, self._header_late)
+
+    def on_url(self, url: bytes) -> None:
+        """Collect the target."""
+        self._url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header; trailers are left out."""
+        if not self._headers_done:
+            self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Check the head before the body is read."""
+        self._headers_done = True
+        self._head_bytes = 0
+        size = sum(len(name) + len(value) + 4 for name, value in self._headers) + len(self._url)
+        limits = self._server.limits
+        fields = {name.lower(): value for name, value in self._headers}
+        hosts = sum(name.lower() == b"host" for name, _ in self._headers)
+        length = fields.get(b"content-length", b"0")
+        if size > limits.header_bytes:
+            self._refuse(431, "header section is too large")
+        elif hosts != 1:
+            self._refuse(400, "exactly one Host header is required")
+        elif int(length) > limits.body_bytes:
+            self._refuse(413, "body is too large")
+        elif fields.get(b"expect", b"").lower() == b"100-continue" and self._task is None:
+            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        if self._task is None and not self._refused:
+            self._set_deadline(BODY_TIMEOUT_S, self._header_late)
+
+    def on_body(self, data: bytes) -> None:
+        """Collect the body."""
+        self._body_bytes += len(data)
+        if self._body_bytes > self._server.limits.body_bytes:
+            self._refuse(413, "body is too large")
+        elif not self._refused:
+            self._body.append(data)
+
+    def on_message_complete(self) -> None:
+        """Queue a whole request."""
+        self._in_message = False
+        if self._refused:
+            return
+        fields = {name.lower(): value for name, value in self._headers}
+        request = ClientRequest(
+            method=self._parser.get_method(),
+            target=self._url,
+            headers=self._headers,
+            fields=fields,
+            body=b"".join(self._body),
+            received=time.monotonic(),
+        )
+        http_10 = self._parser.get_http_version() == "1.0"
+        self._queue.append((request, self._parser.should_keep_alive(), http_10))
+        self._body = []
+        self._headers_done = False
+        self._clear_deadline()
+        if self._task is None:
+            self._start_next()
+        elif len(self._queue) >= MAX_PIPELINED and self._transport is not None:
+            self._transport.pause_reading()
+
+    # Calls of the responder and the server.
+
+    def write(self, data: bytes) -> None:
+        """Write bytes unless the connection is gone."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(data)
+
+    async def drain(self) -> None:
+        """Wait until the client has read enough; a client that stalls is dropped."""
+        if self._can_write.is_set():
+            return
+        try:
+            async with asyncio.timeout(WRITE_STALL_S):
+                await self._can_write.wait()
+        except TimeoutError:
+            self.abort()
+
+    def close_after_answer(self) -> None:
+        """Close once the answer is written."""
+        self._must_close = True
+        if self._transport is not None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Close at once."""
+        self._must_close = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    def close_if_idle(self) -> None:
+        """Close a connection without an open request."""
+        if self.is_idle:
+            self.close_after_answer()
+
+    def _start_next(self) -> None:
+        if not self._queue or self._must_close:
+            return
+        request, keep_alive, http_10 = self._queue.popleft()
+        responder = Responder(self, keep_alive, http_10)
+        self._task = asyncio.get_running_loop().create_task(self._serve(request, responder))
+
+    async def _serve(self, request: ClientRequest, responder: Responder) -> None:
+        try:
+            await self._server.handler(request, responder)
+        except asyncio.CancelledError:
+            self.abort()
+            raise
+        finally:
+            if not responder.is_ended:
+                self.abort()
+            self._task = None
+        if self._transport is None or self._transport.is_closing():
+            return
+        if self._queue:
+            self._transport.resume_reading()
+            self._start_next()
+        else:
+            self._set_deadline(self._server.limits.idle_timeout_s, self._close_idle)
+
+    def _refuse(self, status: int, detail: str) -> None:
+        """Answer a request that is not proper and close; nothing of it was passed on."""
+        if self._refused:
+            return
+        self._refused = True
+        self._server.on_refused(status, detail)
+        if self._task is None and not self._queue:
+            body = detail.encode()
+            responder = Responder(self, False, False)
+            responder.send(status, [(b"Content-Type", b"text/plain")], body)
+        else:
+            self._must_close = True
+
+    def _header_late(self) -> None:
+        self._refuse(408, "the request was not complete in time")
+
+    def _close_idle(self) -> None:
+        if self.is_idle:
+            self.close_after_answer()
+
+    def _set_deadline(self, delay_s: float, callback: Callable[[], None]) -> None:
+        self._clear_deadline()
+        self._deadline = asyncio.get_running_loop().call_later(delay_s, callback)
+
+    def _clear_deadline(self) -> None:
+        if self._deadline is not None:
+            self._deadline.cancel()
+            self._deadline = None
+
+
+@final
+class HttpServer:
+    """Listens on one address; ``handler`` serves each request in a task of its own."""
+
+    def __init__(
+        self,
+        handler: Handler,
+        limits: IngressLimits,
+        on_refused: Callable[[int, str], None] = lambda status, detail: None,
+    ) -> None:
+        self.handler = handler
+        self.limits = limits
+        self.on_refused = on_refused
+        self.is_draining = False
+        self.connections: set[ServerConnection] = set()
+        self._server: asyncio.Server | None = None
+
+    @property
+    def open_requests(self) -> int:
+        """Return the number of connections with a request that is open or partly read."""
+        return sum(not connection.is_idle for connection in self.connections)
+
+    async def listen(self, host: str, port: int) -> None:
+        """Open the listener."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: ServerConnection(self), host, port, backlog=1024, reuse_address=True
+        )
+
+    def close_idle(self) -> None:
+        """Close all connections without an open request."""
+        for connection in list(self.connections):
+            connection.close_if_idle()
+
+    def close_listener(self) -> None:
+        """Accept no further connections."""
+        if self._server is not None:
+            self._server.close()
--- /dev/null
+++ b/src/dragonflyhold/gateway/link.py
@@ -0,0 +1,121 @@
+"""Connections between gateways and agents: msgpack messages over TCP, with heartbeats."""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+from typing import Protocol, final
+
+import msgpack
+
+from dragonflyhold.gateway.http_client import CONNECT_TIMEOUT_S, set_dead_peer_detection
+from dragonflyhold.gateway.logs import Part
+from dragonflyhold.gateway.messages import MAX_FRAME_BYTES, Message, MessageError, decode, encode
+
+# Each side sends at least this often, and takes the other for lost after the silence limit.
+HEARTBEAT_S = 0.5
+SILENCE_S = 1.6
+# Pause before a lost link is made anew, with jitter.
+RECONNECT_S = 0.25
+# Unsent bytes beyond which a peer that does not read is cut off.
+MAX_UNSENT_BYTES = 512 * 1024
+
+
+class LinkOwner(Protocol):
+    """Receives what happens on a link."""
+
+    def link_opened(self, link: "Link") -> None:
+        """Handle a new link."""
+
+    def link_message(self, link: "Link", message: Message) -> None:
+        """Handle one message."""
+
+    def link_closed(self, link: "Link") -> None:
+        """Handle the end of a link."""
+
+
+@final
+class Link(asyncio.Protocol):
+    """One connection between a gateway and an agent."""
+
+    def __init__(self, owner: LinkOwner) -> None:
+        self.last_heard = time.monotonic()
+        self.last_sent = self.last_heard
+        self.peer = ""
+        self.closed = asyncio.Event()
+        self._owner = owner
+        self._transport: asyncio.Transport | None = None
+        self._unpacker = msgpack.Unpacker(max_buffer_size=MAX_FRAME_BYTES)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Announce the link."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        set_dead_peer_detection(transport.get_extra_info("socket"))
+        self.peer = str((transport.get_extra_info("peername") or ("",))[0])
+        self._owner.link_opened(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Decode messages; bytes that are none end the link."""
+        self.last_heard = time.monotonic()
+        try:
+            self._unpacker.feed(data)
+            for fields in self._unpacker:
+                self._owner.link_message(self, decode(fields))
+        except (MessageError, ValueError, msgpack.UnpackException) as error:
+            Part("link").warning("A peer sent no message.", peer=self.peer, error=repr(error))
+            self.close()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Announce the end of the link."""
+        del exc
+        self._transport = None
+        self.closed.set()
+        self._owner.link_closed(self)
+
+    def send(self, message: Message) -> None:
+        """Send a message; a peer that does not read is cut off."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        self.last_sent = time.monotonic()
+        self._transport.write(encode(message))
+        if self._transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+            self.close()
+
+    def close(self) -> None:
+        """End the link at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def is_silent(self, now: float) -> bool:
+        """Whether the peer missed its heartbeats."""
+        return now - self.last_heard > SILENCE_S
+
+
+async def keep_link(owner: LinkOwner, host: str, port: int, keep: Callable[[], bool]) -> None:
+    """Hold a link to an agent, made anew after each loss, while ``keep`` says so."""
+    loop = asyncio.get_running_loop()
+    while keep():
+        link: Link | None = None
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, link = await loop.create_connection(lambda: Link(owner), host, port)
+        except (OSError, TimeoutError):
+            # The owner sees the missing link; the agent may not have started yet.
+            pass
+        if link is not None:
+            await _until_lost(link, keep)
+        await asyncio.sleep(RECONNECT_S * random.uniform(0.5, 1.5))
+
+
+async def _until_lost(link: Link, keep: Callable[[], bool]) -> None:
+    try:
+        while not link.closed.is_set():
+            try:
+                async with asyncio.timeout(HEARTBEAT_S):
+                    await link.closed.wait()
+            except TimeoutError:
+                if link.is_silent(time.monotonic()) or not keep():
+                    return
+    finally:
+        link.close()
--- /dev/null
+++ b/src/dragonflyhold/gateway/messages.py
@@ -0,0 +1,148 @@
+"""Messages between gateways and agents, and their msgpack encoding.
+
+A gateway tells an agent what it waits for and what it runs; an agent tells each gateway the state
+of its engine. Both sides send absolute values, so that a repeated message changes nothing.
+"""
+
+import dataclasses
+from collections.abc import Sequence
+from typing import Any, final
+
+import msgpack
+
+from dragonflyhold.errors import DragonflyholdError
+from dragonflyhold.gateway.model import ModelAdapter, ModelName
+from dragonflyhold.ids import AdapterName, Version
+
+_DEMAND, _ENGINE, _SUSPECTS = 1, 2, 3
+# A frame beyond this is not one of ours.
+MAX_FRAME_BYTES = 1 << 20
+
+
+class MessageError(DragonflyholdError):
+    """Bytes of a peer that are not a message."""
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class AdapterDemand:
+    """What one gateway has for one adapter at one engine, now."""
+
+    key: ModelAdapter
+    # Oldest version that the gateway will use.
+    version: Version
+    waiting: int
+    # Sum of the worth of the waiting requests.
+    worth: float
+    running: int
+    # Requests handed over since the gateway started to use this connection.
+    started: int
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class DemandUpdate:
+    """The demands that changed; also the gateway's heartbeat."""
+
+    demands: Sequence[AdapterDemand]
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineUpdate:
+    """State of an engine; also the agent's heartbeat.
+
+    ``resident`` lists adapters that a request may be sent for, ``coming`` those being loaded, with
+    the version. ``backlog`` counts adapters that are waited for and have no place yet.
+    """
+
+    born: int
+    resident: Sequence[tuple[ModelAdapter, Version]]
+    coming: Sequence[tuple[ModelAdapter, Version]]
+    running: int
+    waiting: int
+    free_places: int
+    backlog: int
+    # Seconds until a load that is asked for now would be complete, as far as known.
+    load_wait_s: float
+    has_model: bool
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class SuspectUpdate:
+    """Requests of one gateway that were at a runner when it broke off, with their number."""
+
+    source: str
+    suspects: Sequence[tuple[bytes, int]]
+
+
+Message = DemandUpdate | EngineUpdate | SuspectUpdate
+
+
+def encode(message: Message) -> bytes:
+    """Return the bytes of a message."""
+    match message:
+        case DemandUpdate(demands):
+            rows = [
+                (*d.key, d.version, d.waiting, round(d.worth, 2), d.running, d.started)
+                for d in demands
+            ]
+            fields: tuple[Any, ...] = (_DEMAND, rows)
+        case EngineUpdate():
+            fields = (
+                _ENGINE,
+                message.born,
+                [(*key, version) for key, version in message.resident],
+                [(*key, version) for key, version in message.coming],
+                message.running,
+                message.waiting,
+                message.free_places,
+                message.backlog,
+                message.load_wait_s,
+                message.has_model,
+            )
+        case SuspectUpdate(source, suspects):
+            fields = (_SUSPECTS, source, list(suspects))
+    packed: bytes = msgpack.packb(fields)
+    return packed
+
+
+def decode(fields: Any) -> Message:
+    """Return a message from unpacked fields; raise ``MessageError``."""
+    try:
+        tag, *rest = fields
+        match tag:
+            case 1:
+                return DemandUpdate([_demand(row) for row in rest[0]])
+            case 2:
+                born, resident, coming, *numbers, load_wait_s, has_model = rest
+                running, waiting, free_places, backlog = numbers
+                return EngineUpdate(
+                    born=born,
+                    resident=[_versioned(row) for row in resident],
+                    coming=[_versioned(row) for row in coming],
+                    running=running,
+                    waiting=waiting,
+                    free_places=free_places,
+                    backlog=backlog,
+                    load_wait_s=load_wait_s,
+                    has_model=has_model,
+                )
+            case 3:
+                source, suspects = rest
+                return SuspectUpdate(source, [(bytes(mark), int(n)) for mark, n in suspects])
+    except (TypeError, ValueError, IndexError) as error:
+        raise MessageError(f"peer: not a message: {error!r}") from error
+    raise MessageError(f"peer: unknown message {tag!r}")
+
+
+def _demand(row: Sequence[Any]) -> AdapterDemand:
+    model, adapter, version, waiting, worth, running, started = row
+    key = ModelAdapter(ModelName(model), AdapterName(adapter))
+    return AdapterDemand(key, Version(version), waiting, worth, running, started)
+
+
+def _versioned(row: Sequence[Any]) -> tuple[ModelAdapter, Version]:
+    model, adapter, version = row
+    return ModelAdapter(ModelName(model), AdapterName(adapter)), Version(version)
--- /dev/null
+++ b/src/dragonflyhold/gateway/placement.py
@@ -0,0 +1,165 @@
+"""Decides the orders to one engine: which adapter is loaded next and which makes way.
+
+Pure code over tables: the agent calls ``plan_orders`` after each change and carries out what it
+returns.
+"""
+
+import dataclasses
+from collections.abc import Iterable, Mapping
+from typing import final
+
+from dragonflyhold.gateway.messages import AdapterDemand
+from dragonflyhold.gateway.model import EngineReport, ModelAdapter, Order, OrderKind
+from dragonflyhold.ids import Version
+
+# Adapters that may be on their way to one engine; from the protocol.
+MAX_COMING = 4
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wanted:
+    """What all gateways together have for one adapter."""
+
+    key: ModelAdapter
+    version: Version
+    waiting: int
+    worth: float
+    running: int
+
+
+def sum_demands(demands: Iterable[Mapping[ModelAdapter, AdapterDemand]]) -> list[Wanted]:
+    """Add up the demands of all gateways by adapter."""
+    totals: dict[ModelAdapter, Wanted] = {}
+    for by_adapter in demands:
+        for demand in by_adapter.values():
+            old = totals.get(demand.key)
+            if old is None:
+                totals[demand.key] = Wanted(
+                    demand.key, demand.version, demand.waiting, demand.worth, demand.running
+                )
+                continue
+            totals[demand.key] = Wanted(
+                demand.key,
+                max(old.version, demand.version),
+                old.waiting + demand.waiting,
+                old.worth + demand.worth,
+                old.running + demand.running,
+            )
+    return list(totals.values())
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineView:
+    """What the plan rests on.
+
+    ``versions`` holds the newest version known of each adapter that has one, ``frequency`` the
+    decayed request count of each resident adapter, ``unloading`` the adapters whose unload waits
+    for their runs.
+    """
+
+    report: EngineReport
+    slots: int
+    wanted: Mapping[ModelAdapter, Wanted]
+    versions: Mapping[ModelAdapter, Version]
+    frequency: Mapping[ModelAdapter, float]
+    unloading: frozenset[ModelAdapter]
+
+    def newest(self, key: ModelAdapter) -> Version:
+        """Return the newest version known of an adapter."""
+        wanted = self.wanted.get(key)
+        return max(self.versions.get(key, Version(0)), wanted.version if wanted else Version(0))
+
+    def is_outdated(self, key: ModelAdapter, version: Version) -> bool:
+        """Whether a version of an adapter has been replaced by a newer one."""
+        return version < self.newest(key)
+
+    def is_used(self, key: ModelAdapter) -> bool:
+        """Whether requests for an adapter run or wait."""
+        wanted = self.wanted.get(key)
+        return wanted is not None and (wanted.running > 0 or wanted.waiting > 0)
+
+
+def missing_adapters(view: EngineView) -> list[Wanted]:
+    """Return the adapters that requests wait for and that are not there, the best first.
+
+    The worth that waits decides; among equals the one that waits with more requests.
+    """
+    report = view.report
+    missing = [
+        wanted
+        for key, wanted in view.wanted.items()
+        if wanted.waiting > 0
+        and key not in report.coming
+        and key not in view.unloading
+        and (key not in report.adapters or view.is_outdated(key, report.adapters[key]))
+    ]
+    missing.sort(key=lambda wanted: (-wanted.worth, -wanted.waiting, wanted.key))
+    return missing
+
+
+def plan_orders(view: EngineView) -> list[Order]:
+    """Return the orders to give now, in their order."""
+    report = view.report
+    orders: list[Order] = []
+    places = view.slots - len(report.adapters.keys() | report.coming.keys())
+    channels = MAX_COMING - len(report.coming)
+    victims = _victims(view)
+    for wanted in missing_adapters(view):
+        if channels <= 0:
+            break
+        if wanted.key not in report.adapters:
+            if places <= 0:
+                if not victims:
+                    break
+                victim = victims.pop(0)
+                orders.append(Order(OrderKind.UNLOAD, victim.model, victim.adapter))
+            else:
+                places -= 1
+        elif wanted.key in victims:
+            victims.remove(wanted.key)
+        orders.append(_load(view, wanted.key))
+        channels -= 1
+    orders.extend(_replacements(view, channels, {order.adapter for order in orders}))
+    return orders
+
+
+def _load(view: EngineView, key: ModelAdapter) -> Order:
+    version = view.newest(key)
+    return Order(OrderKind.LOAD, key.model, key.adapter, version if version > 0 else None)
+
+
+def _victims(view: EngineView) -> list[ModelAdapter]:
+    """Return the idle adapters, outdated ones first, then the least frequent."""
+    idle = [
+        key
+        for key in view.report.adapters
+        if not view.is_used(key) and key not in view.unloading and key not in view.report.coming
+    ]
+
+    def rank(key: ModelAdapter) -> tuple[bool, float, ModelAdapter]:
+        outdated = view.is_outdated(key, view.report.adapters[key])
+        return (not outdated, view.frequency.get(key, 0.0), key)
+
+    return sorted(idle, key=rank)
+
+
+def _replacements(view: EngineView, channels: int, planned: set[object]) -> list[Order]:
+    """Bring outdated adapters up to date: used ones by a load, idle ones by making way."""
+    orders = []
+    for key, version in view.report.adapters.items():
+        busy = key in view.unloading or key in view.report.coming or key.adapter in planned
+        if busy or not view.is_outdated(key, version):
+            continue
+        if view.is_used(key) or view.frequency.get(key, 0.0) >= KEEP_FREQUENCY:
+            if channels > 0:
+                channels -= 1
+                orders.append(_load(view, key))
+        else:
+            orders.append(Order(OrderKind.UNLOAD, key.model, key.adapter))
+    return orders
+
+
+# Decayed request count from which an idle adapter is worth a load of its new version at once.
+KEEP_FREQUENCY = 1.0
--- /dev/null
+++ b/src/dragonflyhold/gateway/request.py
@@ -0,0 +1,362 @@
+"""One request of a client from its arrival to its answer."""
+
+import asyncio
+import dataclasses
+import time
+from typing import TYPE_CHECKING, final
+
+from dragonflyhold.gateway.dispatch import NoRunner, RunnerView, SendNow, WaitFor
+from dragonflyhold.gateway.events import EventSplitter
+from dragonflyhold.gateway.http_client import BreakReason, Call, Exchange, ExchangeError, Head
+from dragonflyhold.gateway.http_server import ClientRequest, Responder
+from dragonflyhold.gateway.model import Repeat, RequestFacts, Route, RunnerId, SendOptions
+from dragonflyhold.gateway.outcomes import (
+    Answered,
+    FailureAnswer,
+    InDoubtError,
+    MayHaveRun,
+    NotRun,
+    Outcome,
+    Reason,
+    RefusedError,
+)
+from dragonflyhold.gateway.suspects import fingerprint
+from dragonflyhold.gateway.tasks import limit_time
+from dragonflyhold.gateway.waiting import Waiter
+from dragonflyhold.ids import ServiceName
+from dragonflyhold.platform import codec
+
+if TYPE_CHECKING:
+    from dragonflyhold.gateway.gateway import Gateway
+
+# The least time that must be left for another attempt, in seconds.
+MIN_ATTEMPT_S = 0.05
+# Share of the time to the first piece for which a request waits while no runner is available.
+NO_RUNNER_SHARE = 0.12
+# Pause before the runners are looked at again while none is available, in seconds.
+NO_RUNNER_PAUSE_S = 0.02
+# Refusals by runners after which a request is given up.
+MAX_REFUSALS = 4
+# How often a request that waits for bytes checks that its runner is alive, in seconds.
+CHECK_PERIOD_S = 0.25
+# A runner that owes answers and is silent for this long is left by requests that may go elsewhere.
+ABANDON_S = 1.0
+# Waiting for an adapter ends when this share of the client's time is used up.
+WAIT_SHARE = 0.55
+
+
+@final
+@dataclasses.dataclass(slots=True)
+class Progress:
+    """What has happened to a request so far; logged at its end."""
+
+    arrived: float
+    attempts: int = 0
+    refusals: int = 0
+    waited_s: float = 0.0
+    first_byte_s: float | None = None
+    runner: RunnerId | None = None
+    tried: set[RunnerId] = dataclasses.field(default_factory=set)
+
+
+@final
+class RequestRun:
+    """Drives one request; the gateway owns the tables that it reads and writes."""
+
+    def __init__(
+        self,
+        gateway: "Gateway",
+        request: ClientRequest,
+        facts: RequestFacts,
+        route: Route,
+        service: ServiceName,
+        responder: Responder,
+    ) -> None:
+        self.progress = Progress(request.received)
+        self._gateway = gateway
+        self._request = request
+        self._facts = facts
+        self._route = route
+        self._service = service
+        self._responder = responder
+        limit = route.timeout_s
+        if facts.time_left_s is not None:
+            limit = min(limit, facts.time_left_s)
+        self._deadline = request.received + limit
+        self._events = EventSplitter()
+        self._worth = gateway.estimate_worth(route, facts)
+
+    @property
+    def deadline(self) -> float:
+        """Return the monotonic time at which the request must have its answer."""
+        return self._deadline
+
+    async def run(self) -> None:
+        """Serve the request; raises ``RefusedError`` or ``InDoubtError``."""
+        mark = fingerprint(self._request)
+        if self._gateway.suspects.is_refused(mark):
+            raise RefusedError(Reason.SUSPECT, self._retry_after())
+        while True:
+            choice = await self._place()
+            outcome = await self._attempt(choice)
+            match outcome:
+                case Answered():
+                    return
+                case NotRun(reason, arrived):
+                    self._after_refusal(choice, reason, arrived)
+                case MayHaveRun():
+                    if outcome.reason is Reason.BROKEN:
+                        self._gateway.check_crash(choice.runner_id, mark)
+                    self._after_break(choice, outcome)
+
+    # Choosing a runner.
+
+    async def _place(self) -> SendNow:
+        """Return where to send; waits for the adapter if it is not in place."""
+        gateway, target = self._gateway, self._facts.target
+        patience = self._request.received + NO_RUNNER_SHARE * self._route.target_s
+        if self.progress.attempts or self.progress.refusals:
+            patience = time.monotonic() + NO_RUNNER_SHARE * self._route.target_s
+        while True:
+            now = time.monotonic()
+            if self._deadline - now < MIN_ATTEMPT_S:
+                raise self._gave_up(Reason.TIMEOUT)
+            oldest = gateway.required_version(target)
+            match gateway.table.choose(self._service, target, oldest, now, self._excluded()):
+                case SendNow() as choice:
+                    return choice
+                case WaitFor(runner_id):
+                    await self._wait_for(runner_id, now)
+                case NoRunner(known):
+                    if now >= min(patience, self._deadline - MIN_ATTEMPT_S):
+                        raise self._gave_up(Reason.NO_RUNNER, f"known={known}")
+                    await asyncio.sleep(NO_RUNNER_PAUSE_S)
+
+    def _excluded(self) -> set[RunnerId]:
+        others = self._gateway.table.of_service(self._service)
+        # With every runner tried, any may be tried again.
+        return self.progress.tried if len(self.progress.tried) < len(others) else set()
+
+    async def _wait_for(self, runner_id: RunnerId, now: float) -> None:
+        target = self._facts.target
+        assert target is not None
+        total = self._deadline - self._request.received
+        until = self._request.received + WAIT_SHARE * total
+        if now >= until:
+            raise self._gave_up(Reason.ADAPTER_WAIT)
+        waiter = Waiter(target, runner_id, self._worth, asyncio.Event())
+        self._gateway.demands.add_waiter(waiter)
+        try:
+            async with limit_time(until - now):
+                await waiter.ready.wait()
+        except TimeoutError as error:
+            raise self._gave_up(Reason.ADAPTER_WAIT, str(runner_id)) from error
+        finally:
+            self._gateway.demands.remove_waiter(waiter)
+            self.progress.waited_s += time.monotonic() - now
+
+    # One attempt.
+
+    async def _attempt(self, choice: SendNow) -> Outcome:
+        view = self._gateway.table.views[choice.runner_id]
+        self.progress.runner = choice.runner_id
+        target = self._facts.target
+        self._gateway.note_started(choice.runner_id, target)
+        exchange: Exchange | None = None
+        try:
+            try:
+                exchange = await self._gateway.pool.send(view.runner.address, self._call(choice))
+                head = await self._read_head(exchange, view)
+            except ExchangeError as error:
+                return self._broken(choice, error)
+            return await self._take_answer(choice, view, exchange, head)
+        finally:
+            self._gateway.note_ended(choice.runner_id, target)
+            if exchange is not None:
+                self._gateway.pool.give_back(view.runner.address, exchange)
+
+    def _call(self, choice: SendNow) -> Call:
+        target = self._facts.target
+        required = self._gateway.required_version(target)
+        resume_after = self._events.last_id if self._responder.is_started else None
+        options = SendOptions(
+            runner=choice.runner_id,
+            time_left_s=self._deadline - time.monotonic(),
+            urgency=self._gateway.urgency(self._route),
+            expected_version=required if target is not None and required > 0 else None,
+            resume_after=resume_after,
+        )
+        headers = codec.runner_headers(self._gateway.end_to_end(self._request), options)
+        return Call(
+            self._request.method,
+            self._request.target,
+            headers,
+            self._request.body,
+            (codec.REQUEST_ID, self._facts.request_id.encode("latin-1")),
+        )
+
+    async def _read_head(self, exchange: Exchange, view: RunnerView) -> Head:
+        while True:
+            try:
+                async with limit_time(CHECK_PERIOD_S):
+                    head = await exchange.read_head()
+            except TimeoutError:
+                self._check_alive(view)
+                continue
+            self._gateway.table.heard(view.runner.runner_id, time.monotonic())
+            return head
+
+    async def _read_chunk(self, exchange: Exchange, view: RunnerView) -> bytes:
+        while True:
+            try:
+                async with limit_time(CHECK_PERIOD_S):
+                    chunk = await exchange.read_chunk()
+            except TimeoutError:
+                self._check_alive(view)
+                continue
+            self._gateway.table.heard(view.runner.runner_id, time.monotonic())
+            return chunk
+
+    def _check_alive(self, view: RunnerView) -> None:
+        """Leave a silent runner if the request may go on elsewhere."""
+        if self._route.repeat is Repeat.ONCE:
+            return
+        now = time.monotonic()
+        if view.is_stalled(now) and now - view.last_heard > ABANDON_S:
+            raise ExchangeError(BreakReason.TIMEOUT, True, "the runner is silent")
+
+    async def _take_answer(
+        self, choice: SendNow, view: RunnerView, exchange: Exchange, head: Head
+    ) -> Outcome:
+        self._gateway.note_load(choice.runner_id, head)
+        if codec.is_not_run(head):
+            return await self._refused(choice, view, exchange, head)
+        if self.progress.first_byte_s is None:
+            self.progress.first_byte_s = time.monotonic() - self._request.received
+        if head.status == 200 and self._route.is_stream and codec.is_proper_success(head):
+            return await self._relay(choice, view, exchange, head)
+        try:
+            parts = []
+            while chunk := await self._read_chunk(exchange, view):
+                parts.append(chunk)
+        except ExchangeError as error:
+            return self._broken(choice, error)
+        body = b"".join(parts)
+        is_success = 200 <= head.status < 300
+        self._gateway.note_outcome(choice.runner_id, failed=head.status >= 500)
+        if is_success and codec.is_proper_success(head):
+            self._responder.send(head.status, head.end_to_end(), body)
+            return Answered(head.status)
+        if is_success or not codec.may_pass_failure(head):
+            return MayHaveRun(Reason.RUNNER_FAILED)
+        failure = FailureAnswer(head.status, tuple(head.end_to_end()), body)
+        return MayHaveRun(Reason.RUNNER_FAILED, failure)
+
+    async def _refused(
+        self, choice: SendNow, view: RunnerView, exchange: Exchange, head: Head
+    ) -> Outcome:
+        target = self._facts.target
+        try:
+            # Read to the end, so that the connection can be kept.
+            await exchange.read_body()
+        except ExchangeError as error:
+            self._gateway.log.info(
+                "A refusal was cut short.", id=self._facts.request_id, error=str(error)
+            )
+        if head.status == 400:
+            self._responder.send(head.status, head.end_to_end())
+            return Answered(head.status)
+        if head.status == 421:
+            if target is not None and target in view.resident:
+                self._gateway.table.drop_resident(choice.runner_id, target)
+            else:
+                self._gateway.table.suspend(choice.runner_id, time.monotonic())
+        self._gateway.log.info(
+            "A runner refused a request.",
+            id=self._facts.request_id,
+            runner=choice.runner_id,
+            status=head.status,
+            load=view.load(time.monotonic()),
+            adapter=target.adapter if target else None,
+            version=choice.version,
+        )
+        return NotRun(Reason.RUNNER_REFUSED, arrived=True)
+
+    def _broken(self, choice: SendNow, error: ExchangeError) -> Outcome:
+        now = time.monotonic()
+        self._gateway.log.failure(
+            "An exchange broke off.",
+            id=self._facts.request_id,
+            runner=choice.runner_id,
+            reason=error.reason.value,
+            sent=error.sent,
+            detail=str(error),
+        )
+        self._gateway.note_outcome(choice.runner_id, failed=True)
+        if not error.sent:
+            self._gateway.table.suspend(choice.runner_id, now)
+            return NotRun(Reason.CONNECT, arrived=False)
+        if error.reason is BreakReason.TIMEOUT:
+            return MayHaveRun(Reason.SILENT)
+        if error.reason is BreakReason.GARBLED:
+            return MayHaveRun(Reason.RUNNER_FAILED)
+        return MayHaveRun(Reason.BROKEN)
+
+    async def _relay(
+        self, choice: SendNow, view: RunnerView, exchange: Exchange, head: Head
+    ) -> Outcome:
+        """Pass a stream on, event by event."""
+        if not self._responder.is_started:
+            self._responder.start_stream(head.status, head.end_to_end())
+        try:
+            while chunk := await self._read_chunk(exchange, view):
+                events = self._events.feed(chunk)
+                if events:
+                    await self._responder.write(events)
+        except ExchangeError as error:
+            self._events.drop_partial()
+            return self._broken(choice, error)
+        if self._events.has_partial:
+            self._events.drop_partial()
+            self._gateway.note_outcome(choice.runner_id, failed=True)
+            return MayHaveRun(Reason.RUNNER_FAILED)
+        self._responder.end_stream()
+        self._gateway.note_outcome(choice.runner_id, failed=False)
+        return Answered(head.status)
+
+    # After an attempt.
+
+    def _after_refusal(self, choice: SendNow, reason: Reason, arrived: bool) -> None:
+        self.progress.refusals += 1
+        self.progress.tried.add(choice.runner_id)
+        if self.progress.refusals >= MAX_REFUSALS:
+            raise self._gave_up(reason)
+        if arrived and not self._gateway.budget.try_spend(self._service):
+            raise self._gave_up(Reason.RETRY_BUDGET)
+        self._gateway.count_retry(reason)
+
+    def _after_break(self, choice: SendNow, outcome: MayHaveRun) -> None:
+        self.progress.attempts += 1
+        self.progress.tried.add(choice.runner_id)
+        may_repeat = (
+            self._route.repeat is not Repeat.ONCE
+            and self.progress.attempts < self._route.max_attempts
+            and self._deadline - time.monotonic() > MIN_ATTEMPT_S
+            and self._gateway.budget.try_spend(self._service)
+        )
+        if may_repeat:
+            self._gateway.count_retry(outcome.reason)
+            return
+        failure = outcome.failure
+        if failure is not None and not self._responder.is_started:
+            self._responder.send(failure.status, failure.headers, failure.body)
+        raise InDoubtError(outcome.reason)
+
+    def _gave_up(self, reason: Reason, detail: str = "") -> RefusedError | InDoubtError:
+        """Return the error of a request that no runner takes now."""
+        if self.progress.attempts or self._responder.is_started:
+            return InDoubtError(reason, detail)
+        return RefusedError(reason, self._retry_after(), detail)
+
+    def _retry_after(self) -> float:
+        return self._gateway.retry_after(self._service)
--- /dev/null
+++ b/src/dragonflyhold/gateway/suspects.py
@@ -0,0 +1,73 @@
+"""Requests that were at a runner each time one broke off: some crash whatever runs them."""
+
+import collections
+import hashlib
+import time
+from collections.abc import Callable, Sequence
+from typing import final
+
+from dragonflyhold.gateway.http_server import ClientRequest
+from dragonflyhold.gateway.messages import SuspectUpdate
+
+# Breaks after which a request is refused; the protocol's rule starts at three crashed runners.
+BREAK_LIMIT = 3
+# Counts are forgotten after this long without a new break.
+FORGET_S = 30.0
+MAX_SUSPECTS = 4096
+DIGEST_BYTES = 12
+
+
+def fingerprint(request: ClientRequest) -> bytes:
+    """Return the identity of a request's content, the same for each time it is sent."""
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for part in (request.method, request.fields.get(b"host", b""), request.target, request.body):
+        digest.update(len(part).to_bytes(4, "big") + part)
+    return digest.digest()
+
+
+@final
+class SuspectTable:
+    """Breaks by fingerprint, as counted by each gateway."""
+
+    def __init__(self, source: str, clock: Callable[[], float] = time.monotonic) -> None:
+        self._source = source
+        self._clock = clock
+        self._breaks: collections.OrderedDict[bytes, dict[str, int]] = collections.OrderedDict()
+        self._seen: dict[bytes, float] = {}
+
+    def record_break(self, mark: bytes) -> SuspectUpdate:
+        """Count a break of this gateway's; return what the others are told."""
+        counts = self._counts(mark)
+        counts[self._source] = counts.get(self._source, 0) + 1
+        return SuspectUpdate(self._source, [(mark, counts[self._source])])
+
+    def apply(self, update: SuspectUpdate) -> None:
+        """Take in the counts of another gateway."""
+        if update.source == self._source:
+            return
+        for mark, count in update.suspects:
+            counts = self._counts(mark)
+            counts[update.source] = max(counts.get(update.source, 0), count)
+
+    def is_refused(self, mark: bytes) -> bool:
+        """Whether a request has been at too many breaks."""
+        counts = self._breaks.get(mark)
+        if counts is None:
+            return False
+        if self._clock() - self._seen[mark] > FORGET_S:
+            del self._breaks[mark], self._seen[mark]
+            return False
+        return sum(counts.values()) >= BREAK_LIMIT
+
+    def marks(self) -> Sequence[bytes]:
+        """Return the fingerprints that are kept."""
+        return list(self._breaks)
+
+    def _counts(self, mark: bytes) -> dict[str, int]:
+        self._seen[mark] = self._clock()
+        counts = self._breaks.setdefault(mark, {})
+        self._breaks.move_to_end(mark)
+        while len(self._breaks) > MAX_SUSPECTS:
+            old, _ = self._breaks.popitem(last=False)
+            self._seen.pop(old, None)
+        return counts
--- /dev/null
+++ b/src/dragonflyhold/gateway/waiting.py
@@ -0,0 +1,141 @@
+"""Requests that wait for their adapter, and what each engine is told of them."""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable, Iterable
+from typing import final
+
+from dragonflyhold.gateway.messages import AdapterDemand, DemandUpdate
+from dragonflyhold.gateway.model import ModelAdapter, RunnerId
+from dragonflyhold.ids import Version
+
+
+@final
+@dataclasses.dataclass(slots=True, eq=False)
+class Waiter:
+    """One request that waits; ``ready`` is set when it should choose again."""
+
+    target: ModelAdapter
+    runner_id: RunnerId
+    worth: float
+    ready: asyncio.Event
+
+
+@final
+@dataclasses.dataclass(slots=True)
+class _AdapterCounts:
+    waiters: set[Waiter] = dataclasses.field(default_factory=set)
+    running: int = 0
+    started: int = 0
+
+    @property
+    def is_unused(self) -> bool:
+        return not self.waiters and self.running == 0
+
+
+@final
+class DemandBook:
+    """Counts by runner and adapter; changes are sent in batches, one a turn of the event loop."""
+
+    def __init__(
+        self,
+        newest: Callable[[ModelAdapter], Version],
+        send: Callable[[RunnerId, DemandUpdate], None],
+        call_soon: Callable[[Callable[[], None]], object],
+    ) -> None:
+        self._newest = newest
+        self._send = send
+        self._call_soon = call_soon
+        self._counts: dict[RunnerId, dict[ModelAdapter, _AdapterCounts]] = {}
+        self._changed: dict[RunnerId, set[ModelAdapter]] = {}
+        self._is_scheduled = False
+
+    @property
+    def waiting(self) -> int:
+        """Return the number of requests that wait."""
+        return sum(
+            len(counts.waiters) for table in self._counts.values() for counts in table.values()
+        )
+
+    def add_waiter(self, waiter: Waiter) -> None:
+        """Count a request that waits."""
+        self._get(waiter.runner_id, waiter.target).waiters.add(waiter)
+
+    def remove_waiter(self, waiter: Waiter) -> None:
+        """Count a request that waits no longer."""
+        self._get(waiter.runner_id, waiter.target).waiters.discard(waiter)
+
+    def started(self, runner_id: RunnerId, target: ModelAdapter) -> None:
+        """Count a request that was handed over."""
+        counts = self._get(runner_id, target)
+        counts.running += 1
+        counts.started += 1
+
+    def ended(self, runner_id: RunnerId, target: ModelAdapter) -> None:
+        """Count a request that ended."""
+        counts = self._get(runner_id, target)
+        counts.running = max(0, counts.running - 1)
+
+    def wake_target(self, target: ModelAdapter) -> None:
+        """Let the requests that wait for an adapter, at any runner, choose again."""
+        for table in self._counts.values():
+            if target in table:
+                for waiter in table[target].waiters:
+                    waiter.ready.set()
+
+    def wake_runner(self, runner_id: RunnerId) -> None:
+        """Let all requests that wait at a runner choose again."""
+        for counts in self._counts.get(runner_id, {}).values():
+            for waiter in counts.waiters:
+                waiter.ready.set()
+
+    def forget(self, runner_id: RunnerId) -> None:
+        """Drop the counts of a runner that is gone; its waiters choose again."""
+        self.wake_runner(runner_id)
+        table = self._counts.get(runner_id)
+        if table is not None and all(counts.is_unused for counts in table.values()):
+            del self._counts[runner_id]
+
+    def waited_targets(self) -> set[ModelAdapter]:
+        """Return the adapters that requests wait for."""
+        return {
+            target
+            for table in self._counts.values()
+            for target, counts in table.items()
+            if counts.waiters
+        }
+
+    def snapshot(self, runner_id: RunnerId) -> DemandUpdate:
+        """Return everything that an agent should know, for a new link."""
+        table = self._counts.get(runner_id, {})
+        return self._update(runner_id, list(table))
+
+    def _get(self, runner_id: RunnerId, target: ModelAdapter) -> _AdapterCounts:
+        self._changed.setdefault(runner_id, set()).add(target)
+        if not self._is_scheduled:
+            self._is_scheduled = True
+            self._call_soon(self._flush)
+        return self._counts.setdefault(runner_id, {}).setdefault(target, _AdapterCounts())
+
+    def _flush(self) -> None:
+        self._is_scheduled = False
+        changed, self._changed = self._changed, {}
+        for runner_id, targets in changed.items():
+            self._send(runner_id, self._update(runner_id, targets))
+
+    def _update(self, runner_id: RunnerId, targets: Iterable[ModelAdapter]) -> DemandUpdate:
+        table = self._counts.get(runner_id, {})
+        demands = []
+        for target in targets:
+            counts = table.get(target) or _AdapterCounts()
+            demands.append(
+                AdapterDemand(
+                    key=target,
+                    version=self._newest(target),
+                    waiting=len(counts.waiters),
+                    worth=sum(waiter.worth for waiter in counts.waiters),
+                    running=counts.running,
+                    started=counts.started,
+                )
+            )
+        return DemandUpdate(demands)
--- /dev/null
+++ b/src/dragonflyhold/platform/engine.py
@@ -0,0 +1,81 @@
+"""Calls to a model engine's own interface: its report, and orders to load and unload."""
+
+from typing import Protocol, final
+
+import orjson
+
+from dragonflyhold.errors import DragonflyholdError
+from dragonflyhold.gateway.http_client import Call, ConnectionPool, ExchangeError
+from dragonflyhold.gateway.model import Address, EngineReport, Order, OrderResult
+from dragonflyhold.gateway.tasks import limit_time
+from dragonflyhold.platform.codec import DecodeError, decode_report, encode_order
+
+# Both calls answer from memory on the same VM.
+REPORT_TIMEOUT_S = 0.5
+ORDER_TIMEOUT_S = 0.4
+
+_RESULTS = {
+    200: OrderResult.DONE,
+    202: OrderResult.ACCEPTED,
+    409: OrderResult.CONFLICT,
+    412: OrderResult.FENCED,
+}
+
+
+class EngineUnavailableError(DragonflyholdError):
+    """The engine gave no usable report."""
+
+
+class EngineControl(Protocol):
+    """What an agent needs of its engine."""
+
+    async def report(self) -> EngineReport:
+        """Return the engine's state; raise ``EngineUnavailableError``."""
+
+    async def order(self, order: Order, expected: int, fencing_token: int) -> OrderResult:
+        """Give an order that holds only at the sequence ``expected``."""
+
+
+@final
+class HttpEngineControl:
+    """Implements ``EngineControl`` with the engine's HTTP calls."""
+
+    def __init__(self, address: Address, holder: str, pool: ConnectionPool) -> None:
+        self._address = address
+        self._holder = holder
+        self._pool = pool
+
+    async def report(self) -> EngineReport:
+        """Return the engine's state; raise ``EngineUnavailableError``."""
+        try:
+            status, body = await self._call(b"GET", b"/report", b"", REPORT_TIMEOUT_S)
+            if status != 200:
+                raise EngineUnavailableError(f"engine: report: answered {status}")
+            return decode_report(orjson.loads(body))
+        except (ExchangeError, TimeoutError, ValueError, DecodeError) as error:
+            raise EngineUnavailableError(f"engine: report: {error!r}") from error
+
+    async def order(self, order: Order, expected: int, fencing_token: int) -> OrderResult:
+        """Give an order that holds only at the sequence ``expected``."""
+        body = orjson.dumps(encode_order(order, expected, self._holder, fencing_token))
+        try:
+            status, _ = await self._call(b"POST", b"/order", body, ORDER_TIMEOUT_S)
+        except (ExchangeError, TimeoutError):
+            return OrderResult.UNKNOWN
+        return _RESULTS.get(status, OrderResult.REJECTED)
+
+    async def _call(
+        self, method: bytes, target: bytes, body: bytes, timeout_s: float
+    ) -> tuple[int, bytes]:
+        headers = [(b"Host", self._address.encode())]
+        if body:
+            headers.append((b"Content-Type", b"application/json"))
+        exchange = None
+        try:
+            async with limit_time(timeout_s):
+                exchange = await self._pool.send(self._address, Call(method, target, headers, body))
+                head = await exchange.read_head()
+                return head.status, await exchange.read_body()
+        finally:
+            if exchange is not None:
+                self._pool.give_back(self._address, exchange)
--- /dev/null
+++ b/src/dragonflyhold/platform/settings.py
@@ -0,0 +1,161 @@
+"""Decodes the settings file that the platform places on a machine.
+
+Fields that are not known are ignored; every problem of the known ones is reported at once.
+"""
+
+import dataclasses
+import os
+import pathlib
+from collections.abc import Mapping
+from typing import Any, final
+
+import orjson
+
+from dragonflyhold.errors import UsageError
+from dragonflyhold.gateway.model import Address
+from dragonflyhold.ids import DataCentre, VmName
+
+# The variable that holds the path of the settings file.
+PATH_VARIABLE = "DRAGONFLYHOLD_CONFIG"
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bounds:
+    """Time limits and ratios that the installation sets."""
+
+    drain_s: float = 2.0
+    grace_s: float = 8.0
+    version_s: float = 5.0
+    retry_ratio: float = 0.2
+    retry_window_s: float = 10.0
+    retry_slack: float = 56.0
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class DaemonSettings:
+    """What a process learns of its VM and of the platform."""
+
+    vm: VmName
+    ip: str
+    data_centre: DataCentre
+    store: Address
+    # Where clients and the platform's readiness checks arrive; absent beside an engine.
+    client_listener: Address | None
+    ready_listener: Address | None
+    # The engine on the same VM; absent on entry VMs.
+    engine: Address | None
+    # Service of that engine, or empty.
+    service: str
+    first_internal_port: int
+    last_internal_port: int
+    bounds: Bounds
+
+    @property
+    def agent_port(self) -> int:
+        """Return the port on which agents listen for gateways; the same on all VMs."""
+        return self.first_internal_port
+
+
+def load_settings(environment: Mapping[str, str] = os.environ) -> DaemonSettings:
+    """Read the file that the environment names; raise ``UsageError`` with every problem."""
+    path = environment.get(PATH_VARIABLE)
+    if not path:
+        raise UsageError(f"{PATH_VARIABLE} is not set")
+    return read_settings(pathlib.Path(path))
+
+
+def read_settings(path: pathlib.Path) -> DaemonSettings:
+    """Read a settings file; raise ``UsageError`` with every problem."""
+    try:
+        fields = orjson.loads(path.read_bytes())
+    except OSError as error:
+        raise UsageError(f"{path}: {error.strerror}") from error
+    except ValueError as error:
+        raise UsageError(f"{path}: not JSON: {error}") from error
+    if not isinstance(fields, dict):
+        raise UsageError(f"{path}: must hold one object")
+    return decode_settings(fields)
+
+
+def decode_settings(fields: dict[str, Any]) -> DaemonSettings:
+    """Check and decode the settings; raise ``UsageError`` with every problem."""
+    problems: list[str] = []
+    listeners = _table(fields, "listen_addresses", problems)
+    platform = _table(fields, "platform", problems)
+    bounds = _table(fields, "bounds", problems)
+    ports = fields.get("internal_port_range")
+    if not (
+        isinstance(ports, list)
+        and len(ports) == 2
+        and all(isinstance(port, int) and 0 < port < 65536 for port in ports)
+    ):
+        problems.append(f"internal_port_range: {ports!r} is not a list of two ports")
+        ports = [1, 1]
+    settings = DaemonSettings(
+        vm=VmName(_text(fields, "node_name", problems)),
+        ip=_text(fields, "ip", problems),
+        data_centre=DataCentre(_text(fields, "zone", problems)),
+        store=_address(platform.get("address"), "platform.address", problems),
+        client_listener=_optional(listeners, "front", problems),
+        ready_listener=_optional(listeners, "ready", problems),
+        engine=_optional(fields, "app", problems),
+        service=str(fields.get("service") or ""),
+        first_internal_port=ports[0],
+        last_internal_port=ports[1],
+        bounds=_bounds(bounds, problems),
+    )
+    if problems:
+        raise UsageError("settings: " + "; ".join(problems))
+    return settings
+
+
+def _bounds(fields: dict[str, Any], problems: list[str]) -> Bounds:
+    default = Bounds()
+
+    def number(name: str, fallback: float, unit: float) -> float:
+        value = fields.get(name)
+        if value is None:
+            return fallback
+        if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
+            problems.append(f"bounds.{name}: {value!r} is not a number of 0 or more")
+            return fallback
+        return value * unit
+
+    return Bounds(
+        drain_s=number("drain_ms", default.drain_s, 0.001),
+        grace_s=number("grace_s", default.grace_s, 1.0),
+        version_s=number("version_ms", default.version_s, 0.001),
+        retry_ratio=number("retry_budget_ratio", default.retry_ratio, 1.0),
+        retry_window_s=number("budget_window_s", default.retry_window_s, 1.0),
+        retry_slack=number("retry_budget_slack", default.retry_slack, 1.0),
+    )
+
+
+def _table(fields: dict[str, Any], name: str, problems: list[str]) -> dict[str, Any]:
+    value = fields.get(name)
+    if not isinstance(value, dict):
+        problems.append(f"{name}: {value!r} is not an object")
+        return {}
+    return value
+
+
+def _text(fields: dict[str, Any], name: str, problems: list[str]) -> str:
+    value = fields.get(name)
+    if not isinstance(value, str) or not value:
+        problems.append(f"{name}: {value!r} is not a text")
+        return ""
+    return value
+
+
+def _optional(fields: dict[str, Any], name: str, problems: list[str]) -> Address | None:
+    value = fields.get(name)
+    return None if value is None else _address(value, name, problems)
+
+
+def _address(value: Any, name: str, problems: list[str]) -> Address:
+    host, _, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
+    if not host or not port.isdigit():
+        problems.append(f"{name}: {value!r} is not IP:PORT")
+    return Address(str(value))
--- /dev/null
+++ b/src/dragonflyhold/platform/store.py
@@ -0,0 +1,159 @@
+"""Client of the platform's metadata store: rows, transactions and the feed of changes."""
+
+import base64
+import binascii
+import dataclasses
+from collections.abc import Sequence
+from typing import Any, final
+from urllib.parse import urlencode
+
+import orjson
+
+from dragonflyhold.errors import DragonflyholdError, PlatformUnavailableError
+from dragonflyhold.gateway.http_client import Call, ConnectionPool, ExchangeError
+from dragonflyhold.gateway.model import Address
+from dragonflyhold.gateway.tasks import limit_time
+
+# Without an answer for this long the channel is taken as lost; the store answers in 4 ms, and in
+# 60 times that when it is slow.
+ANSWER_TIMEOUT_S = 0.8
+PAGE_ROWS = 500
+
+
+@final
+class HistoryLostError(DragonflyholdError):
+    """The feed no longer has the changes since the version asked for."""
+
+
+@final
+class TransactionConflictError(DragonflyholdError):
+    """A transaction's condition did not hold; nothing was written."""
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredRow:
+    """A row as stored; ``removed`` marks a row that a change dropped."""
+
+    key: str
+    version: int
+    value: bytes
+    removed: bool = False
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class RowSet:
+    """Rows as of ``version``, the newest version of the whole store then."""
+
+    rows: Sequence[StoredRow]
+    version: int
+
+
+@final
+class MetadataStore:
+    """Calls to the store; each raises ``PlatformUnavailableError`` without a usable answer."""
+
+    def __init__(self, address: Address, pool: ConnectionPool) -> None:
+        self.address = address
+        self._pool = pool
+
+    async def read_table(self, table: str) -> RowSet:
+        """Return all rows of a table's empty part, read page by page."""
+        rows: list[StoredRow] = []
+        version: int | None = None
+        start = ""
+        while True:
+            query = {"table": table, "part": "", "limit": str(PAGE_ROWS)}
+            if start:
+                query["from"] = start
+            status, fields = await self._call("GET", f"/rows-get?{urlencode(query)}")
+            _expect(status, 200, table)
+            page = _rows(fields)
+            rows.extend(page.rows)
+            # Changes between pages are in the feed after the first page's version.
+            version = page.version if version is None else version
+            if not fields.get("more_pages") or not page.rows:
+                return RowSet(rows, version)
+            start = page.rows[-1].key + "\0"
+
+    async def read_changes(self, table: str, after: int, wait_s: float) -> RowSet:
+        """Return the changes after a version, waiting for the first for up to ``wait_s``."""
+        query = {"table": table, "after": str(after), "wait_ms": str(int(wait_s * 1000))}
+        status, fields = await self._call("GET", f"/rows-feed?{urlencode(query)}", wait_s=wait_s)
+        if status == 410:
+            raise HistoryLostError(f"store: the history of {table!r} after {after} is gone")
+        _expect(status, 200, table)
+        return _rows(fields)
+
+    async def write(self, table: str, key: str, value: bytes, expected: int | None = None) -> int:
+        """Write a row and return the version of the write.
+
+        With ``expected`` the row must be at that version (0: absent), else
+        ``TransactionConflictError``. After any other error the write may have taken effect.
+        """
+        name = {"table": table, "part": "", "key": key}
+        body = {
+            "expected": [] if expected is None else [{**name, "row_version": expected}],
+            "writes": [{**name, "value": base64.b64encode(value).decode()}],
+            "remove": [],
+        }
+        status, fields = await self._call("POST", "/rows-tx", orjson.dumps(body))
+        if status == 412:
+            raise TransactionConflictError(f"store: {table}/{key} is not at version {expected}")
+        _expect(status, 200, table)
+        return _version(fields)
+
+    async def _call(
+        self, method: str, target: str, body: bytes = b"", wait_s: float = 0.0
+    ) -> tuple[int, dict[str, Any]]:
+        headers = [(b"Host", self.address.encode()), (b"Content-Type", b"application/json")]
+        call = Call(method.encode(), target.encode(), headers, body)
+        exchange = None
+        try:
+            async with limit_time(wait_s + ANSWER_TIMEOUT_S):
+                exchange = await self._pool.send(self.address, call)
+                head = await exchange.read_head()
+                data = await exchange.read_body()
+        except (ExchangeError, TimeoutError) as error:
+            raise PlatformUnavailableError(f"store: {method} {target}: {error!r}") from error
+        finally:
+            if exchange is not None:
+                self._pool.give_back(self.address, exchange)
+        if head.status in (429, 503) or head.status >= 500:
+            raise PlatformUnavailableError(f"store: {method} {target}: answered {head.status}")
+        try:
+            fields = orjson.loads(data) if data else {}
+        except ValueError as error:
+            raise PlatformUnavailableError(f"store: {method} {target}: {error}") from error
+        if not isinstance(fields, dict):
+            raise PlatformUnavailableError(f"store: {method} {target}: not an object")
+        return head.status, fields
+
+
+def _expect(status: int, wanted: int, what: str) -> None:
+    if status != wanted:
+        raise PlatformUnavailableError(f"store: {what}: answered {status}")
+
+
+def _version(fields: dict[str, Any]) -> int:
+    version = fields.get("row_version")
+    if not isinstance(version, int):
+        raise PlatformUnavailableError("store: an answer has no version")
+    return version
+
+
+def _rows(fields: dict[str, Any]) -> RowSet:
+    try:
+        rows = [
+            StoredRow(
+                key=row["key"],
+                version=int(row["row_version"]),
+                value=base64.b64decode(row.get("value") or "", validate=True),
+                removed=bool(row.get("removed")),
+            )
+            for row in fields["rows"]
+        ]
+    except (KeyError, TypeError, ValueError, binascii.Error) as error:
+        raise PlatformUnavailableError(f"store: a row is not valid: {error!r}") from error
+    return RowSet(rows, _version(fields))
--- a/src/dragonflyhold/sidecar/daemon.py
+++ b/src/dragonflyhold/sidecar/daemon.py
@@ -14,7 +14,6 @@
 from dragonflyhold.config.objects import Upstream
 from dragonflyhold.ids import Incarnation, new_incarnation
 from dragonflyhold.observability import Metrics, PartLogger
-from dragonflyhold.platform.interface import Table, VmList
 from dragonflyhold.requests import CrashTable, QueuedRequest
 from dragonflyhold.settings import SidecarSettings
 from dragonflyhold.sidecar import messages as msg
@@ -39,6 +38,7 @@
 from dragonflyhold.sidecar.supervision import EngineCheck, PlainCheck, Supervisor
 from dragonflyhold.sidecar.tables import ConfigSource, make_tables
 from dragonflyhold.sidecar.watches import OneAtATime, QuarantineRows, VmWatch
+from dragonflyhold.storage.interface import Table, VmList
 from dragonflyhold.timers import Tick, TimerService
 from dragonflyhold.transport.grpc_endpoints import bind_server, make_server
 from dragonflyhold.transport.schema import broker_pb2_grpc, sidecar_pb2_grpc
--- a/src/dragonflyhold/sidecar/ownership.py
+++ b/src/dragonflyhold/sidecar/ownership.py
@@ -10,7 +10,7 @@
 from dragonflyhold.errors import ConditionFailedError, PlatformUnavailableError
 from dragonflyhold.ids import Epoch, Incarnation, UpstreamName
 from dragonflyhold.observability import PartLogger
-from dragonflyhold.platform.interface import Condition, Put, Row, Table
+from dragonflyhold.storage.interface import Condition, Put, Row, Table
 
 # A write that finds another version means that another process started on this port's VM name.
 MAX_ATTEMPTS = 5
--- a/src/dragonflyhold/sidecar/slots.py
+++ b/src/dragonflyhold/sidecar/slots.py
@@ -92,7 +92,7 @@
         self._metrics = metrics
         self._submit = submit
         self._tell = tell
-        self._popularity = Popularity(settings.popularity_half_life_s)
+        self._popularity: Popularity[AdapterKey] = Popularity(settings.popularity_half_life_s)
         self._backoff = LoadBackoff(settings, rng)
         self._slots = SlotTable(0)
         self._boot: BootId | None = None
--- a/src/dragonflyhold/sidecar/watches.py
+++ b/src/dragonflyhold/sidecar/watches.py
@@ -7,9 +7,9 @@
 from dragonflyhold.errors import ConditionFailedError, PlatformUnavailableError
 from dragonflyhold.ids import Fingerprint
 from dragonflyhold.observability import Metrics, PartLogger
-from dragonflyhold.platform.interface import Condition, Put, Table, VmList, VmState
 from dragonflyhold.requests import CrashTable
 from dragonflyhold.settings import SidecarSettings
+from dragonflyhold.storage.interface import Condition, Put, Table, VmList, VmState
 
 _PREFIX = "quarantine/"
 _PAGE = 1000
--- a/src/dragonflyhold/sidecar/wiring.py
+++ b/src/dragonflyhold/sidecar/wiring.py
@@ -12,11 +12,11 @@
 from dragonflyhold.config.view import ConfigView
 from dragonflyhold.ids import Incarnation, Region, Revision
 from dragonflyhold.observability import Metrics
-from dragonflyhold.platform import HttpObjectStore, HttpTable, HttpVmList
 from dragonflyhold.requests import CrashTable
 from dragonflyhold.settings import SidecarSettings
 from dragonflyhold.sidecar.daemon import ExternalServices, SidecarDaemon
 from dragonflyhold.states import ServiceType
+from dragonflyhold.storage import HttpObjectStore, HttpTable, HttpVmList
 from dragonflyhold.timers import TimerService
 from dragonflyhold.upstreams import HttpEngineClient, HttpPlainClient
 
--- /dev/null
+++ b/src/dragonflyhold/storage/__init__.py
@@ -0,0 +1,7 @@
+"""Clients of the platform: table, object store and VM list."""
+
+from dragonflyhold.storage.object_store import HttpObjectStore
+from dragonflyhold.storage.table import HttpTable
+from dragonflyhold.storage.vm_list import HttpVmList
+
+__all__ = ["HttpObjectStore", "HttpTable", "HttpVmList"]
--- a/src/dragonflyhold/platform/object_store.py
+++ b/src/dragonflyhold/storage/object_store.py
@@ -3,8 +3,8 @@
 from typing import final
 
 from dragonflyhold.errors import PlatformUnavailableError
-from dragonflyhold.platform.http import HttpService, quote_key
 from dragonflyhold.settings import PlatformSettings
+from dragonflyhold.storage.http import HttpService, quote_key
 
 
 @final
--- a/src/dragonflyhold/platform/table.py
+++ b/src/dragonflyhold/storage/table.py
@@ -7,9 +7,9 @@
 from urllib.parse import urlencode
 
 from dragonflyhold.errors import ConditionFailedError, PlatformUnavailableError
-from dragonflyhold.platform.http import HttpService, parse_body, parse_object, quote_key
-from dragonflyhold.platform.interface import Condition, Put, Row
 from dragonflyhold.settings import PlatformSettings
+from dragonflyhold.storage.http import HttpService, parse_body, parse_object, quote_key
+from dragonflyhold.storage.interface import Condition, Put, Row
 
 
 @final
--- a/src/dragonflyhold/platform/vm_list.py
+++ b/src/dragonflyhold/storage/vm_list.py
@@ -5,9 +5,9 @@
 
 from dragonflyhold.errors import PlatformUnavailableError
 from dragonflyhold.ids import DataCentre, VmName
-from dragonflyhold.platform.http import HttpService, parse_object
-from dragonflyhold.platform.interface import Vm, VmState
 from dragonflyhold.settings import PlatformSettings
+from dragonflyhold.storage.http import HttpService, parse_object
+from dragonflyhold.storage.interface import Vm, VmState
 
 
 @final
--- a/tests/config/simulation.py
+++ b/tests/config/simulation.py
@@ -14,8 +14,8 @@
 from dragonflyhold.errors import PlatformUnavailableError
 from dragonflyhold.ids import DataCentre, Incarnation, Region, Revision
 from dragonflyhold.observability import Metrics
-from dragonflyhold.platform.interface import Condition, Put, Row
 from dragonflyhold.settings import ConfigSettings
+from dragonflyhold.storage.interface import Condition, Put, Row
 from dragonflyhold.timers.service import PAUSE_GAP_S
 from dragonflyhold.transport.schema import operator_pb2 as pb
 from tests.fakes import FakeObjectStore, FakeTable
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -12,7 +12,6 @@
 from dragonflyhold.entry.parts import EntryParts
 from dragonflyhold.ids import DataCentre, Region
 from dragonflyhold.observability import Metrics
-from dragonflyhold.platform.interface import Vm
 from dragonflyhold.requests.crashes import CrashTable
 from dragonflyhold.settings import (
     EntrySettings,
@@ -22,6 +21,7 @@
     RoutingSettings,
     TransportSettings,
 )
+from dragonflyhold.storage.interface import Vm
 from dragonflyhold.timers import TimerService
 from tests.entry.fake_config import MODEL, FakeConfig
 from tests.entry.fake_sidecar import FakeSidecar
--- a/tests/entry/test_retries.py
+++ b/tests/entry/test_retries.py
@@ -6,7 +6,7 @@
 
 from dragonflyhold.errors import ErrorCode
 from dragonflyhold.ids import DataCentre, VmName
-from dragonflyhold.platform.interface import Vm, VmState
+from dragonflyhold.storage.interface import Vm, VmState
 from dragonflyhold.transport.schema import sidecar_pb2 as pb
 from tests.entry.fake_sidecar import Plan
 from tests.entry.harness import EntryHarness, make_settings, running_entry, wait_until
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Sequence
 
 from dragonflyhold.errors import ConditionFailedError, PlatformUnavailableError
-from dragonflyhold.platform.interface import Condition, Put, Row
+from dragonflyhold.storage.interface import Condition, Put, Row
 
 
 class FakeTable:
--- a/tests/platform/__init__.py
+++ b/tests/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the platform package."""
+"""Tests of the adapter to the platform."""
--- a/tests/sidecar/fakes.py
+++ b/tests/sidecar/fakes.py
@@ -27,7 +27,6 @@
     UpstreamName,
     Version,
 )
-from dragonflyhold.platform.interface import Condition, Put, Row, Vm
 from dragonflyhold.settings import (
     AnswerSettings,
     PlatformSettings,
@@ -37,6 +36,7 @@
     UpstreamSettings,
 )
 from dragonflyhold.states import ServiceType
+from dragonflyhold.storage.interface import Condition, Put, Row, Vm
 from dragonflyhold.upstreams.interface import (
     EngineStatus,
     PlainResponse,
--- a/tests/sidecar/test_daemon.py
+++ b/tests/sidecar/test_daemon.py
@@ -10,9 +10,9 @@
 import pytest
 
 from dragonflyhold.ids import Revision
-from dragonflyhold.platform.interface import Vm, VmState
 from dragonflyhold.sidecar.daemon import ExternalServices, SidecarDaemon
 from dragonflyhold.states import ServiceType, UpstreamMode
+from dragonflyhold.storage.interface import Vm, VmState
 from dragonflyhold.transport.schema import sidecar_pb2 as pb
 from dragonflyhold.upstreams.interface import UpstreamInterruptedError
 from tests.sidecar.client import TIMEOUT_S, EntryClient, make_submit
--- /dev/null
+++ b/tests/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the platform package."""
--- a/tests/platform/test_clients.py
+++ b/tests/storage/test_clients.py
@@ -6,13 +6,13 @@
 
 from dragonflyhold.errors import ConditionFailedError, PlatformUnavailableError
 from dragonflyhold.ids import DataCentre, VmName
-from dragonflyhold.platform import HttpObjectStore, HttpTable, HttpVmList
-from dragonflyhold.platform.interface import Condition, Put, Row, Vm, VmState
 from dragonflyhold.settings import PlatformSettings
 from dragonflyhold.standins.base import StandIn
 from dragonflyhold.standins.objects import ObjectStoreStandIn
 from dragonflyhold.standins.table import TableStandIn
 from dragonflyhold.standins.vms import VmListStandIn
+from dragonflyhold.storage import HttpObjectStore, HttpTable, HttpVmList
+from dragonflyhold.storage.interface import Condition, Put, Row, Vm, VmState
 
 # Keys with every character that a path or a query gives a meaning to.
 ODD_KEY = "config/id/ä b+c%2F?x=1&y#z"
