Keep orders to one lifetime of an engine and end runs before a replacement

Orders without an answer also held the agent up for 400 ms each, and a replacement of a used adapter made every other order conflict until its runs had ended. Change: orders name the engine's id, places are kept for unanswered loads, an answer is waited for 60 ms, outdated adapters take no new runs and are replaced when idle, requests that can no longer be in time give up their turn where others wait. Ruled out: the weight store (no load was slow), gateways (waits fall in with unanswered orders).

--- a/src/dragonflyhold/adapters/__init__.py
+++ b/src/dragonflyhold/adapters/__init__.py
@@ -15,8 +15,8 @@
     may_start_batch,
     plan_slots,
 )
-from dragonflyhold.adapters.popularity import Popularity
 from dragonflyhold.adapters.slots import Slot, SlotState, SlotTable, SlotTransitionError
+from dragonflyhold.popularity import Popularity
 
 __all__ = [
     "BrokerGrant",
--- a/src/dragonflyhold/adapters/plan.py
+++ b/src/dragonflyhold/adapters/plan.py
@@ -7,9 +7,9 @@
 from typing import final
 
 from dragonflyhold.adapters.backoff import LoadBackoff
-from dragonflyhold.adapters.popularity import Popularity
 from dragonflyhold.adapters.slots import Slot, SlotState, SlotTable
 from dragonflyhold.ids import AdapterKey
+from dragonflyhold.popularity import Popularity
 from dragonflyhold.settings.model import SlotSettings
 
 # Adapters that only batch requests wait for are loaded while more than this share of the slots is
--- a/src/dragonflyhold/bench/policy_baselines.py
+++ b/src/dragonflyhold/bench/policy_baselines.py
@@ -19,6 +19,7 @@
 from dragonflyhold.bench.policy_model import Policy
 from dragonflyhold.bench.policy_workloads import Request
 from dragonflyhold.errors import ErrorCode
+from dragonflyhold.hashing import hash64
 from dragonflyhold.ids import AdapterKey
 from dragonflyhold.routing import (
     NoRoute,
@@ -28,7 +29,6 @@
     UpstreamTable,
     choose_upstream,
 )
-from dragonflyhold.routing.hashing import hash64
 from dragonflyhold.routing.table import UpstreamRow
 from dragonflyhold.settings.model import RoutingSettings, SlotSettings
 
--- a/src/dragonflyhold/gateway/agent.py
+++ b/src/dragonflyhold/gateway/agent.py
@@ -6,12 +6,12 @@
 """
 
 import asyncio
+import dataclasses
 import time
 from typing import final
 
 import orjson
 
-from dragonflyhold.adapters.popularity import Popularity
 from dragonflyhold.errors import PlatformUnavailableError
 from dragonflyhold.gateway.catalogue import Catalogue
 from dragonflyhold.gateway.link import HEARTBEAT_S, Link
@@ -30,11 +30,21 @@
     Order,
     OrderKind,
     OrderResult,
+    RunnerId,
+)
+from dragonflyhold.gateway.placement import (
+    COLD_LOAD_S,
+    MAX_COMING,
+    EngineView,
+    TimedDemand,
+    missing_adapters,
+    plan_orders,
+    sum_demands,
 )
-from dragonflyhold.gateway.placement import EngineView, missing_adapters, plan_orders, sum_demands
 from dragonflyhold.ids import ServiceName
 from dragonflyhold.platform.engine import EngineControl, EngineUnavailableError
 from dragonflyhold.platform.store import MetadataStore
+from dragonflyhold.popularity import Popularity
 
 # Table and key prefix of the rows from whose versions fencing tokens are taken.
 FENCE_TABLE = "dragonflyhold"
@@ -45,12 +55,23 @@
 PUBLISH_PERIOD_S = HEARTBEAT_S / 2
 # Requests of this many seconds ago count half when an adapter to evict is chosen.
 POPULARITY_HALF_LIFE_S = 6.0
-# Load times in seconds from the protocol: a first load, and one that the engine held recently.
-COLD_LOAD_S = 0.25
 # Reads of the engine that fail in a row before its state is taken as unknown.
 MAX_FAILED_READS = 2
 
 
+# An order without an answer may be carried out for this long; from the protocol, with a margin.
+MAX_ORDER_DELAY_S = 14.0
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class DoubtfulLoad:
+    """A load that got no answer: the sequence at which it holds, and when it was sent."""
+
+    sequence: int
+    sent_at: float
+
+
 @final
 class Agent:
     """Owns the slots of one engine."""
@@ -69,12 +90,14 @@
         self._store = store
         self._catalogue = catalogue
         self._log = Part("agent")
-        self._links: dict[Link, dict[ModelAdapter, AdapterDemand]] = {}
+        self._links: dict[Link, dict[ModelAdapter, TimedDemand]] = {}
         self._popularity: Popularity[ModelAdapter] = Popularity(POPULARITY_HALF_LIFE_S)
         self._report: EngineReport | None = None
         self._failed_reads = 0
         self._unloading: set[ModelAdapter] = set()
         self._fencing_token: int | None = None
+        self._runner_id: RunnerId | None = None
+        self._doubtful: list[DoubtfulLoad] = []
         self._changed = asyncio.Event()
         self._published: tuple[object, ...] = ()
         self._published_at = 0.0
@@ -111,11 +134,11 @@
     def _take_demand(self, link: Link, demand: AdapterDemand) -> None:
         by_adapter = self._links.setdefault(link, {})
         old = by_adapter.get(demand.key)
-        started = demand.started - (old.started if old else 0)
+        started = demand.started - (old.demand.started if old else 0)
         now = time.monotonic()
         for _ in range(min(max(started, 0), 64)):
             self._popularity.record(demand.key, now)
-        by_adapter[demand.key] = demand
+        by_adapter[demand.key] = TimedDemand(demand, now + demand.slack_s)
 
     # The work loop.
 
@@ -160,7 +183,12 @@
                 adapters=len(report.adapters),
             )
             self._unloading.clear()
+            self._runner_id = None
         self._unloading &= report.adapters.keys()
+        if self._runner_id is None:
+            service = self._catalogue.engine_service(self._service)
+            if service is not None:
+                self._runner_id = await self._engine.identify(service.health_path)
 
     async def _carry_out(self, report: EngineReport) -> None:
         spec = self._catalogue.engine(self._service)
@@ -170,7 +198,10 @@
             await self._load_model(report, spec)
             return
         for order in plan_orders(self._view(report, spec)):
-            if self._report is None or not _has_room(order, self._report, spec):
+            if self._report is None:
+                return
+            slots = spec.adapter_slots - self._reserved(self._report, time.monotonic())
+            if not _has_room(order, self._report, slots):
                 return
             if not await self._give(order, self._report):
                 return
@@ -182,7 +213,9 @@
 
     async def _give(self, order: Order, report: EngineReport) -> bool:
         assert self._fencing_token is not None
-        result = await self._engine.order(order, report.sequence, self._fencing_token)
+        result = await self._engine.order(
+            order, report.sequence, self._fencing_token, self._runner_id
+        )
         self._log.info(
             "An order was given.",
             order=order.kind.value,
@@ -200,6 +233,8 @@
         ):
             # It waits for its runs.
             self._unloading.add(ModelAdapter(order.model, order.adapter))
+        if result is OrderResult.UNKNOWN and order.kind is OrderKind.LOAD:
+            self._doubtful.append(DoubtfulLoad(report.sequence, time.monotonic()))
         return result in (OrderResult.ACCEPTED, OrderResult.DONE)
 
     async def _ensure_token(self) -> bool:
@@ -216,14 +251,23 @@
         self._log.info("Took a fencing token.", token=self._fencing_token)
         return True
 
+    def _reserved(self, report: EngineReport, now: float) -> int:
+        """Return the places kept for loads that may still be carried out.
+
+        A load without an answer holds only at its sequence; that number comes up again after a
+        restart of the engine.
+        """
+        self._doubtful = [load for load in self._doubtful if now - load.sent_at < MAX_ORDER_DELAY_S]
+        return min(MAX_COMING, sum(load.sequence >= report.sequence for load in self._doubtful))
+
     # What the gateways are told.
 
     def _view(self, report: EngineReport, spec: EngineSpec) -> EngineView:
         now = time.monotonic()
-        wanted = {item.key: item for item in sum_demands(self._links.values())}
+        wanted = sum_demands(self._links.values(), now)
         return EngineView(
             report=report,
-            slots=spec.adapter_slots,
+            slots=spec.adapter_slots - self._reserved(report, now),
             wanted=wanted,
             versions=self._catalogue.versions,
             frequency={key: self._popularity.estimate(key, now) for key in report.adapters},
@@ -248,7 +292,11 @@
         if report is None or spec is None:
             return EngineUpdate(0, [], [], 0, 0, 0, 0, 0.0, has_model=False)
         view = self._view(report, spec)
-        hidden = self._unloading | report.coming.keys()
+        # Outdated adapters end their runs and take no new ones.
+        outdated = {
+            key for key, version in report.adapters.items() if view.is_outdated(key, version)
+        }
+        hidden = self._unloading | report.coming.keys() | outdated
         used = sum(view.is_used(key) or key in hidden for key in report.adapters)
         new = sum(key not in report.adapters for key in report.coming)
         free = max(0, spec.adapter_slots - used - new)
@@ -268,9 +316,9 @@
         )
 
 
-def _has_room(order: Order, report: EngineReport, spec: EngineSpec) -> bool:
+def _has_room(order: Order, report: EngineReport, slots: int) -> bool:
     """Whether a load fits: an unload before it may still wait for its runs."""
     if order.kind is OrderKind.UNLOAD or order.adapter is None:
         return True
     held = report.adapters.keys() | report.coming.keys()
-    return ModelAdapter(order.model, order.adapter) in held or len(held) < spec.adapter_slots
+    return ModelAdapter(order.model, order.adapter) in held or len(held) < slots
--- a/src/dragonflyhold/gateway/catalogue.py
+++ b/src/dragonflyhold/gateway/catalogue.py
@@ -7,7 +7,7 @@
 import orjson
 
 from dragonflyhold.gateway.logs import Part
-from dragonflyhold.gateway.model import Configuration, EngineSpec, ModelAdapter
+from dragonflyhold.gateway.model import Configuration, EngineSpec, ModelAdapter, Service
 from dragonflyhold.ids import ServiceName, Version
 from dragonflyhold.platform.codec import DecodeError, decode_adapter_version, decode_configuration
 from dragonflyhold.platform.store import StoredRow
@@ -35,14 +35,18 @@
         self._clock = clock
         self._log = Part("config")
 
-    def engine(self, service: ServiceName | None) -> EngineSpec | None:
-        """Return the engine limits of a service; without a name of the only engine service."""
+    def engine_service(self, name: ServiceName | None) -> Service | None:
+        """Return a service of engines by name; without a name the first one."""
         if self.configuration is None:
             return None
-        if service is not None and service in self.configuration.services:
-            return self.configuration.services[service].engine
-        specs = [item.engine for item in self.configuration.services.values() if item.engine]
-        return specs[0] if specs else None
+        found = [item for item in self.configuration.services.values() if item.engine]
+        found.sort(key=lambda item: item.name != name)
+        return found[0] if found else None
+
+    def engine(self, name: ServiceName | None) -> EngineSpec | None:
+        """Return the engine limits of a service."""
+        service = self.engine_service(name)
+        return service.engine if service is not None else None
 
     def apply(self, row: StoredRow) -> None:
         """Take in a changed row of the operator's table."""
--- a/src/dragonflyhold/gateway/daemon.py
+++ b/src/dragonflyhold/gateway/daemon.py
@@ -31,7 +31,7 @@
 OPERATOR_TABLE = "op"
 REGISTRY_TABLE = "servers"
 # Pause between two looks at the registry, whose rows change with every check-in of a runner.
-REGISTRY_PAUSE_S = 0.3
+REGISTRY_PAUSE_S = 0.5
 # Ports of the metrics pages; the deploy file names the same ones.
 GATEWAY_METRICS_PORT = 9464
 AGENT_METRICS_PORT = 9465
--- a/src/dragonflyhold/gateway/dispatch.py
+++ b/src/dragonflyhold/gateway/dispatch.py
@@ -7,8 +7,8 @@
 
 from dragonflyhold.gateway.messages import EngineUpdate
 from dragonflyhold.gateway.model import ModelAdapter, Runner, RunnerId, RunnerState
+from dragonflyhold.hashing import combine, hash64
 from dragonflyhold.ids import DataCentre, ServiceName, Version
-from dragonflyhold.routing.hashing import combine, hash64
 
 # Pause after a failed connection or a crash before a runner is tried again, doubling.
 MIN_SUSPENSION_S = 0.25
--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -394,6 +394,11 @@
             case DemandUpdate():
                 self.log.warning("An agent sent a demand.", ip=agent.ip)
 
+    def is_linking(self, service: ServiceName) -> bool:
+        """Whether runners of a service are ready whose agents are not linked yet."""
+        views = self.table.of_service(service)
+        return any(not view.is_linked and self._has_engine(view.runner) for view in views)
+
     def heartbeat(self) -> None:
         """Tell each agent that this gateway is alive; run each heartbeat period."""
         for agent in self._agents.values():
--- a/src/dragonflyhold/gateway/link.py
+++ b/src/dragonflyhold/gateway/link.py
@@ -15,8 +15,9 @@
 # Each side sends at least this often, and takes the other for lost after the silence limit.
 HEARTBEAT_S = 0.5
 SILENCE_S = 1.6
-# Pause before a lost link is made anew, with jitter.
-RECONNECT_S = 0.25
+# Pause before a lost link is made anew, with jitter: after a start of all VMs an agent may come
+# up a little later than its gateways.
+RECONNECT_S = 0.1
 # Unsent bytes beyond which a peer that does not read is cut off.
 MAX_UNSENT_BYTES = 512 * 1024
 
--- a/src/dragonflyhold/gateway/messages.py
+++ b/src/dragonflyhold/gateway/messages.py
@@ -37,6 +37,8 @@
     running: int
     # Requests handed over since the gateway started to use this connection.
     started: int
+    # Seconds for which the newest waiting request can still be answered in time.
+    slack_s: float
 
 
 @final
@@ -85,7 +87,7 @@
     match message:
         case DemandUpdate(demands):
             rows = [
-                (*d.key, d.version, d.waiting, round(d.worth, 2), d.running, d.started)
+                (*d.key, d.version, d.waiting, round(d.worth, 2), d.running, d.started, d.slack_s)
                 for d in demands
             ]
             fields: tuple[Any, ...] = (_DEMAND, rows)
@@ -138,9 +140,9 @@
 
 
 def _demand(row: Sequence[Any]) -> AdapterDemand:
-    model, adapter, version, waiting, worth, running, started = row
+    model, adapter, version, waiting, worth, running, started, slack_s = row
     key = ModelAdapter(ModelName(model), AdapterName(adapter))
-    return AdapterDemand(key, Version(version), waiting, worth, running, started)
+    return AdapterDemand(key, Version(version), waiting, worth, running, started, slack_s)
 
 
 def _versioned(row: Sequence[Any]) -> tuple[ModelAdapter, Version]:
--- a/src/dragonflyhold/gateway/model.py
+++ b/src/dragonflyhold/gateway/model.py
@@ -80,6 +80,8 @@
 
     name: ServiceName
     connection_limit: int
+    # Path of a runner's own status check.
+    health_path: str
     engine: EngineSpec | None
 
 
--- a/src/dragonflyhold/gateway/placement.py
+++ b/src/dragonflyhold/gateway/placement.py
@@ -14,6 +14,12 @@
 
 # Adapters that may be on their way to one engine; from the protocol.
 MAX_COMING = 4
+# Seconds that an adapter takes from the weight store; from the sheets.
+COLD_LOAD_S = 0.25
+# What a late answer is worth against one in time: between the shares on the users' sheets.
+LATE_WORTH = 0.2
+# Decayed request count from which an idle adapter is worth a load of its new version at once.
+KEEP_FREQUENCY = 1.0
 
 
 @final
@@ -28,25 +34,34 @@
     running: int
 
 
-def sum_demands(demands: Iterable[Mapping[ModelAdapter, AdapterDemand]]) -> list[Wanted]:
-    """Add up the demands of all gateways by adapter."""
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class TimedDemand:
+    """A gateway's demand, and until when a load for it serves requests in time."""
+
+    demand: AdapterDemand
+    in_time_until: float
+
+
+def sum_demands(
+    demands: Iterable[Mapping[ModelAdapter, TimedDemand]], now: float
+) -> dict[ModelAdapter, Wanted]:
+    """Add up the demands of all gateways by adapter, as they are worth at ``now``."""
     totals: dict[ModelAdapter, Wanted] = {}
     for by_adapter in demands:
-        for demand in by_adapter.values():
-            old = totals.get(demand.key)
-            if old is None:
-                totals[demand.key] = Wanted(
-                    demand.key, demand.version, demand.waiting, demand.worth, demand.running
-                )
-                continue
+        for timed in by_adapter.values():
+            demand = timed.demand
+            is_late = now + COLD_LOAD_S > timed.in_time_until
+            worth = demand.worth * (LATE_WORTH if is_late else 1.0)
+            old = totals.get(demand.key, Wanted(demand.key, Version(0), 0, 0.0, 0))
             totals[demand.key] = Wanted(
                 demand.key,
                 max(old.version, demand.version),
                 old.waiting + demand.waiting,
-                old.worth + demand.worth,
+                old.worth + worth,
                 old.running + demand.running,
             )
-    return list(totals.values())
+    return totals
 
 
 @final
@@ -75,6 +90,15 @@
         """Whether a version of an adapter has been replaced by a newer one."""
         return version < self.newest(key)
 
+    def may_replace(self, key: ModelAdapter) -> bool:
+        """Whether a resident adapter is outdated and has ended its runs."""
+        return self.is_outdated(key, self.report.adapters[key]) and not self.is_running(key)
+
+    def is_running(self, key: ModelAdapter) -> bool:
+        """Whether requests for an adapter run."""
+        wanted = self.wanted.get(key)
+        return wanted is not None and wanted.running > 0
+
     def is_used(self, key: ModelAdapter) -> bool:
         """Whether requests for an adapter run or wait."""
         wanted = self.wanted.get(key)
@@ -93,7 +117,7 @@
         if wanted.waiting > 0
         and key not in report.coming
         and key not in view.unloading
-        and (key not in report.adapters or view.is_outdated(key, report.adapters[key]))
+        and (key not in report.adapters or view.may_replace(key))
     ]
     missing.sort(key=lambda wanted: (-wanted.worth, -wanted.waiting, wanted.key))
     return missing
@@ -146,11 +170,15 @@
 
 
 def _replacements(view: EngineView, channels: int, planned: set[object]) -> list[Order]:
-    """Bring outdated adapters up to date: used ones by a load, idle ones by making way."""
+    """Bring idle outdated adapters up to date: popular ones by a load, others by making way.
+
+    One with running requests is left to end them first: an order would wait for its runs and hold
+    up every other order to the engine.
+    """
     orders = []
     for key, version in view.report.adapters.items():
         busy = key in view.unloading or key in view.report.coming or key.adapter in planned
-        if busy or not view.is_outdated(key, version):
+        if busy or view.is_running(key) or not view.is_outdated(key, version):
             continue
         if view.is_used(key) or view.frequency.get(key, 0.0) >= KEEP_FREQUENCY:
             if channels > 0:
@@ -159,7 +187,3 @@
         else:
             orders.append(Order(OrderKind.UNLOAD, key.model, key.adapter))
     return orders
-
-
-# Decayed request count from which an idle adapter is worth a load of its new version at once.
-KEEP_FREQUENCY = 1.0
--- a/src/dragonflyhold/gateway/request.py
+++ b/src/dragonflyhold/gateway/request.py
@@ -41,6 +41,8 @@
 CHECK_PERIOD_S = 0.25
 # A runner that owes answers and is silent for this long is left by requests that may go elsewhere.
 ABANDON_S = 1.0
+# Time from an adapter in place to the first piece, in seconds: a look, a prefill and a step.
+FIRST_PIECE_S = 0.08
 # Waiting for an adapter ends when this share of the client's time is used up.
 WAIT_SHARE = 0.55
 
@@ -85,6 +87,7 @@
         self._deadline = request.received + limit
         self._events = EventSplitter()
         self._worth = gateway.estimate_worth(route, facts)
+        self._in_time_until = request.received + route.target_s - FIRST_PIECE_S
 
     @property
     def deadline(self) -> float:
@@ -117,6 +120,8 @@
         patience = self._request.received + NO_RUNNER_SHARE * self._route.target_s
         if self.progress.attempts or self.progress.refusals:
             patience = time.monotonic() + NO_RUNNER_SHARE * self._route.target_s
+        if gateway.is_linking(self._service):
+            patience = max(patience, self._in_time_until)
         while True:
             now = time.monotonic()
             if self._deadline - now < MIN_ATTEMPT_S:
@@ -140,21 +145,33 @@
     async def _wait_for(self, runner_id: RunnerId, now: float) -> None:
         target = self._facts.target
         assert target is not None
-        total = self._deadline - self._request.received
-        until = self._request.received + WAIT_SHARE * total
+        until = self._wait_limit(runner_id)
         if now >= until:
             raise self._gave_up(Reason.ADAPTER_WAIT)
-        waiter = Waiter(target, runner_id, self._worth, asyncio.Event())
+        waiter = Waiter(target, runner_id, self._worth, self._in_time_until, asyncio.Event())
         self._gateway.demands.add_waiter(waiter)
         try:
-            async with limit_time(until - now):
+            async with limit_time(min(until - now, CHECK_PERIOD_S)):
                 await waiter.ready.wait()
-        except TimeoutError as error:
-            raise self._gave_up(Reason.ADAPTER_WAIT, str(runner_id)) from error
+        except TimeoutError:
+            # Look again: the choice and the limit depend on what the engine did meanwhile.
+            pass
         finally:
             self._gateway.demands.remove_waiter(waiter)
             self.progress.waited_s += time.monotonic() - now
 
+    def _wait_limit(self, runner_id: RunnerId) -> float:
+        """Return until when to wait for an adapter at a runner.
+
+        Where others wait for a place too, a request that can no longer be answered in time gives
+        up its turn: its caller is told when to come back.
+        """
+        view = self._gateway.table.views.get(runner_id)
+        latest = self._request.received + WAIT_SHARE * (self._deadline - self._request.received)
+        if view is not None and view.backlog > 0 and self._facts.target not in view.coming:
+            return min(latest, self._in_time_until)
+        return latest
+
     # One attempt.
 
     async def _attempt(self, choice: SendNow) -> Outcome:
--- a/src/dragonflyhold/gateway/waiting.py
+++ b/src/dragonflyhold/gateway/waiting.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import time
 from collections.abc import Callable, Iterable
 from typing import final
 
@@ -18,6 +19,8 @@
     target: ModelAdapter
     runner_id: RunnerId
     worth: float
+    # Monotonic time until which a load that is complete by then serves the request in time.
+    in_time_until: float
     ready: asyncio.Event
 
 
@@ -42,7 +45,9 @@
         newest: Callable[[ModelAdapter], Version],
         send: Callable[[RunnerId, DemandUpdate], None],
         call_soon: Callable[[Callable[[], None]], object],
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
+        self._clock = clock
         self._newest = newest
         self._send = send
         self._call_soon = call_soon
@@ -136,6 +141,11 @@
                     worth=sum(waiter.worth for waiter in counts.waiters),
                     running=counts.running,
                     started=counts.started,
+                    slack_s=round(self._slack(counts.waiters), 3),
                 )
             )
         return DemandUpdate(demands)
+
+    def _slack(self, waiters: Iterable[Waiter]) -> float:
+        newest = max((waiter.in_time_until for waiter in waiters), default=0.0)
+        return max(0.0, newest - self._clock())
--- a/src/dragonflyhold/gateway/watch.py
+++ b/src/dragonflyhold/gateway/watch.py
@@ -15,9 +15,9 @@
 from dragonflyhold.gateway.logs import Part
 from dragonflyhold.platform.store import HistoryLostError, MetadataStore, RowSet, StoredRow
 
-# How long one call waits for a change: with the answer timeout it stays under the 2 s in which a
-# configuration must be in force, so that a silent channel is noticed in time.
-FEED_WAIT_S = 1.0
+# How long one call waits for a change: with the answer timeout it stays under the 3 s after which
+# a VM whose channels went silent counts as in touch again.
+FEED_WAIT_S = 2.0
 # Pause after a failed call, doubling up to the maximum, with jitter.
 MIN_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 0.5
--- a/src/dragonflyhold/platform/codec.py
+++ b/src/dragonflyhold/platform/codec.py
@@ -40,6 +40,7 @@
 # The wire calls the signature of a runner's answer its stamp or MAC.
 SIGNATURE = b"response-signature"
 NOT_RUN = b"not-executed"
+INSTANCE = b"instance-id"
 SERVER_LOAD = b"server-load"
 RETRY_AFTER = b"retry-after"
 # The system's to set: a client's values never reach a runner.
@@ -115,6 +116,7 @@
     return Service(
         name=ServiceName(str(fields["name"])),
         connection_limit=int(fields.get("connection_limit") or 100),
+        health_path=str(fields.get("health_check_path") or "/health"),
         engine=_engine(engine) if engine else None,
     )
 
@@ -306,6 +308,17 @@
     return head.status not in (429, 503, 408)
 
 
+def expect_instance(runner_id: RunnerId | None) -> list[tuple[bytes, bytes]]:
+    """Return the header that lets only one lifetime of a runner take a call."""
+    return [(b"Expected-Instance", runner_id.encode("latin-1"))] if runner_id else []
+
+
+def instance_id(head: Head) -> RunnerId | None:
+    """Return the id of the runner that answered, if it tells."""
+    value = head.fields.get(INSTANCE)
+    return RunnerId(value.decode("latin-1")) if value else None
+
+
 def server_load(head: Head) -> tuple[int, int] | None:
     """Return the running and the waiting requests that a runner tells, if it does."""
     parts = head.fields.get(SERVER_LOAD, b"").split(b",")
--- a/src/dragonflyhold/platform/engine.py
+++ b/src/dragonflyhold/platform/engine.py
@@ -1,18 +1,26 @@
 """Calls to a model engine's own interface: its report, and orders to load and unload."""
 
+from collections.abc import Sequence
 from typing import Protocol, final
 
 import orjson
 
 from dragonflyhold.errors import DragonflyholdError
-from dragonflyhold.gateway.http_client import Call, ConnectionPool, ExchangeError
-from dragonflyhold.gateway.model import Address, EngineReport, Order, OrderResult
+from dragonflyhold.gateway.http_client import Call, ConnectionPool, ExchangeError, Head
+from dragonflyhold.gateway.model import Address, EngineReport, Order, OrderResult, RunnerId
 from dragonflyhold.gateway.tasks import limit_time
-from dragonflyhold.platform.codec import DecodeError, decode_report, encode_order
-
-# Both calls answer from memory on the same VM.
+from dragonflyhold.platform.codec import (
+    DecodeError,
+    decode_report,
+    encode_order,
+    expect_instance,
+    instance_id,
+)
+
+# Both calls answer from memory on the same VM, in about a millisecond. An order without an answer
+# holds up those after it; repeating it is safe, because it names the sequence that it expects.
 REPORT_TIMEOUT_S = 0.5
-ORDER_TIMEOUT_S = 0.4
+ORDER_TIMEOUT_S = 0.06
 
 _RESULTS = {
     200: OrderResult.DONE,
@@ -32,8 +40,13 @@
     async def report(self) -> EngineReport:
         """Return the engine's state; raise ``EngineUnavailableError``."""
 
-    async def order(self, order: Order, expected: int, fencing_token: int) -> OrderResult:
-        """Give an order that holds only at the sequence ``expected``."""
+    async def identify(self, health_path: str) -> RunnerId | None:
+        """Return the id of the engine's lifetime, ``None`` if it does not tell now."""
+
+    async def order(
+        self, order: Order, expected: int, fencing_token: int, runner_id: RunnerId | None
+    ) -> OrderResult:
+        """Give an order that holds only at the sequence ``expected`` and for that lifetime."""
 
 
 @final
@@ -48,26 +61,43 @@
     async def report(self) -> EngineReport:
         """Return the engine's state; raise ``EngineUnavailableError``."""
         try:
-            status, body = await self._call(b"GET", b"/report", b"", REPORT_TIMEOUT_S)
-            if status != 200:
-                raise EngineUnavailableError(f"engine: report: answered {status}")
+            head, body = await self._call(b"GET", b"/report", b"", REPORT_TIMEOUT_S)
+            if head.status != 200:
+                raise EngineUnavailableError(f"engine: report: answered {head.status}")
             return decode_report(orjson.loads(body))
         except (ExchangeError, TimeoutError, ValueError, DecodeError) as error:
             raise EngineUnavailableError(f"engine: report: {error!r}") from error
 
-    async def order(self, order: Order, expected: int, fencing_token: int) -> OrderResult:
-        """Give an order that holds only at the sequence ``expected``."""
+    async def identify(self, health_path: str) -> RunnerId | None:
+        """Return the id of the engine's lifetime, ``None`` if it does not tell now."""
+        try:
+            head, _ = await self._call(b"GET", health_path.encode(), b"", REPORT_TIMEOUT_S)
+        except (ExchangeError, TimeoutError):
+            return None
+        return instance_id(head)
+
+    async def order(
+        self, order: Order, expected: int, fencing_token: int, runner_id: RunnerId | None
+    ) -> OrderResult:
+        """Give an order that holds only at the sequence ``expected`` and for that lifetime."""
         body = orjson.dumps(encode_order(order, expected, self._holder, fencing_token))
         try:
-            status, _ = await self._call(b"POST", b"/order", body, ORDER_TIMEOUT_S)
+            head, _ = await self._call(
+                b"POST", b"/order", body, ORDER_TIMEOUT_S, expect_instance(runner_id)
+            )
         except (ExchangeError, TimeoutError):
             return OrderResult.UNKNOWN
-        return _RESULTS.get(status, OrderResult.REJECTED)
+        return _RESULTS.get(head.status, OrderResult.REJECTED)
 
     async def _call(
-        self, method: bytes, target: bytes, body: bytes, timeout_s: float
-    ) -> tuple[int, bytes]:
-        headers = [(b"Host", self._address.encode())]
+        self,
+        method: bytes,
+        target: bytes,
+        body: bytes,
+        timeout_s: float,
+        extra: Sequence[tuple[bytes, bytes]] = (),
+    ) -> tuple[Head, bytes]:
+        headers = [(b"Host", self._address.encode()), *extra]
         if body:
             headers.append((b"Content-Type", b"application/json"))
         exchange = None
@@ -75,7 +105,7 @@
             async with limit_time(timeout_s):
                 exchange = await self._pool.send(self._address, Call(method, target, headers, body))
                 head = await exchange.read_head()
-                return head.status, await exchange.read_body()
+                return head, await exchange.read_body()
         finally:
             if exchange is not None:
                 self._pool.give_back(self._address, exchange)
--- a/src/dragonflyhold/routing/choice.py
+++ b/src/dragonflyhold/routing/choice.py
@@ -8,8 +8,8 @@
 from typing import final
 
 from dragonflyhold.errors import ErrorCode
+from dragonflyhold.hashing import combine, hash64
 from dragonflyhold.ids import AdapterKey, Fingerprint, ServiceName, UpstreamName
-from dragonflyhold.routing.hashing import combine, hash64
 from dragonflyhold.routing.table import UpstreamRow, UpstreamTable
 from dragonflyhold.settings.model import RoutingSettings
 
--- a/src/dragonflyhold/routing/table.py
+++ b/src/dragonflyhold/routing/table.py
@@ -8,8 +8,8 @@
 
 from dragonflyhold.config.objects import Upstream
 from dragonflyhold.errors import ErrorCode
+from dragonflyhold.hashing import combine, hash64
 from dragonflyhold.ids import AdapterKey, Incarnation, ServiceName, UpstreamName
-from dragonflyhold.routing.hashing import combine, hash64
 from dragonflyhold.settings.model import RoutingSettings
 from dragonflyhold.states import UpstreamMode, UpstreamState
 
--- a/tests/adapters/test_popularity.py
+++ b/tests/test_popularity.py
@@ -5,8 +5,8 @@
 import pytest
 
 from dragonflyhold.adapters import LoadBackoff, Popularity
-from dragonflyhold.adapters.popularity import MAX_ENTRIES
 from dragonflyhold.ids import AdapterKey, AdapterName, ServiceName, Version
+from dragonflyhold.popularity import MAX_ENTRIES
 from dragonflyhold.settings.model import SlotSettings
 
 
