Test the serving path against stand-ins of the store and the runners

Change: stand-ins of the platform's store and runners with their failures, a site of all parts in one event loop, and tests of placement, dispatch, framing, membership, the watch, budgets and streams. Ruled out: the old stand-ins, which speak other protocols.

--- a/src/dragonflyhold/gateway/agent.py
+++ b/src/dragonflyhold/gateway/agent.py
@@ -140,6 +140,11 @@
             self._popularity.record(demand.key, now)
         by_adapter[demand.key] = TimedDemand(demand, now + demand.slack_s)
 
+    def close(self) -> None:
+        """End all links."""
+        for link in list(self._links):
+            link.close()
+
     # The work loop.
 
     def wake(self) -> None:
--- a/src/dragonflyhold/gateway/daemon.py
+++ b/src/dragonflyhold/gateway/daemon.py
@@ -102,12 +102,20 @@
         )
         self._ready = HttpServer(self._answer_ready, IngressLimits())
         self._is_stopping = False
+        self._tasks: list[asyncio.Task[None]] = []
 
     async def run(self) -> None:
         """Serve until SIGTERM and the end of the open requests."""
-        settings = self._settings
         _handle_signals(self._stop.set, lambda: self._reload(force=True))
-        tasks = [
+        await self.start()
+        await self._stop.wait()
+        await self.drain()
+        await self.close()
+
+    async def start(self) -> None:
+        """Follow the store and open the listeners."""
+        settings = self._settings
+        self._tasks = [
             _start(self._log, "operator", self._operator.run),
             _start(self._log, "registry", self._registry.run),
             _start(self._log, "heartbeat", self._beat),
@@ -117,15 +125,19 @@
         await _listen(self.gateway.server, settings.client_listener)
         if settings.ready_listener is not None:
             await _listen(self._ready, settings.ready_listener)
-        await _listen_metrics(self._metrics, settings.ip, GATEWAY_METRICS_PORT, self._log)
+        port = GATEWAY_METRICS_PORT
+        self._page = await _listen_metrics(self._metrics, settings.ip, port, self._log)
         self._log.info("Started.", role="gateway", vm=settings.vm, store=settings.store)
-        await self._stop.wait()
-        await self._drain()
-        for task in tasks:
-            task.cancel()
+
+    async def close(self) -> None:
+        """Stop all work at once."""
         self._log.info("Stopped.", open_requests=self.gateway.server.open_requests)
+        self.gateway.close()
+        for server in (self.gateway.server, self._ready, self._page):
+            server.abort()
+        await _cancel(self._tasks)
 
-    async def _drain(self) -> None:
+    async def drain(self) -> None:
         """Leave the rotation, finish the open requests, then end."""
         server, started = self.gateway.server, time.monotonic()
         self._is_stopping = True
@@ -198,26 +210,40 @@
         engine = HttpEngineControl(settings.engine, settings.vm, pool)
         service = ServiceName(settings.service) if settings.service else None
         self._agent = Agent(settings.vm, service, engine, self._store, self._catalogue)
+        self._tasks: list[asyncio.Task[None]] = []
+        self._server: asyncio.Server | None = None
 
     async def run(self) -> None:
         """Serve until SIGTERM."""
-        settings = self._settings
         _handle_signals(self._stop.set, lambda: self._reload(force=True))
-        tasks = [
+        await self.start()
+        await self._stop.wait()
+        await self.close()
+
+    async def start(self) -> None:
+        """Follow the store, read the engine and accept gateways."""
+        settings = self._settings
+        self._tasks = [
             _start(self._log, "operator", self._operator.run),
             _start(self._log, "agent", self._agent.run),
             _start(self._log, "housekeeping", self._keep_house),
         ]
         loop = asyncio.get_running_loop()
-        await loop.create_server(
+        self._server = await loop.create_server(
             lambda: Link(self._agent), settings.ip, settings.agent_port, reuse_address=True
         )
-        await _listen_metrics(self._metrics, settings.ip, AGENT_METRICS_PORT, self._log)
+        port = AGENT_METRICS_PORT
+        self._page = await _listen_metrics(self._metrics, settings.ip, port, self._log)
         self._log.info("Started.", role="agent", vm=settings.vm, engine=settings.engine)
-        await self._stop.wait()
-        for task in tasks:
-            task.cancel()
+
+    async def close(self) -> None:
+        """Stop at once; gateways go on with what the engine holds."""
         self._log.info("Stopped.")
+        if self._server is not None:
+            self._server.close()
+        self._page.abort()
+        self._agent.close()
+        await _cancel(self._tasks)
 
     async def _keep_house(self) -> None:
         while True:
@@ -257,6 +283,12 @@
     return asyncio.get_running_loop().create_task(supervise(log, name, run))
 
 
+async def _cancel(tasks: list[asyncio.Task[None]]) -> None:
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
 def _handle_signals(stop: Callable[[], None], reload: Callable[[], None]) -> None:
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stop)
@@ -269,14 +301,16 @@
     await server.listen(host, int(port))
 
 
-async def _listen_metrics(metrics: Metrics, ip: str, port: int, log: Part) -> None:
+async def _listen_metrics(metrics: Metrics, ip: str, port: int, log: Part) -> HttpServer:
     async def answer(request: ClientRequest, responder: Responder) -> None:
         del request
         body, content_type = metrics.render()
         responder.send(200, [(b"Content-Type", content_type.encode())], body)
 
+    server = HttpServer(answer, IngressLimits())
     try:
-        await HttpServer(answer, IngressLimits()).listen(ip, port)
+        await server.listen(ip, port)
     except OSError as error:
         # Requests are served without a metrics page too.
         log.error("The metrics page cannot be served.", port=port, error=str(error))
+    return server
--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -417,6 +417,14 @@
         found = [view.runner for view in self.table.views.values() if view.runner.ip == ip]
         return max(found, key=lambda runner: runner.born).runner_id if found else None
 
+    def close(self) -> None:
+        """End all links."""
+        for agent in self._agents.values():
+            if agent.task is not None:
+                agent.task.cancel()
+            if agent.link is not None:
+                agent.link.close()
+
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
--- a/src/dragonflyhold/gateway/http_server.py
+++ b/src/dragonflyhold/gateway/http_server.py
@@ -403,6 +403,12 @@
         for connection in list(self.connections):
             connection.close_if_idle()
 
+    def abort(self) -> None:
+        """Close the listener and all connections at once."""
+        self.close_listener()
+        for connection in list(self.connections):
+            connection.abort()
+
     def close_listener(self) -> None:
         """Accept no further connections."""
         if self._server is not None:
--- /dev/null
+++ b/tests/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the event-loop serving path."""
--- /dev/null
+++ b/tests/gateway/site.py
@@ -0,0 +1,228 @@
+"""A whole site in one event loop: store, runners, agents and gateways, on loopback addresses."""
+
+import asyncio
+import contextlib
+import dataclasses
+import itertools
+from collections.abc import AsyncIterator
+
+from dragonflyhold.gateway.daemon import AgentDaemon, GatewayDaemon
+from dragonflyhold.gateway.http_client import Call, ConnectionPool, ExchangeError, Head
+from dragonflyhold.gateway.model import Address
+from dragonflyhold.ids import DataCentre, VmName
+from dragonflyhold.platform.settings import Bounds, DaemonSettings
+from tests.platform.runner_stand_in import RunnerStandIn
+from tests.platform.store_stand_in import StoreStandIn
+
+ENGINES = "assistant"
+PLAIN = "desk"
+HOST = "site.example"
+_vms = itertools.count(2)
+
+
+def configuration(version: int = 1, **route: object) -> dict[str, object]:
+    """Return a configuration with one route of each kind."""
+    base = {"host": HOST, "timeout_ms": 1500, "target_latency_ms": 500, "priority": 1}
+
+    def make(name: str, kind: str, service: str, **more: object) -> dict[str, object]:
+        fields = {"name": name, "prefix": f"/{name}/", "kind": kind, "service": service}
+        return {**base, **fields, "max_attempts": 2, **more, **route}
+
+    return {
+        "version": version,
+        "routes": [
+            make("ask", "streaming", ENGINES, resumable=True, sticky_sessions=True),
+            make("draft", "streaming", ENGINES, max_attempts=1, resumable=False),
+            make("read", "safe", PLAIN),
+            make("book", "unsafe", PLAIN, max_attempts=1),
+        ],
+        "services": [
+            {
+                "name": ENGINES,
+                "health_check_path": "/health",
+                "connection_limit": 100,
+                "engine": {"slots": 8, "adapter_slots": 3, "models": [{"name": "base"}]},
+            },
+            {"name": PLAIN, "health_check_path": "/health", "connection_limit": 100},
+        ],
+        "limits": {"header_bytes": 4096, "body_bytes": 65536},
+    }
+
+
+class _Settings:
+    """Stands for the settings file."""
+
+    def __init__(self, current: DaemonSettings) -> None:
+        self.current = current
+
+    def reload_if_changed(self, force: bool = False) -> bool:
+        del force
+        return False
+
+
+@dataclasses.dataclass
+class Answer:
+    """What a client got; ``complete`` is false for a connection that broke off."""
+
+    status: int
+    fields: dict[bytes, bytes]
+    body: bytes
+    complete: bool = True
+
+    @property
+    def event_ids(self) -> list[int]:
+        """Return the ids of a stream's events."""
+        lines = self.body.split(b"\n")
+        return [int(line[3:]) for line in lines if line.startswith(b"id:")]
+
+
+class Site:
+    """Starts and stops the parts; addresses are under 127.0.0.0/8."""
+
+    def __init__(self) -> None:
+        self.store = StoreStandIn()
+        self.runners: dict[str, RunnerStandIn] = {}
+        self.agents: dict[str, AgentDaemon] = {}
+        self.gateways: list[GatewayDaemon] = []
+        self.pool = ConnectionPool()
+        self._ids = itertools.count(1)
+
+    async def add_engine(self, runner_id: str, *, agent: bool = True) -> RunnerStandIn:
+        """Start an engine, its agent and its entry."""
+        host = f"127.0.0.{next(_vms)}"
+        runner = RunnerStandIn(host, runner_id, ENGINES)
+        await runner.start()
+        self.runners[runner_id] = runner
+        self.store.put("servers", runner_id, runner.entry())
+        if agent:
+            await self.start_agent(runner_id)
+        return runner
+
+    async def add_plain(self, runner_id: str) -> RunnerStandIn:
+        """Start a runner of the plain service."""
+        runner = RunnerStandIn(f"127.0.0.{next(_vms)}", runner_id, PLAIN)
+        await runner.start()
+        self.runners[runner_id] = runner
+        self.store.put("servers", runner_id, runner.entry())
+        return runner
+
+    async def start_agent(self, runner_id: str) -> None:
+        """Start the agent beside an engine."""
+        runner = self.runners[runner_id]
+        host = runner.address.rpartition(":")[0]
+        agent = AgentDaemon(_Settings(self._settings(host, engine=runner.address)))  # type: ignore[arg-type]
+        await agent.start()
+        self.agents[runner_id] = agent
+
+    async def add_gateway(self) -> GatewayDaemon:
+        """Start a gateway."""
+        host = f"127.0.0.{next(_vms)}"
+        listener = Address(f"{host}:18080")
+        settings = self._settings(host, client_listener=listener)
+        gateway = GatewayDaemon(_Settings(settings))  # type: ignore[arg-type]
+        await gateway.start()
+        self.gateways.append(gateway)
+        return gateway
+
+    def _settings(
+        self, host: str, client_listener: Address | None = None, engine: Address | None = None
+    ) -> DaemonSettings:
+        return DaemonSettings(
+            vm=VmName(f"vm-{host}"),
+            ip=host,
+            data_centre=DataCentre("dc-a"),
+            store=self.store.address,
+            client_listener=client_listener,
+            ready_listener=None,
+            engine=engine,
+            service=ENGINES if engine else "",
+            first_internal_port=17380,
+            last_internal_port=17395,
+            bounds=Bounds(),
+        )
+
+    async def ready(self, links: int) -> None:
+        """Wait until every gateway knows the configuration and that many agents."""
+        async with asyncio.timeout(5):
+            while not all(self._is_ready(daemon, links) for daemon in self.gateways):
+                await asyncio.sleep(0.01)
+
+    def _is_ready(self, daemon: GatewayDaemon, links: int) -> bool:
+        views = daemon.gateway.table.views.values()
+        return (
+            daemon.gateway.is_ready
+            and len(views) == len(self.runners)
+            and sum(view.is_linked for view in views) >= links
+        )
+
+    async def call(
+        self,
+        path: str,
+        *,
+        adapter: str = "",
+        method: str = "POST",
+        body: bytes = b"body",
+        gateway: int = 0,
+        headers: dict[str, str] | None = None,
+    ) -> Answer:
+        """Send a request as a client does."""
+        settings = self.gateways[gateway]._settings
+        assert settings.client_listener is not None
+        fields = {
+            "Host": HOST,
+            "Attempt-Id": f"try{next(self._ids)}",
+            "Deadline-Remaining": "1500",
+        }
+        if path.startswith(("/ask", "/draft")):
+            fields["Model"] = f"base/{adapter}" if adapter else "base"
+            fields["Token-Count"] = "100,20"
+            fields["Prompt-Prefix"] = "aa:50,bb:50"
+        fields.update(headers or {})
+        wire = [(name.encode(), value.encode()) for name, value in fields.items()]
+        call = Call(method.encode(), path.encode(), wire, body)
+        async with asyncio.timeout(8):
+            exchange = await self.pool.send(settings.client_listener, call)
+            return await _read(self.pool, settings.client_listener, exchange)
+
+    async def close(self) -> None:
+        """Stop everything."""
+        self.pool.close_expired(float("inf"))
+        for gateway in self.gateways:
+            await gateway.close()
+        for agent in self.agents.values():
+            await agent.close()
+        for runner in self.runners.values():
+            runner.close()
+        self.store.close()
+
+
+async def _read(pool: ConnectionPool, address: Address, exchange) -> Answer:  # type: ignore[no-untyped-def]
+    parts: list[bytes] = []
+    head: Head = await exchange.read_head()
+    try:
+        while chunk := await exchange.read_chunk():
+            parts.append(chunk)
+    except ExchangeError:
+        return Answer(head.status, head.fields, b"".join(parts), complete=False)
+    finally:
+        pool.give_back(address, exchange)
+    return Answer(head.status, head.fields, b"".join(parts))
+
+
+@contextlib.asynccontextmanager
+async def running_site(engines: int = 2, plain: int = 2, gateways: int = 1) -> AsyncIterator[Site]:
+    """Start a site with a configuration; yields once everything is linked."""
+    site = Site()
+    await site.store.start()
+    site.store.put("op", "config", configuration())
+    try:
+        for number in range(engines):
+            await site.add_engine(f"e{number}")
+        for number in range(plain):
+            await site.add_plain(f"p{number}")
+        for _ in range(gateways):
+            await site.add_gateway()
+        await site.ready(engines)
+        yield site
+    finally:
+        await site.close()
--- /dev/null
+++ b/tests/gateway/test_dispatch.py
@@ -0,0 +1,196 @@
+"""Tests of the choice of a runner."""
+
+import random
+
+from dragonflyhold.gateway.dispatch import (
+    MAX_SUSPENSION_S,
+    MIN_SUSPENSION_S,
+    STALL_S,
+    NoRunner,
+    RunnerTable,
+    SendNow,
+    WaitFor,
+)
+from dragonflyhold.gateway.model import RunnerId, RunnerState
+from dragonflyhold.ids import DataCentre, Version
+from tests.gateway.builders import SERVICE, adapter, engine_update, runner
+
+NOW = 50.0
+ANY = Version(0)
+
+
+def _table(*numbers: int, linked: bool = True) -> RunnerTable:
+    table = RunnerTable(DataCentre("dc-a"), random.Random(1))
+    for number in numbers:
+        table.put(runner(number))
+        if linked:
+            table.apply_update(RunnerId(f"r{number}"), engine_update(), NOW)
+    return table
+
+
+class TestAdapterInPlace:
+    """Adapter in place."""
+
+    def test_the_holder_gets_the_request_at_once(self) -> None:
+        table = _table(1, 2, 3)
+        table.apply_update(RunnerId("r2"), engine_update({7: 1}), NOW)
+        assert table.choose(SERVICE, adapter(7), ANY, NOW) == SendNow(RunnerId("r2"), Version(1))
+
+    def test_an_older_version_is_no_holder(self) -> None:
+        table = _table(1)
+        table.apply_update(RunnerId("r1"), engine_update({7: 1}), NOW)
+        assert table.choose(SERVICE, adapter(7), Version(2), NOW) == WaitFor(RunnerId("r1"))
+
+    def test_the_less_loaded_holder_is_chosen(self) -> None:
+        table = _table(1, 2)
+        table.apply_update(RunnerId("r1"), engine_update({7: 1}, running=30), NOW)
+        table.apply_update(RunnerId("r2"), engine_update({7: 1}, running=2), NOW)
+        choice = table.choose(SERVICE, adapter(7), ANY, NOW)
+        assert choice == SendNow(RunnerId("r2"), Version(1))
+
+    def test_a_holder_without_its_agent_still_serves(self) -> None:
+        """A dead or cut-off agent must not stop requests for adapters that are in place."""
+        table = _table(1, 2)
+        table.apply_update(RunnerId("r1"), engine_update({7: 1}), NOW)
+        table.views[RunnerId("r1")].is_linked = False
+        assert isinstance(table.choose(SERVICE, adapter(7), ANY, NOW), SendNow)
+
+    def test_a_refused_adapter_is_forgotten(self) -> None:
+        table = _table(1)
+        table.apply_update(RunnerId("r1"), engine_update({7: 1}), NOW)
+        table.drop_resident(RunnerId("r1"), adapter(7))
+        assert isinstance(table.choose(SERVICE, adapter(7), ANY, NOW), WaitFor)
+
+
+class TestWhereAdaptersLoad:
+    """Where adapters load."""
+
+    def test_an_adapter_keeps_its_home(self) -> None:
+        """The home's VM keeps a copy that loads ten times as fast and is not priced."""
+        table = _table(1, 2, 3, 4, 5)
+        homes = {table.choose(SERVICE, adapter(7), ANY, NOW) for _ in range(3)}
+        assert len(homes) == 1
+
+    def test_adapters_spread_over_runners(self) -> None:
+        table = _table(1, 2, 3, 4, 5)
+        for view in table.views.values():
+            view.free_places = 1000
+        homes = [table.choose(SERVICE, adapter(n), ANY, NOW) for n in range(500)]
+        counts = [homes.count(WaitFor(RunnerId(f"r{n}"))) for n in range(1, 6)]
+        assert min(counts) > 60
+
+    def test_a_full_home_gives_way(self) -> None:
+        table = _table(1, 2, 3)
+        home = table.choose(SERVICE, adapter(7), ANY, NOW)
+        assert isinstance(home, WaitFor)
+        table.apply_update(home.runner_id, engine_update(free_places=0, backlog=9), NOW)
+        other = table.choose(SERVICE, adapter(7), ANY, NOW)
+        assert isinstance(other, WaitFor)
+        assert other != home
+
+    def test_a_runner_that_fetches_the_adapter_is_not_doubled(self) -> None:
+        """Two runners that fetch the same rare adapter pay twice."""
+        table = _table(1, 2, 3)
+        for number in (1, 2, 3):
+            update = engine_update(free_places=0, backlog=5, coming={7: 1} if number == 3 else {})
+            table.apply_update(RunnerId(f"r{number}"), update, NOW)
+        assert table.choose(SERVICE, adapter(7), ANY, NOW) == WaitFor(RunnerId("r3"))
+
+    def test_nothing_is_loaded_without_an_agent(self) -> None:
+        table = _table(1, 2, linked=False)
+        assert table.choose(SERVICE, adapter(7), ANY, NOW) == NoRunner(2)
+
+
+class TestAvailability:
+    """Availability."""
+
+    def test_draining_runners_get_no_new_work(self) -> None:
+        table = _table(1)
+        table.put(runner(1, state=RunnerState.DRAINING))
+        assert table.choose(SERVICE, None, ANY, NOW) == NoRunner(1)
+
+    def test_a_new_lifetime_starts_empty(self) -> None:
+        table = _table(1)
+        table.apply_update(RunnerId("r1"), engine_update({7: 1}), NOW)
+        assert table.put(runner(1, born=2))
+        assert table.views[RunnerId("r1")].resident == {}
+
+    def test_an_engine_without_its_model_is_left_out(self) -> None:
+        table = _table(1, 2)
+        table.apply_update(RunnerId("r1"), engine_update(has_model=False), NOW)
+        assert table.choose(SERVICE, None, ANY, NOW) == SendNow(RunnerId("r2"), None)
+
+    def test_suspension_doubles_and_ends(self) -> None:
+        table = _table(1)
+        table.suspend(RunnerId("r1"), NOW)
+        assert table.choose(SERVICE, None, ANY, NOW) == NoRunner(1)
+        later = NOW + MIN_SUSPENSION_S
+        assert isinstance(table.choose(SERVICE, None, ANY, later), SendNow)
+        table.suspend(RunnerId("r1"), later)
+        assert table.choose(SERVICE, None, ANY, later + MIN_SUSPENSION_S) == NoRunner(1)
+        for _ in range(9):
+            later += MAX_SUSPENSION_S
+            table.suspend(RunnerId("r1"), later)
+        assert isinstance(table.choose(SERVICE, None, ANY, later + MAX_SUSPENSION_S), SendNow)
+
+    def test_a_silent_runner_gets_nothing_more(self) -> None:
+        """Requests piled up at a runner that had gone dark with its channels open."""
+        table = _table(1, 2)
+        table.started(RunnerId("r1"), NOW)
+        for _ in range(5):
+            choice = table.choose(SERVICE, None, ANY, NOW + STALL_S + 0.1)
+            assert choice == SendNow(RunnerId("r2"), None)
+
+    def test_a_runner_that_answers_others_is_not_silent(self) -> None:
+        table = _table(1)
+        table.started(RunnerId("r1"), NOW)
+        table.heard(RunnerId("r1"), NOW + STALL_S)
+        assert isinstance(table.choose(SERVICE, None, ANY, NOW + STALL_S + 0.1), SendNow)
+
+    def test_failing_runners_get_less(self) -> None:
+        """Pattern: a runner fails part of its requests while its status check is good."""
+        table = _table(1, 2)
+        for _ in range(10):
+            table.record_outcome(RunnerId("r1"), failed=True, now=NOW)
+            table.record_outcome(RunnerId("r2"), failed=False, now=NOW)
+        choices = [table.choose(SERVICE, None, ANY, NOW) for _ in range(20)]
+        assert choices == [SendNow(RunnerId("r2"), None)] * 20
+
+    def test_a_failure_rate_is_forgotten(self) -> None:
+        table = _table(1)
+        for _ in range(10):
+            table.record_outcome(RunnerId("r1"), failed=True, now=NOW)
+        assert table.views[RunnerId("r1")].current_failure_rate(NOW + 60.0) < 0.01
+
+    def test_tried_runners_are_excluded(self) -> None:
+        table = _table(1, 2)
+        choice = table.choose(SERVICE, None, ANY, NOW, {RunnerId("r1")})
+        assert choice == SendNow(RunnerId("r2"), None)
+
+
+class TestLoad:
+    """Load."""
+
+    def test_own_requests_count_on_top_of_the_last_update(self) -> None:
+        """A report lags: what was sent since must not be forgotten."""
+        table = _table(1)
+        view = table.views[RunnerId("r1")]
+        table.started(RunnerId("r1"), NOW)
+        table.apply_update(RunnerId("r1"), engine_update(running=5), NOW)
+        table.started(RunnerId("r1"), NOW)
+        table.started(RunnerId("r1"), NOW)
+        assert view.load(NOW) == 7
+        table.ended(RunnerId("r1"))
+        assert view.load(NOW) == 6
+
+    def test_an_old_report_does_not_count(self) -> None:
+        table = _table(1)
+        table.apply_update(RunnerId("r1"), engine_update(running=50), NOW)
+        assert table.views[RunnerId("r1")].load(NOW + 10.0) == 0
+
+    def test_plain_services_tell_their_load_in_answers(self) -> None:
+        table = _table(1, linked=False)
+        table.started(RunnerId("r1"), NOW)
+        table.report_load(RunnerId("r1"), running=4, waiting=2, now=NOW)
+        table.ended(RunnerId("r1"))
+        assert table.views[RunnerId("r1")].load(NOW) == 5
--- /dev/null
+++ b/tests/gateway/test_registry.py
@@ -0,0 +1,136 @@
+"""Tests of the membership of runners."""
+
+import orjson
+import pytest
+
+from dragonflyhold.gateway.model import Runner, RunnerId, RunnerState
+from dragonflyhold.gateway.registry import LAPSE_GRACE_S, Registry
+from dragonflyhold.platform.store import StoredRow
+
+ENTRY = {
+    "service": "assistant",
+    "address": "10.0.0.1:80",
+    "zone": "dc-a",
+    "version": "v1",
+    "slots": 64,
+    "state": "ready",
+    "cold_remaining_ms": 0,
+    "stage": "both",
+    "models": [{"name": "base", "version": 1, "adapters": ["a1@2", "a7"]}],
+    "sequence": 4,
+    "born": 17,
+}
+
+
+class _World:
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.steady = True
+        self.gone: list[RunnerId] = []
+        self.registry = Registry(self, lambda: self.steady, lambda: self.now)
+        self._version = 0
+
+    def runner_changed(self, runner: Runner) -> None:
+        del runner
+
+    def runner_gone(self, runner: Runner) -> None:
+        self.gone.append(runner.runner_id)
+
+    def write(self, value: bytes | dict[str, object], key: str = "r1") -> None:
+        self._version += 1
+        data = value if isinstance(value, bytes) else orjson.dumps(value)
+        self.registry.apply(StoredRow(key, self._version, data))
+
+    def remove(self, key: str = "r1") -> None:
+        self._version += 1
+        self.registry.apply(StoredRow(key, self._version, b"", removed=True))
+
+    @property
+    def ids(self) -> list[str]:
+        return sorted(self.registry.runners)
+
+
+class TestEntries:
+    """Entries."""
+
+    def test_an_entry_becomes_a_runner(self) -> None:
+        world = _World()
+        world.write(ENTRY)
+        runner = world.registry.runners[RunnerId("r1")]
+        assert (runner.ip, runner.born, runner.state) == ("10.0.0.1", 17, RunnerState.READY)
+        assert {key.adapter: version for key, version in runner.adapters.items()} == {
+            "a1": 2,
+            "a7": 1,
+        }
+
+    @pytest.mark.parametrize(
+        "value",
+        [
+            b"\xff\xfe",
+            b"[]",
+            b"null",
+            {**ENTRY, "state": "sleeping"},
+            {**ENTRY, "slots": "64"},
+            {**ENTRY, "slots": True},
+            {**ENTRY, "born": 1.5},
+            {**ENTRY, "address": "nowhere"},
+            {**ENTRY, "service": None},
+            {key: value for key, value in ENTRY.items() if key != "zone"},
+        ],
+    )
+    def test_an_entry_of_another_writer_names_no_runner(
+        self, value: bytes | dict[str, object]
+    ) -> None:
+        world = _World()
+        world.write(ENTRY, "r2")
+        world.write(value)
+        assert world.ids == ["r2"]
+
+    def test_a_drained_runner_is_kept_as_draining(self) -> None:
+        world = _World()
+        world.write(ENTRY)
+        world.write({**ENTRY, "state": "draining", "remaining_ms": 1500})
+        assert world.registry.runners[RunnerId("r1")].state is RunnerState.DRAINING
+
+
+class TestRemovedEntries:
+    """Removed entries."""
+
+    def test_a_removed_entry_ends_new_work_at_once(self) -> None:
+        """Some runners never report that they leave: only their entry goes."""
+        world = _World()
+        world.write(ENTRY)
+        world.remove()
+        assert world.gone == ["r1"]
+
+    def test_an_entry_that_lapsed_in_an_outage_may_come_back(self) -> None:
+        world = _World()
+        world.write(ENTRY)
+        world.steady = False
+        world.remove()
+        assert world.ids == ["r1"]
+        world.now += LAPSE_GRACE_S / 2
+        world.write(ENTRY)
+        world.steady = True
+        world.now += LAPSE_GRACE_S
+        world.registry.expire()
+        assert world.ids == ["r1"]
+
+    def test_an_entry_still_missing_after_the_outage_is_gone(self) -> None:
+        world = _World()
+        world.write(ENTRY)
+        world.steady = False
+        world.remove()
+        world.now += 60.0
+        world.registry.expire()
+        assert world.gone == []
+        world.steady = True
+        world.registry.expire()
+        assert world.gone == ["r1"]
+
+    def test_a_draining_runner_does_not_come_back_through_an_outage(self) -> None:
+        world = _World()
+        world.write({**ENTRY, "state": "draining"})
+        world.steady = False
+        world.remove()
+        assert world.gone == ["r1"]
--- /dev/null
+++ b/tests/gateway/test_site.py
@@ -0,0 +1,380 @@
+"""Tests of the whole path: a client's request through gateway, agent, store and runners."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import pytest
+
+from tests.gateway.site import Answer, Site, configuration, running_site
+from tests.platform.runner_stand_in import Fault, RunnerStandIn
+from tests.platform.store_stand_in import Trouble
+
+Result = TypeVar("Result")
+
+
+def _play(play: Callable[[Site], Awaitable[Result]], **parts: int) -> Result:
+    async def run() -> Result:
+        async with running_site(**parts) as site:
+            return await play(site)
+
+    return asyncio.run(run())
+
+
+def _runs(site: Site) -> list[dict[str, object]]:
+    return [run for runner in site.runners.values() for run in runner.runs]
+
+
+class TestPassThrough:
+    """Pass through."""
+
+    def test_an_answer_is_the_runners(self) -> None:
+        async def play(site: Site) -> tuple[Answer, list[dict[str, object]]]:
+            headers = {"X-Own": "kept", "Connection": "x-hop", "X-Hop": "dropped", "Hold": "9"}
+            answer = await site.call("/book/7?q=%20", headers=headers, body=b"pay")
+            return answer, _runs(site)
+
+        answer, runs = _play(play)
+        assert (answer.status, answer.body) == (200, b"answer to /book/7?q=%20")
+        assert answer.fields[b"response-signature"].startswith(b"sig.p")
+        assert len(runs) == 1
+        fields = runs[0]["fields"]
+        assert isinstance(fields, dict)
+        assert runs[0]["body"] == b"pay"
+        assert fields[b"x-own"] == b"kept"
+        assert not fields.keys() & {b"x-hop", b"hold", b"keep-alive"}
+        assert fields[b"expected-instance"].startswith(b"p")
+        assert 0 < int(fields[b"deadline-remaining"]) <= 1500
+
+    def test_the_adapter_is_loaded_and_the_stream_is_whole(self) -> None:
+        answer, runs = _play(self._one_stream)
+        assert (answer.status, answer.event_ids) == (200, [1, 2, 3, 4, 5, 6])
+        assert [run["adapter"] for run in runs] == ["a5"]
+
+    async def _one_stream(self, site: Site) -> tuple[Answer, list[dict[str, object]]]:
+        return await site.call("/ask/x", adapter="a5"), _runs(site)
+
+    def test_unknown_paths_get_404(self) -> None:
+        async def play(site: Site) -> int:
+            return (await site.call("/elsewhere/x")).status
+
+        assert _play(play) == 404
+
+    def test_before_any_configuration_the_answer_is_503(self) -> None:
+        """A 404 would tell the client that the route does not exist."""
+
+        async def run() -> Answer:
+            site = Site()
+            await site.store.start()
+            site.store.trouble = Trouble.REFUSING
+            await site.add_gateway()
+            try:
+                return await site.call("/book/1")
+            finally:
+                await site.close()
+
+        answer = asyncio.run(run())
+        assert answer.status == 503
+        assert float(answer.fields[b"retry-after"]) > 0
+
+
+class TestAtMostOnce:
+    """At most once."""
+
+    def test_an_unsafe_request_whose_answer_is_lost_is_not_repeated(self) -> None:
+        async def play(site: Site) -> tuple[int, int]:
+            for runner in site.runners.values():
+                runner.faults = [Fault.BREAK_BEFORE]
+            answer = await site.call("/book/1")
+            return answer.status, len(_runs(site))
+
+        assert _play(play) == (502, 1)
+
+    def test_a_refusal_by_a_runner_is_no_run(self) -> None:
+        async def play(site: Site) -> tuple[int, int]:
+            for runner in site.runners.values():
+                runner.faults = [Fault.REFUSE]
+            answer = await site.call("/book/1")
+            return answer.status, len(_runs(site))
+
+        status, runs = _play(play)
+        assert (status, runs) in [(200, 1), (503, 0)]
+
+    def test_a_stream_that_may_not_be_resumed_runs_once(self) -> None:
+        async def play(site: Site) -> tuple[Answer, int]:
+            for runner in site.runners.values():
+                runner.faults = [Fault.BREAK_MIDWAY]
+            answer = await site.call("/draft/1", adapter="a1")
+            return answer, len(_runs(site))
+
+        answer, runs = _play(play)
+        assert not answer.complete
+        assert (answer.event_ids, runs) == ([1, 2], 1)
+
+    def test_a_runner_gone_before_the_request_leaves_it_free_to_go_elsewhere(self) -> None:
+        async def play(site: Site) -> int:
+            site.runners["p0"].close()
+            return sum([(await site.call("/book/1")).status == 200 for _ in range(6)])
+
+        assert _play(play) == 6
+
+
+class TestRepeats:
+    """Repeats."""
+
+    def test_a_safe_request_goes_to_another_runner(self) -> None:
+        async def play(site: Site) -> tuple[int, set[str]]:
+            for runner in site.runners.values():
+                runner.faults = [Fault.BREAK_BEFORE] if runner.runner_id == "p0" else []
+            statuses = [(await site.call("/read/1", method="GET", body=b"")).status for _ in "1234"]
+            return statuses.count(200), {r.runner_id for r in site.runners.values() if r.runs}
+
+        assert _play(play)[0] == 4
+
+    def test_the_first_failure_of_a_runner_is_passed_on_when_all_fail(self) -> None:
+        async def play(site: Site) -> Answer:
+            for runner in site.runners.values():
+                runner.faults = [Fault.FAIL] * 4
+            return await site.call("/read/1", method="GET", body=b"")
+
+        answer = _play(play)
+        assert (answer.status, answer.body) == (500, b"failed")
+        assert b"response-signature" in answer.fields
+
+    def test_a_success_without_a_signature_is_none(self) -> None:
+        async def play(site: Site) -> Answer:
+            for runner in site.runners.values():
+                runner.faults = [Fault.BARE]
+            return await site.call("/book/1")
+
+        answer = _play(play)
+        assert answer.status == 502
+        assert b"unsigned" not in answer.body
+
+    def test_a_stream_goes_on_at_another_runner(self) -> None:
+        """One answer: the first runner's head, every event once, the end only at the end."""
+
+        async def play(site: Site) -> tuple[Answer, list[dict[str, object]]]:
+            for runner in site.runners.values():
+                runner.faults = [Fault.BREAK_MIDWAY]
+            first = await site.call("/ask/1", adapter="a1")
+            return first, _runs(site)
+
+        answer, runs = _play(play)
+        starts = [run["first"] for run in runs]
+        assert starts[:2] == [1, 3]
+        assert len(runs) <= 2, "max_attempts bounds the runners that run one attempt"
+        assert answer.event_ids == list(range(1, len(answer.event_ids) + 1))
+        assert answer.complete == (answer.event_ids[-1] == 6)
+
+
+class TestAdapterPlaces:
+    """Adapter places."""
+
+    def test_places_never_overflow_and_used_adapters_stay(self) -> None:
+        """Pattern: a flood of rare adapters, more at once than there are places."""
+
+        async def play(site: Site) -> tuple[list[int], int]:
+            calls = [site.call("/ask/1", adapter=f"a{n}", gateway=n % 2) for n in range(24)]
+            answers = await asyncio.gather(*calls)
+            return [answer.status for answer in answers], max(
+                runner.most_held for runner in site.runners.values()
+            )
+
+        statuses, most_held = _play(play, gateways=2)
+        assert most_held <= 3
+        assert set(statuses) <= {200, 503}
+        assert statuses.count(200) >= 12
+
+    def test_orders_without_an_answer_do_not_stop_the_agent(self) -> None:
+        """Pattern: workers leave orders unanswered; each held up the agent for 0.4 s."""
+
+        async def play(site: Site) -> tuple[list[int], int]:
+            for runner in site.runners.values():
+                runner.lost_orders = 2
+            calls = [site.call("/ask/1", adapter=f"a{n}") for n in range(6)]
+            answers = await asyncio.gather(*calls)
+            return [answer.status for answer in answers], max(
+                runner.most_held for runner in site.runners.values()
+            )
+
+        statuses, most_held = _play(play)
+        assert statuses.count(200) == 6
+        assert most_held <= 3
+
+    def test_orders_name_one_holder_and_a_token_that_rises(self) -> None:
+        """A token that fell after a restart of the holder broke the order rule."""
+
+        async def play(site: Site) -> list[tuple[str, int]]:
+            runner = site.runners["e0"]
+            await site.call("/ask/1", adapter="a1")
+            await site.agents["e0"].close()
+            await site.start_agent("e0")
+            await asyncio.sleep(0.3)
+            await asyncio.gather(*(site.call("/ask/1", adapter=f"a{n}") for n in range(2, 8)))
+            return [(order["holder"], order["fencing_token"]) for order in runner.orders]
+
+        orders = _play(play, engines=1)
+        assert len({holder for holder, _ in orders}) == 1
+        tokens = [token for _, token in orders]
+        assert tokens == sorted(tokens)
+        assert len(set(tokens)) == 2
+
+    def test_a_dead_agent_does_not_stop_adapters_in_place(self) -> None:
+        async def play(site: Site) -> int:
+            await site.call("/ask/1", adapter="a1")
+            for agent in site.agents.values():
+                await agent.close()
+            await asyncio.sleep(0.05)
+            return (await site.call("/ask/1", adapter="a1")).status
+
+        assert _play(play) == 200
+
+    def test_a_new_version_takes_hold(self) -> None:
+        async def play(site: Site) -> list[object]:
+            await site.call("/ask/1", adapter="a1")
+            for runner in site.runners.values():
+                runner.newest["a1"] = 2
+            site.store.put(
+                "op", "version/base.a1", {"model": "base", "adapter": "a1", "version": 2}
+            )
+            await asyncio.sleep(0.3)
+            for _ in range(3):
+                await site.call("/ask/1", adapter="a1")
+            return [run["version"] for run in _runs(site)]
+
+        assert _play(play) == [1, 2, 2, 2]
+
+    def test_a_restarted_engine_is_filled_anew(self) -> None:
+        async def play(site: Site) -> int:
+            runner = site.runners["e0"]
+            await site.call("/ask/1", adapter="a1")
+            _restart(runner)
+            site.store.put("servers", "e0", runner.entry())
+            await asyncio.sleep(0.3)
+            return (await site.call("/ask/1", adapter="a1")).status
+
+        assert _play(play, engines=1) == 200
+
+
+def _restart(runner: RunnerStandIn) -> None:
+    runner.born += 1
+    runner.sequence = 0
+    runner.adapters.clear()
+
+
+class TestTheStore:
+    """The store."""
+
+    def test_a_configuration_is_in_force_at_once(self) -> None:
+        async def play(site: Site) -> list[int]:
+            before = (await site.call("/new/1")).status
+            config = configuration(7)
+            routes = config["routes"]
+            assert isinstance(routes, list)
+            routes.append({**routes[3], "name": "new", "prefix": "/new/"})
+            site.store.put("op", "config", config)
+            await asyncio.sleep(0.1)
+            return [before, (await site.call("/new/1")).status]
+
+        assert _play(play) == [404, 200]
+
+    def test_an_older_configuration_is_ignored(self) -> None:
+        async def play(site: Site) -> int:
+            site.store.put("op", "config", configuration(9))
+            await asyncio.sleep(0.1)
+            site.store.put("op", "config", {**configuration(8), "routes": []})
+            await asyncio.sleep(0.1)
+            return (await site.call("/book/1")).status
+
+        assert _play(play) == 200
+
+    @pytest.mark.parametrize("trouble", [Trouble.REFUSING, Trouble.SILENT])
+    def test_an_outage_stops_nothing(self, trouble: Trouble) -> None:
+        async def play(site: Site) -> list[int]:
+            site.store.trouble = trouble
+            site.store.reset_connections()
+            await asyncio.sleep(0.1)
+            calls = [site.call("/book/1"), site.call("/ask/1", adapter="a1")]
+            return [answer.status for answer in await asyncio.gather(*calls)]
+
+        assert _play(play) == [200, 200]
+
+    def test_a_lost_history_is_read_anew(self) -> None:
+        async def play(site: Site) -> int:
+            site.store.put("op", "config", configuration(5))
+            await asyncio.sleep(0.1)
+            site.store.compact()
+            site.store.reset_connections()
+            site.store.put("servers", "p0", site.runners["p0"].entry("draining"))
+            await asyncio.sleep(1.5)
+            before = len(site.runners["p0"].runs)
+            for _ in range(6):
+                await site.call("/book/1")
+            return len(site.runners["p0"].runs) - before
+
+        assert _play(play) == 0
+
+    def test_a_lost_answer_of_the_token_write_is_repeated(self) -> None:
+        async def run() -> int:
+            site = Site()
+            await site.store.start()
+            site.store.put("op", "config", configuration())
+            site.store.trouble = Trouble.LOSING_ANSWERS
+            await site.add_engine("e0")
+            await site.add_gateway()
+            await site.ready(1)
+            try:
+                site.store.trouble = Trouble.NONE
+                return (await site.call("/ask/1", adapter="a1")).status
+            finally:
+                await site.close()
+
+        assert asyncio.run(run()) == 200
+
+
+class TestLeaving:
+    """Leaving."""
+
+    def test_a_draining_runner_gets_nothing_new(self) -> None:
+        async def play(site: Site) -> int:
+            site.store.put("servers", "p0", site.runners["p0"].entry("draining"))
+            await asyncio.sleep(0.8)
+            for _ in range(6):
+                await site.call("/book/1")
+            return len(site.runners["p0"].runs)
+
+        assert _play(play) == 0
+
+    def test_a_stop_ends_open_answers_first(self) -> None:
+        async def play(site: Site) -> Answer:
+            site.runners["e0"].events = 60
+            call = asyncio.ensure_future(site.call("/ask/1", adapter="a1"))
+            await asyncio.sleep(0.2)
+            stop = asyncio.ensure_future(site.gateways[0].drain())
+            answer = await call
+            await stop
+            return answer
+
+        answer = _play(play, engines=1)
+        assert answer.complete
+        assert len(answer.event_ids) == 60
+
+    def test_a_client_that_leaves_stops_its_run(self) -> None:
+        async def play(site: Site) -> int:
+            site.runners["e0"].events = 400
+            call = asyncio.ensure_future(site.call("/ask/1", adapter="a1"))
+            await asyncio.sleep(0.3)
+            call.cancel()
+            await asyncio.sleep(0.2)
+            return sum(site.runners["e0"].busy.values())
+
+        assert _play(play, engines=1) == 0
+
+    def test_the_time_of_the_route_ends_a_request(self) -> None:
+        async def play(site: Site) -> int:
+            for runner in site.runners.values():
+                runner.faults = [Fault.HANG]
+            return (await site.call("/book/1", headers={"Deadline-Remaining": "200"})).status
+
+        assert _play(play) == 504
--- /dev/null
+++ b/tests/platform/runner_stand_in.py
@@ -0,0 +1,222 @@
+"""A stand-in of a runner: an engine with adapter places, or a plain service."""
+
+import asyncio
+import contextlib
+import enum
+from typing import Any
+
+import orjson
+
+from dragonflyhold.gateway.http_server import ClientRequest, HttpServer, Responder
+from dragonflyhold.gateway.model import Address, IngressLimits
+
+LOAD_S = 0.03
+STEP_S = 0.005
+
+
+class Fault(enum.Enum):
+    """What the next request meets."""
+
+    REFUSE = "refuse"
+    BREAK_BEFORE = "break before the answer"
+    BREAK_MIDWAY = "break midway, inside an event"
+    FAIL = "fail with a status of its own"
+    BARE = "succeed without a signature"
+    HANG = "hang"
+
+
+class RunnerStandIn:
+    """Runs requests and orders; records every run for the oracle."""
+
+    def __init__(self, host: str, runner_id: str, service: str, *, slots: int = 3) -> None:
+        self.runner_id = runner_id
+        self.service = service
+        self.born = 1
+        self.slots = slots
+        self.sequence = 0
+        self.adapters: dict[str, int] = {}
+        self.coming: dict[str, int] = {}
+        self.newest: dict[str, int] = {}
+        self.faults: list[Fault] = []
+        # Answers to this many next orders are lost; the orders are carried out.
+        self.lost_orders = 0
+        self.events = 6
+        self.runs: list[dict[str, Any]] = []
+        self.orders: list[dict[str, Any]] = []
+        self.most_held = 0
+        self.busy: dict[str, int] = {}
+        self._host = host
+        self._server = HttpServer(self._handle, IngressLimits())
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def address(self) -> Address:
+        """Return where it listens."""
+        assert self._server._server is not None
+        host, port = self._server._server.sockets[0].getsockname()
+        return Address(f"{host}:{port}")
+
+    async def start(self) -> None:
+        """Open the listener."""
+        await self._server.listen(self._host, 0)
+
+    def close(self) -> None:
+        """Stop at once, as in a crash."""
+        self._server.close_listener()
+        for connection in list(self._server.connections):
+            connection.abort()
+
+    def entry(self, state: str = "ready") -> dict[str, Any]:
+        """Return the runner's row in the registry."""
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": "dc-a",
+            "version": "v1",
+            "slots": 8,
+            "state": state,
+            "cold_remaining_ms": 0,
+            "models": self._models(),
+            "sequence": self.sequence,
+            "born": self.born,
+        }
+
+    def _models(self) -> list[dict[str, Any]]:
+        names = [f"{name}@{version}" for name, version in self.adapters.items()]
+        return [{"name": "base", "version": 1, "adapters": names}]
+
+    async def _handle(self, request: ClientRequest, responder: Responder) -> None:
+        expected = request.fields.get(b"expected-instance")
+        if request.target == b"/report":
+            self._json(responder, 200, self._report())
+        elif expected is not None and expected.decode() != self.runner_id:
+            responder.send(421, [(b"Instance-Id", self.runner_id.encode())])
+        elif request.target == b"/health":
+            responder.send(200, [(b"Instance-Id", self.runner_id.encode())])
+        elif request.target == b"/order":
+            self._order(responder, orjson.loads(request.body))
+        else:
+            await self._run(request, responder)
+
+    def _report(self) -> dict[str, Any]:
+        return {
+            "stage": "both",
+            "models": self._models(),
+            "busy": False,
+            "sequence": self.sequence,
+            "running": sum(self.busy.values()),
+            "waiting": 0,
+            "coming": [f"base/{name}@{version}" for name, version in self.coming.items()],
+            "born": self.born,
+        }
+
+    def _order(self, responder: Responder, order: dict[str, Any]) -> None:
+        self.orders.append(order)
+        status = self._carry_out(order)
+        if self.lost_orders:
+            self.lost_orders -= 1
+            responder.break_off()
+            return
+        responder.send(status, [])
+
+    def _carry_out(self, order: dict[str, Any]) -> int:
+        if order["expected"] != self.sequence:
+            return 409
+        name = order["adapter"]
+        self.sequence += 1
+        if order["operation"] == "unload":
+            assert self.busy.get(name, 0) == 0, "an adapter in use was ordered away"
+            self.adapters.pop(name, None)
+            return 200
+        version = order.get("version") or self.newest.get(name, 1)
+        self.coming[name] = version
+        self.most_held = max(self.most_held, len(self.adapters.keys() | self.coming.keys()))
+        task = asyncio.get_running_loop().create_task(self._load(name, version))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return 202
+
+    async def _load(self, name: str, version: int) -> None:
+        await asyncio.sleep(LOAD_S)
+        self.coming.pop(name, None)
+        self.adapters[name] = version
+
+    async def _run(self, request: ClientRequest, responder: Responder) -> None:
+        fields = request.fields
+        request_id = fields.get(b"attempt-id", b"")
+        echo = (b"Attempt-Id", request_id)
+        adapter = fields.get(b"model", b"").decode().partition("/")[2]
+        wanted = fields.get(b"expected-version")
+        if adapter and (
+            adapter not in self.adapters
+            or (wanted is not None and int(wanted) != self.adapters[adapter])
+        ):
+            responder.send(421, [echo])
+            return
+        fault = self.faults.pop(0) if self.faults else None
+        if fault is Fault.REFUSE:
+            responder.send(503, [echo, (b"Not-Executed", b"1")])
+            return
+        first = int(fields.get(b"last-event-id", b"0")) + 1
+        self.runs.append(
+            {
+                "id": request_id.decode(),
+                "adapter": adapter,
+                "version": self.adapters.get(adapter),
+                "first": first,
+                "fields": dict(fields),
+                "body": request.body,
+                "target": request.target,
+            }
+        )
+        self.busy[adapter] = self.busy.get(adapter, 0) + 1
+        try:
+            await self._answer(request, responder, echo, first, fault)
+        finally:
+            self.busy[adapter] -= 1
+
+    async def _answer(
+        self,
+        request: ClientRequest,
+        responder: Responder,
+        echo: tuple[bytes, bytes],
+        first: int,
+        fault: Fault | None,
+    ) -> None:
+        signed = [echo, (b"Response-Signature", b"sig." + self.runner_id.encode())]
+        if fault is Fault.HANG:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(5.0):
+                    await asyncio.Event().wait()
+        if fault is Fault.BREAK_BEFORE or fault is Fault.HANG:
+            responder.break_off()
+        elif fault is Fault.FAIL:
+            responder.send(500, signed, b"failed")
+        elif fault is Fault.BARE:
+            responder.send(200, [echo], b"unsigned")
+        elif b"prompt-prefix" not in request.fields:
+            await asyncio.sleep(STEP_S)
+            responder.send(200, signed, b"answer to " + request.target)
+        else:
+            await self._stream(responder, signed, first, fault)
+
+    async def _stream(
+        self,
+        responder: Responder,
+        headers: list[tuple[bytes, bytes]],
+        first: int,
+        fault: Fault | None,
+    ) -> None:
+        responder.start_stream(200, headers)
+        for number in range(first, self.events + 1):
+            await asyncio.sleep(STEP_S)
+            if fault is Fault.BREAK_MIDWAY and number == first + 2:
+                await responder.write(b"id: %d\ndata: ha" % number)
+                await asyncio.sleep(STEP_S)
+                responder.break_off()
+                return
+            await responder.write(b"id: %d\ndata: piece %d\n\n" % (number, number))
+        responder.end_stream()
+
+    def _json(self, responder: Responder, status: int, body: dict[str, Any]) -> None:
+        responder.send(status, [(b"Content-Type", b"application/json")], orjson.dumps(body))
--- /dev/null
+++ b/tests/platform/store_stand_in.py
@@ -0,0 +1,157 @@
+"""A stand-in of the platform's metadata store: rows, transactions, feeds, and its failures."""
+
+import asyncio
+import base64
+import dataclasses
+import enum
+from typing import Any
+from urllib.parse import parse_qs
+
+import orjson
+
+from dragonflyhold.gateway.http_server import ClientRequest, HttpServer, Responder
+from dragonflyhold.gateway.model import Address, IngressLimits
+
+
+class Trouble(enum.Enum):
+    """How the store misbehaves."""
+
+    NONE = "none"
+    # Answers 503 without doing anything.
+    REFUSING = "refusing"
+    # Takes calls and never answers.
+    SILENT = "silent"
+    # Does writes and loses the answer.
+    LOSING_ANSWERS = "losing answers"
+
+
+@dataclasses.dataclass
+class _Row:
+    value: str | None
+    version: int
+
+
+class StoreStandIn:
+    """Serves the calls that the project uses, from memory."""
+
+    def __init__(self) -> None:
+        self.trouble = Trouble.NONE
+        self.calls: list[str] = []
+        # Feeds before this version get 410.
+        self.oldest = 0
+        self._version = 0
+        self._tables: dict[str, dict[str, _Row]] = {}
+        self._changed = asyncio.Event()
+        self._server = HttpServer(self._handle, IngressLimits())
+
+    @property
+    def address(self) -> Address:
+        """Return where it listens."""
+        assert self._server._server is not None
+        host, port = self._server._server.sockets[0].getsockname()
+        return Address(f"{host}:{port}")
+
+    async def start(self) -> None:
+        """Open the listener."""
+        await self._server.listen("127.0.0.1", 0)
+
+    def close(self) -> None:
+        """End all connections."""
+        self._server.close_listener()
+        self.reset_connections()
+
+    def reset_connections(self) -> None:
+        """Reset all open connections."""
+        for connection in list(self._server.connections):
+            connection.abort()
+
+    def put(self, table: str, key: str, value: object) -> int:
+        """Write a row as the operator or a runner does; bytes are stored as they are."""
+        data = value if isinstance(value, bytes) else orjson.dumps(value)
+        return self._write(table, key, base64.b64encode(data).decode())
+
+    def remove(self, table: str, key: str) -> None:
+        """Drop a row."""
+        self._write(table, key, None)
+
+    def compact(self) -> None:
+        """Discard the history."""
+        self.oldest = self._version
+
+    def _write(self, table: str, key: str, value: str | None) -> int:
+        self._version += 1
+        self._tables.setdefault(table, {})[key] = _Row(value, self._version)
+        self._changed.set()
+        self._changed = asyncio.Event()
+        return self._version
+
+    async def _handle(self, request: ClientRequest, responder: Responder) -> None:
+        path, _, query = request.target.decode().partition("?")
+        self.calls.append(path)
+        if self.trouble is Trouble.REFUSING:
+            responder.send(503, [])
+            return
+        if self.trouble is Trouble.SILENT:
+            await asyncio.Event().wait()
+        arguments = {name: values[0] for name, values in parse_qs(query).items()}
+        if path == "/rows-get":
+            self._reply(responder, 200, self._get(arguments))
+        elif path == "/rows-feed":
+            await self._feed(responder, arguments)
+        elif path == "/rows-tx":
+            status, body = self._transact(orjson.loads(request.body))
+            if self.trouble is Trouble.LOSING_ANSWERS:
+                responder.break_off()
+                return
+            self._reply(responder, status, body)
+        else:
+            responder.send(404, [])
+
+    def _get(self, arguments: dict[str, str]) -> dict[str, Any]:
+        rows = self._tables.get(arguments["table"], {})
+        start, limit = arguments.get("from", ""), int(arguments.get("limit", "500"))
+        keys = sorted(key for key, row in rows.items() if row.value is not None and key >= start)
+        return {
+            "rows": [self._encode(arguments["table"], key) for key in keys[:limit]],
+            "more_pages": len(keys) > limit,
+        }
+
+    async def _feed(self, responder: Responder, arguments: dict[str, str]) -> None:
+        table, after = arguments["table"], int(arguments["after"])
+        if after < self.oldest:
+            responder.send(410, [])
+            return
+        try:
+            async with asyncio.timeout(int(arguments["wait_ms"]) / 1000):
+                while not self._after(table, after):
+                    await self._changed.wait()
+        except TimeoutError:
+            pass
+        rows = [self._encode(table, key) for key in self._after(table, after)]
+        self._reply(responder, 200, {"rows": rows})
+
+    def _after(self, table: str, after: int) -> list[str]:
+        rows = self._tables.get(table, {})
+        changed = [key for key, row in rows.items() if row.version > after]
+        return sorted(changed, key=lambda key: rows[key].version)
+
+    def _transact(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        for item in body["expected"]:
+            row = self._tables.get(item["table"], {}).get(item["key"])
+            version = row.version if row is not None and row.value is not None else 0
+            if version != item["row_version"]:
+                return 412, {"rows": []}
+        for item in body["writes"]:
+            self._write(item["table"], item["key"], item["value"])
+        return 200, {}
+
+    def _encode(self, table: str, key: str) -> dict[str, Any]:
+        row = self._tables[table][key]
+        fields = {"table": table, "part": "", "key": key, "row_version": row.version}
+        if row.value is None:
+            return {**fields, "removed": True}
+        return {**fields, "value": row.value}
+
+    def _reply(self, responder: Responder, status: int, body: dict[str, Any]) -> None:
+        fields = {**body, "row_version": self._version, "now_ms": 1}
+        responder.send(status, [(b"Content-Type", b"application/json")], orjson.dumps(fields))
