Give scarce places to requests in time, copy popular adapters to empty runners

Change: late requests rank behind those in time, copies on the engine's VM load first, homes are kept under backlog, an order's answer is awaited 20 ms, overloaded holders share popular adapters.

--- a/src/dragonflyhold/gateway/agent.py
+++ b/src/dragonflyhold/gateway/agent.py
@@ -55,6 +55,10 @@
 PUBLISH_PERIOD_S = HEARTBEAT_S / 2
 # Requests of this many seconds ago count half when an adapter to evict is chosen.
 POPULARITY_HALF_LIFE_S = 6.0
+STATE_LOG_PERIOD_S = 0.5
+# Adapters that a VM keeps copies of, for each place of its engine; from the sheets (102 for 17 and
+# 108 for 18 places).
+COPIES_PER_SLOT = 6
 # Reads of the engine that fail in a row before its state is taken as unknown.
 MAX_FAILED_READS = 2
 
@@ -97,10 +101,13 @@
         self._unloading: set[ModelAdapter] = set()
         self._fencing_token: int | None = None
         self._runner_id: RunnerId | None = None
+        # Keys in the order in which the engine last held them.
+        self._copies: dict[ModelAdapter, None] = {}
         self._doubtful: list[DoubtfulLoad] = []
         self._changed = asyncio.Event()
         self._published: tuple[object, ...] = ()
         self._published_at = 0.0
+        self._logged_at = 0.0
 
     # Links with gateways.
 
@@ -188,13 +195,25 @@
                 adapters=len(report.adapters),
             )
             self._unloading.clear()
+            self._copies.clear()
             self._runner_id = None
         self._unloading &= report.adapters.keys()
+        self._note_copies(report)
         if self._runner_id is None:
             service = self._catalogue.engine_service(self._service)
             if service is not None:
                 self._runner_id = await self._engine.identify(service.health_path)
 
+    def _note_copies(self, report: EngineReport) -> None:
+        """Remember what the VM keeps copies of: the adapters that the engine held last."""
+        for key in report.adapters:
+            self._copies.pop(key, None)
+            self._copies[key] = None
+        spec = self._catalogue.engine(self._service)
+        most = COPIES_PER_SLOT * (spec.adapter_slots if spec is not None else 1)
+        while len(self._copies) > most:
+            del self._copies[next(iter(self._copies))]
+
     async def _carry_out(self, report: EngineReport) -> None:
         spec = self._catalogue.engine(self._service)
         if spec is None or not await self._ensure_token():
@@ -269,7 +288,8 @@
 
     def _view(self, report: EngineReport, spec: EngineSpec) -> EngineView:
         now = time.monotonic()
-        wanted = sum_demands(self._links.values(), now)
+        warm = frozenset(self._copies)
+        wanted = sum_demands(self._links.values(), now, warm)
         return EngineView(
             report=report,
             slots=spec.adapter_slots - self._reserved(report, now),
@@ -277,11 +297,29 @@
             versions=self._catalogue.versions,
             frequency={key: self._popularity.estimate(key, now) for key in report.adapters},
             unloading=frozenset(self._unloading),
+            warm=warm,
+        )
+
+    def _log_state(self, update: EngineUpdate, now: float) -> None:
+        if now - self._logged_at < STATE_LOG_PERIOD_S:
+            return
+        self._logged_at = now
+        self._log.info(
+            "The engine's state.",
+            running=update.running,
+            waiting=update.waiting,
+            resident=len(update.resident),
+            coming=len(update.coming),
+            free=update.free_places,
+            backlog=update.backlog,
+            has_model=update.has_model,
+            gateways=len(self._links),
         )
 
     def _publish(self) -> None:
         now = time.monotonic()
         update = self._update()
+        self._log_state(update, now)
         state = (update.born, update.resident, update.has_model, update.free_places > 0)
         if state == self._published and now - self._published_at < PUBLISH_PERIOD_S:
             return
--- a/src/dragonflyhold/gateway/dispatch.py
+++ b/src/dragonflyhold/gateway/dispatch.py
@@ -15,6 +15,8 @@
 MAX_SUSPENSION_S = 2.0
 # A runner that owes an answer and sent nothing for this long gets no new work meanwhile.
 STALL_S = 0.6
+# Weight of the newest time to the first byte in a runner's mean.
+FIRST_BYTE_WEIGHT = 0.1
 # Weight of the newest outcome in a runner's failure rate.
 FAILURE_WEIGHT = 0.2
 # Seconds after which half of a failure rate is forgotten.
@@ -24,8 +26,19 @@
 LOCAL_BONUS = 0.5
 # An agent's numbers older than this no longer count.
 REPORT_AGE_S = 1.5
-# Adapters waiting for a place at the first choice before the second is considered.
-BACKLOG_LIMIT = 2
+# A new engine is used without the word of its agent after this long: the registry's word on what
+# it holds is older, and after a start of all VMs the engine is empty.
+AGENT_WAIT_S = 0.6
+# Adapters that may wait more at an adapter's home than at its next choice: the next choice fetches
+# it from the weight store, which takes ten times as long and has a price.
+COLD_COST = 3.0
+# Share of a runner's batch from which its popular adapters are copied to runners that have fewer
+# requests than this ratio of it, and at least this many free places.
+COPY_LOAD_SHARE = 0.3
+COPY_RATIO = 0.5
+COPY_FREE_PLACES = 3
+# Free places beyond this many make a runner no better.
+SPARE_PLACES = 2
 
 
 @final
@@ -50,10 +63,14 @@
     reported: int = 0
     reported_own: int = 0
     reported_at: float = -1e9
+    # Mean time from handing a request over to the first byte of its answer, in seconds.
+    first_byte_s: float = 0.05
     suspended_until: float = -1e9
     suspension_s: float = MIN_SUSPENSION_S
     failure_rate: float = 0.0
     failure_at: float = 0.0
+    # An engine's state is told by its agent: until when to wait for the first word.
+    agent_awaited_until: float = -1e9
     # Monotonic time of the last byte from the runner, and since when it owes an answer.
     last_heard: float = 0.0
     owes_since: float | None = None
@@ -74,6 +91,7 @@
             self.runner.state is RunnerState.READY
             and self.has_model
             and now >= self.suspended_until
+            and (self.is_linked or now >= self.agent_awaited_until)
             and not self.is_stalled(now)
         )
 
@@ -124,7 +142,7 @@
         self._data_centre = data_centre
         self._rng = rng
 
-    def put(self, runner: Runner) -> bool:
+    def put(self, runner: Runner, has_agent: bool = False, now: float = 0.0) -> bool:
         """Add or change a runner; return whether this is a new lifetime."""
         view = self.views.get(runner.runner_id)
         if view is not None and view.runner.born == runner.born:
@@ -132,6 +150,8 @@
             return False
         view = RunnerView(runner, hash64(runner.address.encode()))
         view.resident = dict(runner.adapters)
+        if has_agent:
+            view.agent_awaited_until = now + AGENT_WAIT_S
         self.views[runner.runner_id] = view
         return True
 
@@ -189,6 +209,28 @@
         home.sent_to_wait += 1
         return WaitFor(home.runner.runner_id)
 
+    def copy_place(
+        self, service: ServiceName, target: ModelAdapter, holder: RunnerId, now: float
+    ) -> RunnerId | None:
+        """Return the runner that should hold a copy of an adapter whose holder has too much.
+
+        Popular adapters fill one runner's batch while others, restarted ones above all, are empty.
+        """
+        loaded = self.views[holder]
+        if loaded.load(now) < COPY_LOAD_SHARE * loaded.runner.slots:
+            return None
+        others = [
+            view
+            for view in self.of_service(service)
+            if view.is_linked
+            and view.is_available(now)
+            and view.free_places - view.sent_to_wait >= COPY_FREE_PLACES
+            and view.load(now) < COPY_RATIO * loaded.load(now)
+        ]
+        if not others or any(target in view.resident for view in others):
+            return None
+        return min(others, key=lambda view: view.load(now)).runner.runner_id
+
     def _home(self, views: Iterable[RunnerView], target: ModelAdapter) -> RunnerView:
         """Return the runner that loads an adapter.
 
@@ -200,10 +242,13 @@
         for view in ranked:
             if target in view.coming:
                 return view
-        for view in ranked[:2]:
-            if view.free_places - view.sent_to_wait > 0 and view.backlog <= BACKLOG_LIMIT:
-                return view
-        return max(ranked, key=lambda view: view.free_places - view.backlog - view.sent_to_wait)
+
+        def cost(item: tuple[int, RunnerView]) -> float:
+            place, view = item
+            queue = view.backlog + view.sent_to_wait - min(view.free_places, SPARE_PLACES)
+            return queue + min(place, 2) * COLD_COST
+
+        return min(enumerate(ranked), key=cost)[1]
 
     def _least_loaded(self, views: list[RunnerView], now: float) -> RunnerView:
         self._rng.shuffle(views)
@@ -261,6 +306,12 @@
         view.suspended_until = now + view.suspension_s
         view.suspension_s = min(view.suspension_s * 2, MAX_SUSPENSION_S)
 
+    def note_first_byte(self, runner_id: RunnerId, seconds: float) -> None:
+        """Fold a time to the first byte into the runner's mean."""
+        view = self.views.get(runner_id)
+        if view is not None:
+            view.first_byte_s += FIRST_BYTE_WEIGHT * (seconds - view.first_byte_s)
+
     def report_load(self, runner_id: RunnerId, running: int, waiting: int, now: float) -> None:
         """Take in the load that a runner of a plain service tells in an answer."""
         view = self.views.get(runner_id)
--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -36,7 +36,7 @@
 from dragonflyhold.gateway.registry import Registry
 from dragonflyhold.gateway.request import RequestRun
 from dragonflyhold.gateway.suspects import SuspectTable
-from dragonflyhold.gateway.waiting import DemandBook
+from dragonflyhold.gateway.waiting import DemandBook, Waiter
 from dragonflyhold.ids import ServiceName, Version
 from dragonflyhold.observability.metrics import Metrics
 from dragonflyhold.platform import codec
@@ -50,6 +50,13 @@
 RETRY_SPREAD_S = 0.5
 # Weight of the newest request in the mean size of a route's requests.
 SIZE_WEIGHT = 0.02
+# A copy of an adapter is asked for from this many own requests that run on it at one runner.
+COPY_RUNNING = 2
+# Worth of a copy against a request that waits, how long it is asked for, and the pause between
+# looks, in seconds.
+COPY_WORTH = 0.3
+COPY_WAIT_S = 1.0
+COPY_CHECK_S = 0.05
 # Engines take 10 levels of urgency.
 MAX_URGENCY = 9
 # An answer's tokens weigh this much against a prompt's, from the platform's price list.
@@ -110,6 +117,8 @@
         self._metrics = metrics
         self._agents: dict[str, _AgentLink] = {}
         self._mean_sizes: dict[str, float] = {}
+        self._copies_asked: set[ModelAdapter] = set()
+        self._longest: dict[str, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._rng = random.Random()
 
@@ -251,6 +260,18 @@
         self._mean_sizes[route.name] = mean + SIZE_WEIGHT * (size - mean)
         return min(4.0, 0.3 + 0.7 * size / max(mean, 1.0))
 
+    def age(self, route: Route, facts: RequestFacts) -> float:
+        """Return for how long the caller has been trying, in seconds.
+
+        A caller that was refused comes back with what is left of its time; the longest time seen
+        on a route is what its callers start with.
+        """
+        if facts.time_left_s is None:
+            return 0.0
+        longest = max(self._longest.get(route.name, 0.0), facts.time_left_s)
+        self._longest[route.name] = longest
+        return longest - facts.time_left_s
+
     def urgency(self, route: Route) -> int | None:
         """Return the urgency that an engine is told, ``None`` for plain services."""
         return min(MAX_URGENCY, route.priority) if route.is_stream else None
@@ -264,6 +285,34 @@
         del service
         return RETRY_AFTER_S + self._rng.random() * RETRY_SPREAD_S
 
+    def consider_copy(
+        self, service: ServiceName, target: ModelAdapter | None, holder: RunnerId
+    ) -> None:
+        """Ask for a copy of a popular adapter elsewhere if its runner has too much to do."""
+        if target is None or target in self._copies_asked:
+            return
+        if self.demands.running(holder, target) < COPY_RUNNING:
+            return
+        place = self.table.copy_place(service, target, holder, time.monotonic())
+        if place is not None:
+            self._spawn(self._ask_copy(place, target))
+
+    async def _ask_copy(self, place: RunnerId, target: ModelAdapter) -> None:
+        self._copies_asked.add(target)
+        self.log.info("A copy is asked for.", adapter=target.adapter, runner=place)
+        until = time.monotonic() + COPY_WAIT_S
+        wish = Waiter(target, place, COPY_WORTH, until, asyncio.Event())
+        self.demands.add_waiter(wish)
+        try:
+            while time.monotonic() < until:
+                view = self.table.views.get(place)
+                if view is None or target in view.resident:
+                    return
+                await asyncio.sleep(COPY_CHECK_S)
+        finally:
+            self.demands.remove_waiter(wish)
+            self._copies_asked.discard(target)
+
     def note_started(self, runner_id: RunnerId, target: ModelAdapter | None) -> None:
         """Count a request that is handed over."""
         self.table.started(runner_id, time.monotonic())
@@ -326,7 +375,7 @@
 
     def runner_changed(self, runner: Runner) -> None:
         """Add or change a runner."""
-        is_new = self.table.put(runner)
+        is_new = self.table.put(runner, self._has_engine(runner), time.monotonic())
         if is_new:
             self.pool.forget(runner.address)
         if self._has_engine(runner) and runner.ip not in self._agents:
--- a/src/dragonflyhold/gateway/placement.py
+++ b/src/dragonflyhold/gateway/placement.py
@@ -5,7 +5,7 @@
 """
 
 import dataclasses
-from collections.abc import Iterable, Mapping
+from collections.abc import Container, Iterable, Mapping
 from typing import final
 
 from dragonflyhold.gateway.messages import AdapterDemand
@@ -16,8 +16,13 @@
 MAX_COMING = 4
 # Seconds that an adapter takes from the weight store; from the sheets.
 COLD_LOAD_S = 0.25
-# What a late answer is worth against one in time: between the shares on the users' sheets.
-LATE_WORTH = 0.2
+# Seconds for an adapter that the engine's VM still has a copy of; from the protocol.
+WARM_LOAD_S = 0.025
+# Seconds for which a place is taken by the requests that start after a load.
+PLACE_USE_S = 0.4
+# What a late answer is worth against one in time: the lower share on the users' sheets. Loads for
+# late requests must not make those late that are still in time.
+LATE_WORTH = 0.1
 # Decayed request count from which an idle adapter is worth a load of its new version at once.
 KEEP_FREQUENCY = 1.0
 
@@ -43,15 +48,22 @@
     in_time_until: float
 
 
+def load_time(key: ModelAdapter, warm: Container[ModelAdapter]) -> float:
+    """Return the seconds that a load takes; ``warm`` holds what the VM has copies of."""
+    return WARM_LOAD_S if key in warm else COLD_LOAD_S
+
+
 def sum_demands(
-    demands: Iterable[Mapping[ModelAdapter, TimedDemand]], now: float
+    demands: Iterable[Mapping[ModelAdapter, TimedDemand]],
+    now: float,
+    warm: Container[ModelAdapter] = (),
 ) -> dict[ModelAdapter, Wanted]:
     """Add up the demands of all gateways by adapter, as they are worth at ``now``."""
     totals: dict[ModelAdapter, Wanted] = {}
     for by_adapter in demands:
         for timed in by_adapter.values():
             demand = timed.demand
-            is_late = now + COLD_LOAD_S > timed.in_time_until
+            is_late = now + load_time(demand.key, warm) > timed.in_time_until
             worth = demand.worth * (LATE_WORTH if is_late else 1.0)
             old = totals.get(demand.key, Wanted(demand.key, Version(0), 0, 0.0, 0))
             totals[demand.key] = Wanted(
@@ -80,6 +92,8 @@
     versions: Mapping[ModelAdapter, Version]
     frequency: Mapping[ModelAdapter, float]
     unloading: frozenset[ModelAdapter]
+    # Adapters of which the engine's VM has copies, as far as known.
+    warm: frozenset[ModelAdapter] = frozenset()
 
     def newest(self, key: ModelAdapter) -> Version:
         """Return the newest version known of an adapter."""
@@ -108,7 +122,7 @@
 def missing_adapters(view: EngineView) -> list[Wanted]:
     """Return the adapters that requests wait for and that are not there, the best first.
 
-    The worth that waits decides; among equals the one that waits with more requests.
+    The worth that waits for each second of a place decides, then the number of requests.
     """
     report = view.report
     missing = [
@@ -119,7 +133,12 @@
         and key not in view.unloading
         and (key not in report.adapters or view.may_replace(key))
     ]
-    missing.sort(key=lambda wanted: (-wanted.worth, -wanted.waiting, wanted.key))
+
+    def rank(wanted: Wanted) -> tuple[float, int, ModelAdapter]:
+        place_s = load_time(wanted.key, view.warm) + PLACE_USE_S
+        return (-wanted.worth / place_s, -wanted.waiting, wanted.key)
+
+    missing.sort(key=rank)
     return missing
 
 
--- a/src/dragonflyhold/gateway/request.py
+++ b/src/dragonflyhold/gateway/request.py
@@ -41,8 +41,10 @@
 CHECK_PERIOD_S = 0.25
 # A runner that owes answers and is silent for this long is left by requests that may go elsewhere.
 ABANDON_S = 1.0
-# Time from an adapter in place to the first piece, in seconds: a look, a prefill and a step.
-FIRST_PIECE_S = 0.08
+# Share of its time left for which a caller that was sent away before waits for its adapter.
+RETURN_WAIT_SHARE = 0.25
+# A caller that has tried for this share of the time to the first piece has been here before.
+RETURN_AGE_SHARE = 0.3
 # Waiting for an adapter ends when this share of the client's time is used up.
 WAIT_SHARE = 0.55
 
@@ -87,7 +89,9 @@
         self._deadline = request.received + limit
         self._events = EventSplitter()
         self._worth = gateway.estimate_worth(route, facts)
-        self._in_time_until = request.received + route.target_s - FIRST_PIECE_S
+        age = gateway.age(route, facts)
+        self._is_return = age > RETURN_AGE_SHARE * route.target_s
+        self._target_at = request.received - age + route.target_s
 
     @property
     def deadline(self) -> float:
@@ -121,7 +125,7 @@
         if self.progress.attempts or self.progress.refusals:
             patience = time.monotonic() + NO_RUNNER_SHARE * self._route.target_s
         if gateway.is_linking(self._service):
-            patience = max(patience, self._in_time_until)
+            patience = max(patience, self._request.received + self._route.target_s)
         while True:
             now = time.monotonic()
             if self._deadline - now < MIN_ATTEMPT_S:
@@ -129,6 +133,7 @@
             oldest = gateway.required_version(target)
             match gateway.table.choose(self._service, target, oldest, now, self._excluded()):
                 case SendNow() as choice:
+                    gateway.consider_copy(self._service, target, choice.runner_id)
                     return choice
                 case WaitFor(runner_id):
                     await self._wait_for(runner_id, now)
@@ -145,10 +150,12 @@
     async def _wait_for(self, runner_id: RunnerId, now: float) -> None:
         target = self._facts.target
         assert target is not None
-        until = self._wait_limit(runner_id)
+        view = self._gateway.table.views[runner_id]
+        in_time_until = self._target_at - view.first_byte_s
+        until = self._wait_limit(view, in_time_until)
         if now >= until:
-            raise self._gave_up(Reason.ADAPTER_WAIT)
-        waiter = Waiter(target, runner_id, self._worth, self._in_time_until, asyncio.Event())
+            raise self._gave_up(Reason.ADAPTER_WAIT, str(runner_id))
+        waiter = Waiter(target, runner_id, self._worth, in_time_until, asyncio.Event())
         self._gateway.demands.add_waiter(waiter)
         try:
             async with limit_time(min(until - now, CHECK_PERIOD_S)):
@@ -160,17 +167,19 @@
             self._gateway.demands.remove_waiter(waiter)
             self.progress.waited_s += time.monotonic() - now
 
-    def _wait_limit(self, runner_id: RunnerId) -> float:
+    def _wait_limit(self, view: RunnerView, in_time_until: float) -> float:
         """Return until when to wait for an adapter at a runner.
 
         Where others wait for a place too, a request that can no longer be answered in time gives
-        up its turn: its caller is told when to come back.
+        up its turn: its caller is told when to come back. A caller that comes back is late by
+        then, and waits for a share of its time.
         """
-        view = self._gateway.table.views.get(runner_id)
-        latest = self._request.received + WAIT_SHARE * (self._deadline - self._request.received)
-        if view is not None and view.backlog > 0 and self._facts.target not in view.coming:
-            return min(latest, self._in_time_until)
-        return latest
+        arrived, left = self._request.received, self._deadline - self._request.received
+        if view.backlog == 0 or self._facts.target in view.coming:
+            return arrived + WAIT_SHARE * left
+        if self._is_return:
+            return arrived + RETURN_WAIT_SHARE * left
+        return min(arrived + WAIT_SHARE * left, in_time_until)
 
     # One attempt.
 
@@ -178,12 +187,16 @@
         view = self._gateway.table.views[choice.runner_id]
         self.progress.runner = choice.runner_id
         target = self._facts.target
+        started = time.monotonic()
         self._gateway.note_started(choice.runner_id, target)
         exchange: Exchange | None = None
         try:
             try:
                 exchange = await self._gateway.pool.send(view.runner.address, self._call(choice))
                 head = await self._read_head(exchange, view)
+                if head.status == 200:
+                    elapsed = time.monotonic() - started
+                    self._gateway.table.note_first_byte(choice.runner_id, elapsed)
             except ExchangeError as error:
                 return self._broken(choice, error)
             return await self._take_answer(choice, view, exchange, head)
--- a/src/dragonflyhold/gateway/waiting.py
+++ b/src/dragonflyhold/gateway/waiting.py
@@ -81,6 +81,11 @@
         counts = self._get(runner_id, target)
         counts.running = max(0, counts.running - 1)
 
+    def running(self, runner_id: RunnerId, target: ModelAdapter) -> int:
+        """Return the requests of this gateway that run on an adapter at a runner."""
+        counts = self._counts.get(runner_id, {}).get(target)
+        return counts.running if counts is not None else 0
+
     def wake_target(self, target: ModelAdapter) -> None:
         """Let the requests that wait for an adapter, at any runner, choose again."""
         for table in self._counts.values():
--- a/src/dragonflyhold/platform/engine.py
+++ b/src/dragonflyhold/platform/engine.py
@@ -20,7 +20,7 @@
 # Both calls answer from memory on the same VM, in about a millisecond. An order without an answer
 # holds up those after it; repeating it is safe, because it names the sequence that it expects.
 REPORT_TIMEOUT_S = 0.5
-ORDER_TIMEOUT_S = 0.06
+ORDER_TIMEOUT_S = 0.02
 
 _RESULTS = {
     200: OrderResult.DONE,
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -194,3 +194,31 @@
         table.report_load(RunnerId("r1"), running=4, waiting=2, now=NOW)
         table.ended(RunnerId("r1"))
         assert table.views[RunnerId("r1")].load(NOW) == 5
+
+
+class TestCopies:
+    """Pattern: popular adapters fill one runner's batch while restarted ones are empty."""
+
+    def _loaded(self, running: int) -> RunnerTable:
+        table = _table(1, 2, 3)
+        table.apply_update(RunnerId("r1"), engine_update({7: 1}, running=running), NOW)
+        return table
+
+    def test_a_loaded_holder_shares_a_popular_adapter(self) -> None:
+        table = self._loaded(40)
+        assert table.copy_place(SERVICE, adapter(7), RunnerId("r1"), NOW) in {"r2", "r3"}
+
+    def test_a_holder_with_little_to_do_keeps_it(self) -> None:
+        table = self._loaded(10)
+        assert table.copy_place(SERVICE, adapter(7), RunnerId("r1"), NOW) is None
+
+    def test_copies_do_not_displace_what_others_wait_for(self) -> None:
+        table = self._loaded(40)
+        for name in ("r2", "r3"):
+            table.apply_update(RunnerId(name), engine_update(free_places=1), NOW)
+        assert table.copy_place(SERVICE, adapter(7), RunnerId("r1"), NOW) is None
+
+    def test_one_copy_is_enough(self) -> None:
+        table = self._loaded(40)
+        table.apply_update(RunnerId("r2"), engine_update({7: 1}), NOW)
+        assert table.copy_place(SERVICE, adapter(7), RunnerId("r1"), NOW) is None
