Tell gateways which adapters wait for a place

Change: an agent's update names the adapters in its backlog; the build leaves unchanged sources alone.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -9,6 +9,10 @@
     python3 -m pip install --quiet --disable-pip-version-check --target "$deps" -r "$requirements"
     cp "$requirements" "$deps/.requirements"
 fi
+# Sources that are built already stay as they are: processes may be running from them.
+if diff --recursive --brief --exclude __pycache__ src/dragonflyhold "$deps/dragonflyhold" > /dev/null 2>&1; then
+    exit 0
+fi
 rm -rf "$deps/dragonflyhold"
 cp -r src/dragonflyhold "$deps/dragonflyhold"
 find "$deps/dragonflyhold" -name __pycache__ -prune -exec rm -rf {} +
--- a/src/dragonflyhold/gateway/agent.py
+++ b/src/dragonflyhold/gateway/agent.py
@@ -33,7 +33,6 @@
     RunnerId,
 )
 from dragonflyhold.gateway.placement import (
-    COLD_LOAD_S,
     MAX_COMING,
     EngineView,
     TimedDemand,
@@ -59,6 +58,8 @@
 # Adapters that a VM keeps copies of, for each place of its engine; from the sheets (102 for 17 and
 # 108 for 18 places).
 COPIES_PER_SLOT = 6
+# Adapters without a place that gateways are told of.
+MAX_TOLD_BACKLOG = 24
 # Reads of the engine that fail in a row before its state is taken as unknown.
 MAX_FAILED_READS = 2
 
@@ -311,7 +312,7 @@
             resident=len(update.resident),
             coming=len(update.coming),
             free=update.free_places,
-            backlog=update.backlog,
+            backlog=len(update.backlog),
             has_model=update.has_model,
             gateways=len(self._links),
         )
@@ -333,7 +334,7 @@
     def _update(self) -> EngineUpdate:
         report, spec = self._report, self._catalogue.engine(self._service)
         if report is None or spec is None:
-            return EngineUpdate(0, [], [], 0, 0, 0, 0, 0.0, has_model=False)
+            return EngineUpdate(0, [], [], [], 0, 0, 0, has_model=False)
         view = self._view(report, spec)
         # Outdated adapters end their runs and take no new ones.
         outdated = {
@@ -343,18 +344,17 @@
         used = sum(view.is_used(key) or key in hidden for key in report.adapters)
         new = sum(key not in report.adapters for key in report.coming)
         free = max(0, spec.adapter_slots - used - new)
-        backlog = len(missing_adapters(view))
+        backlog = [wanted.key for wanted in missing_adapters(view)]
         return EngineUpdate(
             born=report.born,
             resident=sorted(
                 (key, version) for key, version in report.adapters.items() if key not in hidden
             ),
-            coming=sorted(report.coming.items()),
+            coming=sorted(report.coming),
             running=report.running,
             waiting=report.waiting,
             free_places=free,
-            backlog=backlog,
-            load_wait_s=COLD_LOAD_S,
+            backlog=backlog[:MAX_TOLD_BACKLOG],
             has_model=bool(report.models),
         )
 
--- a/src/dragonflyhold/gateway/dispatch.py
+++ b/src/dragonflyhold/gateway/dispatch.py
@@ -53,6 +53,8 @@
     has_model: bool = True
     resident: dict[ModelAdapter, Version] = dataclasses.field(default_factory=dict)
     coming: frozenset[ModelAdapter] = frozenset()
+    # Adapters that are coming or that some gateway waits for there.
+    expected: frozenset[ModelAdapter] = frozenset()
     free_places: int = 0
     backlog: int = 0
     # Adapters that this gateway sent there to wait for, beyond what the last update counts.
@@ -167,9 +169,10 @@
         view.is_linked = True
         view.has_model = update.has_model
         view.resident = dict(update.resident)
-        view.coming = frozenset(key for key, _ in update.coming)
+        view.expected = frozenset((*update.coming, *update.backlog))
+        view.coming = frozenset(update.coming)
         view.free_places = update.free_places
-        view.backlog = update.backlog
+        view.backlog = len(update.backlog)
         view.sent_to_wait = 0
         view.reported = update.running + update.waiting
         view.reported_own = view.in_flight
@@ -240,7 +243,7 @@
         mark = hash64(f"{target.model}/{target.adapter}".encode())
         ranked = sorted(views, key=lambda view: combine(mark, view.score), reverse=True)
         for view in ranked:
-            if target in view.coming:
+            if target in view.expected:
                 return view
 
         def cost(item: tuple[int, RunnerView]) -> float:
--- a/src/dragonflyhold/gateway/messages.py
+++ b/src/dragonflyhold/gateway/messages.py
@@ -54,19 +54,17 @@
 class EngineUpdate:
     """State of an engine; also the agent's heartbeat.
 
-    ``resident`` lists adapters that a request may be sent for, ``coming`` those being loaded, with
-    the version. ``backlog`` counts adapters that are waited for and have no place yet.
+    ``resident`` lists adapters that a request may be sent for, with the version, ``coming`` those
+    being loaded, ``backlog`` those that are waited for and have no place yet.
     """
 
     born: int
     resident: Sequence[tuple[ModelAdapter, Version]]
-    coming: Sequence[tuple[ModelAdapter, Version]]
+    coming: Sequence[ModelAdapter]
+    backlog: Sequence[ModelAdapter]
     running: int
     waiting: int
     free_places: int
-    backlog: int
-    # Seconds until a load that is asked for now would be complete, as far as known.
-    load_wait_s: float
     has_model: bool
 
 
@@ -96,12 +94,11 @@
                 _ENGINE,
                 message.born,
                 [(*key, version) for key, version in message.resident],
-                [(*key, version) for key, version in message.coming],
+                list(message.coming),
+                list(message.backlog),
                 message.running,
                 message.waiting,
                 message.free_places,
-                message.backlog,
-                message.load_wait_s,
                 message.has_model,
             )
         case SuspectUpdate(source, suspects):
@@ -118,17 +115,15 @@
             case 1:
                 return DemandUpdate([_demand(row) for row in rest[0]])
             case 2:
-                born, resident, coming, *numbers, load_wait_s, has_model = rest
-                running, waiting, free_places, backlog = numbers
+                born, resident, coming, backlog, running, waiting, free_places, has_model = rest
                 return EngineUpdate(
                     born=born,
                     resident=[_versioned(row) for row in resident],
-                    coming=[_versioned(row) for row in coming],
+                    coming=[_key(row) for row in coming],
+                    backlog=[_key(row) for row in backlog],
                     running=running,
                     waiting=waiting,
                     free_places=free_places,
-                    backlog=backlog,
-                    load_wait_s=load_wait_s,
                     has_model=has_model,
                 )
             case 3:
@@ -148,3 +143,8 @@
 def _versioned(row: Sequence[Any]) -> tuple[ModelAdapter, Version]:
     model, adapter, version = row
     return ModelAdapter(ModelName(model), AdapterName(adapter)), Version(version)
+
+
+def _key(row: Sequence[Any]) -> ModelAdapter:
+    model, adapter = row
+    return ModelAdapter(ModelName(model), AdapterName(adapter))
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -94,11 +94,10 @@
     return EngineUpdate(
         born=1,
         resident=[(adapter(n), Version(v)) for n, v in (resident or {}).items()],
-        coming=[(adapter(n), Version(v)) for n, v in (coming or {}).items()],
+        coming=[adapter(n) for n in coming or {}],
+        backlog=[adapter(900 + n) for n in range(backlog)],
         running=running,
         waiting=0,
         free_places=free_places,
-        backlog=backlog,
-        load_wait_s=0.25,
         has_model=has_model,
     )
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -222,3 +222,16 @@
         table = self._loaded(40)
         table.apply_update(RunnerId("r2"), engine_update({7: 1}), NOW)
         assert table.copy_place(SERVICE, adapter(7), RunnerId("r1"), NOW) is None
+
+
+class TestGatewaysTogether:
+    """Gateways together."""
+
+    def test_an_adapter_waited_for_by_another_gateway_is_not_loaded_twice(self) -> None:
+        """Pattern: no places left; one load in six was for an adapter in place elsewhere."""
+        table = _table(1, 2, 3)
+        home = table.choose(SERVICE, adapter(901), ANY, NOW)
+        assert isinstance(home, WaitFor)
+        waiting = next(name for name in ("r1", "r2", "r3") if name != home.runner_id)
+        table.apply_update(RunnerId(waiting), engine_update(free_places=0, backlog=2), NOW)
+        assert table.choose(SERVICE, adapter(901), ANY, NOW) == WaitFor(RunnerId(waiting))
