Let agents tell of leaving engines, look at the registry once a second

Ruled out: fewer feeds of the operator's table, whose silence must be noticed within 3 s. Change: an engine's own report, fresh and free on its VM, tells that it leaves; the registry's pause is half of the time allowed for draining.

--- a/src/dragonflyhold/gateway/agent.py
+++ b/src/dragonflyhold/gateway/agent.py
@@ -314,6 +314,7 @@
             free=update.free_places,
             backlog=len(update.backlog),
             has_model=update.has_model,
+            is_draining=update.is_draining,
             gateways=len(self._links),
         )
 
@@ -321,7 +322,8 @@
         now = time.monotonic()
         update = self._update()
         self._log_state(update, now)
-        state = (update.born, update.resident, update.has_model, update.free_places > 0)
+        flags = (update.has_model, update.is_draining, update.free_places > 0)
+        state = (update.born, update.resident, flags)
         if state == self._published and now - self._published_at < PUBLISH_PERIOD_S:
             return
         self._published, self._published_at = state, now
@@ -334,7 +336,7 @@
     def _update(self) -> EngineUpdate:
         report, spec = self._report, self._catalogue.engine(self._service)
         if report is None or spec is None:
-            return EngineUpdate(0, [], [], [], 0, 0, 0, has_model=False)
+            return EngineUpdate(0, [], [], [], 0, 0, 0, has_model=False, is_draining=False)
         view = self._view(report, spec)
         # Outdated adapters end their runs and take no new ones.
         outdated = {
@@ -356,6 +358,7 @@
             free_places=free,
             backlog=backlog[:MAX_TOLD_BACKLOG],
             has_model=bool(report.models),
+            is_draining=report.is_draining,
         )
 
 
--- a/src/dragonflyhold/gateway/daemon.py
+++ b/src/dragonflyhold/gateway/daemon.py
@@ -30,8 +30,9 @@
 # Tables of the platform's store.
 OPERATOR_TABLE = "op"
 REGISTRY_TABLE = "servers"
-# Pause between two looks at the registry, whose rows change with every check-in of a runner.
-REGISTRY_PAUSE_S = 0.5
+# Pause between two looks at the registry, whose rows change with every check-in of a runner: half
+# of the time in which new work for a leaving runner must end. Agents tell of their engines sooner.
+REGISTRY_PAUSE_S = 1.0
 # Ports of the metrics pages; the deploy file names the same ones.
 GATEWAY_METRICS_PORT = 9464
 AGENT_METRICS_PORT = 9465
--- a/src/dragonflyhold/gateway/dispatch.py
+++ b/src/dragonflyhold/gateway/dispatch.py
@@ -51,6 +51,8 @@
     is_linked: bool = False
     # Whether an agent said that the engine holds its model.
     has_model: bool = True
+    # Whether an agent said that the engine leaves; sooner than the registry does.
+    is_draining: bool = False
     resident: dict[ModelAdapter, Version] = dataclasses.field(default_factory=dict)
     coming: frozenset[ModelAdapter] = frozenset()
     # Adapters that are coming or that some gateway waits for there.
@@ -92,6 +94,7 @@
         return (
             self.runner.state is RunnerState.READY
             and self.has_model
+            and not self.is_draining
             and now >= self.suspended_until
             and (self.is_linked or now >= self.agent_awaited_until)
             and not self.is_stalled(now)
@@ -168,6 +171,7 @@
             return
         view.is_linked = True
         view.has_model = update.has_model
+        view.is_draining = update.is_draining
         view.resident = dict(update.resident)
         view.expected = frozenset((*update.coming, *update.backlog))
         view.coming = frozenset(update.coming)
--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -436,7 +436,7 @@
                 for key, version in message.resident:
                     if key in waited and version >= self.required_version(key):
                         self.demands.wake_target(key)
-                if not message.has_model:
+                if not message.has_model or message.is_draining:
                     self.demands.wake_runner(runner_id)
             case SuspectUpdate():
                 self.suspects.apply(message)
--- a/src/dragonflyhold/gateway/messages.py
+++ b/src/dragonflyhold/gateway/messages.py
@@ -66,6 +66,7 @@
     waiting: int
     free_places: int
     has_model: bool
+    is_draining: bool
 
 
 @final
@@ -100,6 +101,7 @@
                 message.waiting,
                 message.free_places,
                 message.has_model,
+                message.is_draining,
             )
         case SuspectUpdate(source, suspects):
             fields = (_SUSPECTS, source, list(suspects))
@@ -115,7 +117,8 @@
             case 1:
                 return DemandUpdate([_demand(row) for row in rest[0]])
             case 2:
-                born, resident, coming, backlog, running, waiting, free_places, has_model = rest
+                born, resident, coming, backlog, *numbers, has_model, is_draining = rest
+                running, waiting, free_places = numbers
                 return EngineUpdate(
                     born=born,
                     resident=[_versioned(row) for row in resident],
@@ -125,6 +128,7 @@
                     waiting=waiting,
                     free_places=free_places,
                     has_model=has_model,
+                    is_draining=is_draining,
                 )
             case 3:
                 source, suspects = rest
--- a/src/dragonflyhold/gateway/model.py
+++ b/src/dragonflyhold/gateway/model.py
@@ -149,6 +149,8 @@
     waiting: int
     models: frozenset[ModelName]
     adapters: Mapping[ModelAdapter, Version]
+    # The engine has announced that it leaves.
+    is_draining: bool
     # Adapters on their way to the engine; they occupy slots.
     coming: Mapping[ModelAdapter, Version]
     born: int
--- a/src/dragonflyhold/platform/codec.py
+++ b/src/dragonflyhold/platform/codec.py
@@ -176,6 +176,7 @@
             waiting=int(fields.get("waiting") or 0),
             models=frozenset(ModelName(model["name"]) for model in models),
             adapters=_adapters(models),
+            is_draining=fields.get("state") == RunnerState.DRAINING.value,
             coming=dict(_coming(text) for text in fields.get("coming") or []),
             born=int(fields.get("born") or 0),
         )
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -56,6 +56,7 @@
         waiting=0,
         models=frozenset(models),
         adapters={adapter(n): Version(v) for n, v in (resident or {}).items()},
+        is_draining=False,
         coming={adapter(n): Version(v) for n, v in (coming or {}).items()},
         born=born,
     )
@@ -90,6 +91,7 @@
     running: int = 0,
     coming: dict[int, int] | None = None,
     has_model: bool = True,
+    is_draining: bool = False,
 ) -> EngineUpdate:
     return EngineUpdate(
         born=1,
@@ -100,4 +102,5 @@
         waiting=0,
         free_places=free_places,
         has_model=has_model,
+        is_draining=is_draining,
     )
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -162,6 +162,13 @@
             table.record_outcome(RunnerId("r1"), failed=True, now=NOW)
         assert table.views[RunnerId("r1")].current_failure_rate(NOW + 60.0) < 0.01
 
+    def test_an_agent_tells_of_a_leaving_engine_before_the_registry(self) -> None:
+        """Pattern: engines are taken away at short notice."""
+        table = _table(1, 2)
+        table.apply_update(RunnerId("r1"), engine_update({7: 1}, is_draining=True), NOW)
+        assert table.choose(SERVICE, None, ANY, NOW) == SendNow(RunnerId("r2"), None)
+        assert table.choose(SERVICE, adapter(7), ANY, NOW) == WaitFor(RunnerId("r2"))
+
     def test_tried_runners_are_excluded(self) -> None:
         table = _table(1, 2)
         choice = table.choose(SERVICE, None, ANY, NOW, {RunnerId("r1")})
