Tell a request's story from the logs of many processes

Cause: the logs said how requests ended, not what decided it, and no tool put processes together. Ruled out: writing all decisions at the end of a request, which loses those of a killed process.

--- a/src/dragonflyhold/cli/inspect.py
+++ b/src/dragonflyhold/cli/inspect.py
@@ -1,12 +1,17 @@
 """Commands that show the state of an entry daemon and the route of a request."""
 
 import datetime
+import pathlib
+import sys
+from collections.abc import Callable, Sequence
 
 import click
 from google.protobuf import json_format
 
 from dragonflyhold.cli.client import Connection, connection_options, print_json, print_table
-from dragonflyhold.cli.exits import EXIT_HELP
+from dragonflyhold.cli.exits import EXIT_HELP, Exit
+from dragonflyhold.errors import UsageError
+from dragonflyhold.observability import stories
 from dragonflyhold.transport.schema import operator_pb2 as pb
 from dragonflyhold.transport.schema import sidecar_pb2
 
@@ -54,10 +59,51 @@
 
 
 @click.command("explain", epilog=EXIT_HELP)
-@click.argument("request_id")
+@click.option("--failed", is_flag=True, help="Group the failed requests of all LOGs by cause.")
+@click.argument("request_id", required=False)
+@click.argument("logs", nargs=-1, metavar="[LOG]...", type=click.Path(path_type=pathlib.Path))
 @connection_options
-def explain_command(connection: Connection, request_id: str) -> None:
-    """Show the route of the request REQUEST_ID and each refusal and retry."""
+def explain_command(
+    connection: Connection, failed: bool, request_id: str | None, logs: tuple[pathlib.Path, ...]
+) -> None:
+    """Show the route of the request REQUEST_ID and each refusal and retry.
+
+    With LOGs, the structured logs of any number of daemons are read in place of asking a daemon:
+    the request's story in order, with the facts that it rested on.
+    """
+    if failed and request_id is not None:
+        _print_from_logs(_failure_lines, [pathlib.Path(request_id), *logs])
+    elif logs and request_id is not None:
+        _print_from_logs(lambda found: stories.tell_story(found, request_id), logs)
+    elif request_id is not None:
+        _explain_from_daemon(connection, request_id)
+    else:
+        raise click.UsageError("a REQUEST_ID, or --failed and a LOG, is needed")
+
+
+def _print_from_logs(
+    tell: Callable[[stories.LogSet], list[str]], logs: Sequence[pathlib.Path]
+) -> None:
+    try:
+        found = stories.read_logs(logs)
+        lines = tell(found)
+    except UsageError as error:
+        click.echo(f"explain: {error}", err=True)
+        sys.exit(Exit.USAGE)
+    for line in lines:
+        click.echo(line)
+    if found.skipped:
+        click.echo(f"explain: {found.skipped} lines could not be read", err=True)
+
+
+def _failure_lines(logs: stories.LogSet) -> list[str]:
+    return [
+        f"{count:6}  {cause}  ({', '.join(examples)})"
+        for cause, count, examples in stories.group_failures(logs)
+    ]
+
+
+def _explain_from_daemon(connection: Connection, request_id: str) -> None:
     reply = connection.call("Explain", pb.ExplainRequest(request_id=request_id))
     if connection.as_json:
         print_json(_to_dict(reply))
--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -96,6 +96,8 @@
 
     def __init__(self, settings: DaemonSettings, metrics: Metrics) -> None:
         self.log = Part("gateway")
+        # Decisions on single requests, with a budget of lines of their own.
+        self.request_log = Part("request")
         self.pool = ConnectionPool()
         self.catalogue = Catalogue(self._configuration_changed, self._version_named)
         self.table = RunnerTable(settings.data_centre, random.Random())
@@ -172,6 +174,16 @@
             raise RefusedError(Reason.NO_ROUTE, 0.0)
         service = self._pick_service(route)
         self.budget.note_request(service)
+        self.request_log.info(
+            "A request was admitted.",
+            id=facts.request_id,
+            route=route.name,
+            config=configuration.version,
+            service=service,
+            left_ms=None if facts.time_left_s is None else round(facts.time_left_s * 1000),
+            adapter=facts.target.adapter if facts.target else None,
+            tokens=facts.prompt_tokens,
+        )
         return RequestRun(self, request, facts, route, service, responder)
 
     def _pick_service(self, route: Route) -> ServiceName:
@@ -233,9 +245,9 @@
                     self._metrics.observe_load_stall("all", progress.waited_s)
         self._metrics.count_request("all", outcome.partition(" ")[0])
         if outcome == "answered":
-            self.log.info("A request ended.", **fields)
+            self.request_log.info("A request ended.", **fields)
         else:
-            self.log.failure("A request ended.", **fields)
+            self.request_log.failure("A request ended.", **fields)
 
     def _ingress_refused(self, status: int, detail: str) -> None:
         self._metrics.count_refusal(f"ingress_{status}")
--- a/src/dragonflyhold/gateway/request.py
+++ b/src/dragonflyhold/gateway/request.py
@@ -155,6 +155,16 @@
         until = self._wait_limit(view, in_time_until)
         if now >= until:
             raise self._gave_up(Reason.ADAPTER_WAIT, str(runner_id))
+        self._gateway.request_log.info(
+            "A request waits for its adapter.",
+            id=self._facts.request_id,
+            runner=runner_id,
+            adapter=target.adapter,
+            free=view.free_places,
+            backlog=view.backlog,
+            state_age_ms=round((now - view.reported_at) * 1000),
+            until_ms=round((until - now) * 1000),
+        )
         waiter = Waiter(target, runner_id, self._worth, in_time_until, asyncio.Event())
         self._gateway.demands.add_waiter(waiter)
         try:
@@ -190,6 +200,15 @@
         started = time.monotonic()
         self._gateway.note_started(choice.runner_id, target)
         exchange: Exchange | None = None
+        self._gateway.request_log.info(
+            "A request was sent.",
+            id=self._facts.request_id,
+            runner=choice.runner_id,
+            load=view.load(started),
+            state_age_ms=round((started - view.reported_at) * 1000),
+            version=choice.version,
+            resume_after=self._events.last_id if self._responder.is_started else None,
+        )
         try:
             try:
                 exchange = await self._gateway.pool.send(view.runner.address, self._call(choice))
@@ -290,7 +309,7 @@
             # Read to the end, so that the connection can be kept.
             await exchange.read_body()
         except ExchangeError as error:
-            self._gateway.log.info(
+            self._gateway.request_log.info(
                 "A refusal was cut short.", id=self._facts.request_id, error=str(error)
             )
         if head.status == 400:
@@ -301,7 +320,7 @@
                 self._gateway.table.drop_resident(choice.runner_id, target)
             else:
                 self._gateway.table.suspend(choice.runner_id, time.monotonic())
-        self._gateway.log.info(
+        self._gateway.request_log.failure(
             "A runner refused a request.",
             id=self._facts.request_id,
             runner=choice.runner_id,
@@ -314,7 +333,7 @@
 
     def _broken(self, choice: SendNow, error: ExchangeError) -> Outcome:
         now = time.monotonic()
-        self._gateway.log.failure(
+        self._gateway.request_log.failure(
             "An exchange broke off.",
             id=self._facts.request_id,
             runner=choice.runner_id,
@@ -374,6 +393,15 @@
             and self._deadline - time.monotonic() > MIN_ATTEMPT_S
             and self._gateway.budget.try_spend(self._service)
         )
+        self._gateway.request_log.failure(
+            "An attempt failed.",
+            id=self._facts.request_id,
+            runner=choice.runner_id,
+            reason=outcome.reason.value,
+            attempts=self.progress.attempts,
+            repeats=may_repeat,
+            kind=self._route.repeat.value,
+        )
         if may_repeat:
             self._gateway.count_retry(outcome.reason)
             return
--- /dev/null
+++ b/tests/gateway/test_logs.py
@@ -0,0 +1,95 @@
+"""Tests of the structured logs: bounds, a blocked pipe, what is kept first."""
+
+import logging as std_logging
+import os
+from collections.abc import Iterator
+
+import pytest
+from absl import logging
+
+from dragonflyhold.gateway.logs import LogWriter, Part
+
+
+class _Clock:
+    now = 10.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+class _Recorder(std_logging.Handler):
+    def __init__(self) -> None:
+        super().__init__()
+        self.messages: list[dict[str, object]] = []
+
+    def emit(self, record: std_logging.LogRecord) -> None:
+        assert isinstance(record.msg, dict)
+        self.messages.append(record.msg)
+
+
+@pytest.fixture(name="recorder")
+def _recorder() -> Iterator[_Recorder]:
+    logger = logging.get_absl_logger()
+    recorder = _Recorder()
+    level = logging.get_verbosity()
+    logging.set_verbosity(logging.INFO)
+    logger.addHandler(recorder)
+    yield recorder
+    logger.removeHandler(recorder)
+    logging.set_verbosity(level)
+
+
+class TestBounds:
+    """Bounds."""
+
+    def test_a_flood_is_cut_and_counted(self, recorder: _Recorder) -> None:
+        clock = _Clock()
+        part = Part("request", clock, lines_per_s=10, failure_lines_per_s=5)
+        for number in range(100):
+            part.info("Something.", number=number)
+        assert len(recorder.messages) == 10
+        clock.now += 1.0
+        part.info("Something.")
+        assert recorder.messages[10] == {
+            "part": "request",
+            "event": "Lines were left out.",
+            "count": 90,
+        }
+        assert len(recorder.messages) == 12
+
+    def test_failures_have_a_reserve(self, recorder: _Recorder) -> None:
+        """A flood of answered requests must not hide the ones that failed."""
+        part = Part("request", _Clock(), lines_per_s=10, failure_lines_per_s=5)
+        for _ in range(100):
+            part.info("Answered.")
+        for number in range(9):
+            part.failure("Refused.", id=number)
+        refused = [item for item in recorder.messages if item["event"] == "Refused."]
+        assert [item["id"] for item in refused] == [0, 1, 2, 3, 4]
+
+
+class TestBlockedPipe:
+    """Blocked pipe."""
+
+    def test_a_full_pipe_drops_and_counts(self) -> None:
+        """A reader that stands still must not stop the daemon."""
+        reader, writer = os.pipe()
+        try:
+            log = LogWriter(writer)
+            for _ in range(3000):
+                log.write(b"x" * 99 + b"\n")
+            assert log.dropped > 1000
+            kept = os.read(reader, 1 << 20)
+            log.write(b"after\n")
+            rest = os.read(reader, 1 << 20)
+            assert set((kept + rest).split(b"\n")) <= {b"x" * 99, b"after", b""}
+        finally:
+            os.close(reader)
+            os.close(writer)
+
+    def test_a_closed_pipe_is_no_error(self) -> None:
+        reader, writer = os.pipe()
+        log = LogWriter(writer)
+        os.close(reader)
+        log.write(b"line\n")
+        os.close(writer)
--- /dev/null
+++ b/tests/observability/test_stories.py
@@ -0,0 +1,132 @@
+"""Tests of the stories told from logs of many processes."""
+
+import pathlib
+
+import orjson
+import pytest
+from click.testing import CliRunner
+
+from dragonflyhold.cli import main
+from dragonflyhold.errors import UsageError
+from dragonflyhold.observability.stories import group_failures, read_logs, tell_story
+
+# Clocks of the three processes, in seconds off the true time.
+SKEWS = {"front-1": 0.0, "front-2": 3.0, "side-1": -2.0}
+
+
+def _line(node: str, at: float, event: str, part: str = "request", **fields: object) -> bytes:
+    entry = {"t": at + SKEWS[node], "node": node, "level": "INFO", "part": part, "event": event}
+    return orjson.dumps({**entry, **fields})
+
+
+def _day() -> dict[str, list[bytes]]:
+    """Return the lines of a short day: one request waits in vain while its agent is busy."""
+    config = {"part": "config", "version": 3, "row_version": 9}
+    event = "A configuration is in force."
+    runner = {"part": "registry", "runner": "r1", "address": "10.0.0.9:80", "row_version": 4}
+    return {
+        "front-1": [
+            _line("front-1", 0.0, event, **config),
+            _line("front-1", 0.1, "A runner joined.", **runner),
+            _line("front-1", 10.0, "A request was admitted.", id="x1", adapter="a7"),
+            _line("front-1", 10.01, "A request waits for its adapter.", id="x1", runner="r1"),
+            _line(
+                "front-1",
+                10.5,
+                "A request ended.",
+                id="x1",
+                outcome="adapter_wait r1",
+                runner="r1",
+                adapter="a7",
+            ),
+        ],
+        "front-2": [
+            _line("front-2", 0.0, event, **config),
+            _line("front-2", 10.2, "A request ended.", id="x2", outcome="answered"),
+        ],
+        "side-1": [
+            _line("side-1", 0.0, event, **config),
+            _line("side-1", 0.05, "Started.", "daemon", engine="10.0.0.9:80"),
+            _line(
+                "side-1",
+                10.2,
+                "An order was given.",
+                "agent",
+                order="load",
+                adapter="a7",
+                result="unknown",
+            ),
+            _line("side-1", 10.3, "An order was given.", "agent", order="load", adapter="a8"),
+        ],
+    }
+
+
+def _write(folder: pathlib.Path, day: dict[str, list[bytes]]) -> list[pathlib.Path]:
+    paths = []
+    for node, lines in day.items():
+        path = folder / f"{node}.log"
+        path.write_bytes(b"\n".join(lines))
+        paths.append(path)
+    return paths
+
+
+class TestStories:
+    """Stories."""
+
+    def test_the_cause_in_another_process_stands_in_the_story(self, tmp_path: pathlib.Path) -> None:
+        story = tell_story(read_logs(_write(tmp_path, _day())), "x1")
+        events = [line.split("  ")[-1].strip() for line in story]
+        assert [event.split(".")[0] for event in events] == [
+            "A request was admitted",
+            "A request waits for its adapter",
+            "An order was given",
+            "A request ended",
+        ]
+        assert "adapter=a7" in story[2]
+
+    def test_skewed_clocks_are_set_right(self, tmp_path: pathlib.Path) -> None:
+        """Without it the agent's order would seem to be given two seconds before the request."""
+        story = tell_story(read_logs(_write(tmp_path, _day())), "x1")
+        assert story[2].split()[0] == "+200.0"
+
+    def test_failures_are_grouped_by_cause(self, tmp_path: pathlib.Path) -> None:
+        groups = group_failures(read_logs(_write(tmp_path, _day())))
+        assert groups == [("adapter_wait; before: A request waits for its adapter.", 1, ["x1"])]
+
+    def test_a_bench_prefix_before_the_line_is_skipped(self, tmp_path: pathlib.Path) -> None:
+        path = tmp_path / "log"
+        path.write_bytes(b"  10.5 front-1 " + _line("front-1", 1.0, "A request ended.", id="x9"))
+        assert len(tell_story(read_logs([path]), "x9")) == 1
+
+
+class TestBadInput:
+    """Bad input."""
+
+    def test_torn_lines_are_counted_and_skipped(self, tmp_path: pathlib.Path) -> None:
+        whole = _line("front-1", 1.0, "A request ended.", id="x1")
+        torn = [whole[:20], whole[:30] + whole, b"[1]", b'{"t":"x"}', b"\xff\xfe"]
+        path = tmp_path / "log"
+        path.write_bytes(b"\n".join([*torn, whole]))
+        logs = read_logs([path])
+        assert (len(logs.lines), logs.skipped) == (1, len(torn))
+
+    def test_an_empty_file_is_an_error(self, tmp_path: pathlib.Path) -> None:
+        path = tmp_path / "log"
+        path.write_bytes(b"")
+        with pytest.raises(UsageError, match="no line"):
+            read_logs([path])
+
+    @pytest.mark.parametrize(
+        "arguments", [["x1", "{empty}"], ["nobody", "{good}"], ["x1", "{none}"], ["--failed"], []]
+    )
+    def test_the_command_ends_with_2_and_a_message(
+        self, tmp_path: pathlib.Path, arguments: list[str]
+    ) -> None:
+        (tmp_path / "empty").write_bytes(b"")
+        (tmp_path / "good").write_bytes(_line("front-1", 1.0, "A request ended.", id="x1"))
+        names = {"{empty}": "empty", "{good}": "good", "{none}": "none"}
+        words = [str(tmp_path / names[word]) if word in names else word for word in arguments]
+        result = CliRunner().invoke(main, ["explain", *words])
+        assert result.exit_code == 2
+        assert result.output
+        assert result.exception is None or isinstance(result.exception, SystemExit)
