--- a/src/dragonflyhold/gateway/budget.py
+++ b/src/dragonflyhold/gateway/budget.py
@@ -40,12 +40,16 @@
 
     def try_spend(self, service: ServiceName) -> bool:
         """Count one more arrival of a request, if the budget has room for it."""
-        allowed = self._ratio * self._sum(self._requests, service) + self._slack
-        if self._sum(self._repeats, service) + 1 > allowed:
+        if not self.has_room(service):
             return False
         self._add(self._repeats, service)
         return True
 
+    def has_room(self, service: ServiceName) -> bool:
+        """Whether one more arrival would stay within the budget."""
+        allowed = self._ratio * self._sum(self._requests, service) + self._slack
+        return self._sum(self._repeats, service) + 1 <= allowed
+
     def _add(self, table: dict[ServiceName, collections.Counter[int]], name: ServiceName) -> None:
         part = int(self._clock() / PART_S)
         counts = table.setdefault(name, collections.Counter())
--- a/src/dragonflyhold/gateway/dispatch.py
+++ b/src/dragonflyhold/gateway/dispatch.py
@@ -213,9 +213,14 @@
         if not linked:
             return NoRunner(len(views))
         home = self._home(linked, target)
-        home.sent_to_wait += 1
         return WaitFor(home.runner.runner_id)
 
+    def note_waiting(self, runner_id: RunnerId) -> None:
+        """Count a request that goes to wait at a runner, until the runner's next update."""
+        view = self.views.get(runner_id)
+        if view is not None:
+            view.sent_to_wait += 1
+
     def copy_place(
         self, service: ServiceName, target: ModelAdapter, holder: RunnerId, now: float
     ) -> RunnerId | None:
--- a/src/dragonflyhold/gateway/request.py
+++ b/src/dragonflyhold/gateway/request.py
@@ -3,9 +3,10 @@
 import asyncio
 import dataclasses
 import time
-from typing import TYPE_CHECKING, final
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING, TypeVar, final
 
-from dragonflyhold.gateway.dispatch import NoRunner, RunnerView, SendNow, WaitFor
+from dragonflyhold.gateway.dispatch import Choice, NoRunner, RunnerView, SendNow, WaitFor
 from dragonflyhold.gateway.events import EventSplitter
 from dragonflyhold.gateway.http_client import BreakReason, Call, Exchange, ExchangeError, Head
 from dragonflyhold.gateway.http_server import ClientRequest, Responder
@@ -23,12 +24,14 @@
 from dragonflyhold.gateway.suspects import fingerprint
 from dragonflyhold.gateway.tasks import limit_time
 from dragonflyhold.gateway.waiting import Waiter
-from dragonflyhold.ids import ServiceName
+from dragonflyhold.ids import ServiceName, Version
 from dragonflyhold.platform import codec
 
 if TYPE_CHECKING:
     from dragonflyhold.gateway.gateway import Gateway
 
+Read = TypeVar("Read")
+
 # The least time that must be left for another attempt, in seconds.
 MIN_ATTEMPT_S = 0.05
 # Share of the time to the first piece for which a request waits while no runner is available.
@@ -37,8 +40,17 @@
 NO_RUNNER_PAUSE_S = 0.02
 # Refusals by runners after which a request is given up.
 MAX_REFUSALS = 4
-# How often a request that waits for bytes checks that its runner is alive, in seconds.
+# How often a request that waits looks again at where it may go, in seconds.
 CHECK_PERIOD_S = 0.25
+# Silence of a runner after which an answer that may be had elsewhere counts as lost: before the
+# first byte and between two, each with a multiple of the runner's mean time to the first byte.
+# Loaded engines pause for several hundred ms, and a run left too early is read anew elsewhere.
+FIRST_SILENCE_S = 0.5
+FIRST_SILENCE_RATIO = 6.0
+PAUSE_SILENCE_S = 1.0
+PAUSE_SILENCE_RATIO = 4.0
+# Time for a token of the prompt, above the engines' figures on the sheets (26 us at the slower).
+PREFILL_S_PER_TOKEN = 0.00004
 # A runner that owes answers and is silent for this long is left by requests that may go elsewhere.
 ABANDON_S = 1.0
 # Share of its time left for which a caller that was sent away before waits for its adapter.
@@ -131,7 +143,7 @@
             if self._deadline - now < MIN_ATTEMPT_S:
                 raise self._gave_up(Reason.TIMEOUT)
             oldest = gateway.required_version(target)
-            match gateway.table.choose(self._service, target, oldest, now, self._excluded()):
+            match self._choose(oldest, now):
                 case SendNow() as choice:
                     gateway.consider_copy(self._service, target, choice.runner_id)
                     return choice
@@ -142,6 +154,15 @@
                         raise self._gave_up(Reason.NO_RUNNER, f"known={known}")
                     await asyncio.sleep(NO_RUNNER_PAUSE_S)
 
+    def _choose(self, oldest: Version, now: float) -> Choice:
+        """Choose a runner, an untried one if it can start at once."""
+        table, target = self._gateway.table, self._facts.target
+        choice = table.choose(self._service, target, oldest, now, self._excluded())
+        if isinstance(choice, SendNow) or not self.progress.tried:
+            return choice
+        again = table.choose(self._service, target, oldest, now)
+        return again if isinstance(again, SendNow) else choice
+
     def _excluded(self) -> set[RunnerId]:
         others = self._gateway.table.of_service(self._service)
         # With every runner tried, any may be tried again.
@@ -167,6 +188,7 @@
         )
         waiter = Waiter(target, runner_id, self._worth, in_time_until, asyncio.Event())
         self._gateway.demands.add_waiter(waiter)
+        self._gateway.table.note_waiting(runner_id)
         try:
             async with limit_time(min(until - now, CHECK_PERIOD_S)):
                 await waiter.ready.wait()
@@ -245,34 +267,55 @@
         )
 
     async def _read_head(self, exchange: Exchange, view: RunnerView) -> Head:
-        while True:
-            try:
-                async with limit_time(CHECK_PERIOD_S):
-                    head = await exchange.read_head()
-            except TimeoutError:
-                self._check_alive(view)
-                continue
-            self._gateway.table.heard(view.runner.runner_id, time.monotonic())
-            return head
+        return await self._read(exchange.read_head, view, self._silence_limit(view, first=True))
 
     async def _read_chunk(self, exchange: Exchange, view: RunnerView) -> bytes:
+        return await self._read(exchange.read_chunk, view, self._silence_limit(view, first=False))
+
+    async def _read(
+        self, read: Callable[[], Awaitable[Read]], view: RunnerView, silence_s: float
+    ) -> Read:
+        """Read from a runner; a request that may go on elsewhere leaves a silent one.
+
+        Raises ``ExchangeError``. An answer that cannot be had elsewhere is waited for to the end.
+        """
+        silent_at = time.monotonic() + silence_s
         while True:
+            wait_s = silent_at - time.monotonic()
             try:
-                async with limit_time(CHECK_PERIOD_S):
-                    chunk = await exchange.read_chunk()
+                async with limit_time(wait_s if wait_s > 0 else CHECK_PERIOD_S):
+                    result = await read()
             except TimeoutError:
-                self._check_alive(view)
+                if time.monotonic() >= silent_at and self._may_go_on(view):
+                    raise ExchangeError(BreakReason.TIMEOUT, True, "silence") from None
                 continue
             self._gateway.table.heard(view.runner.runner_id, time.monotonic())
-            return chunk
+            return result
 
-    def _check_alive(self, view: RunnerView) -> None:
-        """Leave a silent runner if the request may go on elsewhere."""
-        if self._route.repeat is Repeat.ONCE:
-            return
+    def _silence_limit(self, view: RunnerView, first: bool) -> float:
+        """Return how long a runner may be silent before its answer counts as lost."""
+        if first:
+            prefill_s = self._facts.prompt_tokens * PREFILL_S_PER_TOKEN
+            return FIRST_SILENCE_S + FIRST_SILENCE_RATIO * view.first_byte_s + prefill_s
+        return PAUSE_SILENCE_S + PAUSE_SILENCE_RATIO * view.first_byte_s
+
+    def _may_go_on(self, view: RunnerView) -> bool:
+        """Whether the request may leave a runner and has somewhere to go at once."""
         now = time.monotonic()
+        if (
+            self._route.repeat is Repeat.ONCE
+            or self.progress.attempts + 1 >= self._route.max_attempts
+            or self._deadline - now < MIN_ATTEMPT_S
+            or not self._gateway.budget.has_room(self._service)
+        ):
+            return False
         if view.is_stalled(now) and now - view.last_heard > ABANDON_S:
-            raise ExchangeError(BreakReason.TIMEOUT, True, "the runner is silent")
+            return True
+        tried = {*self.progress.tried, view.runner.runner_id}
+        target = self._facts.target
+        oldest = self._gateway.required_version(target)
+        choice = self._gateway.table.choose(self._service, target, oldest, now, tried)
+        return isinstance(choice, SendNow) or not view.is_stalled(now)
 
     async def _take_answer(
         self, choice: SendNow, view: RunnerView, exchange: Exchange, head: Head
--- a/tests/gateway/test_site.py
+++ b/tests/gateway/test_site.py
@@ -168,6 +168,48 @@
         assert answer.complete == (answer.event_ids[-1] == 6)
 
 
+class TestLostAnswers:
+    """Pattern: a runner runs a request and its answer is lost, with the connection open."""
+
+    @pytest.mark.parametrize("fault", [Fault.HANG, Fault.HANG_MIDWAY])
+    def test_a_resumable_stream_goes_on(self, fault: Fault) -> None:
+        """One in twenty streams waited for its client's deadline."""
+
+        async def play(site: Site) -> Answer:
+            await site.call("/ask/1", adapter="a1")
+            holder = next(runner for runner in site.runners.values() if runner.runs)
+            holder.faults = [fault]
+            return await site.call("/ask/1", adapter="a1")
+
+        answer = _play(play)
+        assert answer.complete
+        assert answer.event_ids == [1, 2, 3, 4, 5, 6]
+
+    def test_a_safe_request_is_sent_again(self) -> None:
+        async def play(site: Site) -> int:
+            site.runners["p0"].faults = [Fault.HANG]
+            site.runners["p1"].faults = [Fault.HANG]
+            calls = [site.call("/read/1", method="GET", body=b"") for _ in "12"]
+            return sum(answer.status == 200 for answer in await asyncio.gather(*calls))
+
+        assert _play(play) == 2
+
+    def test_a_stream_that_may_not_be_resumed_is_waited_for(self) -> None:
+        """A runner's silence is no reason to end an answer sooner."""
+
+        async def play(site: Site) -> tuple[int, float]:
+            for runner in site.runners.values():
+                runner.faults = [Fault.HANG]
+            started = asyncio.get_running_loop().time()
+            headers = {"Deadline-Remaining": "900"}
+            answer = await site.call("/draft/1", adapter="a1", headers=headers)
+            return answer.status, asyncio.get_running_loop().time() - started
+
+        status, elapsed = _play(play)
+        assert status == 504
+        assert elapsed > 0.8
+
+
 class TestAdapterPlaces:
     """Adapter places."""
 
--- a/tests/platform/runner_stand_in.py
+++ b/tests/platform/runner_stand_in.py
@@ -23,6 +23,7 @@
     FAIL = "fail with a status of its own"
     BARE = "succeed without a signature"
     HANG = "hang"
+    HANG_MIDWAY = "hang midway, with the connection open"
 
 
 class RunnerStandIn:
@@ -215,6 +216,8 @@
                 await asyncio.sleep(STEP_S)
                 responder.break_off()
                 return
+            if fault is Fault.HANG_MIDWAY and number == first + 2:
+                await asyncio.Event().wait()
             await responder.write(b"id: %d\ndata: piece %d\n\n" % (number, number))
         responder.end_stream()
 
