Send nothing new to frozen machines, take fencing tokens from any part of the store

After a loss of all power with a part of the store out, agents got no fencing token for two seconds and engines stood without their model. Ruled out: closing with FIN in place of a reset (the bytes are read either way). Change: agents pulse each 100 ms, a machine quiet for 350 ms gets nothing new; a token write goes to another part when the first fails.

--- a/src/dragonflyhold/gateway/agent.py
+++ b/src/dragonflyhold/gateway/agent.py
@@ -21,6 +21,7 @@
     DemandUpdate,
     EngineUpdate,
     Message,
+    Pulse,
     SuspectUpdate,
 )
 from dragonflyhold.gateway.model import (
@@ -45,8 +46,9 @@
 from dragonflyhold.platform.store import MetadataStore
 from dragonflyhold.popularity import Popularity
 
-# Table and key prefix of the rows from whose versions fencing tokens are taken.
+# Table and parts of the rows from whose versions fencing tokens are taken.
 FENCE_TABLE = "dragonflyhold"
+FENCE_PARTS = ("", "fence-1", "fence-2", "fence-3", "fence-4", "fence-5")
 # Pause between looks at the engine while an order is under way, and otherwise.
 BUSY_PERIOD_S = 0.008
 IDLE_PERIOD_S = 0.1
@@ -55,6 +57,9 @@
 # Requests of this many seconds ago count half when an adapter to evict is chosen.
 POPULARITY_HALF_LIFE_S = 6.0
 STATE_LOG_PERIOD_S = 0.5
+# Gateways hear of this VM at least this often.
+PULSE_S = 0.1
+PULSE = Pulse()
 # Adapters that a VM keeps copies of, for each place of its engine; from the sheets (102 for 17 and
 # 108 for 18 places).
 COPIES_PER_SLOT = 6
@@ -136,7 +141,7 @@
                 for other in self._links:
                     if other is not link:
                         other.send(message)
-            case EngineUpdate():
+            case EngineUpdate() | Pulse():
                 self._log.warning("A gateway sent an engine's state.", peer=link.peer)
 
     def _take_demand(self, link: Link, demand: AdapterDemand) -> None:
@@ -148,6 +153,13 @@
             self._popularity.record(demand.key, now)
         by_adapter[demand.key] = TimedDemand(demand, now + demand.slack_s)
 
+    def beat(self) -> None:
+        """Tell gateways that this VM is alive; run each pulse period."""
+        now = time.monotonic()
+        for link in list(self._links):
+            if now - link.last_sent >= PULSE_S / 2:
+                link.send(PULSE)
+
     def close(self) -> None:
         """End all links."""
         for link in list(self._links):
@@ -263,18 +275,22 @@
         return result in (OrderResult.ACCEPTED, OrderResult.DONE)
 
     async def _ensure_token(self) -> bool:
-        """Take a token from the store's one counter, which never falls, once per lifetime."""
-        if self._fencing_token is not None:
-            return True
-        try:
-            self._fencing_token = await self._store.write(
-                FENCE_TABLE, f"fence/{self._holder}", orjson.dumps({"holder": self._holder})
-            )
-        except PlatformUnavailableError as error:
-            self._log.warning("No fencing token yet.", error=str(error))
-            return False
-        self._log.info("Took a fencing token.", token=self._fencing_token)
-        return True
+        """Take a token from the store's one counter, which never falls, once per lifetime.
+
+        Any write takes the counter's next value; another part of the table may accept one while
+        the first is out.
+        """
+        for part in FENCE_PARTS:
+            if self._fencing_token is not None:
+                return True
+            try:
+                self._fencing_token = await self._store.write(
+                    FENCE_TABLE, self._holder, orjson.dumps({"holder": self._holder}), part
+                )
+                self._log.info("Took a fencing token.", token=self._fencing_token, part=part)
+            except PlatformUnavailableError as error:
+                self._log.warning("No fencing token yet.", part=part, error=str(error))
+        return self._fencing_token is not None
 
     def _reserved(self, report: EngineReport, now: float) -> int:
         """Return the places kept for loads that may still be carried out.
--- a/src/dragonflyhold/gateway/daemon.py
+++ b/src/dragonflyhold/gateway/daemon.py
@@ -10,7 +10,7 @@
 from typing import final
 
 from dragonflyhold.errors import UsageError
-from dragonflyhold.gateway.agent import Agent
+from dragonflyhold.gateway.agent import PULSE_S, Agent
 from dragonflyhold.gateway.catalogue import Catalogue
 from dragonflyhold.gateway.gateway import Gateway
 from dragonflyhold.gateway.http_client import ConnectionPool
@@ -227,6 +227,7 @@
         self._tasks = [
             _start(self._log, "operator", self._operator.run),
             _start(self._log, "agent", self._agent.run),
+            _start(self._log, "pulse", self._beat),
             _start(self._log, "housekeeping", self._keep_house),
         ]
         loop = asyncio.get_running_loop()
@@ -246,6 +247,11 @@
         self._agent.close()
         await _cancel(self._tasks)
 
+    async def _beat(self) -> None:
+        while True:
+            self._agent.beat()
+            await asyncio.sleep(PULSE_S)
+
     async def _keep_house(self) -> None:
         while True:
             await asyncio.sleep(HOUSEKEEPING_PERIOD_S)
--- a/src/dragonflyhold/gateway/dispatch.py
+++ b/src/dragonflyhold/gateway/dispatch.py
@@ -15,6 +15,8 @@
 MAX_SUSPENSION_S = 2.0
 # A runner that owes an answer and sent nothing for this long gets no new work meanwhile.
 STALL_S = 0.6
+# An agent's silence, in seconds, after which its VM gets nothing new: several pulses.
+QUIET_S = 0.35
 # Weight of the newest time to the first byte in a runner's mean.
 FIRST_BYTE_WEIGHT = 0.1
 # Weight of the newest outcome in a runner's failure rate.
@@ -73,6 +75,8 @@
     suspension_s: float = MIN_SUSPENSION_S
     failure_rate: float = 0.0
     failure_at: float = 0.0
+    # When the agent on the runner's VM was last heard.
+    agent_heard_at: float = -1e9
     # An engine's state is told by its agent: until when to wait for the first word.
     agent_awaited_until: float = -1e9
     # Monotonic time of the last byte from the runner, and since when it owes an answer.
@@ -100,6 +104,10 @@
             and not self.is_stalled(now)
         )
 
+    def is_quiet(self, now: float) -> bool:
+        """Whether the VM's agent, linked, has missed its pulses: the VM may stand still."""
+        return self.is_linked and now - self.agent_heard_at > QUIET_S
+
     def is_stalled(self, now: float) -> bool:
         """Whether the runner owes an answer and has been silent for too long."""
         return (
@@ -170,6 +178,7 @@
         if view is None:
             return
         view.is_linked = True
+        view.agent_heard_at = now
         view.has_model = update.has_model
         view.is_draining = update.is_draining
         view.resident = dict(update.resident)
@@ -182,6 +191,12 @@
         view.reported_own = view.in_flight
         view.reported_at = now
 
+    def agent_heard(self, runner_id: RunnerId, now: float) -> None:
+        """Note a message from the agent beside a runner."""
+        view = self.views.get(runner_id)
+        if view is not None:
+            view.agent_heard_at = now
+
     def of_service(self, service: ServiceName) -> list[RunnerView]:
         """Return the runners of a service."""
         return [view for view in self.views.values() if view.runner.service == service]
@@ -201,6 +216,8 @@
             for view in views
             if view.runner.runner_id not in excluded and view.is_available(now)
         ]
+        # With all of them quiet it is this process that has not read for a while.
+        open_views = [view for view in open_views if not view.is_quiet(now)] or open_views
         if not open_views:
             return NoRunner(len(views))
         if target is None:
--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -21,6 +21,7 @@
     DemandUpdate,
     EngineUpdate,
     Message,
+    Pulse,
     SuspectUpdate,
 )
 from dragonflyhold.gateway.model import (
@@ -438,9 +439,11 @@
 
     def agent_message(self, agent: _AgentLink, message: Message) -> None:
         """Take in the state of an engine."""
+        runner_id = self._runner_at(agent.ip)
+        if runner_id is not None:
+            self.table.agent_heard(runner_id, time.monotonic())
         match message:
             case EngineUpdate():
-                runner_id = self._runner_at(agent.ip)
                 if runner_id is None:
                     return
                 self.table.apply_update(runner_id, message, time.monotonic())
@@ -452,6 +455,8 @@
                     self.demands.wake_runner(runner_id)
             case SuspectUpdate():
                 self.suspects.apply(message)
+            case Pulse():
+                pass
             case DemandUpdate():
                 self.log.warning("An agent sent a demand.", ip=agent.ip)
 
--- a/src/dragonflyhold/gateway/messages.py
+++ b/src/dragonflyhold/gateway/messages.py
@@ -14,7 +14,7 @@
 from dragonflyhold.gateway.model import ModelAdapter, ModelName
 from dragonflyhold.ids import AdapterName, Version
 
-_DEMAND, _ENGINE, _SUSPECTS = 1, 2, 3
+_DEMAND, _ENGINE, _SUSPECTS, _PULSE = 1, 2, 3, 4
 # A frame beyond this is not one of ours.
 MAX_FRAME_BYTES = 1 << 20
 
@@ -78,7 +78,13 @@
     suspects: Sequence[tuple[bytes, int]]
 
 
-Message = DemandUpdate | EngineUpdate | SuspectUpdate
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pulse:
+    """Says only that an agent's VM is alive."""
+
+
+Message = DemandUpdate | EngineUpdate | SuspectUpdate | Pulse
 
 
 def encode(message: Message) -> bytes:
@@ -105,6 +111,8 @@
             )
         case SuspectUpdate(source, suspects):
             fields = (_SUSPECTS, source, list(suspects))
+        case Pulse():
+            fields = (_PULSE,)
     packed: bytes = msgpack.packb(fields)
     return packed
 
@@ -133,6 +141,8 @@
             case 3:
                 source, suspects = rest
                 return SuspectUpdate(source, [(bytes(mark), int(n)) for mark, n in suspects])
+            case 4:
+                return Pulse()
     except (TypeError, ValueError, IndexError) as error:
         raise MessageError(f"peer: not a message: {error!r}") from error
     raise MessageError(f"peer: unknown message {tag!r}")
--- a/src/dragonflyhold/platform/store.py
+++ b/src/dragonflyhold/platform/store.py
@@ -25,11 +25,6 @@
     """The feed no longer has the changes since the version asked for."""
 
 
-@final
-class TransactionConflictError(DragonflyholdError):
-    """A transaction's condition did not hold; nothing was written."""
-
-
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoredRow:
@@ -86,21 +81,18 @@
         _expect(status, 200, table)
         return _rows(fields)
 
-    async def write(self, table: str, key: str, value: bytes, expected: int | None = None) -> int:
-        """Write a row and return the version of the write.
+    async def write(self, table: str, key: str, value: bytes, part: str = "") -> int:
+        """Write a row and return the version of the write, higher than that of any before.
 
-        With ``expected`` the row must be at that version (0: absent), else
-        ``TransactionConflictError``. After any other error the write may have taken effect.
+        After an error the write may have taken effect.
         """
-        name = {"table": table, "part": "", "key": key}
+        name = {"table": table, "part": part, "key": key}
         body = {
-            "expected": [] if expected is None else [{**name, "row_version": expected}],
+            "expected": [],
             "writes": [{**name, "value": base64.b64encode(value).decode()}],
             "remove": [],
         }
         status, fields = await self._call("POST", "/rows-tx", orjson.dumps(body))
-        if status == 412:
-            raise TransactionConflictError(f"store: {table}/{key} is not at version {expected}")
         _expect(status, 200, table)
         return _version(fields)
 
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -5,6 +5,7 @@
 from dragonflyhold.gateway.dispatch import (
     MAX_SUSPENSION_S,
     MIN_SUSPENSION_S,
+    QUIET_S,
     STALL_S,
     NoRunner,
     RunnerTable,
@@ -141,6 +142,19 @@
             choice = table.choose(SERVICE, None, ANY, NOW + STALL_S + 0.1)
             assert choice == SendNow(RunnerId("r2"), None)
 
+    def test_a_frozen_vm_gets_nothing_more(self) -> None:
+        """Pattern: a VM freezes; what is sent to it is read after its client has left."""
+        table = _table(1, 2)
+        later = NOW + QUIET_S + 0.05
+        table.agent_heard(RunnerId("r2"), later)
+        for _ in range(5):
+            assert table.choose(SERVICE, None, ANY, later) == SendNow(RunnerId("r2"), None)
+
+    def test_with_all_agents_quiet_requests_go_on(self) -> None:
+        """The gateway itself was paused, or every agent is slow."""
+        table = _table(1, 2)
+        assert isinstance(table.choose(SERVICE, None, ANY, NOW + QUIET_S + 0.05), SendNow)
+
     def test_a_runner_that_answers_others_is_not_silent(self) -> None:
         table = _table(1)
         table.started(RunnerId("r1"), NOW)
--- a/tests/gateway/test_site.py
+++ b/tests/gateway/test_site.py
@@ -357,6 +357,27 @@
 
         assert _play(play) == 0
 
+    def test_a_token_is_had_while_a_part_of_the_store_is_out(self) -> None:
+        """Pattern: all machines lose power while a part of the store is out.
+
+        Engines stood without their model until the part was back.
+        """
+
+        async def run() -> int:
+            site = Site()
+            await site.store.start()
+            site.store.put("op", "config", configuration())
+            site.store.parts_out = {"", "fence-1"}
+            await site.add_engine("e0")
+            await site.add_gateway()
+            await site.ready(1)
+            try:
+                return (await site.call("/ask/1", adapter="a1")).status
+            finally:
+                await site.close()
+
+        assert asyncio.run(run()) == 200
+
     def test_a_lost_answer_of_the_token_write_is_repeated(self) -> None:
         async def run() -> int:
             site = Site()
--- a/tests/platform/store_stand_in.py
+++ b/tests/platform/store_stand_in.py
@@ -39,6 +39,8 @@
         self.calls: list[str] = []
         # Feeds before this version get 410.
         self.oldest = 0
+        # Parts whose transactions get 503.
+        self.parts_out: set[str] = set()
         self._version = 0
         self._tables: dict[str, dict[str, _Row]] = {}
         self._changed = asyncio.Event()
@@ -136,6 +138,8 @@
         return sorted(changed, key=lambda key: rows[key].version)
 
     def _transact(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        if any(item["part"] in self.parts_out for item in body["writes"]):
+            return 503, {}
         for item in body["expected"]:
             row = self._tables.get(item["table"], {}).get(item["key"])
             version = row.version if row is not None and row.value is not None else 0
