Let a gateway that starts in an outage learn from others

Ruled out: keeping the configuration at runners (they are not ours). Change: gateways serve what they have read on their control address, and a new one asks the seeds when the store does not answer in 0.3 s; an agent without configuration or token tells what its engine holds.

--- a/src/dragonflyhold/gateway/agent.py
+++ b/src/dragonflyhold/gateway/agent.py
@@ -287,9 +287,9 @@
                 self._fencing_token = await self._store.write(
                     FENCE_TABLE, self._holder, orjson.dumps({"holder": self._holder}), part
                 )
-                self._log.info("Took a fencing token.", token=self._fencing_token, part=part)
+                self._log.info("Took a fencing token.", token=self._fencing_token, store_part=part)
             except PlatformUnavailableError as error:
-                self._log.warning("No fencing token yet.", part=part, error=str(error))
+                self._log.warning("No fencing token yet.", store_part=part, error=str(error))
         return self._fencing_token is not None
 
     def _reserved(self, report: EngineReport, now: float) -> int:
@@ -338,7 +338,12 @@
         now = time.monotonic()
         update = self._update()
         self._log_state(update, now)
-        flags = (update.has_model, update.is_draining, update.free_places > 0)
+        flags = (
+            update.has_model,
+            update.is_draining,
+            update.can_load,
+            update.free_places > 0,
+        )
         state = (update.born, update.resident, flags)
         if state == self._published and now - self._published_at < PUBLISH_PERIOD_S:
             return
@@ -351,8 +356,19 @@
 
     def _update(self) -> EngineUpdate:
         report, spec = self._report, self._catalogue.engine(self._service)
-        if report is None or spec is None:
-            return EngineUpdate(0, [], [], [], 0, 0, 0, has_model=False, is_draining=False)
+        if report is None:
+            return NO_ENGINE
+        if spec is None or self._fencing_token is None:
+            # Nothing can be ordered yet; what the engine holds can be used.
+            return dataclasses.replace(
+                NO_ENGINE,
+                born=report.born,
+                resident=sorted(report.adapters.items()),
+                running=report.running,
+                waiting=report.waiting,
+                has_model=bool(report.models),
+                is_draining=report.is_draining,
+            )
         view = self._view(report, spec)
         # Outdated adapters end their runs and take no new ones.
         outdated = {
@@ -375,9 +391,24 @@
             backlog=backlog[:MAX_TOLD_BACKLOG],
             has_model=bool(report.models),
             is_draining=report.is_draining,
+            can_load=True,
         )
 
 
+NO_ENGINE = EngineUpdate(
+    born=0,
+    resident=[],
+    coming=[],
+    backlog=[],
+    running=0,
+    waiting=0,
+    free_places=0,
+    has_model=False,
+    is_draining=False,
+    can_load=False,
+)
+
+
 def _has_room(order: Order, report: EngineReport, slots: int) -> bool:
     """Whether a load fits: an unload before it may still wait for its runs."""
     if order.kind is OrderKind.UNLOAD or order.adapter is None:
--- a/src/dragonflyhold/gateway/daemon.py
+++ b/src/dragonflyhold/gateway/daemon.py
@@ -18,6 +18,7 @@
 from dragonflyhold.gateway.link import HEARTBEAT_S, Link
 from dragonflyhold.gateway.logs import Part, setup_json_logging
 from dragonflyhold.gateway.model import Address, IngressLimits
+from dragonflyhold.gateway.peers import PeerSnapshots
 from dragonflyhold.gateway.registry import LAPSE_GRACE_S
 from dragonflyhold.gateway.tasks import supervise
 from dragonflyhold.gateway.watch import TableWatch
@@ -102,6 +103,8 @@
             self._store, REGISTRY_TABLE, self.gateway.registry.apply, REGISTRY_PAUSE_S
         )
         self._ready = HttpServer(self._answer_ready, IngressLimits())
+        self._peers = PeerSnapshots([self._operator, self._registry], self.gateway.pool)
+        self._peer_server = HttpServer(self._peers.answer, IngressLimits())
         self._is_stopping = False
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -121,11 +124,14 @@
             _start(self._log, "registry", self._registry.run),
             _start(self._log, "heartbeat", self._beat),
             _start(self._log, "housekeeping", self._keep_house),
+            asyncio.get_running_loop().create_task(self._peers.learn(self._other_seeds())),
         ]
         assert settings.client_listener is not None
         await _listen(self.gateway.server, settings.client_listener)
         if settings.ready_listener is not None:
             await _listen(self._ready, settings.ready_listener)
+        if settings.peer_listener is not None:
+            await _listen(self._peer_server, settings.peer_listener)
         port = GATEWAY_METRICS_PORT
         self._page = await _listen_metrics(self._metrics, settings.ip, port, self._log)
         self._log.info("Started.", role="gateway", vm=settings.vm, store=settings.store)
@@ -134,7 +140,7 @@
         """Stop all work at once."""
         self._log.info("Stopped.", open_requests=self.gateway.server.open_requests)
         self.gateway.close()
-        for server in (self.gateway.server, self._ready, self._page):
+        for server in (self.gateway.server, self._ready, self._peer_server, self._page):
             server.abort()
         await _cancel(self._tasks)
 
@@ -153,6 +159,9 @@
                 return
             await asyncio.sleep(0.02)
 
+    def _other_seeds(self) -> list[Address]:
+        return [seed for seed in self._settings.seeds if seed != self._settings.peer_listener]
+
     async def _beat(self) -> None:
         while True:
             self.gateway.heartbeat()
--- a/src/dragonflyhold/gateway/dispatch.py
+++ b/src/dragonflyhold/gateway/dispatch.py
@@ -55,6 +55,7 @@
     has_model: bool = True
     # Whether an agent said that the engine leaves; sooner than the registry does.
     is_draining: bool = False
+    can_load: bool = False
     resident: dict[ModelAdapter, Version] = dataclasses.field(default_factory=dict)
     coming: frozenset[ModelAdapter] = frozenset()
     # Adapters that are coming or that some gateway waits for there.
@@ -181,6 +182,7 @@
         view.agent_heard_at = now
         view.has_model = update.has_model
         view.is_draining = update.is_draining
+        view.can_load = update.can_load
         view.resident = dict(update.resident)
         view.expected = frozenset((*update.coming, *update.backlog))
         view.coming = frozenset(update.coming)
@@ -226,7 +228,7 @@
         if holders:
             best = self._least_loaded(holders, now)
             return SendNow(best.runner.runner_id, best.resident[target])
-        linked = [view for view in open_views if view.is_linked]
+        linked = [view for view in open_views if view.is_linked and view.can_load]
         if not linked:
             return NoRunner(len(views))
         home = self._home(linked, target)
--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -435,6 +435,7 @@
         runner_id = self._runner_at(agent.ip)
         if runner_id is not None:
             self.table.views[runner_id].is_linked = False
+            self.table.views[runner_id].can_load = False
             self.demands.wake_runner(runner_id)
 
     def agent_message(self, agent: _AgentLink, message: Message) -> None:
@@ -461,9 +462,9 @@
                 self.log.warning("An agent sent a demand.", ip=agent.ip)
 
     def is_linking(self, service: ServiceName) -> bool:
-        """Whether runners of a service are ready whose agents are not linked yet."""
+        """Whether runners of a service are ready whose agents cannot give orders yet."""
         views = self.table.of_service(service)
-        return any(not view.is_linked and self._has_engine(view.runner) for view in views)
+        return any(not view.can_load and self._has_engine(view.runner) for view in views)
 
     def heartbeat(self) -> None:
         """Tell each agent that this gateway is alive; run each heartbeat period."""
--- a/src/dragonflyhold/gateway/messages.py
+++ b/src/dragonflyhold/gateway/messages.py
@@ -67,6 +67,8 @@
     free_places: int
     has_model: bool
     is_draining: bool
+    # Whether the agent may give orders.
+    can_load: bool
 
 
 @final
@@ -108,6 +110,7 @@
                 message.free_places,
                 message.has_model,
                 message.is_draining,
+                message.can_load,
             )
         case SuspectUpdate(source, suspects):
             fields = (_SUSPECTS, source, list(suspects))
@@ -125,7 +128,7 @@
             case 1:
                 return DemandUpdate([_demand(row) for row in rest[0]])
             case 2:
-                born, resident, coming, backlog, *numbers, has_model, is_draining = rest
+                born, resident, coming, backlog, *numbers, has_model, is_draining, can_load = rest
                 running, waiting, free_places = numbers
                 return EngineUpdate(
                     born=born,
@@ -137,6 +140,7 @@
                     free_places=free_places,
                     has_model=has_model,
                     is_draining=is_draining,
+                    can_load=can_load,
                 )
             case 3:
                 source, suspects = rest
--- /dev/null
+++ b/src/dragonflyhold/gateway/peers.py
@@ -0,0 +1,90 @@
+"""What gateways tell each other of the store: a new one starts while the store is out."""
+
+import asyncio
+import random
+import time
+from collections.abc import Sequence
+from typing import final
+
+import msgpack
+
+from dragonflyhold.errors import DragonflyholdError
+from dragonflyhold.gateway.http_client import Call, ConnectionPool, ExchangeError
+from dragonflyhold.gateway.http_server import ClientRequest, Responder
+from dragonflyhold.gateway.logs import Part
+from dragonflyhold.gateway.model import Address
+from dragonflyhold.gateway.tasks import limit_time
+from dragonflyhold.gateway.watch import TableWatch
+from dragonflyhold.platform.store import StoredRow
+
+SNAPSHOT_TARGET = b"/snapshot"
+# Time that the store is given before peers are asked, and the pause between two rounds, in seconds.
+STORE_FIRST_S = 0.3
+ROUND_PAUSE_S = 0.5
+ANSWER_TIMEOUT_S = 1.0
+
+
+class PeerError(DragonflyholdError):
+    """A peer gave no usable snapshot."""
+
+
+@final
+class PeerSnapshots:
+    """Serves what this gateway has read, and learns from seeds what it could not read."""
+
+    def __init__(self, watches: Sequence[TableWatch], pool: ConnectionPool) -> None:
+        self._watches = {watch.table: watch for watch in watches}
+        self._pool = pool
+        self._log = Part("peers")
+
+    async def answer(self, request: ClientRequest, responder: Responder) -> None:
+        """Serve the rows of all tables."""
+        if request.target != SNAPSHOT_TARGET:
+            responder.send(404, [])
+            return
+        tables = {
+            name: [(row.key, row.version, row.value) for row in watch.rows.values()]
+            for name, watch in self._watches.items()
+        }
+        responder.send(200, [], msgpack.packb(tables))
+
+    async def learn(self, seeds: Sequence[Address]) -> None:
+        """Ask seeds until the store has answered or one of them has told enough."""
+        await asyncio.sleep(STORE_FIRST_S)
+        while not all(watch.has_read for watch in self._watches.values()):
+            for seed in random.sample(list(seeds), len(seeds)):
+                try:
+                    tables = await self._fetch(seed)
+                except PeerError as error:
+                    self._log.warning("A seed told nothing.", seed=seed, error=str(error))
+                    continue
+                for name, watch in self._watches.items():
+                    watch.apply_hearsay(tables.get(name, []))
+                rows = sum(len(table) for table in tables.values())
+                self._log.info("Learned from a seed.", seed=seed, rows=rows)
+                if rows:
+                    return
+            await asyncio.sleep(ROUND_PAUSE_S)
+
+    async def _fetch(self, seed: Address) -> dict[str, list[StoredRow]]:
+        started = time.monotonic()
+        exchange = None
+        try:
+            async with limit_time(ANSWER_TIMEOUT_S):
+                call = Call(b"GET", SNAPSHOT_TARGET, [(b"Host", seed.encode())])
+                exchange = await self._pool.send(seed, call)
+                head = await exchange.read_head()
+                data = await exchange.read_body()
+            if head.status != 200:
+                raise PeerError(f"answered {head.status}")
+            tables = msgpack.unpackb(data)
+            return {
+                name: [StoredRow(key, version, value) for key, version, value in rows]
+                for name, rows in tables.items()
+            }
+        except (ExchangeError, TimeoutError, ValueError, TypeError, AttributeError) as error:
+            elapsed = time.monotonic() - started
+            raise PeerError(f"{error!r} after {elapsed:.3f} s") from error
+        finally:
+            if exchange is not None:
+                self._pool.give_back(seed, exchange)
--- a/src/dragonflyhold/gateway/watch.py
+++ b/src/dragonflyhold/gateway/watch.py
@@ -8,7 +8,7 @@
 import dataclasses
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import final
 
 from dragonflyhold.errors import PlatformUnavailableError
@@ -47,6 +47,7 @@
         # Monotonic time since when no call succeeded, ``None`` while the store answers.
         self.unavailable_since: float | None = clock()
         self.available_since = clock()
+        self.rows: dict[str, StoredRow] = {}
         self._store = store
         self._on_change = on_change
         self._pause_s = pause_s
@@ -93,6 +94,11 @@
         self._version = rows.version
         self.has_read = True
 
+    def apply_hearsay(self, rows: Iterable[StoredRow]) -> None:
+        """Take in rows that a peer had read; the store's own word follows when it answers."""
+        for row in rows:
+            self._apply(row)
+
     def apply_changes(self, rows: RowSet) -> None:
         """Take in a part of the feed."""
         for row in rows.rows:
@@ -109,6 +115,10 @@
         if known is None and row.removed:
             return
         self._known[row.key] = _Known(row.version, row.removed)
+        if row.removed:
+            self.rows.pop(row.key, None)
+        else:
+            self.rows[row.key] = row
         self._on_change(row)
 
     def _lost(self, error: PlatformUnavailableError) -> None:
--- a/src/dragonflyhold/platform/settings.py
+++ b/src/dragonflyhold/platform/settings.py
@@ -44,6 +44,10 @@
     # Where clients and the platform's readiness checks arrive; absent beside an engine.
     client_listener: Address | None
     ready_listener: Address | None
+    # Where other gateways ask for what this one knows of the store.
+    peer_listener: Address | None
+    # Peer listeners of some gateways; they may be stale or down.
+    seeds: tuple[Address, ...]
     # The engine on the same VM; absent on entry VMs.
     engine: Address | None
     # Service of that engine, or empty.
@@ -100,6 +104,8 @@
         store=_address(platform.get("address"), "platform.address", problems),
         client_listener=_optional(listeners, "front", problems),
         ready_listener=_optional(listeners, "ready", problems),
+        peer_listener=_optional(listeners, "control", problems),
+        seeds=_addresses(fields.get("seeds") or [], problems),
         engine=_optional(fields, "app", problems),
         service=str(fields.get("service") or ""),
         first_internal_port=ports[0],
@@ -154,6 +160,13 @@
     return None if value is None else _address(value, name, problems)
 
 
+def _addresses(values: Any, problems: list[str]) -> tuple[Address, ...]:
+    if not isinstance(values, list):
+        problems.append(f"seeds: {values!r} is not a list")
+        return ()
+    return tuple(_address(value, "seeds", problems) for value in values)
+
+
 def _address(value: Any, name: str, problems: list[str]) -> Address:
     host, _, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
     if not host or not port.isdigit():
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -92,6 +92,7 @@
     coming: dict[int, int] | None = None,
     has_model: bool = True,
     is_draining: bool = False,
+    can_load: bool = True,
 ) -> EngineUpdate:
     return EngineUpdate(
         born=1,
@@ -103,4 +104,5 @@
         free_places=free_places,
         has_model=has_model,
         is_draining=is_draining,
+        can_load=can_load,
     )
--- a/tests/gateway/site.py
+++ b/tests/gateway/site.py
@@ -134,6 +134,8 @@
             store=self.store.address,
             client_listener=client_listener,
             ready_listener=None,
+            peer_listener=Address(f"{host}:18081") if client_listener else None,
+            seeds=tuple(Address(f"{daemon._settings.ip}:18081") for daemon in self.gateways),
             engine=engine,
             service=ENGINES if engine else "",
             first_internal_port=17380,
--- a/tests/gateway/test_site.py
+++ b/tests/gateway/test_site.py
@@ -357,6 +357,34 @@
 
         assert _play(play) == 0
 
+    def test_a_gateway_starts_in_an_outage(self) -> None:
+        """Pattern: a machine is stopped and started while the store is out.
+
+        It answered 503 until the store was back.
+        """
+
+        async def play(site: Site) -> list[int]:
+            site.store.trouble = Trouble.REFUSING
+            await site.add_gateway()
+            await asyncio.sleep(0.8)
+            calls = [site.call("/book/1", gateway=1), site.call("/ask/1", adapter="a1", gateway=1)]
+            return [answer.status for answer in await asyncio.gather(*calls)]
+
+        assert _play(play) == [200, 200]
+
+    def test_an_agent_that_starts_in_an_outage_stops_nothing(self) -> None:
+        """Without a configuration it said that its engine had no model."""
+
+        async def play(site: Site) -> int:
+            await site.call("/ask/1", adapter="a1")
+            site.store.trouble = Trouble.REFUSING
+            await site.agents["e0"].close()
+            await site.start_agent("e0")
+            await asyncio.sleep(0.5)
+            return (await site.call("/ask/1", adapter="a1")).status
+
+        assert _play(play, engines=1) == 200
+
     def test_a_token_is_had_while_a_part_of_the_store_is_out(self) -> None:
         """Pattern: all machines lose power while a part of the store is out.
 
