--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -206,7 +206,7 @@
         else:
             headers = codec.refusal_headers(error.retry_after_s)
             responder.send(503, headers, f"not run: {error.reason.value}\n".encode())
-        self._ended(run, facts, str(error).strip(), responder)
+        self._ended(run, facts, error.reason.value, responder, error.detail)
 
     def _fail(
         self,
@@ -224,10 +224,17 @@
         self._ended(run, facts, f"in doubt: {reason.value}", responder)
 
     def _ended(
-        self, run: RequestRun | None, facts: RequestFacts, outcome: str, responder: Responder
+        self,
+        run: RequestRun | None,
+        facts: RequestFacts,
+        outcome: str,
+        responder: Responder,
+        detail: str = "",
     ) -> None:
         fields: dict[str, object] = {"id": facts.request_id, "outcome": outcome}
         fields["status"] = responder.status
+        if detail:
+            fields["detail"] = detail
         if run is not None:
             progress = run.progress
             fields.update(
--- a/src/dragonflyhold/gateway/outcomes.py
+++ b/src/dragonflyhold/gateway/outcomes.py
@@ -34,6 +34,7 @@
         super().__init__(f"{reason.value} {detail}")
         self.reason = reason
         self.retry_after_s = retry_after_s
+        self.detail = detail
 
 
 @final
--- a/src/dragonflyhold/observability/stories.py
+++ b/src/dragonflyhold/observability/stories.py
@@ -178,9 +178,7 @@
 
 
 def _cause(ended: LogLine, before: LogLine | None) -> str:
-    outcome = str(ended.get("outcome"))
-    runner = str(ended.get("runner"))
-    cause = outcome.replace(runner, "").strip()
+    cause = str(ended.get("outcome"))
     if before is not None:
         reason = before.get("reason") or before.get("status")
         cause += f"; before: {before.get('event')}" + (f" {reason}" if reason else "")
--- a/tests/observability/test_stories.py
+++ b/tests/observability/test_stories.py
@@ -35,7 +35,7 @@
                 10.5,
                 "A request ended.",
                 id="x1",
-                outcome="adapter_wait r1",
+                outcome="adapter_wait",
                 runner="r1",
                 adapter="a7",
             ),
