Count orders and store calls, take bounds from the settings, test the adapter

Cause: unseen installations may have other bounds; on call there was no count of orders and calls. Change: the grace of a version and the registry's pause follow the settings; unused fields went.

--- a/src/dragonflyhold/gateway/agent.py
+++ b/src/dragonflyhold/gateway/agent.py
@@ -42,6 +42,7 @@
     sum_demands,
 )
 from dragonflyhold.ids import ServiceName
+from dragonflyhold.observability.metrics import Metrics
 from dragonflyhold.platform.engine import EngineControl, EngineUnavailableError
 from dragonflyhold.platform.store import MetadataStore
 from dragonflyhold.popularity import Popularity
@@ -93,7 +94,9 @@
         engine: EngineControl,
         store: MetadataStore,
         catalogue: Catalogue,
+        metrics: Metrics,
     ) -> None:
+        self._metrics = metrics
         self._holder = holder
         self._service = service
         self._engine = engine
@@ -253,6 +256,7 @@
         result = await self._engine.order(
             order, report.sequence, self._fencing_token, self._runner_id
         )
+        self._metrics.count_event(f"order_{order.kind.value}_{result.value}")
         self._log.info(
             "An order was given.",
             order=order.kind.value,
--- a/src/dragonflyhold/gateway/daemon.py
+++ b/src/dragonflyhold/gateway/daemon.py
@@ -16,7 +16,7 @@
 from dragonflyhold.gateway.http_client import ConnectionPool
 from dragonflyhold.gateway.http_server import ClientRequest, HttpServer, Responder
 from dragonflyhold.gateway.link import HEARTBEAT_S, Link
-from dragonflyhold.gateway.logs import Part, setup_json_logging
+from dragonflyhold.gateway.logs import LogWriter, Part, setup_json_logging
 from dragonflyhold.gateway.model import Address, IngressLimits
 from dragonflyhold.gateway.peers import PeerSnapshots
 from dragonflyhold.gateway.registry import LAPSE_GRACE_S
@@ -31,9 +31,9 @@
 # Tables of the platform's store.
 OPERATOR_TABLE = "op"
 REGISTRY_TABLE = "servers"
-# Pause between two looks at the registry, whose rows change with every check-in of a runner: half
-# of the time in which new work for a leaving runner must end. Agents tell of their engines sooner.
-REGISTRY_PAUSE_S = 1.0
+# Pause between two looks at the registry, whose rows change with every check-in of a runner: this
+# share of the time in which new work for a leaving runner must end. Agents tell of engines sooner.
+REGISTRY_PAUSE_SHARE = 0.5
 # Ports of the metrics pages; the deploy file names the same ones.
 GATEWAY_METRICS_PORT = 9464
 AGENT_METRICS_PORT = 9465
@@ -90,17 +90,23 @@
 class GatewayDaemon:
     """The process on an entry VM."""
 
-    def __init__(self, settings_file: SettingsFile) -> None:
+    def __init__(self, settings_file: SettingsFile, log_writer: LogWriter | None = None) -> None:
         self._file = settings_file
+        self._log_writer = log_writer
         self._settings = settings_file.current
         self._metrics = Metrics()
         self._log = Part("daemon")
         self._stop = asyncio.Event()
         self.gateway = Gateway(self._settings, self._metrics)
-        self._store = MetadataStore(self._settings.store, self.gateway.pool)
+        self._store = MetadataStore(
+            self._settings.store, self.gateway.pool, self._metrics.count_event
+        )
         self._operator = TableWatch(self._store, OPERATOR_TABLE, self.gateway.catalogue.apply)
         self._registry = TableWatch(
-            self._store, REGISTRY_TABLE, self.gateway.registry.apply, REGISTRY_PAUSE_S
+            self._store,
+            REGISTRY_TABLE,
+            self.gateway.registry.apply,
+            REGISTRY_PAUSE_SHARE * self._settings.bounds.drain_s,
         )
         self._ready = HttpServer(self._answer_ready, IngressLimits())
         self._peers = PeerSnapshots([self._operator, self._registry], self.gateway.pool)
@@ -185,10 +191,24 @@
             was_steady = steady
             self.gateway.registry.expire()
             self.gateway.pool.close_expired(now)
-            self._metrics.set_level("waiting_requests", self.gateway.demands.waiting)
-            self._metrics.set_level("runner_connections_opened", self.gateway.pool.opened)
+            self._set_levels(now)
             self._reload(force=False)
 
+    def _set_levels(self, now: float) -> None:
+        gateway, metrics = self.gateway, self._metrics
+        configuration = gateway.catalogue.configuration
+        metrics.set_level("waiting_requests", gateway.demands.waiting)
+        metrics.set_level("runner_connections_opened", gateway.pool.opened)
+        metrics.set_level("runners", len(gateway.table.views))
+        metrics.set_level("config_version", configuration.version if configuration else 0)
+        for watch in (self._operator, self._registry):
+            lost_at = watch.unavailable_since
+            metrics.set_level(
+                f"store_lost_s_{watch.table}", 0 if lost_at is None else now - lost_at
+            )
+        if self._log_writer is not None:
+            metrics.set_level("log_lines_dropped", self._log_writer.dropped)
+
     def _reload(self, force: bool) -> None:
         if self._file.reload_if_changed(force):
             self._settings = self._file.current
@@ -213,13 +233,15 @@
         self._stop = asyncio.Event()
         pool = ConnectionPool()
         self._pool = pool
-        self._store = MetadataStore(settings.store, pool)
+        self._store = MetadataStore(settings.store, pool, self._metrics.count_event)
         self._catalogue = Catalogue(on_version=lambda key, version: self._agent.wake())
         self._operator = TableWatch(self._store, OPERATOR_TABLE, self._catalogue.apply)
         assert settings.engine is not None
         engine = HttpEngineControl(settings.engine, settings.vm, pool)
         service = ServiceName(settings.service) if settings.service else None
-        self._agent = Agent(settings.vm, service, engine, self._store, self._catalogue)
+        self._agent = Agent(
+            settings.vm, service, engine, self._store, self._catalogue, self._metrics
+        )
         self._tasks: list[asyncio.Task[None]] = []
         self._server: asyncio.Server | None = None
 
@@ -281,14 +303,14 @@
         print(error, file=sys.stderr)
         return EXIT_SETTINGS
     settings = settings_file.current
-    setup_json_logging(settings.vm)
-    asyncio.run(_run(settings_file, settings))
+    writer = setup_json_logging(settings.vm)
+    asyncio.run(_run(settings_file, settings, writer))
     return 0
 
 
-async def _run(settings_file: SettingsFile, settings: DaemonSettings) -> None:
+async def _run(settings_file: SettingsFile, settings: DaemonSettings, writer: LogWriter) -> None:
     if settings.client_listener is not None:
-        await GatewayDaemon(settings_file).run()
+        await GatewayDaemon(settings_file, writer).run()
     else:
         await AgentDaemon(settings_file).run()
 
--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -43,9 +43,9 @@
 from dragonflyhold.platform import codec
 from dragonflyhold.platform.settings import DaemonSettings
 
-# How long the old version of an adapter is still used after a new one was named: under the bound
-# of the platform, with room for a request that waits at its runner before it begins.
-VERSION_GRACE_S = 2.0
+# Share of the platform's bound for which the old version of an adapter is still used after a new
+# one was named; the rest is for requests that wait at their runner before they begin.
+VERSION_GRACE_SHARE = 0.4
 # Time after which callers come back, and the spread over which they do, in seconds.
 RETRY_AFTER_S = 0.3
 RETRY_SPREAD_S = 0.5
@@ -267,7 +267,8 @@
         """Return the oldest version of an adapter on which a request may begin now."""
         if target is None or target not in self.catalogue.versions:
             return Version(0)
-        if time.monotonic() - self.catalogue.learned[target] < VERSION_GRACE_S:
+        grace_s = VERSION_GRACE_SHARE * self._settings.bounds.version_s
+        if time.monotonic() - self.catalogue.learned[target] < grace_s:
             return Version(0)
         return self.catalogue.versions[target]
 
--- a/src/dragonflyhold/gateway/http_client.py
+++ b/src/dragonflyhold/gateway/http_client.py
@@ -104,7 +104,7 @@
     body: bytes = b""
     match: tuple[bytes, bytes] | None = None
 
-    def encode(self, chunk_free: bool = True) -> bytes:
+    def encode(self) -> bytes:
         """Return the bytes of the request."""
         lines = [b"%s %s HTTP/1.1\r\n" % (self.method, self.target)]
         lines.extend(b"%s: %s\r\n" % header for header in self.headers)
@@ -123,7 +123,6 @@
         self.created = time.monotonic()
         self.idle_since = self.created
         self.idle_limit_s = DEFAULT_IDLE_S
-        self.is_reused = False
         self._on_unusable = on_unusable
         self._transport: asyncio.Transport | None = None
         self._exchange: Exchange | None = None
@@ -404,7 +403,6 @@
         if len(idle) >= MAX_IDLE:
             connection.abort()
             return
-        connection.is_reused = True
         idle.append(connection)
 
     async def can_connect(self, address: Address) -> bool:
--- a/src/dragonflyhold/gateway/model.py
+++ b/src/dragonflyhold/gateway/model.py
@@ -69,7 +69,6 @@
     """Limits of the model engines of a service."""
 
     adapter_slots: int
-    batch_slots: int
     models: tuple[ModelName, ...]
 
 
@@ -79,7 +78,6 @@
     """A service; ``engine`` is ``None`` for plain services."""
 
     name: ServiceName
-    connection_limit: int
     # Path of a runner's own status check.
     health_path: str
     engine: EngineSpec | None
@@ -198,8 +196,6 @@
     model: ModelName | None
     prompt_tokens: int
     output_tokens: int
-    # Last shared part of the prompt, or empty.
-    session: str
     last_event_id: str | None
 
 
--- a/src/dragonflyhold/gateway/registry.py
+++ b/src/dragonflyhold/gateway/registry.py
@@ -79,12 +79,6 @@
             if now - since >= LAPSE_GRACE_S:
                 self._drop(runner_id, "not back after an outage")
 
-    def note_store_returned(self) -> None:
-        """Start the grace of lapsed runners anew: their entries are expected back from now on."""
-        now = self._clock()
-        for runner_id in self._lapsed:
-            self._lapsed[runner_id] = now
-
     def _removed(self, runner_id: RunnerId) -> None:
         runner = self.runners.get(runner_id)
         if runner is None:
--- a/src/dragonflyhold/platform/codec.py
+++ b/src/dragonflyhold/platform/codec.py
@@ -42,7 +42,6 @@
 NOT_RUN = b"not-executed"
 INSTANCE = b"instance-id"
 SERVER_LOAD = b"server-load"
-RETRY_AFTER = b"retry-after"
 # The system's to set: a client's values never reach a runner.
 _SYSTEM_HEADERS = frozenset(
     (
@@ -115,7 +114,6 @@
     engine = fields.get("engine")
     return Service(
         name=ServiceName(str(fields["name"])),
-        connection_limit=int(fields.get("connection_limit") or 100),
         health_path=str(fields.get("health_check_path") or "/health"),
         engine=_engine(engine) if engine else None,
     )
@@ -124,7 +122,6 @@
 def _engine(fields: Mapping[str, Any]) -> EngineSpec:
     return EngineSpec(
         adapter_slots=int(fields["adapter_slots"]),
-        batch_slots=int(fields["slots"]),
         models=tuple(ModelName(str(model["name"])) for model in fields["models"]),
     )
 
@@ -223,8 +220,6 @@
     """
     model, _, adapter = headers.get(b"model", b"").decode("latin-1").partition("/")
     prompt, _, output = headers.get(b"token-count", b"").partition(b",")
-    parts = headers.get(b"prompt-prefix", b"").decode("latin-1").split(",")
-    shared = parts[-2].partition(":")[0] if len(parts) > 1 else ""
     last_event_id = headers.get(LAST_EVENT_ID)
     name = ModelName(model) if model else None
     return RequestFacts(
@@ -234,7 +229,6 @@
         model=name,
         prompt_tokens=_count(prompt),
         output_tokens=_count(output),
-        session=shared.strip(),
         last_event_id=last_event_id.decode("latin-1") if last_event_id is not None else None,
     )
 
--- a/src/dragonflyhold/platform/settings.py
+++ b/src/dragonflyhold/platform/settings.py
@@ -53,7 +53,6 @@
     # Service of that engine, or empty.
     service: str
     first_internal_port: int
-    last_internal_port: int
     bounds: Bounds
 
     @property
@@ -109,7 +108,6 @@
         engine=_optional(fields, "app", problems),
         service=str(fields.get("service") or ""),
         first_internal_port=ports[0],
-        last_internal_port=ports[1],
         bounds=_bounds(bounds, problems),
     )
     if problems:
--- a/src/dragonflyhold/platform/store.py
+++ b/src/dragonflyhold/platform/store.py
@@ -3,7 +3,7 @@
 import base64
 import binascii
 import dataclasses
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any, final
 from urllib.parse import urlencode
 
@@ -49,9 +49,15 @@
 class MetadataStore:
     """Calls to the store; each raises ``PlatformUnavailableError`` without a usable answer."""
 
-    def __init__(self, address: Address, pool: ConnectionPool) -> None:
+    def __init__(
+        self,
+        address: Address,
+        pool: ConnectionPool,
+        count: Callable[[str], None] = lambda event: None,
+    ) -> None:
         self.address = address
         self._pool = pool
+        self._count = count
 
     async def read_table(self, table: str) -> RowSet:
         """Return all rows of a table's empty part, read page by page."""
@@ -108,10 +114,12 @@
                 head = await exchange.read_head()
                 data = await exchange.read_body()
         except (ExchangeError, TimeoutError) as error:
+            self._count("store_call_lost")
             raise PlatformUnavailableError(f"store: {method} {target}: {error!r}") from error
         finally:
             if exchange is not None:
                 self._pool.give_back(self.address, exchange)
+        self._count(f"store_call_{head.status}")
         if head.status in (429, 503) or head.status >= 500:
             raise PlatformUnavailableError(f"store: {method} {target}: answered {head.status}")
         try:
--- a/tests/gateway/site.py
+++ b/tests/gateway/site.py
@@ -139,7 +139,6 @@
             engine=engine,
             service=ENGINES if engine else "",
             first_internal_port=17380,
-            last_internal_port=17395,
             bounds=Bounds(),
         )
 
--- /dev/null
+++ b/tests/platform/test_codec.py
@@ -0,0 +1,156 @@
+"""Tests of the decoding of what the platform's services and clients say."""
+
+import pytest
+
+from dragonflyhold.gateway.http_client import Head
+from dragonflyhold.gateway.model import ModelAdapter, Order, OrderKind, Repeat, SendOptions
+from dragonflyhold.ids import AdapterName, Version
+from dragonflyhold.platform import codec
+
+ROUTE = {
+    "name": "r1",
+    "host": "Site.Example",
+    "prefix": "/a/",
+    "kind": "streaming",
+    "timeout_ms": 4000,
+    "target_latency_ms": 500,
+    "priority": 1,
+    "traffic_split": [{"service": "s1", "weight": 90}, {"service": "s2", "weight": 10}],
+    "max_attempts": 2,
+    "resumable": True,
+}
+
+
+class TestConfiguration:
+    """Configuration."""
+
+    def test_the_longest_prefix_wins(self) -> None:
+        routes = [ROUTE, {**ROUTE, "name": "r2", "prefix": "/a/b/"}]
+        found = codec.decode_configuration({"version": 1, "routes": routes, "services": []})
+        deep = found.find_route("site.example", "/a/b/c")
+        flat = found.find_route("site.example", "/a/bc")
+        assert deep is not None
+        assert flat is not None
+        assert (deep.name, flat.name) == ("r2", "r1")
+        assert found.find_route("other.example", "/a/b/c") is None
+
+    @pytest.mark.parametrize(
+        ("kind", "resumable", "repeat"),
+        [
+            ("safe", False, Repeat.IDEMPOTENT),
+            ("unsafe", False, Repeat.ONCE),
+            ("unsafe", True, Repeat.ONCE),
+            ("streaming", False, Repeat.ONCE),
+            ("streaming", True, Repeat.RESUMABLE),
+        ],
+    )
+    def test_the_kind_decides_what_may_be_repeated(
+        self, kind: str, resumable: bool, repeat: Repeat
+    ) -> None:
+        """A name or a method says nothing of it."""
+        fields = {**ROUTE, "kind": kind, "resumable": resumable}
+        found = codec.decode_configuration({"version": 1, "routes": [fields], "services": []})
+        assert found.routes["site.example"][0].repeat is repeat
+
+    @pytest.mark.parametrize("value", [None, [], {}, {"version": 1, "routes": [{}]}])
+    def test_what_is_no_configuration_is_refused(self, value: object) -> None:
+        with pytest.raises(codec.DecodeError):
+            codec.decode_configuration(value)
+
+
+class TestHeaders:
+    """Headers."""
+
+    def test_the_systems_headers_are_replaced(self) -> None:
+        """A client may send any of them; none of its values may reach a runner."""
+        names = b"Deadline-Remaining Expected-Instance Urgency-Level Expected-Version Hold"
+        more = b"Pin-Duration Cache-Backup Kv-From Kv-Fetch"
+        sent = [(name, b"evil") for name in (names + b" " + more).split()]
+        options = SendOptions("r1", 1.5, 2, Version(3), None)  # type: ignore[arg-type]
+        headers = codec.runner_headers([*sent, (b"Model", b"m/a1")], options)
+        assert sorted(headers) == [
+            (b"Deadline-Remaining", b"1500"),
+            (b"Expected-Instance", b"r1"),
+            (b"Expected-Version", b"3"),
+            (b"Model", b"m/a1"),
+            (b"Urgency-Level", b"2"),
+        ]
+
+    def test_a_resume_replaces_the_clients_event_id(self) -> None:
+        options = SendOptions("r1", 1.0, None, None, "7")  # type: ignore[arg-type]
+        headers = codec.runner_headers([(b"last-event-id", b"3")], options)
+        assert [value for name, value in headers if name.lower() == b"last-event-id"] == [b"7"]
+
+    def test_odd_values_are_left_to_the_runner(self) -> None:
+        facts = codec.decode_request(
+            {b"deadline-remaining": b"soon", b"token-count": b"x,-1", b"model": b"m"}
+        )
+        assert (facts.time_left_s, facts.prompt_tokens, facts.target) == (None, 0, None)
+
+    def test_a_model_with_an_adapter(self) -> None:
+        facts = codec.decode_request({b"model": b"m/a1", b"token-count": b"1460,80"})
+        assert facts.target == ModelAdapter("m", AdapterName("a1"))  # type: ignore[arg-type]
+        assert (facts.prompt_tokens, facts.output_tokens) == (1460, 80)
+
+
+def _head(status: int, **fields: bytes) -> Head:
+    named = {name.replace("_", "-").encode(): value for name, value in fields.items()}
+    return Head(status, list(named.items()), named)
+
+
+class TestAnswers:
+    """Answers."""
+
+    def test_only_two_things_say_that_a_request_has_not_run(self) -> None:
+        assert codec.is_not_run(_head(421))
+        assert codec.is_not_run(_head(503, not_executed=b"1"))
+        assert not codec.is_not_run(_head(503))
+        assert not codec.is_not_run(_head(429))
+
+    def test_a_success_needs_the_runners_signature_and_its_own_body(self) -> None:
+        assert codec.is_proper_success(_head(200, response_signature=b"x"))
+        assert not codec.is_proper_success(_head(200))
+        zipped = _head(200, response_signature=b"x", content_encoding=b"gzip")
+        assert not codec.is_proper_success(zipped)
+
+    @pytest.mark.parametrize("status", [429, 503, 408])
+    def test_promises_of_runners_that_ran_are_not_passed_on(self, status: int) -> None:
+        """These statuses tell a client that its request has not run."""
+        assert not codec.may_pass_failure(_head(status, response_signature=b"x"))
+
+    def test_the_load_of_a_runner(self) -> None:
+        assert codec.server_load(_head(200, server_load=b"3, 1,8")) == (3, 1)
+        assert codec.server_load(_head(200, server_load=b"3,x,8")) is None
+        assert codec.server_load(_head(200)) is None
+
+
+class TestEngine:
+    """Engine."""
+
+    def test_an_order_names_sequence_holder_and_token(self) -> None:
+        order = Order(OrderKind.LOAD, "m", AdapterName("a3"), Version(2))  # type: ignore[arg-type]
+        assert codec.encode_order(order, 5, "side-1", 41) == {
+            "operation": "load",
+            "model": "m",
+            "adapter": "a3",
+            "version": 2,
+            "expected": 5,
+            "holder": "side-1",
+            "fencing_token": 41,
+        }
+
+    def test_a_report_tells_adapters_with_their_versions(self) -> None:
+        models = [{"name": "m", "version": 1, "adapters": ["a1@2", "a7"]}]
+        fields = {"models": models, "sequence": 4, "coming": ["m/a9@3"], "state": "draining"}
+        report = codec.decode_report(fields)
+        assert {key.adapter: version for key, version in report.adapters.items()} == {
+            "a1": 2,
+            "a7": 1,
+        }
+        assert {key.adapter: version for key, version in report.coming.items()} == {"a9": 3}
+        assert report.is_draining
+
+    @pytest.mark.parametrize("value", [None, [], {}, {"sequence": 1, "coming": [3]}])
+    def test_what_is_no_report_is_refused(self, value: object) -> None:
+        with pytest.raises(codec.DecodeError):
+            codec.decode_report(value)
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,82 @@
+"""Tests of the settings as the platform writes them."""
+
+import pathlib
+from typing import Any
+
+import orjson
+import pytest
+from click.testing import CliRunner
+
+from dragonflyhold.cli import main
+from dragonflyhold.errors import UsageError
+from dragonflyhold.platform.settings import PATH_VARIABLE, decode_settings, load_settings
+
+FRONT: dict[str, Any] = {
+    "node_name": "front-1",
+    "ip": "10.1.0.38",
+    "zone": "dc-a",
+    "listen_addresses": {"front": "10.1.0.38:8149", "ready": "10.1.0.38:8141"},
+    "internal_port_range": [7380, 7395],
+    "seeds": ["10.1.0.38:8144", "10.2.0.40:8144"],
+    "bounds": {"drain_ms": 2000, "grace_s": 8, "retry_budget_ratio": 0.2, "new_bound": "x"},
+    "platform": {"address": "10.200.1.7:8142"},
+    "field_of_tomorrow": {"any": "thing"},
+}
+
+
+class TestDecoding:
+    """Decoding."""
+
+    def test_a_front_machine(self) -> None:
+        settings = decode_settings(FRONT)
+        assert settings.client_listener == "10.1.0.38:8149"
+        assert settings.engine is None
+        assert settings.agent_port == 7380
+        assert (settings.bounds.drain_s, settings.bounds.grace_s) == (2.0, 8)
+        assert settings.bounds.version_s == 5.0
+
+    def test_a_side_machine(self) -> None:
+        fields = {**FRONT, "listen_addresses": {}, "app": "10.1.0.39:8145", "service": "huvo"}
+        settings = decode_settings(fields)
+        assert settings.client_listener is None
+        assert (settings.engine, settings.service) == ("10.1.0.39:8145", "huvo")
+
+    def test_every_problem_is_reported_at_once(self) -> None:
+        fields = {
+            **FRONT,
+            "ip": 7,
+            "platform": {"address": "nowhere"},
+            "internal_port_range": [1],
+            "bounds": {"drain_ms": True},
+            "seeds": "x",
+        }
+        with pytest.raises(UsageError) as caught:
+            decode_settings(fields)
+        for name in ("ip", "platform.address", "internal_port_range", "bounds.drain_ms", "seeds"):
+            assert name in str(caught.value)
+
+
+class TestFiles:
+    """Files."""
+
+    def test_the_variable_names_the_file(self, tmp_path: pathlib.Path) -> None:
+        path = tmp_path / "local.json"
+        path.write_bytes(orjson.dumps(FRONT))
+        assert load_settings({PATH_VARIABLE: str(path)}).vm == "front-1"
+        with pytest.raises(UsageError, match=PATH_VARIABLE):
+            load_settings({})
+
+    @pytest.mark.parametrize("data", [b"", b"[]", b"{", b"\xff"])
+    def test_the_check_ends_with_2_and_a_message(self, tmp_path: pathlib.Path, data: bytes) -> None:
+        path = tmp_path / "local.json"
+        path.write_bytes(data)
+        result = CliRunner().invoke(main, ["platform", "check", str(path)])
+        assert result.exit_code == 2
+        assert str(path) in result.output
+
+    def test_the_check_names_the_role(self, tmp_path: pathlib.Path) -> None:
+        path = tmp_path / "local.json"
+        path.write_bytes(orjson.dumps(FRONT))
+        result = CliRunner().invoke(main, ["platform", "check", str(path)])
+        assert result.exit_code == 0
+        assert "gateway" in result.output
