--- a/src/dragonflyhold/gateway/agent.py
+++ b/src/dragonflyhold/gateway/agent.py
@@ -59,7 +59,7 @@
 POPULARITY_HALF_LIFE_S = 6.0
 STATE_LOG_PERIOD_S = 0.5
 # Gateways hear of this VM at least this often.
-PULSE_S = 0.1
+PULSE_S = 0.05
 PULSE = Pulse()
 # Adapters that a VM keeps copies of, for each place of its engine; from the sheets (102 for 17 and
 # 108 for 18 places).
--- a/src/dragonflyhold/gateway/dispatch.py
+++ b/src/dragonflyhold/gateway/dispatch.py
@@ -16,7 +16,7 @@
 # A runner that owes an answer and sent nothing for this long gets no new work meanwhile.
 STALL_S = 0.6
 # An agent's silence, in seconds, after which its VM gets nothing new: several pulses.
-QUIET_S = 0.35
+QUIET_S = 0.22
 # Weight of the newest time to the first byte in a runner's mean.
 FIRST_BYTE_WEIGHT = 0.1
 # Weight of the newest outcome in a runner's failure rate.
