--- /dev/null
+++ b/tests/gateway/test_agent.py
@@ -0,0 +1,207 @@
+"""Tests of the agent's orders against an engine that loses answers and restarts."""
+
+import asyncio
+from collections.abc import Iterable
+
+import orjson
+
+from dragonflyhold.gateway.agent import Agent
+from dragonflyhold.gateway.catalogue import Catalogue
+from dragonflyhold.gateway.messages import DemandUpdate, EngineUpdate, Message
+from dragonflyhold.gateway.model import (
+    EngineReport,
+    Order,
+    OrderKind,
+    OrderResult,
+    RunnerId,
+)
+from dragonflyhold.ids import ServiceName
+from dragonflyhold.observability.metrics import Metrics
+from dragonflyhold.platform.store import StoredRow
+from tests.gateway.builders import MODEL, adapter, demand, report
+from tests.gateway.site import ENGINES, configuration
+
+SLOTS = 3
+
+
+class _Engine:
+    """Carries orders out at once; those whose answer is lost only when ``late`` is called."""
+
+    def __init__(self) -> None:
+        self.born = 1
+        self.sequence = 0
+        self.has_model = True
+        self.held: set[int] = set()
+        # Answers to the next orders, or the next loads, are lost.
+        self.lose = 0
+        self.lose_loads = 0
+        self.lost: list[tuple[Order, int]] = []
+        self.seen_ids: list[RunnerId | None] = []
+        self.most_held = 0
+
+    async def report(self) -> EngineReport:
+        models = (MODEL,) if self.has_model else ()
+        held = dict.fromkeys(self.held, 1)
+        return report(held, sequence=self.sequence, born=self.born, models=models)
+
+    async def identify(self, health_path: str) -> RunnerId | None:
+        assert health_path == "/health"
+        return RunnerId(f"life-{self.born}")
+
+    async def order(
+        self, order: Order, expected: int, fencing_token: int, runner_id: RunnerId | None
+    ) -> OrderResult:
+        assert fencing_token > 0
+        self.seen_ids.append(runner_id)
+        is_load = order.kind is OrderKind.LOAD
+        if self.lose or (self.lose_loads and is_load):
+            self.lose = max(0, self.lose - 1)
+            self.lose_loads = max(0, self.lose_loads - 1)
+            self.lost.append((order, expected))
+            return OrderResult.UNKNOWN
+        if expected != self.sequence:
+            return OrderResult.CONFLICT
+        self.carry_out(order)
+        return OrderResult.ACCEPTED
+
+    def carry_out(self, order: Order) -> None:
+        self.sequence += 1
+        if order.adapter is None:
+            self.has_model = True
+            return
+        number = int(order.adapter[1:])
+        if order.kind is OrderKind.LOAD:
+            self.held.add(number)
+        else:
+            self.held.discard(number)
+        self.most_held = max(self.most_held, len(self.held))
+
+    def late(self) -> None:
+        """Carry out what got no answer, where its sequence has come up."""
+        for order, expected in self.lost:
+            if expected == self.sequence:
+                self.carry_out(order)
+
+    def restart(self) -> None:
+        self.born += 1
+        self.sequence = 0
+        self.has_model = False
+        self.held.clear()
+
+
+class _Store:
+    async def write(self, table: str, key: str, value: bytes, part: str = "") -> int:
+        del table, key, value, part
+        return 7
+
+
+class _Link:
+    peer = "10.0.0.1"
+    last_sent = 0.0
+
+    def __init__(self) -> None:
+        self.sent: list[Message] = []
+
+    def is_silent(self, now: float) -> bool:
+        del now
+        return False
+
+    def send(self, message: Message) -> None:
+        self.sent.append(message)
+
+
+class _World:
+    def __init__(self) -> None:
+        self.engine = _Engine()
+        catalogue = Catalogue()
+        catalogue.apply(StoredRow("config", 1, orjson.dumps(configuration())))
+        self.agent = Agent(
+            "side-1",
+            ServiceName(ENGINES),
+            self.engine,
+            _Store(),  # type: ignore[arg-type]
+            catalogue,
+            Metrics(),
+        )
+        self.link = _Link()
+        self.agent.link_opened(self.link)  # type: ignore[arg-type]
+
+    def want(self, numbers: Iterable[int], waiting: int = 1) -> None:
+        update = DemandUpdate([demand(number, waiting=waiting) for number in numbers])
+        self.agent.link_message(self.link, update)  # type: ignore[arg-type]
+
+    async def step(self, times: int = 1) -> None:
+        for _ in range(times):
+            await self.agent._read_engine()
+            if self.agent._report is not None:
+                await self.agent._carry_out(self.agent._report)
+        self.agent._publish()
+
+    @property
+    def told(self) -> EngineUpdate:
+        return [item for item in self.link.sent if isinstance(item, EngineUpdate)][-1]
+
+
+class TestUnansweredOrders:
+    """Unanswered orders."""
+
+    def test_an_unanswered_load_is_given_again(self) -> None:
+        world = _World()
+        world.engine.lose = 1
+        world.want([1])
+        asyncio.run(world.step(2))
+        assert world.engine.held == {1}
+
+    def test_a_place_is_kept_for_a_load_that_may_still_come(self) -> None:
+        """Pattern: late orders and restarts.
+
+        A load without an answer came through after the engine's restart, when its sequence came up
+        again, and was one more than the engine had places for.
+        """
+
+        async def play(world: _World) -> int:
+            world.want([1, 2, 3])
+            await world.step(2)
+            world.want([1], waiting=0)
+            world.want([4])
+            world.engine.lose_loads = 1
+            await world.step()
+            world.want([2, 3, 4], waiting=0)
+            world.engine.restart()
+            world.want([5, 6, 7])
+            for _ in range(6):
+                await world.step()
+                world.engine.late()
+            return world.engine.most_held
+
+        assert asyncio.run(play(_World())) <= SLOTS
+
+    def test_orders_name_the_engines_lifetime(self) -> None:
+        async def play(world: _World) -> list[RunnerId | None]:
+            world.want([1])
+            await world.step(2)
+            world.engine.restart()
+            world.want([2])
+            await world.step(2)
+            return world.engine.seen_ids
+
+        ids = asyncio.run(play(_World()))
+        assert set(ids) == {"life-1", "life-2"}
+        assert ids == sorted(ids, key=str)
+
+
+class TestWhatGatewaysAreTold:
+    """What gateways are told."""
+
+    def test_adapters_in_place_and_free_places(self) -> None:
+        world = _World()
+        world.want([1, 2])
+        asyncio.run(world.step(2))
+        assert [key for key, _ in world.told.resident] == [adapter(1), adapter(2)]
+        assert (world.told.can_load, world.told.has_model) == (True, True)
+
+    def test_a_gateway_that_leaves_takes_its_demand_along(self) -> None:
+        world = _World()
+        world.agent.link_closed(world.link)  # type: ignore[arg-type]
+        asyncio.run(world.step(2))
+        assert world.engine.held == set()
--- /dev/null
+++ b/tests/gateway/test_reasons.py
@@ -0,0 +1,83 @@
+"""Tests that each refusal shows both as a counter and as a line."""
+
+import json
+import logging as std_logging
+from collections.abc import Iterator
+
+import pytest
+from absl import logging
+
+from dragonflyhold.gateway.gateway import Gateway
+from dragonflyhold.gateway.outcomes import InDoubtError, Reason, RefusedError
+from dragonflyhold.observability.metrics import Metrics
+from dragonflyhold.platform import codec
+from dragonflyhold.platform.settings import decode_settings
+from tests.platform.test_settings import FRONT
+
+
+class _Responder:
+    """Takes an answer without a connection."""
+
+    is_started = False
+    is_ended = False
+    status = 0
+
+    def send(self, status: int, headers: object, body: bytes = b"") -> None:
+        del headers, body
+        self.status = status
+        self.is_started = self.is_ended = True
+
+
+@pytest.fixture(name="lines")
+def _lines() -> Iterator[list[dict[str, object]]]:
+    found: list[dict[str, object]] = []
+
+    class Recorder(std_logging.Handler):
+        """Keeps structured lines."""
+
+        def emit(self, record: std_logging.LogRecord) -> None:
+            """Keep one line."""
+            if isinstance(record.msg, dict):
+                found.append(record.msg)
+
+    recorder, level = Recorder(), logging.get_verbosity()
+    logger = logging.get_absl_logger()
+    logger.addHandler(recorder)
+    logging.set_verbosity(logging.INFO)
+    yield found
+    logger.removeHandler(recorder)
+    logging.set_verbosity(level)
+
+
+class TestEachReason:
+    """Each reason."""
+
+    @pytest.mark.parametrize("reason", Reason)
+    def test_a_refusal_is_counted_and_logged(
+        self, reason: Reason, lines: list[dict[str, object]]
+    ) -> None:
+        metrics = Metrics()
+        gateway = Gateway(decode_settings(FRONT), metrics)
+        facts = codec.decode_request({codec.REQUEST_ID: b"x1"})
+        responder = _Responder()
+        error = RefusedError(reason, 0.5)
+        gateway._refuse(responder, error, facts, None)  # type: ignore[arg-type]
+        assert responder.status == (404 if reason is Reason.NO_ROUTE else 503)
+        assert f'refusals_total{{code="{reason.value}"}} 1' in metrics.render()[0].decode()
+        ended = [line for line in lines if line.get("id") == "x1"]
+        assert [line["outcome"] for line in ended] == [reason.value]
+        assert json.dumps(ended)
+
+    @pytest.mark.parametrize("reason", Reason)
+    def test_a_doubt_is_counted_and_logged(
+        self, reason: Reason, lines: list[dict[str, object]]
+    ) -> None:
+        metrics = Metrics()
+        gateway = Gateway(decode_settings(FRONT), metrics)
+        facts = codec.decode_request({codec.REQUEST_ID: b"x1"})
+        responder = _Responder()
+        error = InDoubtError(reason)
+        gateway._fail(responder, 502, error.reason, facts, None)  # type: ignore[arg-type]
+        assert responder.status == 502
+        assert f"failed_{reason.value}" in metrics.render()[0].decode()
+        assert any(line.get("outcome") == f"in doubt: {reason.value}" for line in lines)
