Split the large modules of the serving path, keep table names in the adapter

Change: connection_pool, responder, doubtful, copies, agent_link and progress are modules of their own; no behaviour changes. Ruled out: splitting the gateway's events further, which would spread one owner of the tables.

--- a/src/dragonflyhold/gateway/agent.py
+++ b/src/dragonflyhold/gateway/agent.py
@@ -14,6 +14,7 @@
 
 from dragonflyhold.errors import PlatformUnavailableError
 from dragonflyhold.gateway.catalogue import Catalogue
+from dragonflyhold.gateway.doubtful import DoubtfulLoads, has_room
 from dragonflyhold.gateway.link import HEARTBEAT_S, Link
 from dragonflyhold.gateway.logs import Part
 from dragonflyhold.gateway.messages import (
@@ -34,7 +35,6 @@
     RunnerId,
 )
 from dragonflyhold.gateway.placement import (
-    MAX_COMING,
     EngineView,
     TimedDemand,
     missing_adapters,
@@ -70,19 +70,6 @@
 MAX_FAILED_READS = 2
 
 
-# An order without an answer may be carried out for this long; from the protocol, with a margin.
-MAX_ORDER_DELAY_S = 14.0
-
-
-@final
-@dataclasses.dataclass(frozen=True, slots=True)
-class DoubtfulLoad:
-    """A load that got no answer: the sequence at which it holds, and when it was sent."""
-
-    sequence: int
-    sent_at: float
-
-
 @final
 class Agent:
     """Owns the slots of one engine."""
@@ -112,7 +99,7 @@
         self._runner_id: RunnerId | None = None
         # Keys in the order in which the engine last held them.
         self._copies: dict[ModelAdapter, None] = {}
-        self._doubtful: list[DoubtfulLoad] = []
+        self._doubtful = DoubtfulLoads()
         self._changed = asyncio.Event()
         self._published: tuple[object, ...] = ()
         self._published_at = 0.0
@@ -240,8 +227,8 @@
         for order in plan_orders(self._view(report, spec)):
             if self._report is None:
                 return
-            slots = spec.adapter_slots - self._reserved(self._report, time.monotonic())
-            if not _has_room(order, self._report, slots):
+            slots = spec.adapter_slots - self._doubtful.reserved(self._report, time.monotonic())
+            if not has_room(order, self._report, slots):
                 return
             if not await self._give(order, self._report):
                 return
@@ -275,7 +262,7 @@
             # It waits for its runs.
             self._unloading.add(ModelAdapter(order.model, order.adapter))
         if result is OrderResult.UNKNOWN and order.kind is OrderKind.LOAD:
-            self._doubtful.append(DoubtfulLoad(report.sequence, time.monotonic()))
+            self._doubtful.add(report.sequence, time.monotonic())
         return result in (OrderResult.ACCEPTED, OrderResult.DONE)
 
     async def _ensure_token(self) -> bool:
@@ -296,15 +283,6 @@
                 self._log.warning("No fencing token yet.", store_part=part, error=str(error))
         return self._fencing_token is not None
 
-    def _reserved(self, report: EngineReport, now: float) -> int:
-        """Return the places kept for loads that may still be carried out.
-
-        A load without an answer holds only at its sequence; that number comes up again after a
-        restart of the engine.
-        """
-        self._doubtful = [load for load in self._doubtful if now - load.sent_at < MAX_ORDER_DELAY_S]
-        return min(MAX_COMING, sum(load.sequence >= report.sequence for load in self._doubtful))
-
     # What the gateways are told.
 
     def _view(self, report: EngineReport, spec: EngineSpec) -> EngineView:
@@ -313,7 +291,7 @@
         wanted = sum_demands(self._links.values(), now, warm)
         return EngineView(
             report=report,
-            slots=spec.adapter_slots - self._reserved(report, now),
+            slots=spec.adapter_slots - self._doubtful.reserved(report, now),
             wanted=wanted,
             versions=self._catalogue.versions,
             frequency={key: self._popularity.estimate(key, now) for key in report.adapters},
@@ -411,11 +389,3 @@
     is_draining=False,
     can_load=False,
 )
-
-
-def _has_room(order: Order, report: EngineReport, slots: int) -> bool:
-    """Whether a load fits: an unload before it may still wait for its runs."""
-    if order.kind is OrderKind.UNLOAD or order.adapter is None:
-        return True
-    held = report.adapters.keys() | report.coming.keys()
-    return ModelAdapter(order.model, order.adapter) in held or len(held) < slots
--- a/src/dragonflyhold/gateway/catalogue.py
+++ b/src/dragonflyhold/gateway/catalogue.py
@@ -10,10 +10,7 @@
 from dragonflyhold.gateway.model import Configuration, EngineSpec, ModelAdapter, Service
 from dragonflyhold.ids import ServiceName, Version
 from dragonflyhold.platform.codec import DecodeError, decode_adapter_version, decode_configuration
-from dragonflyhold.platform.store import StoredRow
-
-CONFIG_KEY = "config"
-VERSION_PREFIX = "version/"
+from dragonflyhold.platform.store import CONFIG_KEY, VERSION_PREFIX, StoredRow
 
 
 @final
--- a/src/dragonflyhold/gateway/daemon.py
+++ b/src/dragonflyhold/gateway/daemon.py
@@ -12,8 +12,8 @@
 from dragonflyhold.errors import UsageError
 from dragonflyhold.gateway.agent import PULSE_S, Agent
 from dragonflyhold.gateway.catalogue import Catalogue
+from dragonflyhold.gateway.connection_pool import ConnectionPool
 from dragonflyhold.gateway.gateway import Gateway
-from dragonflyhold.gateway.http_client import ConnectionPool
 from dragonflyhold.gateway.http_server import ClientRequest, HttpServer, Responder
 from dragonflyhold.gateway.link import HEARTBEAT_S, Link
 from dragonflyhold.gateway.logs import LogWriter, Part, setup_json_logging
@@ -26,11 +26,8 @@
 from dragonflyhold.observability.metrics import Metrics
 from dragonflyhold.platform.engine import HttpEngineControl
 from dragonflyhold.platform.settings import PATH_VARIABLE, DaemonSettings, load_settings
-from dragonflyhold.platform.store import MetadataStore
+from dragonflyhold.platform.store import OPERATOR_TABLE, REGISTRY_TABLE, MetadataStore
 
-# Tables of the platform's store.
-OPERATOR_TABLE = "op"
-REGISTRY_TABLE = "servers"
 # Pause between two looks at the registry, whose rows change with every check-in of a runner: this
 # share of the time in which new work for a leaving runner must end. Agents tell of engines sooner.
 REGISTRY_PAUSE_SHARE = 0.5
--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -6,16 +6,15 @@
 from collections.abc import Coroutine
 from typing import final
 
+from dragonflyhold.gateway.agent_link import AgentLink
 from dragonflyhold.gateway.budget import RetryBudget
 from dragonflyhold.gateway.catalogue import Catalogue
+from dragonflyhold.gateway.connection_pool import ConnectionPool
+from dragonflyhold.gateway.copies import CopyRequests
 from dragonflyhold.gateway.dispatch import RunnerTable
-from dragonflyhold.gateway.http_client import (
-    ConnectionPool,
-    Head,
-    strip_hop_by_hop,
-)
+from dragonflyhold.gateway.http_client import Head, strip_hop_by_hop
 from dragonflyhold.gateway.http_server import ClientRequest, HttpServer, Responder
-from dragonflyhold.gateway.link import Link, keep_link
+from dragonflyhold.gateway.link import keep_link
 from dragonflyhold.gateway.logs import Part
 from dragonflyhold.gateway.messages import (
     DemandUpdate,
@@ -37,7 +36,7 @@
 from dragonflyhold.gateway.registry import Registry
 from dragonflyhold.gateway.request import RequestRun
 from dragonflyhold.gateway.suspects import SuspectTable
-from dragonflyhold.gateway.waiting import DemandBook, Waiter
+from dragonflyhold.gateway.waiting import DemandBook
 from dragonflyhold.ids import ServiceName, Version
 from dragonflyhold.observability.metrics import Metrics
 from dragonflyhold.platform import codec
@@ -51,46 +50,12 @@
 RETRY_SPREAD_S = 0.5
 # Weight of the newest request in the mean size of a route's requests.
 SIZE_WEIGHT = 0.02
-# A copy of an adapter is asked for from this many own requests that run on it at one runner.
-COPY_RUNNING = 2
-# Worth of a copy against a request that waits, how long it is asked for, and the pause between
-# looks, in seconds.
-COPY_WORTH = 0.3
-COPY_WAIT_S = 1.0
-COPY_CHECK_S = 0.05
 # Engines take 10 levels of urgency.
 MAX_URGENCY = 9
 # An answer's tokens weigh this much against a prompt's, from the platform's price list.
 OUTPUT_TOKEN_WEIGHT = 10
 
 
-@final
-class _AgentLink:
-    """Ties the link to one VM's agent to the runner beside it."""
-
-    def __init__(self, gateway: "Gateway", ip: str) -> None:
-        self.ip = ip
-        self.link: Link | None = None
-        self.task: asyncio.Task[None] | None = None
-        self._gateway = gateway
-
-    def link_opened(self, link: Link) -> None:
-        """Send the whole demand."""
-        self.link = link
-        self._gateway.agent_joined(self)
-
-    def link_message(self, link: Link, message: Message) -> None:
-        """Pass a message on."""
-        del link
-        self._gateway.agent_message(self, message)
-
-    def link_closed(self, link: Link) -> None:
-        """Note the loss."""
-        if self.link is link:
-            self.link = None
-            self._gateway.agent_lost(self)
-
-
 @final
 class Gateway:
     """Owns the tables of one entry process; everything runs on one event loop."""
@@ -118,9 +83,9 @@
         self.is_store_steady = False
         self._settings = settings
         self._metrics = metrics
-        self._agents: dict[str, _AgentLink] = {}
+        self._agents: dict[str, AgentLink] = {}
         self._mean_sizes: dict[str, float] = {}
-        self._copies_asked: set[ModelAdapter] = set()
+        self._copies = CopyRequests(self.table, self.demands, self.log)
         self._longest: dict[str, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._rng = random.Random()
@@ -310,29 +275,10 @@
         self, service: ServiceName, target: ModelAdapter | None, holder: RunnerId
     ) -> None:
         """Ask for a copy of a popular adapter elsewhere if its runner has too much to do."""
-        if target is None or target in self._copies_asked:
-            return
-        if self.demands.running(holder, target) < COPY_RUNNING:
-            return
-        place = self.table.copy_place(service, target, holder, time.monotonic())
-        if place is not None:
-            self._spawn(self._ask_copy(place, target))
-
-    async def _ask_copy(self, place: RunnerId, target: ModelAdapter) -> None:
-        self._copies_asked.add(target)
-        self.log.info("A copy is asked for.", adapter=target.adapter, runner=place)
-        until = time.monotonic() + COPY_WAIT_S
-        wish = Waiter(target, place, COPY_WORTH, until, asyncio.Event())
-        self.demands.add_waiter(wish)
-        try:
-            while time.monotonic() < until:
-                view = self.table.views.get(place)
-                if view is None or target in view.resident:
-                    return
-                await asyncio.sleep(COPY_CHECK_S)
-        finally:
-            self.demands.remove_waiter(wish)
-            self._copies_asked.discard(target)
+        if target is not None:
+            place = self._copies.find_place(service, target, holder)
+            if place is not None:
+                self._spawn(self._copies.ask(place, target))
 
     def note_started(self, runner_id: RunnerId, target: ModelAdapter | None) -> None:
         """Count a request that is handed over."""
@@ -400,7 +346,7 @@
         if is_new:
             self.pool.forget(runner.address)
         if self._has_engine(runner) and runner.ip not in self._agents:
-            agent = _AgentLink(self, runner.ip)
+            agent = AgentLink(self, runner.ip)
             self._agents[runner.ip] = agent
             agent.task = asyncio.get_running_loop().create_task(
                 keep_link(
@@ -422,7 +368,7 @@
         service = configuration.services.get(runner.service)
         return service is not None and service.engine is not None
 
-    def _is_wanted(self, agent: _AgentLink) -> bool:
+    def _is_wanted(self, agent: AgentLink) -> bool:
         if any(runner.ip == agent.ip for runner in self.registry.runners.values()):
             return True
         self._agents.pop(agent.ip, None)
@@ -430,14 +376,14 @@
 
     # Agents.
 
-    def agent_joined(self, agent: _AgentLink) -> None:
+    def agent_joined(self, agent: AgentLink) -> None:
         """Send an agent the whole demand."""
         self.log.info("An agent is linked.", ip=agent.ip)
         runner_id = self._runner_at(agent.ip)
         if agent.link is not None and runner_id is not None:
             agent.link.send(self.demands.snapshot(runner_id))
 
-    def agent_lost(self, agent: _AgentLink) -> None:
+    def agent_lost(self, agent: AgentLink) -> None:
         """Let requests that wait there choose again."""
         self.log.warning("An agent is lost.", ip=agent.ip)
         runner_id = self._runner_at(agent.ip)
@@ -446,7 +392,7 @@
             self.table.views[runner_id].can_load = False
             self.demands.wake_runner(runner_id)
 
-    def agent_message(self, agent: _AgentLink, message: Message) -> None:
+    def agent_message(self, agent: AgentLink, message: Message) -> None:
         """Take in the state of an engine."""
         runner_id = self._runner_at(agent.ip)
         if runner_id is not None:
--- a/src/dragonflyhold/gateway/link.py
+++ b/src/dragonflyhold/gateway/link.py
@@ -8,7 +8,8 @@
 
 import msgpack
 
-from dragonflyhold.gateway.http_client import CONNECT_TIMEOUT_S, set_dead_peer_detection
+from dragonflyhold.gateway.connection_pool import CONNECT_TIMEOUT_S
+from dragonflyhold.gateway.http_client import set_dead_peer_detection
 from dragonflyhold.gateway.logs import Part
 from dragonflyhold.gateway.messages import MAX_FRAME_BYTES, Message, MessageError, decode, encode
 
--- a/src/dragonflyhold/gateway/peers.py
+++ b/src/dragonflyhold/gateway/peers.py
@@ -9,7 +9,8 @@
 import msgpack
 
 from dragonflyhold.errors import DragonflyholdError
-from dragonflyhold.gateway.http_client import Call, ConnectionPool, ExchangeError
+from dragonflyhold.gateway.connection_pool import ConnectionPool
+from dragonflyhold.gateway.http_client import Call, ExchangeError
 from dragonflyhold.gateway.http_server import ClientRequest, Responder
 from dragonflyhold.gateway.logs import Part
 from dragonflyhold.gateway.model import Address
--- a/src/dragonflyhold/gateway/request.py
+++ b/src/dragonflyhold/gateway/request.py
@@ -1,7 +1,6 @@
 """One request of a client from its arrival to its answer."""
 
 import asyncio
-import dataclasses
 import time
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, TypeVar, final
@@ -21,6 +20,7 @@
     Reason,
     RefusedError,
 )
+from dragonflyhold.gateway.progress import Progress, silence_limit
 from dragonflyhold.gateway.suspects import fingerprint
 from dragonflyhold.gateway.tasks import limit_time
 from dragonflyhold.gateway.waiting import Waiter
@@ -42,15 +42,6 @@
 MAX_REFUSALS = 4
 # How often a request that waits looks again at where it may go, in seconds.
 CHECK_PERIOD_S = 0.25
-# Silence of a runner after which an answer that may be had elsewhere counts as lost: before the
-# first byte and between two, each with a multiple of the runner's mean time to the first byte.
-# Loaded engines pause for several hundred ms, and a run left too early is read anew elsewhere.
-FIRST_SILENCE_S = 0.5
-FIRST_SILENCE_RATIO = 6.0
-PAUSE_SILENCE_S = 1.0
-PAUSE_SILENCE_RATIO = 4.0
-# Time for a token of the prompt, above the engines' figures on the sheets (26 us at the slower).
-PREFILL_S_PER_TOKEN = 0.00004
 # A runner that owes answers and is silent for this long is left by requests that may go elsewhere.
 ABANDON_S = 1.0
 # Share of its time left for which a caller that was sent away before waits for its adapter.
@@ -61,20 +52,6 @@
 WAIT_SHARE = 0.55
 
 
-@final
-@dataclasses.dataclass(slots=True)
-class Progress:
-    """What has happened to a request so far; logged at its end."""
-
-    arrived: float
-    attempts: int = 0
-    refusals: int = 0
-    waited_s: float = 0.0
-    first_byte_s: float | None = None
-    runner: RunnerId | None = None
-    tried: set[RunnerId] = dataclasses.field(default_factory=set)
-
-
 @final
 class RequestRun:
     """Drives one request; the gateway owns the tables that it reads and writes."""
@@ -267,10 +244,14 @@
         )
 
     async def _read_head(self, exchange: Exchange, view: RunnerView) -> Head:
-        return await self._read(exchange.read_head, view, self._silence_limit(view, first=True))
+        return await self._read(
+            exchange.read_head, view, silence_limit(view, self._facts.prompt_tokens, first=True)
+        )
 
     async def _read_chunk(self, exchange: Exchange, view: RunnerView) -> bytes:
-        return await self._read(exchange.read_chunk, view, self._silence_limit(view, first=False))
+        return await self._read(
+            exchange.read_chunk, view, silence_limit(view, self._facts.prompt_tokens, first=False)
+        )
 
     async def _read(
         self, read: Callable[[], Awaitable[Read]], view: RunnerView, silence_s: float
@@ -292,13 +273,6 @@
             self._gateway.table.heard(view.runner.runner_id, time.monotonic())
             return result
 
-    def _silence_limit(self, view: RunnerView, first: bool) -> float:
-        """Return how long a runner may be silent before its answer counts as lost."""
-        if first:
-            prefill_s = self._facts.prompt_tokens * PREFILL_S_PER_TOKEN
-            return FIRST_SILENCE_S + FIRST_SILENCE_RATIO * view.first_byte_s + prefill_s
-        return PAUSE_SILENCE_S + PAUSE_SILENCE_RATIO * view.first_byte_s
-
     def _may_go_on(self, view: RunnerView) -> bool:
         """Whether the request may leave a runner and has somewhere to go at once."""
         now = time.monotonic()
--- /dev/null
+++ b/src/dragonflyhold/gateway/responder.py
@@ -0,0 +1,106 @@
+"""Writes the answer to one request of a client, with its framing."""
+
+from collections.abc import Sequence
+from typing import Protocol, final
+
+_REASONS = {
+    200: b"OK",
+    400: b"Bad Request",
+    404: b"Not Found",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    429: b"Too Many Requests",
+    431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+
+
+class ResponseTransport(Protocol):
+    """The connection that an answer is written to."""
+
+    @property
+    def is_closing(self) -> bool:
+        """Whether the connection ends after the current answer."""
+
+    def write(self, data: bytes) -> None:
+        """Write bytes unless the connection is gone."""
+
+    async def drain(self) -> None:
+        """Wait until the client has read enough."""
+
+    def close_after_answer(self) -> None:
+        """Close once the answer is written."""
+
+    def abort(self) -> None:
+        """Close at once."""
+
+
+@final
+class Responder:
+    """Writes the answer to one request."""
+
+    def __init__(self, connection: ResponseTransport, keep_alive: bool, http_10: bool) -> None:
+        self.is_started = False
+        self.is_ended = False
+        self.status = 0
+        self._connection = connection
+        self._keep_alive = keep_alive
+        self._http_10 = http_10
+        self._chunked = False
+
+    def send(self, status: int, headers: Sequence[tuple[bytes, bytes]], body: bytes = b"") -> None:
+        """Send a whole answer."""
+        self._start(status, headers, b"Content-Length: %d\r\n" % len(body), body)
+        self._end()
+
+    def start_stream(self, status: int, headers: Sequence[tuple[bytes, bytes]]) -> None:
+        """Send the head of an answer whose length is not known."""
+        if self._http_10:
+            self._keep_alive = False
+            self._start(status, headers, b"", b"")
+            return
+        self._chunked = True
+        self._start(status, headers, b"Transfer-Encoding: chunked\r\n", b"")
+
+    async def write(self, data: bytes) -> None:
+        """Send a part of the body; waits while the client does not read."""
+        if self._chunked:
+            data = b"%x\r\n%s\r\n" % (len(data), data)
+        self._connection.write(data)
+        await self._connection.drain()
+
+    def end_stream(self) -> None:
+        """End the body as complete."""
+        if self._chunked:
+            self._connection.write(b"0\r\n\r\n")
+        self._end()
+
+    def break_off(self) -> None:
+        """Close the connection so that the answer does not look complete."""
+        self.is_ended = True
+        self._connection.abort()
+
+    def _start(
+        self, status: int, headers: Sequence[tuple[bytes, bytes]], framing: bytes, body: bytes
+    ) -> None:
+        self.is_started = True
+        self.status = status
+        keep = self._keep_alive and not self._connection.is_closing
+        reason = _REASONS.get(status, b"Status")
+        lines = [b"HTTP/1.1 %d %s\r\n" % (status, reason)]
+        lines.extend(b"%s: %s\r\n" % header for header in headers)
+        lines.append(framing)
+        if not keep:
+            self._keep_alive = False
+            lines.append(b"Connection: close\r\n")
+        lines.append(b"\r\n")
+        lines.append(body)
+        self._connection.write(b"".join(lines))
+
+    def _end(self) -> None:
+        self.is_ended = True
+        if not self._keep_alive:
+            self._connection.close_after_answer()
--- a/src/dragonflyhold/platform/engine.py
+++ b/src/dragonflyhold/platform/engine.py
@@ -6,7 +6,8 @@
 import orjson
 
 from dragonflyhold.errors import DragonflyholdError
-from dragonflyhold.gateway.http_client import Call, ConnectionPool, ExchangeError, Head
+from dragonflyhold.gateway.connection_pool import ConnectionPool
+from dragonflyhold.gateway.http_client import Call, ExchangeError, Head
 from dragonflyhold.gateway.model import Address, EngineReport, Order, OrderResult, RunnerId
 from dragonflyhold.gateway.tasks import limit_time
 from dragonflyhold.platform.codec import (
--- a/src/dragonflyhold/platform/store.py
+++ b/src/dragonflyhold/platform/store.py
@@ -10,7 +10,8 @@
 import orjson
 
 from dragonflyhold.errors import DragonflyholdError, PlatformUnavailableError
-from dragonflyhold.gateway.http_client import Call, ConnectionPool, ExchangeError
+from dragonflyhold.gateway.connection_pool import ConnectionPool
+from dragonflyhold.gateway.http_client import Call, ExchangeError
 from dragonflyhold.gateway.model import Address
 from dragonflyhold.gateway.tasks import limit_time
 
@@ -18,6 +19,12 @@
 # 60 times that when it is slow.
 ANSWER_TIMEOUT_S = 0.8
 PAGE_ROWS = 500
+# The operator's table, the key of the configuration in it, and the prefix of adapter versions.
+OPERATOR_TABLE = "op"
+CONFIG_KEY = "config"
+VERSION_PREFIX = "version/"
+# The registry of runners; the wire calls runners servers.
+REGISTRY_TABLE = "servers"
 
 
 @final
--- a/tests/gateway/site.py
+++ b/tests/gateway/site.py
@@ -6,8 +6,9 @@
 import itertools
 from collections.abc import AsyncIterator
 
+from dragonflyhold.gateway.connection_pool import ConnectionPool
 from dragonflyhold.gateway.daemon import AgentDaemon, GatewayDaemon
-from dragonflyhold.gateway.http_client import Call, ConnectionPool, ExchangeError, Head
+from dragonflyhold.gateway.http_client import Call, ExchangeError, Head
 from dragonflyhold.gateway.model import Address
 from dragonflyhold.ids import DataCentre, VmName
 from dragonflyhold.platform.settings import Bounds, DaemonSettings
--- a/tests/gateway/test_http_client.py
+++ b/tests/gateway/test_http_client.py
@@ -8,13 +8,8 @@
 
 import pytest
 
-from dragonflyhold.gateway.http_client import (
-    BreakReason,
-    Call,
-    ConnectionPool,
-    ExchangeError,
-    Head,
-)
+from dragonflyhold.gateway.connection_pool import ConnectionPool
+from dragonflyhold.gateway.http_client import BreakReason, Call, ExchangeError, Head
 from dragonflyhold.gateway.model import Address
 
 Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Coroutine[None, None, None]]
--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -8,7 +8,8 @@
 import socket
 import sys
 
-from dragonflyhold.gateway.http_client import Call, ConnectionPool, ExchangeError
+from dragonflyhold.gateway.connection_pool import ConnectionPool
+from dragonflyhold.gateway.http_client import Call, ExchangeError
 from dragonflyhold.gateway.model import Address
 from dragonflyhold.platform.settings import PATH_VARIABLE
 from tests.gateway.site import HOST, configuration
