Give the links to agents a module of their own

Change: EngineLinks (gateway/engines.py) holds the links, the demands and what agents tell; Gateway keeps requests and runners. No change of behaviour.

--- a/src/dragonflyhold/gateway/daemon.py
+++ b/src/dragonflyhold/gateway/daemon.py
@@ -167,7 +167,7 @@
 
     async def _beat(self) -> None:
         while True:
-            self.gateway.heartbeat()
+            self.gateway.engines.heartbeat()
             await asyncio.sleep(HEARTBEAT_S)
 
     async def _keep_house(self) -> None:
--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -6,23 +6,15 @@
 from collections.abc import Coroutine
 from typing import final
 
-from dragonflyhold.gateway.agent_link import AgentLink
 from dragonflyhold.gateway.budget import RetryBudget
 from dragonflyhold.gateway.catalogue import Catalogue
 from dragonflyhold.gateway.connection_pool import ConnectionPool
 from dragonflyhold.gateway.copies import CopyRequests
 from dragonflyhold.gateway.dispatch import RunnerTable
+from dragonflyhold.gateway.engines import EngineLinks
 from dragonflyhold.gateway.http_client import Head, strip_hop_by_hop
 from dragonflyhold.gateway.http_server import ClientRequest, HttpServer, Responder
-from dragonflyhold.gateway.link import keep_link
 from dragonflyhold.gateway.logs import Part
-from dragonflyhold.gateway.messages import (
-    DemandUpdate,
-    EngineUpdate,
-    Message,
-    Pulse,
-    SuspectUpdate,
-)
 from dragonflyhold.gateway.model import (
     Configuration,
     IngressLimits,
@@ -36,7 +28,6 @@
 from dragonflyhold.gateway.registry import Registry
 from dragonflyhold.gateway.request import RequestRun
 from dragonflyhold.gateway.suspects import SuspectTable
-from dragonflyhold.gateway.waiting import DemandBook
 from dragonflyhold.ids import ServiceName, Version
 from dragonflyhold.observability.metrics import Metrics
 from dragonflyhold.platform import codec
@@ -74,16 +65,18 @@
             settings.bounds.retry_slack,
         )
         self.suspects = SuspectTable(settings.vm)
-        self.demands = DemandBook(
-            lambda key: self.catalogue.versions.get(key, Version(0)),
-            self._send_demand,
-            lambda call: asyncio.get_running_loop().call_soon(call),
+        self.engines = EngineLinks(
+            self.table,
+            self.catalogue,
+            self.suspects,
+            settings.agent_port,
+            self.required_version,
         )
+        self.demands = self.engines.demands
         self.server = HttpServer(self.handle, IngressLimits(), self._ingress_refused)
         self.is_store_steady = False
         self._settings = settings
         self._metrics = metrics
-        self._agents: dict[str, AgentLink] = {}
         self._mean_sizes: dict[str, float] = {}
         self._copies = CopyRequests(self.table, self.demands, self.log)
         self._longest: dict[str, float] = {}
@@ -323,10 +316,7 @@
             runner=runner.runner_id,
             breaks=update.suspects[0][1],
         )
-        for agent in list(self._agents.values()):
-            if agent.link is not None:
-                agent.link.send(update)
-                return
+        self.engines.tell_one(update)
 
     # Events of the store.
 
@@ -342,17 +332,10 @@
 
     def runner_changed(self, runner: Runner) -> None:
         """Add or change a runner."""
-        is_new = self.table.put(runner, self._has_engine(runner), time.monotonic())
+        is_new = self.table.put(runner, self.engines.has_engine(runner), time.monotonic())
         if is_new:
             self.pool.forget(runner.address)
-        if self._has_engine(runner) and runner.ip not in self._agents:
-            agent = AgentLink(self, runner.ip)
-            self._agents[runner.ip] = agent
-            agent.task = asyncio.get_running_loop().create_task(
-                keep_link(
-                    agent, runner.ip, self._settings.agent_port, lambda: self._is_wanted(agent)
-                )
-            )
+        self.engines.follow(runner)
         self.demands.wake_runner(runner.runner_id)
 
     def runner_gone(self, runner: Runner) -> None:
@@ -361,90 +344,9 @@
         self.demands.forget(runner.runner_id)
         self.pool.forget(runner.address)
 
-    def _has_engine(self, runner: Runner) -> bool:
-        configuration = self.catalogue.configuration
-        if configuration is None:
-            return bool(runner.adapters)
-        service = configuration.services.get(runner.service)
-        return service is not None and service.engine is not None
-
-    def _is_wanted(self, agent: AgentLink) -> bool:
-        if any(runner.ip == agent.ip for runner in self.registry.runners.values()):
-            return True
-        self._agents.pop(agent.ip, None)
-        return False
-
-    # Agents.
-
-    def agent_joined(self, agent: AgentLink) -> None:
-        """Send an agent the whole demand."""
-        self.log.info("An agent is linked.", ip=agent.ip)
-        runner_id = self._runner_at(agent.ip)
-        if agent.link is not None and runner_id is not None:
-            agent.link.send(self.demands.snapshot(runner_id))
-
-    def agent_lost(self, agent: AgentLink) -> None:
-        """Let requests that wait there choose again."""
-        self.log.warning("An agent is lost.", ip=agent.ip)
-        runner_id = self._runner_at(agent.ip)
-        if runner_id is not None:
-            self.table.views[runner_id].is_linked = False
-            self.table.views[runner_id].can_load = False
-            self.demands.wake_runner(runner_id)
-
-    def agent_message(self, agent: AgentLink, message: Message) -> None:
-        """Take in the state of an engine."""
-        runner_id = self._runner_at(agent.ip)
-        if runner_id is not None:
-            self.table.agent_heard(runner_id, time.monotonic())
-        match message:
-            case EngineUpdate():
-                if runner_id is None:
-                    return
-                self.table.apply_update(runner_id, message, time.monotonic())
-                waited = self.demands.waited_targets()
-                for key, version in message.resident:
-                    if key in waited and version >= self.required_version(key):
-                        self.demands.wake_target(key)
-                if not message.has_model or message.is_draining:
-                    self.demands.wake_runner(runner_id)
-            case SuspectUpdate():
-                self.suspects.apply(message)
-            case Pulse():
-                pass
-            case DemandUpdate():
-                self.log.warning("An agent sent a demand.", ip=agent.ip)
-
-    def is_linking(self, service: ServiceName) -> bool:
-        """Whether runners of a service are ready whose agents cannot give orders yet."""
-        views = self.table.of_service(service)
-        return any(not view.can_load and self._has_engine(view.runner) for view in views)
-
-    def heartbeat(self) -> None:
-        """Tell each agent that this gateway is alive; run each heartbeat period."""
-        for agent in self._agents.values():
-            if agent.link is not None:
-                agent.link.send(DemandUpdate([]))
-
-    def _send_demand(self, runner_id: RunnerId, update: DemandUpdate) -> None:
-        view = self.table.views.get(runner_id)
-        if view is None:
-            return
-        agent = self._agents.get(view.runner.ip)
-        if agent is not None and agent.link is not None:
-            agent.link.send(update)
-
-    def _runner_at(self, ip: str) -> RunnerId | None:
-        found = [view.runner for view in self.table.views.values() if view.runner.ip == ip]
-        return max(found, key=lambda runner: runner.born).runner_id if found else None
-
     def close(self) -> None:
         """End all links."""
-        for agent in self._agents.values():
-            if agent.task is not None:
-                agent.task.cancel()
-            if agent.link is not None:
-                agent.link.close()
+        self.engines.close()
 
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
