Tell lifetimes of an engine apart by their start time

Old entries had no agent's word, so they came into use after 0.6 s with the adapters of their last entry; each request there got 421 from the new lifetime, and repeats used up the retry budget. Before the new entry arrived, an agent's state was taken for the old id of its address. Ruled out: missing adapters (the agents listed them), slow starts (all had started by 36.0), the store (it answered). Change: a state names id and start time of its lifetime. EngineLinks gives it to the entry with that start time, sends nothing to older entries of the machine, hands a new id to Registry.tell, which keeps it until its entry arrives or for 2.2 s of a steady store, and lets the agent learn the counts of the new lifetime. Refusals name who answered.

--- a/src/dragonflyhold/gateway/agent.py
+++ b/src/dragonflyhold/gateway/agent.py
@@ -326,7 +326,7 @@
             update.can_load,
             update.free_places > 0,
         )
-        state = (update.born, update.resident, flags)
+        state = (update.born, update.runner_id, update.resident, flags)
         if state == self._published and now - self._published_at < PUBLISH_PERIOD_S:
             return
         self._published, self._published_at = state, now
@@ -345,6 +345,7 @@
             return dataclasses.replace(
                 NO_ENGINE,
                 born=report.born,
+                runner_id=self._runner_id,
                 resident=sorted(report.adapters.items()),
                 running=report.running,
                 waiting=report.waiting,
@@ -363,6 +364,7 @@
         backlog = [wanted.key for wanted in missing_adapters(view)]
         return EngineUpdate(
             born=report.born,
+            runner_id=self._runner_id,
             resident=sorted(
                 (key, version) for key, version in report.adapters.items() if key not in hidden
             ),
@@ -379,6 +381,7 @@
 
 NO_ENGINE = EngineUpdate(
     born=0,
+    runner_id=None,
     resident=[],
     coming=[],
     backlog=[],
--- a/src/dragonflyhold/gateway/agent_link.py
+++ b/src/dragonflyhold/gateway/agent_link.py
@@ -26,6 +26,8 @@
 
     def __init__(self, events: AgentEvents, ip: str) -> None:
         self.ip = ip
+        # Start of the engine's lifetime that the agent told last, 0 before.
+        self.born = 0
         self.link: Link | None = None
         self.task: asyncio.Task[None] | None = None
         self._events = events
--- a/src/dragonflyhold/gateway/dispatch.py
+++ b/src/dragonflyhold/gateway/dispatch.py
@@ -56,6 +56,8 @@
     # Whether an agent said that the engine leaves; sooner than the registry does.
     is_draining: bool = False
     can_load: bool = False
+    # Whether an agent said that the VM runs a later lifetime of its engine.
+    is_overtaken: bool = False
     resident: dict[ModelAdapter, Version] = dataclasses.field(default_factory=dict)
     coming: frozenset[ModelAdapter] = frozenset()
     # Adapters that are coming or that some gateway waits for there.
@@ -99,6 +101,7 @@
         return (
             self.runner.state is RunnerState.READY
             and self.has_model
+            and not self.is_overtaken
             and not self.is_draining
             and now >= self.suspended_until
             and (self.is_linked or now >= self.agent_awaited_until)
--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -71,6 +71,7 @@
             self.suspects,
             settings.agent_port,
             self.required_version,
+            self.registry.tell,
         )
         self.demands = self.engines.demands
         self.server = HttpServer(self.handle, IngressLimits(), self._ingress_refused)
--- a/src/dragonflyhold/gateway/messages.py
+++ b/src/dragonflyhold/gateway/messages.py
@@ -11,7 +11,7 @@
 import msgpack
 
 from dragonflyhold.errors import DragonflyholdError
-from dragonflyhold.gateway.model import ModelAdapter, ModelName
+from dragonflyhold.gateway.model import ModelAdapter, ModelName, RunnerId
 from dragonflyhold.ids import AdapterName, Version
 
 _DEMAND, _ENGINE, _SUSPECTS, _PULSE = 1, 2, 3, 4
@@ -59,6 +59,8 @@
     """
 
     born: int
+    # Id of that lifetime, ``None`` while the agent does not know it.
+    runner_id: RunnerId | None
     resident: Sequence[tuple[ModelAdapter, Version]]
     coming: Sequence[ModelAdapter]
     backlog: Sequence[ModelAdapter]
@@ -102,6 +104,7 @@
             fields = (
                 _ENGINE,
                 message.born,
+                message.runner_id,
                 [(*key, version) for key, version in message.resident],
                 list(message.coming),
                 list(message.backlog),
@@ -128,10 +131,11 @@
             case 1:
                 return DemandUpdate([_demand(row) for row in rest[0]])
             case 2:
-                born, resident, coming, backlog, *numbers, has_model, is_draining, can_load = rest
-                running, waiting, free_places = numbers
+                born, runner_id, resident, coming, backlog, *rest = rest
+                running, waiting, free_places, has_model, is_draining, can_load = rest
                 return EngineUpdate(
                     born=born,
+                    runner_id=RunnerId(runner_id) if runner_id else None,
                     resident=[_versioned(row) for row in resident],
                     coming=[_key(row) for row in coming],
                     backlog=[_key(row) for row in backlog],
--- a/src/dragonflyhold/gateway/registry.py
+++ b/src/dragonflyhold/gateway/registry.py
@@ -41,6 +41,8 @@
         self._clock = clock
         # Runners whose entry vanished around an outage, with the time at which they count as gone.
         self._lapsed: dict[RunnerId, float] = {}
+        # Runners that were told of by an agent and have no entry yet.
+        self._told: set[RunnerId] = set()
         self._log = Part("registry")
 
     def apply(self, row: StoredRow) -> None:
@@ -56,6 +58,7 @@
             self._removed(runner_id)
             return
         self._lapsed.pop(runner_id, None)
+        self._told.discard(runner_id)
         old = self.runners.get(runner_id)
         self.runners[runner_id] = runner
         if old is None or (old.born, old.state) != (runner.born, runner.state):
@@ -70,6 +73,27 @@
             )
         self._events.runner_changed(runner)
 
+    def tell(self, runner: Runner) -> None:
+        """Take in a lifetime that an agent tells of.
+
+        Its entry is due within the time in which entries come back after an outage.
+        """
+        old = self.runners.get(runner.runner_id)
+        if runner.runner_id in self._told or (old is not None and old.born >= runner.born):
+            return
+        self.runners[runner.runner_id] = runner
+        if old is None:
+            self._told.add(runner.runner_id)
+            self._lapsed[runner.runner_id] = self._clock()
+        self._log.info(
+            "An agent told of a runner.",
+            runner=runner.runner_id,
+            address=runner.address,
+            born=runner.born,
+            is_new_id=old is None,
+        )
+        self._events.runner_changed(runner)
+
     def expire(self) -> None:
         """Drop lapsed runners that did not come back in time after the store returned."""
         if not self._lapsed or not self._is_store_steady():
--- a/src/dragonflyhold/gateway/request.py
+++ b/src/dragonflyhold/gateway/request.py
@@ -341,6 +341,7 @@
             "A runner refused a request.",
             id=self._facts.request_id,
             runner=choice.runner_id,
+            answered_by=codec.instance_id(head),
             status=head.status,
             load=view.load(time.monotonic()),
             adapter=target.adapter if target else None,
--- a/src/dragonflyhold/gateway/waiting.py
+++ b/src/dragonflyhold/gateway/waiting.py
@@ -99,6 +99,12 @@
             for waiter in counts.waiters:
                 waiter.ready.set()
 
+    def succeed(self, old: RunnerId, new: RunnerId) -> None:
+        """Let a lifetime's agent, who has the counts of the one before it, learn the new ones."""
+        self.wake_runner(old)
+        for target in list(self._counts.get(old, {})):
+            self._get(new, target)
+
     def forget(self, runner_id: RunnerId) -> None:
         """Drop the counts of a runner that is gone; its waiters choose again."""
         self.wake_runner(runner_id)
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -93,9 +93,11 @@
     has_model: bool = True,
     is_draining: bool = False,
     can_load: bool = True,
+    born: int = 1,
 ) -> EngineUpdate:
     return EngineUpdate(
-        born=1,
+        born=born,
+        runner_id=None,
         resident=[(adapter(n), Version(v)) for n, v in (resident or {}).items()],
         coming=[adapter(n) for n in coming or {}],
         backlog=[adapter(900 + n) for n in range(backlog)],
--- a/tests/gateway/test_registry.py
+++ b/tests/gateway/test_registry.py
@@ -1,5 +1,7 @@
 """Tests of the membership of runners."""
 
+import dataclasses
+
 import orjson
 import pytest
 
@@ -134,3 +136,47 @@
         world.steady = False
         world.remove()
         assert world.gone == ["r1"]
+
+
+class TestToldByAnAgent:
+    """A lifetime that an agent tells of before its entry is there."""
+
+    @staticmethod
+    def _tell(world: _World, runner_id: str = "r2", born: int = 18) -> None:
+        old = world.registry.runners[RunnerId("r1")]
+        new = dataclasses.replace(old, runner_id=RunnerId(runner_id), born=born, adapters={})
+        world.registry.tell(new)
+
+    def test_it_counts_as_gone_without_an_entry_in_time(self) -> None:
+        world = _World()
+        world.write(ENTRY)
+        self._tell(world)
+        assert world.ids == ["r1", "r2"]
+        world.now = LAPSE_GRACE_S + 0.1
+        world.registry.expire()
+        self._tell(world)
+        assert world.ids == ["r1"], "a runner without an entry came back by hearsay"
+
+    def test_its_entry_makes_it_last(self) -> None:
+        world = _World()
+        world.write(ENTRY)
+        self._tell(world)
+        world.write({**ENTRY, "born": 18}, "r2")
+        world.now = LAPSE_GRACE_S + 0.1
+        world.registry.expire()
+        assert world.ids == ["r1", "r2"]
+
+    def test_during_an_outage_it_stays(self) -> None:
+        world = _World()
+        world.write(ENTRY)
+        world.steady = False
+        self._tell(world)
+        world.now = 60.0
+        world.registry.expire()
+        assert world.ids == ["r1", "r2"]
+
+    def test_an_older_lifetime_changes_nothing(self) -> None:
+        world = _World()
+        world.write(ENTRY)
+        self._tell(world, "r1", born=16)
+        assert world.registry.runners[RunnerId("r1")].born == 17
--- a/tests/platform/runner_stand_in.py
+++ b/tests/platform/runner_stand_in.py
@@ -45,6 +45,12 @@
         self.runs: list[dict[str, Any]] = []
         self.orders: list[dict[str, Any]] = []
         self.most_held = 0
+        # Requests that named another lifetime.
+        self.misdirected = 0
+        # Seconds for which reports still tell of the lifetime before a restart.
+        self.report_lag = 0.0
+        self._old_report: dict[str, Any] = {}
+        self._old_report_until = 0.0
         self.busy: dict[str, int] = {}
         self._host = host
         self._server = HttpServer(self._handle, IngressLimits())
@@ -67,6 +73,18 @@
         for connection in list(self._server.connections):
             connection.abort()
 
+    def restart(self, runner_id: str) -> None:
+        """Begin a new lifetime at the same address, which holds nothing of before."""
+        for connection in list(self._server.connections):
+            connection.abort()
+        self._old_report = self._report()
+        self._old_report_until = asyncio.get_running_loop().time() + self.report_lag
+        self.runner_id = runner_id
+        self.born += 1
+        self.sequence = 0
+        self.adapters.clear()
+        self.coming.clear()
+
     def entry(self, state: str = "ready") -> dict[str, Any]:
         """Return the runner's row in the registry."""
         return {
@@ -89,8 +107,10 @@
     async def _handle(self, request: ClientRequest, responder: Responder) -> None:
         expected = request.fields.get(b"expected-instance")
         if request.target == b"/report":
-            self._json(responder, 200, self._report())
+            is_old = asyncio.get_running_loop().time() < self._old_report_until
+            self._json(responder, 200, self._old_report if is_old else self._report())
         elif expected is not None and expected.decode() != self.runner_id:
+            self.misdirected += 1
             responder.send(421, [(b"Instance-Id", self.runner_id.encode())])
         elif request.target == b"/health":
             responder.send(200, [(b"Instance-Id", self.runner_id.encode())])
