Let requests wait for engines whose base model is being loaded

Cause: requests waited for engines without a linked agent, but not for those whose agent was loading the base model (0.75 s after a restart): they were refused after 12 % of the time to the first piece. Ruled out: waiting beyond the time to the first piece; those requests were late anyway and come back when adapters load. Change: EngineLinks.is_starting counts engines without a model, not overtaken ones. Test: test_requests_wait_while_the_base_model_is_loaded, which failed before (503 after 60 ms).

--- a/src/dragonflyhold/gateway/engines.py
+++ b/src/dragonflyhold/gateway/engines.py
@@ -62,10 +62,14 @@
         service = configuration.services.get(runner.service)
         return service is not None and service.engine is not None
 
-    def is_linking(self, service: ServiceName) -> bool:
-        """Whether runners of a service are ready whose agents cannot give orders yet."""
-        views = self._table.of_service(service)
-        return any(not view.can_load and self.has_engine(view.runner) for view in views)
+    def is_starting(self, service: ServiceName) -> bool:
+        """Whether engines of a service are about to be usable: no orders or no model yet."""
+        return any(
+            self.has_engine(view.runner)
+            and not view.is_overtaken
+            and not (view.can_load and view.has_model)
+            for view in self._table.of_service(service)
+        )
 
     def follow(self, runner: Runner) -> None:
         """Keep a link to the agent beside a runner for as long as its VM has one."""
--- a/src/dragonflyhold/gateway/request.py
+++ b/src/dragonflyhold/gateway/request.py
@@ -113,7 +113,7 @@
         patience = self._request.received + NO_RUNNER_SHARE * self._route.target_s
         if self.progress.attempts or self.progress.refusals:
             patience = time.monotonic() + NO_RUNNER_SHARE * self._route.target_s
-        if gateway.engines.is_linking(self._service):
+        if gateway.engines.is_starting(self._service):
             patience = max(patience, self._request.received + self._route.target_s)
         while True:
             now = time.monotonic()
--- a/tests/gateway/test_lifetimes.py
+++ b/tests/gateway/test_lifetimes.py
@@ -77,6 +77,19 @@
         assert known == {"e0-again"}
         assert orders == 1, "the adapter was loaded again when the entry came"
 
+    def test_requests_wait_while_the_base_model_is_loaded(self) -> None:
+        async def play() -> list[int]:
+            async with running_site(engines=1, plain=0) as site:
+                site.runners["e0"].model_load_s = 0.3
+                site.runners["e0"].restart("e0-again")
+                await _wait_until_known(site, "e0-again")
+                calls = [site.call(f"/ask/{number}", adapter="a1") for number in range(4)]
+                answers = await asyncio.gather(*calls)
+                return [answer.status for answer in answers]
+
+        statuses = asyncio.run(play())
+        assert statuses == [200] * 4
+
     def test_an_agent_that_lags_behind_the_registry_is_not_believed(self) -> None:
         async def play() -> dict[object, object]:
             async with running_site(engines=1, plain=0) as site:
--- a/tests/platform/runner_stand_in.py
+++ b/tests/platform/runner_stand_in.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import enum
+from collections.abc import Coroutine
 from typing import Any
 
 import orjson
@@ -45,6 +46,9 @@
         self.runs: list[dict[str, Any]] = []
         self.orders: list[dict[str, Any]] = []
         self.most_held = 0
+        # Time that the base model takes to load after a restart; 0: it is there at once.
+        self.model_load_s = 0.0
+        self.has_model = True
         # Requests that named another lifetime.
         self.misdirected = 0
         # Seconds for which reports still tell of the lifetime before a restart.
@@ -82,6 +86,7 @@
         self.runner_id = runner_id
         self.born += 1
         self.sequence = 0
+        self.has_model = self.model_load_s == 0
         self.adapters.clear()
         self.coming.clear()
 
@@ -101,6 +106,8 @@
         }
 
     def _models(self) -> list[dict[str, Any]]:
+        if not self.has_model:
+            return []
         names = [f"{name}@{version}" for name, version in self.adapters.items()]
         return [{"name": "base", "version": 1, "adapters": names}]
 
@@ -143,8 +150,11 @@
     def _carry_out(self, order: dict[str, Any]) -> int:
         if order["expected"] != self.sequence:
             return 409
-        name = order["adapter"]
         self.sequence += 1
+        if "adapter" not in order:
+            self._start(self._load_model())
+            return 202
+        name = order["adapter"]
         if order["operation"] == "unload":
             assert self.busy.get(name, 0) == 0, "an adapter in use was ordered away"
             self.adapters.pop(name, None)
@@ -152,10 +162,17 @@
         version = order.get("version") or self.newest.get(name, 1)
         self.coming[name] = version
         self.most_held = max(self.most_held, len(self.adapters.keys() | self.coming.keys()))
-        task = asyncio.get_running_loop().create_task(self._load(name, version))
+        self._start(self._load(name, version))
+        return 202
+
+    def _start(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-        return 202
+
+    async def _load_model(self) -> None:
+        await asyncio.sleep(self.model_load_s)
+        self.has_model = True
 
     async def _load(self, name: str, version: int) -> None:
         await asyncio.sleep(LOAD_S)
