Give an attempt a module of its own

Cause: request.py had 437 lines: choosing a runner, the exchange with it, and what follows. Ruled out: free functions over RequestRun's private state. Change: Attempt (gateway/attempt.py) hands a ServedRequest to one runner; RequestRun chooses and decides what follows. No change of behaviour.

--- a/src/dragonflyhold/gateway/request.py
+++ b/src/dragonflyhold/gateway/request.py
@@ -2,48 +2,36 @@
 
 import asyncio
 import time
-from collections.abc import Awaitable, Callable
-from typing import TYPE_CHECKING, TypeVar, final
+from typing import TYPE_CHECKING, final
 
+from dragonflyhold.gateway.attempt import CHECK_PERIOD_S, MIN_ATTEMPT_S, Attempt, ServedRequest
 from dragonflyhold.gateway.dispatch import Choice, NoRunner, RunnerView, SendNow, WaitFor
 from dragonflyhold.gateway.events import EventSplitter
-from dragonflyhold.gateway.http_client import BreakReason, Call, Exchange, ExchangeError, Head
 from dragonflyhold.gateway.http_server import ClientRequest, Responder
-from dragonflyhold.gateway.model import Repeat, RequestFacts, Route, RunnerId, SendOptions
+from dragonflyhold.gateway.model import Repeat, RequestFacts, Route, RunnerId
 from dragonflyhold.gateway.outcomes import (
     Answered,
-    FailureAnswer,
     InDoubtError,
     MayHaveRun,
     NotRun,
-    Outcome,
     Reason,
     RefusedError,
 )
-from dragonflyhold.gateway.progress import Progress, silence_limit
+from dragonflyhold.gateway.progress import Progress
 from dragonflyhold.gateway.suspects import fingerprint
 from dragonflyhold.gateway.tasks import limit_time
 from dragonflyhold.gateway.waiting import Waiter
 from dragonflyhold.ids import ServiceName, Version
-from dragonflyhold.platform import codec
 
 if TYPE_CHECKING:
     from dragonflyhold.gateway.gateway import Gateway
 
-Read = TypeVar("Read")
-
-# The least time that must be left for another attempt, in seconds.
-MIN_ATTEMPT_S = 0.05
 # Share of the time to the first piece for which a request waits while no runner is available.
 NO_RUNNER_SHARE = 0.12
 # Pause before the runners are looked at again while none is available, in seconds.
 NO_RUNNER_PAUSE_S = 0.02
 # Refusals by runners after which a request is given up.
 MAX_REFUSALS = 4
-# How often a request that waits looks again at where it may go, in seconds.
-CHECK_PERIOD_S = 0.25
-# A runner that owes answers and is silent for this long is left by requests that may go elsewhere.
-ABANDON_S = 1.0
 # Share of its time left for which a caller that was sent away before waits for its adapter.
 RETURN_WAIT_SHARE = 0.25
 # A caller that has tried for this share of the time to the first piece has been here before.
@@ -76,7 +64,16 @@
         if facts.time_left_s is not None:
             limit = min(limit, facts.time_left_s)
         self._deadline = request.received + limit
-        self._events = EventSplitter()
+        self._served = ServedRequest(
+            request,
+            facts,
+            route,
+            service,
+            responder,
+            self._deadline,
+            self.progress,
+            EventSplitter(),
+        )
         self._worth = gateway.estimate_worth(route, facts)
         age = gateway.age(route, facts)
         self._is_return = age > RETURN_AGE_SHARE * route.target_s
@@ -94,7 +91,7 @@
             raise RefusedError(Reason.SUSPECT, self._retry_after())
         while True:
             choice = await self._place()
-            outcome = await self._attempt(choice)
+            outcome = await Attempt(self._gateway, self._served, choice).run()
             match outcome:
                 case Answered():
                     return
@@ -190,207 +187,6 @@
             return arrived + RETURN_WAIT_SHARE * left
         return min(arrived + WAIT_SHARE * left, in_time_until)
 
-    # One attempt.
-
-    async def _attempt(self, choice: SendNow) -> Outcome:
-        view = self._gateway.table.views[choice.runner_id]
-        self.progress.runner = choice.runner_id
-        target = self._facts.target
-        started = time.monotonic()
-        self._gateway.note_started(choice.runner_id, target)
-        exchange: Exchange | None = None
-        self._gateway.request_log.info(
-            "A request was sent.",
-            id=self._facts.request_id,
-            runner=choice.runner_id,
-            load=view.load(started),
-            state_age_ms=round((started - view.reported_at) * 1000),
-            version=choice.version,
-            resume_after=self._events.last_id if self._responder.is_started else None,
-        )
-        try:
-            try:
-                exchange = await self._gateway.pool.send(view.runner.address, self._call(choice))
-                head = await self._read_head(exchange, view)
-                if head.status == 200:
-                    elapsed = time.monotonic() - started
-                    self._gateway.table.note_first_byte(choice.runner_id, elapsed)
-            except ExchangeError as error:
-                return self._broken(choice, error)
-            return await self._take_answer(choice, view, exchange, head)
-        finally:
-            self._gateway.note_ended(choice.runner_id, target)
-            if exchange is not None:
-                self._gateway.pool.give_back(view.runner.address, exchange)
-
-    def _call(self, choice: SendNow) -> Call:
-        target = self._facts.target
-        required = self._gateway.required_version(target)
-        resume_after = self._events.last_id if self._responder.is_started else None
-        options = SendOptions(
-            runner=choice.runner_id,
-            time_left_s=self._deadline - time.monotonic(),
-            urgency=self._gateway.urgency(self._route),
-            expected_version=required if target is not None and required > 0 else None,
-            resume_after=resume_after,
-        )
-        headers = codec.runner_headers(self._gateway.end_to_end(self._request), options)
-        return Call(
-            self._request.method,
-            self._request.target,
-            headers,
-            self._request.body,
-            (codec.REQUEST_ID, self._facts.request_id.encode("latin-1")),
-        )
-
-    async def _read_head(self, exchange: Exchange, view: RunnerView) -> Head:
-        return await self._read(
-            exchange.read_head, view, silence_limit(view, self._facts.prompt_tokens, first=True)
-        )
-
-    async def _read_chunk(self, exchange: Exchange, view: RunnerView) -> bytes:
-        return await self._read(
-            exchange.read_chunk, view, silence_limit(view, self._facts.prompt_tokens, first=False)
-        )
-
-    async def _read(
-        self, read: Callable[[], Awaitable[Read]], view: RunnerView, silence_s: float
-    ) -> Read:
-        """Read from a runner; a request that may go on elsewhere leaves a silent one.
-
-        Raises ``ExchangeError``. An answer that cannot be had elsewhere is waited for to the end.
-        """
-        silent_at = time.monotonic() + silence_s
-        while True:
-            wait_s = silent_at - time.monotonic()
-            try:
-                async with limit_time(wait_s if wait_s > 0 else CHECK_PERIOD_S):
-                    result = await read()
-            except TimeoutError:
-                if time.monotonic() >= silent_at and self._may_go_on(view):
-                    raise ExchangeError(BreakReason.TIMEOUT, True, "silence") from None
-                continue
-            self._gateway.table.heard(view.runner.runner_id, time.monotonic())
-            return result
-
-    def _may_go_on(self, view: RunnerView) -> bool:
-        """Whether the request may leave a runner and has somewhere to go at once."""
-        now = time.monotonic()
-        if (
-            self._route.repeat is Repeat.ONCE
-            or self.progress.attempts + 1 >= self._route.max_attempts
-            or self._deadline - now < MIN_ATTEMPT_S
-            or not self._gateway.budget.has_room(self._service)
-        ):
-            return False
-        if view.is_stalled(now) and now - view.last_heard > ABANDON_S:
-            return True
-        tried = {*self.progress.tried, view.runner.runner_id}
-        target = self._facts.target
-        oldest = self._gateway.required_version(target)
-        choice = self._gateway.table.choose(self._service, target, oldest, now, tried)
-        return isinstance(choice, SendNow) or not view.is_stalled(now)
-
-    async def _take_answer(
-        self, choice: SendNow, view: RunnerView, exchange: Exchange, head: Head
-    ) -> Outcome:
-        self._gateway.note_load(choice.runner_id, head)
-        if codec.is_not_run(head):
-            return await self._refused(choice, view, exchange, head)
-        if self.progress.first_byte_s is None:
-            self.progress.first_byte_s = time.monotonic() - self._request.received
-        if head.status == 200 and self._route.is_stream and codec.is_proper_success(head):
-            return await self._relay(choice, view, exchange, head)
-        try:
-            parts = []
-            while chunk := await self._read_chunk(exchange, view):
-                parts.append(chunk)
-        except ExchangeError as error:
-            return self._broken(choice, error)
-        body = b"".join(parts)
-        is_success = 200 <= head.status < 300
-        self._gateway.note_outcome(choice.runner_id, failed=head.status >= 500)
-        if is_success and codec.is_proper_success(head):
-            self._responder.send(head.status, head.end_to_end(), body)
-            return Answered(head.status)
-        if is_success or not codec.may_pass_failure(head):
-            return MayHaveRun(Reason.RUNNER_FAILED)
-        failure = FailureAnswer(head.status, tuple(head.end_to_end()), body)
-        return MayHaveRun(Reason.RUNNER_FAILED, failure)
-
-    async def _refused(
-        self, choice: SendNow, view: RunnerView, exchange: Exchange, head: Head
-    ) -> Outcome:
-        target = self._facts.target
-        try:
-            # Read to the end, so that the connection can be kept.
-            await exchange.read_body()
-        except ExchangeError as error:
-            self._gateway.request_log.info(
-                "A refusal was cut short.", id=self._facts.request_id, error=str(error)
-            )
-        if head.status == 400:
-            self._responder.send(head.status, head.end_to_end())
-            return Answered(head.status)
-        if head.status == 421:
-            if target is not None and target in view.resident:
-                self._gateway.table.drop_resident(choice.runner_id, target)
-            else:
-                self._gateway.table.suspend(choice.runner_id, time.monotonic())
-        self._gateway.request_log.failure(
-            "A runner refused a request.",
-            id=self._facts.request_id,
-            runner=choice.runner_id,
-            answered_by=codec.instance_id(head),
-            status=head.status,
-            load=view.load(time.monotonic()),
-            adapter=target.adapter if target else None,
-            version=choice.version,
-        )
-        return NotRun(Reason.RUNNER_REFUSED, arrived=True)
-
-    def _broken(self, choice: SendNow, error: ExchangeError) -> Outcome:
-        now = time.monotonic()
-        self._gateway.request_log.failure(
-            "An exchange broke off.",
-            id=self._facts.request_id,
-            runner=choice.runner_id,
-            reason=error.reason.value,
-            sent=error.sent,
-            detail=str(error),
-        )
-        self._gateway.note_outcome(choice.runner_id, failed=True)
-        if not error.sent:
-            self._gateway.table.suspend(choice.runner_id, now)
-            return NotRun(Reason.CONNECT, arrived=False)
-        if error.reason is BreakReason.TIMEOUT:
-            return MayHaveRun(Reason.SILENT)
-        if error.reason is BreakReason.GARBLED:
-            return MayHaveRun(Reason.RUNNER_FAILED)
-        return MayHaveRun(Reason.BROKEN)
-
-    async def _relay(
-        self, choice: SendNow, view: RunnerView, exchange: Exchange, head: Head
-    ) -> Outcome:
-        """Pass a stream on, event by event."""
-        if not self._responder.is_started:
-            self._responder.start_stream(head.status, head.end_to_end())
-        try:
-            while chunk := await self._read_chunk(exchange, view):
-                events = self._events.feed(chunk)
-                if events:
-                    await self._responder.write(events)
-        except ExchangeError as error:
-            self._events.drop_partial()
-            return self._broken(choice, error)
-        if self._events.has_partial:
-            self._events.drop_partial()
-            self._gateway.note_outcome(choice.runner_id, failed=True)
-            return MayHaveRun(Reason.RUNNER_FAILED)
-        self._responder.end_stream()
-        self._gateway.note_outcome(choice.runner_id, failed=False)
-        return Answered(head.status)
-
     # After an attempt.
 
     def _after_refusal(self, choice: SendNow, reason: Reason, arrived: bool) -> None:
