Leave a dark VM after 0.45 s of silence of its agent and its engine

Change: RunnerTable.is_dark needs both silent for 0.45 s and another machine heard; attempts look every 0.1 s. Requests that may not be repeated wait as before. Tests: three in test_dispatch (pure), TestLostAnswers.test_a_stream_leaves_a_dark_vm_before_the_silence_limit, which failed before.

--- a/src/dragonflyhold/gateway/attempt.py
+++ b/src/dragonflyhold/gateway/attempt.py
@@ -32,6 +32,8 @@
 MIN_ATTEMPT_S = 0.05
 # How often a request that waits looks again at where it may go, in seconds.
 CHECK_PERIOD_S = 0.25
+# How often a request that waits for bytes looks whether its runner's VM is dark, in seconds.
+DARK_CHECK_S = 0.1
 # A runner that owes answers and is silent for this long is left by requests that may go elsewhere.
 ABANDON_S = 1.0
 
@@ -133,11 +135,14 @@
         while True:
             wait_s = silent_at - time.monotonic()
             try:
-                async with limit_time(wait_s if wait_s > 0 else CHECK_PERIOD_S):
+                async with limit_time(min(wait_s, DARK_CHECK_S) if wait_s > 0 else CHECK_PERIOD_S):
                     result = await read()
             except TimeoutError:
-                if time.monotonic() >= silent_at and self._may_go_on():
-                    raise ExchangeError(BreakReason.TIMEOUT, True, "silence") from None
+                now = time.monotonic()
+                is_dark = self._gateway.table.is_dark(self._choice.runner_id, now)
+                if (is_dark or now >= silent_at) and self._may_go_on():
+                    detail = "its VM is dark" if is_dark else "silence"
+                    raise ExchangeError(BreakReason.TIMEOUT, True, detail) from None
                 continue
             self._gateway.table.heard(self._choice.runner_id, time.monotonic())
             return result
@@ -152,6 +157,9 @@
             or not self._gateway.budget.has_room(self._served.service)
         ):
             return False
+        if self._gateway.table.is_dark(self._choice.runner_id, now):
+            # Nothing comes from there: an adapter that loads elsewhere is sooner.
+            return True
         if view.is_stalled(now) and now - view.last_heard > ABANDON_S:
             return True
         tried = {*self._served.progress.tried, view.runner.runner_id}
--- a/src/dragonflyhold/gateway/dispatch.py
+++ b/src/dragonflyhold/gateway/dispatch.py
@@ -17,6 +17,9 @@
 STALL_S = 0.6
 # An agent's silence, in seconds, after which its VM gets nothing new: several pulses.
 QUIET_S = 0.22
+# A VM of which neither the agent nor the engine was heard for this long, while others were, is
+# dark: nine pulses, and more than an engine's steps with a prompt's part take.
+DARK_S = 0.45
 # Weight of the newest time to the first byte in a runner's mean.
 FIRST_BYTE_WEIGHT = 0.1
 # Weight of the newest outcome in a runner's failure rate.
@@ -206,6 +209,16 @@
         """Return the runners of a service."""
         return [view for view in self.views.values() if view.runner.service == service]
 
+    def is_dark(self, runner_id: RunnerId, now: float) -> bool:
+        """Whether a VM is silent as a whole, its agent and its engine, while other VMs are not."""
+        view = self.views.get(runner_id)
+        if view is None or not view.is_linked:
+            return False
+        silent_s = now - max(view.agent_heard_at, view.last_heard)
+        return silent_s > DARK_S and any(
+            other.is_linked and not other.is_quiet(now) for other in self.views.values()
+        )
+
     def choose(
         self,
         service: ServiceName,
--- a/src/dragonflyhold/gateway/engines.py
+++ b/src/dragonflyhold/gateway/engines.py
@@ -126,7 +126,7 @@
         """Take in the state of an engine."""
         view = self._current(agent)
         if view is not None:
-            view.agent_heard_at = time.monotonic()
+            self._table.agent_heard(view.runner.runner_id, time.monotonic())
         match message:
             case EngineUpdate():
                 self._take_update(agent, message)
--- a/tests/gateway/site.py
+++ b/tests/gateway/site.py
@@ -115,6 +115,11 @@
         await agent.start()
         self.agents[runner_id] = agent
 
+    def freeze_agent(self, runner_id: str) -> None:
+        """Let an agent stand still, with its links open."""
+        for task in self.agents[runner_id]._tasks:
+            task.cancel()
+
     async def add_gateway(self) -> GatewayDaemon:
         """Start a gateway."""
         host = f"127.0.0.{next(_vms)}"
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -3,6 +3,7 @@
 import random
 
 from dragonflyhold.gateway.dispatch import (
+    DARK_S,
     MAX_SUSPENSION_S,
     MIN_SUSPENSION_S,
     QUIET_S,
@@ -155,6 +156,28 @@
         table = _table(1, 2)
         assert isinstance(table.choose(SERVICE, None, ANY, NOW + QUIET_S + 0.05), SendNow)
 
+    def test_a_vm_is_dark_once_agent_and_engine_are_silent(self) -> None:
+        """Pattern: a VM goes dark; what runs there goes on elsewhere without a long wait."""
+        table = _table(1, 2)
+        later = NOW + DARK_S + 0.01
+        table.agent_heard(RunnerId("r2"), later)
+        assert table.is_dark(RunnerId("r1"), later)
+        assert not table.is_dark(RunnerId("r2"), later)
+
+    def test_a_vm_with_one_voice_left_is_not_dark(self) -> None:
+        """A frozen agent beside a working engine, a long step of an engine beside its agent."""
+        table = _table(1, 2, 3)
+        later = NOW + DARK_S + 0.01
+        table.agent_heard(RunnerId("r3"), later)
+        table.heard(RunnerId("r1"), later - QUIET_S)
+        table.agent_heard(RunnerId("r2"), later - QUIET_S)
+        assert not table.is_dark(RunnerId("r1"), later)
+        assert not table.is_dark(RunnerId("r2"), later)
+
+    def test_with_all_vms_silent_none_is_dark(self) -> None:
+        """This process stood still, or its own network is cut."""
+        assert not _table(1, 2).is_dark(RunnerId("r1"), NOW + DARK_S + 0.01)
+
     def test_a_runner_that_answers_others_is_not_silent(self) -> None:
         table = _table(1)
         table.started(RunnerId("r1"), NOW)
--- a/tests/gateway/test_site.py
+++ b/tests/gateway/test_site.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from dragonflyhold.gateway.progress import PAUSE_SILENCE_S
 from tests.gateway.site import Answer, Site, configuration, running_site
 from tests.platform.runner_stand_in import Fault, RunnerStandIn
 from tests.platform.store_stand_in import Trouble
@@ -185,6 +186,22 @@
         assert answer.complete
         assert answer.event_ids == [1, 2, 3, 4, 5, 6]
 
+    def test_a_stream_leaves_a_dark_vm_before_the_silence_limit(self) -> None:
+        """Pattern: a VM goes dark with all that runs there; its agent's pulses tell."""
+
+        async def play(site: Site) -> tuple[Answer, float]:
+            await site.call("/ask/1", adapter="a1")
+            holder = next(runner for runner in site.runners.values() if runner.runs)
+            holder.faults = [Fault.HANG_MIDWAY]
+            site.freeze_agent(holder.runner_id)
+            started = asyncio.get_running_loop().time()
+            answer = await site.call("/ask/1", adapter="a1")
+            return answer, asyncio.get_running_loop().time() - started
+
+        answer, elapsed = _play(play)
+        assert answer.event_ids == [1, 2, 3, 4, 5, 6]
+        assert elapsed < PAUSE_SILENCE_S, "it waited for the silence limit of a single engine"
+
     def test_a_safe_request_is_sent_again(self) -> None:
         async def play(site: Site) -> int:
             site.runners["p0"].faults = [Fault.HANG]
