Measure pauses, waits for a place and store calls; test the agent as a process

Cause: three of the five latencies that operators ask for had no histogram, and only the gateway was tested as a process of its own. Ruled out: an observation for each event of a stream (a lock and a dictionary for each token); one a stream tells as much.

--- a/src/dragonflyhold/gateway/attempt.py
+++ b/src/dragonflyhold/gateway/attempt.py
@@ -72,6 +72,7 @@
         choice, view, target = self._choice, self._view, self._facts.target
         self._served.progress.runner = choice.runner_id
         started = time.monotonic()
+        self._served.progress.note_sent(started)
         self._gateway.note_started(choice.runner_id, target)
         exchange: Exchange | None = None
         self._gateway.request_log.info(
@@ -252,6 +253,7 @@
             while chunk := await self._read_chunk(exchange):
                 events = self._served.events.feed(chunk)
                 if events:
+                    self._served.progress.note_piece(time.monotonic())
                     await self._responder.write(events)
         except ExchangeError as error:
             self._served.events.drop_partial()
--- a/src/dragonflyhold/gateway/daemon.py
+++ b/src/dragonflyhold/gateway/daemon.py
@@ -96,7 +96,10 @@
         self._stop = asyncio.Event()
         self.gateway = Gateway(self._settings, self._metrics)
         self._store = MetadataStore(
-            self._settings.store, self.gateway.pool, self._metrics.count_event
+            self._settings.store,
+            self.gateway.pool,
+            self._metrics.count_event,
+            self._metrics.observe_store_call,
         )
         self._operator = TableWatch(self._store, OPERATOR_TABLE, self.gateway.catalogue.apply)
         self._registry = TableWatch(
@@ -230,7 +233,9 @@
         self._stop = asyncio.Event()
         pool = ConnectionPool()
         self._pool = pool
-        self._store = MetadataStore(settings.store, pool, self._metrics.count_event)
+        self._store = MetadataStore(
+            settings.store, pool, self._metrics.count_event, self._metrics.observe_store_call
+        )
         self._catalogue = Catalogue(on_version=lambda key, version: self._agent.wake())
         self._operator = TableWatch(self._store, OPERATOR_TABLE, self._catalogue.apply)
         assert settings.engine is not None
--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -206,6 +206,11 @@
             if progress.first_byte_s is not None:
                 fields["first_ms"] = round(progress.first_byte_s * 1000)
                 self._metrics.observe_first_token("all", progress.first_byte_s)
+            if progress.place_wait_s is not None:
+                self._metrics.observe_place_wait(progress.place_wait_s)
+            if progress.longest_pause_s is not None:
+                fields["longest_pause_ms"] = round(progress.longest_pause_s * 1000)
+                self._metrics.observe_longest_pause(progress.longest_pause_s)
             if facts.target is not None:
                 fields["adapter"] = facts.target.adapter
                 if progress.waited_s:
--- a/src/dragonflyhold/gateway/progress.py
+++ b/src/dragonflyhold/gateway/progress.py
@@ -27,9 +27,25 @@
     refusals: int = 0
     waited_s: float = 0.0
     first_byte_s: float | None = None
+    # Time from arrival to the first runner, the wait for an adapter apart.
+    place_wait_s: float | None = None
+    # Longest time between two pieces of the answer, over all its runners.
+    longest_pause_s: float | None = None
+    last_piece: float | None = None
     runner: RunnerId | None = None
     tried: set[RunnerId] = dataclasses.field(default_factory=set)
 
+    def note_sent(self, now: float) -> None:
+        """Note that the request is handed to a runner."""
+        if self.place_wait_s is None:
+            self.place_wait_s = max(0.0, now - self.arrived - self.waited_s)
+
+    def note_piece(self, now: float) -> None:
+        """Note a piece of the answer."""
+        if self.last_piece is not None:
+            self.longest_pause_s = max(self.longest_pause_s or 0.0, now - self.last_piece)
+        self.last_piece = now
+
 
 def silence_limit(view: RunnerView, prompt_tokens: int, first: bool) -> float:
     """Return how long, in seconds, a runner may be silent before its answer counts as lost."""
--- a/src/dragonflyhold/observability/metrics.py
+++ b/src/dragonflyhold/observability/metrics.py
@@ -39,6 +39,24 @@
             registry=reg,
             buckets=SECONDS_BUCKETS,
         )
+        self._pause = Histogram(
+            name + "longest_pause_seconds",
+            "Longest time between two pieces of an answer, in seconds.",
+            registry=reg,
+            buckets=SECONDS_BUCKETS,
+        )
+        self._place = Histogram(
+            name + "place_wait_seconds",
+            "Time from arrival to the first runner without the wait for an adapter, in seconds.",
+            registry=reg,
+            buckets=SECONDS_BUCKETS,
+        )
+        self._store_call = Histogram(
+            name + "store_call_seconds",
+            "Time of a call to the store by its kind, in seconds.",
+            registry=reg,
+            buckets=SECONDS_BUCKETS,
+        )
         self._fill = Histogram(
             name + "batch_fill_ratio",
             "In-flight requests over the batch limit.",
@@ -81,6 +99,21 @@
         with self._lock:
             self._first_token.observe({"kind": kind}, seconds)
 
+    def observe_longest_pause(self, seconds: float) -> None:
+        """Record the longest time between two pieces of one answer."""
+        with self._lock:
+            self._pause.observe({}, seconds)
+
+    def observe_place_wait(self, seconds: float) -> None:
+        """Record how long a request waited for a runner, the wait for its adapter apart."""
+        with self._lock:
+            self._place.observe({}, seconds)
+
+    def observe_store_call(self, kind: str, seconds: float) -> None:
+        """Record the time of a call to the store."""
+        with self._lock:
+            self._store_call.observe({"kind": kind}, seconds)
+
     def observe_batch_fill(self, ratio: float) -> None:
         """Record how full the engine's batch is, 0 to 1."""
         with self._lock:
--- a/src/dragonflyhold/platform/store.py
+++ b/src/dragonflyhold/platform/store.py
@@ -3,6 +3,7 @@
 import base64
 import binascii
 import dataclasses
+import time
 from collections.abc import Callable, Sequence
 from typing import Any, final
 from urllib.parse import urlencode
@@ -26,6 +27,9 @@
 # The registry of runners; the wire calls runners servers.
 REGISTRY_TABLE = "servers"
 
+# Calls whose time is recorded; the feed's calls wait for changes on purpose.
+_CALL_KINDS = {"/rows-get": "read", "/rows-tx": "write"}
+
 
 @final
 class HistoryLostError(DragonflyholdError):
@@ -61,10 +65,12 @@
         address: Address,
         pool: ConnectionPool,
         count: Callable[[str], None] = lambda event: None,
+        observe: Callable[[str, float], None] = lambda kind, seconds: None,
     ) -> None:
         self.address = address
         self._pool = pool
         self._count = count
+        self._observe = observe
 
     async def read_table(self, table: str) -> RowSet:
         """Return all rows of a table's empty part, read page by page."""
@@ -115,6 +121,7 @@
         headers = [(b"Host", self.address.encode()), (b"Content-Type", b"application/json")]
         call = Call(method.encode(), target.encode(), headers, body)
         exchange = None
+        started = time.monotonic()
         try:
             async with limit_time(wait_s + ANSWER_TIMEOUT_S):
                 exchange = await self._pool.send(self.address, call)
@@ -126,6 +133,9 @@
         finally:
             if exchange is not None:
                 self._pool.give_back(self.address, exchange)
+            kind = _CALL_KINDS.get(target.partition("?")[0])
+            if kind is not None:
+                self._observe(kind, time.monotonic() - started)
         self._count(f"store_call_{head.status}")
         if head.status in (429, 503) or head.status >= 500:
             raise PlatformUnavailableError(f"store: {method} {target}: answered {head.status}")
--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -1,56 +1,61 @@
-"""Tests of the daemon as a process: its settings file, signals and graceful stop."""
+"""Tests of the daemons as processes: settings files, signals, graceful stop, a killed agent."""
 
 import asyncio
 import json
-import os
 import pathlib
 import signal
-import socket
-import sys
 
-from dragonflyhold.gateway.connection_pool import ConnectionPool
-from dragonflyhold.gateway.http_client import Call, ExchangeError
 from dragonflyhold.gateway.model import Address
-from dragonflyhold.platform.settings import PATH_VARIABLE
-from tests.gateway.site import HOST, configuration
+from tests.gateway.daemon_process import call, free_port, running_daemon, wait_ready
+from tests.gateway.site import ENGINES, configuration
 from tests.platform.runner_stand_in import RunnerStandIn
 from tests.platform.store_stand_in import StoreStandIn
 
 IP = "127.0.0.1"
+ENGINE_IP = "127.0.0.251"
+# Agents and gateways of one site share this range; the agent listens on its first port.
+PORTS = [7380, 7395]
 
 
-def _free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind((IP, 0))
-        return int(sock.getsockname()[1])
+def _gateway_settings(store: StoreStandIn) -> dict[str, object]:
+    return {
+        "node_name": "front-1",
+        "ip": IP,
+        "zone": "dc-a",
+        "listen_addresses": {
+            "front": f"{IP}:{free_port(IP)}",
+            "ready": f"{IP}:{free_port(IP)}",
+        },
+        "internal_port_range": PORTS,
+        "bounds": {"grace_s": 8},
+        "platform": {"address": store.address},
+    }
 
 
-async def _call(address: Address, target: str, method: str = "GET") -> tuple[int, bytes]:
-    headers = [
-        (b"Host", HOST.encode()),
-        (b"Attempt-Id", b"t1"),
-        (b"Deadline-Remaining", b"5000"),
-    ]
-    pool = ConnectionPool()
-    exchange = await pool.send(address, Call(method.encode(), target.encode(), headers, b""))
-    try:
-        head = await exchange.read_head()
-        return head.status, await exchange.read_body()
-    finally:
-        pool.give_back(address, exchange)
-        pool.forget(address)
+def _agent_settings(store: StoreStandIn, engine: RunnerStandIn) -> dict[str, object]:
+    return {
+        "node_name": "side-1",
+        "ip": ENGINE_IP,
+        "zone": "dc-a",
+        "listen_addresses": {},
+        "internal_port_range": PORTS,
+        "bounds": {},
+        "platform": {"address": store.address},
+        "app": engine.address,
+        "service": ENGINES,
+    }
 
 
-async def _wait_ready(address: Address) -> None:
-    async with asyncio.timeout(20):
-        while True:
-            try:
-                if (await _call(address, "/readiness"))[0] == 200:
-                    return
-            except ExchangeError:
-                # Not listening yet.
-                pass
-            await asyncio.sleep(0.05)
+def _listener(settings: dict[str, object], name: str) -> Address:
+    listeners = settings["listen_addresses"]
+    assert isinstance(listeners, dict)
+    return Address(listeners[name])
+
+
+async def _read_events(process: asyncio.subprocess.Process) -> list[str]:
+    assert process.stdout is not None
+    logs = (await process.stdout.read()).decode()
+    return [json.loads(line)["event"] for line in logs.splitlines()]
 
 
 class TestGatewayProcess:
@@ -59,57 +64,88 @@
     def test_it_serves_reloads_and_stops_gracefully(self, tmp_path: pathlib.Path) -> None:
         """A stop takes the daemon out of rotation, ends open requests, then ends the process."""
 
-        async def play() -> tuple[int, bytes, int, int, str]:
+        async def play() -> tuple[int, bytes, int, int, list[str]]:
             store = StoreStandIn()
             runner = RunnerStandIn("127.0.0.250", "p0", "desk")
             await store.start()
             await runner.start()
             store.put("op", "config", configuration())
             store.put("servers", "p0", runner.entry())
-            front, ready = f"{IP}:{_free_port()}", f"{IP}:{_free_port()}"
-            fields = {
-                "node_name": "front-1",
-                "ip": IP,
-                "zone": "dc-a",
-                "listen_addresses": {"front": front, "ready": ready},
-                "internal_port_range": [7380, 7395],
-                "bounds": {"grace_s": 8},
-                "platform": {"address": store.address},
-            }
+            settings = _gateway_settings(store)
+            front, ready = _listener(settings, "front"), _listener(settings, "ready")
             path = tmp_path / "local.json"
-            path.write_text(json.dumps(fields))
-            process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "dragonflyhold.gateway",
-                env={**os.environ, PATH_VARIABLE: str(path)},
-                stdout=asyncio.subprocess.PIPE,
-            )
             try:
-                await _wait_ready(Address(ready))
-                status, body = await _call(Address(front), "/book/1", "POST")
-                path.write_text(json.dumps({**fields, "bounds": {"grace_s": 9}}))
-                process.send_signal(signal.SIGHUP)
-                await asyncio.sleep(0.2)
-                process.send_signal(signal.SIGTERM)
-                await asyncio.sleep(0.3)
-                stopping, _ = await _call(Address(ready), "/readiness")
-                assert (await _call(Address(front), "/book/1", "POST"))[0] == 200
-                assert process.stdout is not None
-                logs = (await process.stdout.read()).decode()
-                return status, body, stopping, await process.wait(), logs
+                async with running_daemon(path, settings) as process:
+                    await wait_ready(ready)
+                    status, body = await call(front, "/book/1", "POST")
+                    path.write_text(json.dumps({**settings, "bounds": {"grace_s": 9}}))
+                    process.send_signal(signal.SIGHUP)
+                    await asyncio.sleep(0.2)
+                    process.send_signal(signal.SIGTERM)
+                    await asyncio.sleep(0.3)
+                    stopping, _ = await call(ready, "/readiness")
+                    assert (await call(front, "/book/1", "POST"))[0] == 200
+                    events = await _read_events(process)
+                    return status, body, stopping, await process.wait(), events
             finally:
-                if process.returncode is None:
-                    process.kill()
-                    await process.wait()
                 store.close()
                 runner.close()
 
-        status, body, stopping, code, logs = asyncio.run(play())
+        status, body, stopping, code, events = asyncio.run(play())
         assert (status, body) == (200, b"answer to /book/1")
         assert stopping == 503
         assert code == 0
-        events = [json.loads(line)["event"] for line in logs.splitlines()]
         for event in ("Started.", "The settings were read.", "Stopping.", "Stopped."):
             assert event in events
         assert "A request ended." in events
+
+
+class TestAgentProcess:
+    """Gateway, agent, store and engine, the first two as processes of their own."""
+
+    def test_a_killed_agent_is_replaced_and_takes_a_higher_token(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """The engine serves what it holds meanwhile; the next agent's orders are not fenced."""
+
+        async def play() -> tuple[list[int], list[int], list[str], int | None]:
+            store = StoreStandIn()
+            engine = RunnerStandIn(ENGINE_IP, "e0", ENGINES)
+            await store.start()
+            await engine.start()
+            store.put("op", "config", configuration())
+            store.put("servers", "e0", engine.entry())
+            gateway = _gateway_settings(store)
+            agent = _agent_settings(store, engine)
+            front = _listener(gateway, "front")
+
+            async def ask(adapter: str) -> int:
+                fields = {"Model": f"base/{adapter}", "Prompt-Prefix": "aa:9"}
+                return (await call(front, "/ask/1", "POST", fields))[0]
+
+            try:
+                async with running_daemon(tmp_path / "gateway.json", gateway):
+                    await wait_ready(_listener(gateway, "ready"))
+                    async with running_daemon(tmp_path / "agent.json", agent) as first:
+                        statuses = [await ask("a1")]
+                        first.kill()
+                        await first.wait()
+                        statuses.append(await ask("a1"))
+                    async with running_daemon(tmp_path / "agent.json", agent) as second:
+                        statuses.append(await ask("a2"))
+                        second.send_signal(signal.SIGTERM)
+                        events = await _read_events(second)
+                        code = await second.wait()
+            finally:
+                store.close()
+                engine.close()
+            tokens = [int(order["fencing_token"]) for order in engine.orders]
+            return statuses, tokens, events, code
+
+        statuses, tokens, events, code = asyncio.run(play())
+        assert statuses == [200] * 3
+        assert len(tokens) == 2
+        assert tokens[0] < tokens[1]
+        assert code == 0
+        for event in ("Started.", "Took a fencing token.", "An order was given.", "Stopped."):
+            assert event in events
--- a/tests/gateway/test_reasons.py
+++ b/tests/gateway/test_reasons.py
@@ -1,7 +1,9 @@
 """Tests that each refusal shows both as a counter and as a line."""
 
+import asyncio
 import json
 import logging as std_logging
+import re
 from collections.abc import Iterator
 
 import pytest
@@ -12,6 +14,7 @@
 from dragonflyhold.observability.metrics import Metrics
 from dragonflyhold.platform import codec
 from dragonflyhold.platform.settings import decode_settings
+from tests.gateway.site import running_site
 from tests.platform.test_settings import FRONT
 
 
@@ -81,3 +84,20 @@
         assert responder.status == 502
         assert f"failed_{reason.value}" in metrics.render()[0].decode()
         assert any(line.get("outcome") == f"in doubt: {reason.value}" for line in lines)
+
+
+class TestHistograms:
+    """Each latency is observed where it arises."""
+
+    def test_a_stream_fills_them(self) -> None:
+        async def play() -> tuple[str, str]:
+            async with running_site(engines=1, plain=0) as site:
+                await site.call("/ask/1", adapter="a1")
+                gateway = site.gateways[0]._metrics.render()[0].decode()
+                return gateway, site.agents["e0"]._metrics.render()[0].decode()
+
+        gateway, agent = asyncio.run(play())
+        for name in ("first_token", "load_stall", "longest_pause", "place_wait"):
+            assert re.search(rf"dragonflyhold_{name}_seconds_count({{.*}})? 1\b", gateway), name
+        assert 'dragonflyhold_store_call_seconds_count{kind="read"}' in gateway
+        assert 'dragonflyhold_store_call_seconds_count{kind="write"} 1' in agent
