Keep the platform's stand-ins with its adapter, give the engine a speed

Cause: the demo and a model of the load need the stand-ins, which lay under tests; the engine of the stand-in took the same time whatever its batch held. Ruled out: a second set of stand-ins for the model; wire names outside the adapter's folder.

--- a/tests/platform/runner_stand_in.py
+++ b/src/dragonflyhold/platform/standins/runner.py
@@ -10,6 +10,7 @@
 
 from dragonflyhold.gateway.http_server import ClientRequest, HttpServer, Responder
 from dragonflyhold.gateway.model import Address, IngressLimits
+from dragonflyhold.platform.standins.engine_model import EngineModel
 
 LOAD_S = 0.03
 STEP_S = 0.005
@@ -28,13 +29,25 @@
 
 
 class RunnerStandIn:
-    """Runs requests and orders; records every run for the oracle."""
+    """Runs requests and orders; records every run for the oracle.
 
-    def __init__(self, host: str, runner_id: str, service: str, *, slots: int = 3) -> None:
+    With a model its speed is that of an engine, else it takes a fixed time for each event.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        runner_id: str,
+        service: str,
+        *,
+        slots: int = 3,
+        model: EngineModel | None = None,
+    ) -> None:
         self.runner_id = runner_id
         self.service = service
         self.born = 1
         self.slots = slots
+        self.model = model
         self.sequence = 0
         self.adapters: dict[str, int] = {}
         self.coming: dict[str, int] = {}
@@ -89,6 +102,8 @@
         self.has_model = self.model_load_s == 0
         self.adapters.clear()
         self.coming.clear()
+        if self.model is not None:
+            self.model.restart()
 
     def entry(self, state: str = "ready") -> dict[str, Any]:
         """Return the runner's row in the registry."""
@@ -97,7 +112,7 @@
             "address": self.address,
             "zone": "dc-a",
             "version": "v1",
-            "slots": 8,
+            "slots": self.model.timing.batch if self.model else 8,
             "state": state,
             "cold_remaining_ms": 0,
             "models": self._models(),
@@ -132,8 +147,8 @@
             "models": self._models(),
             "busy": False,
             "sequence": self.sequence,
-            "running": sum(self.busy.values()),
-            "waiting": 0,
+            "running": self.model.running if self.model else sum(self.busy.values()),
+            "waiting": self.model.waiting if self.model else 0,
             "coming": [f"base/{name}@{version}" for name, version in self.coming.items()],
             "born": self.born,
         }
@@ -175,7 +190,10 @@
         self.has_model = True
 
     async def _load(self, name: str, version: int) -> None:
-        await asyncio.sleep(LOAD_S)
+        if self.model is not None:
+            await self.model.load(name)
+        else:
+            await asyncio.sleep(LOAD_S)
         self.coming.pop(name, None)
         self.adapters[name] = version
 
@@ -236,7 +254,12 @@
             await asyncio.sleep(STEP_S)
             responder.send(200, signed, b"answer to " + request.target)
         else:
-            await self._stream(responder, signed, first, fault)
+            counts = request.fields.get(b"token-count", b"").split(b",")
+            if self.model is None or len(counts) != 2:
+                await self._stream(responder, signed, first, fault)
+            else:
+                prompt, output = map(int, counts)
+                await self._generate(responder, signed, first, prompt, output)
 
     async def _stream(
         self,
@@ -258,5 +281,23 @@
             await responder.write(b"id: %d\ndata: piece %d\n\n" % (number, number))
         responder.end_stream()
 
+    async def _generate(
+        self,
+        responder: Responder,
+        headers: list[tuple[bytes, bytes]],
+        first: int,
+        prompt_tokens: int,
+        output_tokens: int,
+    ) -> None:
+        assert self.model is not None
+        last = max(first, round(output_tokens / self.model.timing.tokens_per_event))
+        number = first
+        async for _ in self.model.generate(prompt_tokens, last - first + 1):
+            if number == first:
+                responder.start_stream(200, headers)
+            await responder.write(b"id: %d\ndata: piece %d\n\n" % (number, number))
+            number += 1
+        responder.end_stream()
+
     def _json(self, responder: Responder, status: int, body: dict[str, Any]) -> None:
         responder.send(status, [(b"Content-Type", b"application/json")], orjson.dumps(body))
--- a/tests/gateway/site.py
+++ b/src/dragonflyhold/platform/standins/site.py
@@ -12,8 +12,9 @@
 from dragonflyhold.gateway.model import Address
 from dragonflyhold.ids import DataCentre, VmName
 from dragonflyhold.platform.settings import Bounds, DaemonSettings
-from tests.platform.runner_stand_in import RunnerStandIn
-from tests.platform.store_stand_in import StoreStandIn
+from dragonflyhold.platform.standins.engine_model import EngineModel
+from dragonflyhold.platform.standins.runner import RunnerStandIn
+from dragonflyhold.platform.standins.store import StoreStandIn
 
 ENGINES = "assistant"
 PLAIN = "desk"
@@ -88,10 +89,18 @@
         self.pool = ConnectionPool()
         self._ids = itertools.count(1)
 
-    async def add_engine(self, runner_id: str, *, agent: bool = True) -> RunnerStandIn:
+    async def add_engine(
+        self,
+        runner_id: str,
+        *,
+        agent: bool = True,
+        host: str = "",
+        slots: int = 3,
+        model: EngineModel | None = None,
+    ) -> RunnerStandIn:
         """Start an engine, its agent and its entry."""
-        host = f"127.0.0.{next(_vms)}"
-        runner = RunnerStandIn(host, runner_id, ENGINES)
+        host = host or f"127.0.0.{next(_vms)}"
+        runner = RunnerStandIn(host, runner_id, ENGINES, slots=slots, model=model)
         await runner.start()
         self.runners[runner_id] = runner
         self.store.put("servers", runner_id, runner.entry())
@@ -120,9 +129,9 @@
         for task in self.agents[runner_id]._tasks:
             task.cancel()
 
-    async def add_gateway(self) -> GatewayDaemon:
+    async def add_gateway(self, host: str = "") -> GatewayDaemon:
         """Start a gateway."""
-        host = f"127.0.0.{next(_vms)}"
+        host = host or f"127.0.0.{next(_vms)}"
         listener = Address(f"{host}:18080")
         settings = self._settings(host, client_listener=listener)
         gateway = GatewayDaemon(_Settings(settings))  # type: ignore[arg-type]
@@ -173,23 +182,33 @@
         headers: dict[str, str] | None = None,
     ) -> Answer:
         """Send a request as a client does."""
-        settings = self.gateways[gateway]._settings
-        assert settings.client_listener is not None
+        address = self.client_address(gateway)
+        fields = self.client_fields(path, adapter, 1500, (100, 20))
+        fields.update(headers or {})
+        async with asyncio.timeout(8):
+            exchange = await self.pool.send(address, client_call(method, path, fields, body))
+            return await _read(self.pool, address, exchange)
+
+    def client_address(self, gateway: int) -> Address:
+        """Return where clients reach a gateway."""
+        address = self.gateways[gateway]._settings.client_listener
+        assert address is not None
+        return address
+
+    def client_fields(
+        self, path: str, adapter: str, limit_ms: int, tokens: tuple[int, int]
+    ) -> dict[str, str]:
+        """Return the headers of a client's request; ``tokens`` in and out matter to engines."""
         fields = {
             "Host": HOST,
             "Attempt-Id": f"try{next(self._ids)}",
-            "Deadline-Remaining": "1500",
+            "Deadline-Remaining": str(limit_ms),
         }
         if path.startswith(("/ask", "/draft")):
             fields["Model"] = f"base/{adapter}" if adapter else "base"
-            fields["Token-Count"] = "100,20"
+            fields["Token-Count"] = f"{tokens[0]},{tokens[1]}"
             fields["Prompt-Prefix"] = "aa:50,bb:50"
-        fields.update(headers or {})
-        wire = [(name.encode(), value.encode()) for name, value in fields.items()]
-        call = Call(method.encode(), path.encode(), wire, body)
-        async with asyncio.timeout(8):
-            exchange = await self.pool.send(settings.client_listener, call)
-            return await _read(self.pool, settings.client_listener, exchange)
+        return fields
 
     async def close(self) -> None:
         """Stop everything."""
@@ -203,6 +222,12 @@
         self.store.close()
 
 
+def client_call(method: str, path: str, fields: dict[str, str], body: bytes) -> Call:
+    """Return a client's request."""
+    wire = [(name.encode(), value.encode()) for name, value in fields.items()]
+    return Call(method.encode(), path.encode(), wire, body)
+
+
 async def _read(pool: ConnectionPool, address: Address, exchange) -> Answer:  # type: ignore[no-untyped-def]
     parts: list[bytes] = []
     head: Head = await exchange.read_head()
--- a/tests/gateway/daemon_process.py
+++ b/tests/gateway/daemon_process.py
@@ -13,7 +13,7 @@
 from dragonflyhold.gateway.http_client import Call, ExchangeError
 from dragonflyhold.gateway.model import Address
 from dragonflyhold.platform.settings import PATH_VARIABLE
-from tests.gateway.site import HOST
+from dragonflyhold.platform.standins.site import HOST
 
 
 def free_port(ip: str) -> int:
--- a/tests/gateway/test_agent.py
+++ b/tests/gateway/test_agent.py
@@ -17,9 +17,9 @@
 )
 from dragonflyhold.ids import ServiceName
 from dragonflyhold.observability.metrics import Metrics
+from dragonflyhold.platform.standins.site import ENGINES, configuration
 from dragonflyhold.platform.store import StoredRow
 from tests.gateway.builders import MODEL, adapter, demand, report
-from tests.gateway.site import ENGINES, configuration
 
 SLOTS = 3
 
--- a/tests/gateway/test_lifetimes.py
+++ b/tests/gateway/test_lifetimes.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
+from dragonflyhold.platform.standins.site import Answer, Site, running_site
 from tests.gateway.builders import MODEL
-from tests.gateway.site import Answer, Site, running_site
 
 
 async def _wait_until_known(site: Site, runner_id: str) -> None:
--- a/tests/gateway/test_reasons.py
+++ b/tests/gateway/test_reasons.py
@@ -14,7 +14,7 @@
 from dragonflyhold.observability.metrics import Metrics
 from dragonflyhold.platform import codec
 from dragonflyhold.platform.settings import decode_settings
-from tests.gateway.site import running_site
+from dragonflyhold.platform.standins.site import running_site
 from tests.platform.test_settings import FRONT
 
 
--- a/tests/gateway/test_site.py
+++ b/tests/gateway/test_site.py
@@ -7,9 +7,9 @@
 import pytest
 
 from dragonflyhold.gateway.progress import PAUSE_SILENCE_S
-from tests.gateway.site import Answer, Site, configuration, running_site
-from tests.platform.runner_stand_in import Fault, RunnerStandIn
-from tests.platform.store_stand_in import Trouble
+from dragonflyhold.platform.standins.runner import Fault, RunnerStandIn
+from dragonflyhold.platform.standins.site import Answer, Site, configuration, running_site
+from dragonflyhold.platform.standins.store import Trouble
 
 Result = TypeVar("Result")
 
