Link agents also when the configuration comes after the registry

Cause: only a configuration tells which runners are engines. A gateway whose registry was read first followed no agent until an entry changed again, which the platform's entries do only with a check-in of theirs; the model of a site without a network found it, since its entries never change. Ruled out: taking every runner for an engine until then, which would connect to VMs without an agent. Change: a configuration lets the gateway follow the agents of all runners known. Parts take their clock from gateway/clock, looked up at each call, so that a model can set it. Test: TestTheStore.test_a_configuration_after_the_runners_links_their_agents (failed before, no link within 5 s).

--- a/src/dragonflyhold/gateway/budget.py
+++ b/src/dragonflyhold/gateway/budget.py
@@ -1,10 +1,10 @@
 """The share of the common retry budget that one gateway may spend."""
 
 import collections
-import time
 from collections.abc import Callable
 from typing import final
 
+from dragonflyhold.gateway.clock import monotonic_now
 from dragonflyhold.ids import ServiceName
 
 # Windows are kept in parts of this many seconds.
@@ -25,7 +25,7 @@
         ratio: float,
         window_s: float,
         slack: float,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = monotonic_now,
     ) -> None:
         self._ratio = ratio * RATIO_SHARE
         self._slack = slack / SLACK_SHARES
--- a/src/dragonflyhold/gateway/catalogue.py
+++ b/src/dragonflyhold/gateway/catalogue.py
@@ -1,11 +1,11 @@
 """What the operator has put in force: the configuration and the versions of adapters."""
 
-import time
 from collections.abc import Callable
 from typing import final
 
 import orjson
 
+from dragonflyhold.gateway.clock import monotonic_now
 from dragonflyhold.gateway.logs import Part
 from dragonflyhold.gateway.model import Configuration, EngineSpec, ModelAdapter, Service
 from dragonflyhold.ids import ServiceName, Version
@@ -21,7 +21,7 @@
         self,
         on_configuration: Callable[[Configuration], None] = lambda configuration: None,
         on_version: Callable[[ModelAdapter, Version], None] = lambda key, version: None,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = monotonic_now,
     ) -> None:
         self.configuration: Configuration | None = None
         self.versions: dict[ModelAdapter, Version] = {}
--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -328,6 +328,9 @@
 
     def _configuration_changed(self, configuration: Configuration) -> None:
         self.server.limits = configuration.limits
+        for runner in self.registry.runners.values():
+            # Only a configuration tells which runners are engines.
+            self.engines.follow(runner)
 
     def _version_named(self, key: ModelAdapter, version: Version) -> None:
         del version
--- a/src/dragonflyhold/gateway/logs.py
+++ b/src/dragonflyhold/gateway/logs.py
@@ -8,13 +8,14 @@
 import logging as std_logging
 import os
 import sys
-import time
 from collections.abc import Callable
 from typing import final
 
 import orjson
 from absl import logging
 
+from dragonflyhold.gateway.clock import monotonic_now
+
 # Lines a second for each part, and the further ones for failures only.
 LINES_PER_S = 200
 FAILURE_LINES_PER_S = 100
@@ -89,7 +90,7 @@
     def __init__(
         self,
         name: str,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = monotonic_now,
         lines_per_s: int = LINES_PER_S,
         failure_lines_per_s: int = FAILURE_LINES_PER_S,
     ) -> None:
--- a/src/dragonflyhold/gateway/registry.py
+++ b/src/dragonflyhold/gateway/registry.py
@@ -1,11 +1,11 @@
 """Which runners exist, from the registry's rows, outages of the store included."""
 
-import time
 from collections.abc import Callable
 from typing import Protocol, final
 
 import orjson
 
+from dragonflyhold.gateway.clock import monotonic_now
 from dragonflyhold.gateway.logs import Part
 from dragonflyhold.gateway.model import Runner, RunnerId, RunnerState
 from dragonflyhold.platform.codec import DecodeError, decode_runner
@@ -33,7 +33,7 @@
         self,
         events: RegistryEvents,
         is_store_steady: Callable[[], bool],
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = monotonic_now,
     ) -> None:
         self.runners: dict[RunnerId, Runner] = {}
         self._events = events
--- a/src/dragonflyhold/gateway/suspects.py
+++ b/src/dragonflyhold/gateway/suspects.py
@@ -2,10 +2,10 @@
 
 import collections
 import hashlib
-import time
 from collections.abc import Callable, Sequence
 from typing import final
 
+from dragonflyhold.gateway.clock import monotonic_now
 from dragonflyhold.gateway.http_server import ClientRequest
 from dragonflyhold.gateway.messages import SuspectUpdate
 
@@ -29,7 +29,7 @@
 class SuspectTable:
     """Breaks by fingerprint, as counted by each gateway."""
 
-    def __init__(self, source: str, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(self, source: str, clock: Callable[[], float] = monotonic_now) -> None:
         self._source = source
         self._clock = clock
         self._breaks: collections.OrderedDict[bytes, dict[str, int]] = collections.OrderedDict()
--- a/src/dragonflyhold/gateway/waiting.py
+++ b/src/dragonflyhold/gateway/waiting.py
@@ -2,10 +2,10 @@
 
 import asyncio
 import dataclasses
-import time
 from collections.abc import Callable, Iterable
 from typing import final
 
+from dragonflyhold.gateway.clock import monotonic_now
 from dragonflyhold.gateway.messages import AdapterDemand, DemandUpdate
 from dragonflyhold.gateway.model import ModelAdapter, RunnerId
 from dragonflyhold.ids import Version
@@ -45,7 +45,7 @@
         newest: Callable[[ModelAdapter], Version],
         send: Callable[[RunnerId, DemandUpdate], None],
         call_soon: Callable[[Callable[[], None]], object],
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = monotonic_now,
     ) -> None:
         self._clock = clock
         self._newest = newest
--- a/src/dragonflyhold/gateway/watch.py
+++ b/src/dragonflyhold/gateway/watch.py
@@ -7,11 +7,11 @@
 import asyncio
 import dataclasses
 import random
-import time
 from collections.abc import Callable, Iterable
 from typing import final
 
 from dragonflyhold.errors import PlatformUnavailableError
+from dragonflyhold.gateway.clock import monotonic_now
 from dragonflyhold.gateway.logs import Part
 from dragonflyhold.platform.store import HistoryLostError, MetadataStore, RowSet, StoredRow
 
@@ -40,7 +40,7 @@
         table: str,
         on_change: Callable[[StoredRow], None],
         pause_s: float = 0.0,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = monotonic_now,
     ) -> None:
         self.table = table
         self.has_read = False
--- a/tests/gateway/test_site.py
+++ b/tests/gateway/test_site.py
@@ -325,6 +325,26 @@
 class TestTheStore:
     """The store."""
 
+    def test_a_configuration_after_the_runners_links_their_agents(self) -> None:
+        """The registry's answer came first, and no entry changed after it."""
+
+        async def play() -> int:
+            site = Site()
+            await site.store.start()
+            try:
+                await site.add_engine("e0")
+                await site.add_gateway()
+                async with asyncio.timeout(3):
+                    while not site.gateways[0].gateway.table.views:
+                        await asyncio.sleep(0.01)
+                site.store.put("op", "config", configuration())
+                await site.ready(1)
+                return (await site.call("/ask/1", adapter="a1")).status
+            finally:
+                await site.close()
+
+        assert asyncio.run(play()) == 200
+
     def test_a_configuration_is_in_force_at_once(self) -> None:
         async def play(site: Site) -> list[int]:
             before = (await site.call("/new/1")).status
