--- /dev/null
+++ b/src/dragonflyhold/bench/site_model.py
@@ -0,0 +1,257 @@
+"""Plays a day of a whole site without a network: real daemons, model engines, model clients."""
+
+import asyncio
+import dataclasses
+import logging as std_logging
+import random
+from typing import final
+
+from absl import logging
+
+from dragonflyhold.bench.site_workloads import (
+    SITES,
+    TROUBLE_S,
+    Arrival,
+    Cell,
+    Pattern,
+    SiteSheet,
+    is_troubled,
+    make_arrivals,
+)
+from dragonflyhold.bench.virtual_network import run_on
+from dragonflyhold.bench.virtual_time import VirtualLoop, run_virtual
+from dragonflyhold.gateway.http_client import Exchange, ExchangeError
+from dragonflyhold.gateway.model import Repeat
+from dragonflyhold.platform.standins.engine_model import EngineModel, EngineTiming, WeightStore
+from dragonflyhold.platform.standins.runner import RunnerStandIn
+from dragonflyhold.platform.standins.site import ENGINES, Site, client_call, configuration
+
+# Longest pause between two events of an answer in time, in seconds; from the sheets.
+PAUSE_AIM_S = 0.4
+# Adapters that a VM keeps copies of, for each place of its engine; from the sheets.
+COPIES_PER_PLACE = 6
+# Calls of one client when callers repeat at once and often, and otherwise; from the sheets.
+STORM_CALLS = 4
+CALLS = 2
+# Time from the moment an engine falls silent to the removal of its entry: three check-ins.
+LAPSE_S = 1.5
+# Time for the links of a site that starts.
+START_S = 3.0
+
+
+@final
+@dataclasses.dataclass(slots=True)
+class Served:
+    """What became of one arrival; times in seconds since its first call."""
+
+    arrival: Arrival
+    outcome: str = "open"
+    calls: int = 0
+    first_s: float | None = None
+    longest_pause_s: float = 0.0
+    end_s: float = 0.0
+
+    @property
+    def worth(self) -> float:
+        """Return what the answer earns."""
+        kind = self.arrival.kind
+        if self.outcome != "answered" or self.first_s is None:
+            return 0.0
+        is_in_time = self.first_s <= kind.aim_s and self.longest_pause_s <= PAUSE_AIM_S
+        return kind.worth if is_in_time else kind.late_worth
+
+
+@final
+class SiteDay:
+    """One day of one cell."""
+
+    def __init__(self, cell: Cell, unlimited_places: bool = False) -> None:
+        self.cell = cell
+        self.sheet: SiteSheet = SITES[cell.site]
+        self.served: list[Served] = []
+        self.models: list[EngineModel] = []
+        self.weights = WeightStore(self.sheet.full_speed_loads)
+        self._unlimited_places = unlimited_places
+        self._rng = random.Random(f"clients {cell.seed}")
+        self._site = Site()
+
+    async def play(self) -> None:
+        """Start the site, send the day's traffic and stop."""
+        sheet = self.sheet
+        places = sheet.adapters if self._unlimited_places else sheet.places
+        fields = configuration()
+        _set_classes(fields, sheet, places)
+        await run_on("10.9.0.1", self._site.store.start())
+        self._site.store.put("op", "config", fields)
+        for number in range(sheet.engines):
+            await self._add_engine(number, places)
+        for number in range(sheet.gateways):
+            await run_on(f"10.1.0.{number + 1}", self._site.add_gateway(f"10.1.0.{number + 1}"))
+        await self._site.ready(sheet.engines)
+        await asyncio.sleep(START_S)
+        start = asyncio.get_running_loop().time()
+        trouble = run_on("10.8.0.1", self._trouble(start))
+        clients = []
+        for arrival in make_arrivals(self.cell):
+            await asyncio.sleep(max(0.0, start + arrival.at - asyncio.get_running_loop().time()))
+            served = Served(arrival)
+            self.served.append(served)
+            clients.append(run_on("10.7.0.1", self._call_until_answered(served, start)))
+        await asyncio.gather(trouble, *clients)
+        await self._site.close()
+
+    async def _add_engine(self, number: int, places: int) -> None:
+        sheet = self.sheet
+        timing = EngineTiming(
+            batch=sheet.batch,
+            step_s=sheet.step_s,
+            batch_doubling=sheet.batch_doubling,
+            prefill_tokens_per_s=sheet.prefill_tokens_per_s,
+            tokens_per_event=sheet.tokens_per_event,
+            load_s=sheet.load_s,
+            warm_load_s=sheet.warm_load_s,
+            copies=COPIES_PER_PLACE * places,
+        )
+        model = EngineModel(timing, self.weights)
+        self.models.append(model)
+        ip = f"10.2.0.{number + 1}"
+        work = self._site.add_engine(f"e{number}", host=ip, slots=places, model=model)
+        runner = await run_on(ip, work)
+        if self._unlimited_places:
+            runner.adapters = {f"a{index}": 1 for index in range(sheet.adapters)}
+
+    async def _trouble(self, start: float) -> None:
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, VirtualLoop)
+        await asyncio.sleep(TROUBLE_S[0])
+        match self.cell.pattern:
+            case Pattern.LOSE_ENGINES:
+                lost = list(self._site.runners.values())[: max(1, self.sheet.engines * 2 // 5)]
+                for runner in lost:
+                    loop.network.go_dark(runner.address.rpartition(":")[0])
+                await asyncio.sleep(LAPSE_S)
+                for runner in lost:
+                    self._site.store.remove("servers", runner.runner_id)
+                await asyncio.sleep(start + TROUBLE_S[1] - loop.time())
+                for runner in lost:
+                    self._bring_back(runner, loop)
+            case Pattern.SLOW_ENGINE:
+                self.models[0].timing.slowdown = 4.0
+                await asyncio.sleep(start + TROUBLE_S[1] - loop.time())
+                self.models[0].timing.slowdown = 1.0
+            case _:
+                # The arrivals make the other patterns.
+                pass
+
+    def _bring_back(self, runner: RunnerStandIn, loop: VirtualLoop) -> None:
+        runner.restart(f"{runner.runner_id}-again")
+        loop.network.go_light(runner.address.rpartition(":")[0])
+        self._site.store.put("servers", runner.runner_id, runner.entry())
+
+    async def _call_until_answered(self, served: Served, start: float) -> None:
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        kind = served.arrival.kind
+        is_storm = self.cell.pattern is Pattern.RETRY_STORM and is_troubled(began - start)
+        for _ in range(STORM_CALLS if is_storm else CALLS):
+            left_s = began + kind.limit_s - loop.time()
+            if left_s < 0.05:
+                break
+            served.calls += 1
+            try:
+                async with asyncio.timeout(left_s):
+                    retry_after_s = await self._call(served, began, left_s)
+            except TimeoutError:
+                served.outcome = "no answer in time"
+                break
+            except ExchangeError as error:
+                served.outcome = f"broken: {error.reason.value}"
+                break
+            if retry_after_s is None:
+                break
+            await asyncio.sleep(0.0 if is_storm else min(retry_after_s, left_s))
+        served.end_s = loop.time() - began
+
+    async def _call(self, served: Served, began: float, left_s: float) -> float | None:
+        """Send one call; return when to come back after a refusal."""
+        arrival, site = served.arrival, self._site
+        output = arrival.events * self.sheet.tokens_per_event
+        path = f"/{arrival.kind.name}/x"
+        fields = site.client_fields(
+            "/ask/x",
+            arrival.adapter.adapter if arrival.adapter else "",
+            round(left_s * 1000),
+            (arrival.prompt_tokens, output),
+        )
+        address = site.client_address(self._rng.randrange(self.sheet.gateways))
+        exchange = await site.pool.send(address, client_call("POST", path, fields, b"body"))
+        try:
+            return await self._read(served, exchange, began)
+        finally:
+            site.pool.give_back(address, exchange)
+
+    async def _read(self, served: Served, exchange: Exchange, began: float) -> float | None:
+        loop = asyncio.get_running_loop()
+        head = await exchange.read_head()
+        served.outcome = f"status {head.status}"
+        if head.status == 503:
+            await exchange.read_body()
+            return float(head.fields.get(b"retry-after", b"0"))
+        last = None
+        events = 0
+        while chunk := await exchange.read_chunk():
+            now = loop.time()
+            if served.first_s is None:
+                served.first_s = now - began
+            if last is not None:
+                served.longest_pause_s = max(served.longest_pause_s, now - last)
+            last = now
+            events += chunk.count(b"\n\n")
+        if head.status == 200 and events == served.arrival.events:
+            served.outcome = "answered"
+        return None
+
+
+def _set_classes(fields: dict[str, object], sheet: SiteSheet, places: int) -> None:
+    """Put the sheet's kinds of request and engines into a configuration."""
+    routes = fields["routes"]
+    services = fields["services"]
+    assert isinstance(routes, list)
+    assert isinstance(services, list)
+    template = routes[0]
+    for kind in sheet.classes:
+        is_once = kind.repeat is Repeat.ONCE
+        routes.append(
+            {
+                **template,
+                "name": kind.name,
+                "prefix": f"/{kind.name}/",
+                "resumable": not is_once,
+                "max_attempts": 1 if is_once else 2,
+                "timeout_ms": round(kind.limit_s * 1000),
+                "target_latency_ms": round(kind.aim_s * 1000),
+                "priority": kind.priority,
+            }
+        )
+    for service in services:
+        if service["name"] == ENGINES:
+            service["engine"].update(slots=sheet.batch, adapter_slots=places)
+
+
+def play_day(cell: Cell, unlimited_places: bool = False) -> SiteDay:
+    """Play one day on a clock of its own; logs below errors are off meanwhile."""
+    verbosity = logging.get_verbosity()
+    logging.set_verbosity(logging.FATAL)
+    std_logging.disable(std_logging.ERROR)
+    random.seed(cell.seed)
+    try:
+
+        async def play() -> SiteDay:
+            day = SiteDay(cell, unlimited_places)
+            await day.play()
+            return day
+
+        return run_virtual(play())
+    finally:
+        std_logging.disable(std_logging.NOTSET)
+        logging.set_verbosity(verbosity)
--- a/src/dragonflyhold/bench/virtual_time.py
+++ b/src/dragonflyhold/bench/virtual_time.py
@@ -74,9 +74,8 @@
 
     Only one may run in a process at a time, as that clock is the whole process's.
     """
-    loop = VirtualLoop()
-    try:
-        with mock.patch.object(time, "monotonic", loop.time):
-            return loop.run_until_complete(work)
-    finally:
-        loop.close()
+    with (
+        asyncio.Runner(loop_factory=VirtualLoop) as runner,
+        mock.patch.object(time, "monotonic", runner.get_loop().time),
+    ):
+        return runner.run(work)
--- a/src/dragonflyhold/cli/bench.py
+++ b/src/dragonflyhold/cli/bench.py
@@ -11,6 +11,7 @@
 from dragonflyhold.bench.policy_baselines import POLICY_NAMES
 from dragonflyhold.bench.policy_workloads import DEPLOYMENTS, Disturbance
 from dragonflyhold.cli.bench_load import load_command
+from dragonflyhold.cli.bench_site import site_command
 
 
 @click.group(name="bench")
@@ -76,6 +77,7 @@
 
 
 bench_group.add_command(load_command)
+bench_group.add_command(site_command)
 
 
 @bench_group.command()
