Show the path of the users' platform in the demo

Cause: make demo showed the daemons of the earlier interface only. Ruled out: a demo inside one process, which shows no start, kill or graceful stop.

--- a/src/dragonflyhold/cli/demo.py
+++ b/src/dragonflyhold/cli/demo.py
@@ -1,5 +1,6 @@
 """The command that shows both deployments at work."""
 
+import asyncio
 import pathlib
 import sys
 import tempfile
@@ -9,10 +10,13 @@
 
 from dragonflyhold.demo.launcher import Deployment
 from dragonflyhold.demo.plans import PLANS, DeploymentPlan
+from dragonflyhold.demo.platform_path import PlatformDemo
 from dragonflyhold.demo.steps import DemoSteps
 from dragonflyhold.errors import DragonflyholdError
 
 EXIT_FAILED = 1
+# Name of the demo of the users' platform beside the deployments.
+PLATFORM = "platform"
 
 
 @click.command(name="demo")
@@ -24,7 +28,11 @@
     help="Directory with the settings of the deployments.",
 )
 @click.option(
-    "--deployment", "names", multiple=True, type=click.Choice(list(PLANS)), help="Default: all."
+    "--deployment",
+    "names",
+    multiple=True,
+    type=click.Choice([*PLANS, PLATFORM]),
+    help="Default: all.",
 )
 @click.option("--logs", type=click.Path(path_type=pathlib.Path), help="Directory for log files.")
 @click.option("--small", is_flag=True, help="1 entry, 2 upstreams and 50 adapters per service.")
@@ -34,15 +42,25 @@
     """Run the example deployments on loopback with stand-ins for all that is outside."""
     with tempfile.TemporaryDirectory(prefix="dragonflyhold-") as scratch:
         directory = logs or pathlib.Path(scratch)
-        for name in names or tuple(PLANS):
-            plan = PLANS[name].reduced(1, 2, 50) if small else PLANS[name]
+        for name in names or (*PLANS, PLATFORM):
             try:
+                if name == PLATFORM:
+                    _show_platform(directory / name)
+                    continue
+                plan = PLANS[name].reduced(1, 2, 50) if small else PLANS[name]
                 _show(plan, examples, directory / name)
             except DragonflyholdError as error:
                 click.echo(f"failed   {error}", err=True)
                 sys.exit(EXIT_FAILED)
 
 
+def _show_platform(directory: pathlib.Path) -> None:
+    started = time.monotonic()
+    click.echo("platform: a gateway, two engines with an agent each, the metadata store")
+    asyncio.run(PlatformDemo(directory, click.echo).run())
+    click.echo(f"done     platform in {time.monotonic() - started:.1f} s\n")
+
+
 def _show(plan: DeploymentPlan, examples: pathlib.Path, directory: pathlib.Path) -> None:
     started = time.monotonic()
     upstreams = len(list(plan.upstreams()))
--- /dev/null
+++ b/src/dragonflyhold/demo/platform_path.py
@@ -0,0 +1,117 @@
+"""Shows the path of the users' platform: daemons as processes, store and engines as stand-ins."""
+
+import asyncio
+import contextlib
+import pathlib
+import signal
+from collections.abc import Callable
+from typing import final
+
+from dragonflyhold.demo.processes import DeploymentError
+from dragonflyhold.gateway.model import Address
+from dragonflyhold.platform.standins.processes import call, free_port, running_daemon, wait_ready
+from dragonflyhold.platform.standins.runner import Fault, RunnerStandIn
+from dragonflyhold.platform.standins.site import ENGINES, configuration
+from dragonflyhold.platform.standins.store import StoreStandIn
+
+Print = Callable[[str], None]
+
+GATEWAY_IP = "127.0.1.1"
+ENGINE_IPS = ("127.0.1.11", "127.0.1.12")
+# Agents listen on the first of these.
+PORTS = [7380, 7395]
+ADAPTERS = 6
+# Events of each answer of the stand-in.
+EVENTS = 6
+
+
+@final
+class PlatformDemo:
+    """One gateway, two engines with an agent each, and the store."""
+
+    def __init__(self, directory: pathlib.Path, print_line: Print) -> None:
+        self._directory = directory
+        self._print = print_line
+        self._store = StoreStandIn()
+        self._engines = [
+            RunnerStandIn(ip, f"e{number}", ENGINES) for number, ip in enumerate(ENGINE_IPS)
+        ]
+
+    async def run(self) -> None:
+        """Run all steps; raise ``DeploymentError`` if one fails."""
+        self._directory.mkdir(parents=True, exist_ok=True)
+        await self._store.start()
+        self._store.put("op", "config", configuration())
+        for engine in self._engines:
+            await engine.start()
+            self._store.put("servers", engine.runner_id, engine.entry())
+        try:
+            await self._run_daemons()
+        finally:
+            for engine in self._engines:
+                engine.close()
+            self._store.close()
+
+    async def _run_daemons(self) -> None:
+        listeners = {name: f"{GATEWAY_IP}:{free_port(GATEWAY_IP)}" for name in ("front", "ready")}
+        settings = {**self._settings(GATEWAY_IP), "listen_addresses": listeners}
+        front = Address(listeners["front"])
+        async with contextlib.AsyncExitStack() as stack:
+            agents = [
+                await stack.enter_async_context(self._agent(engine)) for engine in self._engines
+            ]
+            path = self._directory / "gateway.json"
+            gateway = await stack.enter_async_context(running_daemon(path, settings))
+            await wait_ready(Address(listeners["ready"]))
+            for number in range(ADAPTERS):
+                await _stream(front, f"a{number}")
+            loads = sum(len(engine.orders) for engine in self._engines)
+            self._print(f"served   {ADAPTERS} adapters, {loads} orders of two agents")
+            await self._break_a_stream(front)
+            self._print("resumed  a stream whose engine broke off midway: no gap, no repeat")
+            agents[0].kill()
+            await agents[0].wait()
+            await _stream(front, "a0")
+            await stack.enter_async_context(self._agent(self._engines[0]))
+            self._print("killed   an agent: its engine serves on, the next agent takes over")
+            gateway.send_signal(signal.SIGTERM)
+            if await gateway.wait() != 0:
+                raise DeploymentError("the gateway did not stop gracefully")
+            self._print("stopped  the gateway, out of rotation first")
+
+    async def _break_a_stream(self, front: Address) -> None:
+        await _stream(front, "a0")
+        holder = next(engine for engine in self._engines if "a0" in engine.adapters)
+        holder.faults = [Fault.BREAK_MIDWAY]
+        for _ in self._engines:
+            # Another engine may hold the adapter too and get the first stream.
+            await _stream(front, "a0")
+            if not holder.faults:
+                return
+        raise DeploymentError("no stream went to the engine that breaks off")
+
+    def _settings(self, ip: str) -> dict[str, object]:
+        return {
+            "node_name": f"vm-{ip}",
+            "ip": ip,
+            "zone": "dc-a",
+            "listen_addresses": {},
+            "internal_port_range": PORTS,
+            "bounds": {"grace_s": 8},
+            "platform": {"address": self._store.address},
+        }
+
+    def _agent(
+        self, engine: RunnerStandIn
+    ) -> contextlib.AbstractAsyncContextManager[asyncio.subprocess.Process]:
+        ip = engine.address.rpartition(":")[0]
+        settings = {**self._settings(ip), "app": engine.address, "service": ENGINES}
+        return running_daemon(self._directory / f"agent-{engine.runner_id}.json", settings)
+
+
+async def _stream(front: Address, adapter: str) -> None:
+    fields = {"Model": f"base/{adapter}", "Prompt-Prefix": "aa:9"}
+    status, body = await call(front, "/ask/1", "POST", fields)
+    ids = [int(line[3:]) for line in body.split(b"\n") if line.startswith(b"id:")]
+    if status != 200 or ids != list(range(1, len(ids) + 1)) or len(ids) != EVENTS:
+        raise DeploymentError(f"{adapter}: status {status}, events {ids}")
--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -6,10 +6,10 @@
 import signal
 
 from dragonflyhold.gateway.model import Address
+from dragonflyhold.platform.standins.processes import call, free_port, running_daemon, wait_ready
 from dragonflyhold.platform.standins.runner import RunnerStandIn
 from dragonflyhold.platform.standins.site import ENGINES, configuration
 from dragonflyhold.platform.standins.store import StoreStandIn
-from tests.gateway.daemon_process import call, free_port, running_daemon, wait_ready
 
 IP = "127.0.0.1"
 ENGINE_IP = "127.0.0.251"
