--- a/src/dragonflyhold/platform/standins/runner.py
+++ b/src/dragonflyhold/platform/standins/runner.py
@@ -62,6 +62,7 @@
         # Time that the base model takes to load after a restart; 0: it is there at once.
         self.model_load_s = 0.0
         self.has_model = True
+        self._is_loading_model = False
         # Requests that named another lifetime.
         self.misdirected = 0
         # Seconds for which reports still tell of the lifetime before a restart.
@@ -145,7 +146,7 @@
         return {
             "stage": "both",
             "models": self._models(),
-            "busy": False,
+            "busy": self._is_loading_model,
             "sequence": self.sequence,
             "running": self.model.running if self.model else sum(self.busy.values()),
             "waiting": self.model.waiting if self.model else 0,
@@ -186,7 +187,9 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _load_model(self) -> None:
+        self._is_loading_model = True
         await asyncio.sleep(self.model_load_s)
+        self._is_loading_model = False
         self.has_model = True
 
     async def _load(self, name: str, version: int) -> None:
--- a/tests/gateway/test_lifetimes.py
+++ b/tests/gateway/test_lifetimes.py
@@ -90,6 +90,19 @@
         statuses = asyncio.run(play())
         assert statuses == [200] * 4
 
+    def test_the_base_model_is_ordered_once(self) -> None:
+        """Loads from the weight store are limited over all engines."""
+
+        async def play() -> int:
+            async with running_site(engines=1, plain=0) as site:
+                runner = site.runners["e0"]
+                runner.model_load_s = 0.3
+                runner.restart("e0-again")
+                await asyncio.sleep(1.0)
+                return sum("adapter" not in order for order in runner.orders)
+
+        assert asyncio.run(play()) == 1
+
     def test_an_agent_that_lags_behind_the_registry_is_not_believed(self) -> None:
         async def play() -> dict[object, object]:
             async with running_site(engines=1, plain=0) as site:
