Keep wire names of the demo and the model inside the adapter's folder, wait for daemons that start

Ruled out: a fault of the gateway; the refusal was right, its caller would have come back. Change: routes, engines' sizes and settings come from platform/standins; streams of the demo and the process tests ask again for up to 20 s while daemons start.

--- a/src/dragonflyhold/bench/site_model.py
+++ b/src/dragonflyhold/bench/site_model.py
@@ -24,7 +24,13 @@
 from dragonflyhold.gateway.model import Repeat
 from dragonflyhold.platform.standins.engine_model import EngineModel, EngineTiming, WeightStore
 from dragonflyhold.platform.standins.runner import RunnerStandIn
-from dragonflyhold.platform.standins.site import ENGINES, Site, client_call, configuration
+from dragonflyhold.platform.standins.site import (
+    Site,
+    add_stream_route,
+    client_call,
+    configuration,
+    set_engine,
+)
 
 # Longest pause between two events of an answer in time, in seconds; from the sheets.
 PAUSE_AIM_S = 0.4
@@ -80,7 +86,16 @@
         sheet = self.sheet
         places = sheet.adapters if self._unlimited_places else sheet.places
         fields = configuration()
-        _set_classes(fields, sheet, places)
+        set_engine(fields, sheet.batch, places)
+        for kind in sheet.classes:
+            add_stream_route(
+                fields,
+                kind.name,
+                is_resumable=kind.repeat is Repeat.RESUMABLE,
+                limit_s=kind.limit_s,
+                aim_s=kind.aim_s,
+                priority=kind.priority,
+            )
         await run_on("10.9.0.1", self._site.store.start())
         self._site.store.put("op", "config", fields)
         for number in range(sheet.engines):
@@ -213,32 +228,6 @@
         return None
 
 
-def _set_classes(fields: dict[str, object], sheet: SiteSheet, places: int) -> None:
-    """Put the sheet's kinds of request and engines into a configuration."""
-    routes = fields["routes"]
-    services = fields["services"]
-    assert isinstance(routes, list)
-    assert isinstance(services, list)
-    template = routes[0]
-    for kind in sheet.classes:
-        is_once = kind.repeat is Repeat.ONCE
-        routes.append(
-            {
-                **template,
-                "name": kind.name,
-                "prefix": f"/{kind.name}/",
-                "resumable": not is_once,
-                "max_attempts": 1 if is_once else 2,
-                "timeout_ms": round(kind.limit_s * 1000),
-                "target_latency_ms": round(kind.aim_s * 1000),
-                "priority": kind.priority,
-            }
-        )
-    for service in services:
-        if service["name"] == ENGINES:
-            service["engine"].update(slots=sheet.batch, adapter_slots=places)
-
-
 def play_day(cell: Cell, unlimited_places: bool = False) -> SiteDay:
     """Play one day on a clock of its own; logs below errors are off meanwhile."""
     verbosity = logging.get_verbosity()
--- a/src/dragonflyhold/demo/platform_path.py
+++ b/src/dragonflyhold/demo/platform_path.py
@@ -9,7 +9,14 @@
 
 from dragonflyhold.demo.processes import DeploymentError
 from dragonflyhold.gateway.model import Address
-from dragonflyhold.platform.standins.processes import call, free_port, running_daemon, wait_ready
+from dragonflyhold.platform.standins.processes import (
+    agent_settings,
+    gateway_settings,
+    listener,
+    running_daemon,
+    stream,
+    wait_ready,
+)
 from dragonflyhold.platform.standins.runner import Fault, RunnerStandIn
 from dragonflyhold.platform.standins.site import ENGINES, configuration
 from dragonflyhold.platform.standins.store import StoreStandIn
@@ -18,11 +25,11 @@
 
 GATEWAY_IP = "127.0.1.1"
 ENGINE_IPS = ("127.0.1.11", "127.0.1.12")
-# Agents listen on the first of these.
-PORTS = [7380, 7395]
 ADAPTERS = 6
 # Events of each answer of the stand-in.
 EVENTS = 6
+# Time that a daemon may take to start on a busy machine, in seconds.
+START_S = 20.0
 
 
 @final
@@ -53,16 +60,15 @@
             self._store.close()
 
     async def _run_daemons(self) -> None:
-        listeners = {name: f"{GATEWAY_IP}:{free_port(GATEWAY_IP)}" for name in ("front", "ready")}
-        settings = {**self._settings(GATEWAY_IP), "listen_addresses": listeners}
-        front = Address(listeners["front"])
+        settings = gateway_settings(GATEWAY_IP, self._store.address)
+        front = listener(settings, "front")
         async with contextlib.AsyncExitStack() as stack:
             agents = [
                 await stack.enter_async_context(self._agent(engine)) for engine in self._engines
             ]
             path = self._directory / "gateway.json"
             gateway = await stack.enter_async_context(running_daemon(path, settings))
-            await wait_ready(Address(listeners["ready"]))
+            await wait_ready(listener(settings, "ready"))
             for number in range(ADAPTERS):
                 await _stream(front, f"a{number}")
             loads = sum(len(engine.orders) for engine in self._engines)
@@ -90,28 +96,15 @@
                 return
         raise DeploymentError("no stream went to the engine that breaks off")
 
-    def _settings(self, ip: str) -> dict[str, object]:
-        return {
-            "node_name": f"vm-{ip}",
-            "ip": ip,
-            "zone": "dc-a",
-            "listen_addresses": {},
-            "internal_port_range": PORTS,
-            "bounds": {"grace_s": 8},
-            "platform": {"address": self._store.address},
-        }
-
     def _agent(
         self, engine: RunnerStandIn
     ) -> contextlib.AbstractAsyncContextManager[asyncio.subprocess.Process]:
         ip = engine.address.rpartition(":")[0]
-        settings = {**self._settings(ip), "app": engine.address, "service": ENGINES}
+        settings = agent_settings(ip, self._store.address, engine.address)
         return running_daemon(self._directory / f"agent-{engine.runner_id}.json", settings)
 
 
 async def _stream(front: Address, adapter: str) -> None:
-    fields = {"Model": f"base/{adapter}", "Prompt-Prefix": "aa:9"}
-    status, body = await call(front, "/ask/1", "POST", fields)
-    ids = [int(line[3:]) for line in body.split(b"\n") if line.startswith(b"id:")]
-    if status != 200 or ids != list(range(1, len(ids) + 1)) or len(ids) != EVENTS:
+    status, ids = await stream(front, adapter, START_S)
+    if status != 200 or ids != list(range(1, EVENTS + 1)):
         raise DeploymentError(f"{adapter}: status {status}, events {ids}")
--- a/src/dragonflyhold/platform/standins/processes.py
+++ b/src/dragonflyhold/platform/standins/processes.py
@@ -8,12 +8,13 @@
 import socket
 import sys
 from collections.abc import AsyncIterator
+from typing import Any
 
 from dragonflyhold.gateway.connection_pool import ConnectionPool
 from dragonflyhold.gateway.http_client import Call, ExchangeError
 from dragonflyhold.gateway.model import Address
 from dragonflyhold.platform.settings import PATH_VARIABLE
-from dragonflyhold.platform.standins.site import HOST
+from dragonflyhold.platform.standins.site import ENGINES, HOST
 
 
 def free_port(ip: str) -> int:
@@ -52,9 +53,54 @@
             await asyncio.sleep(0.05)
 
 
+async def stream(address: Address, adapter: str, wait_s: float = 0.0) -> tuple[int, list[int]]:
+    """Ask for a stream of an adapter; return the status and the ids of its events.
+
+    Asks again for up to ``wait_s`` while it is refused: an agent that starts can't load yet.
+    """
+    until = asyncio.get_running_loop().time() + wait_s
+    while True:
+        fields = {"Model": f"base/{adapter}", "Prompt-Prefix": "aa:9"}
+        status, body = await call(address, "/ask/1", "POST", fields)
+        if status != 503 or asyncio.get_running_loop().time() >= until:
+            lines = body.split(b"\n")
+            return status, [int(line[3:]) for line in lines if line.startswith(b"id:")]
+        await asyncio.sleep(0.2)
+
+
+def gateway_settings(ip: str, store: Address, grace_s: float = 8.0) -> dict[str, Any]:
+    """Return settings of a gateway, with free ports for its listeners."""
+    listeners = {name: f"{ip}:{free_port(ip)}" for name in ("front", "ready")}
+    fields = _settings(ip, store)
+    return {**fields, "listen_addresses": listeners, "bounds": {"grace_s": grace_s}}
+
+
+def agent_settings(ip: str, store: Address, engine: Address) -> dict[str, Any]:
+    """Return settings of an agent beside an engine."""
+    return {**_settings(ip, store), "app": engine, "service": ENGINES}
+
+
+def listener(settings: dict[str, Any], name: str) -> Address:
+    """Return the address of a gateway's listener, ``front`` or ``ready``."""
+    return Address(settings["listen_addresses"][name])
+
+
+def _settings(ip: str, store: Address) -> dict[str, Any]:
+    return {
+        "node_name": f"vm-{ip}",
+        "ip": ip,
+        "zone": "dc-a",
+        "listen_addresses": {},
+        # Gateways and agents of a site share the range; agents listen on its first port.
+        "internal_port_range": [7380, 7395],
+        "bounds": {},
+        "platform": {"address": store},
+    }
+
+
 @contextlib.asynccontextmanager
 async def running_daemon(
-    path: pathlib.Path, fields: dict[str, object]
+    path: pathlib.Path, fields: dict[str, Any]
 ) -> AsyncIterator[asyncio.subprocess.Process]:
     """Start a daemon with these settings; kill it if it still runs at the end."""
     path.write_text(json.dumps(fields))
--- a/src/dragonflyhold/platform/standins/site.py
+++ b/src/dragonflyhold/platform/standins/site.py
@@ -5,6 +5,7 @@
 import dataclasses
 import itertools
 from collections.abc import AsyncIterator
+from typing import Any
 
 from dragonflyhold.gateway.connection_pool import ConnectionPool
 from dragonflyhold.gateway.daemon import AgentDaemon, GatewayDaemon
@@ -22,7 +23,7 @@
 _vms = itertools.count(2)
 
 
-def configuration(version: int = 1, **route: object) -> dict[str, object]:
+def configuration(version: int = 1, **route: object) -> dict[str, Any]:
     """Return a configuration with one route of each kind."""
     base = {"host": HOST, "timeout_ms": 1500, "target_latency_ms": 500, "priority": 1}
 
@@ -51,6 +52,37 @@
     }
 
 
+def add_stream_route(
+    fields: dict[str, Any],
+    name: str,
+    *,
+    is_resumable: bool,
+    limit_s: float,
+    aim_s: float,
+    priority: int,
+) -> None:
+    """Put a route for streams of the engines into a configuration, under the prefix ``/name/``."""
+    fields["routes"].append(
+        {
+            **fields["routes"][0],
+            "name": name,
+            "prefix": f"/{name}/",
+            "resumable": is_resumable,
+            "max_attempts": 2 if is_resumable else 1,
+            "timeout_ms": round(limit_s * 1000),
+            "target_latency_ms": round(aim_s * 1000),
+            "priority": priority,
+        }
+    )
+
+
+def set_engine(fields: dict[str, Any], batch: int, places: int) -> None:
+    """Set the engines' sizes in a configuration."""
+    for service in fields["services"]:
+        if service["name"] == ENGINES:
+            service["engine"].update(slots=batch, adapter_slots=places)
+
+
 class _Settings:
     """Stands for the settings file."""
 
--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -5,51 +5,21 @@
 import pathlib
 import signal
 
-from dragonflyhold.gateway.model import Address
-from dragonflyhold.platform.standins.processes import call, free_port, running_daemon, wait_ready
+from dragonflyhold.platform.standins.processes import (
+    agent_settings,
+    call,
+    gateway_settings,
+    listener,
+    running_daemon,
+    stream,
+    wait_ready,
+)
 from dragonflyhold.platform.standins.runner import RunnerStandIn
 from dragonflyhold.platform.standins.site import ENGINES, configuration
 from dragonflyhold.platform.standins.store import StoreStandIn
 
 IP = "127.0.0.1"
 ENGINE_IP = "127.0.0.251"
-# Agents and gateways of one site share this range; the agent listens on its first port.
-PORTS = [7380, 7395]
-
-
-def _gateway_settings(store: StoreStandIn) -> dict[str, object]:
-    return {
-        "node_name": "front-1",
-        "ip": IP,
-        "zone": "dc-a",
-        "listen_addresses": {
-            "front": f"{IP}:{free_port(IP)}",
-            "ready": f"{IP}:{free_port(IP)}",
-        },
-        "internal_port_range": PORTS,
-        "bounds": {"grace_s": 8},
-        "platform": {"address": store.address},
-    }
-
-
-def _agent_settings(store: StoreStandIn, engine: RunnerStandIn) -> dict[str, object]:
-    return {
-        "node_name": "side-1",
-        "ip": ENGINE_IP,
-        "zone": "dc-a",
-        "listen_addresses": {},
-        "internal_port_range": PORTS,
-        "bounds": {},
-        "platform": {"address": store.address},
-        "app": engine.address,
-        "service": ENGINES,
-    }
-
-
-def _listener(settings: dict[str, object], name: str) -> Address:
-    listeners = settings["listen_addresses"]
-    assert isinstance(listeners, dict)
-    return Address(listeners[name])
 
 
 async def _read_events(process: asyncio.subprocess.Process) -> list[str]:
@@ -71,8 +41,8 @@
             await runner.start()
             store.put("op", "config", configuration())
             store.put("servers", "p0", runner.entry())
-            settings = _gateway_settings(store)
-            front, ready = _listener(settings, "front"), _listener(settings, "ready")
+            settings = gateway_settings(IP, store.address)
+            front, ready = listener(settings, "front"), listener(settings, "ready")
             path = tmp_path / "local.json"
             try:
                 async with running_daemon(path, settings) as process:
@@ -115,17 +85,16 @@
             await engine.start()
             store.put("op", "config", configuration())
             store.put("servers", "e0", engine.entry())
-            gateway = _gateway_settings(store)
-            agent = _agent_settings(store, engine)
-            front = _listener(gateway, "front")
+            gateway = gateway_settings(IP, store.address)
+            agent = agent_settings(ENGINE_IP, store.address, engine.address)
+            front = listener(gateway, "front")
 
             async def ask(adapter: str) -> int:
-                fields = {"Model": f"base/{adapter}", "Prompt-Prefix": "aa:9"}
-                return (await call(front, "/ask/1", "POST", fields))[0]
+                return (await stream(front, adapter, wait_s=20.0))[0]
 
             try:
                 async with running_daemon(tmp_path / "gateway.json", gateway):
-                    await wait_ready(_listener(gateway, "ready"))
+                    await wait_ready(listener(gateway, "ready"))
                     async with running_daemon(tmp_path / "agent.json", agent) as first:
                         statuses = [await ask("a1")]
                         first.kill()
