Log the request and the parts of its prompt at a crash

The line now has the request's id and the parts of its prompt, may use the reserve for failed requests, and each is counted as event request_in_crash. No decision changes. tests/platform and tests/gateway pass.

--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -316,22 +316,29 @@
         """Count a retried request."""
         self._metrics.count_retry(reason.value)
 
-    def check_crash(self, upstream_id: UpstreamId, fingerprint: bytes) -> None:
+    def check_crash(
+        self, upstream_id: UpstreamId, fingerprint: bytes, request_info: RequestInfo
+    ) -> None:
         """Check whether an upstream that closed a connection has crashed.
 
         After a crash the request counts as a suspect.
         """
         view = self.table.views.get(upstream_id)
         if view is not None:
-            self._spawn(self._check_crash(view.upstream, fingerprint))
+            self._spawn(self._check_crash(view.upstream, fingerprint, request_info))
 
-    async def _check_crash(self, upstream: Upstream, fingerprint: bytes) -> None:
+    async def _check_crash(
+        self, upstream: Upstream, fingerprint: bytes, request_info: RequestInfo
+    ) -> None:
         if await self.pool.can_connect(upstream.address):
             return
         self.table.suspend(upstream.upstream_id, time.monotonic())
         update = self.suspects.record_crash(fingerprint)
-        self.log.info(
+        self._metrics.count_event("request_in_crash")
+        self.log.failure(
             "A request was running when an upstream crashed.",
+            id=request_info.request_id,
+            parts=[part.decode("latin-1") for part in request_info.prompt_parts],
             mark=fingerprint.hex(),
             runner=upstream.upstream_id,
             breaks=update.suspects[0][1],
--- a/src/dragonflyhold/gateway/model.py
+++ b/src/dragonflyhold/gateway/model.py
@@ -200,6 +200,8 @@
     prompt_tokens: int
     output_tokens: int
     last_event_id: str | None
+    # Ids of the parts of the prompt, in order; the last one belongs to the request or its session.
+    prompt_parts: tuple[bytes, ...] = ()
 
 
 @final
--- a/src/dragonflyhold/gateway/request.py
+++ b/src/dragonflyhold/gateway/request.py
@@ -102,7 +102,9 @@
                     self._handle_refusal(choice, reason, reached_upstream)
                 case MayHaveRun():
                     if outcome.reason is Reason.BROKEN:
-                        self._gateway.check_crash(choice.upstream_id, fingerprint)
+                        self._gateway.check_crash(
+                            choice.upstream_id, fingerprint, self._request_info
+                        )
                     self._handle_failed_attempt(choice, outcome)
 
     # Choice of an upstream
--- a/src/dragonflyhold/platform/codec.py
+++ b/src/dragonflyhold/platform/codec.py
@@ -41,6 +41,7 @@
 LAST_EVENT_ID = b"last-event-id"
 # The platform also calls the signature of an upstream's response its stamp or MAC.
 SIGNATURE = b"response-signature"
+PROMPT_PARTS = b"prompt-prefix"
 NOT_RUN = b"not-executed"
 INSTANCE = b"instance-id"
 SERVER_LOAD = b"server-load"
@@ -233,6 +234,7 @@
         prompt_tokens=_parse_count(prompt),
         output_tokens=_parse_count(output),
         last_event_id=last_event_id.decode("latin-1") if last_event_id is not None else None,
+        prompt_parts=_parse_parts(headers.get(PROMPT_PARTS, b"")),
     )
 
 
@@ -244,6 +246,11 @@
     return number / 1000 if math.isfinite(number) else None
 
 
+def _parse_parts(value: bytes) -> tuple[bytes, ...]:
+    parts = (part.partition(b":")[0].strip().lower() for part in value.split(b","))
+    return tuple(part for part in parts if part)
+
+
 def _parse_count(value: bytes) -> int:
     text = value.strip()
     return int(text) if text.isdigit() else 0
--- a/tests/platform/test_codec.py
+++ b/tests/platform/test_codec.py
@@ -102,6 +102,11 @@
         assert request_info.target == ModelAdapter("m", AdapterName("a1"))  # type: ignore[arg-type]
         assert (request_info.prompt_tokens, request_info.output_tokens) == (1460, 80)
 
+    def test_parts_of_the_prompt_are_decoded(self) -> None:
+        request_info = codec.decode_request({b"prompt-prefix": b"5C1e07a2:800, 91bd3f06:410,,e4:2"})
+        assert request_info.prompt_parts == (b"5c1e07a2", b"91bd3f06", b"e4")
+        assert codec.decode_request({}).prompt_parts == ()
+
 
 def _head(status: int, **fields: bytes) -> Head:
     named = {name.replace("_", "-").encode(): value for name, value in fields.items()}
