--- a/src/dragonflyhold/platform/standins/runner.py
+++ b/src/dragonflyhold/platform/standins/runner.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import enum
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 import orjson
@@ -74,6 +74,13 @@
         self._old_report: dict[str, Any] = {}
         self._old_report_until = 0.0
         self.active_requests: dict[str, int] = {}
+        # Parts of a prompt on which this upstream crashes when it begins to write an answer.
+        self.crashing_parts: frozenset[str] = frozenset()
+        # Time from a crash until the upstream is back under a new id.
+        self.crash_restart_s = 0.3
+        self.crashes = 0
+        self.is_running = True
+        self.on_restart: Callable[[str], None] = lambda old_id: None
         self._host = host
         self._server = HttpServer(self._handle, IngressLimits())
         self._tasks: set[asyncio.Task[None]] = set()
@@ -95,6 +102,24 @@
         for connection in list(self._server.connections):
             connection.abort()
 
+    def crash(self) -> None:
+        """Abort all connections and restart after ``crash_restart_s``, at the same address."""
+        if not self.is_running:
+            return
+        self.crashes += 1
+        port = int(self.address.rpartition(":")[2])
+        self.close()
+        self.is_running = False
+        self._start_task(self._restart_after_crash(port))
+
+    async def _restart_after_crash(self, port: int) -> None:
+        await asyncio.sleep(self.crash_restart_s)
+        old_id = self.upstream_id
+        self.restart(f"{old_id.partition('~')[0]}~{self.crashes}")
+        await self._server.listen(self._host, port)
+        self.is_running = True
+        self.on_restart(old_id)
+
     def restart(self, upstream_id: str) -> None:
         """Start a new incarnation at the same address, with no adapters loaded."""
         for connection in list(self._server.connections):
@@ -268,7 +293,8 @@
         else:
             counts = request.fields.get(b"token-count", b"").split(b",")
             if self.model is None or len(counts) != 2:
-                await self._stream(responder, signed_headers, first, fault)
+                parts = request.fields[b"prompt-prefix"]
+                await self._stream(responder, signed_headers, first, fault, parts)
             else:
                 prompt, output = map(int, counts)
                 await self._generate(responder, signed_headers, first, prompt, output)
@@ -279,8 +305,14 @@
         headers: list[tuple[bytes, bytes]],
         first: int,
         fault: Fault | None,
+        parts: bytes,
     ) -> None:
         responder.start_stream(200, headers)
+        if self._is_crashing(parts):
+            await responder.write(b"id: %d\ndata: ha" % first)
+            await asyncio.sleep(self.event_interval_s)
+            self.crash()
+            return
         for number in range(first, self.events + 1):
             await asyncio.sleep(self.event_interval_s)
             if fault is Fault.BREAK_MIDWAY and number == first + 2:
@@ -296,6 +328,10 @@
             await responder.write(b"id: %d\ndata: piece %d\n\n" % (number, number))
         responder.end_stream()
 
+    def _is_crashing(self, parts: bytes) -> bool:
+        ids = {part.partition(":")[0] for part in parts.decode("latin-1").split(",")}
+        return not ids.isdisjoint(self.crashing_parts)
+
     async def _generate(
         self,
         responder: Responder,
--- a/src/dragonflyhold/platform/standins/site.py
+++ b/src/dragonflyhold/platform/standins/site.py
@@ -136,10 +136,15 @@
         await upstream.start()
         self.upstreams[upstream_id] = upstream
         self.store.put("servers", upstream_id, upstream.entry())
+        upstream.on_restart = lambda old_id: self._replace_entry(old_id, upstream)
         if agent:
             await self.start_agent(upstream_id)
         return upstream
 
+    def _replace_entry(self, old_id: str, upstream: UpstreamStandIn) -> None:
+        self.store.remove("servers", old_id)
+        self.store.put("servers", upstream.upstream_id, upstream.entry())
+
     async def add_plain(self, upstream_id: str) -> UpstreamStandIn:
         """Start and register an upstream of the plain service."""
         upstream = UpstreamStandIn(f"127.0.0.{next(_host_numbers)}", upstream_id, PLAIN_SERVICE)
