Find the part of prompts that crashes upstreams from the crashes of all gateways

Cause: crashes were counted by whole request, so that requests that differ never reach the limit; and each count was sent to one agent once, so that a lost message or a restart lost it. Evidence: 141 of 190 crash lines had a count of 1, none led to a refusal; four end-to-end tests. Ruled out: the repetition by the gateway as the only amplifier (63 of 189 broken attempts were not repeated at all).

Gateways and agents now merge records of crashes with the traits of the requests in flight: the whole content and each part but the last. Merging is idempotent; agents forward news, keep all for gateways that start, and a digest compared once a second replaces what was lost. The part at most crashes explains them, unless an answer with it ended whole shortly before or later; so parts that sound requests share are not refused. Refused requests are refused at once, also while they wait, with a long Retry-After. Builds of the previous protocol version keep exchanging their counts.

--- a/src/dragonflyhold/bench/control.py
+++ b/src/dragonflyhold/bench/control.py
@@ -12,6 +12,7 @@
 
 from dragonflyhold.gateway.agent_link import AgentLink
 from dragonflyhold.gateway.catalogue import Catalogue
+from dragonflyhold.gateway.crash_evidence import CrashEvidence
 from dragonflyhold.gateway.demand_table import DemandTable
 from dragonflyhold.gateway.dispatch import UpstreamTable
 from dragonflyhold.gateway.engines import AgentLinks
@@ -24,7 +25,6 @@
     Upstream,
     UpstreamId,
 )
-from dragonflyhold.gateway.suspects import SuspectTable
 from dragonflyhold.ids import AdapterName, DataCentre, ServiceName, Version
 
 UPSTREAM_COUNTS = (5, 30, 100, 300, 600)
@@ -98,7 +98,7 @@
     links = AgentLinks(
         table,
         Catalogue(),
-        SuspectTable("gateway"),
+        CrashEvidence(),
         agent_port=0,
         required_version=lambda key: Version(0),
         report_incarnation=lambda upstream: None,
--- a/src/dragonflyhold/gateway/agent.py
+++ b/src/dragonflyhold/gateway/agent.py
@@ -7,9 +7,11 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 from typing import final
 
 from dragonflyhold.gateway.catalogue import Catalogue
+from dragonflyhold.gateway.crash_evidence import CrashEvidence
 from dragonflyhold.gateway.demand_table import DemandTable
 from dragonflyhold.gateway.doubtful import UnconfirmedLoads, has_free_slot
 from dragonflyhold.gateway.engine_state import (
@@ -21,8 +23,12 @@
 from dragonflyhold.gateway.link import Link
 from dragonflyhold.gateway.logs import JsonLogger
 from dragonflyhold.gateway.messages import (
+    CRASH_PROTOCOL,
+    PROTOCOL_VERSION,
     AdapterDemand,
     AgentHeartbeat,
+    CrashDigest,
+    CrashUpdate,
     DemandUpdate,
     EngineUpdate,
     LateStream,
@@ -110,6 +116,8 @@
         self._changed = asyncio.Event()
         self._publication: Publication[Link] = Publication()
         self._starts = StartGranter()
+        # What the gateways know of crashes, also for those that start later.
+        self._crashes = CrashEvidence()
         self._logged_at = 0.0
         # Whether requests wait for adapters without a slot, so that an ended request matters.
         self._has_backlog = False
@@ -147,9 +155,16 @@
                 if is_ping:
                     link.send(self._heartbeat())
             case SuspectUpdate():
-                for other in self._demands.gateways():
-                    if other is not link:
-                        other.send(message)
+                self._forward(link, message, lambda protocol: protocol < CRASH_PROTOCOL)
+            case CrashUpdate():
+                news = self._crashes.apply(message)
+                if news:
+                    update = self._crashes.encode(news)
+                    self._forward(link, update, lambda protocol: protocol >= CRASH_PROTOCOL)
+            case CrashDigest(digest):
+                if digest != self._crashes.digest:
+                    link.send(self._crashes.snapshot())
+                    link.send(CrashDigest(self._crashes.digest))
             case StartRequest():
                 self._starts.handle(link, message)
             case LateStream():
@@ -157,6 +172,13 @@
             case EngineUpdate() | AgentHeartbeat() | StartGrant():
                 self._log.warning("A message that only agents send was ignored.", peer=link.peer)
 
+    def _forward(self, source: Link, message: Message, accepts: Callable[[int], bool]) -> None:
+        """Send a gateway's message to the other gateways whose protocol version is accepted."""
+        data = encode(message)
+        for link in self._demands.gateways():
+            if link is not source and accepts(self._publication.protocol(link)):
+                link.send_encoded(data)
+
     def _apply_demand(self, link: Link, demand: AdapterDemand) -> None:
         now = time.monotonic()
         started = self._demands.apply(link, demand, now)
@@ -195,6 +217,7 @@
             is_paced=self._starts.monitor.is_critical(time.monotonic()),
             change=self.operator_watch.last_change if self.operator_watch is not None else 0,
             gateways=len(self._demands),
+            protocol=PROTOCOL_VERSION,
         )
 
     def close(self) -> None:
--- a/src/dragonflyhold/gateway/agent_link.py
+++ b/src/dragonflyhold/gateway/agent_link.py
@@ -30,6 +30,8 @@
         self.start_time_ms = 0
         # Number of gateways that the agent last reported.
         self.gateways = 1
+        # Protocol version that the agent last announced.
+        self.protocol = 1
         self.link: Link | None = None
         self.task: asyncio.Task[None] | None = None
         self._events = events
--- a/src/dragonflyhold/gateway/attempt.py
+++ b/src/dragonflyhold/gateway/attempt.py
@@ -5,12 +5,13 @@
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, TypeVar, final
 
+from dragonflyhold.gateway.crash_evidence import RequestTraits
 from dragonflyhold.gateway.dispatch import SendNow
 from dragonflyhold.gateway.events import EventSplitter, EventTooLargeError
 from dragonflyhold.gateway.http_client import Call, Exchange, ExchangeError, FailureReason, Head
 from dragonflyhold.gateway.http_server import ClientRequest, Responder
 from dragonflyhold.gateway.limits import MAX_REFUSAL_BYTES, MAX_RESPONSE_BYTES
-from dragonflyhold.gateway.model import RequestInfo, RetrySafety, Route, SendOptions
+from dragonflyhold.gateway.model import RequestInfo, RetrySafety, Route, SendOptions, Upstream
 from dragonflyhold.gateway.outcomes import (
     Answered,
     FailureResponse,
@@ -49,6 +50,8 @@
     request_info: RequestInfo
     route: Route
     service: ServiceName
+    # What may crash an upstream in the request.
+    traits: RequestTraits
     responder: Responder
     # Monotonic time by which the response must be complete.
     deadline: float
@@ -70,6 +73,12 @@
         self._responder = context.responder
         self._choice = choice
         self._view = gateway.table.views[choice.upstream_id]
+        self._upstream = self._view.upstream
+
+    @property
+    def upstream(self) -> Upstream:
+        """Return the incarnation that the request is sent to."""
+        return self._upstream
 
     async def run(self) -> Outcome:
         """Send the request, once it may start, and relay the response."""
@@ -77,6 +86,8 @@
         self._gateway.note_started(self._choice.upstream_id, target)
         try:
             await self._wait_for_start()
+            if self._gateway.quarantine.is_refused(self._context.traits):
+                return NotRun(Reason.SUSPECT, reached_upstream=False)
             if self._context.deadline - time.monotonic() < MIN_ATTEMPT_S:
                 # The process may have been paused since the upstream was chosen.
                 return NotRun(Reason.TIMEOUT, reached_upstream=False)
--- a/src/dragonflyhold/gateway/daemon.py
+++ b/src/dragonflyhold/gateway/daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import os
+import random
 import signal
 import sys
 import time
@@ -37,6 +38,8 @@
 GATEWAY_METRICS_PORT = 9464
 AGENT_METRICS_PORT = 9465
 HOUSEKEEPING_PERIOD_S = 0.25
+# Interval at which crash records are compared with those of an agent.
+CRASH_COMPARISON_S = 1.0
 # Interval between checks for silent VMs on which requests depend.
 LIVENESS_CHECK_S = 0.05
 # The platform takes a daemon out of rotation after two failed readiness checks, one per second.
@@ -150,6 +153,7 @@
             _start_task(self._log, "registry", self._registry_watch.run),
             _start_task(self._log, "heartbeat", self._send_heartbeats),
             _start_task(self._log, "liveness", self._check_liveness),
+            _start_task(self._log, "crashes", self._compare_crashes),
             _start_task(self._log, "housekeeping", self._run_housekeeping),
             asyncio.get_running_loop().create_task(
                 self._peer_snapshots.fetch_from_seeds(self._other_seeds())
@@ -202,6 +206,11 @@
             self.gateway.agent_links.send_heartbeats()
             await asyncio.sleep(HEARTBEAT_S)
 
+    async def _compare_crashes(self) -> None:
+        while True:
+            await asyncio.sleep(CRASH_COMPARISON_S * random.uniform(0.8, 1.2))
+            self.gateway.agent_links.compare_crashes()
+
     async def _check_liveness(self) -> None:
         while True:
             self.gateway.agent_links.ping_silent_agents()
@@ -226,6 +235,7 @@
                     runners=len(self.gateway.table.views),
                 )
             was_stable = is_stable
+            self.gateway.quarantine.refresh()
             self.gateway.budget.set_gateways(self.gateway.agent_links.count_gateways())
             self.gateway.registry.expire()
             self.gateway.pool.close_expired(now)
@@ -237,6 +247,7 @@
         configuration = gateway.catalogue.configuration
         metrics.set_level("waiting_requests", gateway.demands.waiting_count)
         metrics.set_level("runner_connections_opened", gateway.pool.connections_opened)
+        metrics.set_level("quarantined_traits", gateway.quarantine.size)
         metrics.set_level("runners", len(gateway.table.views))
         metrics.set_level("config_version", configuration.version if configuration else 0)
         for watch in (self._operator_watch, self._registry_watch):
--- a/src/dragonflyhold/gateway/engines.py
+++ b/src/dragonflyhold/gateway/engines.py
@@ -2,17 +2,22 @@
 
 import asyncio
 import dataclasses
+import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import final
 
 from dragonflyhold.gateway.agent_link import AgentLink
 from dragonflyhold.gateway.catalogue import Catalogue
+from dragonflyhold.gateway.crash_evidence import CrashEvidence, CrashRecord
 from dragonflyhold.gateway.dispatch import UpstreamTable
-from dragonflyhold.gateway.link import HEARTBEAT_S, maintain_link
+from dragonflyhold.gateway.link import HEARTBEAT_S, Link, maintain_link
 from dragonflyhold.gateway.logs import JsonLogger
 from dragonflyhold.gateway.messages import (
+    CRASH_PROTOCOL,
     AgentHeartbeat,
+    CrashDigest,
+    CrashUpdate,
     DemandUpdate,
     EngineUpdate,
     LateStream,
@@ -20,15 +25,18 @@
     StartGrant,
     StartRequest,
     SuspectUpdate,
+    encode,
 )
 from dragonflyhold.gateway.model import ModelAdapter, RegistrationState, Upstream, UpstreamId
 from dragonflyhold.gateway.starts import PacedStarts
-from dragonflyhold.gateway.suspects import SuspectTable
 from dragonflyhold.gateway.upstream_view import UpstreamView
 from dragonflyhold.gateway.waiting import DemandTracker
 from dragonflyhold.gateway.watch import TableWatch
 from dragonflyhold.ids import ServiceName, Version
 
+# Number of agents that forward a crash record, so that the loss of one does no harm.
+CRASH_RELAYS = 3
+
 
 @final
 class AgentLinks:
@@ -41,7 +49,7 @@
         self,
         table: UpstreamTable,
         catalogue: Catalogue,
-        suspects: SuspectTable,
+        crashes: CrashEvidence,
         agent_port: int,
         required_version: Callable[[ModelAdapter], Version],
         report_incarnation: Callable[[Upstream], None],
@@ -56,7 +64,7 @@
         self.operator_watch: TableWatch | None = None
         self._table = table
         self._catalogue = catalogue
-        self._suspects = suspects
+        self._crashes = crashes
         self._agent_port = agent_port
         self._required_version = required_version
         self._report_incarnation = report_incarnation
@@ -96,12 +104,26 @@
             maintain_link(agent, upstream.ip, self._agent_port, lambda: self._is_link_needed(agent))
         )
 
-    def send_to_any(self, message: Message) -> None:
-        """Send a message to one connected agent, which forwards it to the other gateways."""
-        for agent in self._agents.values():
-            if agent.link is not None:
-                agent.link.send(message)
-                return
+    def share_crashes(self, news: Sequence[CrashRecord]) -> None:
+        """Send new records to some agents, which forward them to the other gateways."""
+        links = self._crash_links()
+        if news and links:
+            data = encode(self._crashes.encode(news))
+            for link in random.sample(links, min(len(links), CRASH_RELAYS)):
+                link.send_encoded(data)
+
+    def compare_crashes(self) -> None:
+        """Compare records with one agent, so that lost ones are replaced; call once a second."""
+        links = self._crash_links()
+        if links:
+            random.choice(links).send(CrashDigest(self._crashes.digest))
+
+    def _crash_links(self) -> list[Link]:
+        return [
+            agent.link
+            for agent in self._agents.values()
+            if agent.link is not None and agent.protocol >= CRASH_PROTOCOL
+        ]
 
     def send_heartbeats(self) -> None:
         """Send a heartbeat to each agent that got no message lately; call once per period."""
@@ -144,6 +166,7 @@
     def agent_disconnected(self, agent: AgentLink) -> None:
         """Let requests that wait at the agent's engine choose an upstream again."""
         self._log.warning("The connection to an agent was closed.", ip=agent.ip)
+        agent.protocol = 1
         for view in self._table.at_ip(agent.ip):
             view.is_linked = False
             view.can_load = False
@@ -158,11 +181,21 @@
             case EngineUpdate():
                 self._apply_engine_update(agent, message)
             case SuspectUpdate():
-                self._suspects.apply(message)
+                # Only gateways of an earlier build count by request.
+                pass
+            case CrashUpdate():
+                news = self._crashes.apply(message)
+                self.share_crashes(self._crashes.add_sound_traits(news))
+            case CrashDigest(digest):
+                if digest != self._crashes.digest and agent.link is not None:
+                    agent.link.send(self._crashes.snapshot())
             case AgentHeartbeat():
                 if self.operator_watch is not None:
                     self.operator_watch.note_hint(message.change)
                 agent.gateways = message.gateways
+                if agent.protocol != message.protocol:
+                    agent.protocol = message.protocol
+                    self.compare_crashes()
                 if view is not None:
                     self._table.apply_heartbeat(view.upstream.upstream_id, message, now)
             case StartGrant():
--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -11,6 +11,7 @@
 from dragonflyhold.gateway.client_age import ClientAges
 from dragonflyhold.gateway.connection_pool import ConnectionPool
 from dragonflyhold.gateway.copies import ReplicaRequests
+from dragonflyhold.gateway.crash_evidence import CrashEvidence, RequestTraits, crash_id
 from dragonflyhold.gateway.dispatch import UpstreamTable
 from dragonflyhold.gateway.engines import AgentLinks
 from dragonflyhold.gateway.http_client import Head, strip_hop_by_hop
@@ -26,10 +27,10 @@
     UpstreamId,
 )
 from dragonflyhold.gateway.outcomes import InDoubtError, Reason, RefusedError
+from dragonflyhold.gateway.quarantine import Quarantine
 from dragonflyhold.gateway.registry import Registry
 from dragonflyhold.gateway.request import RequestRun
 from dragonflyhold.gateway.shutdown import PlannedStop
-from dragonflyhold.gateway.suspects import SuspectTable
 from dragonflyhold.ids import ServiceName, Version
 from dragonflyhold.observability.metrics import Metrics
 from dragonflyhold.platform import codec
@@ -66,11 +67,12 @@
             settings.bounds.retry_window_s,
             settings.bounds.retry_slack,
         )
-        self.suspects = SuspectTable(settings.vm)
+        self._crashes = CrashEvidence()
+        self.quarantine = Quarantine(self._crashes)
         self.agent_links = AgentLinks(
             self.table,
             self.catalogue,
-            self.suspects,
+            self._crashes,
             settings.agent_port,
             self.required_version,
             self.registry.report_incarnation,
@@ -317,33 +319,34 @@
         self._metrics.count_retry(reason.value)
 
     def check_crash(
-        self, upstream_id: UpstreamId, fingerprint: bytes, request_info: RequestInfo
+        self, upstream: Upstream, traits: RequestTraits, request_info: RequestInfo
     ) -> None:
         """Check whether an upstream that closed a connection has crashed.
 
-        After a crash the request counts as a suspect.
+        The traits of a request that was in flight at a crash may be its cause.
         """
-        view = self.table.views.get(upstream_id)
-        if view is not None:
-            self._spawn(self._check_crash(view.upstream, fingerprint, request_info))
+        self._spawn(self._check_crash(upstream, traits, request_info))
 
     async def _check_crash(
-        self, upstream: Upstream, fingerprint: bytes, request_info: RequestInfo
+        self, upstream: Upstream, traits: RequestTraits, request_info: RequestInfo
     ) -> None:
         if await self.pool.can_connect(upstream.address):
             return
         self.table.suspend(upstream.upstream_id, time.monotonic())
-        update = self.suspects.record_crash(fingerprint)
+        news = self._crashes.record_crash(crash_id(upstream), traits)
         self._metrics.count_event("request_in_crash")
         self.log.failure(
             "A request was running when an upstream crashed.",
             id=request_info.request_id,
             parts=[part.decode("latin-1") for part in request_info.prompt_parts],
-            mark=fingerprint.hex(),
+            traits=[trait.hex() for trait in traits],
             runner=upstream.upstream_id,
-            breaks=update.suspects[0][1],
         )
-        self.agent_links.send_to_any(update)
+        self.agent_links.share_crashes(news)
+
+    def note_answered(self, traits: RequestTraits) -> None:
+        """Record a whole answer of an upstream, which shows that the request crashed nothing."""
+        self.agent_links.share_crashes(self._crashes.note_answered(traits))
 
     # Events from the metadata store
 
--- a/src/dragonflyhold/gateway/messages.py
+++ b/src/dragonflyhold/gateway/messages.py
@@ -19,11 +19,14 @@
 from dragonflyhold.ids import AdapterName, Version
 
 _TAG_DEMAND, _TAG_ENGINE, _TAG_SUSPECTS, _TAG_AGENT_HEARTBEAT = 1, 2, 3, 4
-_TAG_START, _TAG_GRANT, _TAG_LATE = 5, 6, 7
+_TAG_START, _TAG_GRANT, _TAG_LATE, _TAG_CRASHES, _TAG_CRASH_DIGEST = 5, 6, 7, 8, 9
 # Larger frames are rejected as invalid.
 MAX_FRAME_BYTES = 1 << 20
 # Version 2 added the announced gap and the load to heartbeats, pings to demands, and paced starts.
-PROTOCOL_VERSION = 2
+# Version 3 replaced suspects by crash records, and added the version to heartbeats.
+PROTOCOL_VERSION = 3
+# Protocol version from which on a peer understands crash records.
+CRASH_PROTOCOL = 3
 
 
 class MessageError(DragonflyholdError):
@@ -90,7 +93,7 @@
 class SuspectUpdate:
     """Fingerprints of requests that were running when an upstream crashed, with crash counts.
 
-    The counts are those of the gateway ``source``.
+    The counts are those of the gateway ``source``. Only gateways of an earlier build use it.
     """
 
     source: str
@@ -115,6 +118,41 @@
     change: int = 0
     # Number of connected gateways.
     gateways: int = 0
+    protocol: int = 1
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashRow:
+    """What a process knows of one crash; see ``CrashRecord``."""
+
+    crash: str
+    # Time since the crash.
+    age_s: float
+    # Content and parts of the requests in flight.
+    requests: Sequence[tuple[bytes, Sequence[bytes]]]
+    sound: Sequence[bytes]
+    was_serving: bool
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashUpdate:
+    """Crash records, or what is new in them; to be merged."""
+
+    rows: Sequence[CrashRow]
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashDigest:
+    """Digest of all crash records that the sender knows.
+
+    A gateway's digest is answered if the agent knows others: with the agent's records and digest. A
+    gateway that knows more sends its own records.
+    """
+
+    digest: bytes
 
 
 @final
@@ -159,6 +197,8 @@
     | StartRequest
     | StartGrant
     | LateStream
+    | CrashUpdate
+    | CrashDigest
 )
 
 
@@ -197,6 +237,7 @@
                 message.is_paced,
                 message.change,
                 message.gateways,
+                message.protocol,
             )
         case StartRequest():
             fields = (
@@ -212,6 +253,13 @@
             fields = (_TAG_GRANT, number)
         case LateStream():
             fields = (_TAG_LATE,)
+        case CrashUpdate(rows):
+            fields = (
+                _TAG_CRASHES,
+                [(row.crash, row.age_s, row.requests, row.sound, row.was_serving) for row in rows],
+            )
+        case CrashDigest(digest):
+            fields = (_TAG_CRASH_DIGEST, digest)
     packed: bytes = msgpack.packb(fields)
     return packed
 
@@ -253,6 +301,10 @@
                 return StartGrant(*rest)
             case 7:
                 return LateStream()
+            case 8:
+                return CrashUpdate([_decode_crash(row) for row in rest[0]])
+            case 9:
+                return CrashDigest(_decode_bytes(rest[0]))
     except (TypeError, ValueError, IndexError) as error:
         raise MessageError(f"received fields are not a valid message: {error!r}") from error
     raise MessageError(f"received a message with unknown tag {tag!r}")
@@ -273,10 +325,33 @@
     is_paced: bool = False,
     change: int = 0,
     gateways: int = 0,
+    protocol: int = 1,
     *later: Any,
 ) -> AgentHeartbeat:
     del later
-    return AgentHeartbeat(gap_s, running, waiting, is_paced, int(change), int(gateways))
+    return AgentHeartbeat(
+        gap_s, running, waiting, is_paced, int(change), int(gateways), int(protocol)
+    )
+
+
+def _decode_bytes(value: Any) -> bytes:
+    if not isinstance(value, bytes):
+        raise TypeError(f"{value!r} is not a byte string")
+    return value
+
+
+def _decode_crash(row: Sequence[Any]) -> CrashRow:
+    crash, age_s, requests, sound, was_serving = row
+    return CrashRow(
+        str(crash),
+        float(age_s),
+        [
+            (_decode_bytes(content), tuple(_decode_bytes(part) for part in parts))
+            for content, parts in requests
+        ],
+        [_decode_bytes(trait) for trait in sound],
+        bool(was_serving),
+    )
 
 
 def _decode_demand(row: Sequence[Any]) -> AdapterDemand:
--- a/src/dragonflyhold/gateway/publication.py
+++ b/src/dragonflyhold/gateway/publication.py
@@ -84,6 +84,11 @@
         if subscription is not None:
             subscription.protocol = protocol
 
+    def protocol(self, gateway: Gateway) -> int:
+        """Return the protocol version that a gateway announced."""
+        subscription = self._subscriptions.get(gateway)
+        return subscription.protocol if subscription is not None else 1
+
     def note_waiting(self, gateway: Gateway, is_waiting: bool) -> None:
         """Record whether requests of a gateway wait at the engine."""
         subscription = self._subscriptions.get(gateway)
--- a/src/dragonflyhold/gateway/request.py
+++ b/src/dragonflyhold/gateway/request.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, final
 
 from dragonflyhold.gateway.attempt import CHECK_PERIOD_S, MIN_ATTEMPT_S, Attempt, RequestContext
+from dragonflyhold.gateway.crash_evidence import compute_traits
 from dragonflyhold.gateway.dispatch import Choice, NoUpstream, SendNow, WaitFor
 from dragonflyhold.gateway.events import EventSplitter
 from dragonflyhold.gateway.http_server import ClientRequest, Responder
@@ -18,7 +19,6 @@
     RefusedError,
 )
 from dragonflyhold.gateway.progress import Progress
-from dragonflyhold.gateway.suspects import compute_fingerprint
 from dragonflyhold.gateway.tasks import limit_time
 from dragonflyhold.gateway.upstream_view import UpstreamView
 from dragonflyhold.gateway.waiting import Waiter
@@ -38,6 +38,8 @@
 # A client that has been trying for longer than this share of the target latency is retrying after
 # a refusal.
 CLIENT_RETRY_AGE_SHARE = 0.3
+# Retry delay suggested for a request that crashes upstreams.
+SUSPECT_RETRY_AFTER_S = 60.0
 # Share of the time until the deadline for which a request may wait for its adapter.
 WAIT_SHARE = 0.55
 
@@ -75,6 +77,7 @@
             request_info,
             route,
             service,
+            compute_traits(request, request_info),
             responder,
             self._deadline,
             self._target_at,
@@ -89,22 +92,22 @@
 
     async def run(self) -> None:
         """Serve the request; raise ``RefusedError`` or ``InDoubtError``."""
-        fingerprint = compute_fingerprint(self._request)
-        if self._gateway.suspects.is_refused(fingerprint):
-            raise RefusedError(Reason.SUSPECT, self._retry_after())
+        traits = self._context.traits
         while True:
             choice = await self._choose_or_wait()
-            outcome = await Attempt(self._gateway, self._context, choice).run()
+            attempt = Attempt(self._gateway, self._context, choice)
+            outcome = await attempt.run()
             match outcome:
                 case Answered():
+                    self._gateway.note_answered(traits)
                     return
                 case NotRun(reason, reached_upstream):
                     self._handle_refusal(choice, reason, reached_upstream)
                 case MayHaveRun():
                     if outcome.reason is Reason.BROKEN:
-                        self._gateway.check_crash(
-                            choice.upstream_id, fingerprint, self._request_info
-                        )
+                        self._gateway.check_crash(attempt.upstream, traits, self._request_info)
+                    elif outcome.failure is not None:
+                        self._gateway.note_answered(traits)
                     self._handle_failed_attempt(choice, outcome)
 
     # Choice of an upstream
@@ -119,6 +122,8 @@
             wait_until = max(wait_until, self._request.received + self._route.target_latency_s)
         while True:
             now = time.monotonic()
+            if gateway.quarantine.is_refused(self._context.traits):
+                raise self._terminal_error(Reason.SUSPECT)
             if self._deadline - now < MIN_ATTEMPT_S:
                 raise self._terminal_error(Reason.TIMEOUT)
             min_version = gateway.required_version(target)
@@ -233,6 +238,8 @@
         """Return the error that ends a request without a complete response."""
         if self.progress.attempts or self._responder.is_started:
             return InDoubtError(reason, detail)
+        if reason is Reason.SUSPECT:
+            return RefusedError(reason, SUSPECT_RETRY_AFTER_S, detail)
         return RefusedError(reason, self._retry_after(), detail)
 
     def _retry_after(self) -> float:
--- a/tests/gateway/test_crashing_parts.py
+++ b/tests/gateway/test_crashing_parts.py
@@ -5,8 +5,6 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, TypeVar
 
-import pytest
-
 from dragonflyhold.gateway.agent_link import AgentLink
 from dragonflyhold.gateway.messages import AgentHeartbeat, EngineUpdate, Message
 from dragonflyhold.platform.standins.site import InProcessDeployment, running_deployment
@@ -102,7 +100,6 @@
     return traffic.crashing_runs - before
 
 
-@pytest.mark.xfail(reason="KNOWN-RED.txt: a part of prompts crashes engines", strict=True)
 class TestCrashingPart:
     """Guards against incident inc1: requests that differ but share a part crash all engines."""
 
--- a/tests/gateway/test_messages.py
+++ b/tests/gateway/test_messages.py
@@ -6,6 +6,9 @@
 from dragonflyhold.gateway.messages import (
     PROTOCOL_VERSION,
     AgentHeartbeat,
+    CrashDigest,
+    CrashRow,
+    CrashUpdate,
     DemandUpdate,
     MessageError,
     decode,
@@ -29,13 +32,15 @@
             engine_update(resident={1: 2}, loading={3: 1}, backlog=2),
             AgentHeartbeat(0.75, 3, 1),
             AgentHeartbeat(),
+            CrashUpdate([CrashRow("r1@5", 0.25, [(b"c", (b"a", b"b"))], [b"a"], True)]),
+            CrashDigest(b"digest"),
         ],
     )
     def test_decoded_messages_equal_the_sent_ones(self, message: object) -> None:
         assert decode(_fields(encode(message))) == message  # type: ignore[arg-type]
 
     def test_other_data_is_rejected(self) -> None:
-        for fields in ([], [9, 1], [1], [1, [[1]]], [2, 1], 7):
+        for fields in ([], [99, 1], [9, 1], [1], [1, [[1]]], [2, 1], [8, [[1]]], [9], 7):
             with pytest.raises(MessageError):
                 decode(fields)
 
@@ -61,4 +66,5 @@
     def test_fields_of_a_later_build_are_ignored(self) -> None:
         later = DemandUpdate([], True, PROTOCOL_VERSION + 1, change=7)
         assert decode([1, [], PROTOCOL_VERSION + 1, True, 7, "more"]) == later
-        assert decode([4, 0.5, 1, 2, True, 7, 60, "more"]) == AgentHeartbeat(0.5, 1, 2, True, 7, 60)
+        expected = AgentHeartbeat(0.5, 1, 2, True, 7, 60, 3)
+        assert decode([4, 0.5, 1, 2, True, 7, 60, 3, "more"]) == expected
