Take a stream that ends inside an event for a broken connection

A stream may come with neither a length nor chunks and end with its connection. If its upstream crashed, the end arrived as a regular one; the incomplete event was dropped and the stream repeated or ended as failed, but nobody checked whether the upstream had crashed, so that such crashes counted nowhere.

The outcome is now the one of a broken connection, after which the upstream is checked. Answers of fixed size without framing stay complete at a regular end and incomplete at a reset.

--- a/src/dragonflyhold/gateway/attempt.py
+++ b/src/dragonflyhold/gateway/attempt.py
@@ -345,9 +345,10 @@
             self._context.events.drop_partial()
             return self._handle_exchange_error(error)
         if self._context.events.has_partial:
+            # A stream without framing may end like this when its upstream crashes.
             self._context.events.drop_partial()
             self._gateway.note_outcome(choice.upstream_id, failed=True)
-            return MayHaveRun(Reason.UPSTREAM_FAILED)
+            return MayHaveRun(Reason.BROKEN)
         self._responder.end_stream()
         progress = self._context.progress
         if not progress.attempts and progress.longest_pause_s is not None:
--- a/src/dragonflyhold/platform/standins/runner.py
+++ b/src/dragonflyhold/platform/standins/runner.py
@@ -60,6 +60,8 @@
         self.lost_responses = 0
         self.events = 6
         self.event_interval_s = EVENT_INTERVAL_S
+        # Whether streams are sent in chunks; others end with their connection.
+        self.frames_streams = True
         self.runs: list[dict[str, Any]] = []
         self.commands: list[dict[str, Any]] = []
         self.max_slots_used = 0
@@ -307,6 +309,8 @@
         fault: Fault | None,
         parts: bytes,
     ) -> None:
+        if not self.frames_streams:
+            responder._http_10 = True
         responder.start_stream(200, headers)
         if self._is_crashing(parts):
             await responder.write(b"id: %d\ndata: ha" % first)
--- a/tests/gateway/test_crashing_parts.py
+++ b/tests/gateway/test_crashing_parts.py
@@ -125,6 +125,17 @@
 
         assert _run_scenario(scenario).count(True) >= 27
 
+    def test_crashes_in_streams_without_framing_are_seen(self) -> None:
+        """Guards against crashes that are missed in streams with neither length nor chunks."""
+
+        async def scenario(deployment: InProcessDeployment, traffic: _Traffic) -> int:
+            for engine in deployment.upstreams.values():
+                engine.frames_streams = False
+            await traffic.crash_engines()
+            return await _send_later(traffic, range(GATEWAYS))
+
+        assert _run_scenario(scenario) <= MAX_LATER_REQUESTS
+
     def test_a_gateway_that_starts_later_knows_the_part(self) -> None:
         async def scenario(deployment: InProcessDeployment, traffic: _Traffic) -> int:
             await traffic.crash_engines()
