Keep the crashes that led to a refusal over a restart of all VMs

What gateways and agents know of crashes was gone if all of them lost power at once: the part then crashed as many engines again before it was found a second time.

Each trait that is refused now has a row in the store with a few of its crash records; a gateway reads the rows once at its start, as soon as the store answers, and merges them like any other records, so that an answer that ends whole still clears them. One write a gateway and trait, one read a start.

--- a/src/dragonflyhold/gateway/daemon.py
+++ b/src/dragonflyhold/gateway/daemon.py
@@ -14,6 +14,7 @@
 from dragonflyhold.gateway.agent import Agent
 from dragonflyhold.gateway.catalogue import Catalogue
 from dragonflyhold.gateway.connection_pool import ConnectionPool
+from dragonflyhold.gateway.crash_archive import CrashArchive
 from dragonflyhold.gateway.gateway import Gateway
 from dragonflyhold.gateway.http_server import ClientRequest, HttpServer, Responder
 from dragonflyhold.gateway.link import HEARTBEAT_S, Link
@@ -129,6 +130,7 @@
             # The long call of the other watch may have been lost in the outage.
             on_recovered=self._operator_watch.restart,
         )
+        self._crash_archive = CrashArchive(self._store, self.gateway.crashes)
         self._ready_server = HttpServer(self._serve_readiness, IngressLimits())
         self._peer_snapshots = PeerSnapshots(
             [self._operator_watch, self._registry_watch], self.gateway.pool
@@ -158,6 +160,7 @@
             asyncio.get_running_loop().create_task(
                 self._peer_snapshots.fetch_from_seeds(self._other_seeds())
             ),
+            asyncio.get_running_loop().create_task(self._crash_archive.load()),
         ]
         assert settings.client_listener is not None
         await _listen(self.gateway.server, settings.client_listener)
@@ -235,13 +238,25 @@
                     runners=len(self.gateway.table.views),
                 )
             was_stable = is_stable
-            self.gateway.quarantine.refresh()
+            self._refresh_quarantine()
             self.gateway.budget.set_gateways(self.gateway.agent_links.count_gateways())
             self.gateway.registry.expire()
             self.gateway.pool.close_expired(now)
             self._update_metrics(now)
             self._reload(force=False)
 
+    def _refresh_quarantine(self) -> None:
+        added, removed = self.gateway.quarantine.refresh()
+        for trait in added:
+            self._write_crashes(self._crash_archive.save(trait))
+        for trait in removed:
+            self._write_crashes(self._crash_archive.remove(trait))
+
+    def _write_crashes(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.append(task)
+        task.add_done_callback(self._tasks.remove)
+
     def _update_metrics(self, now: float) -> None:
         gateway, metrics = self.gateway, self._metrics
         configuration = gateway.catalogue.configuration
--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -67,12 +67,12 @@
             settings.bounds.retry_window_s,
             settings.bounds.retry_slack,
         )
-        self._crashes = CrashEvidence()
-        self.quarantine = Quarantine(self._crashes)
+        self.crashes = CrashEvidence()
+        self.quarantine = Quarantine(self.crashes)
         self.agent_links = AgentLinks(
             self.table,
             self.catalogue,
-            self._crashes,
+            self.crashes,
             settings.agent_port,
             self.required_version,
             self.registry.report_incarnation,
@@ -333,7 +333,7 @@
         if await self.pool.can_connect(upstream.address):
             return
         self.table.suspend(upstream.upstream_id, time.monotonic())
-        news = self._crashes.record_crash(crash_id(upstream), traits)
+        news = self.crashes.record_crash(crash_id(upstream), traits)
         self._metrics.count_event("request_in_crash")
         self.log.failure(
             "A request was running when an upstream crashed.",
@@ -346,7 +346,7 @@
 
     def note_answered(self, traits: RequestTraits) -> None:
         """Record a whole answer of an upstream, which shows that the request crashed nothing."""
-        self.agent_links.share_crashes(self._crashes.note_answered(traits))
+        self.agent_links.share_crashes(self.crashes.note_answered(traits))
 
     # Events from the metadata store
 
--- a/src/dragonflyhold/gateway/quarantine.py
+++ b/src/dragonflyhold/gateway/quarantine.py
@@ -83,17 +83,21 @@
         """Return the number of refused traits."""
         return len(self._causes)
 
-    def refresh(self) -> None:
-        """Judge all records anew; call often."""
+    def refresh(self) -> tuple[set[Trait], set[Trait]]:
+        """Judge all records anew; return the traits refused from now on, and those no longer.
+
+        To be called often.
+        """
         self._evidence.expire()
         settled_at = self._clock() - SETTLE_S
         records = [record for record in self._evidence.records() if record.crashed_at <= settled_at]
         judged = (self._evidence.digest, len(records))
         if judged == self._judged:
-            return
+            return set(), set()
         self._judged = judged
         causes = find_causes(records)
-        for trait in causes - self._causes:
+        added, removed = causes - self._causes, self._causes - causes
+        for trait in added:
             crashes = [
                 record.crash
                 for record in records
@@ -106,9 +110,10 @@
                 runners=crashes[:8],
                 of=len(records),
             )
-        for trait in self._causes - causes:
+        for trait in removed:
             self._log.warning("A trait of requests is no longer refused.", trait=trait.hex())
         self._causes = causes
+        return added, removed
 
     def is_refused(self, traits: RequestTraits) -> bool:
         """Return whether a request has a trait that crashes upstreams."""
--- a/src/dragonflyhold/platform/standins/site.py
+++ b/src/dragonflyhold/platform/standins/site.py
@@ -180,6 +180,16 @@
         self.gateways.append(gateway)
         return gateway
 
+    async def restart_vms(self) -> None:
+        """Restart all gateways and agents, with nothing in memory; one gateway comes back."""
+        gateways, self.gateways = self.gateways, []
+        for gateway in gateways:
+            await gateway.close()
+        for upstream_id, agent in list(self.agents.items()):
+            await agent.close()
+            await self.start_agent(upstream_id)
+        await self.add_gateway()
+
     def _settings(
         self, host: str, client_listener: Address | None = None, engine: Address | None = None
     ) -> DaemonSettings:
--- a/src/dragonflyhold/platform/standins/store.py
+++ b/src/dragonflyhold/platform/standins/store.py
@@ -147,6 +147,8 @@
                 return 412, {"rows": []}
         for item in body["writes"]:
             self._write(item["table"], item["key"], item["value"])
+        for item in body["remove"]:
+            self._write(item["table"], item["key"], None)
         return 200, {}
 
     def _encode(self, table: str, key: str) -> dict[str, Any]:
--- a/src/dragonflyhold/platform/store.py
+++ b/src/dragonflyhold/platform/store.py
@@ -121,6 +121,13 @@
         _check_status(status, 200, table)
         return _decode_version(fields)
 
+    async def remove(self, table: str, key: str) -> None:
+        """Remove a row, if it exists; if it raises, the row may still have been removed."""
+        row = {"table": table, "part": "", "key": key}
+        body = {"expected": [], "writes": [], "remove": [row]}
+        status, _ = await self._call("POST", "/rows-tx", orjson.dumps(body))
+        _check_status(status, 200, table)
+
     async def _call(
         self, method: str, target: str, body: bytes = b"", wait_s: float = 0.0
     ) -> tuple[int, dict[str, Any]]:
--- a/tests/gateway/test_crashing_parts.py
+++ b/tests/gateway/test_crashing_parts.py
@@ -146,6 +146,17 @@
 
         assert _run_scenario(scenario) == 0
 
+    def test_the_part_is_known_after_a_restart_of_all_vms(self) -> None:
+        async def scenario(deployment: InProcessDeployment, traffic: _Traffic) -> int:
+            await traffic.crash_engines()
+            await asyncio.sleep(CONTACT_S)
+            await deployment.restart_vms()
+            await deployment.wait_until_ready(ENGINES)
+            await asyncio.sleep(CONTACT_S)
+            return await _send_later(traffic, range(1))
+
+        assert _run_scenario(scenario) <= MAX_LATER_REQUESTS
+
     def test_a_gateway_that_missed_messages_learns_the_part(self) -> None:
         """Guards against knowledge that is sent once and lost with a message."""
 
