Draw ports of tests and demos below the ephemeral range, each once

One function, used by demos, stand-ins and tests, draws below the ephemeral range and never the same port twice in a process.

--- a/src/dragonflyhold/demo/launcher.py
+++ b/src/dragonflyhold/demo/launcher.py
@@ -15,10 +15,10 @@
     DeploymentError,
     ManagedProcess,
     ProcessGroup,
-    free_address,
     wait_until,
 )
 from dragonflyhold.demo.settings_files import derive_settings
+from dragonflyhold.standins.ports import free_address
 from dragonflyhold.states import ServiceType
 
 START_TIMEOUT_S = 60.0
--- a/src/dragonflyhold/demo/processes.py
+++ b/src/dragonflyhold/demo/processes.py
@@ -1,10 +1,7 @@
 """Starts, signals and stops child processes; signals no other process."""
 
-import os
 import pathlib
-import random
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -13,10 +10,6 @@
 
 from dragonflyhold.errors import DragonflyholdError
 
-# Below Linux's default range of ephemeral ports, so that no outgoing connection takes a port before
-# the process that is to listen on it has started.
-PORT_RANGE = range(15_000, 32_000)
-PORT_ATTEMPTS = 200
 POLL_S = 0.05
 # Lets a daemon finish its requests after SIGTERM without delaying the demo for long.
 TERMINATE_TIMEOUT_S = 15.0
@@ -138,20 +131,6 @@
         self._processes.clear()
 
 
-def free_address() -> str:
-    """Return a loopback ``host:port`` that is not in use."""
-    rng = random.Random(f"{os.getpid()}.{time.monotonic_ns()}")
-    for _ in range(PORT_ATTEMPTS):
-        port = rng.choice(PORT_RANGE)
-        with socket.socket() as sock:
-            try:
-                sock.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        return f"127.0.0.1:{port}"
-    raise DeploymentError("no free port was found")
-
-
 def wait_until(condition: str, is_reached: Callable[[], bool], timeout_s: float) -> None:
     """Poll until ``is_reached``; on a timeout, raise ``DeploymentError`` with ``condition``."""
     deadline = time.monotonic() + timeout_s
--- a/src/dragonflyhold/platform/standins/processes.py
+++ b/src/dragonflyhold/platform/standins/processes.py
@@ -5,7 +5,6 @@
 import json
 import os
 import pathlib
-import socket
 import sys
 from collections.abc import AsyncIterator
 from typing import Any
@@ -15,13 +14,7 @@
 from dragonflyhold.gateway.model import Address
 from dragonflyhold.platform.settings import PATH_VARIABLE
 from dragonflyhold.platform.standins.site import ENGINE_SERVICE, HOST
-
-
-def free_port(ip: str) -> int:
-    """Return an unused TCP port."""
-    with socket.socket() as sock:
-        sock.bind((ip, 0))
-        return int(sock.getsockname()[1])
+from dragonflyhold.standins.ports import free_port
 
 
 async def call(
--- a/tests/entry/test_chain.py
+++ b/tests/entry/test_chain.py
@@ -25,11 +25,11 @@
     TableStandIn,
     VmListStandIn,
 )
+from dragonflyhold.standins.ports import free_port
 from dragonflyhold.transport.grpc_endpoints import make_channel
 from dragonflyhold.transport.schema import operator_pb2 as pb
 from dragonflyhold.transport.schema import operator_pb2_grpc as pb_grpc
 from tests.entry.harness import WAIT_S, Response, wait_until
-from tests.entry.test_process import free_port
 
 SERVICE = "tapster-lm"
 ADAPTERS = ("stout", "porter", "pale")
--- a/tests/entry/test_process.py
+++ b/tests/entry/test_process.py
@@ -17,6 +17,7 @@
 
 from dragonflyhold.settings import TlsSettings
 from dragonflyhold.standins import ObjectStoreStandIn, TableStandIn, VmListStandIn
+from dragonflyhold.standins.ports import free_port
 from dragonflyhold.transport.grpc_endpoints import make_channel
 from dragonflyhold.transport.schema import operator_pb2 as pb
 from dragonflyhold.transport.schema import operator_pb2_grpc as pb_grpc
@@ -51,12 +52,6 @@
             return connection.getresponse().status
 
 
-def free_port() -> int:
-    with socket.create_server(("127.0.0.1", 0)) as listener:
-        port: int = listener.getsockname()[1]
-        return port
-
-
 def _write_settings(
     path: pathlib.Path, urls: list[str], tls: TlsSettings, ports: list[int]
 ) -> None:
--- a/tests/sidecar/test_process.py
+++ b/tests/sidecar/test_process.py
@@ -14,6 +14,7 @@
 from dragonflyhold.process import EXIT_CANNOT_START
 from dragonflyhold.standins.engine import EngineStandIn
 from dragonflyhold.standins.objects import ObjectStoreStandIn
+from dragonflyhold.standins.ports import free_address
 from dragonflyhold.standins.table import TableStandIn
 from dragonflyhold.standins.vms import VmListStandIn
 
@@ -21,12 +22,6 @@
 TIMEOUT_S = 60.0
 
 
-def free_address() -> str:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
 class ExternalServices:
     """Stand-ins for all services that the process uses."""
 
