Log the limits that upstreams state

A change of an upstream's limit is logged with the old and new value, and the level limited_runners counts such upstreams at each gateway.

--- a/src/dragonflyhold/gateway/attempt.py
+++ b/src/dragonflyhold/gateway/attempt.py
@@ -234,6 +234,7 @@
     async def _handle_response(self, exchange: Exchange, head: Head) -> Outcome:
         choice = self._choice
         self._gateway.note_load(choice.upstream_id, head)
+        self._gateway.note_limit(choice.upstream_id, head)
         if codec.is_not_run(head):
             return await self._handle_refusal(exchange, head)
         if self._context.progress.first_byte_s is None:
--- a/src/dragonflyhold/gateway/daemon.py
+++ b/src/dragonflyhold/gateway/daemon.py
@@ -264,6 +264,8 @@
         metrics.set_level("runner_connections_opened", gateway.pool.connections_opened)
         metrics.set_level("quarantined_traits", gateway.quarantine.size)
         metrics.set_level("runners", len(gateway.table.views))
+        views = gateway.table.views.values()
+        metrics.set_level("limited_runners", sum(view.limit_per_s is not None for view in views))
         metrics.set_level("config_version", configuration.version if configuration else 0)
         for watch in (self._operator_watch, self._registry_watch):
             unavailable_since = watch.unavailable_since
--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -306,6 +306,19 @@
         if load is not None:
             self.table.report_load(upstream_id, load[0], load[1], time.monotonic())
 
+    def note_limit(self, upstream_id: UpstreamId, head: Head) -> None:
+        """Record the limit that an upstream states in a response, or its end."""
+        view, limit = self.table.views.get(upstream_id), codec.server_limit(head)
+        if view is None or view.limit_per_s == limit:
+            return
+        self.log.failure(
+            "An upstream changed its limit.",
+            runner=upstream_id,
+            limit_per_s=limit,
+            before=view.limit_per_s,
+        )
+        view.limit_per_s = limit
+
     def note_outcome(self, upstream_id: UpstreamId, failed: bool) -> None:
         """Record whether an attempt succeeded, for the upstream's failure rate."""
         self.table.record_outcome(upstream_id, failed, time.monotonic())
--- a/src/dragonflyhold/gateway/upstream_view.py
+++ b/src/dragonflyhold/gateway/upstream_view.py
@@ -53,6 +53,8 @@
     reported_requests: int = 0
     own_requests_at_report: int = 0
     reported_at: float = -1e9
+    # Requests a second that the upstream takes from all gateways, ``None`` if it states no limit.
+    limit_per_s: float | None = None
     # Moving average of the time from sending a request to the first byte of its response.
     first_byte_s: float = 0.05
     suspended_until: float = -1e9
--- a/src/dragonflyhold/platform/codec.py
+++ b/src/dragonflyhold/platform/codec.py
@@ -45,6 +45,7 @@
 NOT_RUN = b"not-executed"
 INSTANCE = b"instance-id"
 SERVER_LOAD = b"server-load"
+SERVER_LIMIT = b"server-limit"
 # Set only by the gateway: values from a client must not reach an upstream.
 _SYSTEM_HEADERS = frozenset(
     (
@@ -335,6 +336,16 @@
     return int(parts[0]), int(parts[1])
 
 
+def server_limit(head: Head) -> float | None:
+    """Return the requests a second that an upstream takes from all gateways, if it states them."""
+    value = head.fields.get(SERVER_LIMIT)
+    try:
+        limit = float(value) if value is not None else math.nan
+    except ValueError:
+        return None
+    return limit if math.isfinite(limit) and limit >= 0 else None
+
+
 def refusal_headers(retry_after_s: float) -> list[tuple[bytes, bytes]]:
     """Return the headers of a refusal by the gateway."""
     return [(b"Retry-After", b"%.2f" % retry_after_s), (b"Content-Type", b"text/plain")]
--- a/tests/platform/test_codec.py
+++ b/tests/platform/test_codec.py
@@ -102,6 +102,14 @@
         assert request_info.target == ModelAdapter("m", AdapterName("a1"))  # type: ignore[arg-type]
         assert (request_info.prompt_tokens, request_info.output_tokens) == (1460, 80)
 
+    @pytest.mark.parametrize(
+        ("value", "limit"),
+        [(b"4.6", 4.6), (b"7", 7.0), (b"0", 0.0), (b"-1", None), (b"nan", None), (b"x", None)],
+    )
+    def test_limit_of_an_upstream_is_decoded(self, value: bytes, limit: float | None) -> None:
+        assert codec.server_limit(_head(200, server_limit=value)) == limit
+        assert codec.server_limit(_head(200)) is None
+
     def test_parts_of_the_prompt_are_decoded(self) -> None:
         request_info = codec.decode_request({b"prompt-prefix": b"5C1e07a2:800, 91bd3f06:410,,e4:2"})
         assert request_info.prompt_parts == (b"5c1e07a2", b"91bd3f06", b"e4")
