--- a/src/dragonflyhold/platform/standins/runner.py
+++ b/src/dragonflyhold/platform/standins/runner.py
@@ -81,6 +81,10 @@
         # Time from a crash until the upstream is back under a new id.
         self.crash_restart_s = 0.3
         self.crashes = 0
+        # Requests a second that answers state as the limit, if any.
+        self.limit_per_s: float | None = None
+        # Times at which clients' requests arrived, also those that were refused.
+        self.arrivals: list[float] = []
         self.is_running = True
         self.on_restart: Callable[[str], None] = lambda old_id: None
         self._host = host
@@ -235,6 +239,7 @@
 
     async def _handle_request(self, request: ClientRequest, responder: Responder) -> None:
         fields = request.fields
+        self.arrivals.append(asyncio.get_running_loop().time())
         request_id = fields.get(b"attempt-id", b"")
         request_id_header = (b"Attempt-Id", request_id)
         adapter = fields.get(b"model", b"").decode().partition("/")[2]
@@ -279,6 +284,8 @@
             request_id_header,
             (b"Response-Signature", b"sig." + self.upstream_id.encode()),
         ]
+        if self.limit_per_s is not None:
+            signed_headers.append((b"Server-Limit", b"%.1f" % self.limit_per_s))
         if fault is Fault.HANG:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(5.0):
