Simulate engines that state a limit

No measurement showed what a limit costs callers. The pattern limited_engines of the deployment simulation lets a third of the engines state 0.4 of their share of all requests for 8 s; a test holds their arrivals against the bound.

--- a/src/dragonflyhold/bench/site_model.py
+++ b/src/dragonflyhold/bench/site_model.py
@@ -43,6 +43,9 @@
 REGISTRATION_EXPIRY_S = 1.5
 # Time for the daemons of a starting deployment to connect to each other.
 STARTUP_S = 3.0
+# Limited engines: their share, and their limit relative to their share of all requests.
+LIMITED_SHARE = 1 / 3
+LIMIT_RATIO = 0.4
 
 
 @final
@@ -69,6 +72,17 @@
         return request_class.utility if is_in_time else request_class.late_utility
 
 
+@final
+@dataclasses.dataclass(slots=True)
+class LimitedEngine:
+    """An engine that states a limit in requests a second between two times of the loop."""
+
+    upstream: UpstreamStandIn
+    limit_per_s: float
+    stated_at: float
+    ended_at: float = 0.0
+
+
 @final
 class DeploymentSimulation:
     """One run of one cell on the current virtual loop."""
@@ -78,6 +92,7 @@
         self.spec: DeploymentSpec = DEPLOYMENTS[cell.deployment]
         self.records: list[RequestRecord] = []
         self.models: list[EngineModel] = []
+        self.limited: list[LimitedEngine] = []
         self.weights = WeightStore(self.spec.full_speed_loads)
         self._unlimited_adapter_slots = unlimited_adapter_slots
         self._rng = random.Random(f"clients {cell.seed}")
@@ -163,10 +178,24 @@
                 self.models[0].timing.slowdown = 4.0
                 await asyncio.sleep(start + DISRUPTION_S[1] - loop.time())
                 self.models[0].timing.slowdown = 1.0
+            case Pattern.LIMITED_ENGINES:
+                self._state_limits(loop.time())
+                await asyncio.sleep(start + DISRUPTION_S[1] - loop.time())
+                for limited in self.limited:
+                    limited.upstream.limit_per_s = None
+                    limited.ended_at = loop.time()
             case _:
                 # The other patterns only affect the arrivals.
                 pass
 
+    def _state_limits(self, now: float) -> None:
+        rates = [request_class.requests_per_s for request_class in self.spec.classes]
+        limit_per_s = LIMIT_RATIO * self.cell.level * sum(rates) / self.spec.engines
+        upstreams = list(self._deployment.upstreams.values())
+        for upstream in upstreams[: max(1, round(LIMITED_SHARE * self.spec.engines))]:
+            upstream.limit_per_s = limit_per_s
+            self.limited.append(LimitedEngine(upstream, limit_per_s, now))
+
     def _restore(self, upstream: UpstreamStandIn, loop: VirtualLoop) -> None:
         upstream.restart(f"{upstream.upstream_id}-again")
         loop.network.make_reachable(upstream.address.rpartition(":")[0])
--- a/src/dragonflyhold/bench/site_workloads.py
+++ b/src/dragonflyhold/bench/site_workloads.py
@@ -30,6 +30,7 @@
     SHIFT = "shift"
     LOSE_ENGINES = "lose_engines"
     SLOW_ENGINE = "slow_engine"
+    LIMITED_ENGINES = "limited_engines"
     RETRY_STORM = "retry_storm"
 
 
--- a/tests/bench/test_site_model.py
+++ b/tests/bench/test_site_model.py
@@ -205,6 +205,17 @@
             "a retryable request was lost"
         )
 
+    def test_limited_engines_get_no_more_than_they_take(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """In 4 s, one and a half times a limit and 5 requests, from the contact time of 3 s on."""
+        simulation = _simulate_small(monkeypatch, Pattern.LIMITED_ENGINES)
+        limited = simulation.limited[0]
+        start = limited.stated_at + 3.0
+        ends = [at for at in limited.upstream.arrivals if start <= at <= limited.ended_at]
+        most = max(sum(end - 4.0 < at <= end for at in limited.upstream.arrivals) for end in ends)
+        assert most <= 1.5 * limited.limit_per_s * 4.0 + 5
+
     def test_recovery_after_retry_storm(self, monkeypatch: pytest.MonkeyPatch) -> None:
         """All requests that arrive from 1 s after a retry storm on are answered."""
         simulation = _simulate_small(monkeypatch, Pattern.RETRY_STORM, level=1.5)
