Send no paced request to a VM that fell silent during its wait

Such a request can't be recalled; its close arrives with it.

A request whose start was delayed is sent elsewhere if the heartbeat of its VM is overdue while those of others are not. Measured: the new test failed before (the frozen VM got the request) and passes; tests of site, attempts, dispatch and shutdown: 72 passed.

--- a/src/dragonflyhold/gateway/attempt.py
+++ b/src/dragonflyhold/gateway/attempt.py
@@ -85,24 +85,33 @@
         target = self._request_info.target
         self._gateway.note_started(self._choice.upstream_id, target)
         try:
-            await self._wait_for_start()
+            is_delayed = await self._wait_for_start()
+            now = time.monotonic()
+            if is_delayed and self._gateway.table.is_silent(self._choice.upstream_id, now):
+                # No grant came: the VM may have frozen during the wait.
+                return NotRun(Reason.SILENT, reached_upstream=False)
             if self._gateway.quarantine.is_refused(self._context.traits):
                 return NotRun(Reason.SUSPECT, reached_upstream=False)
-            if self._context.deadline - time.monotonic() < MIN_ATTEMPT_S:
+            if self._context.deadline - now < MIN_ATTEMPT_S:
                 # The process may have been paused since the upstream was chosen.
                 return NotRun(Reason.TIMEOUT, reached_upstream=False)
             return await self._send()
         finally:
             self._gateway.note_ended(self._choice.upstream_id, target)
 
-    async def _wait_for_start(self) -> None:
-        """Wait for the engine's turn; the adapter counts as used meanwhile."""
+    async def _wait_for_start(self) -> bool:
+        """Wait for the engine's turn; return whether that delayed the request.
+
+        The adapter counts as used meanwhile.
+        """
         context = self._context
         if self._request_info.target is None or context.progress.attempts:
-            return
-        context.progress.paced_s += await self._gateway.agent_links.starts.wait(
+            return False
+        delay_s = await self._gateway.agent_links.starts.wait(
             self._view, context.route, self._request_info, context.target_at
         )
+        context.progress.paced_s += delay_s
+        return delay_s > 0
 
     async def _send(self) -> Outcome:
         choice, view = self._choice, self._view
--- a/src/dragonflyhold/gateway/dispatch.py
+++ b/src/dragonflyhold/gateway/dispatch.py
@@ -174,14 +174,22 @@
         """Return the upstreams on a VM, one for each known incarnation."""
         return self._index.at_ip(ip)
 
+    def is_silent(self, upstream_id: UpstreamId, now: float) -> bool:
+        """Return whether a VM's heartbeat is overdue while that of another one is not."""
+        view = self.views.get(upstream_id)
+        return view is not None and view.is_heartbeat_overdue(now) and self._hears_others(now)
+
+    def _hears_others(self, now: float) -> bool:
+        return any(
+            view.is_linked and not view.is_heartbeat_overdue(now) for view in self.views.values()
+        )
+
     def is_unreachable(self, upstream_id: UpstreamId, now: float) -> bool:
         """Return whether a VM's agent and engine are both silent while other agents are not."""
         view = self.views.get(upstream_id)
         if view is None or not view.is_linked:
             return False
-        return view.liveness.is_unreachable(now) and any(
-            other.is_linked and not other.is_heartbeat_overdue(now) for other in self.views.values()
-        )
+        return view.liveness.is_unreachable(now) and self._hears_others(now)
 
     def is_lost(self, upstream_id: UpstreamId, now: float) -> bool:
         """Return whether a VM has been unreachable for too long to wait for its responses."""
--- a/tests/gateway/test_site.py
+++ b/tests/gateway/test_site.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from dragonflyhold.gateway.model import UpstreamId
 from dragonflyhold.gateway.progress import PAUSE_SILENCE_S
 from dragonflyhold.platform.standins.runner import Fault, UpstreamStandIn
 from dragonflyhold.platform.standins.site import (
@@ -222,6 +223,27 @@
         assert answer.event_ids == [1, 2, 3, 4, 5, 6]
         assert elapsed < PAUSE_SILENCE_S, "the stream waited for the silence limit"
 
+    def test_a_paced_request_does_not_start_at_a_vm_that_fell_silent(self) -> None:
+        """Guards against requests that are sent to a frozen VM because no grant arrived."""
+
+        async def scenario(deployment: InProcessDeployment) -> tuple[Answer, int, int]:
+            fields = configuration(7)
+            fields["routes"][0].update(gap_target_ms=300)
+            deployment.store.put("op", "config", fields)
+            await asyncio.sleep(0.1)
+            await deployment.call("/ask/1", adapter="a1")
+            holder = next(upstream for upstream in deployment.upstreams.values() if upstream.runs)
+            before = len(holder.runs)
+            deployment.freeze_agent(holder.upstream_id)
+            view = deployment.gateways[0].gateway.table.views[UpstreamId(holder.upstream_id)]
+            view.is_paced = True
+            answer = await deployment.call("/ask/1", adapter="a1")
+            return answer, before, len(holder.runs)
+
+        answer, before, after = _run_scenario(scenario)
+        assert answer.event_ids == [1, 2, 3, 4, 5, 6]
+        assert after == before
+
     def test_a_stream_that_may_run_once_more_only_by_its_client_ends(self) -> None:
         """Guards against clients that wait at a lost VM until they give up.
 
