Keep crash records small enough for one message

A process that starts, or that missed records, gets all of them in one message. With as many records and requests as were kept, that message had 0.5 to 30 MB, while a link is closed with more than 0.5 MB unsent and a frame of more than 1 MB is rejected: after many crashes under load each comparison, once a second, would have closed the links of gateways and agents. Found by reading; no play has shown it.

The traits of all records are limited to 12,000, and the oldest crashes are dropped first, as before for the number of records. Measured: the new tests with no, 2 and 32 parts a request failed before (532,375, 2,367,895 and 29,958,551 bytes) and pass; test_crash_evidence and test_quarantine: 32 passed.

--- a/src/dragonflyhold/gateway/crash_evidence.py
+++ b/src/dragonflyhold/gateway/crash_evidence.py
@@ -33,6 +33,8 @@
 # Limits for the requests of a record, and for the parts of a request.
 MAX_REQUESTS = 128
 MAX_PARTS = 32
+# Limit for the traits of all records, which must fit into one message to a process that starts.
+MAX_TRAITS = 12_000
 # Size limit of the table of sound traits; the oldest entries are dropped first.
 MAX_SOUND_TRAITS = 8192
 
@@ -84,6 +86,11 @@
     # Whether answers to requests with parts ended whole at some gateway shortly before the crash.
     was_serving: bool = False
 
+    @property
+    def size(self) -> int:
+        """Return the number of traits, counted once for each request."""
+        return sum(1 + len(parts) for parts in self.requests.values())
+
     def traits(self) -> set[Trait]:
         """Return the traits of all requests in flight."""
         return {*self.requests, *(part for parts in self.requests.values() for part in parts)}
@@ -115,6 +122,8 @@
         # Crashes by trait that is not known as sound there.
         self._suspects: dict[Trait, set[CrashId]] = {}
         self._digest: bytes | None = None
+        # Traits of all records, counted once for each request.
+        self._size = 0
 
     @property
     def digest(self) -> bytes:
@@ -217,11 +226,13 @@
             known = self._records.setdefault(record.crash, CrashRecord(record.crash, now))
             if not known.requests:
                 known.crashed_at = record.crashed_at
+            size = known.size
             change = known.merge(record)
+            self._size += known.size - size
             if change is not None:
                 changes.append(change)
                 self._index(known, change)
-        while len(self._records) > MAX_RECORDS:
+        while len(self._records) > MAX_RECORDS or self._size > MAX_TRAITS:
             self._drop(min(self._records.values(), key=lambda record: record.crashed_at).crash)
         if changes:
             self._digest = None
@@ -248,7 +259,9 @@
                 del self._suspects[trait]
 
     def _drop(self, crash: CrashId) -> None:
-        for trait in self._records.pop(crash).traits():
+        record = self._records.pop(crash)
+        self._size -= record.size
+        for trait in record.traits():
             self._remove_suspect(trait, crash)
         self._digest = None
 
--- a/tests/gateway/test_crash_evidence.py
+++ b/tests/gateway/test_crash_evidence.py
@@ -1,24 +1,29 @@
 """Tests of the evidence of crashes and of its exchange between processes."""
 
 import dataclasses
+import itertools
 import random
 
 import msgpack
 import pytest
 
 from dragonflyhold.gateway.crash_evidence import (
+    DIGEST_BYTES,
     EVIDENCE_EXPIRY_S,
+    MAX_PARTS,
     MAX_RECORDS,
     MAX_REQUESTS,
     SOUND_S,
     CrashEvidence,
     CrashId,
+    CrashRecord,
     RequestTraits,
     Trait,
     compute_traits,
 )
 from dragonflyhold.gateway.http_server import ClientRequest
-from dragonflyhold.gateway.messages import CrashUpdate, decode, encode
+from dragonflyhold.gateway.link import MAX_UNSENT_BYTES
+from dragonflyhold.gateway.messages import MAX_FRAME_BYTES, CrashUpdate, decode, encode
 from dragonflyhold.platform import codec
 
 
@@ -46,6 +51,39 @@
     return compute_traits(request, codec.decode_request(request.fields))
 
 
+def _fill(evidence: CrashEvidence, parts: int) -> None:
+    """Add as many records as are kept, with as many requests as a record holds."""
+    names = (Trait(number.to_bytes(DIGEST_BYTES, "big")) for number in itertools.count())
+    for number in range(MAX_RECORDS):
+        requests = {
+            next(names): tuple(next(names) for _ in range(parts)) for _ in range(MAX_REQUESTS)
+        }
+        sound = {trait for of_one in requests.values() for trait in of_one}
+        crash = CrashId(f"i-{number:010x}@{number}")
+        evidence.merge([CrashRecord(crash, float(number), requests, sound)])
+
+
+class TestSize:
+    """Guards against records that no longer fit into a message, which closes every link."""
+
+    @pytest.mark.parametrize("parts", [0, 2, MAX_PARTS])
+    def test_all_records_fit_into_a_message(self, parts: int) -> None:
+        evidence = CrashEvidence(Clock())
+        _fill(evidence, parts)
+        assert len(encode(evidence.snapshot())) < min(MAX_UNSENT_BYTES, MAX_FRAME_BYTES)
+        newest = max(evidence.records(), key=lambda record: record.crashed_at)
+        assert newest.crash == f"i-{MAX_RECORDS - 1:010x}@{MAX_RECORDS - 1}"
+
+    def test_dropped_records_make_room(self) -> None:
+        clock = Clock()
+        evidence = CrashEvidence(clock)
+        _fill(evidence, 2)
+        clock.now += 2 * EVIDENCE_EXPIRY_S
+        evidence.expire()
+        evidence.record_crash(CrashId("r1@1"), make_traits("c", "a"))
+        assert [record.crash for record in evidence.records()] == ["r1@1"]
+
+
 class TestTraits:
     """Traits of requests."""
 
