--- a/tests/gateway/test_upstream_limits.py
+++ b/tests/gateway/test_upstream_limits.py
@@ -192,6 +192,21 @@
 
         assert _run_scenario(scenario) <= _allowed(LIMIT_PER_S)
 
+    def test_limit_is_kept_when_the_agent_that_counts_freezes(self) -> None:
+        """Guards against gateways that send as they like while no permits arrive."""
+
+        async def scenario(deployment: InProcessDeployment) -> int:
+            traffic = _Traffic(deployment, "/ask/1")
+            await traffic.send_for(1.0)
+            name = _busiest(deployment, "e")
+            stated_at = await _limit(deployment, traffic, name)
+            await traffic.send_for(1.5)
+            deployment.freeze_agent(name)
+            await traffic.send_for(CONTACT_S + 1.0)
+            return _most_in_a_window(deployment.upstreams[name], stated_at)
+
+        assert _run_scenario(scenario) <= _allowed(LIMIT_PER_S)
+
     def test_limit_that_is_no_longer_stated_ends_at_all_gateways(self) -> None:
         """Guards against upstreams that stay limited after they have recovered."""
 
