Count recent requests to a limited upstream also without the usual agent

A gateway now keeps the times of its last requests to each upstream. Its share begins when they fit into it, and an agent that it asks for the first time, or on a new link, is told of all of them.

--- a/src/dragonflyhold/gateway/engines.py
+++ b/src/dragonflyhold/gateway/engines.py
@@ -135,8 +135,8 @@
             if agent.link is not None and agent.protocol >= CRASH_PROTOCOL
         ]
 
-    def send_to_counter(self, view: UpstreamView, message: Message) -> bool:
-        """Send to the agent that counts requests to an upstream; return whether there is one.
+    def find_counter(self, view: UpstreamView) -> Link | None:
+        """Return the link to the agent that counts requests to an upstream, if there is one.
 
         It is the agent on the upstream's VM if that is connected, else the first one in a ranking
         by rendezvous hashing.
@@ -147,12 +147,11 @@
             if agent.link is not None and agent.protocol >= LIMIT_PROTOCOL
         }
         if not agents:
-            return False
+            return None
         ip = view.ip
         if ip not in agents:
             ip = max(agents, key=lambda ip: combine(view.address_hash, hash64(ip.encode())))
-        agents[ip].send(message)
-        return True
+        return agents[ip]
 
     def send_heartbeats(self) -> None:
         """Send a heartbeat to each agent that got no message lately; call once per period."""
--- a/src/dragonflyhold/gateway/permits.py
+++ b/src/dragonflyhold/gateway/permits.py
@@ -14,11 +14,11 @@
 from dragonflyhold.gateway.budget import MIN_GATEWAYS
 from dragonflyhold.gateway.clock import monotonic_now
 from dragonflyhold.gateway.limit_windows import LONG_WINDOW_S, PROBE_S
+from dragonflyhold.gateway.link import Link
 from dragonflyhold.gateway.logs import JsonLogger
 from dragonflyhold.gateway.messages import (
     LimitReport,
     LimitStatement,
-    Message,
     PermitReply,
     PermitRequest,
 )
@@ -33,8 +33,8 @@
 class PermitAgents(Protocol):
     """The connected agents that count requests to limited upstreams."""
 
-    def send_to_counter(self, view: UpstreamView, message: Message) -> bool:
-        """Send to the agent that counts for an upstream; return whether there is one."""
+    def find_counter(self, view: UpstreamView) -> Link | None:
+        """Return the link to the agent that counts for an upstream, if one is connected."""
 
     def count_gateways(self) -> int:
         """Return the number of gateways, as far as known."""
@@ -95,8 +95,9 @@
         )
         view.limit_per_s = limit_per_s
         view.no_permit_until = 0.0
-        if self._agents.send_to_counter(view, self._report(view)):
-            view.uncounted_sends.clear()
+        counter = self._agents.find_counter(view)
+        if counter is not None:
+            counter.send(self._report(view, counter))
 
     def note_reply(self, reply: PermitReply) -> None:
         """Hand an agent's reply to the request that waits for it."""
@@ -108,6 +109,7 @@
         """Return whether a request may be sent to an upstream now, and count it if so."""
         now = self._clock()
         if view.limit_per_s is None:
+            view.recent_sends.append(now)
             view.uncounted_sends.append(now)
             return True
         if now < view.no_permit_until:
@@ -118,14 +120,16 @@
         if wait_s > 0:
             self._count_event("permit_refused")
             view.no_permit_until = self._clock() + wait_s
-        return wait_s <= 0
+            return False
+        view.recent_sends.append(self._clock())
+        return True
 
     async def _ask(self, view: UpstreamView) -> float | None:
         """Ask for a permit; return the time to wait, ``None`` if nobody replies."""
-        number = next(self._numbers)
-        if not self._agents.send_to_counter(view, PermitRequest(number, self._report(view))):
+        number, counter = next(self._numbers), self._agents.find_counter(view)
+        if counter is None:
             return None
-        view.uncounted_sends.clear()
+        counter.send(PermitRequest(number, self._report(view, counter)))
         reply = self._waiting[number] = asyncio.get_running_loop().create_future()
         try:
             async with asyncio.timeout(REPLY_TIMEOUT_S):
@@ -143,19 +147,27 @@
         limit_per_s = max(view.limit_per_s or 0.0, 1 / PROBE_S)
         interval_s = max(MIN_GATEWAYS, self._agents.count_gateways()) / limit_per_s
         if view.share_free_at < now - interval_s:
-            # Gateways that begin at the same time send one after the other.
-            view.share_free_at = now + random.random() * interval_s
+            # Gateways that begin at the same time send one after the other, and each waits until
+            # the requests that it has sent lately are within its share.
+            recent = sum(now - at < LONG_WINDOW_S for at in view.recent_sends)
+            excess_s = min(LONG_WINDOW_S, recent * interval_s - LONG_WINDOW_S)
+            view.share_free_at = now + max(random.random() * interval_s, excess_s)
         if now < view.share_free_at:
             self._count_event("permit_refused")
             view.no_permit_until = min(view.share_free_at, now + SILENT_AGENT_S)
             return False
         view.share_free_at = now + interval_s
+        view.recent_sends.append(now)
         view.uncounted_sends.append(now)
         return True
 
-    def _report(self, view: UpstreamView) -> LimitReport:
+    def _report(self, view: UpstreamView, counter: Link) -> LimitReport:
+        """Return the limit and what the agent does not know; another agent knows nothing."""
         now = self._clock()
-        ages = [round(now - at, 3) for at in view.uncounted_sends if now - at < LONG_WINDOW_S]
+        unknown = view.uncounted_sends if view.counter is counter else view.recent_sends
+        ages = [round(now - at, 3) for at in unknown if now - at < LONG_WINDOW_S]
+        view.uncounted_sends.clear()
+        view.counter = counter
         return LimitReport(
             LimitStatement(
                 incarnation_id(view.upstream), view.limit_per_s, now - view.limit_stated_at
--- a/src/dragonflyhold/gateway/upstream_view.py
+++ b/src/dragonflyhold/gateway/upstream_view.py
@@ -4,6 +4,7 @@
 import dataclasses
 from typing import final
 
+from dragonflyhold.gateway.link import Link
 from dragonflyhold.gateway.liveness import VmLiveness
 from dragonflyhold.gateway.model import ModelAdapter, RegistrationState, Upstream
 from dragonflyhold.ids import Version
@@ -21,8 +22,8 @@
 # Time without an answer after which a limit no longer keeps an upstream from loading adapters: it
 # may have ended, which only an answer can tell.
 LIMIT_STALE_S = 5.0
-# Requests without a permit whose times are kept.
-MAX_UNCOUNTED_SENDS = 64
+# Requests whose times are kept.
+MAX_RECENT_SENDS = 64
 
 
 @final
@@ -63,10 +64,15 @@
     limit_per_s: float | None = None
     # Monotonic time of the answer that stated the limit, or its end, last.
     limit_stated_at: float = -1e9
-    # Times of requests that the agent that counts for this upstream does not know yet.
+    # Times of this gateway's last requests, and of those that the counting agent does not know.
+    recent_sends: collections.deque[float] = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=MAX_RECENT_SENDS)
+    )
     uncounted_sends: collections.deque[float] = dataclasses.field(
-        default_factory=lambda: collections.deque(maxlen=MAX_UNCOUNTED_SENDS)
+        default_factory=lambda: collections.deque(maxlen=MAX_RECENT_SENDS)
     )
+    # Link to the agent that was told of requests last.
+    counter: Link | None = None
     # Times before which the limit allows no request, and before which that agent is not asked.
     no_permit_until: float = 0.0
     counter_silent_until: float = 0.0
--- a/src/dragonflyhold/platform/standins/runner.py
+++ b/src/dragonflyhold/platform/standins/runner.py
@@ -83,8 +83,9 @@
         self.crashes = 0
         # Requests a second that answers state as the limit, if any.
         self.limit_per_s: float | None = None
-        # Times at which clients' requests arrived, also those that were refused.
+        # Times at which clients' requests arrived, also those that were refused, and their ids.
         self.arrivals: list[float] = []
+        self.arrival_ids: list[str] = []
         self.is_running = True
         self.on_restart: Callable[[str], None] = lambda old_id: None
         self._host = host
@@ -239,8 +240,9 @@
 
     async def _handle_request(self, request: ClientRequest, responder: Responder) -> None:
         fields = request.fields
-        self.arrivals.append(asyncio.get_running_loop().time())
         request_id = fields.get(b"attempt-id", b"")
+        self.arrivals.append(asyncio.get_running_loop().time())
+        self.arrival_ids.append(request_id.decode())
         request_id_header = (b"Attempt-Id", request_id)
         adapter = fields.get(b"model", b"").decode().partition("/")[2]
         expected_version = fields.get(b"expected-version")
--- a/tests/gateway/test_permits.py
+++ b/tests/gateway/test_permits.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from dragonflyhold.gateway.link import Link
 from dragonflyhold.gateway.messages import (
     LimitReport,
     LimitStatement,
@@ -18,19 +19,15 @@
 GATEWAYS = 8
 
 
-class _Agents:
-    """Records what is sent to the agent that counts; replies with given waits."""
+class _Agent:
+    """Records what is sent to an agent that counts; replies with given waits."""
 
     def __init__(self, waits: list[float | None]) -> None:
         self.sent: list[Message] = []
-        self.is_connected = True
         self.permits: UpstreamPermits | None = None
         self._waits = waits
 
-    def send_to_counter(self, view: UpstreamView, message: Message) -> bool:
-        del view
-        if not self.is_connected:
-            return False
+    def send(self, message: Message) -> None:
         self.sent.append(message)
         if isinstance(message, PermitRequest) and self._waits:
             wait_s = self._waits.pop(0)
@@ -38,7 +35,17 @@
                 reply = PermitReply(message.number, wait_s)
                 assert self.permits is not None
                 asyncio.get_running_loop().call_soon(self.permits.note_reply, reply)
-        return True
+
+
+class _Agents:
+    """The connected agents, of which one counts for the upstream of the tests."""
+
+    def __init__(self, agent: _Agent) -> None:
+        self.counter: _Agent | None = agent
+
+    def find_counter(self, view: UpstreamView) -> Link | None:
+        del view
+        return self.counter  # type: ignore[return-value]
 
     def count_gateways(self) -> int:
         return GATEWAYS
@@ -50,9 +57,10 @@
     def __init__(self, *waits: float | None) -> None:
         self.now = 1000.0
         self.events: list[str] = []
-        self.agents = _Agents(list(waits))
+        self.agent = _Agent(list(waits))
+        self.agents = _Agents(self.agent)
         self.permits = UpstreamPermits(self.agents, self.events.append, lambda: self.now)
-        self.agents.permits = self.permits
+        self.agent.permits = self.permits
         self.view = UpstreamView(upstream(1), "10.0.0.1", 1)
 
     async def acquire(self, count: int = 1) -> list[bool]:
@@ -72,7 +80,7 @@
             assert await scenario.acquire() == [True]
 
         asyncio.run(run())
-        report, request = scenario.agents.sent
+        report, request = scenario.agent.sent
         assert isinstance(report, LimitReport)
         assert isinstance(request, PermitRequest)
         assert (report.statement.limit_per_s, report.sent_ages_s) == (4.0, [0.5] * 3)
@@ -126,7 +134,8 @@
     @pytest.mark.parametrize("is_connected", [True, False])
     def test_without_a_reply_a_gateway_sends_its_share(self, is_connected: bool) -> None:
         scenario = _Scenario()
-        scenario.agents.is_connected = is_connected
+        if not is_connected:
+            scenario.agents.counter = None
         scenario.permits.note_stated(scenario.view, 4.0)
 
         async def run() -> int:
@@ -156,3 +165,33 @@
         scenario.now += SILENT_AGENT_S + 0.1
         scenario.view.no_permit_until = 0.0
         assert asyncio.run(scenario.acquire()) == [True]
+
+    def test_a_share_counts_what_was_sent_before_the_limit(self) -> None:
+        """Guards against a share that begins anew while the counting agent is away."""
+        scenario = _Scenario()
+        scenario.agents.counter = None
+        asyncio.run(scenario.acquire(20))
+        scenario.permits.note_stated(scenario.view, 8.0)
+
+        async def run() -> list[bool]:
+            allowed = []
+            for _ in range(60):
+                scenario.now += 0.05
+                allowed += await scenario.acquire()
+            return allowed
+
+        assert not any(asyncio.run(run()))
+
+    def test_another_agent_is_told_of_all_recent_requests(self) -> None:
+        """Guards against a count that begins anew when another agent counts."""
+        scenario = _Scenario(0.0, 0.0, 0.0)
+        scenario.permits.note_stated(scenario.view, 4.0)
+        asyncio.run(scenario.acquire(2))
+        other = _Agent([0.0])
+        other.permits = scenario.permits
+        scenario.agents.counter = other
+        scenario.now += 0.25
+        assert asyncio.run(scenario.acquire()) == [True]
+        (request,) = other.sent
+        assert isinstance(request, PermitRequest)
+        assert list(request.report.sent_ages_s) == [0.25, 0.25]
