Draw loopback addresses of in-process deployments beyond the first 254

Addresses go on in the next subnet. Each process has a network of its own, since gateways listen on fixed ports and the tests of two checkouts took each other's addresses.

--- a/src/dragonflyhold/platform/standins/site.py
+++ b/src/dragonflyhold/platform/standins/site.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import itertools
+import os
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -20,7 +21,16 @@
 ENGINE_SERVICE = "assistant"
 PLAIN_SERVICE = "desk"
 HOST = "site.example"
-_host_numbers = itertools.count(2)
+# Gateways listen on fixed ports, so each process has a range of its own.
+_HOST_NETWORK = f"127.{64 + os.getpid() % 190}"
+HOSTS_PER_SUBNET = 250
+_host_numbers = itertools.count()
+
+
+def draw_host() -> str:
+    """Return a loopback address that this process has not used yet."""
+    subnet, number = divmod(next(_host_numbers), HOSTS_PER_SUBNET)
+    return f"{_HOST_NETWORK}.{subnet}.{number + 2}"
 
 
 def configuration(version: int = 1, **route: object) -> dict[str, Any]:
@@ -131,7 +141,7 @@
         model: EngineModel | None = None,
     ) -> UpstreamStandIn:
         """Start an engine and its agent, and register the engine."""
-        host = host or f"127.0.0.{next(_host_numbers)}"
+        host = host or draw_host()
         upstream = UpstreamStandIn(host, upstream_id, ENGINE_SERVICE, slots=slots, model=model)
         await upstream.start()
         self.upstreams[upstream_id] = upstream
@@ -147,7 +157,7 @@
 
     async def add_plain(self, upstream_id: str) -> UpstreamStandIn:
         """Start and register an upstream of the plain service."""
-        upstream = UpstreamStandIn(f"127.0.0.{next(_host_numbers)}", upstream_id, PLAIN_SERVICE)
+        upstream = UpstreamStandIn(draw_host(), upstream_id, PLAIN_SERVICE)
         await upstream.start()
         self.upstreams[upstream_id] = upstream
         self.store.put("servers", upstream_id, upstream.entry())
@@ -172,7 +182,7 @@
 
     async def add_gateway(self, host: str = "") -> GatewayDaemon:
         """Start a gateway."""
-        host = host or f"127.0.0.{next(_host_numbers)}"
+        host = host or draw_host()
         listener = Address(f"{host}:18080")
         settings = self._settings(host, client_listener=listener)
         gateway = GatewayDaemon(_FixedSettings(settings))  # type: ignore[arg-type]
