Fire no timer of the virtual loop before its time

A soak in virtual time never ended: the loop fires timers that are due within its clock's resolution (1 ns), and two requests that waited for the same moment, 8e-14 s away, set their timers again in turn; as one of them was always ready, the clock did not advance. In real time the clock advances by itself, so daemons are not affected.

The resolution is now the distance to the next number that the clock can show.

--- a/src/dragonflyhold/bench/virtual_time.py
+++ b/src/dragonflyhold/bench/virtual_time.py
@@ -1,6 +1,7 @@
 """Event loop with a virtual clock that advances from timer to timer without sleeping."""
 
 import asyncio
+import math
 import selectors
 import time
 from collections.abc import Callable, Coroutine
@@ -42,6 +43,7 @@
     def __init__(self) -> None:
         self._now = 0.0
         super().__init__(_VirtualTimeSelector(self._advance))
+        self._advance(0.0)
         self.network = VirtualNetwork(self)
 
     def time(self) -> float:
@@ -67,6 +69,9 @@
 
     def _advance(self, seconds: float) -> None:
         self._now += max(0.0, seconds)
+        # No timer fires before its time. Otherwise a task that waits until then would set it again
+        # and again, as the clock does not advance meanwhile.
+        self._clock_resolution = math.ulp(self._now)
 
 
 def run_virtual(coroutine: Coroutine[Any, Any, Result]) -> Result:
