--- a/src/dragonflyhold/platform/standins/runner.py
+++ b/src/dragonflyhold/platform/standins/runner.py
@@ -80,7 +80,8 @@
         self.crashing_parts: frozenset[str] = frozenset()
         # Time from a crash until the upstream is back under a new id.
         self.crash_restart_s = 0.3
-        self.crashes = 0
+        # Times of the crashes.
+        self.crash_times: list[float] = []
         # Requests a second that answers state as the limit, if any.
         self.limit_per_s: float | None = None
         # Times at which clients' requests arrived, also those that were refused, and their ids.
@@ -92,6 +93,11 @@
         self._server = HttpServer(self._handle, IngressLimits())
         self._tasks: set[asyncio.Task[None]] = set()
 
+    @property
+    def crashes(self) -> int:
+        """Return the number of crashes."""
+        return len(self.crash_times)
+
     @property
     def address(self) -> Address:
         """Return the listener's address."""
@@ -113,7 +119,7 @@
         """Abort all connections and restart after ``crash_restart_s``, at the same address."""
         if not self.is_running:
             return
-        self.crashes += 1
+        self.crash_times.append(asyncio.get_running_loop().time())
         port = int(self.address.rpartition(":")[2])
         self.close()
         self.is_running = False
