Reserve no slots for loads that only an earlier incarnation could execute

Its engine had crashed twice while commands were on their way, and the agent kept as many slots for these unanswered loads as the engine has, for 14 s. Such a load names the incarnation that may execute it; the engine that came back has another id.

A slot is now kept only while the engine has the id that the load named, or while an id is unknown.

Ruled out: the quarantine (only the crashing part was refused), lost engines (all were in the table).

--- a/src/dragonflyhold/gateway/agent.py
+++ b/src/dragonflyhold/gateway/agent.py
@@ -351,15 +351,16 @@
         for command in plan_commands(self._engine_view(report, spec)):
             if self._report is None:
                 return
-            slots = spec.adapter_slots - self._unconfirmed_loads.reserved_slots(
-                self._report, time.monotonic()
-            )
+            slots = spec.adapter_slots - self._reserved_slots(self._report, time.monotonic())
             if not has_free_slot(command, self._report, slots):
                 return
             if not await self._send_command(command, self._report):
                 return
             await self._read_engine()
 
+    def _reserved_slots(self, report: EngineReport, now: float) -> int:
+        return self._unconfirmed_loads.reserved_slots(report, self._upstream_id, now)
+
     async def _load_model(self, report: EngineReport, spec: EngineSpec) -> None:
         if not report.busy and spec.models:
             await self._send_command(AdapterCommand(CommandKind.LOAD, spec.models[0]), report)
@@ -387,7 +388,7 @@
             # The engine unloads it once its running requests have ended.
             self._unloading.add(ModelAdapter(command.model, command.adapter))
         if result is CommandResult.UNKNOWN and command.kind is CommandKind.LOAD:
-            self._unconfirmed_loads.add(report.sequence, time.monotonic())
+            self._unconfirmed_loads.add(report.sequence, self._upstream_id, time.monotonic())
         return result in (CommandResult.ACCEPTED, CommandResult.DONE)
 
     # Reports to gateways
@@ -398,7 +399,7 @@
         demands = self._demands.totals(now, host_cached)
         return EngineView(
             report=report,
-            slots=spec.adapter_slots - self._unconfirmed_loads.reserved_slots(report, now),
+            slots=spec.adapter_slots - self._reserved_slots(report, now),
             demands=demands,
             versions=self._catalogue.versions,
             frequency={key: self._popularity.estimate(key, now) for key in report.adapters},
