Remember the number of gateways while no agent is connected

The postmortems looked for other things that one process counts though a rule counts over all. One was suspected and is now provoked: a gateway divides the fixed allowance of the retry budget, and the limit of an upstream while nobody counts, by the number of gateways that connected agents report. Without one it took a fifth, so that 64 gateways allowed 12 times as much together once the engines' VMs were gone; right after a restart of agents it divided by the few gateways that had connected again.

The largest number of the last 10 s holds, and the last one while no agent is connected. The decision on limits said so already; the code did not. A gateway that was never told a number still takes a fifth.

--- a/src/dragonflyhold/gateway/agent_link.py
+++ b/src/dragonflyhold/gateway/agent_link.py
@@ -28,8 +28,6 @@
         self.ip = ip
         # Start time of the engine's incarnation as last reported by the agent, initially 0.
         self.start_time_ms = 0
-        # Number of gateways that the agent last reported.
-        self.gateways = 1
         # Protocol version that the agent last announced.
         self.protocol = 1
         self.link: Link | None = None
--- a/src/dragonflyhold/gateway/engines.py
+++ b/src/dragonflyhold/gateway/engines.py
@@ -11,6 +11,7 @@
 from dragonflyhold.gateway.catalogue import Catalogue
 from dragonflyhold.gateway.crash_evidence import CrashEvidence, CrashRecord
 from dragonflyhold.gateway.dispatch import UpstreamTable
+from dragonflyhold.gateway.gateway_count import GatewayCount
 from dragonflyhold.gateway.link import HEARTBEAT_S, Link, maintain_link
 from dragonflyhold.gateway.logs import JsonLogger
 from dragonflyhold.gateway.messages import (
@@ -80,6 +81,7 @@
         self._report_incarnation = report_incarnation
         self._log = JsonLogger("engines")
         self._agents: dict[str, AgentLink] = {}
+        self._gateway_count = GatewayCount()
 
     def is_engine(self, upstream: Upstream) -> bool:
         """Whether an upstream is an engine, which has an agent on its VM."""
@@ -170,9 +172,8 @@
                 view.liveness.note_ping(now)
 
     def count_gateways(self) -> int:
-        """Return the largest number of gateways that a connected agent has, at least 1."""
-        counts = (agent.gateways for agent in self._agents.values() if agent.link is not None)
-        return max(counts, default=1)
+        """Return the number of gateways, as far as known, at least 1."""
+        return self._gateway_count.value
 
     def close(self) -> None:
         """Close all links."""
@@ -220,7 +221,7 @@
             case AgentHeartbeat():
                 if self.operator_watch is not None:
                     self.operator_watch.note_hint(message.change)
-                agent.gateways = message.gateways
+                self._gateway_count.note(message.gateways)
                 if agent.protocol != message.protocol:
                     agent.protocol = message.protocol
                     self.compare_crashes()
