Print the daemons' logs when a scenario's deployment does not start

The fixture now prints the end of each process's log before it removes the folder. No other change; the fault itself was not seen again.

Measured: the extended test of the launcher passes; no start failed, so the print itself was only seen there.

--- a/features/environment.py
+++ b/features/environment.py
@@ -7,6 +7,7 @@
 """
 
 import pathlib
+import sys
 import tempfile
 from collections.abc import Iterator
 
@@ -18,6 +19,7 @@
 from dragonflyhold.demo.launcher import Deployment
 from dragonflyhold.demo.operations import OperatorClient
 from dragonflyhold.demo.plans import PLANS
+from dragonflyhold.demo.processes import DeploymentError
 
 EXAMPLES = pathlib.Path(__file__).parents[1] / "examples"
 DEPLOYMENT_TAG = "fixture.deployment."
@@ -39,6 +41,10 @@
             context.operator = OperatorClient(context.deployment.entries[0].grpc_address)
             yield context.deployment
             context.operator.close()
+        except DeploymentError:
+            # The logs are removed with the deployment.
+            print(context.deployment.log_tails(), file=sys.stderr)
+            raise
         finally:
             for caller in context.callers:
                 caller.close()
--- a/src/dragonflyhold/demo/launcher.py
+++ b/src/dragonflyhold/demo/launcher.py
@@ -148,6 +148,10 @@
         self._process_group.stop()
         self._http.clear()
 
+    def log_tails(self) -> str:
+        """Return the end of the log file of each process."""
+        return self._process_group.log_tails()
+
     def check(self) -> None:
         """Raise ``DeploymentError`` if a process has ended."""
         self._process_group.check()
--- a/src/dragonflyhold/demo/processes.py
+++ b/src/dragonflyhold/demo/processes.py
@@ -119,6 +119,10 @@
                     f"{process.name} ended with status {process.exit_status}:\n{process.log_tail()}"
                 )
 
+    def log_tails(self) -> str:
+        """Return the end of the log file of each process."""
+        return "\n".join(f"--- {process.name}\n{process.log_tail()}" for process in self._processes)
+
     def stop(self) -> None:
         """Stop all processes in reverse order; kill those that do not exit in time."""
         for process in reversed(self._processes):
--- a/tests/demo/test_launcher.py
+++ b/tests/demo/test_launcher.py
@@ -37,6 +37,8 @@
         assert process.wait()
         with pytest.raises(DeploymentError, match="broken ended with status 2"):
             group.check()
+        assert "--- broken" in group.log_tails()
+        assert "nothing" in group.log_tails()
         group.stop()
 
     def test_wait_is_bounded(self) -> None:
