Tell of the requests of a crash in one message

Each request that was in flight at a crash was told to three agents by itself, and each of them forwarded it to all gateways: messages grew with the requests at the engine times the gateways, at the moment at which many requests are repeated.

Gateways and agents merge the news of 20 ms into one message. Records settle for 250 ms before they are judged, so a part is found as soon as before.

--- a/src/dragonflyhold/gateway/agent.py
+++ b/src/dragonflyhold/gateway/agent.py
@@ -11,6 +11,7 @@
 from typing import final
 
 from dragonflyhold.gateway.catalogue import Catalogue
+from dragonflyhold.gateway.crash_batch import CrashBatch
 from dragonflyhold.gateway.crash_evidence import CrashEvidence
 from dragonflyhold.gateway.demand_table import DemandTable
 from dragonflyhold.gateway.doubtful import UnconfirmedLoads, has_free_slot
@@ -124,6 +125,7 @@
         self._starts = StartGranter()
         # What the gateways know of crashes, also for those that start later.
         self._crashes = CrashEvidence()
+        self._crash_batch = CrashBatch(self._crashes, self._forward_crashes)
         self._limits = LimitLedger()
         self._logged_at = 0.0
         # Whether requests wait for adapters without a slot, so that an ended request matters.
@@ -164,12 +166,9 @@
                 if is_ping:
                     link.send(self._heartbeat())
             case SuspectUpdate():
-                self._forward(link, message, lambda protocol: protocol < CRASH_PROTOCOL)
+                self._forward(message, lambda protocol: protocol < CRASH_PROTOCOL, link)
             case CrashUpdate():
-                news = self._crashes.apply(message)
-                if news:
-                    update = self._crashes.encode(news)
-                    self._forward(link, update, lambda protocol: protocol >= CRASH_PROTOCOL)
+                self._crash_batch.add(self._crashes.apply(message))
             case CrashDigest(digest):
                 if digest != self._crashes.digest:
                     link.send(self._crashes.snapshot())
@@ -186,8 +185,13 @@
             case EngineUpdate() | AgentHeartbeat() | StartGrant() | LimitUpdate() | PermitReply():
                 self._log.warning("A message that only agents send was ignored.", peer=link.peer)
 
-    def _forward(self, source: Link, message: Message, accepts: Callable[[int], bool]) -> None:
-        """Send a gateway's message to the other gateways whose protocol version is accepted."""
+    def _forward_crashes(self, update: CrashUpdate) -> None:
+        self._forward(update, lambda protocol: protocol >= CRASH_PROTOCOL)
+
+    def _forward(
+        self, message: Message, accepts: Callable[[int], bool], source: Link | None = None
+    ) -> None:
+        """Send a message to the gateways with an accepted protocol version, but its source."""
         data = encode(message)
         for link in self._demands.gateways():
             if link is not source and accepts(self._publication.protocol(link)):
@@ -205,7 +209,7 @@
                 limit_per_s=statement.limit_per_s,
                 peer=link.peer,
             )
-            self._forward(link, update, lambda protocol: protocol >= LIMIT_PROTOCOL)
+            self._forward(update, lambda protocol: protocol >= LIMIT_PROTOCOL, link)
         elif statement.limit_per_s != report.statement.limit_per_s:
             link.send(update)
 
--- a/src/dragonflyhold/gateway/engines.py
+++ b/src/dragonflyhold/gateway/engines.py
@@ -9,6 +9,7 @@
 
 from dragonflyhold.gateway.agent_link import AgentLink
 from dragonflyhold.gateway.catalogue import Catalogue
+from dragonflyhold.gateway.crash_batch import CrashBatch
 from dragonflyhold.gateway.crash_evidence import CrashEvidence, CrashRecord
 from dragonflyhold.gateway.dispatch import UpstreamTable
 from dragonflyhold.gateway.gateway_count import GatewayCount
@@ -82,6 +83,7 @@
         self._log = JsonLogger("engines")
         self._agents: dict[str, AgentLink] = {}
         self._gateway_count = GatewayCount()
+        self._crash_batch = CrashBatch(crashes, self._send_crashes)
 
     def is_engine(self, upstream: Upstream) -> bool:
         """Whether an upstream is an engine, which has an agent on its VM."""
@@ -118,11 +120,12 @@
 
     def share_crashes(self, news: Sequence[CrashRecord]) -> None:
         """Send new records to some agents, which forward them to the other gateways."""
-        links = self._crash_links()
-        if news and links:
-            data = encode(self._crashes.encode(news))
-            for link in random.sample(links, min(len(links), CRASH_RELAYS)):
-                link.send_encoded(data)
+        self._crash_batch.add(news)
+
+    def _send_crashes(self, update: CrashUpdate) -> None:
+        links, data = self._crash_links(), encode(update)
+        for link in random.sample(links, min(len(links), CRASH_RELAYS)):
+            link.send_encoded(data)
 
     def compare_crashes(self) -> None:
         """Compare records with one agent, so that lost ones are replaced; call once a second."""
