Cut gateways off and lose the store in the soaks

The soaks of crashing parts and of limits cut only engines off. Both now also cut gateways off; crashes also come beside a store that refuses or never answers, and at engines whose streams have no framing. More faults only: no bound changed.

--- a/tests/gateway/soak.py
+++ b/tests/gateway/soak.py
@@ -12,6 +12,7 @@
 from dragonflyhold.gateway.daemon import GatewayDaemon
 from dragonflyhold.gateway.messages import Message
 from dragonflyhold.platform.standins.site import InProcessDeployment, configuration
+from dragonflyhold.platform.standins.store import StoreFault
 
 GATEWAYS = 4
 CLIENT_IP, STORE_IP = "10.7.0.1", "10.9.0.1"
@@ -22,6 +23,13 @@
 CONTACT_S = 3.0
 
 Fault = Callable[[float], Awaitable[None]]
+# Start and end of a disturbance.
+Span = tuple[float, float]
+
+
+def overlaps(spans: Sequence[Span], start: float, end: float) -> bool:
+    """Return whether one of the spans lies partly after ``start`` and before ``end``."""
+    return any(start < until and since < end for since, until in spans)
 
 
 @dataclasses.dataclass
@@ -45,8 +53,9 @@
     def __init__(self, seed: int) -> None:
         self.sent: dict[str, Sent] = {}
         self.started_at: dict[GatewayDaemon, float] = {}
-        # Spans in which a gateway missed messages.
-        self.missed: dict[GatewayDaemon, list[tuple[float, float]]] = collections.defaultdict(list)
+        # Spans in which a gateway was cut off, or missed messages.
+        self.cut: dict[GatewayDaemon, list[Span]] = collections.defaultdict(list)
+        self.missed: dict[GatewayDaemon, list[Span]] = collections.defaultdict(list)
         self.faults: list[str] = []
         self.deployment = InProcessDeployment()
         self._rng = random.Random(seed)
@@ -82,6 +91,11 @@
         await asyncio.gather(*self._tasks)
         await deployment.close()
 
+    def is_in_touch(self, gateway: GatewayDaemon, at: float) -> bool:
+        """Return whether a gateway was neither started nor cut off in the contact time."""
+        start = at - CONTACT_S
+        return self.started_at[gateway] <= start and not overlaps(self.cut[gateway], start, at)
+
     def _fault_kinds(self) -> Sequence[Fault]:
         """Return the faults to draw from; each gets the time at which faults end."""
         raise NotImplementedError
@@ -154,6 +168,22 @@
         await asyncio.sleep(min(self._rng.uniform(0.3, 3.0), end - loop.time()))
         loop.network.make_reachable(ip)
 
+    async def _cut_gateway(self, end: float) -> None:
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, VirtualLoop)
+        gateway, start = self._rng.choice(self.deployment.gateways), loop.time()
+        loop.network.make_unreachable(gateway._settings.ip)
+        await asyncio.sleep(min(self._rng.uniform(0.3, 3.0), end - start))
+        loop.network.make_reachable(gateway._settings.ip)
+        self.cut[gateway].append((start, loop.time()))
+
+    async def _lose_store(self, end: float) -> None:
+        loop, store = asyncio.get_running_loop(), self.deployment.store
+        store.fault = self._rng.choice([StoreFault.REFUSING, StoreFault.UNRESPONSIVE])
+        store.reset_connections()
+        await asyncio.sleep(min(self._rng.uniform(0.3, 3.0), end - loop.time()))
+        store.fault = StoreFault.NONE
+
     async def _lose_messages(self, end: float) -> None:
         del end
         start = asyncio.get_running_loop().time()
--- a/tests/gateway/test_crash_soak.py
+++ b/tests/gateway/test_crash_soak.py
@@ -14,7 +14,7 @@
 from dragonflyhold.gateway.crash_evidence import RequestTraits
 from dragonflyhold.gateway.daemon import GatewayDaemon
 from dragonflyhold.gateway.messages import CrashDigest, CrashUpdate
-from tests.gateway.soak import CALM_S, CONTACT_S, GATEWAYS, Fault, Soak
+from tests.gateway.soak import CALM_S, CONTACT_S, GATEWAYS, Fault, Soak, overlaps
 
 ADAPTERS = 6
 FIRST_PARTS = ("f0", "f1")
@@ -74,7 +74,7 @@
             for at, number in zip(engine.arrivals, engine.arrival_ids, strict=True)
             if number in self.crashing
             and at > fifth_at + CONTACT_S
-            and self._is_in_touch(self.sent[number].gateway, at)
+            and self._may_be_told(self.sent[number].gateway, at)
         ]
         violations = []
         if len(later) > MAX_LATER_REQUESTS:
@@ -95,11 +95,11 @@
             if part == first and start <= self.sent[number].at < end
         ]
 
-    def _is_in_touch(self, gateway: GatewayDaemon, at: float) -> bool:
+    def _may_be_told(self, gateway: GatewayDaemon, at: float) -> bool:
         start = at - CONTACT_S
         return (
-            self.started_at[gateway] <= start
-            and not any(start < until and since < at for since, until in self.missed[gateway])
+            self.is_in_touch(gateway, at)
+            and not overlaps(self.missed[gateway], start, at)
             and not any(start < restarted <= at for restarted in self.all_restarted_at)
         )
 
@@ -116,6 +116,8 @@
             self._restart_gateway,
             self._restart_agent,
             self._cut_engine,
+            self._cut_gateway,
+            self._lose_store,
             self._lose_messages,
             self._crash_engine,
             self._restart_all,
@@ -124,6 +126,7 @@
     async def _inject_faults(self, end: float) -> None:
         for engine in self.deployment.upstreams.values():
             engine.crashing_parts = frozenset({CRASHING_PART})
+            engine.frames_streams = self._rng.random() < 0.7
         await asyncio.sleep(QUIET_S)
         await super()._inject_faults(end)
 
--- a/tests/gateway/test_limit_soak.py
+++ b/tests/gateway/test_limit_soak.py
@@ -14,7 +14,7 @@
 from dragonflyhold.gateway.daemon import GatewayDaemon
 from dragonflyhold.gateway.messages import LimitUpdate, PermitReply
 from dragonflyhold.platform.standins.runner import UpstreamStandIn
-from tests.gateway.soak import CONTACT_S, Fault, Sent, Soak
+from tests.gateway.soak import CONTACT_S, Fault, Soak
 
 ADAPTERS = 8
 # The platform's window; see ``test_upstream_limits``.
@@ -31,30 +31,6 @@
     end: float
 
 
-def find_violations(
-    limits: list[Limit], sent: dict[str, Sent], started_at: dict[GatewayDaemon, float]
-) -> list[str]:
-    """Return where upstreams got too many requests from gateways that had run for long enough."""
-    violations = []
-    for limit in limits:
-        arrivals = list(zip(limit.upstream.arrivals, limit.upstream.arrival_ids, strict=True))
-        for end, last in arrivals:
-            in_touch_since = end - CONTACT_S
-            if not limit.start <= in_touch_since or end > limit.end:
-                continue
-            # A span counts from its last request on, so a gateway that doesn't count ends none.
-            if started_at[sent[last].gateway] > in_touch_since:
-                continue
-            count = sum(
-                end - WINDOW_S < at <= end and started_at[sent[number].gateway] <= in_touch_since
-                for at, number in arrivals
-            )
-            if count > 1.5 * limit.per_s * WINDOW_S + 5:
-                name = limit.upstream.upstream_id
-                violations.append(f"{name}: {count} requests at {limit.per_s} a second, {end:.3f}")
-    return violations
-
-
 class LimitSoak(Soak):
     """One run in which upstreams state limits."""
 
@@ -65,6 +41,28 @@
         self.limits: list[Limit] = []
         self._keeps_limits = keeps_limits
 
+    def find_violations(self) -> list[str]:
+        """Return where upstreams got too many requests from gateways in touch."""
+        violations = []
+        for limit in self.limits:
+            arrivals = list(zip(limit.upstream.arrivals, limit.upstream.arrival_ids, strict=True))
+            for end, last in arrivals:
+                if not limit.start + CONTACT_S <= end <= limit.end:
+                    continue
+                # A span counts from its last request on, so a gateway that doesn't count ends none.
+                if not self.is_in_touch(self.sent[last].gateway, end):
+                    continue
+                count = sum(
+                    end - WINDOW_S < at <= end and self.is_in_touch(self.sent[number].gateway, end)
+                    for at, number in arrivals
+                )
+                if count > 1.5 * limit.per_s * WINDOW_S + 5:
+                    name = limit.upstream.upstream_id
+                    violations.append(
+                        f"{name}: {count} requests at {limit.per_s} a second, {end:.3f}"
+                    )
+        return violations
+
     def _fault_kinds(self) -> Sequence[Fault]:
         return (
             self._state_limit,
@@ -72,6 +70,7 @@
             self._restart_gateway,
             self._restart_agent,
             self._cut_engine,
+            self._cut_gateway,
             self._lose_messages,
         )
 
@@ -105,13 +104,13 @@
         upstream.limit_per_s = None
 
 
-def play(seed: int, keeps_limits: bool = True) -> tuple[LimitSoak, list[str]]:
-    """Return a run and the violations in it."""
+def play(seed: int, keeps_limits: bool = True) -> LimitSoak:
+    """Return a run."""
 
-    async def scenario() -> tuple[LimitSoak, list[str]]:
+    async def scenario() -> LimitSoak:
         soak = LimitSoak(seed, keeps_limits)
         await soak.run()
-        return soak, find_violations(soak.limits, soak.sent, soak.started_at)
+        return soak
 
     random.seed(seed)
     return run_virtual(scenario())
@@ -122,10 +121,9 @@
 
     @pytest.mark.parametrize("seed", [1, 2, 3])
     def test_limits_are_kept_and_service_recovers(self, seed: int) -> None:
-        soak, violations = play(seed)
-        assert violations == [], soak.faults
+        soak = play(seed)
+        assert soak.find_violations() == [], soak.faults
         assert soak.served_at_end >= 0.95, soak.faults
 
     def test_the_oracle_finds_gateways_that_keep_no_limit(self) -> None:
-        _, violations = play(1, keeps_limits=False)
-        assert violations
+        assert play(1, keeps_limits=False).find_violations()
