Keep enough crashes to find a part also among long prompts

The size of all crash records is limited, oldest crash out first. With 128 requests of 32 parts in flight one record had a third of the limit, so that two were kept, while a part is found from three: it would have crashed engines without end. Found by reading.

One record now keeps at most an eighth of the limit, the requests with the lowest digests, so that all processes keep the same. Sound traits of requests that are not kept are left out of the digest and of the message to a process that starts; both would have grown, and digests would have differed. For the same reason one content that comes with different parts keeps the same parts everywhere.

--- a/src/dragonflyhold/gateway/crash_evidence.py
+++ b/src/dragonflyhold/gateway/crash_evidence.py
@@ -33,8 +33,10 @@
 # Limits for the requests of a record, and for the parts of a request.
 MAX_REQUESTS = 128
 MAX_PARTS = 32
-# Limit for the traits of all records, which must fit into one message to a process that starts.
+# Limit for the traits of all records, which must fit into one message to a process that starts,
+# and for those of one, so that enough records are kept to compare them.
 MAX_TRAITS = 12_000
+MAX_RECORD_TRAITS = MAX_TRAITS // 8
 # Size limit of the table of sound traits; the oldest entries are dropped first.
 MAX_SOUND_TRAITS = 8192
 
@@ -91,15 +93,23 @@
         """Return the number of traits, counted once for each request."""
         return sum(1 + len(parts) for parts in self.requests.values())
 
+    @property
+    def sound_in_flight(self) -> set[Trait]:
+        """Return the sound traits of requests in flight; others may come before their request."""
+        return self.sound & self.traits()
+
     def traits(self) -> set[Trait]:
         """Return the traits of all requests in flight."""
         return {*self.requests, *(part for parts in self.requests.values() for part in parts)}
 
     def merge(self, other: "CrashRecord") -> "CrashRecord | None":
         """Add what another process knows; return what is new, ``None`` if nothing is."""
-        # All processes keep the same requests, in whichever order they learn of them.
-        kept = dict(sorted({**other.requests, **self.requests}.items())[:MAX_REQUESTS])
-        requests = {content: kept[content] for content in kept.keys() - self.requests.keys()}
+        merged = dict(self.requests)
+        for content, parts in other.requests.items():
+            # The same content may come with other parts; all processes keep the same ones.
+            merged[content] = max(parts, merged.get(content, parts))
+        kept = _limit_requests(merged)
+        requests = dict(kept.items() - self.requests.items())
         sound = other.sound - self.sound
         if not requests and not sound and other.was_serving <= self.was_serving:
             return None
@@ -109,6 +119,17 @@
         return CrashRecord(self.crash, self.crashed_at, requests, sound, self.was_serving)
 
 
+def _limit_requests(requests: dict[Trait, tuple[Trait, ...]]) -> dict[Trait, tuple[Trait, ...]]:
+    """Return the requests to keep, the same in whichever order a process learns of them."""
+    kept, size = {}, 0
+    for content, parts in sorted(requests.items())[:MAX_REQUESTS]:
+        size += 1 + len(parts)
+        if size > MAX_RECORD_TRAITS:
+            break
+        kept[content] = parts
+    return kept
+
+
 @final
 class CrashEvidence:
     """The records that a process knows."""
@@ -134,7 +155,7 @@
                 record = self._records[crash]
                 digest.update(crash.encode() + b"\0%d\0" % record.was_serving)
                 digest.update(b"".join(sorted(record.requests)) + b"\0")
-                digest.update(b"".join(sorted(record.sound)))
+                digest.update(b"".join(sorted(record.sound_in_flight)))
             self._digest = digest.digest()
         return self._digest
 
@@ -179,7 +200,9 @@
 
     def snapshot(self) -> CrashUpdate:
         """Return all records as a message."""
-        return self.encode(self.records())
+        return self.encode(
+            [dataclasses.replace(record, sound=record.sound_in_flight) for record in self.records()]
+        )
 
     def encode(self, records: Sequence[CrashRecord]) -> CrashUpdate:
         """Return records as a message; times are encoded as ages."""
@@ -226,9 +249,11 @@
             known = self._records.setdefault(record.crash, CrashRecord(record.crash, now))
             if not known.requests:
                 known.crashed_at = record.crashed_at
-            size = known.size
+            size, traits = known.size, known.traits()
             change = known.merge(record)
             self._size += known.size - size
+            for trait in traits - known.traits():
+                self._remove_suspect(trait, record.crash)
             if change is not None:
                 changes.append(change)
                 self._index(known, change)
--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -2,6 +2,8 @@
 
 from dragonflyhold.gateway.crash_evidence import (
     EVIDENCE_EXPIRY_S,
+    MAX_PARTS,
+    MAX_REQUESTS,
     CrashEvidence,
     CrashId,
     RequestTraits,
@@ -103,6 +105,20 @@
         assert not site.refuses(make_traits("new", "common", "other0"))
         assert not site.refuses(make_traits("ok0", "common"))
 
+    def test_a_part_is_found_among_many_requests_with_long_prompts(self) -> None:
+        """Guards against so large records that fewer are kept than are needed to find a part."""
+        site = _Site()
+        for number in range(2 * CRASH_LIMIT):
+            requests = []
+            for other in range(MAX_REQUESTS):
+                name = f"{number}-{other}"
+                shared = ("common", "bad") if other % 4 == 0 else ("common",)
+                own = (f"{name}-{part}" for part in range(MAX_PARTS - len(shared)))
+                requests.append(make_traits(name, *shared, *own))
+            site.crash(f"r{number}", *requests)
+        assert site.refuses(make_traits("new", "elsewhere", "bad"))
+        assert not site.refuses(make_traits("new", "common"))
+
     def test_a_part_of_neighbours_is_told_from_the_cause(self) -> None:
         """A sound part without recent answers may be at several crashes by chance."""
         site = _Site()
