Count a gateway of the crash soak from when the store is back after a restart of all VMs

A trace shows the case: all gateways and agents were restarted at 15.36 while the store was lost from 14.62 to 17.27; gateways read the stored crashes at 18.96. Only the store could know the part.

Ruled out: lost records (13 were known after the read). After a restart of all, the oracle now counts the contact time from the end of a loss of the store that spans the restart; all else is as strict as before.

--- a/tests/gateway/soak.py
+++ b/tests/gateway/soak.py
@@ -56,6 +56,8 @@
         # Spans in which a gateway was cut off, or missed messages.
         self.cut: dict[GatewayDaemon, list[Span]] = collections.defaultdict(list)
         self.missed: dict[GatewayDaemon, list[Span]] = collections.defaultdict(list)
+        # Spans in which the store did not answer.
+        self.store_lost: list[Span] = []
         self.faults: list[str] = []
         self.deployment = InProcessDeployment()
         self._rng = random.Random(seed)
@@ -179,10 +181,12 @@
 
     async def _lose_store(self, end: float) -> None:
         loop, store = asyncio.get_running_loop(), self.deployment.store
+        start = loop.time()
         store.fault = self._rng.choice([StoreFault.REFUSING, StoreFault.UNRESPONSIVE])
         store.reset_connections()
         await asyncio.sleep(min(self._rng.uniform(0.3, 3.0), end - loop.time()))
         store.fault = StoreFault.NONE
+        self.store_lost.append((start, loop.time()))
 
     async def _lose_messages(self, end: float) -> None:
         del end
--- a/tests/gateway/test_crash_soak.py
+++ b/tests/gateway/test_crash_soak.py
@@ -97,12 +97,18 @@
 
     def _may_be_told(self, gateway: GatewayDaemon, at: float) -> bool:
         start = at - CONTACT_S
+        restarts = [restarted for restarted in self.all_restarted_at if restarted <= at]
         return (
             self.is_in_touch(gateway, at)
             and not overlaps(self.missed[gateway], start, at)
-            and not any(start < restarted <= at for restarted in self.all_restarted_at)
+            and not any(start < self._restored_at(restarted) for restarted in restarts)
         )
 
+    def _restored_at(self, restarted_at: float) -> float:
+        """Return from when on the store can tell what was lost with all other processes."""
+        lost = (until for since, until in self.store_lost if since <= restarted_at < until)
+        return max(lost, default=restarted_at)
+
     async def run(self) -> None:
         """Run the deployment; engines crash until the calm time."""
         loop = asyncio.get_running_loop()
