Tell the agent that counts from now on what was sent to limited upstreams before

Log: the agent that counted was dark from 12.98 to 15.3. Gateways reported what they had sent before the limit (18, 7 and 24 requests) to it, and the reports were lost; two of them then told another agent. When the first was back, all asked it again, but each told it of its requests only with its own next one, so that it granted five permits in ignorance of 21 and 17 requests.

A gateway now tells the counting agent at once when agents connect or are lost.

--- a/src/dragonflyhold/gateway/engines.py
+++ b/src/dragonflyhold/gateway/engines.py
@@ -203,6 +203,7 @@
             view.is_linked = False
             view.can_load = False
             self.demands.notify_upstream_waiters(view.upstream.upstream_id)
+        self.permits.note_agents_changed(self._table.views.values())
 
     def agent_message(self, agent: AgentLink, message: Message) -> None:
         """Handle a message from an agent."""
@@ -228,6 +229,7 @@
                 if agent.protocol != message.protocol:
                     agent.protocol = message.protocol
                     self.compare_crashes()
+                    self.permits.note_agents_changed(self._table.views.values())
                 if view is not None:
                     self._table.apply_heartbeat(view.upstream.upstream_id, message, now)
             case StartGrant():
--- a/src/dragonflyhold/gateway/permits.py
+++ b/src/dragonflyhold/gateway/permits.py
@@ -8,7 +8,7 @@
 import asyncio
 import itertools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Protocol, final
 
 from dragonflyhold.gateway.budget import MIN_GATEWAYS
@@ -99,6 +99,14 @@
         if counter is not None:
             counter.send(self._report(view, counter))
 
+    def note_agents_changed(self, views: Iterable[UpstreamView]) -> None:
+        """Tell agents of the limited upstreams that they count for from now on."""
+        for view in views:
+            if view.limit_per_s is not None:
+                counter = self._agents.find_counter(view)
+                if counter is not None and counter is not view.counter:
+                    counter.send(self._report(view, counter))
+
     def note_reply(self, reply: PermitReply) -> None:
         """Hand an agent's reply to the request that waits for it."""
         future = self._waiting.get(reply.number)
--- a/src/dragonflyhold/platform/standins/site.py
+++ b/src/dragonflyhold/platform/standins/site.py
@@ -155,9 +155,9 @@
         self.store.remove("servers", old_id)
         self.store.put("servers", upstream.upstream_id, upstream.entry())
 
-    async def add_plain(self, upstream_id: str) -> UpstreamStandIn:
+    async def add_plain(self, upstream_id: str, *, host: str = "") -> UpstreamStandIn:
         """Start and register an upstream of the plain service."""
-        upstream = UpstreamStandIn(draw_host(), upstream_id, PLAIN_SERVICE)
+        upstream = UpstreamStandIn(host or draw_host(), upstream_id, PLAIN_SERVICE)
         await upstream.start()
         self.upstreams[upstream_id] = upstream
         self.store.put("servers", upstream_id, upstream.entry())
--- a/tests/gateway/test_permits.py
+++ b/tests/gateway/test_permits.py
@@ -86,6 +86,25 @@
         assert (report.statement.limit_per_s, report.sent_ages_s) == (4.0, [0.5] * 3)
         assert list(request.report.sent_ages_s) == []
 
+    def test_another_agent_is_told_before_the_next_request(self) -> None:
+        """Guards against permits of an agent that does not know what other gateways have sent."""
+        scenario = _Scenario(0.0)
+
+        async def run() -> None:
+            assert await scenario.acquire(3) == [True] * 3
+            scenario.permits.note_stated(scenario.view, 4.0)
+
+        asyncio.run(run())
+        scenario.now += 0.5
+        other = scenario.agents.counter = _Agent([])
+        unlimited = UpstreamView(upstream(2), "10.0.0.2", 2)
+        scenario.permits.note_agents_changed([unlimited, scenario.view])
+        scenario.permits.note_agents_changed([unlimited, scenario.view])
+        assert len(other.sent) == 1
+        report = other.sent[0]
+        assert isinstance(report, LimitReport)
+        assert (report.statement.limit_per_s, report.sent_ages_s) == (4.0, [0.5] * 3)
+
     def test_an_answer_to_an_older_request_does_not_end_a_limit(self) -> None:
         scenario = _Scenario()
         sent_at = scenario.now
