Log and count requests whose connection closes without a response

A handler that failed or returned without a response left a closed connection and no line, and so did requests that were read behind one whose connection had to close. The hypotheses on requests that got neither an answer nor a refusal could not be told apart. Each such request is now a log line with its id and cause and counts as request_unanswered.

--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -81,7 +81,12 @@
         )
         self.demands = self.agent_links.demands
         self.permits = self.agent_links.permits
-        self.server = HttpServer(self.handle, IngressLimits(), self._log_rejected_request)
+        self.server = HttpServer(
+            self.handle,
+            IngressLimits(),
+            self._log_rejected_request,
+            self._log_unanswered_request,
+        )
         self.is_store_stable = False
         # Set while the process stops as planned.
         self.planned_stop: PlannedStop | None = None
@@ -249,6 +254,14 @@
             detail=detail,
         )
 
+    def _log_unanswered_request(self, request: ClientRequest, detail: str) -> None:
+        self._metrics.count_event("request_unanswered")
+        self.log.failure(
+            "A connection was closed without a response to a request.",
+            id=codec.request_id(request.fields),
+            detail=detail,
+        )
+
     # Queries and updates by request runs
 
     def required_version(self, target: ModelAdapter | None) -> Version:
--- a/src/dragonflyhold/gateway/http_server.py
+++ b/src/dragonflyhold/gateway/http_server.py
@@ -95,6 +95,9 @@
         del exc
         self._server.connections.discard(self)
         self._clear_deadline()
+        if self._must_close:
+            for request, _, _ in self._queue:
+                self._server.on_unanswered(request, "the connection closed before its turn")
         self._queue.clear()
         self._can_write.set()
         if self._task is not None:
@@ -256,6 +259,11 @@
         except asyncio.CancelledError:
             self.abort()
             raise
+        except Exception as error:
+            self._server.on_unanswered(request, repr(error))
+        else:
+            if not responder.is_ended:
+                self._server.on_unanswered(request, "the handler returned without a response")
         finally:
             if not responder.is_ended:
                 self.abort()
@@ -302,7 +310,9 @@
 class HttpServer:
     """Listens on one address and runs ``handler`` in a new task for each request.
 
-    ``on_rejected`` is called with the status and detail of each rejected request.
+    ``on_rejected`` is called with the status and detail of each rejected request,
+    ``on_unanswered`` with each request that was read and whose connection this side closes without
+    a response, and with the cause.
     """
 
     def __init__(
@@ -310,10 +320,12 @@
         handler: Handler,
         limits: IngressLimits,
         on_rejected: Callable[[int, str], None] = lambda status, detail: None,
+        on_unanswered: Callable[[ClientRequest, str], None] = lambda request, detail: None,
     ) -> None:
         self.handler = handler
         self.limits = limits
         self.on_rejected = on_rejected
+        self.on_unanswered = on_unanswered
         self.is_draining = False
         self.connections: set[ServerConnection] = set()
         self._server: asyncio.Server | None = None
--- a/src/dragonflyhold/platform/codec.py
+++ b/src/dragonflyhold/platform/codec.py
@@ -218,6 +218,11 @@
     return isinstance(value, int) and not isinstance(value, bool)
 
 
+def request_id(headers: Mapping[bytes, bytes]) -> str:
+    """Return the id of a client's request, empty without one; header names are in lower case."""
+    return headers.get(REQUEST_ID, b"").decode("latin-1")
+
+
 def decode_request(headers: Mapping[bytes, bytes]) -> RequestInfo:
     """Decode the headers of a client's request; their names must be in lower case.
 
@@ -228,7 +233,7 @@
     last_event_id = headers.get(LAST_EVENT_ID)
     name = ModelName(model) if model else None
     return RequestInfo(
-        request_id=headers.get(REQUEST_ID, b"").decode("latin-1"),
+        request_id=request_id(headers),
         time_left_s=_parse_milliseconds(headers.get(DEADLINE)),
         target=ModelAdapter(name, AdapterName(adapter)) if name and adapter else None,
         model=name,
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -23,7 +23,12 @@
         self.cancelled = 0
         self.may_respond = asyncio.Event()
         self.may_respond.set()
-        self.server = HttpServer(self._handle, LIMITS)
+        self.unanswered: list[str] = []
+        self.server = HttpServer(
+            self._handle,
+            LIMITS,
+            on_unanswered=lambda request, detail: self.unanswered.append(detail),
+        )
         self.port = 0
 
     async def _handle(self, request: ClientRequest, responder: Responder) -> None:
@@ -33,6 +38,10 @@
         except asyncio.CancelledError:
             self.cancelled += 1
             raise
+        if request.target == b"/error":
+            raise RuntimeError("unexpected")
+        if request.target == b"/nothing":
+            return
         if request.target == b"/stream":
             responder.start_stream(200, [])
             await responder.write(b"one")
@@ -190,6 +199,27 @@
         assert asyncio.run(run()) == 1
 
 
+class TestUnansweredRequests:
+    """Requests whose connection closes without a response leave a trace."""
+
+    @pytest.mark.parametrize(
+        ("target", "detail"),
+        [
+            (b"/error", "RuntimeError('unexpected')"),
+            (b"/nothing", "the handler returned without a response"),
+        ],
+    )
+    def test_a_request_without_a_response_is_reported(self, target: bytes, detail: str) -> None:
+        """Guards against closed connections that no log line and no counter shows."""
+
+        async def scenario() -> tuple[bytes, list[str]]:
+            async with _running_server() as harness, asyncio.timeout(5):
+                response = await harness.exchange(POST.replace(b"/", target, 1) + b"\r\n")
+                return response, harness.unanswered
+
+        assert asyncio.run(scenario()) == (b"", [detail])
+
+
 class TestDraining:
     """A draining server completes open requests and closes their connections."""
 
