Stay at a silent upstream until another one can start the request

A sound upstream may fall silent for a second or so and go on. Gateways left a VM that was silent for 0.45 s although all others had to load the adapter first, and then ended the request at once, since its time in the target latency had passed; and they closed a stream for its client after 1.2 s if only the client may repeat it. Both ended an answer that would have gone on.

A request now leaves a silent upstream only if another one can start it, or if nothing else depends on the upstream, so that a new connection can tell. Until then the adapter is asked for elsewhere. Nothing is closed for silence alone; the client's own patience decides.

--- a/src/dragonflyhold/gateway/attempt.py
+++ b/src/dragonflyhold/gateway/attempt.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, TypeVar, final
 
 from dragonflyhold.gateway.crash_evidence import RequestTraits
-from dragonflyhold.gateway.dispatch import SendNow
+from dragonflyhold.gateway.dispatch import SendNow, WaitFor
 from dragonflyhold.gateway.events import EventSplitter, EventTooLargeError
 from dragonflyhold.gateway.http_client import Call, Exchange, ExchangeError, FailureReason, Head
 from dragonflyhold.gateway.http_server import ClientRequest, Responder
@@ -34,11 +34,11 @@
 MIN_ATTEMPT_S = 0.05
 # Interval at which a waiting request checks for another upstream.
 CHECK_PERIOD_S = 0.25
-# Interval at which a request that waits for bytes checks whether the upstream's VM is unreachable.
-UNREACHABLE_CHECK_S = 0.1
-# Silence of a stalled upstream after which requests that may be repeated fail over to another one,
-# even one that has to load the adapter first.
-FAIL_OVER_SILENCE_S = 1.0
+# Interval at which a request that waits for bytes checks whether to leave its upstream.
+SILENCE_CHECK_S = 0.1
+# Silence after which a request that may be repeated is sent to the same upstream on a new
+# connection.
+RECONNECT_SILENCE_S = 1.0
 
 
 @final
@@ -185,61 +185,60 @@
     ) -> Read:
         """Read from the upstream; raise ``ExchangeError`` to fail over if it is silent.
 
-        A request that cannot fail over waits until its deadline.
+        The request stays at a silent upstream until another one can start it at once, since the
+        silent one may go on. A request that cannot fail over waits until its deadline.
         """
         silent_at = (time.monotonic() if progress_at is None else progress_at) + silence_s
         while True:
             wait_s = silent_at - time.monotonic()
             try:
                 async with limit_time(
-                    min(wait_s, UNREACHABLE_CHECK_S) if wait_s > 0 else CHECK_PERIOD_S
+                    min(wait_s, SILENCE_CHECK_S) if wait_s > 0 else SILENCE_CHECK_S
                 ):
                     result = await read()
             except TimeoutError:
                 now = time.monotonic()
                 is_unreachable = self._gateway.table.is_unreachable(self._choice.upstream_id, now)
-                if (is_unreachable or now >= silent_at) and self._can_fail_over():
+                if (is_unreachable or now >= silent_at) and self._can_fail_over(now):
                     detail = "VM is unreachable" if is_unreachable else "silence"
                     raise ExchangeError(FailureReason.TIMEOUT, True, detail) from None
-                if self._should_return_to_client(now):
-                    raise ExchangeError(FailureReason.TIMEOUT, True, "VM is lost") from None
                 continue
             self._gateway.table.note_received(self._choice.upstream_id, time.monotonic())
             return result
 
-    def _should_return_to_client(self, now: float) -> bool:
-        """Return whether to end a request that only its client may send again.
+    def _can_fail_over(self, now: float) -> bool:
+        """Return whether the request may be repeated and an upstream can start it now.
 
-        The client of a resumable stream goes on at the last event that it has; while the connection
-        stays open, it waits for an upstream whose response cannot arrive.
+        If all others have to load the adapter first, one of them is asked to do so.
         """
-        return self._context.route.retry_safety is not RetrySafety.ONCE and (
-            self._gateway.table.is_lost(self._choice.upstream_id, now)
-        )
-
-    def _can_fail_over(self) -> bool:
-        """Return whether the request may be repeated and should leave its upstream now.
-
-        A stalled upstream is at first left only for another one that can start at once.
-        """
-        view, now = self._view, time.monotonic()
+        context, target = self._context, self._request_info.target
         if (
-            self._context.route.retry_safety is RetrySafety.ONCE
-            or self._context.progress.attempts + 1 >= self._context.route.max_attempts
-            or self._context.deadline - now < MIN_ATTEMPT_S
-            or not self._gateway.budget.has_room(self._context.service)
+            context.route.retry_safety is RetrySafety.ONCE
+            or context.progress.attempts + 1 >= context.route.max_attempts
+            or context.deadline - now < MIN_ATTEMPT_S
+            or not self._gateway.budget.has_room(context.service)
         ):
             return False
-        if self._gateway.table.is_unreachable(self._choice.upstream_id, now):
-            # No response can arrive; loading the adapter on another upstream takes less time.
-            return True
-        if view.is_stalled(now) and now - view.last_received_at > FAIL_OVER_SILENCE_S:
-            return True
-        tried = {*self._context.progress.tried, view.upstream.upstream_id}
-        target = self._request_info.target
+        tried = {*context.progress.tried, self._upstream.upstream_id}
         min_version = self._gateway.required_version(target)
-        choice = self._gateway.table.choose(self._context.service, target, min_version, now, tried)
-        return isinstance(choice, SendNow) or not view.is_stalled(now)
+        choice = self._gateway.table.choose_again(context.service, target, min_version, now, tried)
+        if isinstance(choice, WaitFor) and target is not None:
+            self._gateway.request_load(choice.upstream_id, target)
+        return isinstance(choice, SendNow) or self._can_reconnect(now)
+
+    def _can_reconnect(self, now: float) -> bool:
+        """Return whether only this request's connection may be silent.
+
+        Nothing else depends on the upstream, so a new connection tells whether it still responds.
+        """
+        view, target = self._view, self._request_info.target
+        return (
+            view.in_flight == 1
+            and now - view.last_received_at > RECONNECT_SILENCE_S
+            and view.accepts_work(now)
+            and not view.is_heartbeat_overdue(now)
+            and (target is None or target in view.resident)
+        )
 
     async def _handle_response(self, exchange: Exchange, head: Head) -> Outcome:
         choice = self._choice
--- a/src/dragonflyhold/gateway/copies.py
+++ b/src/dragonflyhold/gateway/copies.py
@@ -40,12 +40,18 @@
             return None
         return self._table.choose_replica_upstream(service, target, holder, time.monotonic())
 
-    async def request_replica(self, upstream_id: UpstreamId, target: ModelAdapter) -> None:
+    def is_requested(self, target: ModelAdapter) -> bool:
+        """Return whether a replica of an adapter is requested now."""
+        return target in self._requested
+
+    async def request_replica(
+        self, upstream_id: UpstreamId, target: ModelAdapter, utility: float = REPLICA_UTILITY
+    ) -> None:
         """Request a replica from an upstream's agent until it is resident or the time is up."""
         self._requested.add(target)
         self._log.info("A replica was requested.", adapter=target.adapter, runner=upstream_id)
         until = time.monotonic() + REPLICA_WAIT_S
-        waiter = Waiter(target, upstream_id, REPLICA_UTILITY, until, asyncio.Event())
+        waiter = Waiter(target, upstream_id, utility, until, asyncio.Event())
         self._demands.add_waiter(waiter)
         try:
             while time.monotonic() < until:
--- a/src/dragonflyhold/gateway/dispatch.py
+++ b/src/dragonflyhold/gateway/dispatch.py
@@ -191,15 +191,6 @@
             return False
         return view.liveness.is_unreachable(now) and self._hears_others(now)
 
-    def is_lost(self, upstream_id: UpstreamId, now: float) -> bool:
-        """Return whether a VM has been unreachable for too long to wait for its responses."""
-        view = self.views.get(upstream_id)
-        return (
-            self.is_unreachable(upstream_id, now)
-            and view is not None
-            and view.liveness.is_lost(now)
-        )
-
     def choose(
         self,
         service: ServiceName,
@@ -236,6 +227,23 @@
         best = _cheapest(rank(loadable, target, MAX_LOAD_CANDIDATES))
         return WaitFor(best.upstream.upstream_id)
 
+    def choose_again(
+        self,
+        service: ServiceName,
+        target: ModelAdapter | None,
+        min_version: Version,
+        now: float,
+        tried: Collection[UpstreamId],
+    ) -> Choice:
+        """Choose an upstream; use one that was tried only if no other can start at once."""
+        # Once all upstreams have been tried, any may be tried again.
+        excluded = tried if len(tried) < self.count_of_service(service) else ()
+        choice = self.choose(service, target, min_version, now, excluded)
+        if isinstance(choice, SendNow) or not tried:
+            return choice
+        again = self.choose(service, target, min_version, now)
+        return again if isinstance(again, SendNow) else choice
+
     def _next_permit_at(
         self, service: ServiceName, now: float, excluded: Collection[UpstreamId]
     ) -> float | None:
--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -45,6 +45,8 @@
 RETRY_JITTER_S = 0.5
 # Weight of the newest request in the moving average of a route's request sizes.
 SIZE_WEIGHT = 0.02
+# Utility of loading an adapter whose engine is silent: that of a request of mean size.
+LOAD_UTILITY = 1.0
 # Engines support 10 urgency levels, 0 to 9.
 MAX_URGENCY = 9
 # Cost of an output token relative to a prompt token, as in the platform's price list.
@@ -304,6 +306,11 @@
             if upstream_id is not None:
                 self._spawn(self._replica_requests.request_replica(upstream_id, target))
 
+    def request_load(self, upstream_id: UpstreamId, target: ModelAdapter) -> None:
+        """Ask for an adapter on another upstream, to which requests of a silent one may move."""
+        if not self._replica_requests.is_requested(target):
+            self._spawn(self._replica_requests.request_replica(upstream_id, target, LOAD_UTILITY))
+
     def note_started(self, upstream_id: UpstreamId, target: ModelAdapter | None) -> None:
         """Count a request that is sent to an upstream."""
         self.table.request_started(upstream_id, time.monotonic())
--- a/src/dragonflyhold/gateway/liveness.py
+++ b/src/dragonflyhold/gateway/liveness.py
@@ -17,9 +17,6 @@
 # which it counts as unreachable. The latter is longer than an engine step with a prompt chunk.
 OVERDUE_S = 0.145
 UNREACHABLE_S = 0.375
-# Silence after which a request that cannot be sent again no longer waits for an unreachable VM.
-# Clients give up a silent stream after two seconds at the earliest.
-LOST_S = 1.2
 
 
 @final
@@ -52,10 +49,6 @@
         """Return whether a message is missing for so long that no response will arrive."""
         return self._missing_s(now) > UNREACHABLE_S
 
-    def is_lost(self, now: float) -> bool:
-        """Return whether the VM has been unreachable for so long that waiting is of no use."""
-        return self.is_unreachable(now) and now - self.heard_at > LOST_S
-
     def _missing_s(self, now: float) -> float:
         due = self.heard_at + self.gap_s
         if self.pinged_at is not None:
--- a/src/dragonflyhold/gateway/request.py
+++ b/src/dragonflyhold/gateway/request.py
@@ -6,7 +6,7 @@
 
 from dragonflyhold.gateway.attempt import CHECK_PERIOD_S, MIN_ATTEMPT_S, Attempt, RequestContext
 from dragonflyhold.gateway.crash_evidence import compute_traits
-from dragonflyhold.gateway.dispatch import Choice, NoUpstream, SendNow, WaitFor
+from dragonflyhold.gateway.dispatch import NoUpstream, SendNow, WaitFor
 from dragonflyhold.gateway.events import EventSplitter
 from dragonflyhold.gateway.http_server import ClientRequest, Responder
 from dragonflyhold.gateway.model import RequestInfo, RetrySafety, Route, UpstreamId
@@ -22,7 +22,7 @@
 from dragonflyhold.gateway.tasks import limit_time
 from dragonflyhold.gateway.upstream_view import UpstreamView
 from dragonflyhold.gateway.waiting import Waiter
-from dragonflyhold.ids import ServiceName, Version
+from dragonflyhold.ids import ServiceName
 
 if TYPE_CHECKING:
     from dragonflyhold.gateway.gateway import Gateway
@@ -127,7 +127,8 @@
             if self._deadline - now < MIN_ATTEMPT_S:
                 raise self._terminal_error(Reason.TIMEOUT)
             min_version = gateway.required_version(target)
-            match self._choose(min_version, now):
+            table, tried = gateway.table, self.progress.tried
+            match table.choose_again(self._service, target, min_version, now, tried):
                 case SendNow() as choice:
                     gateway.request_replica_if_overloaded(self._service, target, choice.upstream_id)
                     if await self._acquire_permit(choice):
@@ -161,20 +162,6 @@
             target is None or target in view.resident
         )
 
-    def _choose(self, min_version: Version, now: float) -> Choice:
-        """Choose an upstream; use one that was tried only if no other can start at once."""
-        table, target = self._gateway.table, self._request_info.target
-        choice = table.choose(self._service, target, min_version, now, self._excluded())
-        if isinstance(choice, SendNow) or not self.progress.tried:
-            return choice
-        again = table.choose(self._service, target, min_version, now)
-        return again if isinstance(again, SendNow) else choice
-
-    def _excluded(self) -> set[UpstreamId]:
-        known = self._gateway.table.count_of_service(self._service)
-        # Once all upstreams have been tried, any may be tried again.
-        return self.progress.tried if len(self.progress.tried) < known else set()
-
     async def _wait_for(self, upstream_id: UpstreamId, now: float) -> None:
         target = self._request_info.target
         assert target is not None
--- a/src/dragonflyhold/gateway/upstream_view.py
+++ b/src/dragonflyhold/gateway/upstream_view.py
@@ -116,6 +116,10 @@
 
     def is_usable(self, now: float) -> bool:
         """Return whether the upstream may get new requests as far as its limit allows."""
+        return self.accepts_work(now) and not self.is_stalled(now)
+
+    def accepts_work(self, now: float) -> bool:
+        """Return whether the upstream is usable unless its responses have stalled."""
         return (
             self.upstream.state is RegistrationState.READY
             and self.has_model
@@ -123,7 +127,6 @@
             and not self.is_draining
             and now >= self.suspended_until
             and (self.is_linked or now >= self.agent_awaited_until)
-            and not self.is_stalled(now)
         )
 
     def is_limited(self, now: float) -> bool:
