Log the era that the store states and the rows that are ignored as old

After a drill all processes read the tables again, and no line told what the reads brought or why a confirmed change was dropped. A new era of the store is now a warning and counts as store_era_changed; a read with rows whose versions are below the known ones is a line with both versions. With them the hypotheses on restored stores can be told apart.

--- a/src/dragonflyhold/gateway/watch.py
+++ b/src/dragonflyhold/gateway/watch.py
@@ -27,6 +27,8 @@
 # interval between two restarts.
 HINT_DELAY_S = 0.15
 MIN_RESTART_S = 1.0
+# Ignored rows of one read that are logged with their versions.
+MAX_LOGGED_ROWS = 8
 # Delay after a failed call: doubles up to the maximum, with jitter.
 MIN_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 0.5
@@ -155,8 +157,7 @@
 
         A key that the read lacks was removed, unless its last change is newer than the read.
         """
-        for row in rows.rows:
-            self._apply(row)
+        self._apply_all(rows)
         present = {row.key for row in rows.rows}
         for key, state in list(self._key_states.items()):
             if key not in present and not state.removed and state.version <= rows.version:
@@ -176,9 +177,28 @@
 
     def apply_changes(self, rows: RowSet) -> None:
         """Apply changes from the feed."""
+        self._apply_all(rows)
+        self._version = max(rows.version, self._version or 0)
+
+    def _apply_all(self, rows: RowSet) -> None:
+        older = [row for row in rows.rows if self._is_older(row)]
         for row in rows.rows:
             self._apply(row)
-        self._version = max(rows.version, self._version or 0)
+        if older:
+            self._log.info(
+                "Rows older than the known ones were ignored.",
+                table=self.table,
+                rows={row.key: row.version for row in older[:MAX_LOGGED_ROWS]},
+                known={
+                    row.key: self._key_states[row.key].version for row in older[:MAX_LOGGED_ROWS]
+                },
+                count=len(older),
+                position=rows.version,
+            )
+
+    def _is_older(self, row: StoredRow) -> bool:
+        state = self._key_states.get(row.key)
+        return state is not None and row.version < state.version
 
     def _apply(self, row: StoredRow) -> None:
         state = self._key_states.get(row.key)
--- a/src/dragonflyhold/platform/store.py
+++ b/src/dragonflyhold/platform/store.py
@@ -12,8 +12,9 @@
 
 from dragonflyhold.errors import DragonflyholdError, PlatformUnavailableError
 from dragonflyhold.gateway.connection_pool import ConnectionPool
-from dragonflyhold.gateway.http_client import Call, ExchangeError
+from dragonflyhold.gateway.http_client import Call, ExchangeError, Head
 from dragonflyhold.gateway.limits import MAX_STORE_BYTES
+from dragonflyhold.gateway.logs import JsonLogger
 from dragonflyhold.gateway.model import Address
 from dragonflyhold.gateway.tasks import limit_time
 
@@ -28,6 +29,13 @@
 # The registry of upstreams; the platform calls them servers.
 REGISTRY_TABLE = "servers"
 
+# Header of all responses; the number rises by one each time that the store comes back from a copy
+# some seconds old, after which row versions are given out again.
+ERA_HEADER = b"store-era"
+# Era of a store that does not state one.
+FIRST_ERA = 0
+MAX_ERA_DIGITS = 9
+
 # Calls whose latency is recorded. Calls to the feed are left out, as they wait for changes.
 _OBSERVED_CALLS = {"/rows-get": "read", "/rows-tx": "write"}
 
@@ -72,6 +80,9 @@
         observe: Callable[[str, float], None] = lambda kind, seconds: None,
     ) -> None:
         self.address = address
+        # Newest era that a response stated.
+        self.era = FIRST_ERA
+        self._log = JsonLogger("store")
         self._pool = pool
         self._count = count
         self._observe = observe
@@ -128,6 +139,13 @@
         status, _ = await self._call("POST", "/rows-tx", orjson.dumps(body))
         _check_status(status, 200, table)
 
+    def _note_era(self, head: Head) -> None:
+        era = _decode_era(head)
+        if era is not None and era > self.era:
+            self._log.warning("The store states a new era.", era=era, before=self.era)
+            self._count("store_era_changed")
+            self.era = era
+
     async def _call(
         self, method: str, target: str, body: bytes = b"", wait_s: float = 0.0
     ) -> tuple[int, dict[str, Any]]:
@@ -149,6 +167,7 @@
             kind = _OBSERVED_CALLS.get(target.partition("?")[0])
             if kind is not None:
                 self._observe(kind, time.monotonic() - started)
+        self._note_era(head)
         self._count(f"store_call_{head.status}")
         if head.status in (429, 503) or head.status >= 500:
             raise PlatformUnavailableError(
@@ -175,6 +194,11 @@
     return version
 
 
+def _decode_era(head: Head) -> int | None:
+    value = head.fields.get(ERA_HEADER, b"")
+    return int(value) if value.isdigit() and len(value) <= MAX_ERA_DIGITS else None
+
+
 def _decode_rows(fields: dict[str, Any]) -> RowSet:
     try:
         rows = [
