Compare rows across a restore of the store by era and content, not by version

After a drill, in which the store comes back from a copy some seconds old, a change that was confirmed was in force nowhere: clients got 404 for routes that had been added, or were served by the old service (CONFIG, DENIED). The store gives lost versions out again. Gateways and agents ignored each row whose version was not above the one that they knew of its key, and went on with a feed at a position that existed again.

A position is now the store's era, which all its responses state, and a version; positions of a later era are later. A response of a later era ends all feeds, and the whole tables are read again; a feed that is answered by another era than it began in counts as truncated, and responses of an earlier era are not used. What a read after a restore says of a known key may be older than what is known. The contents decide then: versions of the operator's rows; start time, sequence and state of an upstream's entry.

Rows are kept in a module of their own without I/O.

--- a/src/dragonflyhold/gateway/agent.py
+++ b/src/dragonflyhold/gateway/agent.py
@@ -27,6 +27,7 @@
 from dragonflyhold.gateway.messages import (
     CRASH_PROTOCOL,
     LIMIT_PROTOCOL,
+    NO_CHANGE,
     PROTOCOL_VERSION,
     AdapterDemand,
     AgentHeartbeat,
@@ -64,7 +65,7 @@
 from dragonflyhold.ids import ServiceName
 from dragonflyhold.observability.metrics import Metrics
 from dragonflyhold.platform.engine import EngineControl, EngineUnavailableError
-from dragonflyhold.platform.store import MetadataStore
+from dragonflyhold.platform.store import MetadataStore, StorePosition
 from dragonflyhold.popularity import Popularity
 
 # Interval between reads of the engine's state while nothing is in progress.
@@ -258,11 +259,15 @@
             running=report.running if report is not None else None,
             waiting=report.waiting + len(self._starts) if report is not None else None,
             is_paced=self._starts.monitor.is_critical(time.monotonic()),
-            change=self.operator_watch.last_change if self.operator_watch is not None else 0,
+            change=self._known_change(),
             gateways=len(self._demands),
             protocol=PROTOCOL_VERSION,
         )
 
+    def _known_change(self) -> StorePosition:
+        watch = self.operator_watch
+        return watch.table_rows.last_change if watch is not None else NO_CHANGE
+
     def close(self) -> None:
         """Close all links."""
         self._starts.close()
--- a/src/dragonflyhold/gateway/catalogue.py
+++ b/src/dragonflyhold/gateway/catalogue.py
@@ -78,11 +78,12 @@
     def _apply_configuration(self, configuration: Configuration, row_version: int) -> None:
         old = self.configuration
         if old is not None and configuration.version <= old.version:
-            self._log.warning(
-                "An older configuration was ignored.",
-                version=configuration.version,
-                in_force=old.version,
-            )
+            if configuration.version < old.version:
+                self._log.warning(
+                    "An older configuration was ignored.",
+                    version=configuration.version,
+                    in_force=old.version,
+                )
             return
         self.configuration = configuration
         self._log.info(
--- a/src/dragonflyhold/gateway/daemon.py
+++ b/src/dragonflyhold/gateway/daemon.py
@@ -23,10 +23,12 @@
 from dragonflyhold.gateway.peers import PeerSnapshots
 from dragonflyhold.gateway.registry import EXPIRY_GRACE_S
 from dragonflyhold.gateway.shutdown import PlannedStop
+from dragonflyhold.gateway.table_rows import TableRules
 from dragonflyhold.gateway.tasks import supervise
 from dragonflyhold.gateway.watch import LONG_FEED_WAIT_S, TableWatch
 from dragonflyhold.ids import ServiceName
 from dragonflyhold.observability.metrics import Metrics
+from dragonflyhold.platform.codec import operator_row_order, registry_row_order
 from dragonflyhold.platform.engine import HttpEngineControl
 from dragonflyhold.platform.settings import PATH_VARIABLE, DaemonSettings, load_settings
 from dragonflyhold.platform.store import OPERATOR_TABLE, REGISTRY_TABLE, MetadataStore
@@ -39,6 +41,9 @@
 GATEWAY_METRICS_PORT = 9464
 AGENT_METRICS_PORT = 9465
 HOUSEKEEPING_PERIOD_S = 0.25
+# The operator's rows are replaced, never removed; upstreams leave.
+OPERATOR_RULES = TableRules(operator_row_order, rows_stay=True)
+REGISTRY_RULES = TableRules(registry_row_order)
 # Interval at which crash records are compared with those of an agent.
 CRASH_COMPARISON_S = 1.0
 # Interval at which an agent repeats the limits of upstreams to all gateways.
@@ -122,6 +127,7 @@
             OPERATOR_TABLE,
             self.gateway.catalogue.apply,
             wait_s=LONG_FEED_WAIT_S,
+            rules=OPERATOR_RULES,
         )
         self.gateway.agent_links.operator_watch = self._operator_watch
         self._registry_watch = TableWatch(
@@ -131,7 +137,9 @@
             REGISTRY_PAUSE_SHARE * self._settings.bounds.drain_s,
             # The long call of the other watch may have been lost in the outage.
             on_recovered=self._operator_watch.restart,
+            rules=REGISTRY_RULES,
         )
+        self._store.subscribe_restored(self._note_restored)
         self._crash_archive = CrashArchive(self._store, self.gateway.crashes)
         self._ready_server = HttpServer(self._serve_readiness, IngressLimits())
         self._peer_snapshots = PeerSnapshots(
@@ -247,6 +255,12 @@
             self._update_metrics(now)
             self._reload(force=False)
 
+    def _note_restored(self) -> None:
+        # Entries may be missing because the store has lost them.
+        self.gateway.is_store_stable = False
+        self._operator_watch.note_restored()
+        self._registry_watch.note_restored()
+
     def _refresh_quarantine(self) -> None:
         added, removed = self.gateway.quarantine.refresh()
         for trait in added:
@@ -310,8 +324,13 @@
             on_version=lambda key, version: self._agent.request_replan(),
         )
         self._operator_watch = TableWatch(
-            self._store, OPERATOR_TABLE, self._catalogue.apply, wait_s=LONG_FEED_WAIT_S
+            self._store,
+            OPERATOR_TABLE,
+            self._catalogue.apply,
+            wait_s=LONG_FEED_WAIT_S,
+            rules=OPERATOR_RULES,
         )
+        self._store.subscribe_restored(self._operator_watch.note_restored)
         assert settings.engine is not None
         engine = HttpEngineControl(settings.engine, settings.vm, pool)
         service = ServiceName(settings.service) if settings.service else None
--- a/src/dragonflyhold/gateway/engines.py
+++ b/src/dragonflyhold/gateway/engines.py
@@ -18,6 +18,7 @@
 from dragonflyhold.gateway.messages import (
     CRASH_PROTOCOL,
     LIMIT_PROTOCOL,
+    NO_CHANGE,
     AgentHeartbeat,
     CrashDigest,
     CrashUpdate,
@@ -43,6 +44,7 @@
 from dragonflyhold.gateway.watch import TableWatch
 from dragonflyhold.hashing import combine, hash64
 from dragonflyhold.ids import ServiceName, Version
+from dragonflyhold.platform.store import StorePosition
 
 # Number of agents that forward a crash record, so that the loss of one does no harm.
 CRASH_RELAYS = 3
@@ -308,8 +310,9 @@
         if agent is not None and agent.link is not None and self._current_view(agent) is view:
             agent.link.send(dataclasses.replace(update, change=self._known_change()))
 
-    def _known_change(self) -> int:
-        return self.operator_watch.last_change if self.operator_watch is not None else 0
+    def _known_change(self) -> StorePosition:
+        watch = self.operator_watch
+        return watch.table_rows.last_change if watch is not None else NO_CHANGE
 
     def _send_to_agent(self, upstream_id: UpstreamId, message: StartRequest | LateStream) -> None:
         view = self._table.views.get(upstream_id)
--- a/src/dragonflyhold/gateway/fencing.py
+++ b/src/dragonflyhold/gateway/fencing.py
@@ -33,9 +33,10 @@
             if self.value is not None:
                 return True
             try:
-                self.value = await self._store.write(
+                position = await self._store.write(
                     FENCE_TABLE, self._holder, orjson.dumps({"holder": self._holder}), part
                 )
+                self.value = position.version
                 self._log.info("A fencing token was acquired.", token=self.value, store_part=part)
             except PlatformUnavailableError as error:
                 self._log.warning("No fencing token was issued.", store_part=part, error=str(error))
--- a/src/dragonflyhold/gateway/messages.py
+++ b/src/dragonflyhold/gateway/messages.py
@@ -17,6 +17,7 @@
 from dragonflyhold.errors import DragonflyholdError
 from dragonflyhold.gateway.model import ModelAdapter, ModelName, UpstreamId
 from dragonflyhold.ids import AdapterName, Version
+from dragonflyhold.platform.store import FIRST_ERA, StorePosition
 
 _TAG_DEMAND, _TAG_ENGINE, _TAG_SUSPECTS, _TAG_AGENT_HEARTBEAT = 1, 2, 3, 4
 _TAG_START, _TAG_GRANT, _TAG_LATE, _TAG_CRASHES, _TAG_CRASH_DIGEST = 5, 6, 7, 8, 9
@@ -30,6 +31,7 @@
 # Protocol versions from which on a peer understands crash records, and limits of upstreams.
 CRASH_PROTOCOL = 3
 LIMIT_PROTOCOL = 4
+NO_CHANGE = StorePosition(FIRST_ERA, 0)
 
 
 class MessageError(DragonflyholdError):
@@ -63,8 +65,8 @@
     # Whether the agent should answer with a heartbeat at once.
     is_ping: bool = False
     protocol: int = PROTOCOL_VERSION
-    # Version of the newest change of the operator's table that the gateway knows.
-    change: int = 0
+    # Position of the newest change of the operator's table that the gateway knows.
+    change: StorePosition = NO_CHANGE
 
 
 @final
@@ -117,8 +119,8 @@
     waiting: int | None = None
     # Whether gateways must ask for the start of each stream.
     is_paced: bool = False
-    # Version of the newest change of the operator's table that the agent knows.
-    change: int = 0
+    # Position of the newest change of the operator's table that the agent knows.
+    change: StorePosition = NO_CHANGE
     # Number of connected gateways.
     gateways: int = 0
     protocol: int = 1
@@ -268,7 +270,14 @@
                 (*d.key, d.version, d.waiting, round(d.utility, 2), d.running, d.started, d.slack_s)
                 for d in demands
             ]
-            fields: tuple[Any, ...] = (_TAG_DEMAND, rows, protocol, is_ping, change)
+            fields: tuple[Any, ...] = (
+                _TAG_DEMAND,
+                rows,
+                protocol,
+                is_ping,
+                change.version,
+                change.era,
+            )
         case EngineUpdate():
             fields = (
                 _TAG_ENGINE,
@@ -293,9 +302,10 @@
                 message.running,
                 message.waiting,
                 message.is_paced,
-                message.change,
+                message.change.version,
                 message.gateways,
                 message.protocol,
+                message.change.era,
             )
         case StartRequest():
             fields = (
@@ -395,11 +405,17 @@
 
 
 def _decode_demands(
-    rows: Sequence[Any], protocol: int = 1, is_ping: bool = False, change: int = 0, *later: Any
+    rows: Sequence[Any],
+    protocol: int = 1,
+    is_ping: bool = False,
+    change: int = 0,
+    era: int = FIRST_ERA,
+    *later: Any,
 ) -> DemandUpdate:
     del later
     demands = [_decode_demand(row) for row in rows]
-    return DemandUpdate(demands, bool(is_ping), int(protocol), int(change))
+    position = StorePosition(int(era), int(change))
+    return DemandUpdate(demands, bool(is_ping), int(protocol), position)
 
 
 def _decode_heartbeat(
@@ -410,12 +426,12 @@
     change: int = 0,
     gateways: int = 0,
     protocol: int = 1,
+    era: int = FIRST_ERA,
     *later: Any,
 ) -> AgentHeartbeat:
     del later
-    return AgentHeartbeat(
-        gap_s, running, waiting, is_paced, int(change), int(gateways), int(protocol)
-    )
+    position = StorePosition(int(era), int(change))
+    return AgentHeartbeat(gap_s, running, waiting, is_paced, position, int(gateways), int(protocol))
 
 
 def _decode_bytes(value: Any) -> bytes:
--- a/src/dragonflyhold/gateway/peers.py
+++ b/src/dragonflyhold/gateway/peers.py
@@ -4,7 +4,7 @@
 import random
 import time
 from collections.abc import Sequence
-from typing import final
+from typing import Any, final
 
 import msgpack
 
@@ -17,7 +17,7 @@
 from dragonflyhold.gateway.model import Address
 from dragonflyhold.gateway.tasks import limit_time
 from dragonflyhold.gateway.watch import TableWatch
-from dragonflyhold.platform.store import StoredRow
+from dragonflyhold.platform.store import FIRST_ERA, StoredRow
 
 SNAPSHOT_TARGET = b"/snapshot"
 # Time to wait for the store before peers are queried, and the delay between two rounds of queries.
@@ -26,6 +26,11 @@
 FETCH_TIMEOUT_S = 1.0
 
 
+# Tables of a snapshot that hold the eras of the rows of another one, in place of their versions. An
+# earlier build ignores tables that it does not know.
+ERA_SUFFIX = "@era"
+
+
 class PeerError(DragonflyholdError):
     """A peer returned no usable snapshot."""
 
@@ -45,10 +50,14 @@
             responder.send(404, [])
             return
         tables = {
-            name: [(row.key, row.version, row.value) for row in watch.rows.values()]
+            name: [(row.key, row.version, row.value) for row in watch.table_rows.rows.values()]
+            for name, watch in self._watches.items()
+        }
+        eras = {
+            name + ERA_SUFFIX: [(row.key, row.era, b"") for row in watch.table_rows.rows.values()]
             for name, watch in self._watches.items()
         }
-        responder.send(200, [], msgpack.packb(tables))
+        responder.send(200, [], msgpack.packb({**tables, **eras}))
 
     async def fetch_from_seeds(self, seeds: Sequence[Address]) -> None:
         """Query seeds until all tables are read from the store or a seed has returned rows."""
@@ -63,7 +72,7 @@
                     )
                     continue
                 for name, watch in self._watches.items():
-                    watch.apply_peer_rows(tables.get(name, []))
+                    watch.table_rows.apply_peer_rows(tables.get(name, []))
                 rows = sum(len(table) for table in tables.values())
                 self._log.info("A snapshot was fetched from a seed.", seed=seed, rows=rows)
                 if rows:
@@ -82,13 +91,18 @@
             if head.status != 200:
                 raise PeerError(f"unexpected status {head.status}")
             tables = msgpack.unpackb(data)
-            return {
-                name: [StoredRow(key, version, value) for key, version, value in rows]
-                for name, rows in tables.items()
-            }
+            return {name: _decode_table(tables, name) for name in self._watches}
         except (ExchangeError, TimeoutError, ValueError, TypeError, AttributeError) as error:
             elapsed = time.monotonic() - started
             raise PeerError(f"{error!r} after {elapsed:.3f} s") from error
         finally:
             if exchange is not None:
                 self._pool.release(seed, exchange)
+
+
+def _decode_table(tables: dict[str, Any], name: str) -> list[StoredRow]:
+    eras = {key: int(era) for key, era, _ in tables.get(name + ERA_SUFFIX, [])}
+    return [
+        StoredRow(key, version, value, era=eras.get(key, FIRST_ERA))
+        for key, version, value in tables.get(name, [])
+    ]
--- a/src/dragonflyhold/gateway/watch.py
+++ b/src/dragonflyhold/gateway/watch.py
@@ -1,19 +1,23 @@
 """Watches one table of the metadata store and keeps a local copy of its rows.
 
-Each key is kept with the version of its last change, so that a stale read never reverts a newer
-change. The rows are kept during an outage; ``unavailable_since`` is the time at which it began.
+The rows are kept during an outage; ``unavailable_since`` is the time at which it began.
 """
 
 import asyncio
-import dataclasses
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import final
 
 from dragonflyhold.errors import PlatformUnavailableError
 from dragonflyhold.gateway.clock import monotonic_now
 from dragonflyhold.gateway.logs import JsonLogger
-from dragonflyhold.platform.store import HistoryTruncatedError, MetadataStore, RowSet, StoredRow
+from dragonflyhold.gateway.table_rows import NO_RULES, TableRows, TableRules
+from dragonflyhold.platform.store import (
+    HistoryTruncatedError,
+    MetadataStore,
+    StoredRow,
+    StorePosition,
+)
 
 # Longest wait for a change in one call, for a watch that nothing else tells of silent connections.
 # Together with the response timeout it stays below the 3 s after which a VM whose connections fell
@@ -27,23 +31,14 @@
 # interval between two restarts.
 HINT_DELAY_S = 0.15
 MIN_RESTART_S = 1.0
-# Ignored rows of one read that are logged with their versions.
-MAX_LOGGED_ROWS = 8
 # Delay after a failed call: doubles up to the maximum, with jitter.
 MIN_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 0.5
 
 
-@final
-@dataclasses.dataclass(slots=True)
-class _KeyState:
-    version: int
-    removed: bool
-
-
 @final
 class TableWatch:
-    """Delivers each change of a table once, ordered by version for each key."""
+    """Reads a table and its changes; ``table_rows`` delivers each change once."""
 
     def __init__(
         self,
@@ -54,23 +49,19 @@
         clock: Callable[[], float] = monotonic_now,
         wait_s: float = FEED_WAIT_S,
         on_recovered: Callable[[], None] = lambda: None,
+        rules: TableRules = NO_RULES,
     ) -> None:
         self.table = table
-        # Highest version of a change that was applied.
-        self.last_change = 0
         self.has_read = False
         # Monotonic time since which no call has succeeded, ``None`` while the store is available.
         self.unavailable_since: float | None = clock()
         self.available_since = clock()
-        self.rows: dict[str, StoredRow] = {}
+        self.table_rows = TableRows(table, on_change, rules, clock)
         self._store = store
-        self._on_change = on_change
         self._pause_s = pause_s
         self._wait_s = wait_s
         self._on_recovered = on_recovered
         self._clock = clock
-        self._key_states: dict[str, _KeyState] = {}
-        self._version: int | None = None
         self._backoff_s = MIN_BACKOFF_S
         self._read: asyncio.Task[None] | None = None
         self._is_restarting = False
@@ -78,7 +69,14 @@
         self._is_hint_pending = False
         self._log = JsonLogger("store")
 
-    def note_hint(self, change: int) -> None:
+    def note_restored(self) -> None:
+        """Read the whole table again: the store was restored, and its versions start anew."""
+        self.available_since = self._clock()
+        self.table_rows.position = None
+        if self._read is not None and self._read is not asyncio.current_task():
+            self._cancel_read()
+
+    def note_hint(self, change: StorePosition) -> None:
         """Restart the read soon if a peer knows of a change that this watch lacks.
 
         The connection of the pending call may have fallen silent.
@@ -90,22 +88,27 @@
 
     def restart(self) -> None:
         """Give up the pending call and read again on another connection."""
-        if self._read is not None and self._version is not None:
-            self._is_restarting = True
-            self._restarted_at = self._clock()
-            self._read.cancel()
+        if self._read is not None and self.table_rows.position is not None:
+            self._cancel_read()
+
+    def _cancel_read(self) -> None:
+        assert self._read is not None
+        self._is_restarting = True
+        self._restarted_at = self._clock()
+        self._read.cancel()
 
-    def _lacks(self, change: int) -> bool:
-        return self._version is not None and change > max(self._version, self.last_change)
+    def _lacks(self, change: StorePosition) -> bool:
+        position = self.table_rows.position
+        return position is not None and change > max(position, self.table_rows.last_change)
 
-    def _check_hint(self, change: int) -> None:
+    def _check_hint(self, change: StorePosition) -> None:
         self._is_hint_pending = False
         if self._lacks(change) and self._clock() - self._restarted_at >= MIN_RESTART_S:
             self._log.warning(
                 "A peer knows of a later change; the table is read again.",
                 table=self.table,
                 change=change,
-                position=self._version,
+                position=self.table_rows.position,
             )
             self.restart()
 
@@ -120,7 +123,7 @@
                     table=self.table,
                     error=str(error),
                 )
-                self._version = None
+                self.table_rows.position = None
             except PlatformUnavailableError as error:
                 self._note_unavailable(error)
                 await asyncio.sleep(self._backoff_s * random.uniform(0.5, 1.0))
@@ -141,81 +144,18 @@
             self._read = None
 
     async def _read_once(self) -> None:
-        if self._version is None:
+        position = self.table_rows.position
+        if position is None:
             rows = await self._store.read_table(self.table)
             self._note_available()
-            self.apply_snapshot(rows)
+            self.table_rows.apply_snapshot(rows)
+            self.has_read = True
         else:
             jitter = random.uniform(1 - LONG_WAIT_JITTER, 1.0)
             wait_s = self._wait_s if self._wait_s <= FEED_WAIT_S else self._wait_s * jitter
-            rows = await self._store.read_changes(self.table, self._version, wait_s)
+            rows = await self._store.read_changes(self.table, position, wait_s)
             self._note_available()
-            self.apply_changes(rows)
-
-    def apply_snapshot(self, rows: RowSet) -> None:
-        """Apply a read of the whole table.
-
-        A key that the read lacks was removed, unless its last change is newer than the read.
-        """
-        self._apply_all(rows)
-        present = {row.key for row in rows.rows}
-        for key, state in list(self._key_states.items()):
-            if key not in present and not state.removed and state.version <= rows.version:
-                self._apply(StoredRow(key, rows.version, b"", removed=True))
-        self._version = rows.version
-        self.has_read = True
-
-    def apply_peer_rows(self, rows: Iterable[StoredRow]) -> None:
-        """Apply rows that a peer has read; the store is read as well when it is available.
-
-        A row that an own read of the same or a later version lacks was removed, and is ignored.
-        """
-        position = self._version if self._version is not None else -1
-        for row in rows:
-            if row.key in self._key_states or row.version > position:
-                self._apply(row)
-
-    def apply_changes(self, rows: RowSet) -> None:
-        """Apply changes from the feed."""
-        self._apply_all(rows)
-        self._version = max(rows.version, self._version or 0)
-
-    def _apply_all(self, rows: RowSet) -> None:
-        older = [row for row in rows.rows if self._is_older(row)]
-        for row in rows.rows:
-            self._apply(row)
-        if older:
-            self._log.info(
-                "Rows older than the known ones were ignored.",
-                table=self.table,
-                rows={row.key: row.version for row in older[:MAX_LOGGED_ROWS]},
-                known={
-                    row.key: self._key_states[row.key].version for row in older[:MAX_LOGGED_ROWS]
-                },
-                count=len(older),
-                position=rows.version,
-            )
-
-    def _is_older(self, row: StoredRow) -> bool:
-        state = self._key_states.get(row.key)
-        return state is not None and row.version < state.version
-
-    def _apply(self, row: StoredRow) -> None:
-        state = self._key_states.get(row.key)
-        if state is not None and (
-            row.version < state.version
-            or (row.version == state.version and row.removed == state.removed)
-        ):
-            return
-        if state is None and row.removed:
-            return
-        self._key_states[row.key] = _KeyState(row.version, row.removed)
-        self.last_change = max(self.last_change, row.version)
-        if row.removed:
-            self.rows.pop(row.key, None)
-        else:
-            self.rows[row.key] = row
-        self._on_change(row)
+            self.table_rows.apply_changes(rows)
 
     def _note_unavailable(self, error: PlatformUnavailableError) -> None:
         if self.unavailable_since is None:
--- a/src/dragonflyhold/platform/codec.py
+++ b/src/dragonflyhold/platform/codec.py
@@ -9,6 +9,8 @@
 from collections.abc import Mapping, Sequence
 from typing import Any
 
+import orjson
+
 from dragonflyhold.gateway.http_client import Head
 from dragonflyhold.gateway.model import (
     AdapterCommand,
@@ -30,6 +32,7 @@
     UpstreamId,
 )
 from dragonflyhold.ids import AdapterName, DataCentre, ServiceName, Version
+from dragonflyhold.platform.store import StoredRow
 
 Headers = Sequence[tuple[bytes, bytes]]
 
@@ -195,6 +198,24 @@
         raise DecodeError(f"adapter version: {error!r}") from error
 
 
+def operator_row_order(row: StoredRow) -> tuple[int, ...] | None:
+    """Return a number that rises with each content of a row that the operator writes."""
+    try:
+        return (int(orjson.loads(row.value)["version"]),)
+    except (KeyError, TypeError, ValueError, OverflowError):
+        return None
+
+
+def registry_row_order(row: StoredRow) -> tuple[int, ...] | None:
+    """Return numbers that rise with each content that an upstream registers under one id."""
+    try:
+        fields = orjson.loads(row.value)
+        is_draining = fields["state"] == RegistrationState.DRAINING.value
+        return int(fields.get("born") or 0), int(fields["sequence"]), int(is_draining)
+    except (KeyError, TypeError, ValueError, OverflowError, AttributeError):
+        return None
+
+
 def _adapters(models: Sequence[Mapping[str, Any]]) -> dict[ModelAdapter, Version]:
     return {
         ModelAdapter(ModelName(model["name"]), name): version
--- a/src/dragonflyhold/platform/standins/store.py
+++ b/src/dragonflyhold/platform/standins/store.py
@@ -31,6 +31,14 @@
     version: int
 
 
+@dataclasses.dataclass(frozen=True)
+class StoreCopy:
+    """The rows of a store at one version."""
+
+    version: int
+    tables: dict[str, dict[str, _Row]]
+
+
 class StoreStandIn:
     """In-memory implementation of the store's calls that the project uses."""
 
@@ -41,6 +49,7 @@
         self.oldest_version = 0
         # Parts for which writes get 503.
         self.unavailable_parts: set[str] = set()
+        self._era = 1
         self._version = 0
         self._tables: dict[str, dict[str, _Row]] = {}
         self._changed = asyncio.Event()
@@ -53,6 +62,10 @@
         host, port = self._server._server.sockets[0].getsockname()
         return Address(f"{host}:{port}")
 
+    @property
+    def _era_header(self) -> tuple[bytes, bytes]:
+        return (b"Store-Era", b"%d" % self._era)
+
     async def start(self) -> None:
         """Start to accept connections."""
         await self._server.listen("127.0.0.1", 0)
@@ -80,6 +93,18 @@
         """Truncate the history of the change feed."""
         self.oldest_version = self._version
 
+    def copy(self) -> "StoreCopy":
+        """Return a copy of all rows, from which the store can be restored."""
+        rows = {table: dict(rows) for table, rows in self._tables.items()}
+        return StoreCopy(self._version, rows)
+
+    def restore(self, copy: "StoreCopy") -> None:
+        """Lose all that was written since a copy; reset the open connections."""
+        self._era += 1
+        self._version = copy.version
+        self._tables = {table: dict(rows) for table, rows in copy.tables.items()}
+        self.reset_connections()
+
     def _write(self, table: str, key: str, value: str | None) -> int:
         self._version += 1
         self._tables.setdefault(table, {})[key] = _Row(value, self._version)
@@ -91,7 +116,7 @@
         path, _, query = request.target.decode().partition("?")
         self.calls.append(path)
         if self.fault is StoreFault.REFUSING:
-            responder.send(503, [])
+            responder.send(503, [self._era_header])
             return
         if self.fault is StoreFault.UNRESPONSIVE:
             await asyncio.Event().wait()
@@ -107,7 +132,7 @@
                 return
             self._respond(responder, status, body)
         else:
-            responder.send(404, [])
+            responder.send(404, [self._era_header])
 
     def _read_rows(self, arguments: dict[str, str]) -> dict[str, Any]:
         rows = self._tables.get(arguments["table"], {})
@@ -120,8 +145,8 @@
 
     async def _read_feed(self, responder: Responder, arguments: dict[str, str]) -> None:
         table, after = arguments["table"], int(arguments["after"])
-        if after < self.oldest_version:
-            responder.send(410, [])
+        if after < self.oldest_version or after > self._version:
+            responder.send(410, [self._era_header])
             return
         try:
             async with asyncio.timeout(int(arguments["wait_ms"]) / 1000):
@@ -160,4 +185,5 @@
 
     def _respond(self, responder: Responder, status: int, body: dict[str, Any]) -> None:
         fields = {**body, "row_version": self._version, "now_ms": 1}
-        responder.send(status, [(b"Content-Type", b"application/json")], orjson.dumps(fields))
+        headers = [self._era_header, (b"Content-Type", b"application/json")]
+        responder.send(status, headers, orjson.dumps(fields))
--- a/src/dragonflyhold/platform/store.py
+++ b/src/dragonflyhold/platform/store.py
@@ -5,7 +5,7 @@
 import dataclasses
 import time
 from collections.abc import Callable, Sequence
-from typing import Any, final
+from typing import Any, NamedTuple, final
 from urllib.parse import urlencode
 
 import orjson
@@ -32,8 +32,9 @@
 # Header of all responses; the number rises by one each time that the store comes back from a copy
 # some seconds old, after which row versions are given out again.
 ERA_HEADER = b"store-era"
-# Era of a store that does not state one.
+# Era of a store that does not state one, and of one that was never restored.
 FIRST_ERA = 0
+ERA_OF_NEW_STORE = 1
 MAX_ERA_DIGITS = 9
 
 # Calls whose latency is recorded. Calls to the feed are left out, as they wait for changes.
@@ -42,7 +43,18 @@
 
 @final
 class HistoryTruncatedError(DragonflyholdError):
-    """Raised if the feed no longer holds all changes after the requested version."""
+    """Raised if the feed does not hold all changes after the requested position."""
+
+
+class StorePosition(NamedTuple):
+    """A moment in the store's history.
+
+    A version counts only within its era: a store that is restored from a copy begins a new era and
+    gives out again the versions that it has lost.
+    """
+
+    era: int
+    version: int
 
 
 @final
@@ -54,15 +66,35 @@
     version: int
     value: bytes
     removed: bool = False
+    era: int = FIRST_ERA
+
+    @property
+    def position(self) -> StorePosition:
+        """Return the position of the row's last change."""
+        return StorePosition(self.era, self.version)
 
 
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
 class RowSet:
-    """Rows and the version of the whole store at which they were read."""
+    """Rows and the position of the whole store at which they were read."""
 
     rows: Sequence[StoredRow]
     version: int
+    era: int = FIRST_ERA
+
+    @property
+    def position(self) -> StorePosition:
+        """Return the position at which the rows were read."""
+        return StorePosition(self.era, self.version)
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Response:
+    status: int
+    fields: dict[str, Any]
+    era: int
 
 
 @final
@@ -82,6 +114,7 @@
         self.address = address
         # Newest era that a response stated.
         self.era = FIRST_ERA
+        self._subscribers: list[Callable[[], None]] = []
         self._log = JsonLogger("store")
         self._pool = pool
         self._count = count
@@ -90,35 +123,37 @@
     async def read_table(self, table: str) -> RowSet:
         """Return all rows of a table in the part with the empty name, read page by page."""
         rows: list[StoredRow] = []
-        version: int | None = None
+        position: StorePosition | None = None
         start = ""
         while True:
             query = {"table": table, "part": "", "limit": str(PAGE_ROWS)}
             if start:
                 query["from"] = start
-            status, fields = await self._call("GET", f"/rows-get?{urlencode(query)}")
-            _check_status(status, 200, table)
-            page = _decode_rows(fields)
+            response = await self._call("GET", f"/rows-get?{urlencode(query)}")
+            _check_status(response, table)
+            page = _decode_rows(response)
+            if position is not None and page.era != position.era:
+                raise PlatformUnavailableError(f"store: {table}: restored between two pages")
             rows.extend(page.rows)
             # The feed after the first page's version covers changes made between the pages.
-            version = page.version if version is None else version
-            if not fields.get("more_pages") or not page.rows:
-                return RowSet(rows, version)
+            position = page.position if position is None else position
+            if not response.fields.get("more_pages") or not page.rows:
+                return RowSet(rows, position.version, position.era)
             start = page.rows[-1].key + "\0"
 
-    async def read_changes(self, table: str, after: int, wait_s: float) -> RowSet:
-        """Return the changes after a version; wait up to ``wait_s`` if there is none yet."""
-        query = {"table": table, "after": str(after), "wait_ms": str(int(wait_s * 1000))}
-        status, fields = await self._call("GET", f"/rows-feed?{urlencode(query)}", wait_s=wait_s)
-        if status == 410:
+    async def read_changes(self, table: str, after: StorePosition, wait_s: float) -> RowSet:
+        """Return the changes after a position; wait up to ``wait_s`` if there is none yet."""
+        query = {"table": table, "after": str(after.version), "wait_ms": str(int(wait_s * 1000))}
+        response = await self._call("GET", f"/rows-feed?{urlencode(query)}", wait_s=wait_s)
+        if response.status == 410 or response.era != after.era:
             raise HistoryTruncatedError(
-                f"store: changes of {table!r} after version {after} are truncated"
+                f"store: era {response.era} has not all changes of {table!r} after {after}"
             )
-        _check_status(status, 200, table)
-        return _decode_rows(fields)
+        _check_status(response, table)
+        return _decode_rows(response)
 
-    async def write(self, table: str, key: str, value: bytes, part: str = "") -> int:
-        """Write a row and return the version of the write, higher than any earlier version.
+    async def write(self, table: str, key: str, value: bytes, part: str = "") -> StorePosition:
+        """Write a row and return the position of the write, after any earlier position.
 
         If it raises, the write may still have taken effect.
         """
@@ -128,27 +163,44 @@
             "writes": [{**name, "value": base64.b64encode(value).decode()}],
             "remove": [],
         }
-        status, fields = await self._call("POST", "/rows-tx", orjson.dumps(body))
-        _check_status(status, 200, table)
-        return _decode_version(fields)
+        response = await self._call("POST", "/rows-tx", orjson.dumps(body))
+        _check_status(response, table)
+        return StorePosition(response.era, _decode_version(response.fields))
 
     async def remove(self, table: str, key: str) -> None:
         """Remove a row, if it exists; if it raises, the row may still have been removed."""
         row = {"table": table, "part": "", "key": key}
         body = {"expected": [], "writes": [], "remove": [row]}
-        status, _ = await self._call("POST", "/rows-tx", orjson.dumps(body))
-        _check_status(status, 200, table)
+        _check_status(await self._call("POST", "/rows-tx", orjson.dumps(body)), table)
+
+    def subscribe_restored(self, subscriber: Callable[[], None]) -> None:
+        """Call ``subscriber`` each time that a response states a later era than those before."""
+        self._subscribers.append(subscriber)
+
+    @property
+    def was_restored(self) -> bool:
+        """Whether the store has ever been restored, as far as known."""
+        return self.era > ERA_OF_NEW_STORE
 
-    def _note_era(self, head: Head) -> None:
+    def _note_era(self, head: Head) -> int:
+        """Return the era of a response; raise ``PlatformUnavailableError`` if it is over."""
         era = _decode_era(head)
-        if era is not None and era > self.era:
-            self._log.warning("The store states a new era.", era=era, before=self.era)
-            self._count("store_era_changed")
-            self.era = era
+        if era is None:
+            return self.era
+        if era < self.era:
+            raise PlatformUnavailableError(f"store: response of era {era} in era {self.era}")
+        if era > self.era:
+            before, self.era = self.era, era
+            if before != FIRST_ERA:
+                self._log.warning("The store was restored from a copy.", era=era, before=before)
+                self._count("store_restored")
+                for subscriber in self._subscribers:
+                    subscriber()
+        return era
 
     async def _call(
         self, method: str, target: str, body: bytes = b"", wait_s: float = 0.0
-    ) -> tuple[int, dict[str, Any]]:
+    ) -> _Response:
         headers = [(b"Host", self.address.encode()), (b"Content-Type", b"application/json")]
         call = Call(method.encode(), target.encode(), headers, body)
         exchange = None
@@ -167,7 +219,7 @@
             kind = _OBSERVED_CALLS.get(target.partition("?")[0])
             if kind is not None:
                 self._observe(kind, time.monotonic() - started)
-        self._note_era(head)
+        era = self._note_era(head)
         self._count(f"store_call_{head.status}")
         if head.status in (429, 503) or head.status >= 500:
             raise PlatformUnavailableError(
@@ -179,12 +231,12 @@
             raise PlatformUnavailableError(f"store: {method} {target}: {error}") from error
         if not isinstance(fields, dict):
             raise PlatformUnavailableError(f"store: {method} {target}: not an object")
-        return head.status, fields
+        return _Response(head.status, fields, era)
 
 
-def _check_status(status: int, expected: int, table: str) -> None:
-    if status != expected:
-        raise PlatformUnavailableError(f"store: {table}: unexpected status {status}")
+def _check_status(response: _Response, table: str) -> None:
+    if response.status != 200:
+        raise PlatformUnavailableError(f"store: {table}: unexpected status {response.status}")
 
 
 def _decode_version(fields: dict[str, Any]) -> int:
@@ -199,7 +251,8 @@
     return int(value) if value.isdigit() and len(value) <= MAX_ERA_DIGITS else None
 
 
-def _decode_rows(fields: dict[str, Any]) -> RowSet:
+def _decode_rows(response: _Response) -> RowSet:
+    fields, era = response.fields, response.era
     try:
         rows = [
             StoredRow(
@@ -207,9 +260,10 @@
                 version=int(row["row_version"]),
                 value=base64.b64decode(row.get("value") or "", validate=True),
                 removed=bool(row.get("removed")),
+                era=era,
             )
             for row in fields["rows"]
         ]
     except (KeyError, TypeError, ValueError, binascii.Error) as error:
         raise PlatformUnavailableError(f"store: invalid row: {error!r}") from error
-    return RowSet(rows, _decode_version(fields))
+    return RowSet(rows, _decode_version(fields), era)
--- a/tests/gateway/test_agent.py
+++ b/tests/gateway/test_agent.py
@@ -19,7 +19,7 @@
 from dragonflyhold.ids import ServiceName
 from dragonflyhold.observability.metrics import Metrics
 from dragonflyhold.platform.standins.site import ENGINE_SERVICE, configuration
-from dragonflyhold.platform.store import StoredRow
+from dragonflyhold.platform.store import StoredRow, StorePosition
 from tests.gateway.builders import MODEL, adapter, demand, report
 
 SLOTS = 3
@@ -100,9 +100,9 @@
 
 
 class _Store:
-    async def write(self, table: str, key: str, value: bytes, part: str = "") -> int:
+    async def write(self, table: str, key: str, value: bytes, part: str = "") -> StorePosition:
         del table, key, value, part
-        return 7
+        return StorePosition(1, 7)
 
 
 class _Link:
--- a/tests/gateway/test_messages.py
+++ b/tests/gateway/test_messages.py
@@ -19,6 +19,7 @@
     decode,
     encode,
 )
+from dragonflyhold.platform.store import StorePosition
 from tests.gateway.builders import demand, engine_update
 
 
@@ -85,7 +86,13 @@
         assert decode([4]) == AgentHeartbeat(None, None, None)
 
     def test_fields_of_a_later_build_are_ignored(self) -> None:
-        later = DemandUpdate([], True, PROTOCOL_VERSION + 1, change=7)
-        assert decode([1, [], PROTOCOL_VERSION + 1, True, 7, "more"]) == later
-        expected = AgentHeartbeat(0.5, 1, 2, True, 7, 60, 3)
-        assert decode([4, 0.5, 1, 2, True, 7, 60, 3, "more"]) == expected
+        change = StorePosition(2, 7)
+        later = DemandUpdate([], True, PROTOCOL_VERSION + 1, change)
+        assert decode([1, [], PROTOCOL_VERSION + 1, True, 7, 2, "more"]) == later
+        expected = AgentHeartbeat(0.5, 1, 2, True, change, 60, 3)
+        assert decode([4, 0.5, 1, 2, True, 7, 60, 3, 2, "more"]) == expected
+
+    def test_changes_of_an_earlier_build_have_no_era(self) -> None:
+        """Guards against hints that seem newer than any change after a restore of the store."""
+        assert decode([1, [], PROTOCOL_VERSION, False, 7]).change == StorePosition(0, 7)
+        assert decode([4, 0.5, 1, 2, True, 7, 60, 3]).change == StorePosition(0, 7)
--- a/tests/gateway/test_watch.py
+++ b/tests/gateway/test_watch.py
@@ -4,15 +4,17 @@
 from collections.abc import Callable
 
 from dragonflyhold.errors import PlatformUnavailableError
+from dragonflyhold.gateway.table_rows import NO_RULES, TableRows
 from dragonflyhold.gateway.watch import HINT_DELAY_S, TableWatch
-from dragonflyhold.platform.store import RowSet, StoredRow
+from dragonflyhold.platform.store import RowSet, StoredRow, StorePosition
+
+KNOWN, HINT = StorePosition(0, 5), StorePosition(0, 8)
 
 
 class _Recorder:
     def __init__(self) -> None:
-        self.rows: dict[str, int] = {}
         self.changes: list[str] = []
-        self.watch = TableWatch(None, "table", self._record)  # type: ignore[arg-type]
+        self.rows = TableRows("table", self._record, NO_RULES)
 
     def _record(self, row: StoredRow) -> None:
         self.changes.append(f"{'-' if row.removed else '+'}{row.key}@{row.version}")
@@ -27,29 +29,29 @@
 
     def test_each_change_is_delivered_once(self) -> None:
         recorder = _Recorder()
-        recorder.watch.apply_snapshot(RowSet([_row("a", 3)], 5))
-        recorder.watch.apply_changes(RowSet([_row("a", 3), _row("b", 6)], 6))
+        recorder.rows.apply_snapshot(RowSet([_row("a", 3)], 5))
+        recorder.rows.apply_changes(RowSet([_row("a", 3), _row("b", 6)], 6))
         assert recorder.changes == ["+a@3", "+b@6"]
 
     def test_stale_read_does_not_revert_newer_changes(self) -> None:
         """After its history is truncated, the store may return data that is seconds old."""
         recorder = _Recorder()
-        recorder.watch.apply_snapshot(RowSet([_row("a", 3)], 5))
-        recorder.watch.apply_changes(RowSet([_row("a", 9), _row("b", 8)], 9))
-        recorder.watch.apply_snapshot(RowSet([_row("a", 3)], 7))
+        recorder.rows.apply_snapshot(RowSet([_row("a", 3)], 5))
+        recorder.rows.apply_changes(RowSet([_row("a", 9), _row("b", 8)], 9))
+        recorder.rows.apply_snapshot(RowSet([_row("a", 3)], 7))
         assert recorder.changes == ["+a@3", "+a@9", "+b@8"]
 
     def test_key_missing_from_newer_read_is_removed(self) -> None:
         """A removal in the truncated part of the history is visible only as a missing key."""
         recorder = _Recorder()
-        recorder.watch.apply_snapshot(RowSet([_row("a", 3), _row("b", 4)], 5))
-        recorder.watch.apply_snapshot(RowSet([_row("a", 3)], 9))
+        recorder.rows.apply_snapshot(RowSet([_row("a", 3), _row("b", 4)], 5))
+        recorder.rows.apply_snapshot(RowSet([_row("a", 3)], 9))
         assert recorder.changes[-1] == "-b@9"
 
     def test_removed_key_can_be_added_again(self) -> None:
         recorder = _Recorder()
-        recorder.watch.apply_snapshot(RowSet([_row("a", 3)], 5))
-        recorder.watch.apply_changes(RowSet([_row("a", 6, removed=True), _row("a", 8)], 8))
+        recorder.rows.apply_snapshot(RowSet([_row("a", 3)], 5))
+        recorder.rows.apply_changes(RowSet([_row("a", 6, removed=True), _row("a", 8)], 8))
         assert recorder.changes == ["+a@3", "-a@6", "+a@8"]
 
     def test_peer_rows_that_an_own_read_lacks_are_ignored(self) -> None:
@@ -59,19 +61,19 @@
         after the gateway's own first read.
         """
         recorder = _Recorder()
-        recorder.watch.apply_snapshot(RowSet([_row("a", 3)], 9))
-        recorder.watch.apply_peer_rows([_row("left", 5), _row("a", 3), _row("joined", 12)])
+        recorder.rows.apply_snapshot(RowSet([_row("a", 3)], 9))
+        recorder.rows.apply_peer_rows([_row("left", 5), _row("a", 3), _row("joined", 12)])
         assert recorder.changes == ["+a@3", "+joined@12"]
 
     def test_peer_rows_are_used_before_the_first_own_read(self) -> None:
         recorder = _Recorder()
-        recorder.watch.apply_peer_rows([_row("left", 5), _row("a", 3)])
-        recorder.watch.apply_snapshot(RowSet([_row("a", 3)], 9))
+        recorder.rows.apply_peer_rows([_row("left", 5), _row("a", 3)])
+        recorder.rows.apply_snapshot(RowSet([_row("a", 3)], 9))
         assert recorder.changes == ["+left@5", "+a@3", "-left@9"]
 
     def test_removal_of_unknown_key_is_ignored(self) -> None:
         recorder = _Recorder()
-        recorder.watch.apply_changes(RowSet([_row("a", 6, removed=True)], 6))
+        recorder.rows.apply_changes(RowSet([_row("a", 6, removed=True)], 6))
         assert recorder.changes == []
 
 
@@ -85,7 +87,7 @@
     async def read_table(self, table: str) -> RowSet:
         return RowSet([_row("a", 3)], 5)
 
-    async def read_changes(self, table: str, after: int, wait_s: float) -> RowSet:
+    async def read_changes(self, table: str, after: StorePosition, wait_s: float) -> RowSet:
         self.waits.append(wait_s)
         if self.failures:
             self.failures -= 1
@@ -112,14 +114,30 @@
         """Guards against a configuration that stays old until a long wait ends."""
         store, rows = _SilentStore(), list[StoredRow]()
         watch = TableWatch(store, "op", rows.append, wait_s=20.0)  # type: ignore[arg-type]
-        asyncio.run(_run_for(watch, HINT_DELAY_S + 0.1, lambda: watch.note_hint(8)))
+        asyncio.run(_run_for(watch, HINT_DELAY_S + 0.1, lambda: watch.note_hint(HINT)))
         assert [row.version for row in rows] == [3, 8]
-        assert watch.last_change == 8
+        assert watch.table_rows.last_change == (0, 8)
+
+    def test_a_hint_of_a_later_era_ends_the_wait_whatever_its_version(self) -> None:
+        """Guards against waits on a silent connection to a store that was restored meanwhile."""
+        store = _SilentStore()
+        watch = TableWatch(store, "op", lambda row: None, wait_s=20.0)  # type: ignore[arg-type]
+        hint = StorePosition(1, 2)
+        asyncio.run(_run_for(watch, HINT_DELAY_S + 0.1, lambda: watch.note_hint(hint)))
+        assert len(store.waits) > 1
+
+    def test_a_hint_of_an_earlier_era_is_ignored(self) -> None:
+        """Guards against calls without end because a peer knows high versions that were lost."""
+        store = _SilentStore()
+        watch = TableWatch(store, "op", lambda row: None, wait_s=20.0)  # type: ignore[arg-type]
+        hint = StorePosition(-1, 1_000_000)
+        asyncio.run(_run_for(watch, HINT_DELAY_S + 0.1, lambda: watch.note_hint(hint)))
+        assert len(store.waits) == 1
 
     def test_a_change_that_is_known_does_not_end_the_wait(self) -> None:
         store = _SilentStore()
         watch = TableWatch(store, "op", lambda row: None, wait_s=20.0)  # type: ignore[arg-type]
-        asyncio.run(_run_for(watch, HINT_DELAY_S + 0.1, lambda: watch.note_hint(5)))
+        asyncio.run(_run_for(watch, HINT_DELAY_S + 0.1, lambda: watch.note_hint(KNOWN)))
         assert len(store.waits) == 1
 
     def test_wrong_hints_do_not_cause_a_flood_of_calls(self) -> None:
@@ -130,7 +148,7 @@
             task = asyncio.ensure_future(watch.run())
             for _ in range(40):
                 await asyncio.sleep(0.02)
-                watch.note_hint(1_000_000)
+                watch.note_hint(StorePosition(0, 1_000_000))
             task.cancel()
 
         asyncio.run(scenario())
