Let fencing tokens rise over a restore of the store

An agent's token was the version of its last write to the store.

A token is now era and version in one number.

--- a/src/dragonflyhold/gateway/fencing.py
+++ b/src/dragonflyhold/gateway/fencing.py
@@ -1,4 +1,8 @@
-"""The fencing token with which an agent sends commands to its engine."""
+"""The fencing token with which an agent sends commands to its engine.
+
+A token is the position of a write to the store, as one number. It rises with each write, also after
+a restore of the store, which gives lost versions out again.
+"""
 
 from typing import final
 
@@ -11,11 +15,13 @@
 # Table, and its parts, whose row versions serve as fencing tokens.
 FENCE_TABLE = "dragonflyhold"
 FENCE_PARTS = ("", "fence-1", "fence-2", "fence-3", "fence-4", "fence-5")
+# Bits of a token for the version. JSON numbers of 53 bits leave room for 8,191 eras.
+VERSION_BITS = 40
 
 
 @final
 class FencingToken:
-    """A token from the store's monotonic version counter, acquired once per process."""
+    """A token from the store's history, acquired once per process."""
 
     def __init__(self, holder: str, store: MetadataStore) -> None:
         self.value: int | None = None
@@ -36,7 +42,7 @@
                 position = await self._store.write(
                     FENCE_TABLE, self._holder, orjson.dumps({"holder": self._holder}), part
                 )
-                self.value = position.version
+                self.value = position.era << VERSION_BITS | position.version
                 self._log.info("A fencing token was acquired.", token=self.value, store_part=part)
             except PlatformUnavailableError as error:
                 self._log.warning("No fencing token was issued.", store_part=part, error=str(error))
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -197,3 +197,28 @@
             return [known, "p9" in deployment.gateways[0].gateway.table.views]
 
         assert _run_scenario(scenario, engines=1) == [True, True]
+
+
+class TestFencingTokens:
+    """Commands of an agent that restarts after a drill."""
+
+    def test_tokens_rise_over_a_restart_after_a_drill(self) -> None:
+        """Guards against a lower token, as the store gives versions out again (ONE)."""
+
+        async def scenario(deployment: InProcessDeployment) -> list[int]:
+            engine, agent = deployment.upstreams["e0"], deployment.agents["e0"]
+            copy = deployment.store.copy()
+            await _write(deployment, LOST_WRITES)
+            for adapter in ("a1", "a2"):
+                await agent.close()
+                await deployment.start_agent("e0")
+                agent = deployment.agents["e0"]
+                await asyncio.sleep(0.5)
+                await deployment.call("/ask/1", adapter=adapter)
+                await _restore(deployment, copy, 0)
+            await deployment.call("/ask/1", adapter="a3")
+            return [command["fencing_token"] for command in engine.commands]
+
+        tokens = _run_scenario(scenario, engines=1)
+        assert tokens == sorted(tokens)
+        assert len(set(tokens)) == 2
