Write the stored crashes again after a restore of the store

The rows with the crashes that led to a refusal are written once and removed once. A store that is restored from a copy loses both: after a restart of all VMs a part that crashes engines was unknown again, or one that no longer is refused was refused.

Gateways repeat their writes and removals once the store states a new era, spread over 5 s.

Measured: test_what_a_restored_store_has_lost_is_written_again, both cases failed without the repetition (no row; a row that had been removed) and pass; tests of crashing parts, quarantine and restores: 34 passed.

--- a/src/dragonflyhold/gateway/crash_archive.py
+++ b/src/dragonflyhold/gateway/crash_archive.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import random
 import time
 from collections.abc import Awaitable, Callable
@@ -20,6 +21,10 @@
 MAX_RETRIES = 20
 # All gateways find a cause at about the same time; they write its row one after the other.
 MAX_WRITE_DELAY_S = 1.0
+# All gateways write their rows again after a restore of the store.
+MAX_REWRITE_DELAY_S = 5.0
+# Removed rows that are kept in mind for a restore.
+MAX_REMOVED = 64
 # Records of a cause that are kept, and requests of each of them.
 MAX_RECORDS = 8
 MAX_REQUESTS = 2
@@ -38,6 +43,7 @@
         self._store = store
         self._evidence = evidence
         self._wall_clock = wall_clock
+        self._removed: dict[Trait, None] = {}
         self._log = JsonLogger("quarantine")
 
     async def load(self) -> None:
@@ -57,6 +63,7 @@
 
     async def save(self, trait: Trait) -> None:
         """Write the records of a trait that is refused now."""
+        self._removed.pop(trait, None)
         await asyncio.sleep(random.uniform(0.0, MAX_WRITE_DELAY_S))
         records = [
             _shorten(record, trait)
@@ -69,8 +76,19 @@
 
     async def remove(self, trait: Trait) -> None:
         """Remove the row of a trait that is no longer refused."""
+        self._removed[trait] = None
+        if len(self._removed) > MAX_REMOVED:
+            del self._removed[next(iter(self._removed))]
         await self._retry(lambda: self._store.remove(CRASH_TABLE, trait.hex()))
 
+    async def repeat(self, refused: frozenset[Trait]) -> None:
+        """Write and remove rows again, as a restored store may have lost that."""
+        await asyncio.sleep(random.uniform(0.0, MAX_REWRITE_DELAY_S))
+        for trait in refused:
+            await self.save(trait)
+        for trait in list(self._removed):
+            await self._retry(functools.partial(self._store.remove, CRASH_TABLE, trait.hex()))
+
     async def _retry(self, call: Callable[[], Awaitable[object]]) -> None:
         for _ in range(MAX_RETRIES):
             try:
--- a/src/dragonflyhold/gateway/daemon.py
+++ b/src/dragonflyhold/gateway/daemon.py
@@ -260,6 +260,7 @@
         self.gateway.is_store_stable = False
         self._operator_watch.note_restored()
         self._registry_watch.note_restored()
+        self._write_crashes(self._crash_archive.repeat(self.gateway.quarantine.causes))
 
     def _refresh_quarantine(self) -> None:
         added, removed = self.gateway.quarantine.refresh()
--- a/src/dragonflyhold/gateway/quarantine.py
+++ b/src/dragonflyhold/gateway/quarantine.py
@@ -83,6 +83,11 @@
         """Return the number of refused traits."""
         return len(self._causes)
 
+    @property
+    def causes(self) -> frozenset[Trait]:
+        """Return the refused traits."""
+        return frozenset(self._causes)
+
     def refresh(self) -> tuple[set[Trait], set[Trait]]:
         """Judge all records anew; return the traits refused from now on, and those no longer.
 
--- a/src/dragonflyhold/platform/standins/store.py
+++ b/src/dragonflyhold/platform/standins/store.py
@@ -89,6 +89,11 @@
         """Remove a row."""
         self._write(table, key, None)
 
+    def keys(self, table: str) -> set[str]:
+        """Return the keys of a table."""
+        rows = self._tables.get(table, {})
+        return {key for key, row in rows.items() if row.value is not None}
+
     def compact(self) -> None:
         """Truncate the history of the change feed."""
         self.oldest_version = self._version
--- a/tests/gateway/test_crashing_parts.py
+++ b/tests/gateway/test_crashing_parts.py
@@ -5,7 +5,11 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, TypeVar
 
+import pytest
+
 from dragonflyhold.gateway.agent_link import AgentLink
+from dragonflyhold.gateway.crash_archive import CRASH_TABLE, MAX_REWRITE_DELAY_S
+from dragonflyhold.gateway.crash_evidence import RequestTraits
 from dragonflyhold.gateway.messages import AgentHeartbeat, EngineUpdate, Message
 from dragonflyhold.platform.standins.site import InProcessDeployment, running_deployment
 
@@ -157,6 +161,26 @@
 
         assert _run_scenario(scenario) <= MAX_LATER_REQUESTS
 
+    @pytest.mark.parametrize("is_refused", [True, False])
+    def test_what_a_restored_store_has_lost_is_written_again(self, is_refused: bool) -> None:
+        """Guards against a part that is unknown, or refused again, after a restart of all VMs."""
+
+        async def scenario(deployment: InProcessDeployment, traffic: _Traffic) -> set[str]:
+            copy = deployment.store.copy()
+            await traffic.crash_engines()
+            await asyncio.sleep(CONTACT_S)
+            if not is_refused:
+                copy = deployment.store.copy()
+                for gateway in deployment.gateways:
+                    for cause in gateway.gateway.quarantine.causes:
+                        gateway.gateway.note_answered(RequestTraits(cause, (cause,)))
+                await asyncio.sleep(CONTACT_S)
+            deployment.store.restore(copy)
+            await asyncio.sleep(MAX_REWRITE_DELAY_S + CONTACT_S)
+            return deployment.store.keys(CRASH_TABLE)
+
+        assert bool(_run_scenario(scenario)) is is_refused
+
     def test_a_gateway_that_missed_messages_learns_the_part(self) -> None:
         """Guards against knowledge that is sent once and lost with a message."""
 
