Ask peers at the start whether a restored store still lacks something

A gateway that starts after a drill and before the operator has written again reads an older configuration from the copy. It answered 404 on a route that all other gateways served. Once it has its own read it asked no peer.

Seeds that are gone delay readiness by their timeouts only.

--- a/src/dragonflyhold/gateway/daemon.py
+++ b/src/dragonflyhold/gateway/daemon.py
@@ -143,12 +143,20 @@
         self._crash_archive = CrashArchive(self._store, self.gateway.crashes)
         self._ready_server = HttpServer(self._serve_readiness, IngressLimits())
         self._peer_snapshots = PeerSnapshots(
-            [self._operator_watch, self._registry_watch], self.gateway.pool
+            [self._operator_watch, self._registry_watch],
+            self.gateway.pool,
+            lambda: self._store.was_restored,
         )
         self._peer_server = HttpServer(self._peer_snapshots.serve_snapshot, IngressLimits())
         self._is_stopping = False
         self._tasks: list[asyncio.Task[None]] = []
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether the platform should send new connections to this gateway."""
+        is_complete = self._peer_snapshots.is_complete
+        return self.gateway.is_ready and is_complete and not self._is_stopping
+
     async def run(self) -> None:
         """Serve until SIGTERM, then drain and close."""
         _handle_signals(self._stop.set, lambda: self._reload(force=True))
@@ -300,7 +308,7 @@
 
     async def _serve_readiness(self, request: ClientRequest, responder: Responder) -> None:
         del request
-        is_ready = self.gateway.is_ready and not self._is_stopping
+        is_ready = self.is_ready
         responder.send(200 if is_ready else 503, [], b"ready" if is_ready else b"not ready")
 
 
--- a/src/dragonflyhold/gateway/peers.py
+++ b/src/dragonflyhold/gateway/peers.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any, final
 
 import msgpack
@@ -23,6 +23,7 @@
 # Time to wait for the store before peers are queried, and the delay between two rounds of queries.
 PEER_DELAY_S = 0.3
 ROUND_PAUSE_S = 0.5
+READ_CHECK_S = 0.02
 FETCH_TIMEOUT_S = 1.0
 
 
@@ -37,11 +38,23 @@
 
 @final
 class PeerSnapshots:
-    """Serves this gateway's tables to peers and fetches theirs while the store is unavailable."""
-
-    def __init__(self, watches: Sequence[TableWatch], pool: ConnectionPool) -> None:
+    """Serves this gateway's tables to peers, and fetches theirs at the start if that is needed.
+
+    It is while the store is unavailable, and if the store was ever restored: it may not have got
+    back yet what it has lost, while peers know it.
+    """
+
+    def __init__(
+        self,
+        watches: Sequence[TableWatch],
+        pool: ConnectionPool,
+        was_store_restored: Callable[[], bool],
+    ) -> None:
+        # Whether the tables are as new as the store or a peer can tell.
+        self.is_complete = False
         self._watches = {watch.table: watch for watch in watches}
         self._pool = pool
+        self._was_store_restored = was_store_restored
         self._log = JsonLogger("peers")
 
     async def serve_snapshot(self, request: ClientRequest, responder: Responder) -> None:
@@ -60,9 +73,14 @@
         responder.send(200, [], msgpack.packb({**tables, **eras}))
 
     async def fetch_from_seeds(self, seeds: Sequence[Address]) -> None:
-        """Query seeds until all tables are read from the store or a seed has returned rows."""
-        await asyncio.sleep(PEER_DELAY_S)
-        while not all(watch.has_read for watch in self._watches.values()):
+        """Query seeds until all tables are read from the store or a seed has returned rows.
+
+        If the store was ever restored, each seed is queried once even then.
+        """
+        if await self._is_read_within(PEER_DELAY_S) and not self._was_store_restored():
+            self.is_complete = True
+            return
+        while True:
             for seed in random.sample(list(seeds), len(seeds)):
                 try:
                     tables = await self._fetch_snapshot(seed)
@@ -76,8 +94,20 @@
                 rows = sum(len(table) for table in tables.values())
                 self._log.info("A snapshot was fetched from a seed.", seed=seed, rows=rows)
                 if rows:
+                    self.is_complete = True
                     return
-            await asyncio.sleep(ROUND_PAUSE_S)
+            if await self._is_read_within(ROUND_PAUSE_S):
+                self.is_complete = True
+                return
+
+    async def _is_read_within(self, seconds: float) -> bool:
+        """Wait until all tables are read from the store; return whether they are in time."""
+        end = time.monotonic() + seconds
+        while not all(watch.has_read for watch in self._watches.values()):
+            if time.monotonic() >= end:
+                return False
+            await asyncio.sleep(READ_CHECK_S)
+        return True
 
     async def _fetch_snapshot(self, seed: Address) -> dict[str, list[StoredRow]]:
         started = time.monotonic()
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -222,3 +222,51 @@
         tokens = _run_scenario(scenario, engines=1)
         assert tokens == sorted(tokens)
         assert len(set(tokens)) == 2
+
+
+class TestLateStart:
+    """Gateways that start while the store has not got back what it lost."""
+
+    @pytest.mark.parametrize("is_store_back", [True, False])
+    def test_a_gateway_that_starts_in_the_gap_serves_the_lost_route(
+        self, is_store_back: bool
+    ) -> None:
+        """Guards against older rows that a late starter puts into force (CONFIG)."""
+
+        async def scenario(deployment: InProcessDeployment) -> list[int]:
+            copy = deployment.store.copy()
+            deployment.store.put("op", "config", _with_route(2, "lost"))
+            await asyncio.sleep(0.2)
+            if is_store_back:
+                await _restore(deployment, copy, 0)
+                late = await deployment.add_gateway()
+            else:
+                deployment.store.fault = StoreFault.REFUSING
+                late = await deployment.add_gateway()
+                await asyncio.sleep(0.8)
+                deployment.store.restore(copy)
+                deployment.store.fault = StoreFault.NONE
+            statuses = set()
+            for _ in range(60):
+                if late.is_ready:
+                    answer = await deployment.call("/lost/1", method="GET", body=b"", gateway=1)
+                    statuses.add(answer.status)
+                await asyncio.sleep(0.02)
+            deployment.store.put("op", "config", _with_route(3, "new"))
+            await asyncio.sleep(CHANGE_S)
+            answer = await deployment.call("/new/1", method="GET", body=b"", gateway=1)
+            return [*statuses, answer.status]
+
+        assert _run_scenario(scenario, engines=1) == [200, 200]
+
+    def test_a_gateway_without_peers_becomes_ready(self) -> None:
+        """Guards against a gateway that waits for peers that are gone."""
+
+        async def scenario(deployment: InProcessDeployment) -> bool:
+            await _restore(deployment, deployment.store.copy(), 0)
+            await deployment.gateways[0].close()
+            late = await deployment.add_gateway()
+            await asyncio.sleep(2.0)
+            return late.is_ready
+
+        assert _run_scenario(scenario, engines=1)
