Remember over a second removal how old an upstream's last entry was

Trace: the entry was removed at 8.09; the store was restored at 12.55 to a copy in which the upstream is ready, and removed the entry again at 16.39; restored once more at 21.51, the gateway took the copy's entry for a new one. With the second removal it had forgotten the contents of the last entry, to which those of a copy are compared.

--- a/src/dragonflyhold/gateway/table_rows.py
+++ b/src/dragonflyhold/gateway/table_rows.py
@@ -186,13 +186,15 @@
                 self._put(pending.row)
 
     def _put(self, row: StoredRow, position: StorePosition | None = None) -> None:
+        old = self._key_states.get(row.key)
         state = _KeyState(position or row.position, row.removed)
         self._key_states[row.key] = state
-        if row.removed:
-            known = self.rows.pop(row.key, None)
-            state.last_order = self._rules.order(known) if known is not None else None
-        else:
+        if not row.removed:
             self.rows[row.key] = row
+        elif (known := self.rows.pop(row.key, None)) is not None:
+            state.last_order = self._rules.order(known)
+        elif old is not None:
+            state.last_order = old.last_order
         self._on_change(row)
 
     def _log_ignored(self, older: list[StoredRow], position: StorePosition) -> None:
--- a/tests/gateway/test_table_rows.py
+++ b/tests/gateway/test_table_rows.py
@@ -157,6 +157,17 @@
         table.rows.apply_changes(RowSet([], 69, 2))
         assert table.values == {}
 
+    def test_an_upstream_that_has_left_stays_away_over_a_second_restore(self) -> None:
+        """Guards against a second removal of an entry, after which its age is forgotten."""
+        table = _Table("servers")
+        table.rows.apply_snapshot(RowSet([_entry(7, 60, 1)], 70, 1))
+        table.rows.apply_changes(RowSet([StoredRow("s1", 71, b"", True, era=1)], 71, 1))
+        for era in (2, 3):
+            table.rows.apply_snapshot(RowSet([_entry(7, 60, era)], 65, era))
+            table.rows.apply_changes(RowSet([StoredRow("s1", 68, b"", True, era=era)], 68, era))
+        assert len(table.delivered) == 4
+        assert not any("ready" in text for text in table.delivered[1:])
+
     def test_an_upstream_that_the_store_keeps_is_used_again(self) -> None:
         """Guards against a sound upstream that stays unused after an expiry before the drill."""
         table = _Table("servers")
