Give owners their whole time again after an outage that follows a restore

After a restore, entries that are missing are dropped after 2.2 s, and entries of upstreams that had left are used again after 5 s if the store still has them. The times ran on through a second outage, in which nobody can write and the store may remove nothing.

The times begin anew when the store answers again.

Measured: test_an_upstream_that_has_left_stays_away_over_another_outage fails without the call (the entry is delivered) and passes; tests of table rows and the soak of restores: 26 passed.

--- a/src/dragonflyhold/gateway/table_rows.py
+++ b/src/dragonflyhold/gateway/table_rows.py
@@ -125,6 +125,13 @@
             ):
                 self._apply(row)
 
+    def note_outage_ended(self) -> None:
+        """Give owners and the store their whole time again; nothing was written in an outage."""
+        now = self._clock()
+        for key, pending in self._pending.items():
+            delay_s = REWRITE_S if pending.row.removed else LEFT_OWNER_S
+            self._pending[key] = _PendingRow(pending.row, now + delay_s)
+
     def _apply_all(self, rows: RowSet) -> None:
         older = [row for row in rows.rows if self._is_older(row)]
         for row in rows.rows:
--- a/src/dragonflyhold/gateway/watch.py
+++ b/src/dragonflyhold/gateway/watch.py
@@ -173,4 +173,5 @@
             )
             self.unavailable_since = None
             self.available_since = now
+            self.table_rows.note_outage_ended()
             self._on_recovered()
--- a/tests/gateway/test_table_rows.py
+++ b/tests/gateway/test_table_rows.py
@@ -168,6 +168,17 @@
         assert len(table.delivered) == 4
         assert not any("ready" in text for text in table.delivered[1:])
 
+    def test_an_upstream_that_has_left_stays_away_over_another_outage(self) -> None:
+        """Guards against entries that the store could not remove yet."""
+        table = _Table("servers")
+        table.rows.apply_snapshot(RowSet([_entry(7, 60, 1)], 70, 1))
+        table.rows.apply_changes(RowSet([StoredRow("s1", 71, b"", True, era=1)], 71, 1))
+        table.rows.apply_snapshot(RowSet([_entry(7, 60, 2)], 65, 2))
+        table.now += LEFT_OWNER_S + 1.0
+        table.rows.note_outage_ended()
+        table.rows.apply_changes(RowSet([], 69, 2))
+        assert table.values == {}
+
     def test_an_upstream_that_the_store_keeps_is_used_again(self) -> None:
         """Guards against a sound upstream that stays unused after an expiry before the drill."""
         table = _Table("servers")
