--- a/src/dragonflyhold/bench/virtual_network.py
+++ b/src/dragonflyhold/bench/virtual_network.py
@@ -186,6 +186,10 @@
         for transport in list(self._transports):
             self.loop.call_soon(transport.deliver)
 
+    def is_unreachable(self, vm_ip: str) -> bool:
+        """Return whether data to and from a VM is held back."""
+        return vm_ip in self._unreachable
+
     def is_blocked(self, transport: _VirtualTransport) -> bool:
         """Return whether a connection between different VMs has an unreachable end."""
         ips = {transport.vm_ip, transport.peer.vm_ip}
