Go on with a table when one of its rows can't be handled

The watch now logs the row with its key and the start of the error, counts it as store_row_failed and goes on; its version is noted, so the row is not tried again. The test failed before: RecursionError out of apply_peer_rows.

--- a/src/dragonflyhold/gateway/daemon.py
+++ b/src/dragonflyhold/gateway/daemon.py
@@ -128,6 +128,7 @@
             self.gateway.catalogue.apply,
             wait_s=LONG_FEED_WAIT_S,
             rules=OPERATOR_RULES,
+            count=self._metrics.count_event,
         )
         self.gateway.agent_links.operator_watch = self._operator_watch
         self._registry_watch = TableWatch(
@@ -138,6 +139,7 @@
             # The long call of the other watch may have been lost in the outage.
             on_recovered=self._operator_watch.restart,
             rules=REGISTRY_RULES,
+            count=self._metrics.count_event,
         )
         self._store.subscribe_restored(self._note_restored)
         self._crash_archive = CrashArchive(self._store, self.gateway.crashes)
@@ -338,6 +340,7 @@
             self._catalogue.apply,
             wait_s=LONG_FEED_WAIT_S,
             rules=OPERATOR_RULES,
+            count=self._metrics.count_event,
         )
         self._store.subscribe_restored(self._operator_watch.note_restored)
         assert settings.engine is not None
--- a/src/dragonflyhold/gateway/logs.py
+++ b/src/dragonflyhold/gateway/logs.py
@@ -19,6 +19,15 @@
 # Lines per second and component, and the reserve for failures.
 LINES_PER_S = 200
 FAILURE_LINES_PER_S = 100
+MAX_ERROR_CHARACTERS = 300
+
+
+def describe(error: Exception) -> str:
+    """Return the start of an error's representation, which may hold data of any size or depth."""
+    try:
+        return repr(error)[:MAX_ERROR_CHARACTERS]
+    except Exception:
+        return type(error).__name__
 
 
 @final
--- a/src/dragonflyhold/gateway/table_rows.py
+++ b/src/dragonflyhold/gateway/table_rows.py
@@ -10,7 +10,7 @@
 from typing import final
 
 from dragonflyhold.gateway.clock import monotonic_now
-from dragonflyhold.gateway.logs import JsonLogger
+from dragonflyhold.gateway.logs import JsonLogger, describe
 from dragonflyhold.platform.store import FIRST_ERA, RowSet, StoredRow, StorePosition
 
 # Time after a restore within which the owners of lost rows write them again.
@@ -70,6 +70,7 @@
         on_change: Callable[[StoredRow], None],
         rules: TableRules,
         clock: Callable[[], float] = monotonic_now,
+        count: Callable[[str], None] = lambda event: None,
     ) -> None:
         self.rows: dict[str, StoredRow] = {}
         # Latest position of a change that was read.
@@ -80,6 +81,7 @@
         self._on_change = on_change
         self._rules = rules
         self._clock = clock
+        self._count = count
         self._key_states: dict[str, _KeyState] = {}
         self._pending: dict[str, _PendingRow] = {}
         # Position of the first read in the newest era; later rows were written after the restore.
@@ -202,7 +204,18 @@
             state.last_order = self._rules.order(known)
         elif old is not None:
             state.last_order = old.last_order
-        self._on_change(row)
+        try:
+            self._on_change(row)
+        except Exception as error:
+            # The other rows hold, and this one would fail again.
+            self._count("store_row_failed")
+            self._log.error(
+                "A row can't be handled and is ignored.",
+                table=self._table,
+                key=row.key,
+                row_version=row.version,
+                error=describe(error),
+            )
 
     def _log_ignored(self, older: list[StoredRow], position: StorePosition) -> None:
         logged = older[:MAX_LOGGED_ROWS]
--- a/src/dragonflyhold/gateway/watch.py
+++ b/src/dragonflyhold/gateway/watch.py
@@ -50,13 +50,14 @@
         wait_s: float = FEED_WAIT_S,
         on_recovered: Callable[[], None] = lambda: None,
         rules: TableRules = NO_RULES,
+        count: Callable[[str], None] = lambda event: None,
     ) -> None:
         self.table = table
         self.has_read = False
         # Monotonic time since which no call has succeeded, ``None`` while the store is available.
         self.unavailable_since: float | None = clock()
         self.available_since = clock()
-        self.table_rows = TableRows(table, on_change, rules, clock)
+        self.table_rows = TableRows(table, on_change, rules, clock, count)
         self._store = store
         self._pause_s = pause_s
         self._wait_s = wait_s
