Use no entry of the registry that names no usable upstream

Seen by callers: with an entry of another writer beside the sound ones, requests ended with 502 though nothing was sent, and some with 400; such an upstream has no load, so it is chosen again and again. Cause: the decoder checked few fields. A port of 65536 or more raises OverflowError in the connection, a host with a NUL ValueError, any other host is resolved, a key with a line break went into the Expected-Instance header as it was, a version of hundreds of digits does not fit into a message, and a state nested 990 deep raised RecursionError out of the decoder. Every field is checked now, in platform/fields.py: names, ids, addresses and numbers have bounds, and errors have a short text whatever the value is. Rejected entries are counted as registry_entry_invalid. Unknown fields, and absent ones that are not used, do no harm.

--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -64,7 +64,7 @@
         self.pool = ConnectionPool()
         self.catalogue = Catalogue(self._configuration_changed, self._version_changed)
         self.table = UpstreamTable(settings.data_centre, random.Random())
-        self.registry = Registry(self, self._is_store_stable)
+        self.registry = Registry(self, self._is_store_stable, count=metrics.count_event)
         self.budget = RetryBudget(
             settings.bounds.retry_ratio,
             settings.bounds.retry_window_s,
--- a/src/dragonflyhold/gateway/registry.py
+++ b/src/dragonflyhold/gateway/registry.py
@@ -38,11 +38,13 @@
         events: RegistryEvents,
         is_store_stable: Callable[[], bool],
         clock: Callable[[], float] = monotonic_now,
+        count: Callable[[str], None] = lambda event: None,
     ) -> None:
         self.upstreams: dict[UpstreamId, Upstream] = {}
         self._events = events
         self._is_store_stable = is_store_stable
         self._clock = clock
+        self._count = count
         # Upstreams whose entry is missing, with the start of their grace period.
         self._missing_since: dict[UpstreamId, float] = {}
         # Upstreams that were reported by an agent and have no entry yet.
@@ -58,6 +60,7 @@
         try:
             upstream = decode_upstream(row.key, orjson.loads(row.value))
         except (ValueError, DecodeError) as error:
+            self._count("registry_entry_invalid")
             self._log.warning(
                 "An invalid registry entry was treated as removed.", key=row.key, error=str(error)
             )
--- a/src/dragonflyhold/platform/codec.py
+++ b/src/dragonflyhold/platform/codec.py
@@ -6,6 +6,7 @@
 """
 
 import math
+import reprlib
 from collections.abc import Mapping, Sequence
 from typing import Any
 
@@ -14,7 +15,6 @@
 from dragonflyhold.gateway.http_client import Head
 from dragonflyhold.gateway.model import (
     AdapterCommand,
-    Address,
     Configuration,
     EngineReport,
     EngineSpec,
@@ -32,6 +32,18 @@
     UpstreamId,
 )
 from dragonflyhold.ids import AdapterName, DataCentre, ServiceName, Version
+from dragonflyhold.platform.fields import (
+    DECODING_ERRORS,
+    DecodeError,
+    address,
+    check_optional_number,
+    decode_error,
+    digits,
+    integer,
+    items,
+    text,
+    token,
+)
 from dragonflyhold.platform.store import StoredRow
 
 Headers = Sequence[tuple[bytes, bytes]]
@@ -63,14 +75,12 @@
         b"kv-from",
     )
 )
+# Requests that an upstream may process at a time, far beyond any that exists.
+MAX_SLOTS = 1_000_000
 # Engines list an adapter without a version if it never had a later one.
 FIRST_VERSION = Version(1)
 
 
-class DecodeError(ValueError):
-    """Raised for platform data that does not conform to the platform's specification."""
-
-
 def decode_configuration(value: Any) -> Configuration:
     """Decode a configuration; raise ``DecodeError`` if any part is invalid."""
     try:
@@ -145,29 +155,27 @@
 
 
 def decode_upstream(key: str, fields: Any) -> Upstream:
-    """Decode an entry of the registry; raise ``DecodeError`` if it is invalid."""
+    """Decode an entry of the registry; raise ``DecodeError`` if it is invalid.
+
+    Fields that the platform doesn't name are ignored.
+    """
     try:
-        slots, start_time_ms = fields["slots"], fields.get("born", 0)
-        host, _, port = fields["address"].rpartition(":")
-        texts = (fields["service"], fields["zone"], host, key)
-        if not all(isinstance(text, str) and text for text in texts) or not port.isdigit():
-            raise DecodeError(f"upstream {key!r}: a field is empty or has the wrong type")
-        if not _is_integer(slots) or slots < 1 or not _is_integer(start_time_ms):
-            raise DecodeError(f"upstream {key!r}: slots or start time is not a valid integer")
+        for name in ("sequence", "cold_remaining_ms"):
+            check_optional_number(fields, name)
+        if not isinstance(fields.get("version"), str | int | float | None):
+            raise DecodeError("version: neither a text nor a number")
         return Upstream(
-            upstream_id=UpstreamId(key),
-            service=ServiceName(fields["service"]),
-            address=Address(fields["address"]),
-            data_centre=DataCentre(fields["zone"]),
-            slots=slots,
-            state=RegistrationState(fields["state"]),
-            start_time_ms=start_time_ms,
-            adapters=_adapters(fields.get("models") or []),
+            upstream_id=UpstreamId(token(key)),
+            service=ServiceName(text(fields["service"])),
+            address=address(fields["address"]),
+            data_centre=DataCentre(text(fields["zone"])),
+            slots=integer(fields["slots"], 1, MAX_SLOTS),
+            state=RegistrationState(text(fields["state"])),
+            start_time_ms=integer(fields.get("born", 0)),
+            adapters=_adapters(items(fields.get("models"))),
         )
-    except DecodeError:
-        raise
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise DecodeError(f"upstream {key!r}: {error!r}") from error
+    except DECODING_ERRORS as error:
+        raise decode_error(f"upstream {reprlib.repr(key)}", error) from error
 
 
 def decode_report(fields: Any) -> EngineReport:
@@ -217,26 +225,26 @@
 
 
 def _adapters(models: Sequence[Mapping[str, Any]]) -> dict[ModelAdapter, Version]:
-    return {
-        ModelAdapter(ModelName(model["name"]), name): version
-        for model in models
-        for name, version in map(_parse_adapter_version, model.get("adapters") or [])
-    }
+    adapters: dict[ModelAdapter, Version] = {}
+    for model in models:
+        name = ModelName(text(model["name"]))
+        for adapter, version in map(_parse_adapter_version, items(model.get("adapters"))):
+            adapters[ModelAdapter(name, adapter)] = version
+    return adapters
 
 
-def _parse_adapter_version(text: str) -> tuple[AdapterName, Version]:
-    name, _, version = text.partition("@")
-    return AdapterName(name), Version(int(version)) if version else FIRST_VERSION
+def _parse_adapter_version(value: str) -> tuple[AdapterName, Version]:
+    name, _, version = value.partition("@")
+    number = digits(version) if version else FIRST_VERSION
+    if number is None:
+        raise DecodeError(f"{reprlib.repr(value)} has no valid version")
+    return AdapterName(text(name)), Version(number)
 
 
-def _parse_loading(text: str) -> tuple[ModelAdapter, Version]:
-    model, _, rest = text.partition("/")
+def _parse_loading(value: str) -> tuple[ModelAdapter, Version]:
+    model, _, rest = value.partition("/")
     name, version = _parse_adapter_version(rest)
-    return ModelAdapter(ModelName(model), name), version
-
-
-def _is_integer(value: object) -> bool:
-    return isinstance(value, int) and not isinstance(value, bool)
+    return ModelAdapter(ModelName(text(model)), name), version
 
 
 def request_id(headers: Mapping[bytes, bytes]) -> str:
--- /dev/null
+++ b/src/dragonflyhold/platform/fields.py
@@ -0,0 +1,98 @@
+"""Checks of the fields of rows and responses, which any writer may have left.
+
+All functions raise ``DecodeError`` with a short text, whatever the size or depth of the value.
+"""
+
+import ipaddress
+import math
+import reprlib
+from collections.abc import Mapping
+from typing import Any
+
+from dragonflyhold.gateway.logs import describe
+from dragonflyhold.gateway.model import Address
+
+# Ids, names and addresses; the store's keys have this limit.
+MAX_TEXT_CHARACTERS = 200
+# Larger integers are not exact in all JSON implementations, and do not fit into all messages.
+MAX_INTEGER = 2**53 - 1
+MAX_DIGITS = 15
+MAX_PORT = 65535
+# What reading an invalid value raises; a value that is too deep can't be shown either.
+DECODING_ERRORS = (
+    LookupError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    ArithmeticError,
+    RecursionError,
+)
+
+
+class DecodeError(ValueError):
+    """Raised for platform data that does not conform to the platform's specification."""
+
+
+def decode_error(subject: str, error: Exception) -> DecodeError:
+    """Return the error to raise for data whose decoding raised one of ``DECODING_ERRORS``."""
+    detail = str(error) if isinstance(error, DecodeError) else describe(error)
+    return DecodeError(f"{subject}: {detail}")
+
+
+def text(value: Any) -> str:
+    """Return a name: a text of limited length that is not empty and has no control characters."""
+    if isinstance(value, str) and 0 < len(value) <= MAX_TEXT_CHARACTERS and value.isprintable():
+        return value
+    raise DecodeError(f"{reprlib.repr(value)} is not a name")
+
+
+def token(value: Any) -> str:
+    """Return an id that a header can carry: visible ASCII characters."""
+    if text(value).isascii() and " " not in value:
+        return str(value)
+    raise DecodeError(f"{reprlib.repr(value)} is not an id")
+
+
+def integer(value: Any, low: int = 0, high: int = MAX_INTEGER) -> int:
+    """Return an integer within bounds."""
+    if isinstance(value, int) and not isinstance(value, bool) and low <= value <= high:
+        return value
+    raise DecodeError(f"{reprlib.repr(value)} is not an integer from {low} to {high}")
+
+
+def digits(value: str | bytes) -> int | None:
+    """Return the number that ASCII digits state, ``None`` for other or too many characters."""
+    if value.isascii() and value.isdigit() and len(value) <= MAX_DIGITS:
+        return int(value)
+    return None
+
+
+def items(value: Any) -> list[Any]:
+    """Return a list; an absent one is empty."""
+    if value is None:
+        return []
+    if isinstance(value, list):
+        return value
+    raise DecodeError(f"{reprlib.repr(value)} is not a list")
+
+
+def address(value: Any) -> Address:
+    """Return the ``ip:port`` of a listener; host names are not accepted."""
+    host, _, port = text(value).rpartition(":")
+    ip = ipaddress.ip_address(host)
+    number = digits(port)
+    if number is None or not 0 < number <= MAX_PORT:
+        raise DecodeError(f"{reprlib.repr(value)} has no valid port")
+    if "%" in host or ip.is_unspecified or ip.is_multicast:
+        raise DecodeError(f"{reprlib.repr(value)} is not the address of a VM")
+    return Address(value)
+
+
+def check_optional_number(fields: Mapping[str, Any], name: str) -> None:
+    """Check a field that is not used: if present, it must be a number that is not negative."""
+    value = fields.get(name)
+    if value is None:
+        return
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    if not is_number or not math.isfinite(value) or value < 0:
+        raise DecodeError(f"{name}: {reprlib.repr(value)} is not a number from 0")
--- a/tests/gateway/test_odd_entries.py
+++ b/tests/gateway/test_odd_entries.py
@@ -1,7 +1,19 @@
 """Tests of rows of the store that another writer left: odd values, types, sizes and nesting."""
 
+import asyncio
+
+import orjson
+
 from dragonflyhold.gateway.watch import TableWatch
+from dragonflyhold.platform.standins.site import (
+    ENGINE_SERVICE,
+    PLAIN_SERVICE,
+    InProcessDeployment,
+    running_deployment,
+)
+from dragonflyhold.platform.standins.store import StoreFault
 from dragonflyhold.platform.store import RowSet, StoredRow
+from tests.platform.test_odd_values import ENTRY
 
 
 class TestRowsThatFail:
@@ -24,3 +36,65 @@
         assert applied == ["a", "b", "c"]
         assert events == ["store_row_failed"] * 2
         assert watch.table_rows.last_change.version == 7
+
+
+def _put_odd_entries(deployment: InProcessDeployment) -> None:
+    """Write entries that name no upstream, in the order of their keys before the sound ones."""
+    parts = (
+        {"address": "127.0.0.1:70000"},
+        {"address": "127.0.0.1\0:80"},
+        {"state": "NESTED"},
+        {"slots": 2**64 - 1},
+        {"born": 2**64 - 1},
+        {"models": [{"name": "base", "adapters": ["a1@" + "9" * 300]}]},
+    )
+    for number, part in enumerate(parts):
+        for service in (ENGINE_SERVICE, PLAIN_SERVICE):
+            fields = {**ENTRY, "service": service, "address": "127.0.0.1:1", "slots": 1, **part}
+            data = orjson.dumps(fields).replace(b'"NESTED"', b"[" * 990 + b"]" * 990)
+            deployment.store.put("servers", f"a{number}-{service}", data)
+    deployment.store.put(
+        "servers", "a b\r\nHold: 9", {**ENTRY, "service": PLAIN_SERVICE, "slots": 1}
+    )
+    deployment.store.put("servers", "nested", b"[" * 10_000 + b"]" * 10_000)
+    deployment.store.put("servers", "number", b'{"slots":' + b"9" * 5000 + b"}")
+
+
+async def _call_all(deployment: InProcessDeployment, gateway: int = 0) -> list[int]:
+    paths = ["/book/1", "/ask/1"] * 6
+    calls = (deployment.call(path, adapter="a1", gateway=gateway) for path in paths)
+    return [(await call).status for call in calls]
+
+
+class TestOddEntries:
+    """Requests while the registry holds entries of another writer beside the sound ones."""
+
+    def test_requests_are_served_beside_odd_entries(self) -> None:
+        """Guards against upstreams that attract requests, as they have no load, and fail them."""
+
+        async def scenario() -> tuple[list[int], set[str]]:
+            async with running_deployment() as deployment:
+                _put_odd_entries(deployment)
+                deployment.store.put("servers", "last", {**ENTRY, "service": "later"})
+                views = deployment.gateways[0].gateway.table.views
+                async with asyncio.timeout(5):
+                    while "last" not in views:
+                        await asyncio.sleep(0.01)
+                return await _call_all(deployment), set(views)
+
+        statuses, known = asyncio.run(scenario())
+        assert statuses == [200] * 12
+        assert known == {"e0", "e1", "p0", "p1", "last"}
+
+    def test_a_gateway_starts_from_a_snapshot_with_odd_entries(self) -> None:
+        async def scenario() -> list[int]:
+            async with running_deployment() as deployment:
+                _put_odd_entries(deployment)
+                await asyncio.sleep(1.2)
+                assert len(deployment.gateways[0]._registry_watch.table_rows.rows) > 4
+                deployment.store.fault = StoreFault.REFUSING
+                await deployment.add_gateway()
+                await deployment.wait_until_ready(2)
+                return await _call_all(deployment, 1)
+
+        assert asyncio.run(scenario()) == [200] * 12
