Treat an address that no socket accepts like one that refuses connections

Seen by callers: 502 for a request that was sent nowhere. Cause: the pool turned only OSError and timeouts of a connection into ExchangeError; a port out of range raises OverflowError, a host with a NUL or an odd label ValueError. Such an upstream was not suspended either, and the task that keeps the link to an agent ended for good. Any error before the connection exists means that nothing was sent. Before: all six tests of TestUnusableAddresses failed with OverflowError, ValueError or UnicodeError.

--- a/src/dragonflyhold/gateway/connection_pool.py
+++ b/src/dragonflyhold/gateway/connection_pool.py
@@ -11,6 +11,7 @@
     ExchangeError,
     FailureReason,
 )
+from dragonflyhold.gateway.logs import describe
 from dragonflyhold.gateway.model import Address
 
 # Equals the connect timeout of the platform's clients.
@@ -104,8 +105,9 @@
                 )
         except TimeoutError as error:
             raise ExchangeError(FailureReason.TIMEOUT, False, f"connect {address}") from error
-        except OSError as error:
-            raise ExchangeError(FailureReason.CONNECT, False, str(error)) from error
+        except Exception as error:
+            # Addresses that no socket accepts raise other errors than ``OSError``.
+            raise ExchangeError(FailureReason.CONNECT, False, describe(error)) from error
         return connection
 
     def _remove(self, address: Address, connection: Connection) -> None:
--- a/src/dragonflyhold/gateway/link.py
+++ b/src/dragonflyhold/gateway/link.py
@@ -110,7 +110,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, link = await loop.create_connection(lambda: Link(owner), host, port)
-        except (OSError, TimeoutError):
+        except (OSError, ValueError, OverflowError, TimeoutError):
             # The agent may not have started yet; the owner handles the missing link.
             pass
         if link is not None:
--- a/tests/gateway/test_http_client.py
+++ b/tests/gateway/test_http_client.py
@@ -209,3 +209,20 @@
 
         asyncio.run(run())
         assert closed in ([b""], [])
+
+
+class TestUnusableAddresses:
+    """Guards against addresses that end a request, as no connection can be tried."""
+
+    @pytest.mark.parametrize(
+        "address",
+        ["127.0.0.1:65536", "127.0.0.1:" + "9" * 400, "127.0.0.1:x", "a\0b:80", "a..b:80", "x:²"],
+    )
+    def test_nothing_was_sent_to_an_address_that_no_socket_accepts(self, address: str) -> None:
+        async def run() -> bool:
+            pool = ConnectionPool()
+            with pytest.raises(ExchangeError) as error:
+                await pool.send(Address(address), CALL)
+            return error.value.sent or await pool.can_connect(Address(address))
+
+        assert not asyncio.run(run())
