Write a log line whatever its fields hold

Seen by callers: 502 for a request whose Token-Count or Deadline-Remaining is a number over 64 bits, though nothing was sent. Cause: the JSON encoder raises TypeError for such integers, for text that is not valid Unicode and for nested values, and the error went out of the log call into the code that serves the request or runs a loop. The handler now describes such fields by a short text, and cuts off texts of more than 2,000 characters, which would fill the pipe and suppress later lines. Before: all tests of TestOddFields failed, with TypeError (integers, surrogates, nesting) or with a line of 200,000 characters.

--- a/src/dragonflyhold/gateway/logs.py
+++ b/src/dragonflyhold/gateway/logs.py
@@ -7,6 +7,7 @@
 
 import logging as std_logging
 import os
+import reprlib
 import sys
 from collections.abc import Callable
 from typing import final
@@ -19,7 +20,9 @@
 # Lines per second and component, and the reserve for failures.
 LINES_PER_S = 200
 FAILURE_LINES_PER_S = 100
+# Longer texts are cut off: they may come from any writer, and a line must fit into a pipe.
 MAX_ERROR_CHARACTERS = 300
+MAX_FIELD_CHARACTERS = 2000
 
 
 def describe(error: Exception) -> str:
@@ -62,7 +65,7 @@
 
 
 @final
-class _LineHandler(std_logging.Handler):
+class LineHandler(std_logging.Handler):
     """Formats records as JSON lines."""
 
     def __init__(self, writer: LogWriter, node: str) -> None:
@@ -72,18 +75,46 @@
 
     def emit(self, record: std_logging.LogRecord) -> None:
         """Write a record; a dictionary as message supplies fields of the line."""
-        entry = {"t": round(record.created, 4), "node": self._node, "level": record.levelname}
+        entry: dict[str, object] = {
+            "t": round(record.created, 4),
+            "node": self._node,
+            "level": record.levelname,
+        }
         if isinstance(record.msg, dict):
-            entry.update(record.msg)
+            entry.update({name: _shorten(value) for name, value in record.msg.items()})
         else:
             entry["event"] = record.getMessage()
-        self._writer.write(orjson.dumps(entry, default=str, option=orjson.OPT_APPEND_NEWLINE))
+        self._writer.write(_encode_line(entry))
+
+
+def _encode_line(entry: dict[str, object]) -> bytes:
+    """Return the line for an entry; it must not raise, whatever the fields hold."""
+    try:
+        return orjson.dumps(entry, default=str, option=orjson.OPT_APPEND_NEWLINE)
+    except Exception:
+        # Integers over 64 bits, deep nesting and texts that are not valid Unicode.
+        plain = {name: _describe_value(value) for name, value in entry.items()}
+        return orjson.dumps(plain, option=orjson.OPT_APPEND_NEWLINE)
+
+
+def _shorten(value: object) -> object:
+    if isinstance(value, str) and len(value) > MAX_FIELD_CHARACTERS:
+        return value[:MAX_FIELD_CHARACTERS] + "..."
+    return value
+
+
+def _describe_value(value: object) -> str:
+    try:
+        text = value if isinstance(value, str) else reprlib.repr(value)
+    except Exception:
+        text = type(value).__name__
+    return text.encode("utf-8", "backslashreplace").decode()
 
 
 def setup_json_logging(node: str) -> LogWriter:
     """Route all log records to standard output as JSON lines."""
     writer = LogWriter(sys.stdout.fileno())
-    handler = _LineHandler(writer, node)
+    handler = LineHandler(writer, node)
     logger = logging.get_absl_logger()
     logger.handlers[:] = [handler]
     logger.propagate = False
--- a/tests/gateway/test_logs.py
+++ b/tests/gateway/test_logs.py
@@ -4,9 +4,11 @@
 import os
 from collections.abc import Iterator
 
+import orjson
 import pytest
 from absl import logging
 
+from dragonflyhold.gateway import logs
 from dragonflyhold.gateway.logs import JsonLogger, LogWriter
 
 
@@ -93,3 +95,25 @@
         os.close(reader)
         log.write(b"line\n")
         os.close(writer)
+
+
+class TestOddFields:
+    """Guards against requests and loops that end because a line can't be written."""
+
+    @pytest.mark.parametrize(
+        "value", [2**64, 10**4000, "\ud800", "x" * 200_000, b"\xff", float("nan"), RecursionError]
+    )
+    def test_a_line_is_written_whatever_its_fields_hold(self, value: object) -> None:
+        nested: list[object] = []
+        for _ in range(3000):
+            nested = [nested]
+        for field in (value, nested):
+            read_end, write_end = os.pipe()
+            handler = logs.LineHandler(LogWriter(write_end), "vm")
+            message = {"part": "p", "event": "Something.", "field": field}
+            handler.handle(std_logging.makeLogRecord({"msg": message}))
+            line = os.read(read_end, 10_000)
+            os.close(read_end)
+            os.close(write_end)
+            assert orjson.loads(line)["event"] == "Something."
+            assert len(line) < 4000
