--- a/src/dragonflyhold/gateway/peers.py
+++ b/src/dragonflyhold/gateway/peers.py
@@ -13,10 +13,11 @@
 from dragonflyhold.gateway.http_client import Call, ExchangeError
 from dragonflyhold.gateway.http_server import ClientRequest, Responder
 from dragonflyhold.gateway.limits import MAX_SNAPSHOT_BYTES
-from dragonflyhold.gateway.logs import JsonLogger
+from dragonflyhold.gateway.logs import JsonLogger, describe
 from dragonflyhold.gateway.model import Address
 from dragonflyhold.gateway.tasks import limit_time
 from dragonflyhold.gateway.watch import TableWatch
+from dragonflyhold.platform.fields import DECODING_ERRORS, DecodeError, integer
 from dragonflyhold.platform.store import FIRST_ERA, StoredRow
 
 SNAPSHOT_TARGET = b"/snapshot"
@@ -122,17 +123,20 @@
                 raise PeerError(f"unexpected status {head.status}")
             tables = msgpack.unpackb(data)
             return {name: _decode_table(tables, name) for name in self._watches}
-        except (ExchangeError, TimeoutError, ValueError, TypeError, AttributeError) as error:
+        except (ExchangeError, TimeoutError, *DECODING_ERRORS) as error:
             elapsed = time.monotonic() - started
-            raise PeerError(f"{error!r} after {elapsed:.3f} s") from error
+            raise PeerError(f"{describe(error)} after {elapsed:.3f} s") from error
         finally:
             if exchange is not None:
                 self._pool.release(seed, exchange)
 
 
 def _decode_table(tables: dict[str, Any], name: str) -> list[StoredRow]:
-    eras = {key: int(era) for key, era, _ in tables.get(name + ERA_SUFFIX, [])}
-    return [
-        StoredRow(key, version, value, era=eras.get(key, FIRST_ERA))
-        for key, version, value in tables.get(name, [])
-    ]
+    eras = {key: integer(era) for key, era, _ in tables.get(name + ERA_SUFFIX, [])}
+    return [_decode_row(eras, *row) for row in tables.get(name, [])]
+
+
+def _decode_row(eras: dict[str, int], key: Any, version: Any, value: Any) -> StoredRow:
+    if not isinstance(key, str) or not isinstance(value, bytes):
+        raise DecodeError("a row has no valid key or value")
+    return StoredRow(key, integer(version), value, era=eras.get(key, FIRST_ERA))
--- a/tests/gateway/test_odd_entries.py
+++ b/tests/gateway/test_odd_entries.py
@@ -2,8 +2,13 @@
 
 import asyncio
 
+import msgpack
 import orjson
 
+from dragonflyhold.gateway.connection_pool import ConnectionPool
+from dragonflyhold.gateway.http_server import ClientRequest, HttpServer, Responder
+from dragonflyhold.gateway.model import Address, IngressLimits
+from dragonflyhold.gateway.peers import PeerSnapshots
 from dragonflyhold.gateway.watch import TableWatch
 from dragonflyhold.platform.standins.site import (
     ENGINE_SERVICE,
@@ -99,3 +104,40 @@
                 return await _call_all(deployment, 1)
 
         assert asyncio.run(scenario()) == [200] * 12
+
+
+class TestOddSnapshots:
+    """Guards against a start during an outage that ends at one peer's odd snapshot."""
+
+    def test_another_peer_is_asked_after_an_odd_snapshot(self) -> None:
+        odd = [
+            *(b"", b"\xc1", b"\x91" * 3000, msgpack.packb(7), msgpack.packb({"servers": 7})),
+            *(
+                msgpack.packb({"servers": [row]})
+                for row in (1, ["k"], [None, 1, b""], [["k"], 1, b""], ["k", -1, b""])
+            ),
+            *(
+                msgpack.packb({"servers": [row]})
+                for row in (["k", 2**64 - 1, b""], ["k", float("nan"), b""], ["k", 1, None])
+            ),
+        ]
+        sound = msgpack.packb({"servers": [["k", 5, b"{}"]]})
+        answers, rows = [*odd, sound], list[StoredRow]()
+
+        async def answer(request: ClientRequest, responder: Responder) -> None:
+            del request
+            responder.send(200, [], answers.pop(0))
+
+        async def run() -> None:
+            server, pool = HttpServer(answer, IngressLimits()), ConnectionPool()
+            await server.listen("127.0.0.1", 0)
+            assert server._server is not None
+            port = server._server.sockets[0].getsockname()[1]
+            watch = TableWatch(None, "servers", rows.append)  # type: ignore[arg-type]
+            seeds = [Address(f"127.0.0.1:{port}")] * (len(odd) + 1)
+            await PeerSnapshots([watch], pool, lambda: False).fetch_from_seeds(seeds)
+            pool.close_expired(float("inf"))
+            server.abort()
+
+        asyncio.run(run())
+        assert [(row.key, row.version) for row in rows] == [("k", 5)]
