Keep the last configuration if a newer one has values that can't be used

Would be seen by callers: 502 for all requests of a route whose weights are all 0, negative or infinite (choosing a service raises), 431 for all requests with a negative size limit, and messages of agents that fail with an odd number of adapter slots. Cause: the decoder converted numbers and did not check them. The store accepts only valid configurations, so none was ever seen. All numbers are finite and bounded now, names and paths are checked; an invalid row is counted as operator_row_invalid and leaves what is in force.

--- a/src/dragonflyhold/gateway/catalogue.py
+++ b/src/dragonflyhold/gateway/catalogue.py
@@ -22,6 +22,7 @@
         on_configuration: Callable[[Configuration], None] = lambda configuration: None,
         on_version: Callable[[ModelAdapter, Version], None] = lambda key, version: None,
         clock: Callable[[], float] = monotonic_now,
+        count: Callable[[str], None] = lambda event: None,
     ) -> None:
         self.configuration: Configuration | None = None
         self.versions: dict[ModelAdapter, Version] = {}
@@ -30,6 +31,7 @@
         self._on_configuration = on_configuration
         self._on_version = on_version
         self._clock = clock
+        self._count = count
         self._log = JsonLogger("config")
 
     def engine_service(self, name: ServiceName | None) -> Service | None:
@@ -57,6 +59,7 @@
                 key, version = decode_adapter_version(value)
                 self.apply_version(key, version)
         except (ValueError, DecodeError) as error:
+            self._count("operator_row_invalid")
             self._log.warning(
                 "An invalid row of the operator's table was ignored.", key=row.key, error=str(error)
             )
--- a/src/dragonflyhold/gateway/daemon.py
+++ b/src/dragonflyhold/gateway/daemon.py
@@ -333,6 +333,7 @@
         self._catalogue = Catalogue(
             on_configuration=lambda configuration: self._agent.request_replan(),
             on_version=lambda key, version: self._agent.request_replan(),
+            count=self._metrics.count_event,
         )
         self._operator_watch = TableWatch(
             self._store,
--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -62,7 +62,9 @@
         # Per-request log lines have a rate limit of their own.
         self.request_log = JsonLogger("request")
         self.pool = ConnectionPool()
-        self.catalogue = Catalogue(self._configuration_changed, self._version_changed)
+        self.catalogue = Catalogue(
+            self._configuration_changed, self._version_changed, count=metrics.count_event
+        )
         self.table = UpstreamTable(settings.data_centre, random.Random())
         self.registry = Registry(self, self._is_store_stable, count=metrics.count_event)
         self.budget = RetryBudget(
--- a/src/dragonflyhold/platform/codec.py
+++ b/src/dragonflyhold/platform/codec.py
@@ -41,6 +41,8 @@
     digits,
     integer,
     items,
+    number,
+    path,
     text,
     token,
 )
@@ -92,13 +94,13 @@
             group.sort(key=lambda route: -len(route.prefix))
         services = [_service(fields) for fields in value["services"]]
         return Configuration(
-            version=int(value["version"]),
+            version=int(number(value["version"])),
             routes=routes,
             services={service.name: service for service in services},
             limits=_limits(value.get("limits") or {}),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise DecodeError(f"configuration: {error!r}") from error
+    except DECODING_ERRORS as error:
+        raise decode_error("configuration", error) from error
 
 
 def _route(fields: Mapping[str, Any]) -> Route:
@@ -110,47 +112,55 @@
         retry_safety = RetrySafety.RESUMABLE
     else:
         retry_safety = RetrySafety.ONCE
-    split = fields.get("traffic_split") or [{"service": fields["service"], "weight": 1}]
     return Route(
-        name=str(fields["name"]),
-        host=str(fields["host"]).lower(),
-        prefix=str(fields["prefix"]),
+        name=text(fields["name"]),
+        host=text(fields["host"]).lower(),
+        prefix=path(fields["prefix"]),
         retry_safety=retry_safety,
         is_stream=is_stream,
-        timeout_s=float(fields["timeout_ms"]) / 1000,
-        target_latency_s=float(fields.get("target_latency_ms") or fields["timeout_ms"]) / 1000,
-        priority=int(fields.get("priority") or 0),
-        shares=tuple(
-            ServiceShare(ServiceName(str(part["service"])), float(part["weight"])) for part in split
-        ),
-        max_attempts=max(1, int(fields.get("max_attempts") or 1)),
-        max_pause_s=float(fields.get("gap_target_ms") or 0) / 1000 or None,
+        timeout_s=number(fields["timeout_ms"], 1) / 1000,
+        target_latency_s=number(fields.get("target_latency_ms") or fields["timeout_ms"], 1) / 1000,
+        priority=int(number(fields.get("priority") or 0)),
+        shares=_shares(fields),
+        max_attempts=max(1, int(number(fields.get("max_attempts") or 1))),
+        max_pause_s=number(fields.get("gap_target_ms") or 0) / 1000 or None,
+    )
+
+
+def _shares(fields: Mapping[str, Any]) -> tuple[ServiceShare, ...]:
+    split = items(fields.get("traffic_split"))
+    split = split or [{"service": fields["service"], "weight": 1}]
+    shares = tuple(
+        ServiceShare(ServiceName(text(part["service"])), number(part["weight"])) for part in split
     )
+    if len(shares) > 1 and not any(share.weight for share in shares):
+        raise DecodeError("no service of a route has a weight")
+    return shares
 
 
 def _service(fields: Mapping[str, Any]) -> Service:
     engine = fields.get("engine")
     return Service(
-        name=ServiceName(str(fields["name"])),
-        health_path=str(fields.get("health_check_path") or "/health"),
+        name=ServiceName(text(fields["name"])),
+        health_path=token(path(fields.get("health_check_path") or "/health")),
         engine=_engine(engine) if engine else None,
     )
 
 
 def _engine(fields: Mapping[str, Any]) -> EngineSpec:
     return EngineSpec(
-        adapter_slots=int(fields["adapter_slots"]),
-        models=tuple(ModelName(str(model["name"])) for model in fields["models"]),
+        adapter_slots=int(number(fields["adapter_slots"])),
+        models=tuple(ModelName(text(model["name"])) for model in fields["models"]),
     )
 
 
 def _limits(fields: Mapping[str, Any]) -> IngressLimits:
     default = IngressLimits()
     return IngressLimits(
-        header_bytes=int(fields.get("header_bytes") or default.header_bytes),
-        body_bytes=int(fields.get("body_bytes") or default.body_bytes),
-        header_timeout_s=float(fields.get("header_timeout_ms") or 3000) / 1000,
-        idle_timeout_s=float(fields.get("idle_timeout_ms") or 15000) / 1000,
+        header_bytes=int(number(fields.get("header_bytes") or default.header_bytes, 1)),
+        body_bytes=int(number(fields.get("body_bytes") or default.body_bytes, 1)),
+        header_timeout_s=number(fields.get("header_timeout_ms") or 3000, 1) / 1000,
+        idle_timeout_s=number(fields.get("idle_timeout_ms") or 15000, 1) / 1000,
     )
 
 
--- a/src/dragonflyhold/platform/fields.py
+++ b/src/dragonflyhold/platform/fields.py
@@ -4,7 +4,6 @@
 """
 
 import ipaddress
-import math
 import reprlib
 from collections.abc import Mapping
 from typing import Any
@@ -17,6 +16,8 @@
 # Larger integers are not exact in all JSON implementations, and do not fit into all messages.
 MAX_INTEGER = 2**53 - 1
 MAX_DIGITS = 15
+# Times in milliseconds, sizes in bytes, counts and versions of a configuration.
+MAX_NUMBER = 10**12
 MAX_PORT = 65535
 # What reading an invalid value raises; a value that is too deep can't be shown either.
 DECODING_ERRORS = (
@@ -53,6 +54,21 @@
     raise DecodeError(f"{reprlib.repr(value)} is not an id")
 
 
+def path(value: Any) -> str:
+    """Return the path of a request, or its beginning."""
+    if text(value).startswith("/"):
+        return str(value)
+    raise DecodeError(f"{reprlib.repr(value)} is not a path")
+
+
+def number(value: Any, low: float = 0) -> float:
+    """Return a finite number from ``low`` that is not unreasonably large."""
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    if is_number and low <= value <= MAX_NUMBER:
+        return float(value)
+    raise DecodeError(f"{reprlib.repr(value)} is not a number from {low} to {MAX_NUMBER}")
+
+
 def integer(value: Any, low: int = 0, high: int = MAX_INTEGER) -> int:
     """Return an integer within bounds."""
     if isinstance(value, int) and not isinstance(value, bool) and low <= value <= high:
@@ -90,9 +106,5 @@
 
 def check_optional_number(fields: Mapping[str, Any], name: str) -> None:
     """Check a field that is not used: if present, it must be a number that is not negative."""
-    value = fields.get(name)
-    if value is None:
-        return
-    is_number = isinstance(value, int | float) and not isinstance(value, bool)
-    if not is_number or not math.isfinite(value) or value < 0:
-        raise DecodeError(f"{name}: {reprlib.repr(value)} is not a number from 0")
+    if fields.get(name) is not None:
+        number(fields[name])
--- a/tests/platform/test_odd_values.py
+++ b/tests/platform/test_odd_values.py
@@ -1,6 +1,7 @@
 """Tests of odd values in rows and responses: wrong types, sizes, numbers and nesting."""
 
 import ipaddress
+import random
 from collections.abc import Iterator
 from typing import Any
 
@@ -10,8 +11,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from dragonflyhold.gateway.model import SendOptions, Upstream
+from dragonflyhold.gateway.catalogue import Catalogue
+from dragonflyhold.gateway.model import Configuration, SendOptions, Upstream
 from dragonflyhold.platform import codec
+from dragonflyhold.platform.store import StoredRow
 
 
 def nested(depth: int) -> Any:
@@ -145,3 +148,90 @@
         odd = {"unknown": nested(1000), "more": 2**64 - 1, "\0": "x" * 60_000}
         assert codec.decode_upstream("r1", {**fields, **odd}).address == ENTRY["address"]
         assert codec.decode_upstream("r1", {**ENTRY, "address": "::1:80"}).ip == "::1"
+
+
+CONFIGURATION = {
+    "version": 3,
+    "routes": [
+        {
+            "name": "r1",
+            "host": "Site.Example",
+            "prefix": "/a/",
+            "kind": "streaming",
+            "timeout_ms": 4000,
+            "target_latency_ms": 500,
+            "priority": 1,
+            "traffic_split": [{"service": "s1", "weight": 90}, {"service": "s2", "weight": 10}],
+            "max_attempts": 2,
+            "gap_target_ms": 250,
+            "resumable": True,
+        }
+    ],
+    "services": [
+        {
+            "name": "s1",
+            "health_check_path": "/health",
+            "engine": {"adapter_slots": 3, "models": [{"name": "base"}]},
+        }
+    ],
+    "limits": {"header_bytes": 4096, "body_bytes": 65536, "header_timeout_ms": 500},
+}
+
+
+def _check_configuration(found: Configuration) -> None:
+    for route in (route for group in found.routes.values() for route in group):
+        random.choices(route.shares, [share.weight for share in route.shares])
+        assert 0 < route.timeout_s < 1e10
+        assert 0 < route.target_latency_s < 1e10
+        assert route.max_pause_s is None or 0 < route.max_pause_s < 1e10
+        assert route.priority >= 0
+        assert route.prefix[0] == "/"
+    for service in found.services.values():
+        assert service.health_path.isprintable()
+        assert service.health_path.isascii()
+        specs = [service.engine] if service.engine else []
+        assert all(spec.adapter_slots >= 0 for spec in specs)
+        msgpack.packb([(spec.adapter_slots, spec.models) for spec in specs])
+    assert found.limits.header_bytes > 0
+    assert found.limits.body_bytes > 0
+    assert 0 < found.limits.header_timeout_s < 1e10
+    assert 0 < found.limits.idle_timeout_s < 1e10
+    msgpack.packb(found.version)
+
+
+class TestConfigurations:
+    """Guards against a configuration in force that ends requests, whatever the store accepts."""
+
+    def test_configurations_with_an_odd_part_are_rejected_or_usable(self) -> None:
+        usable = 0
+        for fields in replacements(CONFIGURATION):
+            try:
+                found = codec.decode_configuration(fields)
+            except codec.DecodeError:
+                continue
+            usable += 1
+            _check_configuration(found)
+        assert usable > 50
+
+    @pytest.mark.parametrize("weights", [(0, 0), (-1, 2), ("inf", 1), (1e300, 1), (None, 1)])
+    def test_weights_that_choose_no_service_are_rejected(self, weights: tuple[Any, Any]) -> None:
+        split = [{"service": f"s{n}", "weight": weight} for n, weight in enumerate(weights)]
+        route = {**CONFIGURATION["routes"][0], "traffic_split": split}  # type: ignore[index]
+        with pytest.raises(codec.DecodeError):
+            codec.decode_configuration({**CONFIGURATION, "routes": [route]})
+
+    def test_the_last_configuration_stays_in_force(self) -> None:
+        catalogue, events = _catalogue()
+        catalogue.apply(StoredRow("config", 1, orjson.dumps(CONFIGURATION)))
+        odd = [{**CONFIGURATION, "version": 4, "limits": {"header_bytes": -1}}, 7, {"version": 9}]
+        for number, value in enumerate(odd, 2):
+            catalogue.apply(StoredRow("config", number, orjson.dumps(value)))
+        catalogue.apply(StoredRow("config", 9, b"[" * 10_000))
+        assert catalogue.configuration is not None
+        assert catalogue.configuration.version == 3
+        assert events == ["operator_row_invalid"] * 4
+
+
+def _catalogue() -> tuple[Catalogue, list[str]]:
+    events: list[str] = []
+    return Catalogue(count=events.append), events
