Ignore announced versions of adapters that are no valid number

Seen by callers: 503 for requests of the adapter. Cause: any number was converted, and one like 1e300 became an integer of 301 digits, which fits neither into the message that tells the agent of the demand nor into a command to the engine.

--- a/src/dragonflyhold/platform/codec.py
+++ b/src/dragonflyhold/platform/codec.py
@@ -210,10 +210,10 @@
 def decode_adapter_version(value: Any) -> tuple[ModelAdapter, Version]:
     """Decode a row that announces a new version of an adapter."""
     try:
-        key = ModelAdapter(ModelName(value["model"]), AdapterName(value["adapter"]))
-        return key, Version(int(value["version"]))
-    except (KeyError, TypeError, ValueError) as error:
-        raise DecodeError(f"adapter version: {error!r}") from error
+        key = ModelAdapter(ModelName(text(value["model"])), AdapterName(text(value["adapter"])))
+        return key, Version(integer(value["version"]))
+    except DECODING_ERRORS as error:
+        raise decode_error("adapter version", error) from error
 
 
 def operator_row_order(row: StoredRow) -> tuple[int, ...] | None:
--- a/tests/gateway/test_odd_entries.py
+++ b/tests/gateway/test_odd_entries.py
@@ -106,6 +106,22 @@
         assert asyncio.run(scenario()) == [200] * 12
 
 
+class TestOddVersions:
+    """Guards against agents whose loop ends, or requests that wait, for a version of no adapter."""
+
+    def test_an_adapter_is_loaded_whatever_version_another_writer_announces(self) -> None:
+        async def scenario() -> list[int]:
+            async with running_deployment(engines=1) as deployment:
+                for number, version in enumerate((1e300, 2**64 - 1, -1, "9" * 300, None)):
+                    fields = {"model": "base", "adapter": "a1", "version": version}
+                    deployment.store.put("op", f"version/base.a{number}", fields)
+                await asyncio.sleep(0.3)
+                calls = [deployment.call("/ask/1", adapter=name) for name in ("a1", "a2")]
+                return [(await call).status for call in calls]
+
+        assert asyncio.run(scenario()) == [200, 200]
+
+
 class TestOddSnapshots:
     """Guards against a start during an outage that ends at one peer's odd snapshot."""
 
--- a/tests/platform/test_odd_values.py
+++ b/tests/platform/test_odd_values.py
@@ -1,5 +1,6 @@
 """Tests of odd values in rows and responses: wrong types, sizes, numbers and nesting."""
 
+import contextlib
 import ipaddress
 import random
 from collections.abc import Iterator
@@ -232,6 +233,20 @@
         assert events == ["operator_row_invalid"] * 4
 
 
+class TestAdapterVersions:
+    """Guards against a version that does not fit into messages and commands."""
+
+    def test_announcements_with_an_odd_part_are_rejected_or_usable(self) -> None:
+        for fields in replacements({"model": "base", "adapter": "a1", "version": 2}):
+            with contextlib.suppress(codec.DecodeError):
+                key, version = codec.decode_adapter_version(fields)
+                assert key.model
+                assert key.adapter
+                assert version >= 0
+                assert msgpack.packb([*key, version])
+                assert orjson.dumps([*key, version])
+
+
 def _catalogue() -> tuple[Catalogue, list[str]]:
     events: list[str] = []
     return Catalogue(count=events.append), events
