Reject an engine's report, and an id, with values that can't be passed on

Seen by callers: requests that wait for an adapter of that engine, as its agent tells gateways nothing more. Cause: numbers were converted whatever their size, so one like 1e300, or with 64 bits, raised OverflowError when the agent encoded the engine's state, on each round of its loop. An id with spaces, line breaks or other characters goes into the Expected-Instance header of each request. Such a report counts as none, such an id as not given.

--- a/src/dragonflyhold/platform/codec.py
+++ b/src/dragonflyhold/platform/codec.py
@@ -191,20 +191,20 @@
 def decode_report(fields: Any) -> EngineReport:
     """Decode the state that an engine reports; raise ``DecodeError`` if it is invalid."""
     try:
-        models = fields.get("models") or []
+        models = items(fields.get("models"))
         return EngineReport(
             busy=bool(fields.get("busy")),
-            sequence=int(fields["sequence"]),
-            running=int(fields.get("running") or 0),
-            waiting=int(fields.get("waiting") or 0),
-            models=frozenset(ModelName(model["name"]) for model in models),
+            sequence=integer(fields["sequence"]),
+            running=integer(fields.get("running") or 0),
+            waiting=integer(fields.get("waiting") or 0),
+            models=frozenset(ModelName(text(model["name"])) for model in models),
             adapters=_adapters(models),
             is_draining=fields.get("state") == RegistrationState.DRAINING.value,
-            loading=dict(_parse_loading(text) for text in fields.get("coming") or []),
-            start_time_ms=int(fields.get("born") or 0),
+            loading=dict(_parse_loading(entry) for entry in items(fields.get("coming"))),
+            start_time_ms=integer(fields.get("born") or 0),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise DecodeError(f"report: {error!r}") from error
+    except DECODING_ERRORS as error:
+        raise decode_error("report", error) from error
 
 
 def decode_adapter_version(value: Any) -> tuple[ModelAdapter, Version]:
@@ -367,9 +367,11 @@
 
 
 def instance_id(head: Head) -> UpstreamId | None:
-    """Return the id of the upstream that sent the response, if it is given."""
-    value = head.fields.get(INSTANCE)
-    return UpstreamId(value.decode("latin-1")) if value else None
+    """Return the id of the upstream that sent the response, if it is given and valid."""
+    try:
+        return UpstreamId(token(head.fields.get(INSTANCE, b"").decode("latin-1")))
+    except DecodeError:
+        return None
 
 
 def server_load(head: Head) -> tuple[int, int] | None:
--- a/tests/platform/test_odd_values.py
+++ b/tests/platform/test_odd_values.py
@@ -13,6 +13,9 @@
 from hypothesis import strategies as st
 
 from dragonflyhold.gateway.catalogue import Catalogue
+from dragonflyhold.gateway.engine_state import update_without_commands
+from dragonflyhold.gateway.http_client import Head
+from dragonflyhold.gateway.messages import encode
 from dragonflyhold.gateway.model import Configuration, SendOptions, Upstream
 from dragonflyhold.platform import codec
 from dragonflyhold.platform.store import StoredRow
@@ -247,6 +250,41 @@
                 assert orjson.dumps([*key, version])
 
 
+REPORT = {
+    "state": "ready",
+    "models": ENTRY["models"],
+    "busy": False,
+    "sequence": 2,
+    "waiting": 1,
+    "running": 12,
+    "coming": ["base/a9@3"],
+    "born": 17,
+}
+
+
+class TestEngines:
+    """Guards against an agent whose loop ends, and that is silent, while its engine is odd."""
+
+    def test_reports_with_an_odd_part_are_rejected_or_usable(self) -> None:
+        usable = 0
+        for fields in replacements(REPORT):
+            with contextlib.suppress(codec.DecodeError):
+                report = codec.decode_report(fields)
+                encode(update_without_commands(report, None))
+                sorted(report.loading)
+                usable += 1
+        assert usable > 50
+
+    @given(st.sampled_from(sorted(REPORT)), odd_values)
+    def test_reports_with_any_value_are_rejected_or_usable(self, name: str, value: Any) -> None:
+        with contextlib.suppress(codec.DecodeError):
+            encode(update_without_commands(codec.decode_report({**REPORT, name: value}), None))
+
+    @pytest.mark.parametrize("value", [b"", b"i 1", b"\xe9", b"i" * 300, b"i\t1"])
+    def test_ids_that_no_header_can_carry_are_ignored(self, value: bytes) -> None:
+        assert codec.instance_id(Head(200, [], {codec.INSTANCE: value})) is None
+
+
 def _catalogue() -> tuple[Catalogue, list[str]]:
     events: list[str] = []
     return Catalogue(count=events.append), events
