Ignore the load and bound the limit that an upstream states as an odd number

Seen by callers: 502 for a request that its upstream has answered, since a Server-Load of thousands of digits raised ValueError in the middle of the answer; a Server-Limit near the largest float would raise OverflowError where an agent counts, and end its link each time. Digits are parsed in one place now, gateway/numbers.py, with a limit on their number. Before: ValueError for the load, and the limit 1e308 as it was.

--- a/src/dragonflyhold/platform/codec.py
+++ b/src/dragonflyhold/platform/codec.py
@@ -31,6 +31,7 @@
     Upstream,
     UpstreamId,
 )
+from dragonflyhold.gateway.numbers import parse_digits
 from dragonflyhold.ids import AdapterName, DataCentre, ServiceName, Version
 from dragonflyhold.platform.fields import (
     DECODING_ERRORS,
@@ -38,7 +39,6 @@
     address,
     check_optional_number,
     decode_error,
-    digits,
     integer,
     items,
     number,
@@ -79,6 +79,8 @@
 )
 # Requests that an upstream may process at a time, far beyond any that exists.
 MAX_SLOTS = 1_000_000
+# Higher limits are kept as this one, which no upstream reaches.
+MAX_LIMIT_PER_S = 1e6
 # Engines list an adapter without a version if it never had a later one.
 FIRST_VERSION = Version(1)
 
@@ -245,7 +247,7 @@
 
 def _parse_adapter_version(value: str) -> tuple[AdapterName, Version]:
     name, _, version = value.partition("@")
-    number = digits(version) if version else FIRST_VERSION
+    number = parse_digits(version) if version else FIRST_VERSION
     if number is None:
         raise DecodeError(f"{reprlib.repr(value)} has no valid version")
     return AdapterName(text(name)), Version(number)
@@ -376,10 +378,10 @@
 
 def server_load(head: Head) -> tuple[int, int] | None:
     """Return the numbers of running and waiting requests on an upstream, if they are given."""
-    parts = head.fields.get(SERVER_LOAD, b"").split(b",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+    counts = [parse_digits(part.strip()) for part in head.fields.get(SERVER_LOAD, b"").split(b",")]
+    if len(counts) != 3 or counts[0] is None or counts[1] is None or counts[2] is None:
         return None
-    return int(parts[0]), int(parts[1])
+    return counts[0], counts[1]
 
 
 def server_limit(head: Head) -> float | None:
@@ -392,7 +394,7 @@
         limit = float(value) if value is not None else math.nan
     except ValueError:
         return None
-    return limit if math.isfinite(limit) and limit >= 0 else None
+    return min(limit, MAX_LIMIT_PER_S) if math.isfinite(limit) and limit >= 0 else None
 
 
 def states_no_limit(head: Head) -> bool:
--- a/src/dragonflyhold/platform/fields.py
+++ b/src/dragonflyhold/platform/fields.py
@@ -10,12 +10,12 @@
 
 from dragonflyhold.gateway.logs import describe
 from dragonflyhold.gateway.model import Address
+from dragonflyhold.gateway.numbers import parse_digits
 
 # Ids, names and addresses; the store's keys have this limit.
 MAX_TEXT_CHARACTERS = 200
 # Larger integers are not exact in all JSON implementations, and do not fit into all messages.
 MAX_INTEGER = 2**53 - 1
-MAX_DIGITS = 15
 # Times in milliseconds, sizes in bytes, counts and versions of a configuration.
 MAX_NUMBER = 10**12
 MAX_PORT = 65535
@@ -76,13 +76,6 @@
     raise DecodeError(f"{reprlib.repr(value)} is not an integer from {low} to {high}")
 
 
-def digits(value: str | bytes) -> int | None:
-    """Return the number that ASCII digits state, ``None`` for other or too many characters."""
-    if value.isascii() and value.isdigit() and len(value) <= MAX_DIGITS:
-        return int(value)
-    return None
-
-
 def items(value: Any) -> list[Any]:
     """Return a list; an absent one is empty."""
     if value is None:
@@ -96,7 +89,7 @@
     """Return the ``ip:port`` of a listener; host names are not accepted."""
     host, _, port = text(value).rpartition(":")
     ip = ipaddress.ip_address(host)
-    number = digits(port)
+    number = parse_digits(port)
     if number is None or not 0 < number <= MAX_PORT:
         raise DecodeError(f"{reprlib.repr(value)} has no valid port")
     if "%" in host or ip.is_unspecified or ip.is_multicast:
--- a/tests/platform/test_codec.py
+++ b/tests/platform/test_codec.py
@@ -104,7 +104,17 @@
 
     @pytest.mark.parametrize(
         ("value", "limit"),
-        [(b"4.6", 4.6), (b"7", 7.0), (b"0", 0.0), (b"-1", None), (b"nan", None), (b"x", None)],
+        [
+            (b"4.6", 4.6),
+            (b"7", 7.0),
+            (b"0", 0.0),
+            (b"-1", None),
+            (b"nan", None),
+            (b"x", None),
+            (b"1e400", None),
+            (b"1e308", 1e6),
+            (b"9" * 5000, None),
+        ],
     )
     def test_limit_of_an_upstream_is_decoded(self, value: bytes, limit: float | None) -> None:
         assert codec.server_limit(_head(200, server_limit=value)) == limit
@@ -154,6 +164,11 @@
         assert codec.server_load(_head(200, server_load=b"3,x,8")) is None
         assert codec.server_load(_head(200)) is None
 
+    @pytest.mark.parametrize("value", [b"1,%s,8" % (b"9" * 5000), b"\xb2,1,8", b"-1,1,8", b",,"])
+    def test_odd_server_load_is_ignored(self, value: bytes) -> None:
+        """Guards against a header that ends a request although its upstream has answered."""
+        assert codec.server_load(_head(200, server_load=value)) is None
+
 
 class TestEngine:
     """Commands to an engine and its reports."""
