Read an answer whatever idle timeout its upstream states

Seen by callers: 502, or a stream that breaks off, for a complete answer of an upstream. Cause: a Keep-Alive timeout of hundreds of digits raised OverflowError or ValueError in the parser's callback, so the answer counted as malformed. Such a timeout is ignored now. Before: both such cases failed with 'garbled (sent=True) User callback error'.

--- a/src/dragonflyhold/gateway/http_client.py
+++ b/src/dragonflyhold/gateway/http_client.py
@@ -16,6 +16,7 @@
 import httptools
 
 from dragonflyhold.gateway.limits import MAX_FRAMING_BYTES, MAX_HEAD_BYTES, MAX_RESPONSE_BYTES
+from dragonflyhold.gateway.numbers import parse_digits
 
 # The kernel closes a connection whose sent bytes stay unacknowledged for this long.
 TCP_USER_TIMEOUT_MS = 2000
@@ -419,6 +420,7 @@
 def _idle_timeout(fields: dict[bytes, bytes]) -> float:
     for part in fields.get(b"keep-alive", b"").split(b","):
         name, _, value = part.strip().partition(b"=")
-        if name.lower() == b"timeout" and value.strip().isdigit():
-            return float(int(value))
+        seconds = parse_digits(value.strip())
+        if name.lower() == b"timeout" and seconds is not None:
+            return float(seconds)
     return DEFAULT_IDLE_TIMEOUT_S
--- a/tests/gateway/test_http_client.py
+++ b/tests/gateway/test_http_client.py
@@ -226,3 +226,13 @@
             return error.value.sent or await pool.can_connect(Address(address))
 
         assert not asyncio.run(run())
+
+
+class TestKeepAlive:
+    """Guards against answers that are lost because of the idle timeout that they state."""
+
+    @pytest.mark.parametrize("value", [b"9" * 400, b"9" * 5000, b"\xb2", b"-1", b"", b"1e3"])
+    def test_an_odd_idle_timeout_fails_no_exchange(self, value: bytes) -> None:
+        answer = b"HTTP/1.1 200 OK\r\nId: 1\r\nKeep-Alive: timeout=" + value
+        answers, _ = _run(_respond(answer + b"\r\nContent-Length: 3\r\n\r\nabc"))
+        assert answers == [(200, b"abc")]
