Forward events whose ids are no numbers that can be compared

Seen by callers: a stream that breaks off. Cause: ids were compared if isdigit was true for both, which holds for characters like a superscript two, and for thousands of digits, that int does not accept; the error ended the request. Such ids count as texts now. Before: ValueError out of the splitter for both.

--- a/src/dragonflyhold/gateway/events.py
+++ b/src/dragonflyhold/gateway/events.py
@@ -3,6 +3,7 @@
 from typing import final
 
 from dragonflyhold.gateway.limits import MAX_EVENT_BYTES
+from dragonflyhold.gateway.numbers import parse_digits
 
 # Bytes before new data in which the end of an event may begin.
 _END_OVERLAP = 3
@@ -58,13 +59,9 @@
         event_id = _event_id(event)
         if event_id is None:
             return True
-        last = self.last_id
-        if (
-            last is not None
-            and last.isdigit()
-            and event_id.isdigit()
-            and int(event_id) <= int(last)
-        ):
+        number = parse_digits(event_id)
+        last = parse_digits(self.last_id) if self.last_id is not None else None
+        if number is not None and last is not None and number <= last:
             return False
         self.last_id = event_id
         return True
--- a/tests/gateway/test_events.py
+++ b/tests/gateway/test_events.py
@@ -1,5 +1,6 @@
 """Tests of the splitter for server-sent events."""
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -47,3 +48,14 @@
         forwarded += splitter.feed(whole[start:])
         assert forwarded == whole
         assert splitter.forwarded_count == count
+
+
+class TestOddIds:
+    """Guards against an id that ends a request, as it can't be compared."""
+
+    @pytest.mark.parametrize("event_id", [b"9" * 5000, b"\xb2", b"-1", b"", b"1.5", b"x\0"])
+    def test_events_with_any_id_are_forwarded(self, event_id: bytes) -> None:
+        splitter = EventSplitter()
+        event = b"id: " + event_id + b"\ndata: x\n\n"
+        assert splitter.feed(b"id: 1\ndata: x\n\n" + event) == b"id: 1\ndata: x\n\n" + event
+        assert splitter.feed(b"id: 2\ndata: x\n\n") == b"id: 2\ndata: x\n\n"
