Check the values in messages between gateways and agents

Would be seen by callers: requests that wait for adapters of an engine whose agent repeats the same failure, or an upstream that is never used again. Cause: messages were checked for their shape only. A limit near the largest float raised OverflowError where an agent counts requests, a list as an adapter's name TypeError in the demand table, a text as a count ended the agent's loop on each round, and an infinite wait for a permit keeps an upstream from being used. The decoder checks each field: counts fit into a message again, numbers are finite, ids can be sent in headers.

--- a/src/dragonflyhold/gateway/messages.py
+++ b/src/dragonflyhold/gateway/messages.py
@@ -9,14 +9,17 @@
 """
 
 import dataclasses
+import reprlib
 from collections.abc import Sequence
 from typing import Any, final
 
 import msgpack
 
 from dragonflyhold.errors import DragonflyholdError
-from dragonflyhold.gateway.model import ModelAdapter, ModelName, UpstreamId
-from dragonflyhold.ids import AdapterName, Version
+from dragonflyhold.gateway.logs import describe
+from dragonflyhold.gateway.message_fields import count, data, key, number, text, upstream_id
+from dragonflyhold.gateway.model import ModelAdapter, UpstreamId
+from dragonflyhold.ids import Version
 from dragonflyhold.platform.store import FIRST_ERA, StorePosition
 
 _TAG_DEMAND, _TAG_ENGINE, _TAG_SUSPECTS, _TAG_AGENT_HEARTBEAT = 1, 2, 3, 4
@@ -356,52 +359,46 @@
             case 1:
                 return _decode_demands(*rest)
             case 2:
-                start_time_ms, upstream_id, resident, loading, backlog, *rest = rest
-                running, waiting, free_adapter_slots, has_model, is_draining, can_load = rest
-                return EngineUpdate(
-                    start_time_ms=start_time_ms,
-                    upstream_id=UpstreamId(upstream_id) if upstream_id else None,
-                    resident=[_decode_versioned_key(row) for row in resident],
-                    loading=[_decode_key(row) for row in loading],
-                    backlog=[_decode_key(row) for row in backlog],
-                    running=running,
-                    waiting=waiting,
-                    free_adapter_slots=free_adapter_slots,
-                    has_model=has_model,
-                    is_draining=is_draining,
-                    can_load=can_load,
-                )
+                return _decode_engine(*rest)
             case 3:
                 source, suspects = rest
                 return SuspectUpdate(
-                    source, [(bytes(fingerprint), int(n)) for fingerprint, n in suspects]
+                    text(source), [(data(fingerprint), count(n)) for fingerprint, n in suspects]
                 )
             case 4:
                 return _decode_heartbeat(*rest)
             case 5:
-                number, tokens, max_pause_s, slack_s, read_tokens, read_s = rest
-                return StartRequest(number, tokens, max_pause_s, slack_s, read_tokens, read_s)
+                request, tokens, max_pause_s, slack_s, read_tokens, read_s = rest
+                return StartRequest(
+                    count(request),
+                    count(tokens),
+                    number(max_pause_s),
+                    number(slack_s),
+                    count(read_tokens),
+                    number(read_s),
+                )
             case 6:
-                return StartGrant(*rest)
+                (request,) = rest
+                return StartGrant(count(request))
             case 7:
                 return LateStream()
             case 8:
                 return CrashUpdate([_decode_crash(row) for row in rest[0]])
             case 9:
-                return CrashDigest(_decode_bytes(rest[0]))
+                return CrashDigest(data(rest[0]))
             case 10:
                 return LimitUpdate([_decode_statement(row) for row in rest[0]])
             case 11:
                 return _decode_report(*rest)
             case 12:
-                number, *rest = rest
-                return PermitRequest(int(number), _decode_report(*rest))
+                request, *rest = rest
+                return PermitRequest(count(request), _decode_report(*rest))
             case 13:
-                number, wait_s = rest
-                return PermitReply(int(number), float(wait_s))
-    except (TypeError, ValueError, IndexError) as error:
-        raise MessageError(f"received fields are not a valid message: {error!r}") from error
-    raise MessageError(f"received a message with unknown tag {tag!r}")
+                request, wait_s = rest
+                return PermitReply(count(request), number(wait_s))
+    except (TypeError, ValueError, LookupError, AttributeError) as error:
+        raise MessageError(f"received fields are not a valid message: {describe(error)}") from error
+    raise MessageError(f"received a message with unknown tag {reprlib.repr(tag)}")
 
 
 def _decode_demands(
@@ -413,68 +410,103 @@
     *later: Any,
 ) -> DemandUpdate:
     del later
-    demands = [_decode_demand(row) for row in rows]
-    position = StorePosition(int(era), int(change))
-    return DemandUpdate(demands, bool(is_ping), int(protocol), position)
+    demands = [_decode_demand(*row) for row in rows]
+    position = StorePosition(count(era), count(change))
+    return DemandUpdate(demands, bool(is_ping), count(protocol), position)
+
+
+def _decode_demand(
+    model: Any,
+    adapter: Any,
+    version: Any,
+    waiting: Any,
+    utility: Any,
+    running: Any,
+    started: Any,
+    slack_s: Any,
+) -> AdapterDemand:
+    return AdapterDemand(
+        key=key((model, adapter)),
+        version=Version(count(version)),
+        waiting=count(waiting),
+        utility=number(utility),
+        running=count(running),
+        started=count(started),
+        slack_s=number(slack_s),
+    )
+
+
+def _decode_engine(
+    start_time_ms: Any,
+    incarnation: Any,
+    resident: Any,
+    loading: Any,
+    backlog: Any,
+    running: Any,
+    waiting: Any,
+    free_adapter_slots: Any,
+    has_model: Any,
+    is_draining: Any,
+    can_load: Any,
+) -> EngineUpdate:
+    return EngineUpdate(
+        start_time_ms=count(start_time_ms),
+        upstream_id=upstream_id(incarnation),
+        resident=[_decode_resident(*row) for row in resident],
+        loading=[key(row) for row in loading],
+        backlog=[key(row) for row in backlog],
+        running=count(running),
+        waiting=count(waiting),
+        free_adapter_slots=count(free_adapter_slots),
+        has_model=bool(has_model),
+        is_draining=bool(is_draining),
+        can_load=bool(can_load),
+    )
+
+
+def _decode_resident(model: Any, adapter: Any, version: Any) -> tuple[ModelAdapter, Version]:
+    return key((model, adapter)), Version(count(version))
 
 
 def _decode_heartbeat(
-    gap_s: float | None = None,
-    running: int | None = None,
-    waiting: int | None = None,
-    is_paced: bool = False,
-    change: int = 0,
-    gateways: int = 0,
-    protocol: int = 1,
-    era: int = FIRST_ERA,
+    gap_s: Any = None,
+    running: Any = None,
+    waiting: Any = None,
+    is_paced: Any = False,
+    change: Any = 0,
+    gateways: Any = 0,
+    protocol: Any = 1,
+    era: Any = FIRST_ERA,
     *later: Any,
 ) -> AgentHeartbeat:
     del later
-    position = StorePosition(int(era), int(change))
-    return AgentHeartbeat(gap_s, running, waiting, is_paced, position, int(gateways), int(protocol))
-
-
-def _decode_bytes(value: Any) -> bytes:
-    if not isinstance(value, bytes):
-        raise TypeError(f"{value!r} is not a byte string")
-    return value
+    return AgentHeartbeat(
+        number(gap_s) if gap_s is not None else None,
+        count(running) if running is not None else None,
+        count(waiting) if waiting is not None else None,
+        bool(is_paced),
+        StorePosition(count(era), count(change)),
+        count(gateways),
+        count(protocol),
+    )
 
 
 def _decode_crash(row: Sequence[Any]) -> CrashRow:
     crash, age_s, requests, sound, was_serving = row
     return CrashRow(
-        str(crash),
-        float(age_s),
-        [
-            (_decode_bytes(content), tuple(_decode_bytes(part) for part in parts))
-            for content, parts in requests
-        ],
-        [_decode_bytes(trait) for trait in sound],
+        text(crash),
+        number(age_s),
+        [(data(content), tuple(data(part) for part in parts)) for content, parts in requests],
+        [data(trait) for trait in sound],
         bool(was_serving),
     )
 
 
 def _decode_report(statement: Sequence[Any], sent_ages_s: Sequence[Any]) -> LimitReport:
-    return LimitReport(_decode_statement(statement), [float(age_s) for age_s in sent_ages_s])
+    return LimitReport(_decode_statement(statement), [number(age_s) for age_s in sent_ages_s])
 
 
 def _decode_statement(row: Sequence[Any]) -> LimitStatement:
     incarnation, limit_per_s, age_s = row
-    limit = float(limit_per_s) if limit_per_s is not None else None
-    return LimitStatement(str(incarnation), limit, float(age_s))
-
-
-def _decode_demand(row: Sequence[Any]) -> AdapterDemand:
-    model, adapter, version, waiting, utility, running, started, slack_s = row
-    key = ModelAdapter(ModelName(model), AdapterName(adapter))
-    return AdapterDemand(key, Version(version), waiting, utility, running, started, slack_s)
-
-
-def _decode_versioned_key(row: Sequence[Any]) -> tuple[ModelAdapter, Version]:
-    model, adapter, version = row
-    return ModelAdapter(ModelName(model), AdapterName(adapter)), Version(version)
-
-
-def _decode_key(row: Sequence[Any]) -> ModelAdapter:
-    model, adapter = row
-    return ModelAdapter(ModelName(model), AdapterName(adapter))
+    limit = number(limit_per_s) if limit_per_s is not None else None
+    return LimitStatement(text(incarnation), limit, number(age_s))
