Go on with a link after a message that can't be handled

Seen by callers: with one such message, requests that wait for adapters of an engine, again and again: the exception ended the connection, both sides connected again and said the same. Cause: only decoding errors were caught, and these closed the link too. Before: OverflowError out of data_received.

--- a/src/dragonflyhold/gateway/link.py
+++ b/src/dragonflyhold/gateway/link.py
@@ -10,7 +10,7 @@
 
 from dragonflyhold.gateway.connection_pool import CONNECT_TIMEOUT_S
 from dragonflyhold.gateway.http_client import set_dead_peer_detection
-from dragonflyhold.gateway.logs import JsonLogger
+from dragonflyhold.gateway.logs import JsonLogger, describe
 from dragonflyhold.gateway.messages import MAX_FRAME_BYTES, Message, MessageError, decode, encode
 
 # Each side sends at least once per period and closes the link if nothing arrives for the timeout.
@@ -47,6 +47,7 @@
         self.closed = asyncio.Event()
         self._owner = owner
         self._transport: asyncio.Transport | None = None
+        self._log = JsonLogger("link")
         self._unpacker = msgpack.Unpacker(max_buffer_size=MAX_FRAME_BYTES)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -58,18 +59,31 @@
         self._owner.link_opened(self)
 
     def data_received(self, data: bytes) -> None:
-        """Decode received messages; close the link on invalid data."""
+        """Handle received messages; close the link if they can't be told apart."""
         self.last_received_at = time.monotonic()
         try:
             self._unpacker.feed(data)
             for fields in self._unpacker:
-                self._owner.link_message(self, decode(fields))
-        except (MessageError, ValueError, msgpack.UnpackException) as error:
-            JsonLogger("link").warning(
-                "A peer sent invalid data; the link is closed.", peer=self.peer, error=repr(error)
+                self._handle(fields)
+        except (ValueError, msgpack.UnpackException) as error:
+            self._log.warning(
+                "A peer sent invalid data; the link is closed.",
+                peer=self.peer,
+                error=describe(error),
             )
             self.close()
 
+    def _handle(self, fields: object) -> None:
+        """Handle one message; an odd one ends neither the link nor the ones after it."""
+        try:
+            self._owner.link_message(self, decode(fields))
+        except MessageError as error:
+            self._log.warning("An invalid message was ignored.", peer=self.peer, error=str(error))
+        except Exception as error:
+            self._log.error(
+                "A message could not be handled.", peer=self.peer, error=describe(error)
+            )
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Notify the owner of the closed link."""
         del exc
--- a/tests/gateway/test_odd_messages.py
+++ b/tests/gateway/test_odd_messages.py
@@ -8,6 +8,7 @@
 import msgpack
 import pytest
 
+from dragonflyhold.gateway.link import Link
 from dragonflyhold.gateway.messages import (
     AgentHeartbeat,
     CrashDigest,
@@ -121,3 +122,45 @@
                 assert not any(task.done() and task.exception() for task in running)
 
         asyncio.run(run())
+
+
+class _Owner:
+    """Fails for each late stream."""
+
+    def __init__(self) -> None:
+        self.messages: list[Message] = []
+
+    def link_opened(self, link: Link) -> None:
+        del link
+
+    def link_message(self, link: Link, message: Message) -> None:
+        del link
+        if isinstance(message, LateStream):
+            raise OverflowError("int too large")
+        self.messages.append(message)
+
+    def link_closed(self, link: Link) -> None:
+        del link
+
+
+class _Transport:
+    is_aborted = False
+
+    def abort(self) -> None:
+        self.is_aborted = True
+
+
+class TestLinks:
+    """Guards against links that close, and close again, because of one message."""
+
+    def test_a_link_goes_on_after_a_message_that_fails(self) -> None:
+        owner, transport = _Owner(), _Transport()
+        link = Link(owner)
+        link._transport = transport  # type: ignore[assignment]
+        grants = [encode(StartGrant(number)) for number in range(3)]
+        odd = msgpack.packb([13, 1, float("nan")])
+        link.data_received(grants[0] + encode(LateStream()) + grants[1] + odd + grants[2])
+        assert owner.messages == [StartGrant(number) for number in range(3)]
+        assert not transport.is_aborted
+        link.data_received(b"\xc1")
+        assert transport.is_aborted
