Answer 502 if the handling of a request fails unexpectedly, wherever it does

Seen by callers: a closed connection without an answer. Cause: an exception outside the gateway's own try block, or in one of its except branches, left the handler, and the server closed the connection. The server itself now answers 502, which does not tell whether the request has run, or breaks off a stream that has begun; then it logs the cause, counts request_failed_unexpectedly and serves the next request on the connection. A failure of the log or the counter changes none of that. test_a_request_without_a_response_is_reported demanded the closed connection; the tests that replace it demand an answer besides the same report.

--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -90,6 +90,7 @@
             IngressLimits(),
             self._log_rejected_request,
             self._log_unanswered_request,
+            self._log_failed_request,
         )
         self.is_store_stable = False
         # Set while the process stops as planned.
@@ -266,6 +267,14 @@
             detail=detail,
         )
 
+    def _log_failed_request(self, request: ClientRequest, detail: str) -> None:
+        self._metrics.count_event("request_failed_unexpectedly")
+        self.log.error(
+            "An unexpected error ended the handling of a request.",
+            id=codec.request_id(request.fields),
+            detail=detail,
+        )
+
     # Queries and updates by request runs
 
     def required_version(self, target: ModelAdapter | None) -> Version:
--- a/src/dragonflyhold/gateway/http_server.py
+++ b/src/dragonflyhold/gateway/http_server.py
@@ -15,6 +15,7 @@
 
 from dragonflyhold.gateway.http_client import set_dead_peer_detection
 from dragonflyhold.gateway.limits import MAX_FRAMING_BYTES
+from dragonflyhold.gateway.logs import JsonLogger, describe
 from dragonflyhold.gateway.model import IngressLimits
 from dragonflyhold.gateway.responder import Responder
 
@@ -254,20 +255,20 @@
         self._task = asyncio.get_running_loop().create_task(self._serve(request, responder))
 
     async def _serve(self, request: ClientRequest, responder: Responder) -> None:
+        detail = ""
         try:
             await self._server.handler(request, responder)
+            if not responder.is_ended:
+                detail = "the handler returned without a response"
         except asyncio.CancelledError:
             self.abort()
             raise
         except Exception as error:
-            self._server.on_unanswered(request, repr(error))
-        else:
-            if not responder.is_ended:
-                self._server.on_unanswered(request, "the handler returned without a response")
+            detail = describe(error)
         finally:
-            if not responder.is_ended:
-                self.abort()
             self._task = None
+        if detail:
+            self._end_failed(request, responder, detail)
         if self._transport is None or self._transport.is_closing():
             return
         if self._queue:
@@ -276,6 +277,17 @@
         else:
             self._set_deadline(self._server.limits.idle_timeout_s, self._close_idle)
 
+    def _end_failed(self, request: ClientRequest, responder: Responder, detail: str) -> None:
+        """End a request whose handler failed; nothing is known of whether it has run."""
+        if not responder.is_started:
+            responder.send(502, [(b"Content-Type", b"text/plain")], b"in doubt\n")
+        elif not responder.is_ended:
+            responder.abort()
+        try:
+            self._server.on_failed(request, detail)
+        except Exception as error:
+            self._server.log.error("A failure could not be reported.", error=describe(error))
+
     def _reject(self, status: int, detail: str) -> None:
         """Reject a request before it reaches the handler, and close the connection."""
         if self._rejected:
@@ -312,7 +324,8 @@
 
     ``on_rejected`` is called with the status and detail of each rejected request,
     ``on_unanswered`` with each request that was read and whose connection this side closes without
-    a response, and with the cause.
+    a response, and with the cause; ``on_failed`` with each request whose handler raised an error or
+    sent no response, and with the cause. It gets 502, or its response is broken off.
     """
 
     def __init__(
@@ -321,11 +334,14 @@
         limits: IngressLimits,
         on_rejected: Callable[[int, str], None] = lambda status, detail: None,
         on_unanswered: Callable[[ClientRequest, str], None] = lambda request, detail: None,
+        on_failed: Callable[[ClientRequest, str], None] = lambda request, detail: None,
     ) -> None:
         self.handler = handler
         self.limits = limits
         self.on_rejected = on_rejected
         self.on_unanswered = on_unanswered
+        self.on_failed = on_failed
+        self.log = JsonLogger("http")
         self.is_draining = False
         self.connections: set[ServerConnection] = set()
         self._server: asyncio.Server | None = None
--- a/src/dragonflyhold/gateway/responder.py
+++ b/src/dragonflyhold/gateway/responder.py
@@ -86,8 +86,6 @@
     def _start(
         self, status: int, headers: Sequence[tuple[bytes, bytes]], framing: bytes, body: bytes
     ) -> None:
-        self.is_started = True
-        self.status = status
         keep = self._keep_alive and not self._connection.is_closing
         reason = _REASONS.get(status, b"Status")
         lines = [b"HTTP/1.1 %d %s\r\n" % (status, reason)]
@@ -98,6 +96,9 @@
             lines.append(b"Connection: close\r\n")
         lines.append(b"\r\n")
         lines.append(body)
+        # Only now: a response that can't be built leaves room for another one.
+        self.is_started = True
+        self.status = status
         self._connection.write(b"".join(lines))
 
     def _end(self) -> None:
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -23,14 +23,17 @@
         self.cancelled = 0
         self.may_respond = asyncio.Event()
         self.may_respond.set()
-        self.unanswered: list[str] = []
-        self.server = HttpServer(
-            self._handle,
-            LIMITS,
-            on_unanswered=lambda request, detail: self.unanswered.append(detail),
-        )
+        self.failed: list[str] = []
+        self.report_fails = False
+        self.server = HttpServer(self._handle, LIMITS, on_failed=self._note_failed)
         self.port = 0
 
+    def _note_failed(self, request: ClientRequest, detail: str) -> None:
+        del request
+        self.failed.append(detail)
+        if self.report_fails:
+            raise RuntimeError("the log is broken")
+
     async def _handle(self, request: ClientRequest, responder: Responder) -> None:
         self.requests.append(request)
         try:
@@ -42,6 +45,10 @@
             raise RuntimeError("unexpected")
         if request.target == b"/nothing":
             return
+        if request.target == b"/begun":
+            responder.start_stream(200, [])
+            await responder.write(b"one")
+            raise RuntimeError("unexpected")
         if request.target == b"/stream":
             responder.start_stream(200, [])
             await responder.write(b"one")
@@ -199,8 +206,8 @@
         assert asyncio.run(run()) == 1
 
 
-class TestUnansweredRequests:
-    """Requests whose connection closes without a response leave a trace."""
+class TestFailedHandlers:
+    """Guards against a request that is read and then gets neither an answer nor a log line."""
 
     @pytest.mark.parametrize(
         ("target", "detail"),
@@ -209,15 +216,38 @@
             (b"/nothing", "the handler returned without a response"),
         ],
     )
-    def test_a_request_without_a_response_is_reported(self, target: bytes, detail: str) -> None:
-        """Guards against closed connections that no log line and no counter shows."""
+    @pytest.mark.parametrize("report_fails", [False, True])
+    def test_a_request_whose_handler_fails_gets_502(
+        self, target: bytes, detail: str, report_fails: bool
+    ) -> None:
+        """Unlike 503, it does not tell that the request was not run."""
+        request = POST + b"\r\n"
 
         async def scenario() -> tuple[bytes, list[str]]:
             async with _running_server() as harness, asyncio.timeout(5):
-                response = await harness.exchange(POST.replace(b"/", target, 1) + b"\r\n")
-                return response, harness.unanswered
+                harness.report_fails = report_fails
+                response = await harness.exchange(request.replace(b"/", target, 1) + request)
+                return response, harness.failed
+
+        response, failed = asyncio.run(scenario())
+        assert response.startswith(b"HTTP/1.1 502 ")
+        assert b"HTTP/1.1 200 " in response, "the next request on the connection got no answer"
+        assert failed == [detail]
+
+    def test_a_stream_that_has_begun_is_broken_off(self) -> None:
+        """Guards against a part that looks whole, or that is followed by another answer."""
+
+        async def scenario() -> tuple[bytes, list[str]]:
+            async with _running_server() as harness, asyncio.timeout(5):
+                request = (POST + b"\r\n").replace(b"/", b"/begun", 1)
+                with contextlib.suppress(ConnectionResetError):
+                    return await harness.exchange(request), harness.failed
+                return b"", harness.failed
 
-        assert asyncio.run(scenario()) == (b"", [detail])
+        response, failed = asyncio.run(scenario())
+        assert b"HTTP/1.1 502" not in response
+        assert not response.endswith(b"0\r\n\r\n")
+        assert failed == ["RuntimeError('unexpected')"]
 
 
 class TestDraining:
