Decode the headers of a client whatever numbers they state

Token counts over 100 million and times over 1e6 s are ignored now, like other invalid values, so that they reach neither sums, messages nor log lines. All other headers were answered before too: absent, empty, twice, not ASCII.

--- a/src/dragonflyhold/platform/codec.py
+++ b/src/dragonflyhold/platform/codec.py
@@ -81,6 +81,9 @@
 MAX_SLOTS = 1_000_000
 # Higher limits are kept as this one, which no upstream reaches.
 MAX_LIMIT_PER_S = 1e6
+# Larger values in a client's headers are ignored like other invalid ones.
+MAX_TOKENS = 100_000_000
+MAX_TIME_LEFT_S = 1e6
 # Engines list an adapter without a version if it never had a later one.
 FIRST_VERSION = Version(1)
 
@@ -287,10 +290,10 @@
 
 def _parse_milliseconds(value: bytes | None) -> float | None:
     try:
-        number = float(value) if value is not None else math.nan
+        seconds = float(value) / 1000 if value is not None else math.nan
     except ValueError:
         return None
-    return number / 1000 if math.isfinite(number) else None
+    return seconds if abs(seconds) <= MAX_TIME_LEFT_S else None
 
 
 def _parse_parts(value: bytes) -> tuple[bytes, ...]:
@@ -299,8 +302,8 @@
 
 
 def _parse_count(value: bytes) -> int:
-    text = value.strip()
-    return int(text) if text.isdigit() else 0
+    number = parse_digits(value.strip())
+    return number if number is not None and number <= MAX_TOKENS else 0
 
 
 def upstream_headers(headers: Headers, options: SendOptions) -> list[tuple[bytes, bytes]]:
--- /dev/null
+++ b/tests/gateway/test_odd_requests.py
@@ -0,0 +1,84 @@
+"""Tests of client requests with odd headers, and of errors in the code that serves them."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
+
+import pytest
+
+from dragonflyhold.platform.standins.site import InProcessDeployment, running_deployment
+
+Result = TypeVar("Result")
+
+ODD_VALUES = (
+    *(b"", b" ", b"9" * 3000, b"-1", b"1e308", b"-1e308", b"1e400", b"nan", b"inf", b"0"),
+    *(
+        b"\xff\xfe",
+        b"\xb2,\xb2",
+        b"9" * 15,
+        b"9" * 9 + b"," + b"9" * 9,
+        b"," * 1000,
+        b"/",
+        b"base/",
+    ),
+)
+NAMES = (
+    *(b"Attempt-Id", b"Deadline-Remaining", b"Model", b"Token-Count", b"Prompt-Prefix"),
+    *(b"Last-Event-Id", b"Length-Hint", b"Host", b"Content-Length"),
+)
+
+
+def _run_scenario(
+    scenario: Callable[[InProcessDeployment], Awaitable[Result]], **counts: int
+) -> Result:
+    async def run() -> Result:
+        async with running_deployment(**counts) as deployment:
+            return await scenario(deployment)
+
+    return asyncio.run(run())
+
+
+def _event_counts(deployment: InProcessDeployment) -> dict[str, float]:
+    events = deployment.gateways[0]._metrics._events
+    return {labels["event"]: value for labels, value in events.get_all()}
+
+
+async def _status(deployment: InProcessDeployment, path: bytes, fields: list[Any]) -> int:
+    """Return the status of the answer to a request, 0 if the connection closes without one."""
+    host, _, port = deployment.client_address(0).rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    lines = [b"POST %s HTTP/1.1" % path, *(b"%s: %s" % field for field in fields), b"", b""]
+    writer.write(b"\r\n".join(lines))
+    async with asyncio.timeout(8):
+        answer = await reader.readline()
+    writer.close()
+    return int(answer.split()[1]) if answer else 0
+
+
+def _fields(deployment: InProcessDeployment, path: str) -> dict[bytes, bytes]:
+    fields = deployment.client_fields(path, "a1", 600, (100, 20))
+    return {name.encode(): value.encode() for name, value in fields.items()}
+
+
+class TestOddHeaders:
+    """Guards against requests that a header ends without an answer."""
+
+    @pytest.mark.parametrize("name", NAMES)
+    def test_each_request_is_answered(self, name: bytes) -> None:
+        async def scenario(deployment: InProcessDeployment) -> tuple[list[int], dict[str, float]]:
+            calls = []
+            for path in ("/ask/1", "/book/1"):
+                for value in (None, *ODD_VALUES):
+                    sound = _fields(deployment, path)
+                    rest = [item for item in sound.items() if item[0] != name]
+                    variants = [[*rest, (name, value)], [*sound.items(), (name, value)]]
+                    for fields in [rest] if value is None else variants:
+                        calls.append(_status(deployment, path.encode(), fields))
+            statuses = [await call for call in calls]
+            after = [(await deployment.call("/ask/1", adapter="a1")).status]
+            return statuses + after, _event_counts(deployment)
+
+        statuses, events = _run_scenario(scenario)
+        assert 0 not in statuses
+        assert statuses[-1] == 200, "a request after the odd ones was not served"
+        assert not {"failed_internal", "request_failed_unexpectedly"} & events.keys()
--- a/tests/platform/test_odd_values.py
+++ b/tests/platform/test_odd_values.py
@@ -1,6 +1,7 @@
 """Tests of odd values in rows and responses: wrong types, sizes, numbers and nesting."""
 
 import contextlib
+import dataclasses
 import ipaddress
 import random
 from collections.abc import Iterator
@@ -285,6 +286,37 @@
         assert codec.instance_id(Head(200, [], {codec.INSTANCE: value})) is None
 
 
+HEADERS = (
+    *(b"attempt-id", b"deadline-remaining", b"model", b"token-count", b"prompt-prefix"),
+    *(b"last-event-id", b"length-hint", b"host", b"unknown"),
+)
+odd_bytes = st.binary(max_size=20) | st.sampled_from(
+    [
+        *(b"", b"9" * 5000, b"9" * 5000 + b"," + b"9" * 5000, b"-1,-1", b"1e400", b"-1e308"),
+        *(b"1e308", b"nan", b"inf", b"\xb2,\xb2", b"\xff" * 9, b"/", b"//", b"m/", b"," * 9000),
+        *(b":" * 9000, b"1_000", b" 7 ", b"0x10", b"9" * 16, b"9" * 9),
+    ]
+)
+
+
+class TestClientHeaders:
+    """Guards against a header that ends its request, or that harms the ones after it."""
+
+    @given(st.dictionaries(st.sampled_from(HEADERS), odd_bytes))
+    def test_any_headers_are_decoded(self, fields: dict[bytes, bytes]) -> None:
+        found = codec.decode_request(fields)
+        assert 0 <= found.prompt_tokens <= codec.MAX_TOKENS
+        assert 0 <= found.output_tokens <= codec.MAX_TOKENS
+        assert found.time_left_s is None or abs(found.time_left_s) <= codec.MAX_TIME_LEFT_S
+        assert found.request_id.encode("latin-1") == fields.get(b"attempt-id", b"")
+        orjson.dumps(dataclasses.replace(found, prompt_parts=()))
+
+    def test_sound_headers_are_kept(self) -> None:
+        fields = {b"token-count": b" 1460 , 80", b"deadline-remaining": b" 6000.5 "}
+        found = codec.decode_request(fields)
+        assert (found.prompt_tokens, found.output_tokens, found.time_left_s) == (1460, 80, 6.0005)
+
+
 def _catalogue() -> tuple[Catalogue, list[str]]:
     events: list[str] = []
     return Catalogue(count=events.append), events
