Leave a client's absurd time limit out of what is known of other clients

Seen by callers: after one request whose Deadline-Remaining is far beyond what others state, all requests of its route count as retries and as late, until the gateway restarts: their adapters are loaded last, and they wait for a quarter of their time only. Cause: the longest limit ever stated is taken for that of a first attempt.

--- a/src/dragonflyhold/gateway/request.py
+++ b/src/dragonflyhold/gateway/request.py
@@ -69,7 +69,7 @@
             limit = min(limit, request_info.time_left_s)
         self._deadline = request.received + limit
         self._utility = gateway.estimate_utility(route, request_info)
-        age = gateway.client_ages.estimate(route.name, request_info.time_left_s)
+        age = gateway.client_ages.estimate(route.name, request_info.time_left_s, route.timeout_s)
         self._is_client_retry = age > CLIENT_RETRY_AGE_SHARE * route.target_latency_s
         self._target_at = request.received - age + route.target_latency_s
         self._context = RequestContext(
--- a/tests/gateway/test_client_age.py
+++ b/tests/gateway/test_client_age.py
@@ -31,3 +31,9 @@
 
     def test_a_request_without_limit_has_no_age(self) -> None:
         assert ClientAges().estimate("ask", None) == 0.0
+
+    def test_an_absurd_limit_makes_no_retries_of_later_requests(self) -> None:
+        """Guards against one client whose time limit makes all requests of its route late."""
+        ages = ClientAges()
+        assert ages.estimate("ask", 1e6, timeout_s=4.0) == 0.0
+        assert ages.estimate("ask", 4.0, timeout_s=4.0) == 0.0
