Bound the weight of one request's size in the mean of its route

Seen by callers: after one request that states an absurd number of tokens, all requests of its route have the lowest utility, for hundreds of requests, so their adapters are loaded last. Cause: its size went into the moving average as it was; it counts as 20 times the mean at most now, far above where the utility reaches its bound. Before: utilities of 0.30 instead of about 1.

--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -45,6 +45,8 @@
 RETRY_JITTER_S = 0.5
 # Weight of the newest request in the moving average of a route's request sizes.
 SIZE_WEIGHT = 0.02
+# Multiple of the mean beyond which a size counts as this multiple in the mean.
+MAX_SIZE_RATIO = 20.0
 # Utility of loading an adapter whose engine is silent: that of a request of mean size.
 LOAD_UTILITY = 1.0
 # Engines support 10 urgency levels, 0 to 9.
@@ -292,7 +294,9 @@
         if size <= 0:
             return 1.0
         mean = self._mean_sizes.get(route.name, float(size))
-        self._mean_sizes[route.name] = mean + SIZE_WEIGHT * (size - mean)
+        self._mean_sizes[route.name] = mean + SIZE_WEIGHT * (
+            min(size, MAX_SIZE_RATIO * mean) - mean
+        )
         return min(4.0, 0.3 + 0.7 * size / max(mean, 1.0))
 
     def urgency(self, route: Route) -> int | None:
--- a/tests/gateway/test_odd_requests.py
+++ b/tests/gateway/test_odd_requests.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from dragonflyhold.platform.standins.site import InProcessDeployment, running_deployment
+from dragonflyhold.platform import codec
+from dragonflyhold.platform.standins.site import HOST, InProcessDeployment, running_deployment
 
 Result = TypeVar("Result")
 
@@ -82,3 +83,20 @@
         assert 0 not in statuses
         assert statuses[-1] == 200, "a request after the odd ones was not served"
         assert not {"failed_internal", "request_failed_unexpectedly"} & events.keys()
+
+
+class TestOddSizes:
+    """Guards against one request whose size makes the ones after it look worthless."""
+
+    def test_utilities_stay_near_one_after_a_request_of_absurd_size(self) -> None:
+        async def scenario(deployment: InProcessDeployment) -> list[float]:
+            gateway = deployment.gateways[0].gateway
+            assert gateway.catalogue.configuration is not None
+            route = gateway.catalogue.configuration.routes[HOST][0]
+            sizes = [b"1000,100"] * 20 + [b"100000000,100000000"] + [b"1000,100"] * 20
+            infos = [codec.decode_request({b"token-count": size}) for size in sizes]
+            return [gateway.estimate_utility(route, info) for info in infos]
+
+        utilities = _run_scenario(scenario, engines=0, plain=1)
+        assert utilities[20] == 4.0
+        assert min(utilities) > 0.6
