Refuse a request as not run if an unexpected error came before it was sent

Seen by callers: 502 for a request that no upstream can have got, which a client may not repeat if it must run at most once. Cause: the answer to an unexpected error did not look at whether the request was sent. It is 503 now, under the same condition as for the time limit: no upstream was chosen for sending and no response has begun; otherwise it stays 502. Each such error is counted as request_failed_unexpectedly. The tests raise an error at 18 places of a request's path, also in the log, the metrics and the branches that handle errors: each request is answered, one that ran never gets 503.

--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -16,7 +16,7 @@
 from dragonflyhold.gateway.engines import AgentLinks
 from dragonflyhold.gateway.http_client import Head, strip_hop_by_hop
 from dragonflyhold.gateway.http_server import ClientRequest, HttpServer, Responder
-from dragonflyhold.gateway.logs import JsonLogger
+from dragonflyhold.gateway.logs import JsonLogger, describe
 from dragonflyhold.gateway.model import (
     Configuration,
     IngressLimits,
@@ -126,8 +126,7 @@
         except InDoubtError as error:
             self._fail(responder, 502, error.reason, request_info, run)
         except TimeoutError:
-            assert run is not None
-            if run.progress.upstream is None and not responder.is_started:
+            if _is_unsent(run, responder):
                 refusal = RefusedError(Reason.TIMEOUT, RETRY_AFTER_S)
                 self._refuse(responder, refusal, request_info, run)
             else:
@@ -136,13 +135,19 @@
             self._log_end(run, request_info, "client_left", responder)
             raise
         except Exception as error:
-            # The client gets a response even after an unexpected error.
+            # The client gets a response even after an unexpected error; one in this branch is
+            # handled by the server.
+            self._metrics.count_event("request_failed_unexpectedly")
             self.log.error(
                 "An unexpected error ended a request.",
                 id=request_info.request_id,
-                error=repr(error),
+                error=describe(error),
             )
-            self._fail(responder, 502, Reason.INTERNAL, request_info, run)
+            if _is_unsent(run, responder):
+                refusal = RefusedError(Reason.INTERNAL, RETRY_AFTER_S)
+                self._refuse(responder, refusal, request_info, run)
+            else:
+                self._fail(responder, 502, Reason.INTERNAL, request_info, run)
 
     def _admit(
         self, request: ClientRequest, request_info: RequestInfo, responder: Responder
@@ -434,3 +439,8 @@
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+
+
+def _is_unsent(run: RequestRun | None, responder: Responder) -> bool:
+    """Return whether a request was sent to no upstream, so that it can be refused as not run."""
+    return (run is None or run.progress.upstream is None) and not responder.is_started
--- a/tests/gateway/test_odd_requests.py
+++ b/tests/gateway/test_odd_requests.py
@@ -7,7 +7,14 @@
 import pytest
 
 from dragonflyhold.platform import codec
-from dragonflyhold.platform.standins.site import HOST, InProcessDeployment, running_deployment
+from dragonflyhold.platform.standins.site import (
+    ENGINE_SERVICE,
+    HOST,
+    Answer,
+    InProcessDeployment,
+    configuration,
+    running_deployment,
+)
 
 Result = TypeVar("Result")
 
@@ -100,3 +107,69 @@
         utilities = _run_scenario(scenario, engines=0, plain=1)
         assert utilities[20] == 4.0
         assert min(utilities) > 0.6
+
+
+def _fail(*args: object, **kwargs: object) -> Any:
+    raise OverflowError("int too large to convert")
+
+
+# Where an error is raised, and the status that the client gets; 200 with a complete answer.
+FAULTS = {
+    "codec.decode_request": 502,
+    "gateway.budget.note_request": 503,
+    "gateway._rng.choices": 503,
+    "gateway.client_ages.estimate": 503,
+    "gateway.quarantine.is_refused": 503,
+    "gateway.table.choose_again": 503,
+    "gateway.permits.acquire": 503,
+    "gateway.demands.request_started": 503,
+    "gateway.agent_links.starts.wait": 503,
+    "gateway.pool.send": 502,
+    "gateway.table.note_first_byte": 502,
+    "gateway.note_limit": 502,
+    "gateway.note_load": 502,
+    "gateway.note_answered": 200,
+    "gateway._log_end": 200,
+    "gateway.request_log.info": 503,
+    "metrics.count_request": 200,
+    "metrics.observe_first_token": 200,
+}
+
+
+class TestUnexpectedErrors:
+    """Guards against an error that ends a request without an answer, or without a log line."""
+
+    @pytest.mark.parametrize(("place", "status"), FAULTS.items())
+    def test_a_request_is_answered_wherever_an_error_is_raised(
+        self, place: str, status: int, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async def scenario(
+            deployment: InProcessDeployment,
+        ) -> tuple[Answer, Answer, int, dict[str, float]]:
+            daemon = deployment.gateways[0]
+            owner: Any = {"gateway": daemon.gateway, "metrics": daemon._metrics, "codec": codec}
+            path, _, name = place.rpartition(".")
+            first, *rest = path.split(".")
+            owner = owner[first]
+            for part in rest:
+                owner = getattr(owner, part)
+            config = configuration(2)
+            split = [{"service": ENGINE_SERVICE, "weight": weight} for weight in (1, 2)]
+            config["routes"][0]["traffic_split"] = split
+            deployment.store.put("op", "config", config)
+            await asyncio.sleep(0.1)
+            await deployment.call("/ask/1", adapter="a1")
+            runs = len(deployment.upstreams["e0"].runs)
+            with monkeypatch.context() as patch:
+                patch.setattr(owner, name, _fail)
+                answer = await deployment.call("/ask/1", adapter="a1")
+            ran = len(deployment.upstreams["e0"].runs) - runs
+            after = await deployment.call("/ask/1", adapter="a1")
+            return answer, after, ran, _event_counts(deployment)
+
+        answer, after, ran, events = _run_scenario(scenario, engines=1, plain=0)
+        assert answer.status == status
+        assert answer.complete == (status != 200) or b"id:6" in answer.body.replace(b" ", b"")
+        assert after.status == 200, "the next request is not served"
+        assert not (ran and answer.status == 503), "a request that ran is said not to have run"
+        assert events.get("request_failed_unexpectedly", 0) >= 1
