Ask for a permit again after the time between two probes at the latest

Seen by callers: requests that are refused although an upstream could take them, for good, after one reply of an agent with a huge wait. The windows of the agent that counts are no longer than this time, so no right reply is cut off. Before: no permit after 10 s, with a wait of 1e12 s.

--- a/src/dragonflyhold/gateway/permits.py
+++ b/src/dragonflyhold/gateway/permits.py
@@ -127,7 +127,7 @@
             return self._take_share(view)
         if wait_s > 0:
             self._count_event("permit_refused")
-            view.no_permit_until = self._clock() + wait_s
+            view.no_permit_until = self._clock() + min(wait_s, PROBE_S)
             return False
         view.recent_sends.append(self._clock())
         return True
--- a/tests/gateway/test_permits.py
+++ b/tests/gateway/test_permits.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from dragonflyhold.gateway.limit_windows import PROBE_S
 from dragonflyhold.gateway.link import Link
 from dragonflyhold.gateway.messages import (
     LimitReport,
@@ -67,6 +68,20 @@
         return [await self.permits.acquire(self.view) for _ in range(count)]
 
 
+class TestOddReplies:
+    """Guards against an upstream that is never used again after one reply."""
+
+    def test_a_wait_is_no_longer_than_the_time_between_two_probes(self) -> None:
+        async def run() -> list[bool]:
+            scenario = _Scenario(1e12, 0.0)
+            scenario.permits.note_stated(scenario.view, 1.0)
+            first = await scenario.acquire()
+            scenario.now += PROBE_S
+            return first + await scenario.acquire()
+
+        assert asyncio.run(run()) == [False, True]
+
+
 class TestStatements:
     """Guards against limits that are missed, or that hold for longer than they are stated."""
 
