Tell gateways of an engine's state also while its plans fail

Seen by callers: requests that wait for, or go to, adapters that the engine no longer has. Cause: an exception in a plan ended the agent's loop before it published; the loop started again and met the same exception each time. It is logged and counted as plan_failed now, and the rest of the round goes on. Before: the loop ended with OverflowError.

--- a/src/dragonflyhold/gateway/agent.py
+++ b/src/dragonflyhold/gateway/agent.py
@@ -23,7 +23,7 @@
 from dragonflyhold.gateway.fencing import FencingToken
 from dragonflyhold.gateway.limit_ledger import LimitLedger
 from dragonflyhold.gateway.link import Link
-from dragonflyhold.gateway.logs import JsonLogger
+from dragonflyhold.gateway.logs import JsonLogger, describe
 from dragonflyhold.gateway.messages import (
     CRASH_PROTOCOL,
     LIMIT_PROTOCOL,
@@ -287,7 +287,7 @@
             if self._is_busy() or time.monotonic() - self._read_at >= IDLE_POLL_PERIOD_S:
                 await self._read_engine()
             if self._report is not None:
-                await self._execute_plan(self._report)
+                await self._try_plan(self._report)
             self._publish()
             self._changed.clear()
             try:
@@ -350,6 +350,14 @@
         while len(self._host_cached) > max_cached:
             del self._host_cached[next(iter(self._host_cached))]
 
+    async def _try_plan(self, report: EngineReport) -> None:
+        """Execute the plan; gateways hear of the engine's state even if that fails."""
+        try:
+            await self._execute_plan(report)
+        except Exception as error:
+            self._metrics.count_event("plan_failed")
+            self._log.error("The plan could not be executed.", error=describe(error))
+
     async def _execute_plan(self, report: EngineReport) -> None:
         spec = self._catalogue.engine_spec(self._service)
         if spec is None or not await self._fencing_token.acquire():
--- a/tests/gateway/test_agent.py
+++ b/tests/gateway/test_agent.py
@@ -40,6 +40,7 @@
         self.unanswered: list[tuple[AdapterCommand, int, UpstreamId | None]] = []
         self.command_upstream_ids: list[UpstreamId | None] = []
         self.max_slots_used = 0
+        self.fails = False
 
     async def report(self) -> EngineReport:
         models = (MODEL,) if self.has_model else ()
@@ -60,6 +61,8 @@
         upstream_id: UpstreamId | None,
     ) -> CommandResult:
         assert fencing_token > 0
+        if self.fails:
+            raise OverflowError("int too large")
         self.command_upstream_ids.append(upstream_id)
         is_load = command.kind is CommandKind.LOAD
         if self.lost_responses or (self.lost_load_responses and is_load):
@@ -234,3 +237,24 @@
         harness.agent.link_closed(harness.link)  # type: ignore[arg-type]
         asyncio.run(harness.run_cycles(2))
         assert harness.engine.resident == set()
+
+
+class TestFailingPlans:
+    """Guards against an agent that tells gateways nothing while each of its plans fails."""
+
+    def test_the_engines_state_is_published_although_commands_fail(self) -> None:
+        async def run() -> list[int]:
+            harness = _Harness()
+            harness.engine.resident = {1}
+            harness.engine.fails = True
+            demands = [demand(4, waiting=1)]
+            harness.agent.link_message(harness.link, DemandUpdate(demands))  # type: ignore[arg-type]
+            task = asyncio.ensure_future(harness.agent.run())
+            await asyncio.sleep(0.3)
+            assert not task.done()
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            updates = [item for item in harness.link.sent if isinstance(item, EngineUpdate)]
+            return [len(update.resident) for update in updates]
+
+        assert asyncio.run(run())[-1] == 1
