Give rows with odd numbers no order among the contents of their key

Would be seen by callers: after a restore of the store, an invalid row with a huge number that a process knows counts as later than each valid one of its key, which is ignored until it is written again. Such rows have no order now, so that the other one is taken. Before: five of seven odd numbers had one, among them 1e300, -1 and true.

--- a/src/dragonflyhold/platform/codec.py
+++ b/src/dragonflyhold/platform/codec.py
@@ -224,8 +224,8 @@
 def operator_row_order(row: StoredRow) -> tuple[int, ...] | None:
     """Return a number that rises with each content of a row that the operator writes."""
     try:
-        return (int(orjson.loads(row.value)["version"]),)
-    except (KeyError, TypeError, ValueError, OverflowError):
+        return (integer(orjson.loads(row.value)["version"]),)
+    except DECODING_ERRORS:
         return None
 
 
@@ -234,8 +234,8 @@
     try:
         fields = orjson.loads(row.value)
         is_draining = fields["state"] == RegistrationState.DRAINING.value
-        return int(fields.get("born") or 0), int(fields["sequence"]), int(is_draining)
-    except (KeyError, TypeError, ValueError, OverflowError, AttributeError):
+        return integer(fields.get("born") or 0), integer(fields["sequence"]), int(is_draining)
+    except DECODING_ERRORS:
         return None
 
 
--- a/tests/platform/test_odd_values.py
+++ b/tests/platform/test_odd_values.py
@@ -251,6 +251,20 @@
                 assert orjson.dumps([*key, version])
 
 
+class TestOrderOfContents:
+    """Guards against an odd row that counts as later than each valid one after a restore."""
+
+    @pytest.mark.parametrize("odd", [1e300, 2**64 - 1, -1, "9" * 300, None, [7], True])
+    def test_odd_numbers_have_no_order(self, odd: Any) -> None:
+        announced = orjson.dumps({**CONFIGURATION, "version": odd})
+        entries = [orjson.dumps({**ENTRY, name: odd}) for name in ("born", "sequence")]
+        rows = [StoredRow("r1", 1, value) for value in entries]
+        assert codec.operator_row_order(StoredRow("config", 1, announced)) is None
+        # An absent start time is that of a first incarnation.
+        assert [codec.registry_row_order(row) for row in rows] in ([None, None], [(0, 4, 0), None])
+        assert codec.registry_row_order(StoredRow("r1", 1, orjson.dumps(ENTRY))) == (17, 4, 0)
+
+
 REPORT = {
     "state": "ready",
     "models": ENTRY["models"],
