Repeat what a gateway does once at its start if it fails

Would be seen by callers: a gateway that gets no requests for good, since it is ready only once it has read from the store or from a peer. Cause: the task that reads from peers, and the one that reads the stored crashes, ended with the first unexpected error, without a log line. Both are started again now, and the error is logged.

--- a/src/dragonflyhold/gateway/daemon.py
+++ b/src/dragonflyhold/gateway/daemon.py
@@ -24,7 +24,7 @@
 from dragonflyhold.gateway.registry import EXPIRY_GRACE_S
 from dragonflyhold.gateway.shutdown import PlannedStop
 from dragonflyhold.gateway.table_rows import TableRules
-from dragonflyhold.gateway.tasks import supervise
+from dragonflyhold.gateway.tasks import run_until_done, supervise
 from dragonflyhold.gateway.watch import LONG_FEED_WAIT_S, TableWatch
 from dragonflyhold.ids import ServiceName
 from dragonflyhold.observability.metrics import Metrics
@@ -177,10 +177,8 @@
             _start_task(self._log, "liveness", self._check_liveness),
             _start_task(self._log, "crashes", self._compare_crashes),
             _start_task(self._log, "housekeeping", self._run_housekeeping),
-            asyncio.get_running_loop().create_task(
-                self._peer_snapshots.fetch_from_seeds(self._other_seeds())
-            ),
-            asyncio.get_running_loop().create_task(self._crash_archive.load()),
+            _start_task(self._log, "peers", self._fetch_snapshot, run_until_done),
+            _start_task(self._log, "archive", self._crash_archive.load, run_until_done),
         ]
         assert settings.client_listener is not None
         await _listen(self.gateway.server, settings.client_listener)
@@ -221,6 +219,9 @@
                 return
             await asyncio.sleep(0.02)
 
+    async def _fetch_snapshot(self) -> None:
+        await self._peer_snapshots.fetch_from_seeds(self._other_seeds())
+
     def _other_seeds(self) -> list[Address]:
         return [seed for seed in self._settings.seeds if seed != self._settings.peer_listener]
 
@@ -430,9 +431,12 @@
 
 
 def _start_task(
-    log: JsonLogger, name: str, run: Callable[[], Coroutine[None, None, None]]
+    log: JsonLogger,
+    name: str,
+    run: Callable[[], Coroutine[None, None, None]],
+    runner: Callable[..., Coroutine[None, None, None]] = supervise,
 ) -> asyncio.Task[None]:
-    return asyncio.get_running_loop().create_task(supervise(log, name, run))
+    return asyncio.get_running_loop().create_task(runner(log, name, run))
 
 
 async def _cancel_tasks(tasks: list[asyncio.Task[None]]) -> None:
--- a/src/dragonflyhold/gateway/tasks.py
+++ b/src/dragonflyhold/gateway/tasks.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from dragonflyhold.gateway.logs import JsonLogger
+from dragonflyhold.gateway.logs import JsonLogger, describe
 
 
 def limit_time(seconds: float) -> asyncio.Timeout:
@@ -19,7 +19,22 @@
         except asyncio.CancelledError:
             raise
         except Exception as error:
-            log.error("A background task failed and will restart.", task=name, error=repr(error))
+            log.error(
+                "A background task failed and will restart.", task=name, error=describe(error)
+            )
+        await asyncio.sleep(RESTART_DELAY_S)
+
+
+async def run_until_done(log: JsonLogger, name: str, run: Callable[[], Awaitable[None]]) -> None:
+    """Run a task that ends; log an unexpected error and start it again."""
+    while True:
+        try:
+            await run()
+            return
+        except Exception as error:
+            log.error(
+                "A background task failed and will restart.", task=name, error=describe(error)
+            )
         await asyncio.sleep(RESTART_DELAY_S)
 
 
--- a/tests/gateway/test_odd_entries.py
+++ b/tests/gateway/test_odd_entries.py
@@ -1,9 +1,11 @@
 """Tests of rows of the store that another writer left: odd values, types, sizes and nesting."""
 
 import asyncio
+from collections.abc import Sequence
 
 import msgpack
 import orjson
+import pytest
 
 from dragonflyhold.gateway.connection_pool import ConnectionPool
 from dragonflyhold.gateway.http_server import ClientRequest, HttpServer, Responder
@@ -157,3 +159,28 @@
 
         asyncio.run(run())
         assert [(row.key, row.version) for row in rows] == [("k", 5)]
+
+
+class TestStart:
+    """Guards against a gateway that never gets ready after one error while it starts."""
+
+    def test_a_failed_read_of_the_peers_is_repeated(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        fetch, calls = PeerSnapshots.fetch_from_seeds, list[int]()
+
+        async def fail_once(self: PeerSnapshots, seeds: Sequence[Address]) -> None:
+            calls.append(len(seeds))
+            if len(calls) == 1:
+                raise OverflowError("int too large")
+            await fetch(self, seeds)
+
+        async def scenario() -> bool:
+            async with running_deployment(engines=0, plain=1) as deployment:
+                monkeypatch.setattr(PeerSnapshots, "fetch_from_seeds", fail_once)
+                daemon = await deployment.add_gateway()
+                async with asyncio.timeout(5):
+                    while not daemon._peer_snapshots.is_complete:
+                        await asyncio.sleep(0.01)
+                return daemon._peer_snapshots.is_complete
+
+        assert asyncio.run(scenario())
+        assert len(calls) == 2
