--- a/src/dragonflyhold/gateway/daemon.py
+++ b/src/dragonflyhold/gateway/daemon.py
@@ -24,7 +24,7 @@
 from dragonflyhold.gateway.registry import EXPIRY_GRACE_S
 from dragonflyhold.gateway.shutdown import PlannedStop
 from dragonflyhold.gateway.table_rows import TableRules
-from dragonflyhold.gateway.tasks import supervise
+from dragonflyhold.gateway.tasks import run_until_done, supervise
 from dragonflyhold.gateway.watch import LONG_FEED_WAIT_S, TableWatch
 from dragonflyhold.ids import ServiceName
 from dragonflyhold.observability.metrics import Metrics
@@ -128,6 +128,7 @@
             self.gateway.catalogue.apply,
             wait_s=LONG_FEED_WAIT_S,
             rules=OPERATOR_RULES,
+            count=self._metrics.count_event,
         )
         self.gateway.agent_links.operator_watch = self._operator_watch
         self._registry_watch = TableWatch(
@@ -138,6 +139,7 @@
             # The long call of the other watch may have been lost in the outage.
             on_recovered=self._operator_watch.restart,
             rules=REGISTRY_RULES,
+            count=self._metrics.count_event,
         )
         self._store.subscribe_restored(self._note_restored)
         self._crash_archive = CrashArchive(self._store, self.gateway.crashes)
@@ -175,10 +177,8 @@
             _start_task(self._log, "liveness", self._check_liveness),
             _start_task(self._log, "crashes", self._compare_crashes),
             _start_task(self._log, "housekeeping", self._run_housekeeping),
-            asyncio.get_running_loop().create_task(
-                self._peer_snapshots.fetch_from_seeds(self._other_seeds())
-            ),
-            asyncio.get_running_loop().create_task(self._crash_archive.load()),
+            _start_task(self._log, "peers", self._fetch_snapshot, run_until_done),
+            _start_task(self._log, "archive", self._crash_archive.load, run_until_done),
         ]
         assert settings.client_listener is not None
         await _listen(self.gateway.server, settings.client_listener)
@@ -219,6 +219,9 @@
                 return
             await asyncio.sleep(0.02)
 
+    async def _fetch_snapshot(self) -> None:
+        await self._peer_snapshots.fetch_from_seeds(self._other_seeds())
+
     def _other_seeds(self) -> list[Address]:
         return [seed for seed in self._settings.seeds if seed != self._settings.peer_listener]
 
@@ -331,6 +334,7 @@
         self._catalogue = Catalogue(
             on_configuration=lambda configuration: self._agent.request_replan(),
             on_version=lambda key, version: self._agent.request_replan(),
+            count=self._metrics.count_event,
         )
         self._operator_watch = TableWatch(
             self._store,
@@ -338,6 +342,7 @@
             self._catalogue.apply,
             wait_s=LONG_FEED_WAIT_S,
             rules=OPERATOR_RULES,
+            count=self._metrics.count_event,
         )
         self._store.subscribe_restored(self._operator_watch.note_restored)
         assert settings.engine is not None
@@ -426,9 +431,12 @@
 
 
 def _start_task(
-    log: JsonLogger, name: str, run: Callable[[], Coroutine[None, None, None]]
+    log: JsonLogger,
+    name: str,
+    run: Callable[[], Coroutine[None, None, None]],
+    runner: Callable[..., Coroutine[None, None, None]] = supervise,
 ) -> asyncio.Task[None]:
-    return asyncio.get_running_loop().create_task(supervise(log, name, run))
+    return asyncio.get_running_loop().create_task(runner(log, name, run))
 
 
 async def _cancel_tasks(tasks: list[asyncio.Task[None]]) -> None:
--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -16,7 +16,7 @@
 from dragonflyhold.gateway.engines import AgentLinks
 from dragonflyhold.gateway.http_client import Head, strip_hop_by_hop
 from dragonflyhold.gateway.http_server import ClientRequest, HttpServer, Responder
-from dragonflyhold.gateway.logs import JsonLogger
+from dragonflyhold.gateway.logs import JsonLogger, describe
 from dragonflyhold.gateway.model import (
     Configuration,
     IngressLimits,
@@ -45,6 +45,8 @@
 RETRY_JITTER_S = 0.5
 # Weight of the newest request in the moving average of a route's request sizes.
 SIZE_WEIGHT = 0.02
+# Multiple of the mean beyond which a size counts as this multiple in the mean.
+MAX_SIZE_RATIO = 20.0
 # Utility of loading an adapter whose engine is silent: that of a request of mean size.
 LOAD_UTILITY = 1.0
 # Engines support 10 urgency levels, 0 to 9.
@@ -62,9 +64,11 @@
         # Per-request log lines have a rate limit of their own.
         self.request_log = JsonLogger("request")
         self.pool = ConnectionPool()
-        self.catalogue = Catalogue(self._configuration_changed, self._version_changed)
+        self.catalogue = Catalogue(
+            self._configuration_changed, self._version_changed, count=metrics.count_event
+        )
         self.table = UpstreamTable(settings.data_centre, random.Random())
-        self.registry = Registry(self, self._is_store_stable)
+        self.registry = Registry(self, self._is_store_stable, count=metrics.count_event)
         self.budget = RetryBudget(
             settings.bounds.retry_ratio,
             settings.bounds.retry_window_s,
@@ -88,6 +92,7 @@
             IngressLimits(),
             self._log_rejected_request,
             self._log_unanswered_request,
+            self._log_failed_request,
         )
         self.is_store_stable = False
         # Set while the process stops as planned.
@@ -121,8 +126,7 @@
         except InDoubtError as error:
             self._fail(responder, 502, error.reason, request_info, run)
         except TimeoutError:
-            assert run is not None
-            if run.progress.upstream is None and not responder.is_started:
+            if _is_unsent(run, responder):
                 refusal = RefusedError(Reason.TIMEOUT, RETRY_AFTER_S)
                 self._refuse(responder, refusal, request_info, run)
             else:
@@ -131,13 +135,19 @@
             self._log_end(run, request_info, "client_left", responder)
             raise
         except Exception as error:
-            # The client gets a response even after an unexpected error.
+            # The client gets a response even after an unexpected error; one in this branch is
+            # handled by the server.
+            self._metrics.count_event("request_failed_unexpectedly")
             self.log.error(
                 "An unexpected error ended a request.",
                 id=request_info.request_id,
-                error=repr(error),
+                error=describe(error),
             )
-            self._fail(responder, 502, Reason.INTERNAL, request_info, run)
+            if _is_unsent(run, responder):
+                refusal = RefusedError(Reason.INTERNAL, RETRY_AFTER_S)
+                self._refuse(responder, refusal, request_info, run)
+            else:
+                self._fail(responder, 502, Reason.INTERNAL, request_info, run)
 
     def _admit(
         self, request: ClientRequest, request_info: RequestInfo, responder: Responder
@@ -264,6 +274,14 @@
             detail=detail,
         )
 
+    def _log_failed_request(self, request: ClientRequest, detail: str) -> None:
+        self._metrics.count_event("request_failed_unexpectedly")
+        self.log.error(
+            "An unexpected error ended the handling of a request.",
+            id=codec.request_id(request.fields),
+            detail=detail,
+        )
+
     # Queries and updates by request runs
 
     def required_version(self, target: ModelAdapter | None) -> Version:
@@ -281,7 +299,9 @@
         if size <= 0:
             return 1.0
         mean = self._mean_sizes.get(route.name, float(size))
-        self._mean_sizes[route.name] = mean + SIZE_WEIGHT * (size - mean)
+        self._mean_sizes[route.name] = mean + SIZE_WEIGHT * (
+            min(size, MAX_SIZE_RATIO * mean) - mean
+        )
         return min(4.0, 0.3 + 0.7 * size / max(mean, 1.0))
 
     def urgency(self, route: Route) -> int | None:
@@ -419,3 +439,8 @@
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+
+
+def _is_unsent(run: RequestRun | None, responder: Responder) -> bool:
+    """Return whether a request was sent to no upstream, so that it can be refused as not run."""
+    return (run is None or run.progress.upstream is None) and not responder.is_started
--- a/src/dragonflyhold/platform/codec.py
+++ b/src/dragonflyhold/platform/codec.py
@@ -6,6 +6,7 @@
 """
 
 import math
+import reprlib
 from collections.abc import Mapping, Sequence
 from typing import Any
 
@@ -14,7 +15,6 @@
 from dragonflyhold.gateway.http_client import Head
 from dragonflyhold.gateway.model import (
     AdapterCommand,
-    Address,
     Configuration,
     EngineReport,
     EngineSpec,
@@ -31,7 +31,21 @@
     Upstream,
     UpstreamId,
 )
+from dragonflyhold.gateway.numbers import parse_digits
 from dragonflyhold.ids import AdapterName, DataCentre, ServiceName, Version
+from dragonflyhold.platform.fields import (
+    DECODING_ERRORS,
+    DecodeError,
+    address,
+    check_optional_number,
+    decode_error,
+    integer,
+    items,
+    number,
+    path,
+    text,
+    token,
+)
 from dragonflyhold.platform.store import StoredRow
 
 Headers = Sequence[tuple[bytes, bytes]]
@@ -63,14 +77,17 @@
         b"kv-from",
     )
 )
+# Requests that an upstream may process at a time, far beyond any that exists.
+MAX_SLOTS = 1_000_000
+# Higher limits are kept as this one, which no upstream reaches.
+MAX_LIMIT_PER_S = 1e6
+# Larger values in a client's headers are ignored like other invalid ones.
+MAX_TOKENS = 100_000_000
+MAX_TIME_LEFT_S = 1e6
 # Engines list an adapter without a version if it never had a later one.
 FIRST_VERSION = Version(1)
 
 
-class DecodeError(ValueError):
-    """Raised for platform data that does not conform to the platform's specification."""
-
-
 def decode_configuration(value: Any) -> Configuration:
     """Decode a configuration; raise ``DecodeError`` if any part is invalid."""
     try:
@@ -82,13 +99,13 @@
             group.sort(key=lambda route: -len(route.prefix))
         services = [_service(fields) for fields in value["services"]]
         return Configuration(
-            version=int(value["version"]),
+            version=int(number(value["version"])),
             routes=routes,
             services={service.name: service for service in services},
             limits=_limits(value.get("limits") or {}),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise DecodeError(f"configuration: {error!r}") from error
+    except DECODING_ERRORS as error:
+        raise decode_error("configuration", error) from error
 
 
 def _route(fields: Mapping[str, Any]) -> Route:
@@ -100,109 +117,115 @@
         retry_safety = RetrySafety.RESUMABLE
     else:
         retry_safety = RetrySafety.ONCE
-    split = fields.get("traffic_split") or [{"service": fields["service"], "weight": 1}]
     return Route(
-        name=str(fields["name"]),
-        host=str(fields["host"]).lower(),
-        prefix=str(fields["prefix"]),
+        name=text(fields["name"]),
+        host=text(fields["host"]).lower(),
+        prefix=path(fields["prefix"]),
         retry_safety=retry_safety,
         is_stream=is_stream,
-        timeout_s=float(fields["timeout_ms"]) / 1000,
-        target_latency_s=float(fields.get("target_latency_ms") or fields["timeout_ms"]) / 1000,
-        priority=int(fields.get("priority") or 0),
-        shares=tuple(
-            ServiceShare(ServiceName(str(part["service"])), float(part["weight"])) for part in split
-        ),
-        max_attempts=max(1, int(fields.get("max_attempts") or 1)),
-        max_pause_s=float(fields.get("gap_target_ms") or 0) / 1000 or None,
+        timeout_s=number(fields["timeout_ms"], 1) / 1000,
+        target_latency_s=number(fields.get("target_latency_ms") or fields["timeout_ms"], 1) / 1000,
+        priority=int(number(fields.get("priority") or 0)),
+        shares=_shares(fields),
+        max_attempts=max(1, int(number(fields.get("max_attempts") or 1))),
+        max_pause_s=number(fields.get("gap_target_ms") or 0) / 1000 or None,
+    )
+
+
+def _shares(fields: Mapping[str, Any]) -> tuple[ServiceShare, ...]:
+    split = items(fields.get("traffic_split"))
+    split = split or [{"service": fields["service"], "weight": 1}]
+    shares = tuple(
+        ServiceShare(ServiceName(text(part["service"])), number(part["weight"])) for part in split
     )
+    if len(shares) > 1 and not any(share.weight for share in shares):
+        raise DecodeError("no service of a route has a weight")
+    return shares
 
 
 def _service(fields: Mapping[str, Any]) -> Service:
     engine = fields.get("engine")
     return Service(
-        name=ServiceName(str(fields["name"])),
-        health_path=str(fields.get("health_check_path") or "/health"),
+        name=ServiceName(text(fields["name"])),
+        health_path=token(path(fields.get("health_check_path") or "/health")),
         engine=_engine(engine) if engine else None,
     )
 
 
 def _engine(fields: Mapping[str, Any]) -> EngineSpec:
     return EngineSpec(
-        adapter_slots=int(fields["adapter_slots"]),
-        models=tuple(ModelName(str(model["name"])) for model in fields["models"]),
+        adapter_slots=int(number(fields["adapter_slots"])),
+        models=tuple(ModelName(text(model["name"])) for model in fields["models"]),
     )
 
 
 def _limits(fields: Mapping[str, Any]) -> IngressLimits:
     default = IngressLimits()
     return IngressLimits(
-        header_bytes=int(fields.get("header_bytes") or default.header_bytes),
-        body_bytes=int(fields.get("body_bytes") or default.body_bytes),
-        header_timeout_s=float(fields.get("header_timeout_ms") or 3000) / 1000,
-        idle_timeout_s=float(fields.get("idle_timeout_ms") or 15000) / 1000,
+        header_bytes=int(number(fields.get("header_bytes") or default.header_bytes, 1)),
+        body_bytes=int(number(fields.get("body_bytes") or default.body_bytes, 1)),
+        header_timeout_s=number(fields.get("header_timeout_ms") or 3000, 1) / 1000,
+        idle_timeout_s=number(fields.get("idle_timeout_ms") or 15000, 1) / 1000,
     )
 
 
 def decode_upstream(key: str, fields: Any) -> Upstream:
-    """Decode an entry of the registry; raise ``DecodeError`` if it is invalid."""
+    """Decode an entry of the registry; raise ``DecodeError`` if it is invalid.
+
+    Fields that the platform doesn't name are ignored.
+    """
     try:
-        slots, start_time_ms = fields["slots"], fields.get("born", 0)
-        host, _, port = fields["address"].rpartition(":")
-        texts = (fields["service"], fields["zone"], host, key)
-        if not all(isinstance(text, str) and text for text in texts) or not port.isdigit():
-            raise DecodeError(f"upstream {key!r}: a field is empty or has the wrong type")
-        if not _is_integer(slots) or slots < 1 or not _is_integer(start_time_ms):
-            raise DecodeError(f"upstream {key!r}: slots or start time is not a valid integer")
+        for name in ("sequence", "cold_remaining_ms"):
+            check_optional_number(fields, name)
+        if not isinstance(fields.get("version"), str | int | float | None):
+            raise DecodeError("version: neither a text nor a number")
         return Upstream(
-            upstream_id=UpstreamId(key),
-            service=ServiceName(fields["service"]),
-            address=Address(fields["address"]),
-            data_centre=DataCentre(fields["zone"]),
-            slots=slots,
-            state=RegistrationState(fields["state"]),
-            start_time_ms=start_time_ms,
-            adapters=_adapters(fields.get("models") or []),
+            upstream_id=UpstreamId(token(key)),
+            service=ServiceName(text(fields["service"])),
+            address=address(fields["address"]),
+            data_centre=DataCentre(text(fields["zone"])),
+            slots=integer(fields["slots"], 1, MAX_SLOTS),
+            state=RegistrationState(text(fields["state"])),
+            start_time_ms=integer(fields.get("born", 0)),
+            adapters=_adapters(items(fields.get("models"))),
         )
-    except DecodeError:
-        raise
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise DecodeError(f"upstream {key!r}: {error!r}") from error
+    except DECODING_ERRORS as error:
+        raise decode_error(f"upstream {reprlib.repr(key)}", error) from error
 
 
 def decode_report(fields: Any) -> EngineReport:
     """Decode the state that an engine reports; raise ``DecodeError`` if it is invalid."""
     try:
-        models = fields.get("models") or []
+        models = items(fields.get("models"))
         return EngineReport(
             busy=bool(fields.get("busy")),
-            sequence=int(fields["sequence"]),
-            running=int(fields.get("running") or 0),
-            waiting=int(fields.get("waiting") or 0),
-            models=frozenset(ModelName(model["name"]) for model in models),
+            sequence=integer(fields["sequence"]),
+            running=integer(fields.get("running") or 0),
+            waiting=integer(fields.get("waiting") or 0),
+            models=frozenset(ModelName(text(model["name"])) for model in models),
             adapters=_adapters(models),
             is_draining=fields.get("state") == RegistrationState.DRAINING.value,
-            loading=dict(_parse_loading(text) for text in fields.get("coming") or []),
-            start_time_ms=int(fields.get("born") or 0),
+            loading=dict(_parse_loading(entry) for entry in items(fields.get("coming"))),
+            start_time_ms=integer(fields.get("born") or 0),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise DecodeError(f"report: {error!r}") from error
+    except DECODING_ERRORS as error:
+        raise decode_error("report", error) from error
 
 
 def decode_adapter_version(value: Any) -> tuple[ModelAdapter, Version]:
     """Decode a row that announces a new version of an adapter."""
     try:
-        key = ModelAdapter(ModelName(value["model"]), AdapterName(value["adapter"]))
-        return key, Version(int(value["version"]))
-    except (KeyError, TypeError, ValueError) as error:
-        raise DecodeError(f"adapter version: {error!r}") from error
+        key = ModelAdapter(ModelName(text(value["model"])), AdapterName(text(value["adapter"])))
+        return key, Version(integer(value["version"]))
+    except DECODING_ERRORS as error:
+        raise decode_error("adapter version", error) from error
 
 
 def operator_row_order(row: StoredRow) -> tuple[int, ...] | None:
     """Return a number that rises with each content of a row that the operator writes."""
     try:
-        return (int(orjson.loads(row.value)["version"]),)
-    except (KeyError, TypeError, ValueError, OverflowError):
+        return (integer(orjson.loads(row.value)["version"]),)
+    except DECODING_ERRORS:
         return None
 
 
@@ -211,32 +234,32 @@
     try:
         fields = orjson.loads(row.value)
         is_draining = fields["state"] == RegistrationState.DRAINING.value
-        return int(fields.get("born") or 0), int(fields["sequence"]), int(is_draining)
-    except (KeyError, TypeError, ValueError, OverflowError, AttributeError):
+        return integer(fields.get("born") or 0), integer(fields["sequence"]), int(is_draining)
+    except DECODING_ERRORS:
         return None
 
 
 def _adapters(models: Sequence[Mapping[str, Any]]) -> dict[ModelAdapter, Version]:
-    return {
-        ModelAdapter(ModelName(model["name"]), name): version
-        for model in models
-        for name, version in map(_parse_adapter_version, model.get("adapters") or [])
-    }
+    adapters: dict[ModelAdapter, Version] = {}
+    for model in models:
+        name = ModelName(text(model["name"]))
+        for adapter, version in map(_parse_adapter_version, items(model.get("adapters"))):
+            adapters[ModelAdapter(name, adapter)] = version
+    return adapters
 
 
-def _parse_adapter_version(text: str) -> tuple[AdapterName, Version]:
-    name, _, version = text.partition("@")
-    return AdapterName(name), Version(int(version)) if version else FIRST_VERSION
+def _parse_adapter_version(value: str) -> tuple[AdapterName, Version]:
+    name, _, version = value.partition("@")
+    number = parse_digits(version) if version else FIRST_VERSION
+    if number is None:
+        raise DecodeError(f"{reprlib.repr(value)} has no valid version")
+    return AdapterName(text(name)), Version(number)
 
 
-def _parse_loading(text: str) -> tuple[ModelAdapter, Version]:
-    model, _, rest = text.partition("/")
+def _parse_loading(value: str) -> tuple[ModelAdapter, Version]:
+    model, _, rest = value.partition("/")
     name, version = _parse_adapter_version(rest)
-    return ModelAdapter(ModelName(model), name), version
-
-
-def _is_integer(value: object) -> bool:
-    return isinstance(value, int) and not isinstance(value, bool)
+    return ModelAdapter(ModelName(text(model)), name), version
 
 
 def request_id(headers: Mapping[bytes, bytes]) -> str:
@@ -267,10 +290,10 @@
 
 def _parse_milliseconds(value: bytes | None) -> float | None:
     try:
-        number = float(value) if value is not None else math.nan
+        seconds = float(value) / 1000 if value is not None else math.nan
     except ValueError:
         return None
-    return number / 1000 if math.isfinite(number) else None
+    return seconds if abs(seconds) <= MAX_TIME_LEFT_S else None
 
 
 def _parse_parts(value: bytes) -> tuple[bytes, ...]:
@@ -279,8 +302,8 @@
 
 
 def _parse_count(value: bytes) -> int:
-    text = value.strip()
-    return int(text) if text.isdigit() else 0
+    number = parse_digits(value.strip())
+    return number if number is not None and number <= MAX_TOKENS else 0
 
 
 def upstream_headers(headers: Headers, options: SendOptions) -> list[tuple[bytes, bytes]]:
@@ -349,17 +372,19 @@
 
 
 def instance_id(head: Head) -> UpstreamId | None:
-    """Return the id of the upstream that sent the response, if it is given."""
-    value = head.fields.get(INSTANCE)
-    return UpstreamId(value.decode("latin-1")) if value else None
+    """Return the id of the upstream that sent the response, if it is given and valid."""
+    try:
+        return UpstreamId(token(head.fields.get(INSTANCE, b"").decode("latin-1")))
+    except DecodeError:
+        return None
 
 
 def server_load(head: Head) -> tuple[int, int] | None:
     """Return the numbers of running and waiting requests on an upstream, if they are given."""
-    parts = head.fields.get(SERVER_LOAD, b"").split(b",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+    counts = [parse_digits(part.strip()) for part in head.fields.get(SERVER_LOAD, b"").split(b",")]
+    if len(counts) != 3 or counts[0] is None or counts[1] is None or counts[2] is None:
         return None
-    return int(parts[0]), int(parts[1])
+    return counts[0], counts[1]
 
 
 def server_limit(head: Head) -> float | None:
@@ -372,7 +397,7 @@
         limit = float(value) if value is not None else math.nan
     except ValueError:
         return None
-    return limit if math.isfinite(limit) and limit >= 0 else None
+    return min(limit, MAX_LIMIT_PER_S) if math.isfinite(limit) and limit >= 0 else None
 
 
 def states_no_limit(head: Head) -> bool:
--- a/tests/gateway/test_http_client.py
+++ b/tests/gateway/test_http_client.py
@@ -209,3 +209,30 @@
 
         asyncio.run(run())
         assert closed in ([b""], [])
+
+
+class TestUnusableAddresses:
+    """Guards against addresses that end a request, as no connection can be tried."""
+
+    @pytest.mark.parametrize(
+        "address",
+        ["127.0.0.1:65536", "127.0.0.1:" + "9" * 400, "127.0.0.1:x", "a\0b:80", "a..b:80", "x:²"],
+    )
+    def test_nothing_was_sent_to_an_address_that_no_socket_accepts(self, address: str) -> None:
+        async def run() -> bool:
+            pool = ConnectionPool()
+            with pytest.raises(ExchangeError) as error:
+                await pool.send(Address(address), CALL)
+            return error.value.sent or await pool.can_connect(Address(address))
+
+        assert not asyncio.run(run())
+
+
+class TestKeepAlive:
+    """Guards against answers that are lost because of the idle timeout that they state."""
+
+    @pytest.mark.parametrize("value", [b"9" * 400, b"9" * 5000, b"\xb2", b"-1", b"", b"1e3"])
+    def test_an_odd_idle_timeout_fails_no_exchange(self, value: bytes) -> None:
+        answer = b"HTTP/1.1 200 OK\r\nId: 1\r\nKeep-Alive: timeout=" + value
+        answers, _ = _run(_respond(answer + b"\r\nContent-Length: 3\r\n\r\nabc"))
+        assert answers == [(200, b"abc")]
