Let a request that may have run wait for as long as its client

The soak of pauses, seeds 32 and 38: a stream left a silent upstream for one that held its adapter, as far as its gateway knew. That one had evicted it (421).

Such a request can't be refused any more. It waits for another upstream, or for its adapter there, for up to two seconds, the silence after which clients leave a stream at the earliest, and within its deadline.

--- a/src/dragonflyhold/gateway/request.py
+++ b/src/dragonflyhold/gateway/request.py
@@ -40,6 +40,8 @@
 CLIENT_RETRY_AGE_SHARE = 0.3
 # Retry delay suggested for a request that crashes upstreams.
 SUSPECT_RETRY_AFTER_S = 60.0
+# Silence of a stream after which its client leaves at the earliest.
+CLIENT_PATIENCE_S = 2.0
 # Share of the time until the deadline for which a request may wait for its adapter.
 WAIT_SHARE = 0.55
 
@@ -68,6 +70,8 @@
         if request_info.time_left_s is not None:
             limit = min(limit, request_info.time_left_s)
         self._deadline = request.received + limit
+        # Monotonic time until which a request that may have run can wait for another upstream.
+        self._retry_until = self._deadline
         self._utility = gateway.estimate_utility(route, request_info)
         age = gateway.client_ages.estimate(route.name, request_info.time_left_s, route.timeout_s)
         self._is_client_retry = age > CLIENT_RETRY_AGE_SHARE * route.target_latency_s
@@ -116,7 +120,9 @@
         """Return the upstream to send to; wait for the adapter if it is not resident."""
         gateway, target = self._gateway, self._request_info.target
         wait_until = self._request.received + NO_UPSTREAM_WAIT_SHARE * self._route.target_latency_s
-        if self.progress.attempts or self.progress.refusals:
+        if self.progress.attempts:
+            wait_until = self._retry_until
+        elif self.progress.refusals:
             wait_until = time.monotonic() + NO_UPSTREAM_WAIT_SHARE * self._route.target_latency_s
         if gateway.agent_links.has_starting_engine(self._service):
             wait_until = max(wait_until, self._request.received + self._route.target_latency_s)
@@ -198,8 +204,11 @@
 
         If the engine has a backlog, a request that can no longer be answered in time is refused
         with a retry delay. The client's retry is late in any case, so it waits for a fixed share
-        of its remaining time.
+        of its remaining time. A request that may have run can't be refused: it waits for as long as
+        its client does.
         """
+        if self.progress.attempts:
+            return self._retry_until
         received_at, time_left_s = self._request.received, self._deadline - self._request.received
         if view.backlog == 0 or self._request_info.target in view.loading:
             return received_at + WAIT_SHARE * time_left_s
@@ -221,6 +230,9 @@
     def _handle_failed_attempt(self, choice: SendNow, outcome: MayHaveRun) -> None:
         self.progress.attempts += 1
         self.progress.tried.add(choice.upstream_id)
+        self._retry_until = min(
+            time.monotonic() + CLIENT_PATIENCE_S, self._deadline - MIN_ATTEMPT_S
+        )
         may_retry = (
             self._route.retry_safety is not RetrySafety.ONCE
             and self.progress.attempts < self._route.max_attempts
--- a/tests/gateway/test_pause_soak.py
+++ b/tests/gateway/test_pause_soak.py
@@ -75,7 +75,8 @@
 class TestPauseSoak:
     """Guards against answers that end because a sound upstream was silent."""
 
-    @pytest.mark.parametrize("seed", [1, 2, 3])
+    # Seeds 32 and 38: the upstream to which a stream moved had evicted the adapter.
+    @pytest.mark.parametrize("seed", [1, 2, 3, 32, 38])
     def test_each_request_gets_a_whole_answer_or_a_refusal(self, seed: int) -> None:
         soak = play(seed)
         assert soak.cut_answers == [], soak.faults
