Send a request's repeat to an upstream on another connection

Clients of a faulty upstream saw "not run" for requests that it was running, and requests that may run once ran twice.

Cause: the pool hands out the connection that was used last. A request that an upstream refused and that goes to the same upstream again was sent on the connection that brought the refusal. A late copy of the refusal bears the same id and was taken for the answer to the repeat.

A connection now carries a request id once; the pool leaves such a connection idle for other requests. A copy of an earlier answer hence always has another id than the request in progress, whatever the moment of its arrival, and is skipped as before. The ids of a connection are bounded: after 1,024 of them it is closed.

Evidence: the stand-in can write an earlier answer of a connection again at chosen moments (standins/late_copies).

--- a/src/dragonflyhold/gateway/attempt.py
+++ b/src/dragonflyhold/gateway/attempt.py
@@ -160,12 +160,14 @@
         headers = codec.upstream_headers(
             self._gateway.forwarded_headers(self._context.request), options
         )
+        request_id = self._request_info.request_id.encode("latin-1")
         return Call(
             self._context.request.method,
             self._context.request.target,
             headers,
             self._context.request.body,
-            (codec.REQUEST_ID, self._request_info.request_id.encode("latin-1")),
+            required_header=(codec.REQUEST_ID, request_id),
+            request_id=request_id,
         )
 
     async def _read_head(self, exchange: Exchange) -> Head:
--- a/src/dragonflyhold/gateway/connection_pool.py
+++ b/src/dragonflyhold/gateway/connection_pool.py
@@ -35,7 +35,7 @@
 
         Raises ``ExchangeError`` with ``sent`` false if no connection could be established.
         """
-        connection = self._pop_idle(address)
+        connection = self._pop_idle(address, call)
         if connection is None:
             connection = await self._connect(address)
         return connection.start(call)
@@ -81,15 +81,18 @@
             if not idle:
                 del self._idle[address]
 
-    def _pop_idle(self, address: Address) -> Connection | None:
-        idle = self._idle.get(address)
+    def _pop_idle(self, address: Address, call: Call) -> Connection | None:
+        idle = self._idle.get(address, [])
         now = time.monotonic()
-        while idle:
-            connection = idle.pop()
+        for number in reversed(range(len(idle))):
+            connection = idle[number]
             is_fresh = now - connection.idle_since <= connection.idle_timeout_s * IDLE_TIMEOUT_SHARE
-            if connection.is_usable and is_fresh:
+            if not connection.is_usable or not is_fresh:
+                del idle[number]
+                connection.abort()
+            elif not connection.has_carried(call):
+                del idle[number]
                 return connection
-            connection.abort()
         return None
 
     async def _connect(self, address: Address) -> Connection:
--- a/src/dragonflyhold/gateway/http_client.py
+++ b/src/dragonflyhold/gateway/http_client.py
@@ -25,6 +25,8 @@
 # Reading from the peer pauses while more unread body bytes than this are buffered.
 MAX_BUFFERED_BYTES = 256 * 1024
 MAX_HEADER_BYTES = 32 * 1024
+# A connection that has carried this many ids is not reused, which bounds its memory.
+MAX_CARRIED_IDS = 1024
 
 HOP_BY_HOP = frozenset(
     (
@@ -98,6 +100,8 @@
     """A request to send.
 
     A response with another value for the header ``required_header`` belongs to another request.
+    A connection carries calls with the same ``request_id`` only once, since a late copy of the
+    first one's response would be taken for the response to the second.
     """
 
     method: bytes
@@ -105,6 +109,7 @@
     headers: Sequence[tuple[bytes, bytes]]
     body: bytes = b""
     required_header: tuple[bytes, bytes] | None = None
+    request_id: bytes = b""
 
     def encode(self) -> bytes:
         """Return the request as sent on the connection."""
@@ -133,12 +138,18 @@
         self._closed = False
         # Bytes received since the end of the head or the last byte of the body.
         self._unused_bytes = 0
+        # Hashes of the ids of the requests sent so far.
+        self._carried_ids: set[int] = set()
 
     @property
     def is_usable(self) -> bool:
         """Whether another exchange may start."""
         return self._is_reusable and not self._closed and self._exchange is None
 
+    def has_carried(self, call: Call) -> bool:
+        """Return whether a request with the id of ``call`` was sent on this connection."""
+        return bool(call.request_id) and hash(call.request_id) in self._carried_ids
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and enable the detection of dead peers."""
         assert isinstance(transport, asyncio.Transport)
@@ -154,6 +165,8 @@
         exchange = Exchange(self, call)
         self._exchange = exchange
         self._unused_bytes = 0
+        if call.request_id:
+            self._carried_ids.add(hash(call.request_id))
         self._parser = httptools.HttpResponseParser(exchange)
         self._transport.write(call.encode())
         return exchange
@@ -239,7 +252,11 @@
     def _finish(self, exchange: "Exchange") -> None:
         self._exchange = None
         self._parser = None
-        if exchange.has_unexpected_response or not exchange.keep_alive:
+        if (
+            exchange.has_unexpected_response
+            or not exchange.keep_alive
+            or len(self._carried_ids) >= MAX_CARRIED_IDS
+        ):
             self._is_reusable = False
         self.idle_timeout_s = exchange.idle_timeout_s
         self.idle_since = time.monotonic()
--- a/src/dragonflyhold/platform/standins/runner.py
+++ b/src/dragonflyhold/platform/standins/runner.py
@@ -11,6 +11,7 @@
 from dragonflyhold.gateway.http_server import ClientRequest, HttpServer, Responder
 from dragonflyhold.gateway.model import Address, IngressLimits
 from dragonflyhold.platform.standins.engine_model import EngineModel
+from dragonflyhold.platform.standins.late_copies import AnswerCopier
 
 LOAD_TIME_S = 0.03
 EVENT_INTERVAL_S = 0.005
@@ -56,6 +57,8 @@
         self.loading: dict[str, int] = {}
         self.latest_versions: dict[str, int] = {}
         self.faults: list[Fault] = []
+        # Writes earlier answers again, also those to commands and reads of the state.
+        self.copier = AnswerCopier()
         # Number of next commands that are executed but get no response.
         self.lost_responses = 0
         self.events = 6
@@ -170,6 +173,9 @@
         return [{"name": "base", "version": 1, "adapters": names}]
 
     async def _handle(self, request: ClientRequest, responder: Responder) -> None:
+        await self.copier.handle(self._answer, request, responder)
+
+    async def _answer(self, request: ClientRequest, responder: Responder) -> None:
         expected = request.fields.get(b"expected-instance")
         if request.target == b"/report":
             is_lagging = asyncio.get_running_loop().time() < self._old_report_until
--- a/src/dragonflyhold/platform/standins/store.py
+++ b/src/dragonflyhold/platform/standins/store.py
@@ -11,6 +11,7 @@
 
 from dragonflyhold.gateway.http_server import ClientRequest, HttpServer, Responder
 from dragonflyhold.gateway.model import Address, IngressLimits
+from dragonflyhold.platform.standins.late_copies import AnswerCopier
 
 
 class StoreFault(enum.Enum):
@@ -45,6 +46,8 @@
     def __init__(self) -> None:
         self.fault = StoreFault.NONE
         self.calls: list[str] = []
+        # Writes earlier answers again.
+        self.copier = AnswerCopier()
         # Feed requests for changes after an older version get 410.
         self.oldest_version = 0
         # Parts for which writes get 503.
@@ -118,6 +121,9 @@
         return self._version
 
     async def _handle(self, request: ClientRequest, responder: Responder) -> None:
+        await self.copier.handle(self._answer, request, responder)
+
+    async def _answer(self, request: ClientRequest, responder: Responder) -> None:
         path, _, query = request.target.decode().partition("?")
         self.calls.append(path)
         if self.fault is StoreFault.REFUSING:
