Close connections whose last answer named no request

A client whose request bore no id got the answer to another client's request (MIXED), from an upstream that wrote the earlier answer again.

Cause: requests without an id accept answers without one, and their connections were reused, so that nothing told the copy of an earlier answer from the own one. A copy could also count for a request with an id.

A connection whose answer bore no id is no longer reused. All others have brought nothing but answers with ids, so a request without an id may go over them: a copy has an id and is skipped.

Answers with ids leave their connections in use as before (the last test states the number of connections); each answer without an id costs one.

--- a/src/dragonflyhold/gateway/http_client.py
+++ b/src/dragonflyhold/gateway/http_client.py
@@ -99,7 +99,9 @@
 class Call:
     """A request to send.
 
-    A response with another value for the header ``required_header`` belongs to another request.
+    A response with another value for the header ``required_header`` belongs to another request. The
+    connection of one without the header is not reused, so that the next call, which may itself
+    require an empty value, can't take a late copy for its own response.
     A connection carries calls with the same ``request_id`` only once, since a late copy of the
     first one's response would be taken for the response to the second.
     """
@@ -254,6 +256,7 @@
         self._parser = None
         if (
             exchange.has_unexpected_response
+            or exchange.is_unnamed
             or not exchange.keep_alive
             or len(self._carried_ids) >= MAX_CARRIED_IDS
         ):
@@ -271,6 +274,8 @@
     def __init__(self, connection: Connection, call: Call) -> None:
         self.is_complete = False
         self.has_unexpected_response = False
+        # Whether the response lacks the required header, so that a late copy names no request.
+        self.is_unnamed = False
         # Set when the head ends and with each part of the body; cleared by the connection.
         self.made_progress = False
         self.keep_alive = True
@@ -327,6 +332,7 @@
                 self._is_skipping = True
                 self.has_unexpected_response = True
                 return
+            self.is_unnamed = not fields.get(name)
         self.head = head
         self.made_progress = True
         self.keep_alive = parser.should_keep_alive() and self._call.method != b"HEAD"
--- a/src/dragonflyhold/platform/standins/runner.py
+++ b/src/dragonflyhold/platform/standins/runner.py
@@ -57,6 +57,8 @@
         self.loading: dict[str, int] = {}
         self.latest_versions: dict[str, int] = {}
         self.faults: list[Fault] = []
+        # Whether answers carry the id of their request.
+        self.echoes_ids = True
         # Writes earlier answers again, also those to commands and reads of the state.
         self.copier = AnswerCopier()
         # Number of next commands that are executed but get no response.
@@ -255,18 +257,18 @@
         request_id = fields.get(b"attempt-id", b"")
         self.arrivals.append(asyncio.get_running_loop().time())
         self.arrival_ids.append(request_id.decode())
-        request_id_header = (b"Attempt-Id", request_id)
+        id_headers = [(b"Attempt-Id", request_id)] if request_id and self.echoes_ids else []
         adapter = fields.get(b"model", b"").decode().partition("/")[2]
         expected_version = fields.get(b"expected-version")
         if adapter and (
             adapter not in self.adapters
             or (expected_version is not None and int(expected_version) != self.adapters[adapter])
         ):
-            responder.send(421, [request_id_header])
+            responder.send(421, id_headers)
             return
         fault = self.faults.pop(0) if self.faults else None
         if fault is Fault.REFUSE:
-            responder.send(503, [request_id_header, (b"Not-Executed", b"1")])
+            responder.send(503, [*id_headers, (b"Not-Executed", b"1")])
             return
         first = int(fields.get(b"last-event-id", b"0")) + 1
         self.runs.append(
@@ -282,7 +284,7 @@
         )
         self.active_requests[adapter] = self.active_requests.get(adapter, 0) + 1
         try:
-            await self._respond(request, responder, request_id_header, first, fault)
+            await self._respond(request, responder, id_headers, first, fault)
         finally:
             self.active_requests[adapter] -= 1
 
@@ -290,12 +292,12 @@
         self,
         request: ClientRequest,
         responder: Responder,
-        request_id_header: tuple[bytes, bytes],
+        id_headers: list[tuple[bytes, bytes]],
         first: int,
         fault: Fault | None,
     ) -> None:
         signed_headers = [
-            request_id_header,
+            *id_headers,
             (b"Response-Signature", b"sig." + self.upstream_id.encode()),
         ]
         if self.limit_per_s is not None:
@@ -309,7 +311,7 @@
         elif fault is Fault.FAIL:
             responder.send(500, signed_headers, b"failed")
         elif fault is Fault.UNSIGNED:
-            responder.send(200, [request_id_header], b"unsigned")
+            responder.send(200, id_headers, b"unsigned")
         elif b"prompt-prefix" not in request.fields:
             await asyncio.sleep(EVENT_INTERVAL_S)
             responder.send(200, signed_headers, b"answer to " + request.target)
--- a/tests/gateway/test_late_answers.py
+++ b/tests/gateway/test_late_answers.py
@@ -95,6 +95,30 @@
         assert _exchange_all([b"%d" % number for number in range(30)]) == ([b"own"] * 30, 3)
 
 
+class TestRequestsWithoutId:
+    """The answer to one client's request must not reach another client, also without ids."""
+
+    @pytest.mark.parametrize("moment", MOMENTS)
+    @pytest.mark.parametrize("second_id", ["", "other"])
+    def test_copy_is_not_taken_for_answer_to_next_request(
+        self, moment: CopyMoment, second_id: str
+    ) -> None:
+        async def scenario(deployment: InProcessDeployment) -> list[bytes]:
+            deployment.upstreams["p0"].copier.plan(b"/book/", moment)
+            answers = []
+            for number, request_id in enumerate(["", second_id, second_id]):
+                headers = {"Attempt-Id": request_id and f"{request_id}{number}"}
+                answers.append(await deployment.call(f"/book/{number}", headers=headers))
+            return [answer.body for answer in answers]
+
+        assert _run_scenario(scenario) == [b"answer to /book/%d" % number for number in range(3)]
+
+    def test_only_answers_with_ids_leave_their_connection_in_use(self) -> None:
+        ids = [b"1", b"2", b"", b"3", b"4"]
+        assert _exchange_all(ids) == ([b"own"] * 5, 2)
+        assert _exchange_all(ids, [_answer()]) == ([b"own"] * 5, 3)
+
+
 class TestRepeatedRequest:
     """An answer to the first send of a request must not count for its second send."""
 
