Take an answer without an id for nobody's on a used connection

A response without the id that its request carried counted as the answer to it: a refusal made a request "not run" that was running, and a success of another request would have reached the client. Of an id given twice, the last counted.

Upstreams echo the id in their answers. On a connection that has brought an answer before, a response that lacks the id, or bears it beside another one, now fails the exchange as malformed, so the request may have run: it is not answered "not run" and only repeated where it may be. The first response of a connection still needs no id, as there is no earlier one that it could repeat; an upstream at a reused address may refuse without an id. A response to another request fails the exchange at once if nothing can follow it on the connection. White space around an id is ignored.

--- a/src/dragonflyhold/gateway/http_client.py
+++ b/src/dragonflyhold/gateway/http_client.py
@@ -99,9 +99,9 @@
 class Call:
     """A request to send.
 
-    A response with another value for the header ``required_header`` belongs to another request. The
-    connection of one without the header is not reused, so that the next call, which may itself
-    require an empty value, can't take a late copy for its own response.
+    A response with another value for the header ``required_header`` belongs to another request. One
+    without the header counts only as the first of its connection, or if the required value is
+    empty; its connection is not reused, so that no later call can take a copy for its own response.
     A connection carries calls with the same ``request_id`` only once, since a late copy of the
     first one's response would be taken for the response to the second.
     """
@@ -132,6 +132,8 @@
         self.created = time.monotonic()
         self.idle_since = self.created
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
+        # Whether an earlier exchange was completed, whose response may come once more.
+        self.has_responded = False
         self._on_unusable = on_unusable
         self._transport: asyncio.Transport | None = None
         self._exchange: Exchange | None = None
@@ -254,6 +256,7 @@
     def _finish(self, exchange: "Exchange") -> None:
         self._exchange = None
         self._parser = None
+        self.has_responded = True
         if (
             exchange.has_unexpected_response
             or exchange.is_unnamed
@@ -326,19 +329,16 @@
         if head.status < 200:
             self._is_skipping = True
             return
-        if self._call.required_header is not None:
-            name, value = self._call.required_header
-            if fields.get(name, value) != value:
-                self._is_skipping = True
-                self.has_unexpected_response = True
-                return
-            self.is_unnamed = not fields.get(name)
+        if not self._is_own(head):
+            if not parser.should_keep_alive() or _is_close_delimited(head):
+                raise ValueError("nothing can follow a response to an earlier request")
+            self._is_skipping = True
+            self.has_unexpected_response = True
+            return
         self.head = head
         self.made_progress = True
         self.keep_alive = parser.should_keep_alive() and self._call.method != b"HEAD"
-        self.is_close_delimited = not (
-            b"content-length" in fields or b"transfer-encoding" in fields
-        ) and head.status not in (204, 304)
+        self.is_close_delimited = _is_close_delimited(head)
         if self.is_close_delimited:
             self.keep_alive = False
         self.idle_timeout_s = _idle_timeout(fields)
@@ -346,6 +346,29 @@
             self.is_complete = True
         self._updated.set()
 
+    def _is_own(self, head: Head) -> bool:
+        """Return whether a response belongs to this call; raise ``ValueError`` if that is unclear.
+
+        A response that lacks the required header can only be told from a late copy of an earlier
+        one if there is no earlier one.
+        """
+        if self._call.required_header is None:
+            return True
+        name, required = self._call.required_header
+        values = {value.strip() for key, value in head.headers if key.lower() == name} - {b""}
+        self.is_unnamed = not values
+        if not required.strip():
+            return self.is_unnamed
+        if self.is_unnamed:
+            if self._connection.has_responded:
+                raise ValueError("the response does not name its request")
+            return True
+        if required.strip() not in values:
+            return False
+        if len(values) > 1:
+            raise ValueError("the response names several requests")
+        return True
+
     def on_body(self, data: bytes) -> None:
         """Buffer bytes of the body, and pause reading if the buffer is full."""
         if self.is_complete or self._is_skipping:
@@ -440,6 +463,11 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
 
 
+def _is_close_delimited(head: Head) -> bool:
+    is_framed = b"content-length" in head.fields or b"transfer-encoding" in head.fields
+    return not is_framed and head.status not in (204, 304)
+
+
 def _idle_timeout(fields: dict[bytes, bytes]) -> float:
     for part in fields.get(b"keep-alive", b"").split(b","):
         name, _, value = part.strip().partition(b"=")
--- a/tests/gateway/test_late_answers.py
+++ b/tests/gateway/test_late_answers.py
@@ -67,11 +67,13 @@
         for request_id in ids:
             exchange = await pool.send(address, _call(request_id))
             try:
-                async with asyncio.timeout(2):
+                async with asyncio.timeout(0.5):
                     await exchange.read_head()
                     results.append(await exchange.read_body())
             except ExchangeError as error:
                 results.append(error.reason.value)
+            except TimeoutError:
+                results.append("no answer")
             pool.release(address, exchange)
         pool.close_idle(address)
         server.close()
@@ -119,6 +121,53 @@
         assert _exchange_all(ids, [_answer()]) == ([b"own"] * 5, 3)
 
 
+class TestAnswersWithoutId:
+    """An answer that does not name its request states nothing on a connection with earlier ones."""
+
+    @pytest.mark.parametrize(
+        ("response", "result"),
+        [
+            (_answer(), "garbled"),
+            (_answer(b""), "garbled"),
+            (_answer(b"1", b"2"), "garbled"),
+            (_answer(b"2", b"1"), "garbled"),
+            (_answer(b"2, 1") + _answer(), "garbled"),
+            (_answer(b"2", b"2"), b"own"),
+            (_answer(b" 2\t"), b"own"),
+            # Earlier answers in whole, and interim ones with and without the own id.
+            (_answer(b"1", body=b"late") + _answer(b"2"), b"own"),
+            (_answer(b"1", b"0", body=b"late") + _answer(b"2"), b"own"),
+            (b"HTTP/1.1 103 x\r\nId: 1\r\n\r\n" + _answer(b"2"), b"own"),
+            (b"HTTP/1.1 103 x\r\nId: 2\r\n\r\n" + _answer(), "garbled"),
+            # No answer can follow these.
+            (b"HTTP/1.1 200 OK\r\nId: 1\r\n\r\n" + _answer(b"2"), "garbled"),
+            (_answer(b"1").replace(b"Id", b"Connection: close\r\nId") + _answer(b"2"), "garbled"),
+        ],
+    )
+    def test_second_answer_counts_only_with_own_id(
+        self, response: bytes, result: bytes | str
+    ) -> None:
+        results, _ = _exchange_all([b"1", b"2"], [_answer(b"1"), response])
+        assert results == [b"own", result]
+
+    def test_first_answer_of_connection_needs_no_id(self) -> None:
+        """No earlier answer can be taken for it: an upstream at a reused address may not echo."""
+        assert _exchange_all([b"1", b"2"], [_answer()]) == ([b"own"] * 2, 2)
+
+    @pytest.mark.parametrize("fault", [None, Fault.REFUSE, Fault.FAIL])
+    def test_request_that_may_run_once_is_in_doubt(self, fault: Fault | None) -> None:
+        """Guards against "not run" for a request that runs, and the success of another one."""
+
+        async def scenario(deployment: InProcessDeployment) -> tuple[int, int]:
+            upstream = deployment.upstreams["p0"]
+            await deployment.call("/book/1")
+            upstream.echoes_ids = False
+            upstream.faults = [fault] if fault is not None else []
+            return (await deployment.call("/book/2")).status, len(upstream.arrivals)
+
+        assert _run_scenario(scenario) == (502, 2)
+
+
 class TestRepeatedRequest:
     """An answer to the first send of a request must not count for its second send."""
 
