Treat a change of protocol by an upstream as a malformed response

An answer with status 101 ended its exchange as a reset connection, with an error of the event loop in the log, so that the gateway looked for a crash of the upstream.

Cause: the parser reports it by an exception that isn't one of its errors. It is caught as well now and fails the exchange as malformed. The request may have run in both cases.

Evidence: the new case of TestAnswersWithoutId failed before ("reset").

--- a/src/dragonflyhold/gateway/http_client.py
+++ b/src/dragonflyhold/gateway/http_client.py
@@ -183,7 +183,7 @@
             return
         try:
             parser.feed_data(data)
-        except httptools.HttpParserError as error:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if exchange.is_complete:
                 # Bytes after the end of a complete response belong to no request.
                 self._is_reusable = False
--- a/tests/gateway/test_late_answers.py
+++ b/tests/gateway/test_late_answers.py
@@ -59,26 +59,33 @@
                 writer.write(next(script, _answer(request_id)))
         writer.close()
 
+    async def exchange(pool: ConnectionPool, address: Address, call: Call) -> bytes | str:
+        exchange = None
+        try:
+            async with asyncio.timeout(0.5):
+                exchange = await pool.send(address, call)
+                await exchange.read_head()
+                return await exchange.read_body()
+        except ExchangeError as error:
+            return error.reason.value if error.sent else "not sent"
+        except TimeoutError:
+            return "no answer"
+        finally:
+            if exchange is not None:
+                pool.release(address, exchange)
+
     async def run() -> tuple[list[bytes | str], int]:
-        pool, results = ConnectionPool(), list[bytes | str]()
+        pool = ConnectionPool()
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         host, port = server.sockets[0].getsockname()
         address = Address(f"{host}:{port}")
-        for request_id in ids:
-            exchange = await pool.send(address, _call(request_id))
-            try:
-                async with asyncio.timeout(0.5):
-                    await exchange.read_head()
-                    results.append(await exchange.read_body())
-            except ExchangeError as error:
-                results.append(error.reason.value)
-            except TimeoutError:
-                results.append("no answer")
-            pool.release(address, exchange)
-        pool.close_idle(address)
-        server.close()
-        # Lets the server's ends of the connections close.
-        await asyncio.sleep(0.02)
+        try:
+            results = [await exchange(pool, address, _call(request_id)) for request_id in ids]
+        finally:
+            pool.close_idle(address)
+            server.close()
+            # Lets the server's ends of the connections close.
+            await asyncio.sleep(0.02)
         return results, pool.connections_opened
 
     return asyncio.run(run())
@@ -139,6 +146,7 @@
             (_answer(b"1", b"0", body=b"late") + _answer(b"2"), b"own"),
             (b"HTTP/1.1 103 x\r\nId: 1\r\n\r\n" + _answer(b"2"), b"own"),
             (b"HTTP/1.1 103 x\r\nId: 2\r\n\r\n" + _answer(), "garbled"),
+            (b"HTTP/1.1 101 x\r\nUpgrade: y\r\nConnection: upgrade\r\n\r\n", "garbled"),
             # No answer can follow these.
             (b"HTTP/1.1 200 OK\r\nId: 1\r\n\r\n" + _answer(b"2"), "garbled"),
             (_answer(b"1").replace(b"Id", b"Connection: close\r\nId") + _answer(b"2"), "garbled"),
