Let the engine's sequence confirm the results of commands

An agent took a late copy of the answer to an earlier command for the result of a new one. An adapter whose unload had not been accepted counted as unloading for good, so that its slot was lost until the engine restarted. A load that was answered by a copy and executed late, after a restart under the same id, exceeded the engine's adapter slots (LIMIT).

Cause: answers to commands don't name them, and a result was believed unless it was missing. New connections for commands would tell copies apart, but they are dear.

The next report of the state shows whether the command counted: each one that is accepted advances the engine's sequence. An unload that left the sequence as it was isn't under way, and a load is unconfirmed until a report of the same incarnation has a higher sequence, whatever its result. Sound engines answer a load with an advanced sequence, so their loads are confirmed by the read that follows each command.

Evidence: before, test_unload_that_was_not_accepted_is_sent_again held the slot, and test_a_slot_is_reserved_for_an_unconfirmed_load used 4 of 3 slots with each result but the unknown one.

--- a/src/dragonflyhold/gateway/agent.py
+++ b/src/dragonflyhold/gateway/agent.py
@@ -115,7 +115,8 @@
         self._read_at = -IDLE_POLL_PERIOD_S
         # Time of the last seen command or end of a load.
         self._busy_changed_at = 0.0
-        self._unloading: set[ModelAdapter] = set()
+        # Adapters to be unloaded, each with the sequence of its command.
+        self._unloading: dict[ModelAdapter, int] = {}
         self._fencing_token = FencingToken(holder, store)
         self._upstream_id: UpstreamId | None = None
         # Ordered by the time at which the engine last held the adapter.
@@ -333,7 +334,15 @@
             self._unloading.clear()
             self._host_cached.clear()
             self._upstream_id = None
-        self._unloading &= report.adapters.keys()
+        else:
+            self._unconfirmed_loads.confirm(report.sequence)
+        # A command that left the sequence as it was is not being executed: the response came from
+        # a late copy of an earlier one, since responses to commands don't name them.
+        self._unloading = {
+            key: sequence
+            for key, sequence in self._unloading.items()
+            if key in report.adapters and report.sequence > sequence
+        }
         self._note_host_cached(report)
         if self._upstream_id is None:
             service = self._catalogue.engine_service(self._service)
@@ -403,9 +412,14 @@
             and command.adapter is not None
         ):
             # The engine unloads it once its running requests have ended.
-            self._unloading.add(ModelAdapter(command.model, command.adapter))
-        if result is CommandResult.UNKNOWN and command.kind is CommandKind.LOAD:
-            self._unconfirmed_loads.add(report.sequence, self._upstream_id, time.monotonic())
+            self._unloading[ModelAdapter(command.model, command.adapter)] = report.sequence
+        if command.kind is CommandKind.LOAD:
+            self._unconfirmed_loads.add(
+                report.sequence,
+                self._upstream_id,
+                time.monotonic(),
+                is_answered=result is not CommandResult.UNKNOWN,
+            )
         return result in (CommandResult.ACCEPTED, CommandResult.DONE)
 
     # Reports to gateways
--- a/src/dragonflyhold/gateway/doubtful.py
+++ b/src/dragonflyhold/gateway/doubtful.py
@@ -1,4 +1,8 @@
-"""Reserves adapter slots for loads that got no response and may still be executed."""
+"""Reserves adapter slots for loads that may still be executed.
+
+These are loads without a response, and those whose response the engine's sequence doesn't confirm:
+it may be a late copy of the response to an earlier command.
+"""
 
 import dataclasses
 from typing import final
@@ -19,32 +23,41 @@
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
 class UnconfirmedLoad:
-    """An unanswered load: for which sequence and incarnation it is valid, and when it was sent."""
+    """A load: for which sequence and incarnation it is valid, and when it was sent."""
 
     sequence: int
     # ``None`` for a load that any incarnation may execute.
     upstream_id: UpstreamId | None
     sent_at: float
+    is_answered: bool
 
 
 @final
 class UnconfirmedLoads:
-    """The unanswered loads of one engine."""
+    """The unconfirmed loads of one engine."""
 
     def __init__(self) -> None:
         self._loads: list[UnconfirmedLoad] = []
 
-    def add(self, sequence: int, upstream_id: UpstreamId | None, now: float) -> None:
-        """Record an unanswered load."""
-        self._loads.append(UnconfirmedLoad(sequence, upstream_id, now))
+    def add(
+        self, sequence: int, upstream_id: UpstreamId | None, now: float, is_answered: bool
+    ) -> None:
+        """Record a load that was just sent."""
+        self._loads.append(UnconfirmedLoad(sequence, upstream_id, now, is_answered))
+
+    def confirm(self, sequence: int) -> None:
+        """Drop the answered loads that an engine at ``sequence`` has taken or refused."""
+        self._loads = [
+            load for load in self._loads if not load.is_answered or load.sequence >= sequence
+        ]
 
     def reserved_slots(
         self, report: EngineReport, upstream_id: UpstreamId | None, now: float
     ) -> int:
         """Return the number of adapter slots to reserve for loads that may still be executed.
 
-        An unanswered load is valid only at its sequence, but an engine counts sequences from zero
-        again after a restart, and may then execute it if it kept its id.
+        A load is valid only at its sequence, but an engine counts sequences from zero again after a
+        restart, and may then execute it if it kept its id.
         """
         self._loads = [load for load in self._loads if now - load.sent_at < MAX_COMMAND_DELAY_S]
         valid = (
--- a/tests/gateway/test_agent.py
+++ b/tests/gateway/test_agent.py
@@ -5,6 +5,7 @@
 
 import msgpack
 import orjson
+import pytest
 
 from dragonflyhold.gateway.agent import Agent
 from dragonflyhold.gateway.catalogue import Catalogue
@@ -37,6 +38,8 @@
         # Number of next commands, and of next loads, whose response is lost.
         self.lost_responses = 0
         self.lost_load_responses = 0
+        # What the sender sees of a command whose response is lost.
+        self.lost_result = CommandResult.UNKNOWN
         self.unanswered: list[tuple[AdapterCommand, int, UpstreamId | None]] = []
         self.command_upstream_ids: list[UpstreamId | None] = []
         self.max_slots_used = 0
@@ -69,7 +72,7 @@
             self.lost_responses = max(0, self.lost_responses - 1)
             self.lost_load_responses = max(0, self.lost_load_responses - 1)
             self.unanswered.append((command, expected, upstream_id))
-            return CommandResult.UNKNOWN
+            return self.lost_result
         if expected != self.sequence:
             return CommandResult.CONFLICT
         self.execute(command)
@@ -168,7 +171,8 @@
         asyncio.run(harness.run_cycles(2))
         assert harness.engine.resident == {1}
 
-    def test_a_slot_is_reserved_for_an_unconfirmed_load(self) -> None:
+    @pytest.mark.parametrize("seen", list(CommandResult))
+    def test_a_slot_is_reserved_for_an_unconfirmed_load(self, seen: CommandResult) -> None:
         """Guards against a late load that exceeds the engine's adapter slots.
 
         After a restart the engine counts sequences from zero again. If it keeps its id, an
@@ -181,6 +185,7 @@
             harness.request_adapters([1], waiting=0)
             harness.request_adapters([4])
             harness.engine.lost_load_responses = 1
+            harness.engine.lost_result = seen
             await harness.run_cycles()
             harness.request_adapters([2, 3, 4], waiting=0)
             harness.engine.restart(keeps_id=True)
@@ -222,6 +227,25 @@
         assert ids == sorted(ids, key=str)
 
 
+class TestFalselyAcceptedCommands:
+    """A late copy of the answer to an earlier command, in the place of a lost answer."""
+
+    def test_unload_that_was_not_accepted_is_sent_again(self) -> None:
+        """Guards against a slot that is held for good by an adapter that counts as unloading."""
+
+        async def scenario(harness: _Harness) -> set[int]:
+            harness.request_adapters([1, 2, 3])
+            await harness.run_cycles(2)
+            harness.request_adapters([1], waiting=0)
+            harness.request_adapters([4])
+            harness.engine.lost_responses = 1
+            harness.engine.lost_result = CommandResult.ACCEPTED
+            await harness.run_cycles(3)
+            return harness.engine.resident
+
+        assert asyncio.run(scenario(_Harness())) == {2, 3, 4}
+
+
 class TestUpdatesToGateways:
     """Reports sent to gateways."""
 
