Close an engine's connection after an answer to another control call

Reads of an engine's state and commands to it got each other's answers: a late copy made each following answer count for the call after its own, so that a report read as "done" for a command that the engine had refused, and an older report as the current state.

Cause: answers to control calls bear no id, and a connection was reused whatever it had brought.

An answer that can't belong to its call now closes the connection, which ends the shift: a report in answer to a command (its result is unknown), anything but a report in answer to a read, and a report whose sequence is lower than that of an earlier one of the same incarnation. What remains, a copy of a command's answer for the next command, is confirmed or refuted by the sequence in the next report. Sound engines give no such answers, so their connections are reused as before.

Evidence: both tests of TestControlCalls failed before: "done" for a refused command, and sequence 5 after 6.

--- a/src/dragonflyhold/gateway/http_client.py
+++ b/src/dragonflyhold/gateway/http_client.py
@@ -452,6 +452,10 @@
         if not self.is_complete:
             self._connection.abort()
 
+    def discard(self) -> None:
+        """Close the connection, whose next bytes may belong to this call instead of the next."""
+        self._connection.abort()
+
     async def _wait(self) -> None:
         self._updated.clear()
         await self._updated.wait()
--- a/src/dragonflyhold/platform/codec.py
+++ b/src/dragonflyhold/platform/codec.py
@@ -192,6 +192,15 @@
         raise decode_error(f"upstream {reprlib.repr(key)}", error) from error
 
 
+def is_report(body: bytes) -> bool:
+    """Return whether the body of an engine's response is a report of its state."""
+    try:
+        fields = orjson.loads(body)
+    except ValueError:
+        return False
+    return isinstance(fields, dict) and "models" in fields
+
+
 def decode_report(fields: Any) -> EngineReport:
     """Decode the state that an engine reports; raise ``DecodeError`` if it is invalid."""
     try:
--- a/tests/gateway/test_late_answers.py
+++ b/tests/gateway/test_late_answers.py
@@ -10,7 +10,15 @@
 from dragonflyhold.gateway import http_client
 from dragonflyhold.gateway.connection_pool import ConnectionPool
 from dragonflyhold.gateway.http_client import Call, ExchangeError
-from dragonflyhold.gateway.model import Address
+from dragonflyhold.gateway.model import (
+    AdapterCommand,
+    Address,
+    CommandKind,
+    CommandResult,
+    ModelName,
+)
+from dragonflyhold.ids import AdapterName
+from dragonflyhold.platform.engine import EngineUnavailableError, HttpEngineControl
 from dragonflyhold.platform.standins.late_copies import CopyMoment
 from dragonflyhold.platform.standins.runner import Fault
 from dragonflyhold.platform.standins.site import Answer, InProcessDeployment, running_deployment
@@ -210,3 +218,80 @@
             return answer.status, len(upstream.runs)
 
         assert _run_scenario(scenario) == (200, 2)
+
+
+def _report(sequence: int, born: int = 1) -> bytes:
+    fields = b'{"models":[{"name":"base","adapters":[]}],"sequence":%d,"born":%d}'
+    return _answer(body=fields % (sequence, born))
+
+
+class TestControlCalls:
+    """Answers of an engine to its agent, which bear no id."""
+
+    def _call(self, *answers: tuple[bytes, ...]) -> list[int | CommandResult | None]:
+        """Read the state and send commands alternately; return sequences and results.
+
+        The engine writes the next answers at each call, the second and later ones some
+        milliseconds after the first one. No connection gets what it wrote late to another one.
+        """
+        script = iter(answers)
+        command = AdapterCommand(CommandKind.LOAD, ModelName("base"), AdapterName("a1"))
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+                while request := await reader.readuntil(b"\r\n\r\n"):
+                    if request.startswith(b"POST"):
+                        await reader.readuntil(b"}")
+                    for number, answer in enumerate(next(script)):
+                        await asyncio.sleep(0.005 if number else 0)
+                        writer.write(answer)
+            writer.close()
+
+        async def run() -> list[int | CommandResult | None]:
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            host, port = server.sockets[0].getsockname()
+            pool, address = ConnectionPool(), Address(f"{host}:{port}")
+            engine = HttpEngineControl(address, "side-1", pool)
+            results = list[int | CommandResult | None]()
+            for number in range(len(answers)):
+                if number % 2:
+                    results.append(await engine.send_command(command, 1, 7, None))
+                    continue
+                try:
+                    results.append((await engine.report()).sequence)
+                except EngineUnavailableError:
+                    results.append(None)
+            pool.close_idle(address)
+            server.close()
+            await asyncio.sleep(0.02)
+            return results
+
+        return asyncio.run(run())
+
+    def test_results_shift_by_no_call(self) -> None:
+        """Guards against a copy after which each answer counts for the call after its own."""
+        accepted = b"HTTP/1.1 202 x\r\nContent-Length: 0\r\n\r\n"
+        conflict = accepted.replace(b"202", b"409")
+        results = self._call(
+            (_report(1),),
+            (accepted,),
+            # A copy of the command's answer, then the report.
+            (accepted, _report(2)),
+            (conflict,),
+            (_report(2),),
+            # A copy of the report, then the command's answer.
+            (_report(2), conflict),
+            (_report(2),),
+            (accepted,),
+        )
+        assert results == [
+            *(1, CommandResult.ACCEPTED, None, CommandResult.CONFLICT),
+            *(2, CommandResult.UNKNOWN, 2, CommandResult.ACCEPTED),
+        ]
+
+    def test_older_report_is_not_taken_for_current_one(self) -> None:
+        accepted = b"HTTP/1.1 202 x\r\nContent-Length: 0\r\n\r\n"
+        results = self._call((_report(5),), (accepted,), (_report(6),), (accepted,), (_report(5),))
+        assert results[4] is None
+        results = self._call((_report(5),), (accepted,), (_report(0, born=2),))
+        assert results[2] == 0, "the engine has restarted"
