Skip answers to earlier requests also if they are long

A request failed in doubt because a long answer to an earlier request came once more before its own: the bytes of the skipped body counted as the head of the own answer, which may have 64 KB.

The bodies of skipped answers have the limit of whole bodies now. Their bytes are not kept.

Evidence: test_long_answer_to_earlier_request_is_skipped failed before ("oversized" for 300 KB).

--- a/src/dragonflyhold/gateway/http_client.py
+++ b/src/dragonflyhold/gateway/http_client.py
@@ -290,6 +290,8 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._header_bytes = 0
         self._is_skipping = False
+        # Body bytes of skipped responses.
+        self._skipped_bytes = 0
         self._headers_done = False
         self._chunks: collections.deque[bytes] = collections.deque()
         self._buffered = 0
@@ -376,7 +378,11 @@
 
     def on_body(self, data: bytes) -> None:
         """Buffer bytes of the body, and pause reading if the buffer is full."""
-        if self.is_complete or self._is_skipping:
+        if self._is_skipping:
+            self._skipped_bytes += len(data)
+            self.made_progress = self._skipped_bytes <= MAX_RESPONSE_BYTES
+            return
+        if self.is_complete:
             return
         self.made_progress = True
         self._chunks.append(data)
--- a/tests/gateway/test_late_answers.py
+++ b/tests/gateway/test_late_answers.py
@@ -169,6 +169,14 @@
         results, _ = _exchange_all([b"1", b"2"], [_answer(b"1"), response])
         assert results == [b"own", result]
 
+    @pytest.mark.parametrize(("size", "result"), [(300_000, b"own"), (9_000_000, "oversized")])
+    def test_long_answer_to_earlier_request_is_skipped(
+        self, size: int, result: bytes | str
+    ) -> None:
+        """Guards against a request in doubt because of a copy, and against bytes without end."""
+        late = _answer(b"1", body=b"x" * size) + _answer(b"2")
+        assert _exchange_all([b"1", b"2"], [_answer(b"1"), late])[0] == [b"own", result]
+
     def test_first_answer_of_connection_needs_no_id(self) -> None:
         """No earlier answer can be taken for it: an upstream at a reused address may not echo."""
         assert _exchange_all([b"1", b"2"], [_answer()]) == ([b"own"] * 2, 2)
@@ -210,6 +218,31 @@
         answer, runs, copies = _run_scenario(scenario)
         assert (answer.status, answer.complete, runs, copies) == (200, True, 2, 1)
 
+    def test_copy_is_not_taken_for_answer_to_repeat_by_client(self) -> None:
+        """Guards against clients that send a request with the same id once more."""
+
+        async def scenario(deployment: InProcessDeployment) -> tuple[list[int], int]:
+            upstream = deployment.upstreams["p0"]
+            upstream.copier.plan(b"/book/", CopyMoment.BEFORE_NEXT)
+            upstream.faults = [Fault.FAIL]
+            headers = {"Attempt-Id": "same"}
+            answers = [await deployment.call("/book/1", headers=headers) for _ in range(3)]
+            return [answer.status for answer in answers], len(upstream.runs)
+
+        assert _run_scenario(scenario) == ([500, 200, 200], 3)
+
+    def test_copy_in_stream_ends_its_run_and_not_its_answer(self) -> None:
+        """Guards against events that are missing, doubled or mixed with a copy."""
+
+        async def scenario(deployment: InProcessDeployment) -> tuple[Answer, int]:
+            upstream = deployment.upstreams["e0"]
+            upstream.copier.plan(b"/ask/", CopyMoment.IN_NEXT_BODY)
+            await deployment.call("/ask/1")
+            return await deployment.call("/ask/2"), len(upstream.runs)
+
+        answer, runs = _run_scenario(scenario)
+        assert (answer.event_ids, answer.complete, runs) == ([1, 2, 3, 4, 5, 6], True, 3)
+
     def test_copy_of_failure_is_not_taken_for_answer_to_repeat(self) -> None:
         """Guards against the first run's failure as the answer while the second run goes on."""
 
