Test answers with copies at random moments

Requests of all kinds, some without an id, at upstreams that refuse, fail and break off while copies of earlier answers are written at random moments.

--- a/tests/gateway/test_late_answers.py
+++ b/tests/gateway/test_late_answers.py
@@ -1,7 +1,9 @@
 """Tests with upstreams that write an earlier answer of a connection once more."""
 
 import asyncio
+import collections
 import contextlib
+import random
 from collections.abc import Awaitable, Callable, Coroutine, Sequence
 from typing import TypeVar
 
@@ -261,6 +263,61 @@
     return _answer(body=fields % (sequence, born))
 
 
+class TestAllMoments:
+    """Copies at random moments, among refusals and failures, with many requests at a time."""
+
+    REQUESTS = 240
+
+    @pytest.mark.parametrize("seed", [1, 2, 3])
+    def test_each_answer_is_its_requests_own(self, seed: int) -> None:
+        rng = random.Random(seed)
+        faults = [Fault.REFUSE, Fault.FAIL, Fault.UNSIGNED, Fault.BREAK_BEFORE]
+
+        async def call(
+            deployment: InProcessDeployment, number: int, request_id: str
+        ) -> tuple[str, Answer]:
+            path = f"/{rng.choice(['book', 'read', 'draft', 'ask'])}/{number}"
+            await asyncio.sleep(rng.random())
+            return path, await deployment.call(path, headers={"Attempt-Id": request_id})
+
+        async def scenario(deployment: InProcessDeployment) -> tuple[list[tuple[str, Answer]], int]:
+            for upstream in deployment.upstreams.values():
+                upstream.faults = [
+                    rng.choice(faults) if rng.random() < 0.3 else None  # type: ignore[misc]
+                    for _ in range(4 * self.REQUESTS)
+                ]
+                moments = rng.choices(MOMENTS, k=2 * self.REQUESTS)
+                for prefix in (b"/book", b"/read", b"/draft", b"/ask"):
+                    upstream.copier.plan(prefix, *moments)
+            # Some requests bear no id.
+            ids = ["" if rng.random() < 0.2 else f"r{n}" for n in range(self.REQUESTS)]
+            results = await asyncio.gather(
+                *(call(deployment, number, ids[number]) for number in range(self.REQUESTS))
+            )
+            await asyncio.sleep(0.1)
+            self._check(deployment, results)
+            return results, sum(item.copier.copies for item in deployment.upstreams.values())
+
+        results, copies = _run_scenario(scenario, plain=2, engines=2)
+        assert copies > self.REQUESTS / 2
+        served = sum(answer.status == 200 and answer.complete for _, answer in results)
+        assert served > self.REQUESTS / 2
+
+    def _check(self, deployment: InProcessDeployment, results: list[tuple[str, Answer]]) -> None:
+        runs = collections.Counter(
+            run["target"].decode() for item in deployment.upstreams.values() for run in item.runs
+        )
+        for path, answer in results:
+            if path.startswith(("/book", "/draft")):
+                assert runs[path] <= 1, path
+                assert answer.status not in (429, 503) or not runs[path], path
+            if answer.status == 200 and path.startswith(("/book", "/read")):
+                assert answer.body == b"answer to " + path.encode()
+            elif answer.status == 200:
+                assert answer.event_ids == list(range(1, len(answer.event_ids) + 1)), path
+                assert len(answer.event_ids) == 6 or not answer.complete, path
+
+
 class TestControlCalls:
     """Answers of an engine to its agent, which bear no id."""
 
