--- a/src/dragonflyhold/platform/engine.py
+++ b/src/dragonflyhold/platform/engine.py
@@ -162,6 +162,6 @@
 
 
 def _decode_result(head: Head, body: bytes) -> CommandResult:
-    if is_report(body):
+    if head.status == 200 and is_report(body):
         raise DecodeError("a report in response to a command")
     return _RESULTS.get(head.status, CommandResult.REJECTED)
