Take a store's answer without an era for one of the era before it

A sound answer that states no era would have counted as a copy on a connection whose last answer stated one: it was compared as of era 0. It is compared by the clock alone now.

The new test failed before ("the response to an earlier call").

--- a/src/dragonflyhold/platform/store.py
+++ b/src/dragonflyhold/platform/store.py
@@ -222,8 +222,11 @@
         if not isinstance(now_ms, int):
             exchange.discard()
             return
-        sent_at = (_decode_era(head) or FIRST_ERA, now_ms)
         last = self._answered.get(exchange.connection)
+        era = _decode_era(head)
+        if era is None:
+            era = last[0] if last is not None else FIRST_ERA
+        sent_at = (era, now_ms)
         if last is not None and (sent_at < last[:2] or (*sent_at, content_hash) == last):
             exchange.discard()
             raise ExchangeError(FailureReason.MALFORMED, True, "the response to an earlier call")
--- a/tests/gateway/test_late_answers.py
+++ b/tests/gateway/test_late_answers.py
@@ -441,3 +441,32 @@
                 assert found in (None, right)
         # A copy fails no more than the call in whose place it stands.
         assert results.count(None) <= copies
+
+    def test_answer_without_era_is_of_the_era_before_it(self) -> None:
+        """Guards against sound answers that count as copies."""
+
+        def respond(now_ms: int, era: bytes) -> bytes:
+            body = b'{"rows":[],"row_version":1,"now_ms":%d}' % now_ms
+            return _answer(body=body).replace(b"Content", era + b"Content")
+
+        script = iter([respond(1, b"Store-Era: 2\r\n"), respond(2, b"")])
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+                while await reader.readuntil(b"\r\n\r\n"):
+                    writer.write(next(script))
+            writer.close()
+
+        async def run() -> list[RowSet]:
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            host, port = server.sockets[0].getsockname()
+            pool, address = ConnectionPool(), Address(f"{host}:{port}")
+            store = MetadataStore(address, pool)
+            try:
+                return [await store.read_table("t") for _ in range(2)]
+            finally:
+                pool.close_idle(address)
+                server.close()
+                await asyncio.sleep(0.02)
+
+        assert asyncio.run(run()) == [RowSet([], 1, 2)] * 2
