--- a/src/dragonflyhold/gateway/http_client.py
+++ b/src/dragonflyhold/gateway/http_client.py
@@ -25,6 +25,8 @@
 # Reading from the peer pauses while more unread body bytes than this are buffered.
 MAX_BUFFERED_BYTES = 256 * 1024
 MAX_HEADER_BYTES = 32 * 1024
+# A connection that has carried this many ids is not reused, which bounds its memory.
+MAX_CARRIED_IDS = 1024
 
 HOP_BY_HOP = frozenset(
     (
@@ -97,7 +99,11 @@
 class Call:
     """A request to send.
 
-    A response with another value for the header ``required_header`` belongs to another request.
+    A response with another value for the header ``required_header`` belongs to another request. One
+    without the header counts only as the first of its connection, or if the required value is
+    empty; its connection is not reused, so that no later call can take a copy for its own response.
+    A connection carries calls with the same ``request_id`` only once, since a late copy of the
+    first one's response would be taken for the response to the second.
     """
 
     method: bytes
@@ -105,6 +111,7 @@
     headers: Sequence[tuple[bytes, bytes]]
     body: bytes = b""
     required_header: tuple[bytes, bytes] | None = None
+    request_id: bytes = b""
 
     def encode(self) -> bytes:
         """Return the request as sent on the connection."""
@@ -125,6 +132,8 @@
         self.created = time.monotonic()
         self.idle_since = self.created
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
+        # Whether an earlier exchange was completed, whose response may come once more.
+        self.has_responded = False
         self._on_unusable = on_unusable
         self._transport: asyncio.Transport | None = None
         self._exchange: Exchange | None = None
@@ -133,12 +142,18 @@
         self._closed = False
         # Bytes received since the end of the head or the last byte of the body.
         self._unused_bytes = 0
+        # Hashes of the ids of the requests sent so far.
+        self._carried_ids: set[int] = set()
 
     @property
     def is_usable(self) -> bool:
         """Whether another exchange may start."""
         return self._is_reusable and not self._closed and self._exchange is None
 
+    def has_carried(self, call: Call) -> bool:
+        """Return whether a request with the id of ``call`` was sent on this connection."""
+        return bool(call.request_id) and hash(call.request_id) in self._carried_ids
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and enable the detection of dead peers."""
         assert isinstance(transport, asyncio.Transport)
@@ -154,6 +169,8 @@
         exchange = Exchange(self, call)
         self._exchange = exchange
         self._unused_bytes = 0
+        if call.request_id:
+            self._carried_ids.add(hash(call.request_id))
         self._parser = httptools.HttpResponseParser(exchange)
         self._transport.write(call.encode())
         return exchange
@@ -166,7 +183,7 @@
             return
         try:
             parser.feed_data(data)
-        except httptools.HttpParserError as error:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if exchange.is_complete:
                 # Bytes after the end of a complete response belong to no request.
                 self._is_reusable = False
@@ -239,7 +256,13 @@
     def _finish(self, exchange: "Exchange") -> None:
         self._exchange = None
         self._parser = None
-        if exchange.has_unexpected_response or not exchange.keep_alive:
+        self.has_responded = True
+        if (
+            exchange.has_unexpected_response
+            or exchange.is_unnamed
+            or not exchange.keep_alive
+            or len(self._carried_ids) >= MAX_CARRIED_IDS
+        ):
             self._is_reusable = False
         self.idle_timeout_s = exchange.idle_timeout_s
         self.idle_since = time.monotonic()
@@ -254,6 +277,8 @@
     def __init__(self, connection: Connection, call: Call) -> None:
         self.is_complete = False
         self.has_unexpected_response = False
+        # Whether the response lacks the required header, so that a late copy names no request.
+        self.is_unnamed = False
         # Set when the head ends and with each part of the body; cleared by the connection.
         self.made_progress = False
         self.keep_alive = True
@@ -265,6 +290,8 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._header_bytes = 0
         self._is_skipping = False
+        # Body bytes of skipped responses.
+        self._skipped_bytes = 0
         self._headers_done = False
         self._chunks: collections.deque[bytes] = collections.deque()
         self._buffered = 0
@@ -272,6 +299,11 @@
         self._error: ExchangeError | None = None
         self._updated = asyncio.Event()
 
+    @property
+    def connection(self) -> Connection:
+        """Return the connection of the request."""
+        return self._connection
+
     # Called by the parser.
 
     def on_message_begin(self) -> None:
@@ -304,18 +336,16 @@
         if head.status < 200:
             self._is_skipping = True
             return
-        if self._call.required_header is not None:
-            name, value = self._call.required_header
-            if fields.get(name, value) != value:
-                self._is_skipping = True
-                self.has_unexpected_response = True
-                return
+        if not self._is_own(head):
+            if not parser.should_keep_alive() or _is_close_delimited(head):
+                raise ValueError("nothing can follow a response to an earlier request")
+            self._is_skipping = True
+            self.has_unexpected_response = True
+            return
         self.head = head
         self.made_progress = True
         self.keep_alive = parser.should_keep_alive() and self._call.method != b"HEAD"
-        self.is_close_delimited = not (
-            b"content-length" in fields or b"transfer-encoding" in fields
-        ) and head.status not in (204, 304)
+        self.is_close_delimited = _is_close_delimited(head)
         if self.is_close_delimited:
             self.keep_alive = False
         self.idle_timeout_s = _idle_timeout(fields)
@@ -323,9 +353,36 @@
             self.is_complete = True
         self._updated.set()
 
+    def _is_own(self, head: Head) -> bool:
+        """Return whether a response belongs to this call; raise ``ValueError`` if that is unclear.
+
+        A response that lacks the required header can only be told from a late copy of an earlier
+        one if there is no earlier one.
+        """
+        if self._call.required_header is None:
+            return True
+        name, required = self._call.required_header
+        values = {value.strip() for key, value in head.headers if key.lower() == name} - {b""}
+        self.is_unnamed = not values
+        if not required.strip():
+            return self.is_unnamed
+        if self.is_unnamed:
+            if self._connection.has_responded:
+                raise ValueError("the response does not name its request")
+            return True
+        if required.strip() not in values:
+            return False
+        if len(values) > 1:
+            raise ValueError("the response names several requests")
+        return True
+
     def on_body(self, data: bytes) -> None:
         """Buffer bytes of the body, and pause reading if the buffer is full."""
-        if self.is_complete or self._is_skipping:
+        if self._is_skipping:
+            self._skipped_bytes += len(data)
+            self.made_progress = self._skipped_bytes <= MAX_RESPONSE_BYTES
+            return
+        if self.is_complete:
             return
         self.made_progress = True
         self._chunks.append(data)
@@ -406,6 +463,10 @@
         if not self.is_complete:
             self._connection.abort()
 
+    def discard(self) -> None:
+        """Close the connection, whose next bytes may belong to this call instead of the next."""
+        self._connection.abort()
+
     async def _wait(self) -> None:
         self._updated.clear()
         await self._updated.wait()
@@ -417,6 +478,11 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
 
 
+def _is_close_delimited(head: Head) -> bool:
+    is_framed = b"content-length" in head.fields or b"transfer-encoding" in head.fields
+    return not is_framed and head.status not in (204, 304)
+
+
 def _idle_timeout(fields: dict[bytes, bytes]) -> float:
     for part in fields.get(b"keep-alive", b"").split(b","):
         name, _, value = part.strip().partition(b"=")
