Do not take a silent VM for another upstream

A review of the fix for silent upstreams found a path that it left open: while the other engines drain, are suspended or can't load, the choice of another upstream falls back to the silent one, between 0.45 and 0.6 s of silence. The request then ran twice at the same engine, and after 1.5 s of silence the new connection had timed out and the stream ended after 3 of 10 events (LOST).

A request no longer leaves a VM whose heartbeat is overdue for the same one.

Measured: test_a_stream_stays_while_the_other_engine_drains, 6 of 6 failed before and pass; tests of silent upstreams and of the site: 42 passed.

--- a/src/dragonflyhold/gateway/attempt.py
+++ b/src/dragonflyhold/gateway/attempt.py
@@ -226,7 +226,14 @@
         choice = self._gateway.table.choose_again(context.service, target, min_version, now, tried)
         if isinstance(choice, WaitFor) and target is not None:
             self._gateway.request_load(choice.upstream_id, target)
-        return isinstance(choice, SendNow) or self._can_reconnect(now)
+        if isinstance(choice, SendNow) and self._is_other(choice, now):
+            return True
+        return self._can_reconnect(now)
+
+    def _is_other(self, choice: SendNow, now: float) -> bool:
+        """Return whether a choice is more than the silent VM itself once more."""
+        is_same = choice.upstream_id == self._choice.upstream_id
+        return not is_same or not self._view.is_heartbeat_overdue(now)
 
     def _can_reconnect(self, now: float) -> bool:
         """Return whether only this request's connection may be silent.
--- a/tests/gateway/test_silent_upstream.py
+++ b/tests/gateway/test_silent_upstream.py
@@ -95,3 +95,37 @@
         assert answer.status == 200
         assert answer.complete
         assert answer.event_ids == list(range(1, EVENTS + 1))
+
+
+class TestSilenceOfTheOnlyUsableUpstream:
+    """Requests that leave a silent upstream for the same one (LOST)."""
+
+    @pytest.mark.parametrize("silence_s", [0.5, 1.0, 1.5])
+    @pytest.mark.parametrize("adapter", ["a1", ""])
+    def test_a_stream_stays_while_the_other_engine_drains(
+        self, adapter: str, silence_s: float
+    ) -> None:
+        async def scenario() -> tuple[Answer, int]:
+            deployment, loop = await _start_deployment(2)
+            await _send(deployment, "/ask/0", adapter)
+            holder, other = deployment.upstreams.values()
+            if not holder.runs:
+                holder, other = other, holder
+            deployment.store.put("servers", other.upstream_id, other.entry("draining"))
+            await asyncio.sleep(1.5)
+            before = len(holder.runs)
+            holder.event_interval_s = 0.1
+            stream = _send(deployment, "/ask/1", adapter)
+            await asyncio.sleep(0.35)
+            ip = holder.address.rpartition(":")[0]
+            loop.network.make_unreachable(ip)
+            await asyncio.sleep(silence_s)
+            loop.network.make_reachable(ip)
+            answer = await stream
+            await deployment.close()
+            return answer, len(holder.runs) - before
+
+        answer, runs = run_virtual(scenario())
+        assert answer.complete
+        assert answer.event_ids == list(range(1, EVENTS + 1))
+        assert runs == 1
