Probe a silent upstream before its connection is given up

An upstream that serves on without an entry could not even be chosen again. Its idempotent requests ended with 502.

The new connection is established first, and what has arrived on the old one meanwhile counts. The silence is counted from the sending of the request, and an upstream that left the table is not probed.

Measured: test_an_upstream_without_an_entry_that_serves_on failed before (502) and passes; the three cases of a single plain upstream passed before, too. Tests of silent upstreams, site, attempts and limits: 65 passed.

--- a/src/dragonflyhold/gateway/attempt.py
+++ b/src/dragonflyhold/gateway/attempt.py
@@ -1,5 +1,6 @@
 """One attempt: sends a request to an upstream and relays its response."""
 
+import contextlib
 import dataclasses
 import time
 from collections.abc import Awaitable, Callable
@@ -74,6 +75,7 @@
         self._choice = choice
         self._view = gateway.table.views[choice.upstream_id]
         self._upstream = self._view.upstream
+        self._sent_at = 0.0
 
     @property
     def upstream(self) -> Upstream:
@@ -116,7 +118,7 @@
     async def _send(self) -> Outcome:
         choice, view = self._choice, self._view
         self._context.progress.upstream = choice.upstream_id
-        started = time.monotonic()
+        started = self._sent_at = time.monotonic()
         self._context.progress.note_sent(started)
         exchange: Exchange | None = None
         self._gateway.request_log.info(
@@ -204,7 +206,12 @@
                 if (is_unreachable or now >= silent_at) and self._can_fail_over(now):
                     detail = "VM is unreachable" if is_unreachable else "silence"
                     raise ExchangeError(FailureReason.TIMEOUT, True, detail) from None
-                continue
+                if now < silent_at or not self._is_only_request(now):
+                    continue
+                found = await self._read_after_probe(read)
+                if found is None:
+                    continue
+                result = found
             self._gateway.table.note_received(self._choice.upstream_id, time.monotonic())
             return result
 
@@ -214,41 +221,59 @@
         If all others have to load the adapter first, one of them is asked to do so.
         """
         context, target = self._context, self._request_info.target
-        if (
-            context.route.retry_safety is RetrySafety.ONCE
-            or context.progress.attempts + 1 >= context.route.max_attempts
-            or context.deadline - now < MIN_ATTEMPT_S
-            or not self._gateway.budget.has_room(context.service)
-        ):
+        if not self._may_repeat(now):
             return False
         tried = {*context.progress.tried, self._upstream.upstream_id}
         min_version = self._gateway.required_version(target)
         choice = self._gateway.table.choose_again(context.service, target, min_version, now, tried)
         if isinstance(choice, WaitFor) and target is not None:
             self._gateway.request_load(choice.upstream_id, target)
-        if isinstance(choice, SendNow) and self._is_other(choice, now):
-            return True
-        return self._can_reconnect(now)
+        return isinstance(choice, SendNow) and self._can_start_at(choice, now)
+
+    def _may_repeat(self, now: float) -> bool:
+        context = self._context
+        return (
+            context.route.retry_safety is not RetrySafety.ONCE
+            and context.progress.attempts + 1 < context.route.max_attempts
+            and context.deadline - now >= MIN_ATTEMPT_S
+            and self._gateway.budget.has_room(context.service)
+        )
 
-    def _is_other(self, choice: SendNow, now: float) -> bool:
-        """Return whether a choice is more than the silent VM itself once more."""
-        is_same = choice.upstream_id == self._choice.upstream_id
-        return not is_same or not self._view.is_heartbeat_overdue(now)
+    def _can_start_at(self, choice: SendNow, now: float) -> bool:
+        """Return whether a choice is neither the silent VM once more nor in need of a permit."""
+        view = self._gateway.table.views[choice.upstream_id]
+        if view is self._view and view.is_heartbeat_overdue(now):
+            return False
+        return view.limit_per_s is None
 
-    def _can_reconnect(self, now: float) -> bool:
+    def _is_only_request(self, now: float) -> bool:
         """Return whether only this request's connection may be silent.
 
         Nothing else depends on the upstream, so a new connection tells whether it still responds.
         """
         view, target = self._view, self._request_info.target
         return (
-            view.in_flight == 1
-            and now - view.last_received_at > RECONNECT_SILENCE_S
+            self._may_repeat(now)
+            and self._gateway.table.views.get(self._choice.upstream_id) is view
+            and view.in_flight == 1
+            and now - max(view.last_received_at, self._sent_at) > RECONNECT_SILENCE_S
             and view.accepts_work(now)
             and not view.is_heartbeat_overdue(now)
             and (target is None or target in view.resident)
         )
 
+    async def _read_after_probe(self, read: Callable[[], Awaitable[Read]]) -> Read | None:
+        """Try a new connection; return what has arrived on the old one meanwhile.
+
+        Raises ``ExchangeError`` if only the old one is silent; returns ``None`` if both are.
+        """
+        if not await self._gateway.pool.can_connect(self._upstream.address):
+            return None
+        with contextlib.suppress(TimeoutError):
+            async with limit_time(0.0):
+                return await read()
+        raise ExchangeError(FailureReason.TIMEOUT, True, "silent connection")
+
     async def _handle_response(self, exchange: Exchange, head: Head) -> Outcome:
         choice = self._choice
         self._gateway.note_load(choice.upstream_id, head)
--- a/tests/gateway/test_silent_upstream.py
+++ b/tests/gateway/test_silent_upstream.py
@@ -129,3 +129,52 @@
         assert answer.complete
         assert answer.event_ids == list(range(1, EVENTS + 1))
         assert runs == 1
+
+
+class TestSilenceOfPlainUpstreams:
+    """Idempotent requests that end with a 502 although their upstream only paused."""
+
+    def test_an_upstream_without_an_entry_that_serves_on(self) -> None:
+        async def scenario() -> int:
+            deployment, loop = await _start_deployment(3)
+            ip, headers = "10.4.0.1", {"Deadline-Remaining": str(TIME_LIMIT_MS)}
+            plain = await create_task_on_vm(ip, deployment.add_plain("p0", host=ip))
+            await asyncio.sleep(2.0)
+            await create_task_on_vm(CLIENT_IP, deployment.call("/read/0", headers=headers))
+            await asyncio.sleep(0.2)
+            # The gateway waits in the feed 1.3 s later.
+            deployment.store.put("servers", "p0", plain.entry())
+            await asyncio.sleep(1.3)
+            loop.network.make_unreachable(ip)
+            call = deployment.call("/read/1", headers=headers, timeout_s=20.0)
+            task = create_task_on_vm(CLIENT_IP, call)
+            await asyncio.sleep(0.1)
+            deployment.store.remove("servers", "p0")
+            await asyncio.sleep(1.1)
+            loop.network.make_reachable(ip)
+            answer = await task
+            await deployment.close()
+            return answer.status
+
+        assert run_virtual(scenario()) == 200
+
+    @pytest.mark.parametrize("silence_s", [1.2, 1.7, 2.4])
+    def test_the_only_upstream_of_a_service(self, silence_s: float) -> None:
+        """Guards against an exchange that is closed before a new connection is established."""
+
+        async def scenario() -> int:
+            deployment, loop = await _start_deployment(3)
+            ip, headers = "10.4.0.1", {"Deadline-Remaining": str(TIME_LIMIT_MS)}
+            await create_task_on_vm(ip, deployment.add_plain("p0", host=ip))
+            await asyncio.sleep(2.0)
+            await create_task_on_vm(CLIENT_IP, deployment.call("/read/0", headers=headers))
+            loop.network.make_unreachable(ip)
+            call = deployment.call("/read/1", headers=headers, timeout_s=20.0)
+            task = create_task_on_vm(CLIENT_IP, call)
+            await asyncio.sleep(silence_s)
+            loop.network.make_reachable(ip)
+            answer = await task
+            await deployment.close()
+            return answer.status
+
+        assert run_virtual(scenario()) == 200
