Keep an entry waiting over a second read of the whole table

Found by the review: an upstream had left, the store was restored to a copy with its entry, and the entry waits for 5 s before it is used again. A second read of the whole table in the same era (410) brings it at the same position, and it was used at once (DRAIN).

A row that is waiting is not new when it is read once more.

Measured: test_an_upstream_that_has_left_stays_away_over_a_second_read failed before and passes; 25 tests of table rows pass.

--- a/src/dragonflyhold/gateway/table_rows.py
+++ b/src/dragonflyhold/gateway/table_rows.py
@@ -155,6 +155,7 @@
         if state is not None and (
             row.position < state.position
             or (row.position == state.position and row.removed == state.removed)
+            or (row.position == state.position and row.key in self._pending)
         ):
             return
         if state is None and row.removed:
--- a/tests/gateway/test_table_rows.py
+++ b/tests/gateway/test_table_rows.py
@@ -180,6 +180,15 @@
         table.rows.apply_changes(RowSet([], 69, era))
         assert table.values == {}
 
+    def test_an_upstream_that_has_left_stays_away_over_a_second_read(self) -> None:
+        """Guards against a truncated history while the store still has to remove the entry."""
+        table = _Table("servers")
+        table.rows.apply_snapshot(RowSet([_entry(7, 60, 1)], 70, 1))
+        table.rows.apply_changes(RowSet([StoredRow("s1", 71, b"", True, era=1)], 71, 1))
+        for position in (65, 66):
+            table.rows.apply_snapshot(RowSet([_entry(7, 60, 2)], position, 2))
+        assert table.values == {}
+
     def test_an_upstream_that_has_left_stays_away_over_another_outage(self) -> None:
         """Guards against entries that the store could not remove yet."""
         table = _Table("servers")
