Drop an entry at once whose removal was missed in the new era

If its removal was then missed (410), the read of the whole table took it for a lost one and kept it for 2.2 s, more than the bound for a leaving upstream.

The era of the last read of the key counts.

Measured: test_a_removal_is_known_at_once_if_the_copy_held_the_entry failed before and passes; 26 tests of table rows pass.

--- a/src/dragonflyhold/gateway/table_rows.py
+++ b/src/dragonflyhold/gateway/table_rows.py
@@ -92,7 +92,7 @@
         """Apply a read of the whole table.
 
         A key that the read lacks was removed, unless its last change is newer than the read. One
-        whose row is of an earlier era may be lost.
+        that was last read in an earlier era may be lost.
         """
         present = {row.key for row in rows.rows}
         if rows.era > self._era_read_at.era:
@@ -102,11 +102,12 @@
             if key not in present and not pending.row.removed:
                 del self._pending[key]
         self._apply_all(rows)
-        for key, row in list(self.rows.items()):
-            if key in present or self._key_states[key].position > rows.position:
+        for key in sorted(self.rows.keys() - present):
+            known_at = self._key_states[key].position
+            if known_at > rows.position:
                 continue
             removal = StoredRow(key, rows.version, b"", removed=True, era=rows.era)
-            if row.era == rows.era:
+            if known_at.era == rows.era:
                 self._apply(removal)
             elif not self._rules.rows_stay:
                 self._pending.setdefault(key, _PendingRow(removal, self._clock() + REWRITE_S))
--- a/tests/gateway/test_table_rows.py
+++ b/tests/gateway/test_table_rows.py
@@ -216,6 +216,15 @@
         table.rows.apply_snapshot(RowSet([_entry(0, 62, 2, born=9)], 65, 2))
         assert b'"born":9' in table.values["s1"]
 
+    def test_a_removal_is_known_at_once_if_the_copy_held_the_entry(self) -> None:
+        """Guards against 2.2 s, more than the bound, after a truncated history."""
+        table = _Table("servers")
+        table.rows.apply_snapshot(RowSet([_entry(7, 60, 1)], 70, 1))
+        table.rows.apply_snapshot(RowSet([_entry(7, 60, 2)], 65, 2))
+        table.now += 30.0
+        table.rows.apply_snapshot(RowSet([], 90, 2))
+        assert table.values == {}
+
     @pytest.mark.parametrize("is_back", [True, False])
     def test_a_lost_entry_is_kept_until_its_owner_has_had_time_to_write_it(
         self, is_back: bool
