Ask each seed, not only the first with rows, after a restore of the store

Found by the review: a gateway that starts in the gap took the rows of the first seed that had some. If that seed had started in the gap, too, the copy's older configuration was in force at both, and a route that another seed serves got 404.

Measured: test_each_seed_is_asked failed before and passes; tests of restores and store faults: 27 passed.

--- a/src/dragonflyhold/gateway/peers.py
+++ b/src/dragonflyhold/gateway/peers.py
@@ -82,6 +82,7 @@
             self.is_complete = True
             return
         while True:
+            has_rows = False
             for seed in random.sample(list(seeds), len(seeds)):
                 try:
                     tables = await self._fetch_snapshot(seed)
@@ -94,9 +95,12 @@
                     watch.table_rows.apply_peer_rows(tables.get(name, []))
                 rows = sum(len(table) for table in tables.values())
                 self._log.info("A snapshot was fetched from a seed.", seed=seed, rows=rows)
-                if rows:
-                    self.is_complete = True
-                    return
+                has_rows |= rows > 0
+                if rows and not self._was_store_restored():
+                    break
+            if has_rows:
+                self.is_complete = True
+                return
             if await self._is_read_within(ROUND_PAUSE_S):
                 self.is_complete = True
                 return
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -1,8 +1,10 @@
 """End-to-end tests of a store that comes back from a copy that is some seconds old."""
 
 import asyncio
+import random
 from collections.abc import Awaitable, Callable
 from typing import Any, TypeVar
+from unittest import mock
 
 import pytest
 
@@ -261,6 +263,26 @@
 
         assert _run_scenario(scenario, engines=1) == [200, 200]
 
+    def test_each_seed_is_asked(self) -> None:
+        """Guards against the older configuration of a seed that has started in the gap, too."""
+
+        async def scenario(deployment: InProcessDeployment) -> int:
+            copy = deployment.store.copy()
+            deployment.store.put("op", "config", _with_route(2, "lost"))
+            await asyncio.sleep(0.2)
+            await _restore(deployment, copy, 0)
+            known, deployment.gateways = deployment.gateways, []
+            await deployment.add_gateway()
+            await asyncio.sleep(0.5)
+            deployment.gateways = [*known, *deployment.gateways]
+            with mock.patch.object(random, "sample", lambda seeds, k: seeds[::-1]):
+                late = await deployment.add_gateway()
+                await asyncio.sleep(1.0)
+            assert late.is_ready
+            return (await deployment.call("/lost/1", method="GET", body=b"", gateway=2)).status
+
+        assert _run_scenario(scenario, engines=1) == 200
+
     def test_a_gateway_without_peers_becomes_ready(self) -> None:
         """Guards against a gateway that waits for peers that are gone."""
 
