Write only the stored crashes that a restored store lacks

Found by the review: a trait that was released between the restore and the repetition of its row was stored again, and a restart of all VMs would have refused sound requests. The writes of 400 gateways would also have passed what one part of the store takes, from four traits on (computed, not run).

A gateway reads the table first, after its random delay, writes what is missing, removes what is back, and writes no trait that was released meanwhile, also during the delay of a first write.

Measured: test_a_trait_that_is_released_meanwhile_is_not_written failed before (a write after the removal) and passes; tests of what a restored store has lost pass.

--- a/src/dragonflyhold/gateway/crash_archive.py
+++ b/src/dragonflyhold/gateway/crash_archive.py
@@ -65,6 +65,8 @@
         """Write the records of a trait that is refused now."""
         self._removed.pop(trait, None)
         await asyncio.sleep(random.uniform(0.0, MAX_WRITE_DELAY_S))
+        if trait in self._removed:
+            return
         records = [
             _shorten(record, trait)
             for record in self._evidence.records()
@@ -82,12 +84,21 @@
         await self._retry(lambda: self._store.remove(CRASH_TABLE, trait.hex()))
 
     async def repeat(self, refused: frozenset[Trait]) -> None:
-        """Write and remove rows again, as a restored store may have lost that."""
+        """Write and remove the rows again that a restored store has lost, or has back.
+
+        All gateways do so; most find that another one was faster.
+        """
         await asyncio.sleep(random.uniform(0.0, MAX_REWRITE_DELAY_S))
+        try:
+            stored = {row.key for row in (await self._store.read_table(CRASH_TABLE)).rows}
+        except PlatformUnavailableError:
+            stored = {trait.hex() for trait in self._removed}
         for trait in refused:
-            await self.save(trait)
+            if trait.hex() not in stored and trait not in self._removed:
+                await self.save(trait)
         for trait in list(self._removed):
-            await self._retry(functools.partial(self._store.remove, CRASH_TABLE, trait.hex()))
+            if trait.hex() in stored:
+                await self._retry(functools.partial(self._store.remove, CRASH_TABLE, trait.hex()))
 
     async def _retry(self, call: Callable[[], Awaitable[object]]) -> None:
         for _ in range(MAX_RETRIES):
--- a/tests/gateway/test_crashing_parts.py
+++ b/tests/gateway/test_crashing_parts.py
@@ -4,14 +4,17 @@
 import itertools
 from collections.abc import Awaitable, Callable
 from typing import Any, TypeVar
+from unittest import mock
 
 import pytest
 
+from dragonflyhold.bench.virtual_time import run_virtual
 from dragonflyhold.gateway.agent_link import AgentLink
-from dragonflyhold.gateway.crash_archive import CRASH_TABLE, MAX_REWRITE_DELAY_S
-from dragonflyhold.gateway.crash_evidence import RequestTraits
+from dragonflyhold.gateway.crash_archive import CRASH_TABLE, MAX_REWRITE_DELAY_S, CrashArchive
+from dragonflyhold.gateway.crash_evidence import CrashEvidence, RequestTraits
 from dragonflyhold.gateway.messages import AgentHeartbeat, EngineUpdate, Message
 from dragonflyhold.platform.standins.site import InProcessDeployment, running_deployment
+from dragonflyhold.platform.store import MetadataStore, RowSet
 
 Result = TypeVar("Result")
 
@@ -199,3 +202,22 @@
             return await _send_later(traffic, range(GATEWAYS - 1, GATEWAYS))
 
         assert _run_scenario(scenario) == 0
+
+
+class TestStoredCrashes:
+    """Rows of traits that are written again after a restore."""
+
+    def test_a_trait_that_is_released_meanwhile_is_not_written(self) -> None:
+        """Guards against a row that refuses sound requests after a restart of all VMs."""
+
+        async def scenario() -> list[str]:
+            store = mock.create_autospec(MetadataStore, instance=True)
+            store.read_table.return_value = RowSet([], 1)
+            archive = CrashArchive(store, CrashEvidence())
+            repetition = asyncio.create_task(archive.repeat(frozenset({b"t"})))
+            await asyncio.sleep(0)
+            await archive.remove(b"t")
+            await repetition
+            return [call[0] for call in store.mock_calls if call[0] != "read_table"]
+
+        assert run_virtual(scenario()) == ["remove"]
