Reset the connection of an incomplete stream without framing

Such a connection now has a linger time of 0 from the head until the stream is complete, so that the kernel resets it whoever closes it: the gateway after a failure, at its deadline or the end of a planned stop, or a kill of the process (the kill was not tried). Streams in chunks are closed as before, since a reset could discard events that were sent.

--- a/src/dragonflyhold/gateway/http_server.py
+++ b/src/dragonflyhold/gateway/http_server.py
@@ -7,6 +7,8 @@
 import asyncio
 import collections
 import dataclasses
+import socket
+import struct
 import time
 from collections.abc import Awaitable, Callable, Sequence
 from typing import final
@@ -242,6 +244,12 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def reset_on_close(self, enabled: bool) -> None:
+        """Let any close of the connection reset it, also that of a process that is killed."""
+        sock = self._transport.get_extra_info("socket") if self._transport is not None else None
+        if sock is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", enabled, 0))
+
     def close_if_idle(self) -> None:
         """Close the connection if it has no open request."""
         if self.is_idle:
--- a/src/dragonflyhold/gateway/responder.py
+++ b/src/dragonflyhold/gateway/responder.py
@@ -37,6 +37,9 @@
     def abort(self) -> None:
         """Close the connection at once and discard buffered bytes."""
 
+    def reset_on_close(self, enabled: bool) -> None:
+        """Let any close of the connection reset it, also that of a process that is killed."""
+
 
 @final
 class Responder:
@@ -57,9 +60,14 @@
         self._end()
 
     def start_stream(self, status: int, headers: Sequence[tuple[bytes, bytes]]) -> None:
-        """Send the head of a response of unknown length."""
+        """Send the head of a response of unknown length.
+
+        To an HTTP/1.0 client, a closed connection is the end of the response. Until the response is
+        complete, it can only be reset.
+        """
         if self._http_10:
             self._keep_alive = False
+            self._connection.reset_on_close(True)
             self._start(status, headers, b"", b"")
             return
         self._chunked = True
@@ -76,6 +84,8 @@
         """Mark the body as complete."""
         if self._chunked:
             self._connection.write(b"0\r\n\r\n")
+        else:
+            self._connection.reset_on_close(False)
         self._end()
 
     def abort(self) -> None:
--- a/src/dragonflyhold/platform/standins/runner.py
+++ b/src/dragonflyhold/platform/standins/runner.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import enum
 from collections.abc import Callable, Coroutine
-from typing import Any
+from typing import Any, final
 
 import orjson
 
@@ -31,6 +32,24 @@
     TRICKLE = "send a byte now and then midway, in an event that never ends"
 
 
+class Ending(enum.Enum):
+    """What happens to the connection after the bytes of a ``RawAnswer``."""
+
+    KEEP = "kept"
+    CLOSE = "closed"
+    RESET = "reset"
+    SILENT = "kept open, and nothing more is sent"
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class RawAnswer:
+    """Bytes that are sent as the answer to one request; ``{id}`` stands for the request's id."""
+
+    data: bytes
+    ending: Ending = Ending.KEEP
+
+
 class UpstreamStandIn:
     """Runs requests and commands, and records them for assertions.
 
@@ -55,7 +74,9 @@
         self.adapters: dict[str, int] = {}
         self.loading: dict[str, int] = {}
         self.latest_versions: dict[str, int] = {}
-        self.faults: list[Fault] = []
+        self.faults: list[Fault | RawAnswer] = []
+        # Faults of requests that resume a stream; they take precedence.
+        self.resume_faults: list[Fault | RawAnswer] = []
         # Number of next commands that are executed but get no response.
         self.lost_responses = 0
         self.events = 6
@@ -258,7 +279,9 @@
         ):
             responder.send(421, [request_id_header])
             return
-        fault = self.faults.pop(0) if self.faults else None
+        is_resume = b"last-event-id" in fields and bool(self.resume_faults)
+        faults = self.resume_faults if is_resume else self.faults
+        fault = faults.pop(0) if faults else None
         if fault is Fault.REFUSE:
             responder.send(503, [request_id_header, (b"Not-Executed", b"1")])
             return
@@ -286,7 +309,7 @@
         responder: Responder,
         request_id_header: tuple[bytes, bytes],
         first: int,
-        fault: Fault | None,
+        fault: Fault | RawAnswer | None,
     ) -> None:
         signed_headers = [
             request_id_header,
@@ -294,6 +317,9 @@
         ]
         if self.limit_per_s is not None:
             signed_headers.append((b"Server-Limit", b"%.1f" % self.limit_per_s))
+        if isinstance(fault, RawAnswer):
+            await self._send_raw(responder, fault, request_id_header[1])
+            return
         if fault is Fault.HANG:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(5.0):
@@ -316,17 +342,36 @@
                 prompt, output = map(int, counts)
                 await self._generate(responder, signed_headers, first, prompt, output)
 
+    async def _send_raw(self, responder: Responder, answer: RawAnswer, request_id: bytes) -> None:
+        connection = responder._connection
+        connection.write(answer.data.replace(b"{id}", request_id))
+        match answer.ending:
+            case Ending.KEEP:
+                responder._end()
+            case Ending.CLOSE:
+                responder._keep_alive = False
+                responder._end()
+            case Ending.RESET:
+                # What was written is delivered before the reset.
+                await asyncio.sleep(EVENT_INTERVAL_S)
+                connection.reset_on_close(True)
+                responder.abort()
+            case Ending.SILENT:
+                await asyncio.Event().wait()
+
     async def _stream(
         self,
         responder: Responder,
         headers: list[tuple[bytes, bytes]],
         first: int,
-        fault: Fault | None,
+        fault: Fault | RawAnswer | None,
         parts: bytes,
     ) -> None:
         if not self.frames_streams:
             responder._http_10 = True
         responder.start_stream(200, headers)
+        # A crashed process may just end its connections.
+        responder._connection.reset_on_close(False)
         if self._is_crashing(parts):
             await responder.write(b"id: %d\ndata: ha" % first)
             await asyncio.sleep(self.event_interval_s)
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -54,6 +54,10 @@
             await responder.write(b"one")
             await responder.write(b"two")
             responder.end_stream()
+        elif request.target == b"/open":
+            responder.start_stream(200, [])
+            await responder.write(b"one")
+            await asyncio.Event().wait()
         elif request.target == b"/cut":
             responder.start_stream(200, [])
             await responder.write(b"one")
@@ -162,6 +166,28 @@
         assert response.endswith(b"\r\n\r\nonetwo")
 
 
+class TestClientsWithoutChunks:
+    """HTTP/1.0 clients, to whom a closed connection is the end of a stream."""
+
+    def test_an_incomplete_stream_is_reset(self) -> None:
+        """Guards against streams that look complete although their upstream broke off."""
+        with pytest.raises(ConnectionResetError):
+            asyncio.run(_exchange(b"GET /cut HTTP/1.0\r\nHost: a\r\n\r\n"))
+
+    def test_a_server_that_closes_resets_an_open_stream(self) -> None:
+        async def scenario() -> None:
+            async with _running_server() as harness:
+                reader, writer = await asyncio.open_connection("127.0.0.1", harness.port)
+                writer.write(b"GET /open HTTP/1.0\r\nHost: a\r\n\r\n")
+                await reader.readuntil(b"one")
+                harness.server.abort()
+                with pytest.raises(ConnectionResetError):
+                    await reader.read()
+                writer.transport.abort()
+
+        asyncio.run(scenario())
+
+
 class TestLimits:
     """Requests that exceed a size or time limit are rejected."""
 
