Write nothing but the rest of the stream after a stream has begun

Clients found a whole second head in the middle of their stream, and its body: send wrote one whenever it was called. A refusal with status 400 and whole successes (201, 204, 206) that answered the request to resume were forwarded as the answer to the client, and such a request was logged as answered. Nothing kept a RefusedError raised after the start from writing the gateway's own 503 into the stream either.

The responder has a state now. A second head, bytes after the end and an end without a start raise ResponseStateError; nothing is written, the connection closes, and it is logged and counted as response_state_error. decide_use tells by one match what an answer means: once a response has begun, a statement that the request did not run leads to the next upstream, events of a signed 200 are relayed, and all others are discarded without waiting for their bodies. A late refusal closes the connection.

--- a/src/dragonflyhold/gateway/attempt.py
+++ b/src/dragonflyhold/gateway/attempt.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, TypeVar, final
 
+from dragonflyhold.gateway.answers import AnswerUse, decide_use
 from dragonflyhold.gateway.crash_evidence import RequestTraits
 from dragonflyhold.gateway.dispatch import SendNow, WaitFor
 from dragonflyhold.gateway.events import EventSplitter, EventTooLargeError
@@ -243,29 +244,43 @@
     async def _handle_response(self, exchange: Exchange, head: Head) -> Outcome:
         choice = self._choice
         self._gateway.note_load(choice.upstream_id, head)
-        if codec.is_not_run(head):
-            return await self._handle_refusal(exchange, head)
+        use = decide_use(head, self._context.route.is_stream, self._responder.is_started)
+        if use in (AnswerUse.TRY_NEXT, AnswerUse.FORWARD_REJECTION):
+            return await self._handle_refusal(exchange, head, use)
         if self._context.progress.first_byte_s is None:
             self._context.progress.first_byte_s = time.monotonic() - self._context.request.received
-        if (
-            head.status == 200
-            and self._context.route.is_stream
-            and codec.is_authentic_success(head)
-        ):
+        if use is AnswerUse.RELAY_EVENTS:
             return await self._relay(exchange, head)
+        is_failed = head.status >= 500
+        if use is AnswerUse.DISCARD and self._responder.is_started:
+            # Nothing waits for the body; an upstream that withholds it must not delay the next one.
+            self._log_discarded(head)
+            self._gateway.note_outcome(choice.upstream_id, failed=is_failed)
+            return MayHaveRun(Reason.UPSTREAM_FAILED)
         try:
             body = await self._read_whole_body(exchange)
         except ExchangeError as error:
             return self._handle_exchange_error(error)
-        is_success = 200 <= head.status < 300
-        self._gateway.note_outcome(choice.upstream_id, failed=head.status >= 500)
-        if is_success and codec.is_authentic_success(head):
-            self._responder.send(head.status, head.end_to_end(), body)
-            return Answered(head.status)
-        if is_success or not codec.may_forward_failure(head):
-            return MayHaveRun(Reason.UPSTREAM_FAILED)
-        failure = FailureResponse(head.status, tuple(head.end_to_end()), body)
-        return MayHaveRun(Reason.UPSTREAM_FAILED, failure)
+        self._gateway.note_outcome(choice.upstream_id, failed=is_failed)
+        match use:
+            case AnswerUse.FORWARD_WHOLE:
+                self._responder.send(head.status, head.end_to_end(), body)
+                return Answered(head.status)
+            case AnswerUse.KEEP_FAILURE:
+                failure = FailureResponse(head.status, tuple(head.end_to_end()), body)
+                return MayHaveRun(Reason.UPSTREAM_FAILED, failure)
+            case _:
+                self._log_discarded(head)
+                return MayHaveRun(Reason.UPSTREAM_FAILED)
+
+    def _log_discarded(self, head: Head) -> None:
+        self._gateway.request_log.failure(
+            "An upstream's answer was discarded.",
+            id=self._request_info.request_id,
+            runner=self._choice.upstream_id,
+            status=head.status,
+            has_begun=self._responder.is_started,
+        )
 
     async def _read_whole_body(self, exchange: Exchange) -> bytes:
         parts, size = [], 0
@@ -276,7 +291,7 @@
             parts.append(chunk)
         return b"".join(parts)
 
-    async def _handle_refusal(self, exchange: Exchange, head: Head) -> Outcome:
+    async def _handle_refusal(self, exchange: Exchange, head: Head, use: AnswerUse) -> Outcome:
         choice, view, target = self._choice, self._view, self._request_info.target
         try:
             # Read the body to its end, so that the connection can be reused.
@@ -289,7 +304,7 @@
                 id=self._request_info.request_id,
                 error=str(error),
             )
-        if head.status == 400:
+        if use is AnswerUse.FORWARD_REJECTION:
             self._responder.send(head.status, head.end_to_end())
             return Answered(head.status)
         if head.status == 421:
--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -30,6 +30,7 @@
 from dragonflyhold.gateway.quarantine import Quarantine
 from dragonflyhold.gateway.registry import Registry
 from dragonflyhold.gateway.request import RequestRun
+from dragonflyhold.gateway.responder import ResponseStateError
 from dragonflyhold.gateway.shutdown import PlannedStop
 from dragonflyhold.gateway.upstream_view import UpstreamView
 from dragonflyhold.ids import ServiceName, Version
@@ -134,6 +135,14 @@
         except asyncio.CancelledError:
             self._log_end(run, request_info, "client_left", responder)
             raise
+        except ResponseStateError as error:
+            self.log.error(
+                "A response was to be written in a wrong state; its connection is closed.",
+                id=request_info.request_id,
+                error=str(error),
+            )
+            self._metrics.count_event("response_state_error")
+            self._fail(responder, 502, Reason.INTERNAL, request_info, run)
         except Exception as error:
             # The client gets a response even after an unexpected error; one in this branch is
             # handled by the server.
@@ -195,6 +204,14 @@
         request_info: RequestInfo,
         run: RequestRun | None,
     ) -> None:
+        if responder.is_started:
+            self.log.error(
+                "A refusal came after the response had begun; its connection is closed.",
+                id=request_info.request_id,
+                reason=error.reason.value,
+            )
+            self._fail(responder, 502, error.reason, request_info, run)
+            return
         self._metrics.count_refusal(error.reason.value)
         if error.reason is Reason.NO_ROUTE:
             responder.send(404, [(b"Content-Type", b"text/plain")], b"no route")
--- a/src/dragonflyhold/gateway/responder.py
+++ b/src/dragonflyhold/gateway/responder.py
@@ -1,5 +1,6 @@
 """Writes and frames the response to one client request."""
 
+import enum
 from collections.abc import Sequence
 from typing import Protocol, final
 
@@ -41,21 +42,44 @@
         """Let any close of the connection reset it, also that of a process that is killed."""
 
 
+class ResponseState(enum.Enum):
+    """How far a response has come."""
+
+    NOT_STARTED = "not started"
+    STREAMING = "streaming"
+    COMPLETE = "complete"
+    ABORTED = "aborted"
+
+
+class ResponseStateError(Exception):
+    """A response was to be written in a state that does not allow it; its connection is closed."""
+
+
 @final
 class Responder:
     """Writes the response to one request, either whole or as a stream."""
 
     def __init__(self, connection: ResponseTransport, keep_alive: bool, http_10: bool) -> None:
-        self.is_started = False
-        self.is_ended = False
         self.status = 0
+        self._state = ResponseState.NOT_STARTED
         self._connection = connection
         self._keep_alive = keep_alive
         self._http_10 = http_10
         self._chunked = False
 
+    @property
+    def is_started(self) -> bool:
+        """Whether the client may have received a part of the response."""
+        return self._state is not ResponseState.NOT_STARTED
+
+    @property
+    def is_ended(self) -> bool:
+        """Whether nothing more may be written."""
+        return self._state in (ResponseState.COMPLETE, ResponseState.ABORTED)
+
     def send(self, status: int, headers: Sequence[tuple[bytes, bytes]], body: bytes = b"") -> None:
         """Send a complete response."""
+        self._require(ResponseState.NOT_STARTED)
         self._start(status, headers, b"Content-Length: %d\r\n" % len(body), body)
         self._end()
 
@@ -65,16 +89,18 @@
         To an HTTP/1.0 client, a closed connection is the end of the response. Until the response is
         complete, it can only be reset.
         """
+        self._require(ResponseState.NOT_STARTED)
         if self._http_10:
             self._keep_alive = False
-            self._connection.reset_on_close(True)
             self._start(status, headers, b"", b"")
+            self._connection.reset_on_close(True)
             return
         self._chunked = True
         self._start(status, headers, b"Transfer-Encoding: chunked\r\n", b"")
 
     async def write(self, data: bytes) -> None:
         """Send a part of the body, and wait while the write buffer is full."""
+        self._require(ResponseState.STREAMING)
         if self._chunked:
             data = b"%x\r\n%s\r\n" % (len(data), data)
         self._connection.write(data)
@@ -82,6 +108,7 @@
 
     def end_stream(self) -> None:
         """Mark the body as complete."""
+        self._require(ResponseState.STREAMING)
         if self._chunked:
             self._connection.write(b"0\r\n\r\n")
         else:
@@ -90,9 +117,19 @@
 
     def abort(self) -> None:
         """Close the connection, so that the client sees an incomplete response."""
-        self.is_ended = True
+        self._state = ResponseState.ABORTED
         self._connection.abort()
 
+    def _require(self, expected: ResponseState) -> None:
+        state = self._state
+        if state is expected:
+            return
+        if state is ResponseState.COMPLETE:
+            self._connection.close_after_response()
+        else:
+            self.abort()
+        raise ResponseStateError(f"the response is {state.value}, not {expected.value}")
+
     def _start(
         self, status: int, headers: Sequence[tuple[bytes, bytes]], framing: bytes, body: bytes
     ) -> None:
@@ -107,11 +144,11 @@
         lines.append(b"\r\n")
         lines.append(body)
         # Only now: a response that can't be built leaves room for another one.
-        self.is_started = True
+        self._state = ResponseState.STREAMING
         self.status = status
         self._connection.write(b"".join(lines))
 
     def _end(self) -> None:
-        self.is_ended = True
+        self._state = ResponseState.COMPLETE
         if not self._keep_alive:
             self._connection.close_after_response()
--- a/tests/gateway/test_broken_streams.py
+++ b/tests/gateway/test_broken_streams.py
@@ -56,6 +56,7 @@
 
 # Answers of which nothing may reach the client.
 ANSWERS: dict[str, RawAnswer] = {
+    "refusal 400": _refusal(400),
     **{f"refusal {status}": _refusal(status) for status in (421, 429, 503)},
     **{
         f"failure {status}": _whole(status)
@@ -69,6 +70,8 @@
     "unsigned": _stream(_events(3, 4, 5, 6), b""),
     "re-encoded": _stream(_events(3, 4, 5, 6), SIGNED + b"Content-Encoding: gzip\r\n"),
     "json": _whole(200, SIGNED + b"Content-Type: application/json\r\n", b'{"text": "a"}'),
+    **{f"success {status}": _whole(status) for status in (201, 206)},
+    **{f"success {status}": RawAnswer(_head(status, SIGNED)) for status in (204, 205)},
     "ends inside an event": _stream(b"id: 3\nda"),
     "ends inside an event, unframed": _unframed(b"id: 3\nda"),
     "closed inside a chunk": RawAnswer(
