Do not end a resumed stream that brought no event

Clients found streams that ended as complete without their last events: the end of a resumed run was taken for the end of the stream also if the run had no event at all, in chunks, with a length of 0 or without framing.

An empty run may also be sound, if the upstream before broke off after the last event; the two can't be told apart. The responder has a state for that: a stream that was interrupted can end only after more of it was written. The empty run counts as a failed attempt, so that another upstream may go on, and else the connection is closed; a client that resumes then gets the empty end as the whole answer of one upstream.

Measured: 12 cases of test_broken_streams failed before; with test_responder and the tests of the site: 221 passed.

--- a/src/dragonflyhold/gateway/attempt.py
+++ b/src/dragonflyhold/gateway/attempt.py
@@ -273,13 +273,15 @@
                 self._log_discarded(head)
                 return MayHaveRun(Reason.UPSTREAM_FAILED)
 
-    def _log_discarded(self, head: Head) -> None:
+    def _log_discarded(self, head: Head, detail: str = "") -> None:
         self._gateway.request_log.failure(
             "An upstream's answer was discarded.",
             id=self._request_info.request_id,
             runner=self._choice.upstream_id,
             status=head.status,
             has_begun=self._responder.is_started,
+            resume_after=self._context.events.last_id,
+            detail=detail,
         )
 
     async def _read_whole_body(self, exchange: Exchange) -> bytes:
@@ -355,7 +357,9 @@
     async def _relay(self, exchange: Exchange, head: Head) -> Outcome:
         """Relay a stream event by event."""
         choice = self._choice
-        if not self._responder.is_started:
+        if self._responder.is_started:
+            self._responder.interrupt()
+        else:
             self._responder.start_stream(head.status, head.end_to_end())
         event_at = time.monotonic()
         try:
@@ -373,6 +377,11 @@
             self._context.events.drop_partial()
             self._gateway.note_outcome(choice.upstream_id, failed=True)
             return MayHaveRun(Reason.BROKEN)
+        if self._responder.is_interrupted:
+            # Whether the last event is missing can't be told. The client asks for what follows, and
+            # gets this end as the whole answer to its own request.
+            self._log_discarded(head, "the resumed stream has no events")
+            return MayHaveRun(Reason.UPSTREAM_FAILED)
         self._responder.end_stream()
         progress = self._context.progress
         if not progress.attempts and progress.longest_pause_s is not None:
--- a/src/dragonflyhold/gateway/responder.py
+++ b/src/dragonflyhold/gateway/responder.py
@@ -47,6 +47,8 @@
 
     NOT_STARTED = "not started"
     STREAMING = "streaming"
+    # A run of the stream broke off, and no event has followed yet.
+    INTERRUPTED = "interrupted"
     COMPLETE = "complete"
     ABORTED = "aborted"
 
@@ -72,6 +74,11 @@
         """Whether the client may have received a part of the response."""
         return self._state is not ResponseState.NOT_STARTED
 
+    @property
+    def is_interrupted(self) -> bool:
+        """Whether nothing has followed since a run of the stream broke off."""
+        return self._state is ResponseState.INTERRUPTED
+
     @property
     def is_ended(self) -> bool:
         """Whether nothing more may be written."""
@@ -100,14 +107,20 @@
 
     async def write(self, data: bytes) -> None:
         """Send a part of the body, and wait while the write buffer is full."""
-        self._require(ResponseState.STREAMING)
+        self._require(ResponseState.STREAMING, ResponseState.INTERRUPTED)
+        self._state = ResponseState.STREAMING
         if self._chunked:
             data = b"%x\r\n%s\r\n" % (len(data), data)
         self._connection.write(data)
         await self._connection.drain()
 
+    def interrupt(self) -> None:
+        """Require more of the body before its end, since what was its source has broken off."""
+        self._require(ResponseState.STREAMING, ResponseState.INTERRUPTED)
+        self._state = ResponseState.INTERRUPTED
+
     def end_stream(self) -> None:
-        """Mark the body as complete."""
+        """Mark the body as complete; an interrupted one can't be."""
         self._require(ResponseState.STREAMING)
         if self._chunked:
             self._connection.write(b"0\r\n\r\n")
@@ -120,15 +133,16 @@
         self._state = ResponseState.ABORTED
         self._connection.abort()
 
-    def _require(self, expected: ResponseState) -> None:
+    def _require(self, *allowed: ResponseState) -> None:
         state = self._state
-        if state is expected:
+        if state in allowed:
             return
         if state is ResponseState.COMPLETE:
             self._connection.close_after_response()
         else:
             self.abort()
-        raise ResponseStateError(f"the response is {state.value}, not {expected.value}")
+        names = " or ".join(expected.value for expected in allowed)
+        raise ResponseStateError(f"the response is {state.value}, not {names}")
 
     def _start(
         self, status: int, headers: Sequence[tuple[bytes, bytes]], framing: bytes, body: bytes
--- a/tests/gateway/test_broken_streams.py
+++ b/tests/gateway/test_broken_streams.py
@@ -72,6 +72,9 @@
     "json": _whole(200, SIGNED + b"Content-Type: application/json\r\n", b'{"text": "a"}'),
     **{f"success {status}": _whole(status) for status in (201, 206)},
     **{f"success {status}": RawAnswer(_head(status, SIGNED)) for status in (204, 205)},
+    "empty": _stream(b""),
+    "empty with a length": _whole(200, SIGNED + EVENT_STREAM, b""),
+    "empty without framing": _unframed(b""),
     "ends inside an event": _stream(b"id: 3\nda"),
     "ends inside an event, unframed": _unframed(b"id: 3\nda"),
     "closed inside a chunk": RawAnswer(
--- a/tests/gateway/test_responder.py
+++ b/tests/gateway/test_responder.py
@@ -46,6 +46,7 @@
     "start_stream": lambda responder: responder.start_stream(200, []),
     "write": _write,
     "end_stream": lambda responder: responder.end_stream(),
+    "interrupt": lambda responder: responder.interrupt(),
 }
 # Calls before the wrong one, the wrong one, and how the connection ends.
 WRONG_CALLS = [
@@ -54,6 +55,8 @@
     (["start_stream"], "send", "aborted"),
     (["start_stream", "write"], "start_stream", "aborted"),
     (["start_stream", "write"], "send", "aborted"),
+    (["start_stream", "write", "interrupt"], "end_stream", "aborted"),
+    (["start_stream", "interrupt", "interrupt"], "end_stream", "aborted"),
     (["send"], "send", "closed"),
     (["send"], "write", "closed"),
     (["start_stream", "end_stream"], "send", "closed"),
@@ -79,6 +82,14 @@
         assert transport.ends == [end]
         assert responder.is_ended
 
+    def test_an_interrupted_stream_ends_after_more_of_it(self) -> None:
+        transport = _Transport()
+        responder = Responder(transport, keep_alive=True, http_10=False)
+        for call in ("start_stream", "interrupt", "write", "end_stream"):
+            CALLS[call](responder)
+        assert transport.written.endswith(b"1\r\nx\r\n0\r\n\r\n")
+        assert not transport.ends
+
     @pytest.mark.parametrize("call", CALLS)
     def test_nothing_is_written_after_an_abort(self, call: str) -> None:
         transport = _Transport()
