Forward the events that precede an oversized one

Clients could miss events of a resumed stream: if whole events and the start of an oversized one were read at once, the splitter counted the events as forwarded, raised an error and dropped them; the stream was then resumed after them.

feed returns the events first; check raises the error after they are written.

Measured: the new test of the limits failed before (EventTooLargeError instead of the event) and passes; tests of broken streams, limits and events: 196 passed. The gap was not seen end to end: it takes both in one read.

--- a/src/dragonflyhold/gateway/attempt.py
+++ b/src/dragonflyhold/gateway/attempt.py
@@ -348,15 +348,9 @@
             return MayHaveRun(Reason.UPSTREAM_FAILED)
         return MayHaveRun(Reason.BROKEN)
 
-    def _split_events(self, exchange: Exchange, chunk: bytes) -> bytes:
-        try:
-            return self._context.events.feed(chunk)
-        except EventTooLargeError as error:
-            raise exchange.fail_oversized(str(error)) from error
-
     async def _relay(self, exchange: Exchange, head: Head) -> Outcome:
         """Relay a stream event by event."""
-        choice = self._choice
+        choice, events = self._choice, self._context.events
         if self._responder.is_started:
             self._responder.interrupt()
         else:
@@ -364,17 +358,20 @@
         event_at = time.monotonic()
         try:
             while chunk := await self._read_chunk(exchange, event_at):
-                events = self._split_events(exchange, chunk)
-                if events:
+                if new_events := events.feed(chunk):
                     event_at = time.monotonic()
                     self._context.progress.note_piece(event_at)
-                    await self._responder.write(events)
+                    await self._responder.write(new_events)
+                events.check()
+        except EventTooLargeError as error:
+            events.drop_partial()
+            return self._handle_exchange_error(exchange.fail_oversized(str(error)))
         except ExchangeError as error:
-            self._context.events.drop_partial()
+            events.drop_partial()
             return self._handle_exchange_error(error)
-        if self._context.events.has_partial:
+        if events.has_partial:
             # A stream without framing may end like this when its upstream crashes.
-            self._context.events.drop_partial()
+            events.drop_partial()
             self._gateway.note_outcome(choice.upstream_id, failed=True)
             return MayHaveRun(Reason.BROKEN)
         if self._responder.is_interrupted:
--- a/src/dragonflyhold/gateway/events.py
+++ b/src/dragonflyhold/gateway/events.py
@@ -24,6 +24,7 @@
         self.last_id: str | None = None
         self.forwarded_count = 0
         self._partial = bytearray()
+        self._error: EventTooLargeError | None = None
 
     @property
     def has_partial(self) -> bool:
@@ -33,12 +34,20 @@
     def drop_partial(self) -> None:
         """Discard the incomplete event."""
         self._partial.clear()
+        self._error = None
+
+    def check(self) -> None:
+        """Raise ``EventTooLargeError`` if what followed the returned events is too large."""
+        if self._error is not None:
+            raise self._error
 
     def feed(self, data: bytes) -> bytes:
         """Return the events that ``data`` completes, without those already forwarded.
 
-        Raises ``EventTooLargeError`` for an event larger than ``MAX_EVENT_BYTES``.
+        Raises ``EventTooLargeError`` for an event larger than ``MAX_EVENT_BYTES``; if other events
+        precede it in ``data``, ``check`` does.
         """
+        self.check()
         searched = max(0, len(self._partial) - _END_OVERLAP)
         self._partial += data
         new_events = []
@@ -51,7 +60,9 @@
         del self._partial[:start]
         if len(self._partial) > MAX_EVENT_BYTES:
             self._partial.clear()
-            raise EventTooLargeError(f"event of more than {MAX_EVENT_BYTES} bytes")
+            self._error = EventTooLargeError(f"event of more than {MAX_EVENT_BYTES} bytes")
+            if not new_events:
+                raise self._error
         self.forwarded_count += len(new_events)
         return b"".join(new_events)
 
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -143,6 +143,15 @@
         assert time.process_time() - started < 0.5
         assert not splitter.has_partial
 
+    def test_events_before_an_oversized_one_are_forwarded(self) -> None:
+        """Guards against a stream that is resumed after an event that its client never got."""
+        splitter, event = EventSplitter(), b"id: 1\ndata: x\n\n"
+        assert splitter.feed(event + b"x" * (MAX_EVENT_BYTES + 1)) == event
+        assert splitter.last_id == "1"
+        assert not splitter.has_partial
+        with pytest.raises(EventTooLargeError):
+            splitter.check()
+
     def test_large_events_and_torn_ends_are_forwarded(self) -> None:
         event = b"id: 1\r\ndata: " + b"x" * (MAX_EVENT_BYTES - 100) + b"\r\n\r\n"
         splitter, forwarded = EventSplitter(), b""
