Join a run to a broken stream only if it goes on after the last event

Clients found streams with a gap, with events without ids or with foreign ids, and streams of which the first events came from one run and the rest from another that had begun anew, all of them ended as complete. Only ids at or below the last one were dropped from a resumed run; all else was taken for the rest. After events without numbers as ids, the request was sent again without a place to go on from, and a second whole stream followed the first part.

Ids increase, and a resumed run goes on after the id that it is given. So the first event of a resumed run must have a higher number, the next one if all ids before counted by one (they need not, so that other gaps can't be seen); events without a number and comments before the first event do not continue. Ids that go back within a run are no sound stream either. Such a run is closed, counted as upstream_unsound_stream and as a failed attempt; another may go on. A request whose forwarded events name no place to go on from is not sent again.

--- a/src/dragonflyhold/gateway/attempt.py
+++ b/src/dragonflyhold/gateway/attempt.py
@@ -8,7 +8,7 @@
 from dragonflyhold.gateway.answers import AnswerUse, decide_use
 from dragonflyhold.gateway.crash_evidence import RequestTraits
 from dragonflyhold.gateway.dispatch import SendNow, WaitFor
-from dragonflyhold.gateway.events import EventSplitter, EventTooLargeError
+from dragonflyhold.gateway.events import EventOrderError, EventSplitter, EventTooLargeError
 from dragonflyhold.gateway.http_client import Call, Exchange, ExchangeError, FailureReason, Head
 from dragonflyhold.gateway.http_server import ClientRequest, Responder
 from dragonflyhold.gateway.limits import MAX_REFUSAL_BYTES, MAX_RESPONSE_BYTES
@@ -62,6 +62,13 @@
     # Stream events relayed so far.
     events: EventSplitter
 
+    @property
+    def can_repeat(self) -> bool:
+        """Whether another upstream may run the request and go on with its response."""
+        if self.route.retry_safety is RetrySafety.ONCE:
+            return False
+        return not self.responder.is_started or self.events.can_resume
+
 
 @final
 class Attempt:
@@ -214,7 +221,7 @@
         """
         context, target = self._context, self._request_info.target
         if (
-            context.route.retry_safety is RetrySafety.ONCE
+            not context.can_repeat
             or context.progress.attempts + 1 >= context.route.max_attempts
             or context.deadline - now < MIN_ATTEMPT_S
             or not self._gateway.budget.has_room(context.service)
@@ -351,6 +358,7 @@
     async def _relay(self, exchange: Exchange, head: Head) -> Outcome:
         """Relay a stream event by event."""
         choice, events = self._choice, self._context.events
+        events.start_run()
         if self._responder.is_started:
             self._responder.interrupt()
         else:
@@ -363,21 +371,24 @@
                     self._context.progress.note_piece(event_at)
                     await self._responder.write(new_events)
                 events.check()
+        except EventOrderError as error:
+            self._log_discarded(head, str(error))
+            self._gateway.count_unsound_stream()
+            self._gateway.note_outcome(choice.upstream_id, failed=True)
+            return MayHaveRun(Reason.UPSTREAM_FAILED)
         except EventTooLargeError as error:
-            events.drop_partial()
             return self._handle_exchange_error(exchange.fail_oversized(str(error)))
         except ExchangeError as error:
-            events.drop_partial()
             return self._handle_exchange_error(error)
         if events.has_partial:
             # A stream without framing may end like this when its upstream crashes.
-            events.drop_partial()
             self._gateway.note_outcome(choice.upstream_id, failed=True)
             return MayHaveRun(Reason.BROKEN)
         if self._responder.is_interrupted:
             # Whether the last event is missing can't be told. The client asks for what follows, and
             # gets this end as the whole answer to its own request.
             self._log_discarded(head, "the resumed stream has no events")
+            self._gateway.count_unsound_stream()
             return MayHaveRun(Reason.UPSTREAM_FAILED)
         self._responder.end_stream()
         progress = self._context.progress
--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -385,6 +385,10 @@
         """Count a response that exceeded a limit."""
         self._metrics.count_event("upstream_oversized_response")
 
+    def count_unsound_stream(self) -> None:
+        """Count a run of a stream that does not follow the events before it."""
+        self._metrics.count_event("upstream_unsound_stream")
+
     def count_retry(self, reason: Reason) -> None:
         """Count a retried request."""
         self._metrics.count_retry(reason.value)
--- a/src/dragonflyhold/gateway/request.py
+++ b/src/dragonflyhold/gateway/request.py
@@ -9,7 +9,7 @@
 from dragonflyhold.gateway.dispatch import NoUpstream, SendNow, WaitFor
 from dragonflyhold.gateway.events import EventSplitter
 from dragonflyhold.gateway.http_server import ClientRequest, Responder
-from dragonflyhold.gateway.model import RequestInfo, RetrySafety, Route, UpstreamId
+from dragonflyhold.gateway.model import RequestInfo, Route, UpstreamId
 from dragonflyhold.gateway.outcomes import (
     Answered,
     InDoubtError,
@@ -234,7 +234,7 @@
             time.monotonic() + CLIENT_PATIENCE_S, self._deadline - MIN_ATTEMPT_S
         )
         may_retry = (
-            self._route.retry_safety is not RetrySafety.ONCE
+            self._context.can_repeat
             and self.progress.attempts < self._route.max_attempts
             and self._deadline - time.monotonic() > MIN_ATTEMPT_S
             and self._gateway.budget.try_spend(self._service)
