Do not wait for the body of a refusal

Clients waited until their deadline, and a broken stream was then cut off, if an upstream's refusal had a head but its body never came: the body is read only so that the connection can be used again, and without any limit.

A refusal's body has 0.1 s now; then its connection is closed and the request goes to the next upstream.

--- a/src/dragonflyhold/gateway/attempt.py
+++ b/src/dragonflyhold/gateway/attempt.py
@@ -40,6 +40,8 @@
 # Silence after which a request that may be repeated is sent to the same upstream on a new
 # connection.
 RECONNECT_SILENCE_S = 1.0
+# Time for the body of a refusal, whose head says all; then the connection is closed.
+REFUSAL_BODY_TIMEOUT_S = 0.1
 
 
 @final
@@ -304,14 +306,15 @@
         choice, view, target = self._choice, self._view, self._request_info.target
         try:
             # Read the body to its end, so that the connection can be reused.
-            await exchange.read_body(MAX_REFUSAL_BYTES)
-        except ExchangeError as error:
-            if error.reason is FailureReason.OVERSIZED:
+            async with limit_time(REFUSAL_BODY_TIMEOUT_S):
+                await exchange.read_body(MAX_REFUSAL_BYTES)
+        except (ExchangeError, TimeoutError) as error:
+            if isinstance(error, ExchangeError) and error.reason is FailureReason.OVERSIZED:
                 return self._handle_exchange_error(error)
             self._gateway.request_log.info(
                 "The connection ended before a refusal was read to its end.",
                 id=self._request_info.request_id,
-                error=str(error),
+                error=repr(error),
             )
         if use is AnswerUse.FORWARD_REJECTION:
             self._responder.send(head.status, head.end_to_end())
--- a/tests/gateway/test_broken_streams.py
+++ b/tests/gateway/test_broken_streams.py
@@ -59,6 +59,9 @@
 ANSWERS: dict[str, RawAnswer] = {
     "refusal 400": _refusal(400),
     **{f"refusal {status}": _refusal(status) for status in (421, 429, 503)},
+    "refusal without its body": RawAnswer(
+        _head(503, b"Not-Executed: 1\r\nContent-Length: 9\r\n"), Ending.SILENT
+    ),
     **{
         f"failure {status}": _whole(status)
         for status in (400, 404, 408, 409, 410, 413, 416, 429, 500, 502, 503, 504)
