Relay the body of an upstream's rejection

Clients got a 400 of an upstream with its signature but an empty body: the body was read and dropped. It is forwarded now; if it does not come whole in time, the status alone is, since it states that the request did not run.

Measured: the new test of the site failed before (empty body) and passes.

--- a/src/dragonflyhold/gateway/attempt.py
+++ b/src/dragonflyhold/gateway/attempt.py
@@ -304,10 +304,11 @@
 
     async def _handle_refusal(self, exchange: Exchange, head: Head, use: AnswerUse) -> Outcome:
         choice, view, target = self._choice, self._view, self._request_info.target
+        body = b""
         try:
             # Read the body to its end, so that the connection can be reused.
             async with limit_time(REFUSAL_BODY_TIMEOUT_S):
-                await exchange.read_body(MAX_REFUSAL_BYTES)
+                body = await exchange.read_body(MAX_REFUSAL_BYTES)
         except (ExchangeError, TimeoutError) as error:
             if isinstance(error, ExchangeError) and error.reason is FailureReason.OVERSIZED:
                 return self._handle_exchange_error(error)
@@ -317,7 +318,7 @@
                 error=repr(error),
             )
         if use is AnswerUse.FORWARD_REJECTION:
-            self._responder.send(head.status, head.end_to_end())
+            self._responder.send(head.status, head.end_to_end(), body)
             return Answered(head.status)
         if head.status == 421:
             if target is not None and target in view.resident:
--- a/tests/gateway/test_site.py
+++ b/tests/gateway/test_site.py
@@ -8,7 +8,7 @@
 
 from dragonflyhold.gateway.model import UpstreamId
 from dragonflyhold.gateway.progress import PAUSE_SILENCE_S
-from dragonflyhold.platform.standins.runner import Fault, UpstreamStandIn
+from dragonflyhold.platform.standins.runner import Fault, RawAnswer, UpstreamStandIn
 from dragonflyhold.platform.standins.site import (
     Answer,
     InProcessDeployment,
@@ -71,6 +71,20 @@
     ) -> tuple[Answer, list[dict[str, object]]]:
         return await deployment.call("/ask/x", adapter="a5"), _runs(deployment)
 
+    def test_a_rejection_is_relayed_with_its_body(self) -> None:
+        """Guards against an upstream's answer that bears its signature but not its body."""
+        head = b"HTTP/1.1 400 Bad\r\nNot-Executed: 1\r\nResponse-Signature: s\r\nContent-Length: 5"
+        rejection = RawAnswer(head + b"\r\n\r\nno id")
+
+        async def scenario(deployment: InProcessDeployment) -> Answer:
+            for upstream in deployment.upstreams.values():
+                upstream.faults = [rejection]
+            return await deployment.call("/book/1")
+
+        answer = _run_scenario(scenario)
+        assert (answer.status, answer.body) == (400, b"no id")
+        assert answer.fields[b"response-signature"] == b"s"
+
     def test_unknown_paths_get_404(self) -> None:
         async def scenario(deployment: InProcessDeployment) -> int:
             return (await deployment.call("/elsewhere/x")).status
