Check the answer to a client that resumes a stream itself

Clients that resumed a stream themselves after event 2 got streams that began with event 1 or 2, had no ids or foreign ones, ended as complete; and for unsound answers the head of a stream that then broke off, instead of another upstream's stream or an error.

The client's own id is now what the first run must go on after, with the same checks. The response begins with the first bytes that are forwarded instead of the head, so that a run that proves unsound, or breaks off before, can still be replaced or answered with a status. An empty run is forwarded: it is the whole answer of one upstream, and tells a client whose stream broke after the last event that it is complete. A gap right after the client's id does not show, since ids need not count by one; the client sees both ids.

--- a/src/dragonflyhold/gateway/attempt.py
+++ b/src/dragonflyhold/gateway/attempt.py
@@ -360,17 +360,17 @@
         return MayHaveRun(Reason.BROKEN)
 
     async def _relay(self, exchange: Exchange, head: Head) -> Outcome:
-        """Relay a stream event by event."""
+        """Relay a stream event by event; its response begins with the first one."""
         choice, events = self._choice, self._context.events
         events.start_run()
         if self._responder.is_started:
             self._responder.interrupt()
-        else:
-            self._responder.start_stream(head.status, head.end_to_end())
         event_at = time.monotonic()
         try:
             while chunk := await self._read_chunk(exchange, event_at):
                 if new_events := events.feed(chunk):
+                    if not self._responder.is_started:
+                        self._responder.start_stream(head.status, head.end_to_end())
                     event_at = time.monotonic()
                     self._context.progress.note_piece(event_at)
                     await self._responder.write(new_events)
@@ -394,6 +394,8 @@
             self._log_discarded(head, "the resumed stream has no events")
             self._gateway.count_unsound_stream()
             return MayHaveRun(Reason.UPSTREAM_FAILED)
+        if not self._responder.is_started:
+            self._responder.start_stream(head.status, head.end_to_end())
         self._responder.end_stream()
         progress = self._context.progress
         if not progress.attempts and progress.longest_pause_s is not None:
--- a/src/dragonflyhold/gateway/events.py
+++ b/src/dragonflyhold/gateway/events.py
@@ -27,17 +27,18 @@
 
     A stream may consist of several runs. Each run after the first must go on after the last event:
     its events need numbers as ids, and the first of them follows without a gap. A gap shows only if
-    each id before was one more than the id before it, since ids need not count by one.
+    each id before was one more than the id before it, since ids need not count by one. The same
+    holds for the first run if the client itself resumes a stream, after ``resumed_after``.
     """
 
-    def __init__(self) -> None:
-        self.last_id: str | None = None
+    def __init__(self, resumed_after: str | None = None) -> None:
+        self._last_number = parse_digits(resumed_after) if resumed_after else None
+        self.last_id = resumed_after if self._last_number is not None else None
         self.forwarded_count = 0
         # Whether a new run can go on after the events forwarded so far.
         self.can_resume = True
         self._partial = bytearray()
         self._error: UnsoundStreamError | None = None
-        self._last_number: int | None = None
         # Whether the run goes on after ``last_id``, and whether its first event has come.
         self._is_resumed = False
         self._has_begun = False
@@ -93,8 +94,8 @@
         """Return whether to forward an event; raise ``EventOrderError``."""
         event_id, has_data = _parse_event(event)
         if event_id is None and not has_data:
-            # A comment. Those of another run follow nothing before its first event.
-            return self._has_begun or not self._is_resumed
+            # A comment. Those before the first event of a later run belong to no stream.
+            return self._has_begun or not self.forwarded_count
         number = parse_digits(event_id) if event_id is not None else None
         if number is None:
             if self._is_resumed:
--- a/src/dragonflyhold/gateway/request.py
+++ b/src/dragonflyhold/gateway/request.py
@@ -9,7 +9,7 @@
 from dragonflyhold.gateway.dispatch import NoUpstream, SendNow, WaitFor
 from dragonflyhold.gateway.events import EventSplitter
 from dragonflyhold.gateway.http_server import ClientRequest, Responder
-from dragonflyhold.gateway.model import RequestInfo, Route, UpstreamId
+from dragonflyhold.gateway.model import RequestInfo, RetrySafety, Route, UpstreamId
 from dragonflyhold.gateway.outcomes import (
     Answered,
     InDoubtError,
@@ -76,6 +76,7 @@
         age = gateway.client_ages.estimate(route.name, request_info.time_left_s, route.timeout_s)
         self._is_client_retry = age > CLIENT_RETRY_AGE_SHARE * route.target_latency_s
         self._target_at = request.received - age + route.target_latency_s
+        is_resumable = route.retry_safety is RetrySafety.RESUMABLE
         self._context = RequestContext(
             request,
             request_info,
@@ -86,7 +87,7 @@
             self._deadline,
             self._target_at,
             self.progress,
-            EventSplitter(),
+            EventSplitter(request_info.last_event_id if is_resumable else None),
         )
 
     @property
--- a/tests/gateway/test_broken_streams.py
+++ b/tests/gateway/test_broken_streams.py
@@ -229,6 +229,64 @@
         assert _run(answer, times, version) == expected
 
 
+# What a client sees of the answers that are whole answers to its own request to resume after
+# event 2; a gap after the client's own id does not show.
+WHOLE_ANSWERS: dict[str, _Seen] = {
+    "refusal 400": _Seen(400, [], is_complete=True),
+    **{f"success {status}": _Seen(status, [], is_complete=True) for status in (201, 204, 206)},
+    **{
+        name: _Seen(200, [], is_complete=True)
+        for name in ("empty", "empty with a length", "empty without framing")
+    },
+    "too late": _Seen(200, [4, 5, 6], is_complete=True),
+}
+# Forwarded whole, but no events; and its end is not known to the client of the stand-in.
+OTHER_ANSWERS = {"comments", "success 205"}
+
+
+def _resume(answer: RawAnswer, times: int) -> _Seen:
+    async def scenario() -> _Seen:
+        async with running_deployment(engines=3, plain=0) as deployment:
+            _break_streams(deployment, answer, times)
+            await asyncio.sleep(0.05)
+            headers = {"Last-Event-Id": "2", "Connection": "close"}
+            return await _request(deployment, headers=headers)
+
+    return asyncio.run(scenario())
+
+
+class TestAnswersToClientsThatResume:
+    """Guards against a client that joins a run to its stream which does not continue it."""
+
+    @pytest.mark.parametrize("name", sorted(ANSWERS.keys() - OTHER_ANSWERS))
+    def test_an_answer_is_forwarded_whole_or_replaced(self, name: str) -> None:
+        seen = _resume(ANSWERS[name], PERSISTENT)
+        if name in WHOLE_ANSWERS:
+            assert seen == WHOLE_ANSWERS[name]
+        else:
+            assert seen.status not in (0, 200)
+            assert seen.is_complete
+
+    @pytest.mark.parametrize(
+        "name",
+        [
+            name
+            for name in sorted(ANSWERS.keys() - WHOLE_ANSWERS.keys() - OTHER_ANSWERS)
+            if "silent" not in name
+        ],
+    )
+    def test_the_next_upstream_completes_the_stream(self, name: str) -> None:
+        expected = _Seen(200, _ids(LAST_EVENT)[2:], is_complete=True)
+        assert _resume(ANSWERS[name], 1) == expected
+
+    @pytest.mark.parametrize("times", [1, PERSISTENT])
+    @pytest.mark.parametrize("name", PARTLY_SOUND)
+    def test_events_that_follow_are_kept(self, name: str, times: int) -> None:
+        answer, last = PARTLY_SOUND[name]
+        ids = _ids(LAST_EVENT if times == 1 else last)[2:]
+        assert _resume(answer, times) == _Seen(200, ids, is_complete=times == 1)
+
+
 class TestStreamsThatCanNotBeResumed:
     """Guards against a second run joined to events that name no place to go on from."""
 
--- a/tests/gateway/test_events.py
+++ b/tests/gateway/test_events.py
@@ -104,6 +104,17 @@
         with pytest.raises(EventOrderError):
             _joined(*runs)
 
+    def test_a_run_must_go_on_after_the_id_of_the_client(self) -> None:
+        for first in (1, 12):
+            splitter = EventSplitter("12")
+            splitter.start_run()
+            with pytest.raises(EventOrderError):
+                splitter.feed(_events(first, 14))
+        splitter = EventSplitter("12")
+        splitter.start_run()
+        assert splitter.feed(_events(13, 14)) == _events(13, 14)
+        assert EventSplitter("no number").last_id is None
+
     @pytest.mark.parametrize("event_id", [b"a", b"-1", b"\xb2", b"1.5", b"", b"9" * 5000])
     def test_ids_that_are_no_numbers_can_not_be_resumed(self, event_id: bytes) -> None:
         event = b"id: %s\ndata: x\n\n" % event_id
