Do not end a stream by writing no bytes

A write of no bytes was sent as an empty chunk, which is the end of a body, and lifted an interruption. No path writes none today; the responder itself now leaves it out. No caller has seen this.

Measured: the new test of the responder failed before (the last chunk was written) and passes.

--- a/src/dragonflyhold/gateway/responder.py
+++ b/src/dragonflyhold/gateway/responder.py
@@ -108,6 +108,9 @@
     async def write(self, data: bytes) -> None:
         """Send a part of the body, and wait while the write buffer is full."""
         self._require(ResponseState.STREAMING, ResponseState.INTERRUPTED)
+        if not data:
+            # An empty chunk would be the end of the body.
+            return
         self._state = ResponseState.STREAMING
         if self._chunked:
             data = b"%x\r\n%s\r\n" % (len(data), data)
--- a/tests/gateway/test_responder.py
+++ b/tests/gateway/test_responder.py
@@ -36,9 +36,9 @@
         del enabled
 
 
-def _write(responder: Responder) -> None:
+def _write(responder: Responder, data: bytes = b"x") -> None:
     with pytest.raises(StopIteration):
-        responder.write(b"x").send(None)
+        responder.write(data).send(None)
 
 
 CALLS: dict[str, Callable[[Responder], None]] = {
@@ -90,6 +90,17 @@
         assert transport.written.endswith(b"1\r\nx\r\n0\r\n\r\n")
         assert not transport.ends
 
+    def test_writing_no_bytes_does_not_end_the_stream(self) -> None:
+        """Guards against an empty chunk, which is the end of a body."""
+        transport = _Transport()
+        responder = Responder(transport, keep_alive=True, http_10=False)
+        for call in ("start_stream", "interrupt"):
+            CALLS[call](responder)
+        written = transport.written
+        _write(responder, b"")
+        assert transport.written == written
+        assert responder.is_interrupted
+
     @pytest.mark.parametrize("call", CALLS)
     def test_nothing_is_written_after_an_abort(self, call: str) -> None:
         transport = _Transport()
