--- a/src/dragonflyhold/gateway/attempt.py
+++ b/src/dragonflyhold/gateway/attempt.py
@@ -6,9 +6,10 @@
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, TypeVar, final
 
+from dragonflyhold.gateway.answers import AnswerUse, decide_use
 from dragonflyhold.gateway.crash_evidence import RequestTraits
 from dragonflyhold.gateway.dispatch import SendNow, WaitFor
-from dragonflyhold.gateway.events import EventSplitter, EventTooLargeError
+from dragonflyhold.gateway.events import EventOrderError, EventSplitter, EventTooLargeError
 from dragonflyhold.gateway.http_client import Call, Exchange, ExchangeError, FailureReason, Head
 from dragonflyhold.gateway.http_server import ClientRequest, Responder
 from dragonflyhold.gateway.limits import MAX_REFUSAL_BYTES, MAX_RESPONSE_BYTES
@@ -40,6 +41,8 @@
 # Silence after which a request that may be repeated is sent to the same upstream on a new
 # connection.
 RECONNECT_SILENCE_S = 1.0
+# Time for the body of a refusal, whose head says all; then the connection is closed.
+REFUSAL_BODY_TIMEOUT_S = 0.1
 
 
 @final
@@ -62,6 +65,13 @@
     # Stream events relayed so far.
     events: EventSplitter
 
+    @property
+    def can_repeat(self) -> bool:
+        """Whether another upstream may run the request and go on with its response."""
+        if self.route.retry_safety is RetrySafety.ONCE:
+            return False
+        return not self.responder.is_started or self.events.can_resume
+
 
 @final
 class Attempt:
@@ -233,7 +243,7 @@
     def _may_repeat(self, now: float) -> bool:
         context = self._context
         return (
-            context.route.retry_safety is not RetrySafety.ONCE
+            context.can_repeat
             and context.progress.attempts + 1 < context.route.max_attempts
             and context.deadline - now >= MIN_ATTEMPT_S
             and self._gateway.budget.has_room(context.service)
@@ -277,29 +287,45 @@
     async def _handle_response(self, exchange: Exchange, head: Head) -> Outcome:
         choice = self._choice
         self._gateway.note_load(choice.upstream_id, head)
-        if codec.is_not_run(head):
-            return await self._handle_refusal(exchange, head)
+        use = decide_use(head, self._context.route.is_stream, self._responder.is_started)
+        if use in (AnswerUse.TRY_NEXT, AnswerUse.FORWARD_REJECTION):
+            return await self._handle_refusal(exchange, head, use)
         if self._context.progress.first_byte_s is None:
             self._context.progress.first_byte_s = time.monotonic() - self._context.request.received
-        if (
-            head.status == 200
-            and self._context.route.is_stream
-            and codec.is_authentic_success(head)
-        ):
+        if use is AnswerUse.RELAY_EVENTS:
             return await self._relay(exchange, head)
+        is_failed = head.status >= 500
+        if use is AnswerUse.DISCARD and self._responder.is_started:
+            # Nothing waits for the body; an upstream that withholds it must not delay the next one.
+            self._log_discarded(head)
+            self._gateway.note_outcome(choice.upstream_id, failed=is_failed)
+            return MayHaveRun(Reason.UPSTREAM_FAILED)
         try:
             body = await self._read_whole_body(exchange)
         except ExchangeError as error:
             return self._handle_exchange_error(error)
-        is_success = 200 <= head.status < 300
-        self._gateway.note_outcome(choice.upstream_id, failed=head.status >= 500)
-        if is_success and codec.is_authentic_success(head):
-            self._responder.send(head.status, head.end_to_end(), body)
-            return Answered(head.status)
-        if is_success or not codec.may_forward_failure(head):
-            return MayHaveRun(Reason.UPSTREAM_FAILED)
-        failure = FailureResponse(head.status, tuple(head.end_to_end()), body)
-        return MayHaveRun(Reason.UPSTREAM_FAILED, failure)
+        self._gateway.note_outcome(choice.upstream_id, failed=is_failed)
+        match use:
+            case AnswerUse.FORWARD_WHOLE:
+                self._responder.send(head.status, head.end_to_end(), body)
+                return Answered(head.status)
+            case AnswerUse.KEEP_FAILURE:
+                failure = FailureResponse(head.status, tuple(head.end_to_end()), body)
+                return MayHaveRun(Reason.UPSTREAM_FAILED, failure)
+            case _:
+                self._log_discarded(head)
+                return MayHaveRun(Reason.UPSTREAM_FAILED)
+
+    def _log_discarded(self, head: Head, detail: str = "") -> None:
+        self._gateway.request_log.failure(
+            "An upstream's answer was discarded.",
+            id=self._request_info.request_id,
+            runner=self._choice.upstream_id,
+            status=head.status,
+            has_begun=self._responder.is_started,
+            resume_after=self._context.events.last_id,
+            detail=detail,
+        )
 
     async def _read_whole_body(self, exchange: Exchange) -> bytes:
         parts, size = [], 0
@@ -310,21 +336,23 @@
             parts.append(chunk)
         return b"".join(parts)
 
-    async def _handle_refusal(self, exchange: Exchange, head: Head) -> Outcome:
+    async def _handle_refusal(self, exchange: Exchange, head: Head, use: AnswerUse) -> Outcome:
         choice, view, target = self._choice, self._view, self._request_info.target
+        body = b""
         try:
             # Read the body to its end, so that the connection can be reused.
-            await exchange.read_body(MAX_REFUSAL_BYTES)
-        except ExchangeError as error:
-            if error.reason is FailureReason.OVERSIZED:
+            async with limit_time(REFUSAL_BODY_TIMEOUT_S):
+                body = await exchange.read_body(MAX_REFUSAL_BYTES)
+        except (ExchangeError, TimeoutError) as error:
+            if isinstance(error, ExchangeError) and error.reason is FailureReason.OVERSIZED:
                 return self._handle_exchange_error(error)
             self._gateway.request_log.info(
                 "The connection ended before a refusal was read to its end.",
                 id=self._request_info.request_id,
-                error=str(error),
+                error=repr(error),
             )
-        if head.status == 400:
-            self._responder.send(head.status, head.end_to_end())
+        if use is AnswerUse.FORWARD_REJECTION:
+            self._responder.send(head.status, head.end_to_end(), body)
             return Answered(head.status)
         if head.status == 421:
             if target is not None and target in view.resident:
@@ -365,33 +393,43 @@
             return MayHaveRun(Reason.UPSTREAM_FAILED)
         return MayHaveRun(Reason.BROKEN)
 
-    def _split_events(self, exchange: Exchange, chunk: bytes) -> bytes:
-        try:
-            return self._context.events.feed(chunk)
-        except EventTooLargeError as error:
-            raise exchange.fail_oversized(str(error)) from error
-
     async def _relay(self, exchange: Exchange, head: Head) -> Outcome:
-        """Relay a stream event by event."""
-        choice = self._choice
-        if not self._responder.is_started:
-            self._responder.start_stream(head.status, head.end_to_end())
+        """Relay a stream event by event; its response begins with the first one."""
+        choice, events = self._choice, self._context.events
+        events.start_run()
+        if self._responder.is_started:
+            self._responder.interrupt()
         event_at = time.monotonic()
         try:
             while chunk := await self._read_chunk(exchange, event_at):
-                events = self._split_events(exchange, chunk)
-                if events:
+                if new_events := events.feed(chunk):
+                    if not self._responder.is_started:
+                        self._responder.start_stream(head.status, head.end_to_end())
                     event_at = time.monotonic()
                     self._context.progress.note_piece(event_at)
-                    await self._responder.write(events)
+                    await self._responder.write(new_events)
+                events.check()
+        except EventOrderError as error:
+            self._log_discarded(head, str(error))
+            self._gateway.count_unsound_stream()
+            self._gateway.note_outcome(choice.upstream_id, failed=True)
+            return MayHaveRun(Reason.UPSTREAM_FAILED)
+        except EventTooLargeError as error:
+            return self._handle_exchange_error(exchange.fail_oversized(str(error)))
         except ExchangeError as error:
-            self._context.events.drop_partial()
             return self._handle_exchange_error(error)
-        if self._context.events.has_partial:
+        if events.has_partial:
             # A stream without framing may end like this when its upstream crashes.
-            self._context.events.drop_partial()
             self._gateway.note_outcome(choice.upstream_id, failed=True)
             return MayHaveRun(Reason.BROKEN)
+        if self._responder.is_interrupted:
+            # Whether the last event is missing can't be told. The client asks for what follows, and
+            # gets this end as the whole answer to its own request.
+            self._log_discarded(head, "the resumed stream has no events")
+            self._gateway.count_unsound_stream()
+            return MayHaveRun(Reason.UPSTREAM_FAILED)
+        if not self._responder.is_started:
+            self._responder.start_stream(head.status, head.end_to_end())
         self._responder.end_stream()
         progress = self._context.progress
         if not progress.attempts and progress.longest_pause_s is not None:
--- a/src/dragonflyhold/gateway/request.py
+++ b/src/dragonflyhold/gateway/request.py
@@ -76,6 +76,7 @@
         age = gateway.client_ages.estimate(route.name, request_info.time_left_s, route.timeout_s)
         self._is_client_retry = age > CLIENT_RETRY_AGE_SHARE * route.target_latency_s
         self._target_at = request.received - age + route.target_latency_s
+        is_resumable = route.retry_safety is RetrySafety.RESUMABLE
         self._context = RequestContext(
             request,
             request_info,
@@ -86,7 +87,7 @@
             self._deadline,
             self._target_at,
             self.progress,
-            EventSplitter(),
+            EventSplitter(request_info.last_event_id if is_resumable else None),
         )
 
     @property
@@ -234,7 +235,7 @@
             time.monotonic() + CLIENT_PATIENCE_S, self._deadline - MIN_ATTEMPT_S
         )
         may_retry = (
-            self._route.retry_safety is not RetrySafety.ONCE
+            self._context.can_repeat
             and self.progress.attempts < self._route.max_attempts
             and self._deadline - time.monotonic() > MIN_ATTEMPT_S
             and self._gateway.budget.try_spend(self._service)
--- a/src/dragonflyhold/platform/standins/late_copies.py
+++ b/src/dragonflyhold/platform/standins/late_copies.py
@@ -107,6 +107,9 @@
     async def drain(self) -> None:
         await self._connection.drain()
 
+    def reset_on_close(self, enabled: bool) -> None:
+        self._connection.reset_on_close(enabled)
+
     def close_after_response(self) -> None:
         self.finish()
         self._connection.close_after_response()
--- a/src/dragonflyhold/platform/standins/runner.py
+++ b/src/dragonflyhold/platform/standins/runner.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import enum
 from collections.abc import Callable, Coroutine
-from typing import Any
+from typing import Any, final
 
 import orjson
 
@@ -32,6 +33,24 @@
     TRICKLE = "send a byte now and then midway, in an event that never ends"
 
 
+class Ending(enum.Enum):
+    """What happens to the connection after the bytes of a ``RawAnswer``."""
+
+    KEEP = "kept"
+    CLOSE = "closed"
+    RESET = "reset"
+    SILENT = "kept open, and nothing more is sent"
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class RawAnswer:
+    """Bytes that are sent as the answer to one request; ``{id}`` stands for the request's id."""
+
+    data: bytes
+    ending: Ending = Ending.KEEP
+
+
 class UpstreamStandIn:
     """Runs requests and commands, and records them for assertions.
 
@@ -56,7 +75,9 @@
         self.adapters: dict[str, int] = {}
         self.loading: dict[str, int] = {}
         self.latest_versions: dict[str, int] = {}
-        self.faults: list[Fault] = []
+        self.faults: list[Fault | RawAnswer] = []
+        # Faults of requests that resume a stream; they take precedence.
+        self.resume_faults: list[Fault | RawAnswer] = []
         # Whether answers carry the id of their request.
         self.echoes_ids = True
         # Writes earlier answers again, also those to commands and reads of the state.
@@ -266,7 +287,9 @@
         ):
             responder.send(421, id_headers)
             return
-        fault = self.faults.pop(0) if self.faults else None
+        is_resume = b"last-event-id" in fields and bool(self.resume_faults)
+        faults = self.resume_faults if is_resume else self.faults
+        fault = faults.pop(0) if faults else None
         if fault is Fault.REFUSE:
             responder.send(503, [*id_headers, (b"Not-Executed", b"1")])
             return
@@ -294,7 +317,7 @@
         responder: Responder,
         id_headers: list[tuple[bytes, bytes]],
         first: int,
-        fault: Fault | None,
+        fault: Fault | RawAnswer | None,
     ) -> None:
         signed_headers = [
             *id_headers,
@@ -302,6 +325,9 @@
         ]
         if self.limit_per_s is not None:
             signed_headers.append((b"Server-Limit", b"%.1f" % self.limit_per_s))
+        if isinstance(fault, RawAnswer):
+            await self._send_raw(responder, fault, request.fields.get(b"attempt-id", b""))
+            return
         if fault is Fault.HANG:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(5.0):
@@ -324,17 +350,36 @@
                 prompt, output = map(int, counts)
                 await self._generate(responder, signed_headers, first, prompt, output)
 
+    async def _send_raw(self, responder: Responder, answer: RawAnswer, request_id: bytes) -> None:
+        connection = responder._connection
+        connection.write(answer.data.replace(b"{id}", request_id))
+        match answer.ending:
+            case Ending.KEEP:
+                responder._end()
+            case Ending.CLOSE:
+                responder._keep_alive = False
+                responder._end()
+            case Ending.RESET:
+                # What was written is delivered before the reset.
+                await asyncio.sleep(EVENT_INTERVAL_S)
+                connection.reset_on_close(True)
+                responder.abort()
+            case Ending.SILENT:
+                await asyncio.Event().wait()
+
     async def _stream(
         self,
         responder: Responder,
         headers: list[tuple[bytes, bytes]],
         first: int,
-        fault: Fault | None,
+        fault: Fault | RawAnswer | None,
         parts: bytes,
     ) -> None:
         if not self.frames_streams:
             responder._http_10 = True
         responder.start_stream(200, headers)
+        # A crashed process may just end its connections.
+        responder._connection.reset_on_close(False)
         if self._is_crashing(parts):
             await responder.write(b"id: %d\ndata: ha" % first)
             await asyncio.sleep(self.event_interval_s)
