Send nothing more to an upstream that has stated that it leaves

Upstreams state in all their answers that they are about to end. Gateways did not read this: callers' requests kept going there, were refused or cut off with the upstream's end, and waited for adapters that it would never load.

`platform/codec` reads the statement; `send_gates` keeps it by incarnation (id and start time), apart from the table of upstreams, so that an entry that is removed and put back, an agent's report or another gateway's word does not open it again, while a new incarnation at the same address starts clean. `accepts_work` asks the gate, so the choice, permits, reconnects and failovers do. What waits is released: requests for an adapter slot or a paced start choose again, a request that still connects is withdrawn before a byte is sent, and replicas are no longer asked for. Running streams go on. A head counts as soon as it is read, also if the client has left; an answer that names another incarnation (421) speaks for that one. An agent takes the statement from any answer of its engine, tells all gateways with its next update and loads nothing more. If all upstreams of a service leave, requests are refused at once.

Evidence: tests/gateway/test_leaving.py with the stand-in that states it.

The stand-in's client left its connection open when it gave up before the head; it closes it now.

--- a/src/dragonflyhold/gateway/agent.py
+++ b/src/dragonflyhold/gateway/agent.py
@@ -360,7 +360,7 @@
 
     async def _execute_plan(self, report: EngineReport) -> None:
         spec = self._catalogue.engine_spec(self._service)
-        if spec is None or not await self._fencing_token.acquire():
+        if spec is None or report.is_draining or not await self._fencing_token.acquire():
             return
         if not report.models:
             await self._load_model(report, spec)
--- a/src/dragonflyhold/gateway/attempt.py
+++ b/src/dragonflyhold/gateway/attempt.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, TypeVar, final
 
+from dragonflyhold.gateway.connection_pool import SendWithdrawnError
 from dragonflyhold.gateway.crash_evidence import RequestTraits
 from dragonflyhold.gateway.dispatch import SendNow, WaitFor
 from dragonflyhold.gateway.events import EventSplitter, EventTooLargeError
@@ -74,6 +75,8 @@
         self._choice = choice
         self._view = gateway.table.views[choice.upstream_id]
         self._upstream = self._view.upstream
+        # Whether what the answer states about its upstream has been applied.
+        self._has_noted = False
 
     @property
     def upstream(self) -> Upstream:
@@ -115,8 +118,10 @@
 
     async def _send(self) -> Outcome:
         choice, view = self._choice, self._view
-        self._context.progress.upstream = choice.upstream_id
         started = time.monotonic()
+        if not view.gate.may_send(started):
+            return NotRun(Reason.WITHDRAWN, reached_upstream=False)
+        self._context.progress.upstream = choice.upstream_id
         self._context.progress.note_sent(started)
         exchange: Exchange | None = None
         self._gateway.request_log.info(
@@ -130,8 +135,13 @@
         )
         try:
             try:
-                exchange = await self._gateway.pool.send(view.upstream.address, self._build_call())
+                exchange = await self._gateway.pool.send(
+                    view.upstream.address,
+                    self._build_call(),
+                    lambda: view.gate.may_send(time.monotonic()),
+                )
                 head = await self._read_head(exchange)
+                self._note_stated(exchange)
                 if head.status == 200:
                     elapsed = time.monotonic() - started
                     self._gateway.table.note_first_byte(choice.upstream_id, elapsed)
@@ -140,12 +150,24 @@
                     )
             except ExchangeError as error:
                 return self._handle_exchange_error(error)
+            except SendWithdrawnError:
+                return NotRun(Reason.WITHDRAWN, reached_upstream=False)
             self._gateway.note_limit(view, head, started)
             return await self._handle_response(exchange, head)
         finally:
             if exchange is not None:
+                # An answer also counts if its client has left.
+                self._note_stated(exchange)
                 self._gateway.pool.release(view.upstream.address, exchange)
 
+    def _note_stated(self, exchange: Exchange) -> None:
+        """Apply what the answer's head states about its upstream, once."""
+        if exchange.head is not None and not self._has_noted:
+            self._has_noted = True
+            self._gateway.notices.note_answer(
+                self._upstream, exchange.head, self._request_info.request_id
+            )
+
     def _build_call(self) -> Call:
         target = self._request_info.target
         required = self._gateway.required_version(target)
--- a/src/dragonflyhold/gateway/connection_pool.py
+++ b/src/dragonflyhold/gateway/connection_pool.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 from typing import final
 
 from dragonflyhold.gateway.http_client import (
@@ -22,6 +23,10 @@
 IDLE_TIMEOUT_SHARE = 0.6
 
 
+class SendWithdrawnError(Exception):
+    """The request may no longer be sent; the peer has received no byte of it."""
+
+
 @final
 class ConnectionPool:
     """Reuses idle connections; for use in one event loop."""
@@ -30,14 +35,20 @@
         self.connections_opened = 0
         self._idle: dict[Address, list[Connection]] = {}
 
-    async def send(self, address: Address, call: Call) -> Exchange:
+    async def send(
+        self, address: Address, call: Call, may_send: Callable[[], bool] = lambda: True
+    ) -> Exchange:
         """Send a request on an idle or a new connection.
 
-        Raises ``ExchangeError`` with ``sent`` false if no connection could be established.
+        Raises ``ExchangeError`` with ``sent`` false if no connection could be established, and
+        ``SendWithdrawnError`` if ``may_send`` is false once there is one.
         """
         connection = self._pop_idle(address)
         if connection is None:
             connection = await self._connect(address)
+        if not may_send():
+            self._idle.setdefault(address, []).append(connection)
+            raise SendWithdrawnError
         return connection.start(call)
 
     def release(self, address: Address, exchange: Exchange) -> None:
--- a/src/dragonflyhold/gateway/copies.py
+++ b/src/dragonflyhold/gateway/copies.py
@@ -56,7 +56,11 @@
         try:
             while time.monotonic() < until:
                 view = self._table.views.get(upstream_id)
-                if view is None or target in view.resident:
+                if (
+                    view is None
+                    or target in view.resident
+                    or not view.gate.may_send(time.monotonic())
+                ):
                     return
                 await asyncio.sleep(REPLICA_CHECK_S)
         finally:
--- a/src/dragonflyhold/gateway/dispatch.py
+++ b/src/dragonflyhold/gateway/dispatch.py
@@ -8,6 +8,7 @@
 
 from dragonflyhold.gateway.messages import AgentHeartbeat, EngineUpdate
 from dragonflyhold.gateway.model import ModelAdapter, Upstream, UpstreamId
+from dragonflyhold.gateway.send_gates import SendGates, SendState
 from dragonflyhold.gateway.upstream_index import UpstreamIndex, rank
 from dragonflyhold.gateway.upstream_view import MAX_SUSPENSION_S, MIN_SUSPENSION_S, UpstreamView
 from dragonflyhold.hashing import hash64
@@ -65,6 +66,8 @@
     known_upstreams: int
     # Monotonic time of the next request that a limit allows, ``None`` if that is not the reason.
     permit_at: float | None = None
+    # Whether all upstreams of the service have stated that they leave.
+    all_leave: bool = False
 
 
 Choice = SendNow | WaitFor | NoUpstream
@@ -76,6 +79,7 @@
 
     def __init__(self, data_centre: DataCentre, rng: random.Random) -> None:
         self.views: dict[UpstreamId, UpstreamView] = {}
+        self.gates = SendGates()
         self._index = UpstreamIndex()
         self._data_centre = data_centre
         self._rng = rng
@@ -88,6 +92,7 @@
             return False
         self.remove(upstream.upstream_id)
         view = UpstreamView(upstream, upstream.ip, hash64(upstream.address.encode()))
+        view.gate = self.gates.find(upstream)
         view.resident = dict(upstream.adapters)
         if has_agent:
             view.agent_awaited_until = now + AGENT_WAIT_S
@@ -212,8 +217,11 @@
         # If the heartbeats of all of them are overdue, this process has not read for a while.
         available = [view for view in available if not view.is_heartbeat_overdue(now)] or available
         if not available:
+            states = {view.gate.state for view in self.of_service(service)}
             return NoUpstream(
-                self.count_of_service(service), self._next_permit_at(service, now, excluded)
+                self.count_of_service(service),
+                self._next_permit_at(service, now, excluded),
+                states == {SendState.LEAVING},
             )
         if target is None:
             return SendNow(self._least_loaded(available, now).upstream.upstream_id, None)
--- a/src/dragonflyhold/gateway/engines.py
+++ b/src/dragonflyhold/gateway/engines.py
@@ -38,6 +38,7 @@
 )
 from dragonflyhold.gateway.model import ModelAdapter, RegistrationState, Upstream, UpstreamId
 from dragonflyhold.gateway.permits import UpstreamPermits, incarnation_id
+from dragonflyhold.gateway.send_gates import SendState
 from dragonflyhold.gateway.starts import PacedStarts
 from dragonflyhold.gateway.upstream_view import UpstreamView
 from dragonflyhold.gateway.waiting import DemandTracker
@@ -103,10 +104,16 @@
         return any(
             self.is_engine(view.upstream)
             and not view.is_superseded
+            and view.gate.state is not SendState.LEAVING
             and not (view.can_load and view.has_model)
             for view in self._table.of_service(service)
         )
 
+    def release_waiting(self, upstream_id: UpstreamId) -> None:
+        """Let the requests that wait for an upstream choose again."""
+        self.demands.notify_upstream_waiters(upstream_id)
+        self.starts.release(upstream_id)
+
     def ensure_link(self, upstream: Upstream) -> None:
         """Maintain a link to the agent of an engine while its VM has an upstream."""
         if not self.is_engine(upstream):
--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -26,6 +26,7 @@
     Upstream,
     UpstreamId,
 )
+from dragonflyhold.gateway.notices import UpstreamNotices
 from dragonflyhold.gateway.outcomes import InDoubtError, Reason, RefusedError
 from dragonflyhold.gateway.quarantine import Quarantine
 from dragonflyhold.gateway.registry import Registry
@@ -87,6 +88,9 @@
         )
         self.demands = self.agent_links.demands
         self.permits = self.agent_links.permits
+        self.notices = UpstreamNotices(
+            self.table, self.pool, self.agent_links.release_waiting, metrics.count_event
+        )
         self.server = HttpServer(
             self.handle,
             IngressLimits(),
--- a/src/dragonflyhold/gateway/outcomes.py
+++ b/src/dragonflyhold/gateway/outcomes.py
@@ -12,6 +12,8 @@
     NO_ROUTE = "no_route"
     NO_UPSTREAM = "no_runner"
     UPSTREAM_LIMIT = "runner_limit"
+    UPSTREAMS_LEAVING = "runners_leaving"
+    WITHDRAWN = "withdrawn"
     ADAPTER_WAIT = "adapter_wait"
     RETRY_BUDGET = "retry_budget"
     SUSPECT = "suspect"
--- a/src/dragonflyhold/gateway/request.py
+++ b/src/dragonflyhold/gateway/request.py
@@ -141,9 +141,11 @@
                         return choice
                 case WaitFor(upstream_id):
                     await self._wait_for(upstream_id, now)
-                case NoUpstream(known_upstreams, permit_at):
+                case NoUpstream(known_upstreams, permit_at, all_leave):
                     until = min(wait_until, self._deadline - MIN_ATTEMPT_S)
                     detail = f"known={known_upstreams}"
+                    if all_leave:
+                        raise self._terminal_error(Reason.UPSTREAMS_LEAVING, detail)
                     if permit_at is not None and max(now, permit_at) >= until:
                         raise self._terminal_error(Reason.UPSTREAM_LIMIT, detail, permit_at - now)
                     if now >= until:
@@ -164,8 +166,10 @@
             )
             return False
         # The state may have changed during the wait for the permit.
-        return gateway.table.views.get(choice.upstream_id) is view and (
-            target is None or target in view.resident
+        return (
+            gateway.table.views.get(choice.upstream_id) is view
+            and view.gate.may_send(time.monotonic())
+            and (target is None or target in view.resident)
         )
 
     async def _wait_for(self, upstream_id: UpstreamId, now: float) -> None:
@@ -219,6 +223,8 @@
     # Outcomes of attempts
 
     def _handle_refusal(self, choice: SendNow, reason: Reason, reached_upstream: bool) -> None:
+        if reason is Reason.WITHDRAWN:
+            return
         self.progress.refusals += 1
         self.progress.tried.add(choice.upstream_id)
         if self.progress.refusals >= MAX_REFUSALS:
--- a/src/dragonflyhold/gateway/starts.py
+++ b/src/dragonflyhold/gateway/starts.py
@@ -70,7 +70,7 @@
     def __init__(self, send: Callable[[UpstreamId, StartRequest | LateStream], None]) -> None:
         self._send = send
         self._numbers = itertools.count(1)
-        self._waiting: dict[int, asyncio.Event] = {}
+        self._waiting: dict[int, tuple[UpstreamId, asyncio.Event]] = {}
         # The last measured prompt of each upstream, until it is told to the agent.
         self._read: dict[UpstreamId, tuple[int, float]] = {}
 
@@ -87,9 +87,15 @@
 
     def note_grant(self, grant: StartGrant) -> None:
         """Let a request start."""
-        granted = self._waiting.get(grant.number)
-        if granted is not None:
-            granted.set()
+        waiting = self._waiting.get(grant.number)
+        if waiting is not None:
+            waiting[1].set()
+
+    def release(self, upstream_id: UpstreamId) -> None:
+        """End the wait of all requests for an upstream to which nothing more is sent."""
+        for waiting_for, granted in self._waiting.values():
+            if waiting_for == upstream_id:
+                granted.set()
 
     async def wait(
         self, view: UpstreamView, route: Route, request_info: RequestInfo, target_at: float
@@ -105,7 +111,8 @@
         slack_s = max(0.0, latest - started)
         number, upstream_id = next(self._numbers), view.upstream.upstream_id
         tokens, seconds = self._read.pop(upstream_id, (0, 0.0))
-        granted = self._waiting[number] = asyncio.Event()
+        granted = asyncio.Event()
+        self._waiting[number] = (upstream_id, granted)
         self._send(
             upstream_id,
             StartRequest(
--- a/src/dragonflyhold/gateway/upstream_view.py
+++ b/src/dragonflyhold/gateway/upstream_view.py
@@ -7,6 +7,7 @@
 from dragonflyhold.gateway.link import Link
 from dragonflyhold.gateway.liveness import VmLiveness
 from dragonflyhold.gateway.model import ModelAdapter, RegistrationState, Upstream
+from dragonflyhold.gateway.send_gates import SendGate
 from dragonflyhold.ids import Version
 
 # Bounds of the suspension of an upstream after a failed connection or a crash; it doubles each
@@ -35,6 +36,8 @@
     # IP address of the VM, which ``Upstream.ip`` parses on each access.
     ip: str
     address_hash: int
+    # What this incarnation has stated about itself.
+    gate: SendGate = dataclasses.field(default_factory=SendGate)
     is_linked: bool = False
     # Whether the engine has loaded its base model, as reported by the agent.
     has_model: bool = True
@@ -126,6 +129,7 @@
             and not self.is_superseded
             and not self.is_draining
             and now >= self.suspended_until
+            and self.gate.may_send(now)
             and (self.is_linked or now >= self.agent_awaited_until)
         )
 
--- a/src/dragonflyhold/platform/codec.py
+++ b/src/dragonflyhold/platform/codec.py
@@ -62,6 +62,7 @@
 INSTANCE = b"instance-id"
 SERVER_LOAD = b"server-load"
 SERVER_LIMIT = b"server-limit"
+SERVER_LEAVING = b"server-leaving"
 # Set only by the gateway: values from a client must not reach an upstream.
 _SYSTEM_HEADERS = frozenset(
     (
@@ -407,6 +408,13 @@
     return SERVER_LIMIT not in head.fields and is_authentic_success(head)
 
 
+def states_leaving(head: Head) -> bool:
+    """Return whether an upstream states that it is about to end; any value but ``1`` does not."""
+    return SERVER_LEAVING in head.fields and any(
+        name.lower() == SERVER_LEAVING and value.strip() == b"1" for name, value in head.headers
+    )
+
+
 def refusal_headers(retry_after_s: float) -> list[tuple[bytes, bytes]]:
     """Return the headers of a refusal by the gateway."""
     return [(b"Retry-After", b"%.2f" % retry_after_s), (b"Content-Type", b"text/plain")]
--- a/src/dragonflyhold/platform/engine.py
+++ b/src/dragonflyhold/platform/engine.py
@@ -1,5 +1,6 @@
 """Client of a model engine's control interface: state reports and load and unload commands."""
 
+import dataclasses
 from collections.abc import Sequence
 from typing import Protocol, final
 
@@ -9,6 +10,7 @@
 from dragonflyhold.gateway.connection_pool import ConnectionPool
 from dragonflyhold.gateway.http_client import Call, ExchangeError, Head
 from dragonflyhold.gateway.limits import MAX_REPORT_BYTES
+from dragonflyhold.gateway.logs import JsonLogger
 from dragonflyhold.gateway.model import (
     AdapterCommand,
     Address,
@@ -16,6 +18,7 @@
     EngineReport,
     UpstreamId,
 )
+from dragonflyhold.gateway.send_gates import SendGate, SendState
 from dragonflyhold.gateway.tasks import limit_time
 from dragonflyhold.platform.codec import (
     DecodeError,
@@ -23,6 +26,7 @@
     encode_command,
     expected_instance_headers,
     instance_id,
+    states_leaving,
 )
 
 # The engine runs on the same VM and answers both calls from memory in about 1 ms. An unanswered
@@ -68,8 +72,12 @@
 
     def __init__(self, address: Address, holder: str, pool: ConnectionPool) -> None:
         self._address = address
+        self._log = JsonLogger("engine")
         self._holder = holder
         self._pool = pool
+        # What the engine's incarnation with this start time has stated.
+        self._gate = SendGate()
+        self._start_time_ms = 0
 
     async def report(self) -> EngineReport:
         """Return the engine's state; raise ``EngineUnavailableError``."""
@@ -77,9 +85,24 @@
             head, body = await self._call(b"GET", b"/report", b"", REPORT_TIMEOUT_S)
             if head.status != 200:
                 raise EngineUnavailableError(f"engine: report: unexpected status {head.status}")
-            return decode_report(orjson.loads(body))
+            report = decode_report(orjson.loads(body))
         except (ExchangeError, TimeoutError, ValueError, DecodeError) as error:
             raise EngineUnavailableError(f"engine: report: {error!r}") from error
+        if report.start_time_ms != self._start_time_ms:
+            self._gate, self._start_time_ms = SendGate(), report.start_time_ms
+        self._note_stated(head)
+        if self._gate.state is SendState.LEAVING:
+            return dataclasses.replace(report, is_draining=True)
+        return report
+
+    def _note_stated(self, head: Head) -> None:
+        if states_leaving(head) and self._gate.state is not SendState.LEAVING:
+            self._gate.state = SendState.LEAVING
+            self._log.failure(
+                "The engine leaves; gateways are told so, and nothing more is loaded.",
+                born=self._start_time_ms,
+                status=head.status,
+            )
 
     async def identify(self, health_path: str) -> UpstreamId | None:
         """Return the id of the engine's incarnation, or ``None`` if it is not available."""
@@ -87,6 +110,7 @@
             head, _ = await self._call(b"GET", health_path.encode(), b"", REPORT_TIMEOUT_S)
         except (ExchangeError, TimeoutError):
             return None
+        self._note_stated(head)
         return instance_id(head)
 
     async def send_command(
@@ -104,6 +128,7 @@
             )
         except (ExchangeError, TimeoutError):
             return CommandResult.UNKNOWN
+        self._note_stated(head)
         return _RESULTS.get(head.status, CommandResult.REJECTED)
 
     async def _call(
--- a/src/dragonflyhold/platform/standins/runner.py
+++ b/src/dragonflyhold/platform/standins/runner.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import enum
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Sequence
 from typing import Any
 
 import orjson
@@ -58,6 +58,8 @@
         self.faults: list[Fault] = []
         # Number of next commands that are executed but get no response.
         self.lost_responses = 0
+        # Whether commands are executed; others are answered as conflicts.
+        self.is_loading_enabled = True
         self.events = 6
         self.event_interval_s = EVENT_INTERVAL_S
         # Whether streams are sent in chunks; others end with their connection.
@@ -84,6 +86,10 @@
         self.crash_times: list[float] = []
         # Requests a second that answers state as the limit, if any.
         self.limit_per_s: float | None = None
+        # Value of the header by which all answers state that this upstream leaves, if any.
+        self.leaving: bytes | None = None
+        # Whether reports state it too.
+        self.is_stated_in_reports = True
         # Times at which clients' requests arrived, also those that were refused, and their ids.
         self.arrivals: list[float] = []
         self.arrival_ids: list[str] = []
@@ -143,6 +149,7 @@
         self.start_time_ms += 1
         self.sequence = 0
         self.has_model = self.model_load_s == 0
+        self.leaving = None
         self.adapters.clear()
         self.loading.clear()
         if self.model is not None:
@@ -176,14 +183,27 @@
             self._send_json(responder, 200, self._old_report if is_lagging else self._report())
         elif expected is not None and expected.decode() != self.upstream_id:
             self.misdirected += 1
-            responder.send(421, [(b"Instance-Id", self.upstream_id.encode())])
+            self._send(responder, 421, [(b"Instance-Id", self.upstream_id.encode())])
         elif request.target == b"/health":
-            responder.send(200, [(b"Instance-Id", self.upstream_id.encode())])
+            self._send(responder, 200, [(b"Instance-Id", self.upstream_id.encode())])
         elif request.target == b"/order":
             self._handle_command(responder, orjson.loads(request.body))
         else:
             await self._handle_request(request, responder)
 
+    def _send(
+        self,
+        responder: Responder,
+        status: int,
+        headers: Sequence[tuple[bytes, bytes]],
+        body: bytes = b"",
+    ) -> None:
+        responder.send(status, [*headers, *self._stated_headers()], body)
+
+    def _stated_headers(self) -> list[tuple[bytes, bytes]]:
+        """Return what all answers state now."""
+        return [] if self.leaving is None else [(b"Server-Leaving", self.leaving)]
+
     def _report(self) -> dict[str, Any]:
         return {
             "stage": "both",
@@ -203,10 +223,10 @@
             self.lost_responses -= 1
             responder.abort()
             return
-        responder.send(status, [])
+        self._send(responder, status, [])
 
     def _execute_command(self, command: dict[str, Any]) -> int:
-        if command["expected"] != self.sequence:
+        if command["expected"] != self.sequence or not self.is_loading_enabled:
             return 409
         self.sequence += 1
         if "adapter" not in command:
@@ -256,11 +276,11 @@
             adapter not in self.adapters
             or (expected_version is not None and int(expected_version) != self.adapters[adapter])
         ):
-            responder.send(421, [request_id_header])
+            self._send(responder, 421, [request_id_header])
             return
         fault = self.faults.pop(0) if self.faults else None
         if fault is Fault.REFUSE:
-            responder.send(503, [request_id_header, (b"Not-Executed", b"1")])
+            self._send(responder, 503, [request_id_header, (b"Not-Executed", b"1")])
             return
         first = int(fields.get(b"last-event-id", b"0")) + 1
         self.runs.append(
@@ -301,12 +321,12 @@
         if fault is Fault.BREAK_BEFORE or fault is Fault.HANG:
             responder.abort()
         elif fault is Fault.FAIL:
-            responder.send(500, signed_headers, b"failed")
+            self._send(responder, 500, signed_headers, b"failed")
         elif fault is Fault.UNSIGNED:
-            responder.send(200, [request_id_header], b"unsigned")
+            self._send(responder, 200, [request_id_header], b"unsigned")
         elif b"prompt-prefix" not in request.fields:
             await asyncio.sleep(EVENT_INTERVAL_S)
-            responder.send(200, signed_headers, b"answer to " + request.target)
+            self._send(responder, 200, signed_headers, b"answer to " + request.target)
         else:
             counts = request.fields.get(b"token-count", b"").split(b",")
             if self.model is None or len(counts) != 2:
@@ -326,7 +346,7 @@
     ) -> None:
         if not self.frames_streams:
             responder._http_10 = True
-        responder.start_stream(200, headers)
+        responder.start_stream(200, [*headers, *self._stated_headers()])
         if self._is_crashing(parts):
             await responder.write(b"id: %d\ndata: ha" % first)
             await asyncio.sleep(self.event_interval_s)
@@ -364,10 +384,13 @@
         number = first
         async for _ in self.model.generate(prompt_tokens, last - first + 1):
             if number == first:
-                responder.start_stream(200, headers)
+                responder.start_stream(200, [*headers, *self._stated_headers()])
             await responder.write(b"id: %d\ndata: piece %d\n\n" % (number, number))
             number += 1
         responder.end_stream()
 
     def _send_json(self, responder: Responder, status: int, body: dict[str, Any]) -> None:
-        responder.send(status, [(b"Content-Type", b"application/json")], orjson.dumps(body))
+        headers = [(b"Content-Type", b"application/json")]
+        if self.is_stated_in_reports:
+            headers.extend(self._stated_headers())
+        responder.send(status, headers, orjson.dumps(body))
--- a/src/dragonflyhold/platform/standins/site.py
+++ b/src/dragonflyhold/platform/standins/site.py
@@ -292,11 +292,15 @@
 
 async def _read(pool: ConnectionPool, address: Address, exchange) -> Answer:  # type: ignore[no-untyped-def]
     parts: list[bytes] = []
-    head: Head = await exchange.read_head()
+    head: Head | None = None
     try:
+        head = await exchange.read_head()
+        assert head is not None
         while chunk := await exchange.read_chunk():
             parts.append(chunk)
     except ExchangeError:
+        if head is None:
+            raise
         return Answer(head.status, head.fields, b"".join(parts), complete=False)
     finally:
         pool.release(address, exchange)
--- /dev/null
+++ b/tests/gateway/test_leaving.py
@@ -0,0 +1,234 @@
+"""End-to-end tests of upstreams that state in their answers that they leave."""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import pytest
+
+from dragonflyhold.gateway.attempt import Attempt
+from dragonflyhold.gateway.http_client import Exchange, Head
+from dragonflyhold.gateway.model import UpstreamId
+from dragonflyhold.gateway.starts import PacedStarts
+from dragonflyhold.gateway.upstream_view import UpstreamView
+from dragonflyhold.platform import codec
+from dragonflyhold.platform.standins.runner import Fault, UpstreamStandIn
+from dragonflyhold.platform.standins.site import (
+    HOST,
+    InProcessDeployment,
+    configuration,
+    running_deployment,
+)
+from tests.gateway.builders import upstream as make_upstream
+
+Result = TypeVar("Result")
+
+
+def _run(
+    scenario: Callable[[InProcessDeployment], Awaitable[Result]],
+    engines: int = 0,
+    plain: int = 2,
+    gateways: int = 1,
+) -> Result:
+    async def run() -> Result:
+        async with running_deployment(engines, plain, gateways) as deployment:
+            return await scenario(deployment)
+
+    return asyncio.run(run())
+
+
+async def _call_until(deployment: InProcessDeployment, path: str, upstream: UpstreamStandIn) -> str:
+    """Send requests until one has reached an upstream; return that one's id."""
+    before = len(upstream.arrivals)
+    for _ in range(50):
+        await deployment.call(path)
+        if len(upstream.arrivals) > before:
+            return upstream.arrival_ids[before]
+    raise AssertionError("the upstream is not in use")
+
+
+async def _count_arrivals(
+    deployment: InProcessDeployment, path: str, upstream: UpstreamStandIn, **call: int
+) -> int:
+    """Return how many of 30 further requests reach an upstream; others must be answered."""
+    before = len(upstream.arrivals)
+    for _ in range(30):
+        answer = await deployment.call(path, **call)  # type: ignore[arg-type]
+        assert answer.status == 200
+    return len(upstream.arrivals) - before
+
+
+class TestLeavingUpstream:
+    """Guards against requests that are sent to an upstream after it has said that it leaves."""
+
+    @pytest.mark.parametrize(
+        ("path", "fault"),
+        [
+            ("/read/1", None),
+            ("/read/1", Fault.REFUSE),
+            ("/read/1", Fault.FAIL),
+            ("/read/1", Fault.UNSIGNED),
+            ("/ask/1", None),
+            ("/ask/1", Fault.BREAK_MIDWAY),
+        ],
+    )
+    def test_nothing_is_sent_after_any_answer(self, path: str, fault: Fault | None) -> None:
+        async def scenario(deployment: InProcessDeployment) -> int:
+            name = "p0" if path == "/read/1" else "e0"
+            upstream = deployment.upstreams[name]
+            await _call_until(deployment, path, upstream)
+            upstream.is_stated_in_reports = False
+            upstream.leaving = b"1"
+            upstream.faults = [] if fault is None else [fault]
+            await _call_until(deployment, path, upstream)
+            return await _count_arrivals(deployment, path, upstream)
+
+        assert _run(scenario, engines=2) == 0
+
+    def test_an_answer_counts_whose_client_has_left(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        read_head = Attempt._read_head
+
+        async def delay_read(attempt: Attempt, exchange: Exchange) -> Head:
+            head = await read_head(attempt, exchange)
+            await asyncio.sleep(1.0)
+            return head
+
+        async def scenario(deployment: InProcessDeployment) -> int:
+            upstream = deployment.upstreams["p0"]
+            upstream.leaving = b"1"
+            monkeypatch.setattr(Attempt, "_read_head", delay_read)
+            while not upstream.arrivals:
+                with pytest.raises(TimeoutError):
+                    await deployment.call("/read/1", timeout_s=0.1)
+            monkeypatch.undo()
+            await asyncio.sleep(0.1)
+            return await _count_arrivals(deployment, "/read/1", upstream)
+
+        assert _run(scenario) == 0
+
+    def test_no_later_statement_opens_it_but_a_new_incarnation_is_used(self) -> None:
+        async def scenario(deployment: InProcessDeployment) -> tuple[int, int]:
+            upstream = deployment.upstreams["e0"]
+            await _call_until(deployment, "/ask/1", upstream)
+            upstream.is_stated_in_reports = False
+            upstream.leaving = b"1"
+            await _call_until(deployment, "/ask/1", upstream)
+            upstream.leaving = None
+            deployment.store.remove("servers", "e0")
+            await asyncio.sleep(0.1)
+            deployment.store.put("servers", "e0", upstream.entry())
+            await asyncio.sleep(0.3)
+            old = await _count_arrivals(deployment, "/ask/1", upstream)
+            upstream.restart("e0-new")
+            deployment._replace_entry("e0", upstream)
+            await asyncio.sleep(0.3)
+            return old, await _count_arrivals(deployment, "/ask/1", upstream)
+
+        old, new = _run(scenario, engines=2)
+        assert old == 0
+        assert new > 0
+
+    def test_running_streams_end_in_peace(self) -> None:
+        async def scenario(deployment: InProcessDeployment) -> list[list[int]]:
+            for upstream in deployment.upstreams.values():
+                upstream.event_interval_s = 0.05
+            calls = [asyncio.create_task(deployment.call("/ask/1")) for _ in range(6)]
+            await asyncio.sleep(0.1)
+            for upstream in deployment.upstreams.values():
+                upstream.leaving = b"1"
+            refused = [await deployment.call("/ask/1") for _ in range(4)]
+            assert refused[-1].status == 503
+            assert sum(len(upstream.runs) for upstream in deployment.upstreams.values()) <= 8
+            return [answer.event_ids for answer in await asyncio.gather(*calls)]
+
+        assert _run(scenario, engines=2) == [list(range(1, 7))] * 6
+
+    def test_waiting_requests_go_elsewhere(self) -> None:
+        """Guards against requests that wait until their deadline for a leaving engine's adapter."""
+
+        async def scenario(deployment: InProcessDeployment) -> tuple[int, int]:
+            for upstream in deployment.upstreams.values():
+                upstream.is_loading_enabled = False
+            waiting = asyncio.create_task(deployment.call("/ask/1", adapter="a1"))
+            await asyncio.sleep(0.2)
+            has_waiters = deployment.gateways[0].gateway.demands.has_upstream_waiters
+            (name,) = filter(has_waiters, deployment.upstreams)  # type: ignore[arg-type]
+            for upstream in deployment.upstreams.values():
+                upstream.is_loading_enabled = upstream.upstream_id != name
+            deployment.upstreams[name].is_stated_in_reports = False
+            deployment.upstreams[name].leaving = b"1"
+            await _call_until(deployment, "/ask/1", deployment.upstreams[name])
+            answer = await waiting
+            return answer.status, deployment.upstreams[name].max_slots_used
+
+        assert _run(scenario, engines=2) == (200, 0)
+
+    def test_requests_are_refused_at_once_if_all_leave(self) -> None:
+        async def scenario(deployment: InProcessDeployment) -> tuple[int, float, bytes]:
+            for upstream in deployment.upstreams.values():
+                upstream.leaving = b"1"
+                await _call_until(deployment, "/read/1", upstream)
+            started = asyncio.get_running_loop().time()
+            answer = await deployment.call("/read/1")
+            elapsed = asyncio.get_running_loop().time() - started
+            return answer.status, elapsed, answer.fields.get(b"retry-after", b"")
+
+        status, elapsed, retry_after = _run(scenario)
+        assert status == 503
+        assert elapsed < 0.03
+        assert float(retry_after) > 0
+
+    @pytest.mark.parametrize("value", [b"", b"0", b"true", b"1, 1", b"11", b"-1", b"\xff"])
+    def test_other_values_state_nothing(self, value: bytes) -> None:
+        async def scenario(deployment: InProcessDeployment) -> int:
+            upstream = deployment.upstreams["p0"]
+            upstream.leaving = value
+            await _call_until(deployment, "/read/1", upstream)
+            return await _count_arrivals(deployment, "/read/1", upstream)
+
+        assert _run(scenario) > 0
+
+
+class TestLeavingEngine:
+    """Guards against engines that are used until each gateway has had an answer of its own."""
+
+    def test_its_agent_tells_all_gateways_and_loads_nothing(self) -> None:
+        async def scenario(deployment: InProcessDeployment) -> tuple[int, int]:
+            upstream = deployment.upstreams["e0"]
+            upstream.leaving = b"1"
+            await asyncio.sleep(0.3)
+            for number in range(24):
+                for gateway in range(2):
+                    call = deployment.call("/ask/1", adapter=f"a{number % 6}", gateway=gateway)
+                    assert (await call).status == 200
+            return len(upstream.arrivals), len(upstream.commands)
+
+        assert _run(scenario, engines=2, gateways=2) == (0, 0)
+
+    def test_a_new_incarnation_is_used(self) -> None:
+        async def scenario(deployment: InProcessDeployment) -> int:
+            upstream = deployment.upstreams["e0"]
+            upstream.leaving = b"1"
+            await asyncio.sleep(0.3)
+            upstream.restart("e0-new")
+            deployment._replace_entry("e0", upstream)
+            await asyncio.sleep(0.3)
+            return await _count_arrivals(deployment, "/ask/1", upstream)
+
+        assert _run(scenario, engines=2) > 0
+
+    def test_a_request_that_waits_for_its_start_there_is_released(self) -> None:
+        async def scenario() -> float:
+            starts = PacedStarts(lambda upstream_id, message: None)
+            view = UpstreamView(make_upstream(1), "10.0.0.1", 0, is_linked=True, is_paced=True)
+            fields = configuration(gap_target_ms=100)
+            route = codec.decode_configuration(fields).routes[HOST][0]
+            info = codec.decode_request({})
+            target_at = time.monotonic() + 5.0
+            waiting = asyncio.create_task(starts.wait(view, route, info, target_at))
+            await asyncio.sleep(0.01)
+            starts.release(UpstreamId("r1"))
+            return await waiting
+
+        assert asyncio.run(scenario()) < 1.0
