Take the end of a leaving upstream for no crash

Streams that an upstream cuts off when it ends, after it has said that it leaves, counted as in flight at a crash: the connection breaks and no new one is accepted. When several upstreams leave within 30 minutes, a part that many prompts share was at three such ends, and callers' sound requests with it were refused as crashing.

The gateway takes an end for no crash if the incarnation has stated itself, or to its agent, that it leaves. A request that does crash engines is still found at the others that it is resumed on.

--- a/src/dragonflyhold/gateway/dispatch.py
+++ b/src/dragonflyhold/gateway/dispatch.py
@@ -184,6 +184,15 @@
         view = self.views.get(upstream_id)
         return view is not None and view.is_heartbeat_overdue(now) and self._hears_others(now)
 
+    def is_ending(self, upstream: Upstream) -> bool:
+        """Return whether an incarnation has stated, itself or to its agent, that it leaves."""
+        view = self.views.get(upstream.upstream_id)
+        return self.gates.find(upstream).state is SendState.LEAVING or (
+            view is not None
+            and view.is_draining
+            and view.upstream.start_time_ms == upstream.start_time_ms
+        )
+
     def _hears_others(self, now: float) -> bool:
         return any(
             view.is_linked and not view.is_heartbeat_overdue(now) for view in self.views.values()
