Send nothing for the stated time to an upstream that turns requests away

Upstreams that refuse with 503 may state for how long they want no request. Gateways sent on at once: each such request cost a refusal and a retry of the budget, and where all upstreams of a service turned away, callers waited for them and got a Retry-After that led back too early.

`codec.turned_away_s` reads the time, in decimal digits with or without a fraction, of a 503 only; anything else states nothing, and of two values the longer one holds. The gate of that incarnation is closed for that time, whatever the kind of request, also for retries, permits, reconnects and starts, and also if its entry is removed and put back. One answer closes it for 300 s at most: no planned pause is as long, and a damaged value must not take an upstream out for ever. At its end gateways return up to a quarter of the time, at most 0.5 s, apart, and an idle upstream counts as full at first and as free after 1 s, so that others share the work meanwhile. If all upstreams of a service turn requests away, or the others leave, requests are refused at once with a Retry-After from the first end of these times, spread over half of the wait. An agent that is turned away makes no call for the time; what it knows of its engine stays in use.

Without the slow return, `test_dispatch::TestReturn` fails (all requests go to the idle one).

--- a/src/dragonflyhold/gateway/agent.py
+++ b/src/dragonflyhold/gateway/agent.py
@@ -64,7 +64,11 @@
 from dragonflyhold.gateway.watch import TableWatch
 from dragonflyhold.ids import ServiceName
 from dragonflyhold.observability.metrics import Metrics
-from dragonflyhold.platform.engine import EngineControl, EngineUnavailableError
+from dragonflyhold.platform.engine import (
+    EngineControl,
+    EngineTurnsAwayError,
+    EngineUnavailableError,
+)
 from dragonflyhold.platform.store import MetadataStore, StorePosition
 from dragonflyhold.popularity import Popularity
 
@@ -311,6 +315,9 @@
         self._read_at = time.monotonic()
         try:
             report = await self._engine.report()
+        except EngineTurnsAwayError:
+            # What is known of the engine stays in use until it may be asked again.
+            return
         except EngineUnavailableError as error:
             self._failed_reads += 1
             if self._report is not None and self._failed_reads >= MAX_FAILED_READS:
--- a/src/dragonflyhold/gateway/dispatch.py
+++ b/src/dragonflyhold/gateway/dispatch.py
@@ -64,8 +64,10 @@
     """No upstream can accept the request now."""
 
     known_upstreams: int
-    # Monotonic time of the next request that a limit allows, ``None`` if that is not the reason.
-    permit_at: float | None = None
+    # Monotonic time at which one of them takes a request again, ``None`` if none states it.
+    free_at: float | None = None
+    # Whether that one has turned requests away; else it has stated a limit.
+    is_turned_away: bool = False
     # Whether all upstreams of the service have stated that they leave.
     all_leave: bool = False
 
@@ -184,10 +186,10 @@
         view = self.views.get(upstream_id)
         return view is not None and view.is_heartbeat_overdue(now) and self._hears_others(now)
 
-    def is_ending(self, upstream: Upstream) -> bool:
+    def is_ending(self, upstream: Upstream, now: float) -> bool:
         """Return whether an incarnation has stated, itself or to its agent, that it leaves."""
         view = self.views.get(upstream.upstream_id)
-        return self.gates.find(upstream).state is SendState.LEAVING or (
+        return self.gates.find(upstream).state(now) is SendState.LEAVING or (
             view is not None
             and view.is_draining
             and view.upstream.start_time_ms == upstream.start_time_ms
@@ -226,12 +228,7 @@
         # If the heartbeats of all of them are overdue, this process has not read for a while.
         available = [view for view in available if not view.is_heartbeat_overdue(now)] or available
         if not available:
-            states = {view.gate.state for view in self.of_service(service)}
-            return NoUpstream(
-                self.count_of_service(service),
-                self._next_permit_at(service, now, excluded),
-                states == {SendState.LEAVING},
-            )
+            return self._describe_lack(service, now, excluded)
         if target is None:
             return SendNow(self._least_loaded(available, now).upstream.upstream_id, None)
         holders = [view for view in available if view.resident.get(target, -1) >= min_version]
@@ -261,19 +258,21 @@
         again = self.choose(service, target, min_version, now)
         return again if isinstance(again, SendNow) else choice
 
-    def _next_permit_at(
+    def _describe_lack(
         self, service: ServiceName, now: float, excluded: Collection[UpstreamId]
-    ) -> float | None:
-        return min(
-            (
-                view.no_permit_until
-                for view in self.of_service(service)
-                if view.upstream.upstream_id not in excluded
-                and view.no_permit_until > now
-                and view.is_usable(now)
-            ),
-            default=None,
-        )
+    ) -> NoUpstream:
+        """Return what is known of a service none of whose upstreams takes a request now."""
+        views = self.of_service(service)
+        times = [
+            (free_at, not view.gate.may_send(now))
+            for view in views
+            if not (view.upstream.upstream_id in excluded and view.gate.may_send(now))
+            and (free_at := view.free_at(now)) is not None
+            and free_at > now
+        ]
+        free_at, is_turned_away = min(times, default=(None, False))
+        states = {view.gate.state(now) for view in views}
+        return NoUpstream(len(views), free_at, is_turned_away, states == {SendState.LEAVING})
 
     def _choose_for_adapter(
         self,
@@ -364,7 +363,7 @@
         self._rng.shuffle(views)
 
         def cost(view: UpstreamView) -> float:
-            load = view.load(now) / view.upstream.slots
+            load = view.load(now) / view.upstream.slots + view.gate.return_load(now)
             is_local = view.upstream.data_centre == self._data_centre
             bonus = LOCAL_BONUS_REQUESTS / view.upstream.slots if is_local else 0.0
             return load - bonus + 2.0 * view.current_failure_rate(now)
--- a/src/dragonflyhold/gateway/engines.py
+++ b/src/dragonflyhold/gateway/engines.py
@@ -101,10 +101,11 @@
 
         Its agent cannot send commands yet, or its base model is not loaded.
         """
+        now = time.monotonic()
         return any(
             self.is_engine(view.upstream)
             and not view.is_superseded
-            and view.gate.state is not SendState.LEAVING
+            and view.gate.state(now) is not SendState.LEAVING
             and not (view.can_load and view.has_model)
             for view in self._table.of_service(service)
         )
--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -388,7 +388,9 @@
     async def _check_crash(
         self, upstream: Upstream, traits: RequestTraits, request_info: RequestInfo
     ) -> None:
-        if self.table.is_ending(upstream) or await self.pool.can_connect(upstream.address):
+        if self.table.is_ending(upstream, time.monotonic()) or await self.pool.can_connect(
+            upstream.address
+        ):
             return
         self.table.suspend(upstream.upstream_id, time.monotonic())
         news = self.crashes.record_crash(crash_id(upstream), traits)
--- a/src/dragonflyhold/gateway/outcomes.py
+++ b/src/dragonflyhold/gateway/outcomes.py
@@ -12,6 +12,7 @@
     NO_ROUTE = "no_route"
     NO_UPSTREAM = "no_runner"
     UPSTREAM_LIMIT = "runner_limit"
+    UPSTREAM_TURNED_AWAY = "runner_turned_away"
     UPSTREAMS_LEAVING = "runners_leaving"
     WITHDRAWN = "withdrawn"
     ADAPTER_WAIT = "adapter_wait"
--- a/src/dragonflyhold/gateway/request.py
+++ b/src/dragonflyhold/gateway/request.py
@@ -1,6 +1,7 @@
 """Handles one client request from its arrival to its response."""
 
 import asyncio
+import random
 import time
 from typing import TYPE_CHECKING, final
 
@@ -42,6 +43,9 @@
 SUSPECT_RETRY_AFTER_S = 60.0
 # Silence of a stream after which its client leaves at the earliest.
 CLIENT_PATIENCE_S = 2.0
+# Range, as a share of the time until then, over which clients return to upstreams that all turn
+# requests away.
+RETURN_SPREAD_SHARE = 0.5
 # Share of the time until the deadline for which a request may wait for its adapter.
 WAIT_SHARE = 0.55
 
@@ -141,13 +145,16 @@
                         return choice
                 case WaitFor(upstream_id):
                     await self._wait_for(upstream_id, now)
-                case NoUpstream(known_upstreams, permit_at, all_leave):
+                case NoUpstream(known_upstreams, free_at, is_turned_away, all_leave):
                     until = min(wait_until, self._deadline - MIN_ATTEMPT_S)
                     detail = f"known={known_upstreams}"
                     if all_leave:
                         raise self._terminal_error(Reason.UPSTREAMS_LEAVING, detail)
-                    if permit_at is not None and max(now, permit_at) >= until:
-                        raise self._terminal_error(Reason.UPSTREAM_LIMIT, detail, permit_at - now)
+                    if free_at is not None and max(now, free_at) >= until:
+                        reason = (
+                            Reason.UPSTREAM_TURNED_AWAY if is_turned_away else Reason.UPSTREAM_LIMIT
+                        )
+                        raise self._terminal_error(reason, detail, free_at - now)
                     if now >= until:
                         raise self._terminal_error(Reason.NO_UPSTREAM, detail)
                     await asyncio.sleep(NO_UPSTREAM_POLL_S)
@@ -270,6 +277,8 @@
             return InDoubtError(reason, detail)
         if reason is Reason.SUSPECT:
             return RefusedError(reason, SUSPECT_RETRY_AFTER_S, detail)
+        if reason is Reason.UPSTREAM_TURNED_AWAY:
+            min_retry_after_s *= 1 + RETURN_SPREAD_SHARE * random.random()
         return RefusedError(reason, min_retry_after_s + self._retry_after(), detail)
 
     def _retry_after(self) -> float:
--- a/src/dragonflyhold/gateway/upstream_view.py
+++ b/src/dragonflyhold/gateway/upstream_view.py
@@ -123,13 +123,22 @@
 
     def accepts_work(self, now: float) -> bool:
         """Return whether the upstream is usable unless its responses have stalled."""
+        return self.gate.may_send(now) and self._is_in_service(now)
+
+    def free_at(self, now: float) -> float | None:
+        """Return when the upstream takes a request, as far as its own statements tell."""
+        gate_at = self.gate.free_at(now)
+        if gate_at is None or not self._is_in_service(now) or self.is_stalled(now):
+            return None
+        return max(gate_at, self.no_permit_until)
+
+    def _is_in_service(self, now: float) -> bool:
         return (
             self.upstream.state is RegistrationState.READY
             and self.has_model
             and not self.is_superseded
             and not self.is_draining
             and now >= self.suspended_until
-            and self.gate.may_send(now)
             and (self.is_linked or now >= self.agent_awaited_until)
         )
 
--- a/src/dragonflyhold/platform/codec.py
+++ b/src/dragonflyhold/platform/codec.py
@@ -6,6 +6,7 @@
 """
 
 import math
+import re
 import reprlib
 from collections.abc import Mapping, Sequence
 from typing import Any
@@ -63,6 +64,8 @@
 SERVER_LOAD = b"server-load"
 SERVER_LIMIT = b"server-limit"
 SERVER_LEAVING = b"server-leaving"
+RETRY_AFTER = b"retry-after"
+_SECONDS = re.compile(rb"[0-9]+(\.[0-9]+)?")
 # Set only by the gateway: values from a client must not reach an upstream.
 _SYSTEM_HEADERS = frozenset(
     (
@@ -415,6 +418,18 @@
     )
 
 
+def turned_away_s(head: Head) -> float | None:
+    """Return for how many seconds an upstream wants no request, ``None`` if it does not state it.
+
+    Only a 503 states it, in decimal digits with or without a fraction; many digits may be infinite.
+    Of several values the longest one holds.
+    """
+    if head.status != 503 or RETRY_AFTER not in head.fields:
+        return None
+    values = (value.strip() for name, value in head.headers if name.lower() == RETRY_AFTER)
+    return max((float(value) for value in values if _SECONDS.fullmatch(value)), default=None)
+
+
 def refusal_headers(retry_after_s: float) -> list[tuple[bytes, bytes]]:
     """Return the headers of a refusal by the gateway."""
     return [(b"Retry-After", b"%.2f" % retry_after_s), (b"Content-Type", b"text/plain")]
--- a/src/dragonflyhold/platform/engine.py
+++ b/src/dragonflyhold/platform/engine.py
@@ -7,6 +7,7 @@
 import orjson
 
 from dragonflyhold.errors import DragonflyholdError
+from dragonflyhold.gateway.clock import monotonic_now
 from dragonflyhold.gateway.connection_pool import ConnectionPool
 from dragonflyhold.gateway.http_client import Call, ExchangeError, Head
 from dragonflyhold.gateway.limits import MAX_REPORT_BYTES
@@ -18,7 +19,7 @@
     EngineReport,
     UpstreamId,
 )
-from dragonflyhold.gateway.send_gates import SendGate, SendState
+from dragonflyhold.gateway.send_gates import MAX_TURNED_AWAY_S, SendGate, SendState
 from dragonflyhold.gateway.tasks import limit_time
 from dragonflyhold.platform.codec import (
     DecodeError,
@@ -27,6 +28,7 @@
     expected_instance_headers,
     instance_id,
     states_leaving,
+    turned_away_s,
 )
 
 # The engine runs on the same VM and answers both calls from memory in about 1 ms. An unanswered
@@ -47,6 +49,10 @@
     """Raised if the engine returned no valid report."""
 
 
+class EngineTurnsAwayError(EngineUnavailableError):
+    """Raised if no call is made because the engine has stated that it wants none for a time."""
+
+
 class EngineControl(Protocol):
     """Interface of an engine as an agent uses it."""
 
@@ -81,9 +87,14 @@
 
     async def report(self) -> EngineReport:
         """Return the engine's state; raise ``EngineUnavailableError``."""
+        if self._is_turned_away():
+            raise EngineTurnsAwayError("engine: report: turned away")
         try:
             head, body = await self._call(b"GET", b"/report", b"", REPORT_TIMEOUT_S)
             if head.status != 200:
+                self._note_stated(head)
+                if self._is_turned_away():
+                    raise EngineTurnsAwayError("engine: report: turned away")
                 raise EngineUnavailableError(f"engine: report: unexpected status {head.status}")
             report = decode_report(orjson.loads(body))
         except (ExchangeError, TimeoutError, ValueError, DecodeError) as error:
@@ -91,13 +102,22 @@
         if report.start_time_ms != self._start_time_ms:
             self._gate, self._start_time_ms = SendGate(), report.start_time_ms
         self._note_stated(head)
-        if self._gate.state is SendState.LEAVING:
+        if self._gate.state(monotonic_now()) is SendState.LEAVING:
             return dataclasses.replace(report, is_draining=True)
         return report
 
+    def _is_turned_away(self) -> bool:
+        return self._gate.state(monotonic_now()) is SendState.TURNED_AWAY
+
     def _note_stated(self, head: Head) -> None:
-        if states_leaving(head) and self._gate.state is not SendState.LEAVING:
-            self._gate.state = SendState.LEAVING
+        wait_s = turned_away_s(head)
+        if wait_s and self._gate.turn_away(wait_s, monotonic_now()):
+            self._log.failure(
+                "The engine turns calls away; none is made for a time.",
+                born=self._start_time_ms,
+                wait_ms=round(min(wait_s, MAX_TURNED_AWAY_S) * 1000),
+            )
+        if states_leaving(head) and self._gate.leave():
             self._log.failure(
                 "The engine leaves; gateways are told so, and nothing more is loaded.",
                 born=self._start_time_ms,
@@ -106,6 +126,8 @@
 
     async def identify(self, health_path: str) -> UpstreamId | None:
         """Return the id of the engine's incarnation, or ``None`` if it is not available."""
+        if self._is_turned_away():
+            return None
         try:
             head, _ = await self._call(b"GET", health_path.encode(), b"", REPORT_TIMEOUT_S)
         except (ExchangeError, TimeoutError):
@@ -121,6 +143,8 @@
         upstream_id: UpstreamId | None,
     ) -> CommandResult:
         """Send a command that is valid only at sequence ``expected`` and for that incarnation."""
+        if self._is_turned_away():
+            return CommandResult.REJECTED
         body = orjson.dumps(encode_command(command, expected, self._holder, fencing_token))
         try:
             head, _ = await self._call(
--- a/src/dragonflyhold/platform/standins/runner.py
+++ b/src/dragonflyhold/platform/standins/runner.py
@@ -88,8 +88,17 @@
         self.limit_per_s: float | None = None
         # Value of the header by which all answers state that this upstream leaves, if any.
         self.leaving: bytes | None = None
-        # Whether reports state it too.
+        # Values of the header by which this upstream turns requests away, if any.
+        self.turn_away: list[bytes] = []
+        # Status of these answers, and whether they state that the request did not run.
+        self.turn_away_status = 503
+        self.states_not_run = True
+        # Times and ids of the requests that were turned away.
+        self.turned_away: list[tuple[float, str]] = []
+        # Whether reports are answered like requests.
         self.is_stated_in_reports = True
+        # Times at which reports were asked for.
+        self.report_times: list[float] = []
         # Times at which clients' requests arrived, also those that were refused, and their ids.
         self.arrivals: list[float] = []
         self.arrival_ids: list[str] = []
@@ -150,6 +159,7 @@
         self.sequence = 0
         self.has_model = self.model_load_s == 0
         self.leaving = None
+        self.turn_away = []
         self.adapters.clear()
         self.loading.clear()
         if self.model is not None:
@@ -179,6 +189,10 @@
     async def _handle(self, request: ClientRequest, responder: Responder) -> None:
         expected = request.fields.get(b"expected-instance")
         if request.target == b"/report":
+            self.report_times.append(asyncio.get_running_loop().time())
+            if self.turn_away and self.is_stated_in_reports:
+                self._turn_away(responder, [])
+                return
             is_lagging = asyncio.get_running_loop().time() < self._old_report_until
             self._send_json(responder, 200, self._old_report if is_lagging else self._report())
         elif expected is not None and expected.decode() != self.upstream_id:
@@ -200,6 +214,12 @@
     ) -> None:
         responder.send(status, [*headers, *self._stated_headers()], body)
 
+    def _turn_away(self, responder: Responder, headers: list[tuple[bytes, bytes]]) -> None:
+        headers.extend((b"Retry-After", value) for value in self.turn_away)
+        if self.states_not_run:
+            headers.append((b"Not-Executed", b"1"))
+        self._send(responder, self.turn_away_status, headers)
+
     def _stated_headers(self) -> list[tuple[bytes, bytes]]:
         """Return what all answers state now."""
         return [] if self.leaving is None else [(b"Server-Leaving", self.leaving)]
@@ -278,6 +298,10 @@
         ):
             self._send(responder, 421, [request_id_header])
             return
+        if self.turn_away:
+            self.turned_away.append((self.arrivals[-1], request_id.decode()))
+            self._turn_away(responder, [request_id_header])
+            return
         fault = self.faults.pop(0) if self.faults else None
         if fault is Fault.REFUSE:
             self._send(responder, 503, [request_id_header, (b"Not-Executed", b"1")])
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -10,6 +10,7 @@
 )
 from dragonflyhold.gateway.liveness import DEFAULT_GAP_S, OVERDUE_S, UNREACHABLE_S
 from dragonflyhold.gateway.model import RegistrationState, UpstreamId
+from dragonflyhold.gateway.send_gates import RETURN_S
 from dragonflyhold.gateway.upstream_view import (
     MAX_SUSPENSION_S,
     MIN_SUSPENSION_S,
@@ -305,7 +306,7 @@
         table.views[UpstreamId("r1")].no_permit_until = NOW + 1.0
         assert table.choose(SERVICE, None, ANY, NOW) == SendNow(UpstreamId("r2"), None)
         table.views[UpstreamId("r2")].no_permit_until = NOW + 0.5
-        assert table.choose(SERVICE, None, ANY, NOW) == NoUpstream(2, permit_at=NOW + 0.5)
+        assert table.choose(SERVICE, None, ANY, NOW) == NoUpstream(2, free_at=NOW + 0.5)
 
     def test_a_failed_upstream_is_not_waited_for_as_a_limited_one(self) -> None:
         table = _table(1)
@@ -328,3 +329,29 @@
         for view in table.views.values():
             view.limit_per_s, view.limit_stated_at = 4.0, NOW
         assert isinstance(table.choose(SERVICE, adapter(7), ANY, NOW), WaitFor)
+
+
+class TestReturn:
+    """Guards against a herd at an upstream that takes requests again, as it is idle then."""
+
+    def test_its_share_returns_little_by_little(self) -> None:
+        table = _table(1, 2, linked=False)
+        table.views[UpstreamId("r2")].in_flight = 32
+        gate = table.views[UpstreamId("r1")].gate
+        gate.turn_away(1.0, NOW)
+        free_at = gate.free_at(NOW)
+        assert free_at is not None
+        times = [NOW, free_at, free_at + 0.3 * RETURN_S, free_at + 0.7 * RETURN_S]
+        choices = [table.choose(SERVICE, None, ANY, now) for now in times]
+        ids = [choice.upstream_id for choice in choices if isinstance(choice, SendNow)]
+        assert ids == ["r2", "r2", "r2", "r1"]
+
+    def test_the_only_upstream_is_used_at_once(self) -> None:
+        table = _table(1, linked=False)
+        gate = table.views[UpstreamId("r1")].gate
+        gate.turn_away(1.0, NOW)
+        free_at = gate.free_at(NOW)
+        assert free_at is not None
+        lack = table.choose(SERVICE, None, ANY, NOW)
+        assert lack == NoUpstream(1, free_at=free_at, is_turned_away=True)
+        assert isinstance(table.choose(SERVICE, None, ANY, free_at), SendNow)
--- a/tests/gateway/test_notices.py
+++ b/tests/gateway/test_notices.py
@@ -18,6 +18,9 @@
     return Head(status, headers, {name.lower(): value for name, value in headers})
 
 
+NOW = 50.0
+
+
 class TestSpeaker:
     """Guards against answers that close the gate of another upstream than the one that speaks."""
 
@@ -42,7 +45,7 @@
         closed = [
             upstream_id
             for upstream_id, view in table.views.items()
-            if view.gate.state is SendState.LEAVING
+            if view.gate.state(NOW) is SendState.LEAVING
         ]
         assert closed == released == [leaving]
         assert events == ["upstream_leaving"]
@@ -53,4 +56,4 @@
         head = _head(421, (b"Server-Leaving", b"1"), (b"Instance-Id", b"r2"))
         notices.note_answer(upstream(1), head, "try1")
         table.put(upstream(2))
-        assert table.views[UpstreamId("r2")].gate.state is SendState.LEAVING
+        assert table.views[UpstreamId("r2")].gate.state(NOW) is SendState.LEAVING
--- a/tests/platform/test_codec.py
+++ b/tests/platform/test_codec.py
@@ -1,5 +1,7 @@
 """Tests of the conversion from and to the platform's wire formats."""
 
+import math
+
 import pytest
 
 from dragonflyhold.gateway.http_client import Head
@@ -128,6 +130,40 @@
         assert not codec.states_no_limit(_head(503, response_signature=b"s"))
         assert not codec.states_no_limit(_head(200, response_signature=b"s", server_limit=b"x"))
 
+    @pytest.mark.parametrize(
+        ("values", "wait_s"),
+        [
+            ([b"2"], 2.0),
+            ([b"0.25"], 0.25),
+            ([b" 7 "], 7.0),
+            ([b"0"], 0.0),
+            ([b"9" * 400], math.inf),
+            ([b"3", b"1"], 3.0),
+            ([b"x", b"1"], 1.0),
+            ([b""], None),
+            ([b"-1"], None),
+            ([b"+1"], None),
+            ([b"1e3"], None),
+            ([b"1_0"], None),
+            ([b".5"], None),
+            ([b"inf"], None),
+            ([b"nan"], None),
+            ([b"1, 2"], None),
+            (["\u0663".encode()], None),
+            ([b"Wed, 21 Oct 2026 07:28:00 GMT"], None),
+            ([], None),
+        ],
+    )
+    def test_the_time_of_a_refusal_is_decoded(
+        self, values: list[bytes], wait_s: float | None
+    ) -> None:
+        """Guards against values that raise an error or are read as a time that nobody stated."""
+        headers = [(b"Retry-After", value) for value in values]
+        fields = {name.lower(): value for name, value in headers}
+        assert codec.turned_away_s(Head(503, headers, fields)) == wait_s
+        for status in (200, 408, 421, 429, 500):
+            assert codec.turned_away_s(Head(status, headers, fields)) is None
+
     def test_parts_of_the_prompt_are_decoded(self) -> None:
         request_info = codec.decode_request({b"prompt-prefix": b"5C1e07a2:800, 91bd3f06:410,,e4:2"})
         assert request_info.prompt_parts == (b"5c1e07a2", b"91bd3f06", b"e4")
