Show operators why nothing was sent to an upstream

`explain ID` showed nothing of upstreams that a request could not be sent to, as its lines name only those that it reached. It now lists what closed upstreams of the request's service to its gateway at that time, unless they were dropped before or their time was over. A gateway also logs what an engine's agent tells it. Counters `upstream_leaving`, `upstream_turned_away` and retries `withdrawn`; levels `leaving_runners` and `turned_away_runners`.

The test of `explain` was seen failing before: the trace named none of the three upstreams (`[] == ['leaves', ...]`).

--- a/src/dragonflyhold/gateway/daemon.py
+++ b/src/dragonflyhold/gateway/daemon.py
@@ -22,6 +22,7 @@
 from dragonflyhold.gateway.model import Address, IngressLimits
 from dragonflyhold.gateway.peers import PeerSnapshots
 from dragonflyhold.gateway.registry import EXPIRY_GRACE_S
+from dragonflyhold.gateway.send_gates import SendState
 from dragonflyhold.gateway.shutdown import PlannedStop
 from dragonflyhold.gateway.table_rows import TableRules
 from dragonflyhold.gateway.tasks import run_until_done, supervise
@@ -294,6 +295,9 @@
         metrics.set_level("runners", len(gateway.table.views))
         views = gateway.table.views.values()
         metrics.set_level("limited_runners", sum(view.limit_per_s is not None for view in views))
+        states = [SendState.LEAVING if v.is_draining else v.gate.state(now) for v in views]
+        metrics.set_level("leaving_runners", states.count(SendState.LEAVING))
+        metrics.set_level("turned_away_runners", states.count(SendState.TURNED_AWAY))
         metrics.set_level("config_version", configuration.version if configuration else 0)
         for watch in (self._operator_watch, self._registry_watch):
             unavailable_since = watch.unavailable_since
--- a/src/dragonflyhold/gateway/engines.py
+++ b/src/dragonflyhold/gateway/engines.py
@@ -282,6 +282,14 @@
             # Either the agent or the registry does not know the newest incarnation yet.
             return
         upstream_id = view.upstream.upstream_id
+        if update.is_draining and not view.is_draining:
+            self._log.failure(
+                "An upstream leaves; nothing more is sent to it.",
+                runner=upstream_id,
+                service=view.upstream.service,
+                born=view.upstream.start_time_ms,
+                stated_to="agent",
+            )
         self._table.apply_update(upstream_id, update, time.monotonic())
         for key, version in update.resident:
             if self.demands.has_waiters(key) and version >= self._required_version(key):
--- a/src/dragonflyhold/gateway/request.py
+++ b/src/dragonflyhold/gateway/request.py
@@ -231,6 +231,7 @@
 
     def _handle_refusal(self, choice: SendNow, reason: Reason, reached_upstream: bool) -> None:
         if reason is Reason.WITHDRAWN:
+            self._gateway.count_retry(reason)
             return
         self.progress.refusals += 1
         self.progress.tried.add(choice.upstream_id)
--- a/src/dragonflyhold/observability/log_analysis.py
+++ b/src/dragonflyhold/observability/log_analysis.py
@@ -21,6 +21,12 @@
 # A trace includes related lines from this long before the request's first line.
 CONTEXT_S = 1.0
 REQUEST_ENDED_EVENT = "A request ended."
+# Why nothing was sent to an upstream: for good, or for the line's ``wait_ms`` and the delay of the
+# return.
+LEAVING_EVENT = "An upstream leaves; nothing more is sent to it."
+TURNED_AWAY_EVENT = "An upstream turns requests away; nothing is sent to it for a time."
+MAX_RETURN_DELAY_S = 0.5
+DROPPED_EVENT = "An upstream was dropped."
 # Example request ids listed per cause.
 MAX_EXAMPLES = 3
 
@@ -135,10 +141,12 @@
         for line in logs.lines
         if line.get("engine") in addresses and line.get("event") == "Started."
     }
+    closed = _closed_upstreams(logs.lines, request_lines, start_s, end_s)
     trace = [
         line
         for line in logs.lines
         if line.get("id") == request_id
+        or id(line) in closed
         or (
             start_s - CONTEXT_S <= line.time_s <= end_s
             and _is_related(line, request_lines[0].node, upstreams, adapters, agent_nodes)
@@ -147,6 +155,33 @@
     return [line.format(start_s) for line in trace]
 
 
+def _closed_upstreams(
+    lines: Sequence[LogLine], request_lines: Sequence[LogLine], start_s: float, end_s: float
+) -> set[int]:
+    """Return the ids of the lines why the request's gateway sent nothing to some upstreams then.
+
+    A statement of long ago is no longer listed once the upstream is dropped.
+    """
+    gateway = request_lines[0].node
+    services = {line.get("service") for line in request_lines} - {None}
+    closed: dict[tuple[Any, Any], LogLine] = {}
+    for line in lines:
+        if line.node != gateway or line.time_s > end_s:
+            continue
+        key = (line.get("event"), line.get("runner"))
+        if line.get("event") == DROPPED_EVENT and line.time_s < start_s:
+            closed.pop((LEAVING_EVENT, line.get("runner")), None)
+        elif line.get("service") not in services:
+            continue
+        elif line.get("event") == LEAVING_EVENT:
+            closed[key] = line
+        elif line.get("event") == TURNED_AWAY_EVENT:
+            wait_s = float(line.get("wait_ms") or 0) / 1000
+            if line.time_s + wait_s + MAX_RETURN_DELAY_S >= start_s:
+                closed[key] = line
+    return {id(line) for line in closed.values()}
+
+
 def _is_related(
     line: LogLine, gateway: str, upstreams: set[Any], adapters: set[Any], agent_nodes: set[str]
 ) -> bool:
--- a/tests/gateway/test_notices.py
+++ b/tests/gateway/test_notices.py
@@ -1,5 +1,6 @@
 """Tests of what a gateway takes from the answers of upstreams."""
 
+import logging
 import random
 
 import pytest
@@ -11,6 +12,7 @@
 from dragonflyhold.gateway.notices import UpstreamNotices
 from dragonflyhold.gateway.send_gates import SendState
 from dragonflyhold.ids import DataCentre
+from dragonflyhold.observability.log_analysis import LEAVING_EVENT, TURNED_AWAY_EVENT
 from tests.gateway.builders import upstream
 
 
@@ -57,3 +59,33 @@
         notices.note_answer(upstream(1), head, "try1")
         table.put(upstream(2))
         assert table.views[UpstreamId("r2")].gate.state(NOW) is SendState.LEAVING
+
+
+class TestEvidence:
+    """Guards against log lines and counters that operators search for in vain."""
+
+    @pytest.mark.parametrize(
+        ("status", "header", "event", "count"),
+        [
+            (200, (b"Server-Leaving", b"1"), LEAVING_EVENT, "upstream_leaving"),
+            (503, (b"Retry-After", b"2"), TURNED_AWAY_EVENT, "upstream_turned_away"),
+        ],
+    )
+    def test_each_statement_is_logged_once_and_counted(
+        self,
+        status: int,
+        header: tuple[bytes, bytes],
+        event: str,
+        count: str,
+        caplog: pytest.LogCaptureFixture,
+    ) -> None:
+        table = UpstreamTable(DataCentre("dc-a"), random.Random(1))
+        events: list[str] = []
+        caplog.set_level(logging.INFO, "absl")
+        notices = UpstreamNotices(table, ConnectionPool(), lambda _: None, events.append)
+        table.put(upstream(1))
+        for _ in range(2):
+            notices.note_answer(upstream(1), _head(status, header), "try1")
+        lines = [record.msg for record in caplog.records if isinstance(record.msg, dict)]
+        assert [(line["event"], line["runner"]) for line in lines] == [(event, "r1")]
+        assert set(events) == {count}
--- a/tests/observability/test_log_analysis.py
+++ b/tests/observability/test_log_analysis.py
@@ -8,7 +8,13 @@
 
 from dragonflyhold.cli import main
 from dragonflyhold.errors import UsageError
-from dragonflyhold.observability.log_analysis import group_failures, read_logs, trace_request
+from dragonflyhold.observability.log_analysis import (
+    LEAVING_EVENT,
+    TURNED_AWAY_EVENT,
+    group_failures,
+    read_logs,
+    trace_request,
+)
 
 # Clock offsets of the three processes from the true time, in seconds.
 CLOCK_OFFSETS_S = {"front-1": 0.0, "front-2": 3.0, "side-1": -2.0}
@@ -90,6 +96,33 @@
         ]
         assert "adapter=a7" in trace[2]
 
+    def test_trace_says_why_nothing_was_sent_to_an_upstream(self, tmp_path: pathlib.Path) -> None:
+        """Guards against traces without the upstreams that a request was not sent to."""
+
+        def closed(node: str, at: float, runner: str, service: str, wait_ms: int | None) -> bytes:
+            event = TURNED_AWAY_EVENT if wait_ms else LEAVING_EVENT
+            fields = {"runner": runner, "service": service, "wait_ms": wait_ms}
+            return _line(node, at, event, "notices", **fields)
+
+        path = tmp_path / "front-1.log"
+        lines = [
+            closed("front-1", 1.0, "leaves", "s1", None),
+            closed("front-1", 1.0, "has-left", "s1", None),
+            closed("front-1", 1.0, "other-service", "s2", None),
+            closed("front-2", 1.0, "other-gateway", "s1", None),
+            _line("front-1", 4.0, "An upstream was dropped.", "registry", runner="has-left"),
+            closed("front-1", 5.0, "turns-away", "s1", 6000),
+            closed("front-1", 5.0, "is-back", "s1", 3000),
+            _line("front-1", 10.0, "A request was admitted.", id="x1", service="s1"),
+            closed("front-1", 10.1, "leaves-meanwhile", "s1", None),
+            _line("front-1", 10.2, "A request ended.", id="x1", outcome="answered"),
+            closed("front-1", 10.3, "leaves-later", "s1", None),
+        ]
+        path.write_bytes(b"\n".join(lines))
+        trace = trace_request(read_logs([path]), "x1")
+        named = [line.partition("runner=")[2].split()[0] for line in trace if "runner=" in line]
+        assert named == ["leaves", "turns-away", "leaves-meanwhile"]
+
     def test_clock_offsets_are_corrected(self, tmp_path: pathlib.Path) -> None:
         """Otherwise the agent's command would appear two seconds before the request."""
         trace = trace_request(read_logs(_write(tmp_path, _make_logs())), "x1")
