Draw candidates for requests without an adapter in large services

The choice for such a request looked at every upstream of its service: 15 us with 5 upstreams, 131 us with 60, 1,293 us with 600 on this machine, which delays all callers of the gateway's one event loop. Beyond 32 upstreams, the least loaded of 32 drawn ones is taken now; if none of these is available, all are looked at as before.

The test counts the upstreams looked at (200 of 200 before, 32 at most now); others show that the one that is left is found and that loads differ by three requests at most.

--- a/src/dragonflyhold/gateway/dispatch.py
+++ b/src/dragonflyhold/gateway/dispatch.py
@@ -38,6 +38,8 @@
 # Number of upstreams, the first ones of an adapter's ranking, among which the one that loads the
 # adapter is chosen.
 MAX_LOAD_CANDIDATES = 8
+# Upstreams drawn of a larger service, among which a request without an adapter goes to the best.
+MAX_DRAWN = 32
 
 
 @final
@@ -220,11 +222,17 @@
             choice = self._choose_for_adapter(service, target, min_version, now, excluded)
             if choice is not None:
                 return choice
-        available = [
-            view
-            for view in self.of_service(service)
-            if view.upstream.upstream_id not in excluded and view.is_available(now)
-        ]
+        views = self.of_service(service)
+        if target is None and len(views) > MAX_DRAWN:
+            drawn = self._rng.sample(views, MAX_DRAWN)
+            responsive = [
+                view
+                for view in self._available(drawn, now, excluded)
+                if not view.is_heartbeat_overdue(now)
+            ]
+            if responsive:
+                return SendNow(self._least_loaded(responsive, now).upstream.upstream_id, None)
+        available = self._available(views, now, excluded)
         # If the heartbeats of all of them are overdue, this process has not read for a while.
         available = [view for view in available if not view.is_heartbeat_overdue(now)] or available
         if not available:
@@ -241,6 +249,15 @@
         best = _cheapest(rank(loadable, target, MAX_LOAD_CANDIDATES))
         return WaitFor(best.upstream.upstream_id)
 
+    def _available(
+        self, views: Sequence[UpstreamView], now: float, excluded: Collection[UpstreamId]
+    ) -> list[UpstreamView]:
+        return [
+            view
+            for view in views
+            if view.upstream.upstream_id not in excluded and view.is_available(now)
+        ]
+
     def choose_again(
         self,
         service: ServiceName,
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -2,7 +2,10 @@
 
 import random
 
+import pytest
+
 from dragonflyhold.gateway.dispatch import (
+    MAX_DRAWN,
     NoUpstream,
     SendNow,
     UpstreamTable,
@@ -15,6 +18,7 @@
     MAX_SUSPENSION_S,
     MIN_SUSPENSION_S,
     STALL_TIMEOUT_S,
+    UpstreamView,
 )
 from dragonflyhold.ids import DataCentre, Version
 from tests.gateway.builders import SERVICE, adapter, engine_update, upstream
@@ -355,3 +359,35 @@
         lack = table.choose(SERVICE, None, ANY, NOW)
         assert lack == NoUpstream(1, free_at=free_at, is_turned_away=True)
         assert isinstance(table.choose(SERVICE, None, ANY, free_at), SendNow)
+
+
+class TestLargeService:
+    """Guards against a choice whose cost grows with the service, or that misses what is free."""
+
+    def test_a_choice_looks_at_few_of_many_upstreams(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        looks: list[float] = []
+        is_available = UpstreamView.is_available
+        monkeypatch.setattr(
+            UpstreamView,
+            "is_available",
+            lambda view, now: looks.append(now) or is_available(view, now),
+        )
+        table = _table(*range(200), linked=False)
+        assert isinstance(table.choose(SERVICE, None, ANY, NOW), SendNow)
+        assert len(looks) <= MAX_DRAWN
+
+    def test_the_only_one_that_is_left_is_found(self) -> None:
+        table = _table(*range(200), linked=False)
+        for number in range(199):
+            table.gates.note_leaving(upstream(number))
+        for _ in range(20):
+            assert table.choose(SERVICE, None, ANY, NOW) == SendNow(UpstreamId("r199"), None)
+
+    def test_the_load_is_spread_evenly(self) -> None:
+        table = _table(*range(200), linked=False)
+        for _ in range(10 * 200):
+            choice = table.choose(SERVICE, None, ANY, NOW)
+            assert isinstance(choice, SendNow)
+            table.request_started(choice.upstream_id, NOW)
+        counts = [view.in_flight for view in table.views.values()]
+        assert max(counts) - min(counts) <= 3
