Refuse at once also if engines leave as only their agents say

The gateway now counts an incarnation as past if it has stated itself or to its agent that it leaves, was replaced, or is registered as draining, and refuses if all are past and some leave.

The look for starting engines, made for each request, checks the cheap conditions first.

--- a/src/dragonflyhold/gateway/daemon.py
+++ b/src/dragonflyhold/gateway/daemon.py
@@ -295,9 +295,9 @@
         metrics.set_level("runners", len(gateway.table.views))
         views = gateway.table.views.values()
         metrics.set_level("limited_runners", sum(view.limit_per_s is not None for view in views))
-        states = [SendState.LEAVING if v.is_draining else v.gate.state(now) for v in views]
-        metrics.set_level("leaving_runners", states.count(SendState.LEAVING))
-        metrics.set_level("turned_away_runners", states.count(SendState.TURNED_AWAY))
+        metrics.set_level("leaving_runners", sum(view.is_ending(now) for view in views))
+        turned_away = sum(view.gate.state(now) is SendState.TURNED_AWAY for view in views)
+        metrics.set_level("turned_away_runners", turned_away)
         metrics.set_level("config_version", configuration.version if configuration else 0)
         for watch in (self._operator_watch, self._registry_watch):
             unavailable_since = watch.unavailable_since
--- a/src/dragonflyhold/gateway/dispatch.py
+++ b/src/dragonflyhold/gateway/dispatch.py
@@ -70,7 +70,7 @@
     free_at: float | None = None
     # Whether that one has turned requests away; else it has stated a limit.
     is_turned_away: bool = False
-    # Whether all upstreams of the service have stated that they leave.
+    # Whether upstreams of the service have stated that they leave, and no other one is left.
     all_leave: bool = False
 
 
@@ -193,7 +193,7 @@
         view = self.views.get(upstream.upstream_id)
         return self.gates.find(upstream).state(now) is SendState.LEAVING or (
             view is not None
-            and view.is_draining
+            and view.is_ending(now)
             and view.upstream.start_time_ms == upstream.start_time_ms
         )
 
@@ -288,8 +288,10 @@
             and free_at > now
         ]
         free_at, is_turned_away = min(times, default=(None, False))
-        states = {view.gate.state(now) for view in views}
-        return NoUpstream(len(views), free_at, is_turned_away, states == {SendState.LEAVING})
+        all_leave = all(view.is_past(now) for view in views) and any(
+            view.is_ending(now) for view in views
+        )
+        return NoUpstream(len(views), free_at, is_turned_away, all_leave)
 
     def _choose_for_adapter(
         self,
--- a/src/dragonflyhold/gateway/engines.py
+++ b/src/dragonflyhold/gateway/engines.py
@@ -38,7 +38,6 @@
 )
 from dragonflyhold.gateway.model import ModelAdapter, RegistrationState, Upstream, UpstreamId
 from dragonflyhold.gateway.permits import UpstreamPermits, incarnation_id
-from dragonflyhold.gateway.send_gates import SendState
 from dragonflyhold.gateway.starts import PacedStarts
 from dragonflyhold.gateway.upstream_view import UpstreamView
 from dragonflyhold.gateway.waiting import DemandTracker
@@ -103,10 +102,10 @@
         """
         now = time.monotonic()
         return any(
-            self.is_engine(view.upstream)
+            not (view.can_load and view.has_model)
             and not view.is_superseded
-            and view.gate.state(now) is not SendState.LEAVING
-            and not (view.can_load and view.has_model)
+            and not view.is_ending(now)
+            and self.is_engine(view.upstream)
             for view in self._table.of_service(service)
         )
 
--- a/src/dragonflyhold/gateway/upstream_view.py
+++ b/src/dragonflyhold/gateway/upstream_view.py
@@ -7,7 +7,7 @@
 from dragonflyhold.gateway.link import Link
 from dragonflyhold.gateway.liveness import VmLiveness
 from dragonflyhold.gateway.model import ModelAdapter, RegistrationState, Upstream
-from dragonflyhold.gateway.send_gates import SendGate
+from dragonflyhold.gateway.send_gates import SendGate, SendState
 from dragonflyhold.ids import Version
 
 # Bounds of the suspension of an upstream after a failed connection or a crash; it doubles each
@@ -142,6 +142,18 @@
             and (self.is_linked or now >= self.agent_awaited_until)
         )
 
+    def is_ending(self, now: float) -> bool:
+        """Return whether the incarnation has stated, itself or to its agent, that it leaves."""
+        return self.is_draining or self.gate.state(now) is SendState.LEAVING
+
+    def is_past(self, now: float) -> bool:
+        """Return whether the incarnation will take no more requests."""
+        return (
+            self.is_superseded
+            or self.upstream.state is RegistrationState.DRAINING
+            or self.is_ending(now)
+        )
+
     def is_limited(self, now: float) -> bool:
         """Return whether the upstream has stated a limit lately."""
         return self.limit_per_s is not None and now - self.limit_stated_at <= LIMIT_STALE_S
--- a/src/dragonflyhold/platform/standins/runner.py
+++ b/src/dragonflyhold/platform/standins/runner.py
@@ -93,6 +93,8 @@
         # Status of these answers, and whether they state that the request did not run.
         self.turn_away_status = 503
         self.states_not_run = True
+        # Id of another request that answers name instead of their own, if any.
+        self.answered_id = b""
         # Times and ids of the requests that were turned away.
         self.turned_away: list[tuple[float, str]] = []
         # Whether reports are answered like requests.
@@ -289,7 +291,7 @@
         request_id = fields.get(b"attempt-id", b"")
         self.arrivals.append(asyncio.get_running_loop().time())
         self.arrival_ids.append(request_id.decode())
-        request_id_header = (b"Attempt-Id", request_id)
+        request_id_header = (b"Attempt-Id", self.answered_id or request_id)
         adapter = fields.get(b"model", b"").decode().partition("/")[2]
         expected_version = fields.get(b"expected-version")
         if adapter and (
--- a/tests/gateway/test_leaving.py
+++ b/tests/gateway/test_leaving.py
@@ -10,6 +10,7 @@
 from dragonflyhold.gateway.attempt import Attempt
 from dragonflyhold.gateway.http_client import Exchange, Head
 from dragonflyhold.gateway.model import UpstreamId
+from dragonflyhold.gateway.send_gates import SendState
 from dragonflyhold.gateway.starts import PacedStarts
 from dragonflyhold.gateway.upstream_view import UpstreamView
 from dragonflyhold.platform import codec
@@ -207,6 +208,42 @@
         assert elapsed < 0.03
         assert float(retry_after) > 0
 
+    def test_requests_are_refused_at_once_if_agents_say_that_all_leave(self) -> None:
+        """Guards against requests that wait although no engine will load their adapter."""
+
+        async def scenario(deployment: InProcessDeployment) -> tuple[int, float]:
+            for upstream in deployment.upstreams.values():
+                upstream.is_loading_enabled = False
+            deployment.store.put("op", "config", configuration(2, target_latency_ms=5000))
+            await asyncio.sleep(0.1)
+            loop = asyncio.get_running_loop()
+            waiting = asyncio.create_task(deployment.call("/ask/1", adapter="a1"))
+            await asyncio.sleep(0.1)
+            assert not waiting.done()
+            for upstream in deployment.upstreams.values():
+                upstream.leaving = b"1"
+            started = loop.time()
+            answer = await waiting
+            return answer.status, loop.time() - started
+
+        status, elapsed = _run(scenario, engines=2, plain=0)
+        assert status == 503
+        # An agent reads the report every 0.1 s.
+        assert elapsed < 0.2
+
+    @pytest.mark.parametrize("turn_away", [[], [b"300"]])
+    def test_an_answer_to_another_request_states_nothing(self, turn_away: list[bytes]) -> None:
+        async def scenario(deployment: InProcessDeployment) -> set[SendState]:
+            upstream = deployment.upstreams["p0"]
+            upstream.answered_id = b"other"
+            upstream.leaving, upstream.turn_away = b"1", turn_away
+            await deployment.call("/read/1")
+            views = deployment.gateways[0].gateway.table.views.values()
+            assert upstream.arrivals
+            return {view.gate.state(time.monotonic()) for view in views}
+
+        assert _run(scenario, plain=1) == {SendState.OPEN}
+
     @pytest.mark.parametrize("value", [b"", b"0", b"true", b"1, 1", b"11", b"-1", b"\xff"])
     def test_other_values_state_nothing(self, value: bytes) -> None:
         async def scenario(deployment: InProcessDeployment) -> int:
