--- a/src/dragonflyhold/gateway/connection_pool.py
+++ b/src/dragonflyhold/gateway/connection_pool.py
@@ -47,7 +47,7 @@
         if connection is None:
             connection = await self._connect(address)
         if not may_send():
-            self._idle.setdefault(address, []).append(connection)
+            connection.abort()
             raise SendWithdrawnError
         return connection.start(call)
 
--- a/tests/gateway/test_leaving.py
+++ b/tests/gateway/test_leaving.py
@@ -8,8 +8,8 @@
 import pytest
 
 from dragonflyhold.gateway.attempt import Attempt
-from dragonflyhold.gateway.http_client import Exchange, Head
-from dragonflyhold.gateway.model import UpstreamId
+from dragonflyhold.gateway.http_client import Connection, Exchange, Head
+from dragonflyhold.gateway.model import Address, UpstreamId
 from dragonflyhold.gateway.send_gates import SendState
 from dragonflyhold.gateway.starts import PacedStarts
 from dragonflyhold.gateway.upstream_view import UpstreamView
@@ -244,6 +244,22 @@
 
         assert _run(scenario, plain=1) == {SendState.OPEN}
 
+    def test_a_request_that_connects_meanwhile_is_not_sent(self) -> None:
+        async def scenario(deployment: InProcessDeployment) -> int:
+            upstream = deployment.upstreams["p0"]
+            gateway = deployment.gateways[0].gateway
+            connect = gateway.pool._connect
+
+            async def connect_late(address: Address) -> Connection:
+                gateway.table.gates.note_leaving(gateway.table.views[UpstreamId("p0")].upstream)
+                return await connect(address)
+
+            gateway.pool._connect = connect_late  # type: ignore[method-assign]
+            assert (await deployment.call("/book/1")).status == 503
+            return len(upstream.arrivals)
+
+        assert _run(scenario, plain=1) == 0
+
     @pytest.mark.parametrize("value", [b"", b"0", b"true", b"1, 1", b"11", b"-1", b"\xff"])
     def test_other_values_state_nothing(self, value: bytes) -> None:
         async def scenario(deployment: InProcessDeployment) -> int:
