Hold an agent's word that its engine leaves for good

The gateway closes its own gate for that incarnation now; reports name the incarnation, and one that starts later has a gate of its own.

--- a/src/dragonflyhold/gateway/engines.py
+++ b/src/dragonflyhold/gateway/engines.py
@@ -281,7 +281,7 @@
             # Either the agent or the registry does not know the newest incarnation yet.
             return
         upstream_id = view.upstream.upstream_id
-        if update.is_draining and not view.is_draining:
+        if update.is_draining and self._table.gates.note_leaving(view.upstream):
             self._log.failure(
                 "An upstream leaves; nothing more is sent to it.",
                 runner=upstream_id,
--- a/tests/gateway/test_leaving.py
+++ b/tests/gateway/test_leaving.py
@@ -287,6 +287,20 @@
 
         assert _run(scenario, engines=2, gateways=2) == (0, 0)
 
+    def test_its_agents_word_holds_after_a_restart_of_the_agent(self) -> None:
+        async def scenario(deployment: InProcessDeployment) -> int:
+            upstream = deployment.upstreams["e0"]
+            upstream.leaving = b"1"
+            await asyncio.sleep(0.3)
+            upstream.leaving = None
+            await deployment.agents["e0"].close()
+            await deployment.start_agent("e0")
+            await deployment.wait_until_ready(2)
+            await asyncio.sleep(0.2)
+            return await _count_arrivals(deployment, "/ask/1", upstream)
+
+        assert _run(scenario, engines=2) == 0
+
     def test_a_new_incarnation_is_used(self) -> None:
         async def scenario(deployment: InProcessDeployment) -> int:
             upstream = deployment.upstreams["e0"]
