Let a stream that broke wait for an upstream that joins also if all leave

A request that may have run can't be refused; it waits for another upstream for as long as its client does. If all upstreams had stated that they leave, such a stream was cut off at once instead (events `[1, 2]` of 6 in the test). Only requests that have not run are refused at once; the stream is resumed at the engine that joins 0.1 s later.

--- a/src/dragonflyhold/gateway/request.py
+++ b/src/dragonflyhold/gateway/request.py
@@ -148,7 +148,7 @@
                 case NoUpstream(known_upstreams, free_at, is_turned_away, all_leave):
                     until = min(wait_until, self._deadline - MIN_ATTEMPT_S)
                     detail = f"known={known_upstreams}"
-                    if all_leave:
+                    if all_leave and not self.progress.attempts:
                         raise self._terminal_error(Reason.UPSTREAMS_LEAVING, detail)
                     if free_at is not None and max(now, free_at) >= until:
                         reason = (
--- a/tests/gateway/test_leaving.py
+++ b/tests/gateway/test_leaving.py
@@ -244,6 +244,23 @@
 
         assert _run(scenario, plain=1) == {SendState.OPEN}
 
+    def test_a_stream_that_breaks_waits_for_an_upstream_that_joins(self) -> None:
+        """Guards against streams that are cut off since nobody could take them at that moment."""
+
+        async def scenario(deployment: InProcessDeployment) -> list[int]:
+            upstream = deployment.upstreams["e0"]
+            upstream.event_interval_s = 0.1
+            call = asyncio.create_task(deployment.call("/ask/1"))
+            await asyncio.sleep(0.15)
+            upstream.leaving = b"1"
+            await asyncio.sleep(0.15)
+            upstream.close()
+            await asyncio.sleep(0.1)
+            await deployment.add_engine("e1")
+            return (await call).event_ids
+
+        assert _run(scenario, engines=1) == list(range(1, 7))
+
     def test_a_request_that_connects_meanwhile_is_not_sent(self) -> None:
         async def scenario(deployment: InProcessDeployment) -> int:
             upstream = deployment.upstreams["p0"]
