--- a/src/dragonflyhold/platform/codec.py
+++ b/src/dragonflyhold/platform/codec.py
@@ -196,6 +196,15 @@
         raise decode_error(f"upstream {reprlib.repr(key)}", error) from error
 
 
+def is_report(body: bytes) -> bool:
+    """Return whether the body of an engine's response is a report of its state."""
+    try:
+        fields = orjson.loads(body)
+    except ValueError:
+        return False
+    return isinstance(fields, dict) and "models" in fields
+
+
 def decode_report(fields: Any) -> EngineReport:
     """Decode the state that an engine reports; raise ``DecodeError`` if it is invalid."""
     try:
@@ -236,8 +245,9 @@
     """Return numbers that rise with each content that an upstream registers under one id."""
     try:
         fields = orjson.loads(row.value)
-        is_draining = fields["state"] == RegistrationState.DRAINING.value
-        return integer(fields.get("born") or 0), integer(fields["sequence"]), int(is_draining)
+        upstream = decode_upstream(row.key, fields)
+        is_draining = upstream.state is RegistrationState.DRAINING
+        return upstream.start_time_ms, integer(fields["sequence"]), int(is_draining)
     except DECODING_ERRORS:
         return None
 
--- a/src/dragonflyhold/platform/standins/runner.py
+++ b/src/dragonflyhold/platform/standins/runner.py
@@ -11,6 +11,7 @@
 from dragonflyhold.gateway.http_server import ClientRequest, HttpServer, Responder
 from dragonflyhold.gateway.model import Address, IngressLimits
 from dragonflyhold.platform.standins.engine_model import EngineModel
+from dragonflyhold.platform.standins.late_copies import AnswerCopier
 
 LOAD_TIME_S = 0.03
 EVENT_INTERVAL_S = 0.005
@@ -56,6 +57,10 @@
         self.loading: dict[str, int] = {}
         self.latest_versions: dict[str, int] = {}
         self.faults: list[Fault] = []
+        # Whether answers carry the id of their request.
+        self.echoes_ids = True
+        # Writes earlier answers again, also those to commands and reads of the state.
+        self.copier = AnswerCopier()
         # Number of next commands that are executed but get no response.
         self.lost_responses = 0
         # Whether commands are executed; others are answered as conflicts.
@@ -189,6 +194,9 @@
         return [{"name": "base", "version": 1, "adapters": names}]
 
     async def _handle(self, request: ClientRequest, responder: Responder) -> None:
+        await self.copier.handle(self._answer, request, responder)
+
+    async def _answer(self, request: ClientRequest, responder: Responder) -> None:
         expected = request.fields.get(b"expected-instance")
         if request.target == b"/report":
             self.report_times.append(asyncio.get_running_loop().time())
@@ -291,22 +299,23 @@
         request_id = fields.get(b"attempt-id", b"")
         self.arrivals.append(asyncio.get_running_loop().time())
         self.arrival_ids.append(request_id.decode())
-        request_id_header = (b"Attempt-Id", self.answered_id or request_id)
+        answered_id = self.answered_id or request_id
+        id_headers = [(b"Attempt-Id", answered_id)] if request_id and self.echoes_ids else []
         adapter = fields.get(b"model", b"").decode().partition("/")[2]
         expected_version = fields.get(b"expected-version")
         if adapter and (
             adapter not in self.adapters
             or (expected_version is not None and int(expected_version) != self.adapters[adapter])
         ):
-            self._send(responder, 421, [request_id_header])
+            self._send(responder, 421, id_headers)
             return
         if self.turn_away:
             self.turned_away.append((self.arrivals[-1], request_id.decode()))
-            self._turn_away(responder, [request_id_header])
+            self._turn_away(responder, id_headers)
             return
         fault = self.faults.pop(0) if self.faults else None
         if fault is Fault.REFUSE:
-            self._send(responder, 503, [request_id_header, (b"Not-Executed", b"1")])
+            self._send(responder, 503, [*id_headers, (b"Not-Executed", b"1")])
             return
         first = int(fields.get(b"last-event-id", b"0")) + 1
         self.runs.append(
@@ -322,7 +331,7 @@
         )
         self.active_requests[adapter] = self.active_requests.get(adapter, 0) + 1
         try:
-            await self._respond(request, responder, request_id_header, first, fault)
+            await self._respond(request, responder, id_headers, first, fault)
         finally:
             self.active_requests[adapter] -= 1
 
@@ -330,12 +339,12 @@
         self,
         request: ClientRequest,
         responder: Responder,
-        request_id_header: tuple[bytes, bytes],
+        id_headers: list[tuple[bytes, bytes]],
         first: int,
         fault: Fault | None,
     ) -> None:
         signed_headers = [
-            request_id_header,
+            *id_headers,
             (b"Response-Signature", b"sig." + self.upstream_id.encode()),
         ]
         if self.limit_per_s is not None:
@@ -349,7 +358,7 @@
         elif fault is Fault.FAIL:
             self._send(responder, 500, signed_headers, b"failed")
         elif fault is Fault.UNSIGNED:
-            self._send(responder, 200, [request_id_header], b"unsigned")
+            self._send(responder, 200, id_headers, b"unsigned")
         elif b"prompt-prefix" not in request.fields:
             await asyncio.sleep(EVENT_INTERVAL_S)
             self._send(responder, 200, signed_headers, b"answer to " + request.target)
--- a/src/dragonflyhold/platform/standins/store.py
+++ b/src/dragonflyhold/platform/standins/store.py
@@ -11,6 +11,7 @@
 
 from dragonflyhold.gateway.http_server import ClientRequest, HttpServer, Responder
 from dragonflyhold.gateway.model import Address, IngressLimits
+from dragonflyhold.platform.standins.late_copies import AnswerCopier
 
 
 class StoreFault(enum.Enum):
@@ -45,12 +46,15 @@
     def __init__(self) -> None:
         self.fault = StoreFault.NONE
         self.calls: list[str] = []
+        # Writes earlier answers again.
+        self.copier = AnswerCopier()
         # Feed requests for changes after an older version get 410.
         self.oldest_version = 0
         # Parts for which writes get 503.
         self.unavailable_parts: set[str] = set()
         self._era = 1
         self._version = 0
+        self._now_ms = 0
         self._tables: dict[str, dict[str, _Row]] = {}
         self._changed = asyncio.Event()
         self._server = HttpServer(self._handle, IngressLimits())
@@ -118,6 +122,9 @@
         return self._version
 
     async def _handle(self, request: ClientRequest, responder: Responder) -> None:
+        await self.copier.handle(self._answer, request, responder)
+
+    async def _answer(self, request: ClientRequest, responder: Responder) -> None:
         path, _, query = request.target.decode().partition("?")
         self.calls.append(path)
         if self.fault is StoreFault.REFUSING:
@@ -189,6 +196,8 @@
         return {**fields, "value": row.value}
 
     def _respond(self, responder: Responder, status: int, body: dict[str, Any]) -> None:
-        fields = {**body, "row_version": self._version, "now_ms": 1}
+        loop_ms = int(asyncio.get_running_loop().time() * 1000)
+        self._now_ms = max(self._now_ms + 1, loop_ms)
+        fields = {**body, "row_version": self._version, "now_ms": self._now_ms}
         headers = [self._era_header, (b"Content-Type", b"application/json")]
         responder.send(status, headers, orjson.dumps(fields))
--- a/tests/gateway/test_silent_upstream.py
+++ b/tests/gateway/test_silent_upstream.py
@@ -95,3 +95,86 @@
         assert answer.status == 200
         assert answer.complete
         assert answer.event_ids == list(range(1, EVENTS + 1))
+
+
+class TestSilenceOfTheOnlyUsableUpstream:
+    """Requests that leave a silent upstream for the same one (LOST)."""
+
+    @pytest.mark.parametrize("silence_s", [0.5, 1.0, 1.5])
+    @pytest.mark.parametrize("adapter", ["a1", ""])
+    def test_a_stream_stays_while_the_other_engine_drains(
+        self, adapter: str, silence_s: float
+    ) -> None:
+        async def scenario() -> tuple[Answer, int]:
+            deployment, loop = await _start_deployment(2)
+            await _send(deployment, "/ask/0", adapter)
+            holder, other = deployment.upstreams.values()
+            if not holder.runs:
+                holder, other = other, holder
+            deployment.store.put("servers", other.upstream_id, other.entry("draining"))
+            await asyncio.sleep(1.5)
+            before = len(holder.runs)
+            holder.event_interval_s = 0.1
+            stream = _send(deployment, "/ask/1", adapter)
+            await asyncio.sleep(0.35)
+            ip = holder.address.rpartition(":")[0]
+            loop.network.make_unreachable(ip)
+            await asyncio.sleep(silence_s)
+            loop.network.make_reachable(ip)
+            answer = await stream
+            await deployment.close()
+            return answer, len(holder.runs) - before
+
+        answer, runs = run_virtual(scenario())
+        assert answer.complete
+        assert answer.event_ids == list(range(1, EVENTS + 1))
+        assert runs == 1
+
+
+class TestSilenceOfPlainUpstreams:
+    """Idempotent requests that end with a 502 although their upstream only paused."""
+
+    def test_an_upstream_without_an_entry_that_serves_on(self) -> None:
+        async def scenario() -> int:
+            deployment, loop = await _start_deployment(3)
+            ip, headers = "10.4.0.1", {"Deadline-Remaining": str(TIME_LIMIT_MS)}
+            plain = await create_task_on_vm(ip, deployment.add_plain("p0", host=ip))
+            await asyncio.sleep(2.0)
+            await create_task_on_vm(CLIENT_IP, deployment.call("/read/0", headers=headers))
+            await asyncio.sleep(0.2)
+            # The gateway waits in the feed 1.3 s later.
+            deployment.store.put("servers", "p0", plain.entry())
+            await asyncio.sleep(1.3)
+            loop.network.make_unreachable(ip)
+            call = deployment.call("/read/1", headers=headers, timeout_s=20.0)
+            task = create_task_on_vm(CLIENT_IP, call)
+            await asyncio.sleep(0.1)
+            deployment.store.remove("servers", "p0")
+            await asyncio.sleep(1.1)
+            loop.network.make_reachable(ip)
+            answer = await task
+            await deployment.close()
+            return answer.status
+
+        assert run_virtual(scenario()) == 200
+
+    @pytest.mark.parametrize("silence_s", [1.2, 1.7, 2.4])
+    def test_the_only_upstream_of_a_service(self, silence_s: float) -> None:
+        """Guards against an exchange that is closed before a new connection is established."""
+
+        async def scenario() -> int:
+            deployment, loop = await _start_deployment(3)
+            ip, headers = "10.4.0.1", {"Deadline-Remaining": str(TIME_LIMIT_MS)}
+            await create_task_on_vm(ip, deployment.add_plain("p0", host=ip))
+            await asyncio.sleep(2.0)
+            await create_task_on_vm(CLIENT_IP, deployment.call("/read/0", headers=headers))
+            loop.network.make_unreachable(ip)
+            call = deployment.call("/read/1", headers=headers, timeout_s=20.0)
+            task = create_task_on_vm(CLIENT_IP, call)
+            await asyncio.sleep(silence_s)
+            loop.network.make_reachable(ip)
+            answer = await task
+            await deployment.close()
+            return answer.status
+
+        assert run_virtual(scenario()) == 200
