--- a/src/dragonflyhold/gateway/agent.py
+++ b/src/dragonflyhold/gateway/agent.py
@@ -64,7 +64,11 @@
 from dragonflyhold.gateway.watch import TableWatch
 from dragonflyhold.ids import ServiceName
 from dragonflyhold.observability.metrics import Metrics
-from dragonflyhold.platform.engine import EngineControl, EngineUnavailableError
+from dragonflyhold.platform.engine import (
+    EngineControl,
+    EngineTurnsAwayError,
+    EngineUnavailableError,
+)
 from dragonflyhold.platform.store import MetadataStore, StorePosition
 from dragonflyhold.popularity import Popularity
 
@@ -312,6 +316,9 @@
         self._read_at = time.monotonic()
         try:
             report = await self._engine.report()
+        except EngineTurnsAwayError:
+            # What is known of the engine stays in use until it may be asked again.
+            return
         except EngineUnavailableError as error:
             self._failed_reads += 1
             if self._report is not None and self._failed_reads >= MAX_FAILED_READS:
@@ -369,7 +376,7 @@
 
     async def _execute_plan(self, report: EngineReport) -> None:
         spec = self._catalogue.engine_spec(self._service)
-        if spec is None or not await self._fencing_token.acquire():
+        if spec is None or report.is_draining or not await self._fencing_token.acquire():
             return
         if not report.models:
             await self._load_model(report, spec)
--- a/src/dragonflyhold/gateway/dispatch.py
+++ b/src/dragonflyhold/gateway/dispatch.py
@@ -8,6 +8,7 @@
 
 from dragonflyhold.gateway.messages import AgentHeartbeat, EngineUpdate
 from dragonflyhold.gateway.model import ModelAdapter, Upstream, UpstreamId
+from dragonflyhold.gateway.send_gates import SendGates, SendState
 from dragonflyhold.gateway.upstream_index import UpstreamIndex, rank
 from dragonflyhold.gateway.upstream_view import MAX_SUSPENSION_S, MIN_SUSPENSION_S, UpstreamView
 from dragonflyhold.hashing import hash64
@@ -37,6 +38,8 @@
 # Number of upstreams, the first ones of an adapter's ranking, among which the one that loads the
 # adapter is chosen.
 MAX_LOAD_CANDIDATES = 8
+# Upstreams drawn of a larger service, among which a request without an adapter goes to the best.
+MAX_DRAWN = 32
 
 
 @final
@@ -63,8 +66,12 @@
     """No upstream can accept the request now."""
 
     known_upstreams: int
-    # Monotonic time of the next request that a limit allows, ``None`` if that is not the reason.
-    permit_at: float | None = None
+    # Monotonic time at which one of them takes a request again, ``None`` if none states it.
+    free_at: float | None = None
+    # Whether that one has turned requests away; else it has stated a limit.
+    is_turned_away: bool = False
+    # Whether upstreams of the service have stated that they leave, and no other one is left.
+    all_leave: bool = False
 
 
 Choice = SendNow | WaitFor | NoUpstream
@@ -76,6 +83,7 @@
 
     def __init__(self, data_centre: DataCentre, rng: random.Random) -> None:
         self.views: dict[UpstreamId, UpstreamView] = {}
+        self.gates = SendGates()
         self._index = UpstreamIndex()
         self._data_centre = data_centre
         self._rng = rng
@@ -88,6 +96,7 @@
             return False
         self.remove(upstream.upstream_id)
         view = UpstreamView(upstream, upstream.ip, hash64(upstream.address.encode()))
+        view.gate = self.gates.find(upstream)
         view.resident = dict(upstream.adapters)
         if has_agent:
             view.agent_awaited_until = now + AGENT_WAIT_S
@@ -179,6 +188,15 @@
         view = self.views.get(upstream_id)
         return view is not None and view.is_heartbeat_overdue(now) and self._hears_others(now)
 
+    def is_ending(self, upstream: Upstream, now: float) -> bool:
+        """Return whether an incarnation has stated, itself or to its agent, that it leaves."""
+        view = self.views.get(upstream.upstream_id)
+        return self.gates.find(upstream).state(now) is SendState.LEAVING or (
+            view is not None
+            and view.is_ending(now)
+            and view.upstream.start_time_ms == upstream.start_time_ms
+        )
+
     def _hears_others(self, now: float) -> bool:
         return any(
             view.is_linked and not view.is_heartbeat_overdue(now) for view in self.views.values()
@@ -204,17 +222,21 @@
             choice = self._choose_for_adapter(service, target, min_version, now, excluded)
             if choice is not None:
                 return choice
-        available = [
-            view
-            for view in self.of_service(service)
-            if view.upstream.upstream_id not in excluded and view.is_available(now)
-        ]
+        views = self.of_service(service)
+        if target is None and len(views) > MAX_DRAWN:
+            drawn = self._rng.sample(views, MAX_DRAWN)
+            responsive = [
+                view
+                for view in self._available(drawn, now, excluded)
+                if not view.is_heartbeat_overdue(now)
+            ]
+            if responsive:
+                return SendNow(self._least_loaded(responsive, now).upstream.upstream_id, None)
+        available = self._available(views, now, excluded)
         # If the heartbeats of all of them are overdue, this process has not read for a while.
         available = [view for view in available if not view.is_heartbeat_overdue(now)] or available
         if not available:
-            return NoUpstream(
-                self.count_of_service(service), self._next_permit_at(service, now, excluded)
-            )
+            return self._describe_lack(service, now, excluded)
         if target is None:
             return SendNow(self._least_loaded(available, now).upstream.upstream_id, None)
         holders = [view for view in available if view.resident.get(target, -1) >= min_version]
@@ -227,6 +249,15 @@
         best = _cheapest(rank(loadable, target, MAX_LOAD_CANDIDATES))
         return WaitFor(best.upstream.upstream_id)
 
+    def _available(
+        self, views: Sequence[UpstreamView], now: float, excluded: Collection[UpstreamId]
+    ) -> list[UpstreamView]:
+        return [
+            view
+            for view in views
+            if view.upstream.upstream_id not in excluded and view.is_available(now)
+        ]
+
     def choose_again(
         self,
         service: ServiceName,
@@ -244,19 +275,23 @@
         again = self.choose(service, target, min_version, now)
         return again if isinstance(again, SendNow) else choice
 
-    def _next_permit_at(
+    def _describe_lack(
         self, service: ServiceName, now: float, excluded: Collection[UpstreamId]
-    ) -> float | None:
-        return min(
-            (
-                view.no_permit_until
-                for view in self.of_service(service)
-                if view.upstream.upstream_id not in excluded
-                and view.no_permit_until > now
-                and view.is_usable(now)
-            ),
-            default=None,
+    ) -> NoUpstream:
+        """Return what is known of a service none of whose upstreams takes a request now."""
+        views = self.of_service(service)
+        times = [
+            (free_at, not view.gate.may_send(now))
+            for view in views
+            if not (view.upstream.upstream_id in excluded and view.gate.may_send(now))
+            and (free_at := view.free_at(now)) is not None
+            and free_at > now
+        ]
+        free_at, is_turned_away = min(times, default=(None, False))
+        all_leave = all(view.is_past(now) for view in views) and any(
+            view.is_ending(now) for view in views
         )
+        return NoUpstream(len(views), free_at, is_turned_away, all_leave)
 
     def _choose_for_adapter(
         self,
@@ -347,7 +382,7 @@
         self._rng.shuffle(views)
 
         def cost(view: UpstreamView) -> float:
-            load = view.load(now) / view.upstream.slots
+            load = view.load(now) / view.upstream.slots + view.gate.return_load(now)
             is_local = view.upstream.data_centre == self._data_centre
             bonus = LOCAL_BONUS_REQUESTS / view.upstream.slots if is_local else 0.0
             return load - bonus + 2.0 * view.current_failure_rate(now)
--- a/src/dragonflyhold/gateway/engines.py
+++ b/src/dragonflyhold/gateway/engines.py
@@ -100,13 +100,20 @@
 
         Its agent cannot send commands yet, or its base model is not loaded.
         """
+        now = time.monotonic()
         return any(
-            self.is_engine(view.upstream)
+            not (view.can_load and view.has_model)
             and not view.is_superseded
-            and not (view.can_load and view.has_model)
+            and not view.is_ending(now)
+            and self.is_engine(view.upstream)
             for view in self._table.of_service(service)
         )
 
+    def release_waiting(self, upstream_id: UpstreamId) -> None:
+        """Let the requests that wait for an upstream choose again."""
+        self.demands.notify_upstream_waiters(upstream_id)
+        self.starts.release(upstream_id)
+
     def ensure_link(self, upstream: Upstream) -> None:
         """Maintain a link to the agent of an engine while its VM has an upstream."""
         if not self.is_engine(upstream):
@@ -274,6 +281,14 @@
             # Either the agent or the registry does not know the newest incarnation yet.
             return
         upstream_id = view.upstream.upstream_id
+        if update.is_draining and self._table.gates.note_leaving(view.upstream):
+            self._log.failure(
+                "An upstream leaves; nothing more is sent to it.",
+                runner=upstream_id,
+                service=view.upstream.service,
+                born=view.upstream.start_time_ms,
+                stated_to="agent",
+            )
         self._table.apply_update(upstream_id, update, time.monotonic())
         for key, version in update.resident:
             if self.demands.has_waiters(key) and version >= self._required_version(key):
--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -26,6 +26,7 @@
     Upstream,
     UpstreamId,
 )
+from dragonflyhold.gateway.notices import UpstreamNotices
 from dragonflyhold.gateway.outcomes import InDoubtError, Reason, RefusedError
 from dragonflyhold.gateway.quarantine import Quarantine
 from dragonflyhold.gateway.registry import Registry
@@ -88,6 +89,9 @@
         )
         self.demands = self.agent_links.demands
         self.permits = self.agent_links.permits
+        self.notices = UpstreamNotices(
+            self.table, self.pool, self.agent_links.release_waiting, metrics.count_event
+        )
         self.server = HttpServer(
             self.handle,
             IngressLimits(),
@@ -405,7 +409,9 @@
     async def _check_crash(
         self, upstream: Upstream, traits: RequestTraits, request_info: RequestInfo
     ) -> None:
-        if await self.pool.can_connect(upstream.address):
+        if self.table.is_ending(upstream, time.monotonic()) or await self.pool.can_connect(
+            upstream.address
+        ):
             return
         self.table.suspend(upstream.upstream_id, time.monotonic())
         news = self.crashes.record_crash(crash_id(upstream), traits)
--- a/src/dragonflyhold/gateway/upstream_view.py
+++ b/src/dragonflyhold/gateway/upstream_view.py
@@ -7,6 +7,7 @@
 from dragonflyhold.gateway.link import Link
 from dragonflyhold.gateway.liveness import VmLiveness
 from dragonflyhold.gateway.model import ModelAdapter, RegistrationState, Upstream
+from dragonflyhold.gateway.send_gates import SendGate, SendState
 from dragonflyhold.ids import Version
 
 # Bounds of the suspension of an upstream after a failed connection or a crash; it doubles each
@@ -35,6 +36,8 @@
     # IP address of the VM, which ``Upstream.ip`` parses on each access.
     ip: str
     address_hash: int
+    # What this incarnation has stated about itself.
+    gate: SendGate = dataclasses.field(default_factory=SendGate)
     is_linked: bool = False
     # Whether the engine has loaded its base model, as reported by the agent.
     has_model: bool = True
@@ -120,6 +123,16 @@
 
     def accepts_work(self, now: float) -> bool:
         """Return whether the upstream is usable unless its responses have stalled."""
+        return self.gate.may_send(now) and self._is_in_service(now)
+
+    def free_at(self, now: float) -> float | None:
+        """Return when the upstream takes a request, as far as its own statements tell."""
+        gate_at = self.gate.free_at(now)
+        if gate_at is None or not self._is_in_service(now) or self.is_stalled(now):
+            return None
+        return max(gate_at, self.no_permit_until)
+
+    def _is_in_service(self, now: float) -> bool:
         return (
             self.upstream.state is RegistrationState.READY
             and self.has_model
@@ -129,6 +142,18 @@
             and (self.is_linked or now >= self.agent_awaited_until)
         )
 
+    def is_ending(self, now: float) -> bool:
+        """Return whether the incarnation has stated, itself or to its agent, that it leaves."""
+        return self.is_draining or self.gate.state(now) is SendState.LEAVING
+
+    def is_past(self, now: float) -> bool:
+        """Return whether the incarnation will take no more requests."""
+        return (
+            self.is_superseded
+            or self.upstream.state is RegistrationState.DRAINING
+            or self.is_ending(now)
+        )
+
     def is_limited(self, now: float) -> bool:
         """Return whether the upstream has stated a limit lately."""
         return self.limit_per_s is not None and now - self.limit_stated_at <= LIMIT_STALE_S
--- a/src/dragonflyhold/platform/standins/runner.py
+++ b/src/dragonflyhold/platform/standins/runner.py
@@ -4,7 +4,7 @@
 import contextlib
 import dataclasses
 import enum
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Sequence
 from typing import Any, final
 
 import orjson
@@ -84,6 +84,8 @@
         self.copier = AnswerCopier()
         # Number of next commands that are executed but get no response.
         self.lost_responses = 0
+        # Whether commands are executed; others are answered as conflicts.
+        self.is_loading_enabled = True
         self.events = 6
         self.event_interval_s = EVENT_INTERVAL_S
         # Whether streams are sent in chunks; others end with their connection.
@@ -110,6 +112,21 @@
         self.crash_times: list[float] = []
         # Requests a second that answers state as the limit, if any.
         self.limit_per_s: float | None = None
+        # Value of the header by which all answers state that this upstream leaves, if any.
+        self.leaving: bytes | None = None
+        # Values of the header by which this upstream turns requests away, if any.
+        self.turn_away: list[bytes] = []
+        # Status of these answers, and whether they state that the request did not run.
+        self.turn_away_status = 503
+        self.states_not_run = True
+        # Id of another request that answers name instead of their own, if any.
+        self.answered_id = b""
+        # Times and ids of the requests that were turned away.
+        self.turned_away: list[tuple[float, str]] = []
+        # Whether reports are answered like requests.
+        self.is_stated_in_reports = True
+        # Times at which reports were asked for.
+        self.report_times: list[float] = []
         # Times at which clients' requests arrived, also those that were refused, and their ids.
         self.arrivals: list[float] = []
         self.arrival_ids: list[str] = []
@@ -169,6 +186,8 @@
         self.start_time_ms += 1
         self.sequence = 0
         self.has_model = self.model_load_s == 0
+        self.leaving = None
+        self.turn_away = []
         self.adapters.clear()
         self.loading.clear()
         if self.model is not None:
@@ -201,18 +220,41 @@
     async def _answer(self, request: ClientRequest, responder: Responder) -> None:
         expected = request.fields.get(b"expected-instance")
         if request.target == b"/report":
+            self.report_times.append(asyncio.get_running_loop().time())
+            if self.turn_away and self.is_stated_in_reports:
+                self._turn_away(responder, [])
+                return
             is_lagging = asyncio.get_running_loop().time() < self._old_report_until
             self._send_json(responder, 200, self._old_report if is_lagging else self._report())
         elif expected is not None and expected.decode() != self.upstream_id:
             self.misdirected += 1
-            responder.send(421, [(b"Instance-Id", self.upstream_id.encode())])
+            self._send(responder, 421, [(b"Instance-Id", self.upstream_id.encode())])
         elif request.target == b"/health":
-            responder.send(200, [(b"Instance-Id", self.upstream_id.encode())])
+            self._send(responder, 200, [(b"Instance-Id", self.upstream_id.encode())])
         elif request.target == b"/order":
             self._handle_command(responder, orjson.loads(request.body))
         else:
             await self._handle_request(request, responder)
 
+    def _send(
+        self,
+        responder: Responder,
+        status: int,
+        headers: Sequence[tuple[bytes, bytes]],
+        body: bytes = b"",
+    ) -> None:
+        responder.send(status, [*headers, *self._stated_headers()], body)
+
+    def _turn_away(self, responder: Responder, headers: list[tuple[bytes, bytes]]) -> None:
+        headers.extend((b"Retry-After", value) for value in self.turn_away)
+        if self.states_not_run:
+            headers.append((b"Not-Executed", b"1"))
+        self._send(responder, self.turn_away_status, headers)
+
+    def _stated_headers(self) -> list[tuple[bytes, bytes]]:
+        """Return what all answers state now."""
+        return [] if self.leaving is None else [(b"Server-Leaving", self.leaving)]
+
     def _report(self) -> dict[str, Any]:
         return {
             "stage": "both",
@@ -232,10 +274,10 @@
             self.lost_responses -= 1
             responder.abort()
             return
-        responder.send(status, [])
+        self._send(responder, status, [])
 
     def _execute_command(self, command: dict[str, Any]) -> int:
-        if command["expected"] != self.sequence:
+        if command["expected"] != self.sequence or not self.is_loading_enabled:
             return 409
         self.sequence += 1
         if "adapter" not in command:
@@ -278,20 +320,25 @@
         request_id = fields.get(b"attempt-id", b"")
         self.arrivals.append(asyncio.get_running_loop().time())
         self.arrival_ids.append(request_id.decode())
-        id_headers = [(b"Attempt-Id", request_id)] if request_id and self.echoes_ids else []
+        answered_id = self.answered_id or request_id
+        id_headers = [(b"Attempt-Id", answered_id)] if request_id and self.echoes_ids else []
         adapter = fields.get(b"model", b"").decode().partition("/")[2]
         expected_version = fields.get(b"expected-version")
         if adapter and (
             adapter not in self.adapters
             or (expected_version is not None and int(expected_version) != self.adapters[adapter])
         ):
-            responder.send(421, id_headers)
+            self._send(responder, 421, id_headers)
+            return
+        if self.turn_away:
+            self.turned_away.append((self.arrivals[-1], request_id.decode()))
+            self._turn_away(responder, id_headers)
             return
         is_resume = b"last-event-id" in fields and bool(self.resume_faults)
         faults = self.resume_faults if is_resume else self.faults
         fault = faults.pop(0) if faults else None
         if fault is Fault.REFUSE:
-            responder.send(503, [*id_headers, (b"Not-Executed", b"1")])
+            self._send(responder, 503, [*id_headers, (b"Not-Executed", b"1")])
             return
         first = int(fields.get(b"last-event-id", b"0")) + 1
         self.runs.append(
@@ -335,12 +382,12 @@
         if fault is Fault.BREAK_BEFORE or fault is Fault.HANG:
             responder.abort()
         elif fault is Fault.FAIL:
-            responder.send(500, signed_headers, b"failed")
+            self._send(responder, 500, signed_headers, b"failed")
         elif fault is Fault.UNSIGNED:
-            responder.send(200, id_headers, b"unsigned")
+            self._send(responder, 200, id_headers, b"unsigned")
         elif b"prompt-prefix" not in request.fields:
             await asyncio.sleep(EVENT_INTERVAL_S)
-            responder.send(200, signed_headers, b"answer to " + request.target)
+            self._send(responder, 200, signed_headers, b"answer to " + request.target)
         else:
             counts = request.fields.get(b"token-count", b"").split(b",")
             if self.model is None or len(counts) != 2:
@@ -377,7 +424,7 @@
     ) -> None:
         if not self.frames_streams:
             responder._http_10 = True
-        responder.start_stream(200, headers)
+        responder.start_stream(200, [*headers, *self._stated_headers()])
         # A crashed process may just end its connections.
         responder._connection.reset_on_close(False)
         if self._is_crashing(parts):
@@ -417,10 +464,13 @@
         number = first
         async for _ in self.model.generate(prompt_tokens, last - first + 1):
             if number == first:
-                responder.start_stream(200, headers)
+                responder.start_stream(200, [*headers, *self._stated_headers()])
             await responder.write(b"id: %d\ndata: piece %d\n\n" % (number, number))
             number += 1
         responder.end_stream()
 
     def _send_json(self, responder: Responder, status: int, body: dict[str, Any]) -> None:
-        responder.send(status, [(b"Content-Type", b"application/json")], orjson.dumps(body))
+        headers = [(b"Content-Type", b"application/json")]
+        if self.is_stated_in_reports:
+            headers.extend(self._stated_headers())
+        responder.send(status, headers, orjson.dumps(body))
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -2,7 +2,10 @@
 
 import random
 
+import pytest
+
 from dragonflyhold.gateway.dispatch import (
+    MAX_DRAWN,
     NoUpstream,
     SendNow,
     UpstreamTable,
@@ -10,10 +13,12 @@
 )
 from dragonflyhold.gateway.liveness import DEFAULT_GAP_S, OVERDUE_S, UNREACHABLE_S
 from dragonflyhold.gateway.model import RegistrationState, UpstreamId
+from dragonflyhold.gateway.send_gates import RETURN_S
 from dragonflyhold.gateway.upstream_view import (
     MAX_SUSPENSION_S,
     MIN_SUSPENSION_S,
     STALL_TIMEOUT_S,
+    UpstreamView,
 )
 from dragonflyhold.ids import DataCentre, Version
 from tests.gateway.builders import SERVICE, adapter, engine_update, upstream
@@ -305,7 +310,7 @@
         table.views[UpstreamId("r1")].no_permit_until = NOW + 1.0
         assert table.choose(SERVICE, None, ANY, NOW) == SendNow(UpstreamId("r2"), None)
         table.views[UpstreamId("r2")].no_permit_until = NOW + 0.5
-        assert table.choose(SERVICE, None, ANY, NOW) == NoUpstream(2, permit_at=NOW + 0.5)
+        assert table.choose(SERVICE, None, ANY, NOW) == NoUpstream(2, free_at=NOW + 0.5)
 
     def test_a_failed_upstream_is_not_waited_for_as_a_limited_one(self) -> None:
         table = _table(1)
@@ -328,3 +333,61 @@
         for view in table.views.values():
             view.limit_per_s, view.limit_stated_at = 4.0, NOW
         assert isinstance(table.choose(SERVICE, adapter(7), ANY, NOW), WaitFor)
+
+
+class TestReturn:
+    """Guards against a herd at an upstream that takes requests again, as it is idle then."""
+
+    def test_its_share_returns_little_by_little(self) -> None:
+        table = _table(1, 2, linked=False)
+        table.views[UpstreamId("r2")].in_flight = 32
+        gate = table.views[UpstreamId("r1")].gate
+        gate.turn_away(1.0, NOW)
+        free_at = gate.free_at(NOW)
+        assert free_at is not None
+        times = [NOW, free_at, free_at + 0.3 * RETURN_S, free_at + 0.7 * RETURN_S]
+        choices = [table.choose(SERVICE, None, ANY, now) for now in times]
+        ids = [choice.upstream_id for choice in choices if isinstance(choice, SendNow)]
+        assert ids == ["r2", "r2", "r2", "r1"]
+
+    def test_the_only_upstream_is_used_at_once(self) -> None:
+        table = _table(1, linked=False)
+        gate = table.views[UpstreamId("r1")].gate
+        gate.turn_away(1.0, NOW)
+        free_at = gate.free_at(NOW)
+        assert free_at is not None
+        lack = table.choose(SERVICE, None, ANY, NOW)
+        assert lack == NoUpstream(1, free_at=free_at, is_turned_away=True)
+        assert isinstance(table.choose(SERVICE, None, ANY, free_at), SendNow)
+
+
+class TestLargeService:
+    """Guards against a choice whose cost grows with the service, or that misses what is free."""
+
+    def test_a_choice_looks_at_few_of_many_upstreams(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        looks: list[float] = []
+        is_available = UpstreamView.is_available
+        monkeypatch.setattr(
+            UpstreamView,
+            "is_available",
+            lambda view, now: looks.append(now) or is_available(view, now),
+        )
+        table = _table(*range(200), linked=False)
+        assert isinstance(table.choose(SERVICE, None, ANY, NOW), SendNow)
+        assert len(looks) <= MAX_DRAWN
+
+    def test_the_only_one_that_is_left_is_found(self) -> None:
+        table = _table(*range(200), linked=False)
+        for number in range(199):
+            table.gates.note_leaving(upstream(number))
+        for _ in range(20):
+            assert table.choose(SERVICE, None, ANY, NOW) == SendNow(UpstreamId("r199"), None)
+
+    def test_the_load_is_spread_evenly(self) -> None:
+        table = _table(*range(200), linked=False)
+        for _ in range(10 * 200):
+            choice = table.choose(SERVICE, None, ANY, NOW)
+            assert isinstance(choice, SendNow)
+            table.request_started(choice.upstream_id, NOW)
+        counts = [view.in_flight for view in table.views.values()]
+        assert max(counts) - min(counts) <= 3
