--- a/review/common/stand_ins.py
+++ b/review/common/stand_ins.py
@@ -26,8 +26,9 @@
 HOST = "site.example"
 CONTACT_S = 3.0
 DRAIN_S = 2.0
-VERSION_S = 5.0
-GRACE_S = 8.0
+HEARTBEAT_S = 1.2
+# Time without a check-in after which the store removes an entry.
+EXPIRY_S = 3 * HEARTBEAT_S
 # Bounds of a small installation, as the site sheets state them.
 BOUNDS = {
     "seed_lag_s": 3,
@@ -406,6 +407,8 @@
         adapters: dict[str, int] | None = None,
         model: str = "",
         slots: int = 8,
+        adapter_slots: int = 1000,
+        load_s: float = 0.05,
     ) -> None:
         self.runner_id = runner_id
         self.service = service
@@ -414,6 +417,12 @@
         self.adapters = dict(adapters or {})
         self.model = model
         self.slots = slots
+        self.adapter_slots = adapter_slots
+        self.load_s = load_s
+        # Adapters that are being loaded, with their versions.
+        self.coming: dict[str, int] = {}
+        # Orders to load more than there are slots for; the runner crashes at the first one.
+        self.excess_orders: list[dict[str, Any]] = []
         self.sequence = 0
         self.state = "ready"
         self.runs: list[Run] = []
@@ -458,7 +467,7 @@
 
     async def _beat(self) -> None:
         while True:
-            await asyncio.sleep(1.2)
+            await asyncio.sleep(HEARTBEAT_S)
             self.register()
 
     def end_heartbeat(self) -> None:
@@ -474,10 +483,17 @@
         return at
 
     def exit(self) -> None:
-        """End the process."""
+        """End the process; the store removes the entry after three intervals of silence."""
         self.end_heartbeat()
         self.server.stop()
         self._record.note("runner ended", runner=self.runner_id)
+        asyncio.get_running_loop().call_later(EXPIRY_S, self._expire)
+
+    def _expire(self) -> None:
+        if self._store.is_down:
+            asyncio.get_running_loop().call_later(HEARTBEAT_S, self._expire)
+        else:
+            self._store.remove("servers", self.runner_id)
 
     def _models(self) -> list[dict[str, Any]]:
         names = [f"{name}@{version}" for name, version in self.adapters.items()]
@@ -509,23 +525,37 @@
             "kv_total": 100000,
             "handles": 0,
             "state": self.state,
-            "coming": [],
+            "coming": [f"{self.model}/{name}@{of}" for name, of in self.coming.items()],
             "born": self.born,
         }
         return json.dumps(fields).encode()
 
-    def _order(self, order: dict[str, Any]) -> Reply:
+    def _order(self, order: dict[str, Any]) -> Reply | None:
         self.orders.append(order)
         self._record.note("order", runner=self.runner_id, **order)
         if order.get("expected", self.sequence) != self.sequence:
             return Reply(409)
         name = order.get("adapter")
-        self.sequence += 1
-        if order["operation"] == "load" and name:
-            self.adapters[name] = order.get("version") or self.adapters.get(name, 1)
-        elif name:
+        if not name:
+            self.sequence += 1
+            return Reply(200)
+        if order["operation"] == "unload":
+            self.sequence += 1
             self.adapters.pop(name, None)
-        return Reply(200)
+            return Reply(200)
+        occupied = {*self.adapters, *self.coming, name}
+        if len(occupied) > self.adapter_slots:
+            self.excess_orders.append(order)
+            self._record.note("more than its slots", runner=self.runner_id, adapters=len(occupied))
+            self.exit()
+            return None
+        self.sequence += 1
+        self.coming[name] = order.get("version") or self.adapters.get(name, 1)
+        asyncio.get_running_loop().call_later(self.load_s, self._end_load, name)
+        return Reply(202)
+
+    def _end_load(self, name: str) -> None:
+        self.adapters[name] = self.coming.pop(name)
 
     async def _run(self, request: Request, channel: Channel) -> Reply | None:
         request_id = request.headers.get("attempt-id", "")
@@ -776,7 +806,7 @@
         "data_directory": None,
         "discovery": "platform",
         "entry": "virtual_ip",
-        "heartbeat_ms": 1200,
+        "heartbeat_ms": round(HEARTBEAT_S * 1000),
         "bounds": BOUNDS,
         "platform": {"address": store.address, "form": "table"},
         **more,
