--- a/review/common/stand_ins.py
+++ b/review/common/stand_ins.py
@@ -319,6 +319,8 @@
         self._server: asyncio.Server | None = None
         self._channels: set[asyncio.StreamWriter] = set()
         self._silent: set[asyncio.StreamWriter] = set()
+        # Monotonic time of the last bytes on each channel.
+        self._used_at: dict[asyncio.StreamWriter, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self, target: str, host: str, port: int = 0) -> None:
@@ -329,10 +331,15 @@
         port = self._server.sockets[0].getsockname()[1]
         self.address = f"{host}:{port}"
 
-    def silence(self) -> int:
-        """Forward nothing more on the open channels, also not their ends; return their number."""
-        count = len(self._channels - self._silent)
-        self._silent |= self._channels
+    def silence(self, quiet_s: float = 0.0) -> int:
+        """Forward nothing more on the open channels, also not their ends; return their number.
+
+        With ``quiet_s``, only channels without traffic for that time are meant.
+        """
+        last = time.monotonic() - quiet_s
+        meant = {item for item in self._channels if self._used_at.get(item, 0.0) <= last}
+        count = len(meant - self._silent)
+        self._silent |= meant
         return count
 
     async def close(self) -> None:
@@ -358,6 +365,7 @@
         finally:
             self._tasks.discard(task)
             self._channels.discard(writer)
+            self._used_at.pop(writer, None)
             for item in (writer, other):
                 if item is not None:
                     item.transport.abort()
@@ -369,6 +377,7 @@
         channel: asyncio.StreamWriter,
     ) -> None:
         while data := await reader.read(65536):
+            self._used_at[channel] = time.monotonic()
             if channel not in self._silent:
                 writer.write(data)
                 await writer.drain()
