--- a/review/common/stand_ins.py
+++ b/review/common/stand_ins.py
@@ -203,7 +203,8 @@
     if headers.get("transfer-encoding") == "chunked":
         parts = []
         while True:
-            size = int((await reader.readline()).split(b";")[0], 16)
+            line = await reader.readuntil(b"\r\n")
+            size = int(line.split(b";")[0], 16)
             part = await reader.readexactly(size + 2)
             if not size:
                 return b"".join(parts)
@@ -504,6 +505,10 @@
         else:
             self._store.remove("servers", self.runner_id)
 
+    def count_running(self) -> int:
+        """Return the number of requests that run."""
+        return sum(not run.has_ended for run in self.runs)
+
     def _models(self) -> list[dict[str, Any]]:
         names = [f"{name}@{version}" for name, version in self.adapters.items()]
         return [{"name": self.model, "version": 1, "adapters": names}]
@@ -529,7 +534,7 @@
             "busy": False,
             "sequence": self.sequence,
             "waiting": 0,
-            "running": sum(not run.has_ended for run in self.runs),
+            "running": self.count_running(),
             "kv_used": 0,
             "kv_total": 100000,
             "handles": 0,
@@ -647,6 +652,12 @@
         return answer
 
 
+async def read_response(reader: asyncio.StreamReader) -> tuple[int, dict[str, str], bytes]:
+    """Read one response; raise ``IncompleteReadError`` if it isn't whole."""
+    first, headers = _parse_head(await reader.readuntil(b"\r\n\r\n"))
+    return int(first.split(" ")[1]), headers, await _read_body(reader, headers)
+
+
 async def _exchange(address: str, data: bytes, limit_s: float) -> tuple[int, dict[str, str], bytes]:
     host, _, port = address.rpartition(":")
     writer = None
@@ -654,8 +665,7 @@
         async with asyncio.timeout(limit_s):
             reader, writer = await asyncio.open_connection(host, int(port))
             writer.write(data)
-            first, headers = _parse_head(await reader.readuntil(b"\r\n\r\n"))
-            return int(first.split(" ")[1]), headers, await _read_body(reader, headers)
+            return await read_response(reader)
     except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
         return 0, {}, b""
     finally:
@@ -765,6 +775,12 @@
                 await asyncio.sleep(0.05)
         self._record.note("process is ready", name=self._name)
 
+    def change_settings(self, **changes: object) -> None:
+        """Write the settings file anew and send SIGHUP."""
+        self.settings.update(changes)
+        self._path.write_text(json.dumps(self.settings))
+        self.signal(signal.SIGHUP)
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process."""
         assert self.process is not None
