Tell who ended a connection, and keep these lines under load

The line now has 'connection' (client closed, client reset, unacknowledged, unread, server closed, response), the time since the last event and the detail, and lost responses have a reserve of their own in the bound on the volume. Counted as response_incomplete.

--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -152,7 +152,7 @@
         except RefusedError as error:
             self._refuse(responder, error, request_info, run)
         except InDoubtError as error:
-            self._fail(responder, 502, error.reason, request_info, run)
+            self._fail(responder, 502, error.reason, request_info, run, error.detail)
         except TimeoutError:
             if _is_unsent(run, responder):
                 refusal = RefusedError(Reason.TIMEOUT, RETRY_AFTER_S)
@@ -269,7 +269,7 @@
                 id=request_info.request_id,
                 reason=error.reason.value,
             )
-            self._fail(responder, 502, error.reason, request_info, run)
+            self._fail(responder, 502, error.reason, request_info, run, error.detail)
             return
         self._metrics.count_refusal(error.reason.value)
         if error.reason is Reason.NO_ROUTE:
@@ -286,13 +286,14 @@
         reason: Reason,
         request_info: RequestInfo,
         run: RequestRun | None,
+        detail: str = "",
     ) -> None:
         self._metrics.count_event(f"failed_{reason.value}")
         if not responder.is_started:
             responder.send(status, [(b"Content-Type", b"text/plain")], b"in doubt\n")
         elif not responder.is_ended:
             responder.abort()
-        self._log_end(run, request_info, f"in doubt: {reason.value}", responder)
+        self._log_end(run, request_info, f"in doubt: {reason.value}", responder, detail)
 
     def _log_end(
         self,
@@ -324,6 +325,8 @@
                 self._metrics.observe_first_token("all", progress.first_byte_s)
             if progress.dispatch_wait_s is not None:
                 self._metrics.observe_dispatch_wait(progress.dispatch_wait_s)
+            if progress.last_piece_at is not None and not responder.is_complete:
+                fields["silent_ms"] = round((time.monotonic() - progress.last_piece_at) * 1000)
             if progress.longest_pause_s is not None:
                 fields["longest_pause_ms"] = round(progress.longest_pause_s * 1000)
                 self._metrics.observe_longest_pause(progress.longest_pause_s)
@@ -334,6 +337,10 @@
         self._metrics.count_request("all", outcome.partition(" ")[0])
         if outcome == "answered":
             self.request_log.info("A request ended.", **fields)
+        elif not responder.is_complete:
+            self._metrics.count_event("response_incomplete")
+            fields["connection"] = responder.connection_end
+            self.request_log.loss("A request ended.", **fields)
         else:
             self.request_log.failure("A request ended.", **fields)
 
@@ -347,7 +354,7 @@
 
     def _log_unanswered_request(self, request: ClientRequest, detail: str) -> None:
         self._metrics.count_event("request_unanswered")
-        self.log.failure(
+        self.log.loss(
             "A connection was closed without a response to a request.",
             id=codec.request_id(request.fields),
             detail=detail,
--- a/src/dragonflyhold/gateway/http_server.py
+++ b/src/dragonflyhold/gateway/http_server.py
@@ -7,6 +7,7 @@
 import asyncio
 import collections
 import dataclasses
+import enum
 import socket
 import struct
 import time
@@ -46,6 +47,24 @@
 Handler = Callable[[ClientRequest, Responder], Awaitable[None]]
 
 
+class ConnectionEnd(enum.Enum):
+    """Who ended a client's connection, and how; values appear in logs."""
+
+    OPEN = "open"
+    # The client has shut its sending side, or closed the connection.
+    CLIENT_CLOSED = "client closed"
+    CLIENT_RESET = "client reset"
+    # The kernel gave up, as the client did not acknowledge what was sent.
+    UNACKNOWLEDGED = "unacknowledged"
+    # The client left the write buffer full for too long.
+    UNREAD = "unread"
+    IDLE = "idle"
+    # After a response, which was complete or not.
+    RESPONSE = "response"
+    # The server closed all connections.
+    SERVER_CLOSED = "server closed"
+
+
 @final
 class ServerConnection(asyncio.Protocol):
     """A client's connection."""
@@ -60,6 +79,7 @@
         self._can_write = asyncio.Event()
         self._can_write.set()
         self._must_close = False
+        self._end = ConnectionEnd.OPEN
         self._rejected = False
         self._url = b""
         self._headers: list[tuple[bytes, bytes]] = []
@@ -79,6 +99,11 @@
         """
         return self._must_close or (self._server.is_draining and not self._queue)
 
+    @property
+    def end(self) -> ConnectionEnd:
+        """Return what ended the connection first."""
+        return self._end
+
     @property
     def is_idle(self) -> bool:
         """Whether no request is open or partly received."""
@@ -98,7 +123,13 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request that is being served."""
-        del exc
+        match exc:
+            case None:
+                self._note_end(ConnectionEnd.CLIENT_CLOSED)
+            case TimeoutError():
+                self._note_end(ConnectionEnd.UNACKNOWLEDGED)
+            case _:
+                self._note_end(ConnectionEnd.CLIENT_RESET)
         self._server.connections.discard(self)
         self._clear_deadline()
         if self._must_close:
@@ -111,6 +142,7 @@
 
     def eof_received(self) -> bool | None:
         """Treat a half-closed connection as closed."""
+        self._note_end(ConnectionEnd.CLIENT_CLOSED)
         return None
 
     def data_received(self, data: bytes) -> None:
@@ -233,16 +265,18 @@
             async with asyncio.timeout(WRITE_TIMEOUT_S):
                 await self._can_write.wait()
         except TimeoutError:
-            self.abort()
+            self.abort(ConnectionEnd.UNREAD)
 
-    def close_after_response(self) -> None:
+    def close_after_response(self, end: ConnectionEnd = ConnectionEnd.RESPONSE) -> None:
         """Close the connection once the buffered bytes are written."""
+        self._note_end(end)
         self._must_close = True
         if self._transport is not None:
             self._transport.close()
 
-    def abort(self) -> None:
+    def abort(self, end: ConnectionEnd = ConnectionEnd.RESPONSE) -> None:
         """Close the connection at once and discard buffered bytes."""
+        self._note_end(end)
         self._must_close = True
         if self._transport is not None:
             self._transport.abort()
@@ -255,8 +289,7 @@
 
     def close_if_idle(self) -> None:
         """Close the connection if it has no open request."""
-        if self.is_idle:
-            self.close_after_response()
+        self._close_idle()
 
     def _start_next(self) -> None:
         if not self._queue or self._must_close:
@@ -317,7 +350,11 @@
 
     def _close_idle(self) -> None:
         if self.is_idle:
-            self.close_after_response()
+            self.close_after_response(ConnectionEnd.IDLE)
+
+    def _note_end(self, end: ConnectionEnd) -> None:
+        if self._end is ConnectionEnd.OPEN:
+            self._end = end
 
     def _set_deadline(self, delay_s: float, callback: Callable[[], None]) -> None:
         self._clear_deadline()
@@ -378,7 +415,7 @@
         """Close the listener and all connections at once."""
         self.close_listener()
         for connection in list(self.connections):
-            connection.abort()
+            connection.abort(ConnectionEnd.SERVER_CLOSED)
 
     def close_listener(self) -> None:
         """Stop accepting connections."""
--- a/src/dragonflyhold/gateway/logs.py
+++ b/src/dragonflyhold/gateway/logs.py
@@ -1,10 +1,12 @@
 """Structured logging to standard output: one JSON object per line, rate-limited, non-blocking.
 
 Lines go through ``absl.logging`` and carry the component in the field ``part``. Each component has
-a limit of lines per second, and a separate reserve for warnings, errors and failed requests.
-Suppressed lines are counted, and the count is logged before the first line of a later second.
+a limit of lines per second, a separate reserve for warnings, errors and failed requests, and
+another one for responses that a client did not get whole. Suppressed lines are counted, and the
+count is logged before the first line of a later second.
 """
 
+import enum
 import logging as std_logging
 import os
 import reprlib
@@ -17,9 +19,10 @@
 
 from dragonflyhold.gateway.clock import monotonic_now
 
-# Lines per second and component, and the reserve for failures.
+# Lines per second and component, and the reserves for failures and for lost responses.
 LINES_PER_S = 200
 FAILURE_LINES_PER_S = 100
+LOSS_LINES_PER_S = 100
 # Longer texts are cut off: they may come from any writer, and a line must fit into a pipe.
 MAX_ERROR_CHARACTERS = 300
 MAX_FIELD_CHARACTERS = 2000
@@ -123,6 +126,14 @@
     return writer
 
 
+class Importance(enum.IntEnum):
+    """Which lines are suppressed first; each may also use the limits of those below."""
+
+    REGULAR = 0
+    FAILURE = 1
+    LOSS = 2
+
+
 @final
 class JsonLogger:
     """Rate-limited logger of one component."""
@@ -133,56 +144,59 @@
         clock: Callable[[], float] = monotonic_now,
         lines_per_s: int = LINES_PER_S,
         failure_lines_per_s: int = FAILURE_LINES_PER_S,
+        loss_lines_per_s: int = LOSS_LINES_PER_S,
     ) -> None:
         self._name = name
         self._clock = clock
-        self._lines_per_s = lines_per_s
-        self._failure_lines_per_s = failure_lines_per_s
+        self._limits = (lines_per_s, failure_lines_per_s, loss_lines_per_s)
         self._second = 0
-        self._lines = 0
-        self._failure_lines = 0
+        # Lines of this second that used each limit.
+        self._lines = [0] * len(self._limits)
         self._suppressed = 0
 
     def info(self, event: str, **fields: object) -> None:
         """Log a regular decision or event."""
-        if self._try_acquire(failure=False):
+        if self._try_acquire(Importance.REGULAR):
             self._log(logging.INFO, event, fields)
 
     def failure(self, event: str, **fields: object) -> None:
         """Log a decision on a failed request; may use the reserve for failures."""
-        if self._try_acquire(failure=True):
+        if self._try_acquire(Importance.FAILURE):
+            self._log(logging.INFO, event, fields)
+
+    def loss(self, event: str, **fields: object) -> None:
+        """Log a response that its client did not get whole; may use all reserves."""
+        if self._try_acquire(Importance.LOSS):
             self._log(logging.INFO, event, fields)
 
     def warning(self, event: str, **fields: object) -> None:
         """Log an event that may need an operator's attention."""
-        if self._try_acquire(failure=True):
+        if self._try_acquire(Importance.FAILURE):
             self._log(logging.WARNING, event, fields)
 
     def error(self, event: str, **fields: object) -> None:
         """Log an error of the program or of its environment."""
-        if self._try_acquire(failure=True):
+        if self._try_acquire(Importance.FAILURE):
             self._log(logging.ERROR, event, fields)
 
     def _log(self, level: int, event: str, fields: dict[str, object]) -> None:
         message = {"part": self._name, "event": event, **fields}
         logging.get_absl_logger().log(_STD_LEVELS[level], message)
 
-    def _try_acquire(self, failure: bool) -> bool:
+    def _try_acquire(self, importance: Importance) -> bool:
         second = int(self._clock())
         if second != self._second:
             self._start_second(second)
-        if self._lines < self._lines_per_s:
-            self._lines += 1
-            return True
-        if failure and self._failure_lines < self._failure_lines_per_s:
-            self._failure_lines += 1
-            return True
+        for level in range(importance + 1):
+            if self._lines[level] < self._limits[level]:
+                self._lines[level] += 1
+                return True
         self._suppressed += 1
         return False
 
     def _start_second(self, second: int) -> None:
         suppressed, self._suppressed = self._suppressed, 0
-        self._second, self._lines, self._failure_lines = second, 0, 0
+        self._second, self._lines = second, [0] * len(self._limits)
         if suppressed:
             self._log(logging.WARNING, "Lines were left out.", {"count": suppressed})
 
--- a/src/dragonflyhold/gateway/outcomes.py
+++ b/src/dragonflyhold/gateway/outcomes.py
@@ -49,6 +49,7 @@
     def __init__(self, reason: Reason, detail: str = "") -> None:
         super().__init__(f"{reason.value} {detail}")
         self.reason = reason
+        self.detail = detail
 
 
 @final
--- a/src/dragonflyhold/gateway/responder.py
+++ b/src/dragonflyhold/gateway/responder.py
@@ -26,6 +26,10 @@
     def is_closing(self) -> bool:
         """Whether the connection closes after the current response."""
 
+    @property
+    def end(self) -> enum.Enum:
+        """Return what ended the connection, with a text as its value."""
+
     def write(self, data: bytes) -> None:
         """Write bytes unless the connection is closed."""
 
@@ -79,6 +83,16 @@
         """Whether nothing has followed since a run of the stream broke off."""
         return self._state is ResponseState.INTERRUPTED
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether a whole response was written."""
+        return self._state is ResponseState.COMPLETE
+
+    @property
+    def connection_end(self) -> str:
+        """Return what ended the client's connection."""
+        return str(self._connection.end.value)
+
     @property
     def is_ended(self) -> bool:
         """Whether nothing more may be written."""
--- a/src/dragonflyhold/platform/standins/late_copies.py
+++ b/src/dragonflyhold/platform/standins/late_copies.py
@@ -89,6 +89,10 @@
     def is_closing(self) -> bool:
         return self._connection.is_closing
 
+    @property
+    def end(self) -> enum.Enum:
+        return self._connection.end
+
     def write(self, data: bytes) -> None:
         is_first = not self.answer
         self.answer += data
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -2,11 +2,18 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 from collections.abc import AsyncIterator
 
 import pytest
 
-from dragonflyhold.gateway.http_server import ClientRequest, HttpServer, Responder
+from dragonflyhold.gateway.http_server import (
+    ClientRequest,
+    ConnectionEnd,
+    HttpServer,
+    Responder,
+)
 from dragonflyhold.gateway.model import IngressLimits
 
 LIMITS = IngressLimits(header_bytes=1024, body_bytes=2048, header_timeout_s=0.2, idle_timeout_s=0.3)
@@ -24,6 +31,7 @@
         self.may_respond = asyncio.Event()
         self.may_respond.set()
         self.failed: list[str] = []
+        self.ends: list[str] = []
         self.report_fails = False
         self.server = HttpServer(self._handle, LIMITS, on_failed=self._note_failed)
         self.port = 0
@@ -40,6 +48,7 @@
             await self.may_respond.wait()
         except asyncio.CancelledError:
             self.cancelled += 1
+            self.ends.append(responder.connection_end)
             raise
         if request.target == b"/error":
             raise RuntimeError("unexpected")
@@ -231,6 +240,44 @@
 
         assert asyncio.run(run()) == 1
 
+    @pytest.mark.parametrize(
+        ("how", "end"),
+        [
+            ("close", ConnectionEnd.CLIENT_CLOSED),
+            ("shut down sending", ConnectionEnd.CLIENT_CLOSED),
+            ("reset", ConnectionEnd.CLIENT_RESET),
+            ("server", ConnectionEnd.SERVER_CLOSED),
+        ],
+    )
+    def test_who_ended_the_connection_is_known(self, how: str, end: ConnectionEnd) -> None:
+        """Guards against a lost response whose log line doesn't tell who closed the connection."""
+
+        async def run() -> list[str]:
+            async with _running_server() as harness, asyncio.timeout(5):
+                harness.may_respond.clear()
+                _, writer = await asyncio.open_connection("127.0.0.1", harness.port)
+                writer.write(POST + b"\r\n")
+                while not harness.requests:
+                    await asyncio.sleep(0.01)
+                match how:
+                    case "close":
+                        writer.close()
+                    case "shut down sending":
+                        writer.write_eof()
+                    case "reset":
+                        sock = writer.get_extra_info("socket")
+                        linger = struct.pack("ii", 1, 0)
+                        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                        writer.transport.abort()
+                    case "server":
+                        harness.server.abort()
+                while not harness.ends:
+                    await asyncio.sleep(0.01)
+                writer.transport.abort()
+                return harness.ends
+
+        assert asyncio.run(run()) == [end.value]
+
 
 class TestFailedHandlers:
     """Guards against a request that is read and then gets neither an answer nor a log line."""
--- a/tests/gateway/test_logs.py
+++ b/tests/gateway/test_logs.py
@@ -70,6 +70,27 @@
         assert [item["id"] for item in refused] == [0, 1, 2, 3, 4]
 
 
+class TestLostResponses:
+    """Guards against a response that a client did not get whole and of which no line is left."""
+
+    def test_they_are_dropped_last(self, recorder: _Recorder) -> None:
+        logger = JsonLogger("request", _Clock(), 10, failure_lines_per_s=5, loss_lines_per_s=3)
+        for _ in range(100):
+            logger.info("Answered.")
+            logger.failure("Refused.")
+        for number in range(9):
+            logger.loss("Broken off.", id=number)
+        lost = [item for item in recorder.messages if item["event"] == "Broken off."]
+        assert [item["id"] for item in lost] == [0, 1, 2]
+        assert len(recorder.messages) == 18
+
+    def test_they_use_the_other_reserves_first(self, recorder: _Recorder) -> None:
+        logger = JsonLogger("request", _Clock(), 10, failure_lines_per_s=5, loss_lines_per_s=3)
+        for number in range(30):
+            logger.loss("Broken off.", id=number)
+        assert len(recorder.messages) == 18
+
+
 class TestBlockedPipe:
     """Logging neither blocks nor fails because of the reader of standard output."""
 
--- a/tests/gateway/test_responder.py
+++ b/tests/gateway/test_responder.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from dragonflyhold.gateway.http_server import ConnectionEnd
 from dragonflyhold.gateway.outcomes import Reason, RefusedError
 from dragonflyhold.gateway.request import RequestRun
 from dragonflyhold.gateway.responder import Responder, ResponseStateError
@@ -15,6 +16,7 @@
     """Records what is written and how the connection ends."""
 
     is_closing = False
+    end = ConnectionEnd.OPEN
 
     def __init__(self) -> None:
         self.written = b""
