Leave a silent upstream only for one that has accepted the request

Callers saw streams of sound upstreams cut in the middle, and 502 for whole requests of idempotent routes: an upstream paused for a second or two, the gateway closed its exchange as soon as another one seemed to take requests, was refused there four times within 20 ms as all were full, and had nothing left. Class of fault: a decision that can't be taken back is taken before its replacement is certain.

Now the request is sent to a successor beside the open exchange. It moves once the successor's response has begun, and the old exchange is closed in the same step; if the successor refuses, fails or says nothing, or the first upstream goes on earlier, the client sees nothing of it. Attempts at successors are paid from the retry budget, count towards max_attempts once sent, and follow each other after pauses that double.

--- a/src/dragonflyhold/gateway/attempt.py
+++ b/src/dragonflyhold/gateway/attempt.py
@@ -1,6 +1,11 @@
-"""One attempt: sends a request to an upstream and relays its response."""
+"""One attempt: sends a request to an upstream and relays its response.
 
-import contextlib
+A request leaves an upstream that is silent only for one that has accepted it. Until then the old
+exchange stays open beside the attempt at the other upstream, its successor, and goes on if it is
+the first to send something or if the successor is refused.
+"""
+
+import asyncio
 import dataclasses
 import time
 from collections.abc import Awaitable, Callable
@@ -75,11 +80,27 @@
         return not self.responder.is_started or self.events.can_resume
 
 
+class _SupersededError(Exception):
+    """Another upstream has accepted the request."""
+
+    def __init__(self, successor: "Attempt") -> None:
+        super().__init__()
+        self.successor = successor
+
+
 @final
 class Attempt:
     """Sends one request to the chosen upstream."""
 
-    def __init__(self, gateway: "Gateway", context: RequestContext, choice: SendNow) -> None:
+    def __init__(
+        self,
+        gateway: "Gateway",
+        context: RequestContext,
+        choice: SendNow,
+        is_successor: bool = False,
+    ) -> None:
+        # Whether the upstream may have received a byte of the request.
+        self.is_sent = False
         self._gateway = gateway
         self._context = context
         self._request_info = context.request_info
@@ -87,7 +108,13 @@
         self._choice = choice
         self._view = gateway.table.views[choice.upstream_id]
         self._upstream = self._view.upstream
+        self._address = self._upstream.address
         self._sent_at = 0.0
+        # Whether another attempt goes on until this one is accepted.
+        self._is_successor = is_successor
+        self._is_counted = False
+        self._exchange: Exchange | None = None
+        self._head: Head | None = None
         # Whether what the answer states about its upstream has been applied.
         self._has_noted = False
 
@@ -96,24 +123,88 @@
         """Return the incarnation that the request is sent to."""
         return self._upstream
 
-    async def run(self) -> Outcome:
+    @property
+    def choice(self) -> SendNow:
+        """Return the choice of the upstream."""
+        return self._choice
+
+    async def run(self) -> "Outcome | Superseded":
         """Send the request, once it may start, and relay the response."""
-        target = self._request_info.target
-        self._gateway.note_started(self._choice.upstream_id, target)
+        outcome = await self._open()
+        return outcome if outcome is not None else await self.finish()
+
+    async def accept(self) -> Outcome | None:
+        """Send the request as a successor; return ``None`` once its upstream has accepted it.
+
+        The head of a response that can be relayed shows that. Any other outcome closes the attempt.
+        """
+        outcome = await self._open()
+        if outcome is not None:
+            assert not isinstance(outcome, Superseded)
+            return outcome
+        exchange, head = self._exchange, self._head
+        assert exchange is not None
+        assert head is not None
+        use = decide_use(head, self._context.route.is_stream, self._responder.is_started)
+        if use in (AnswerUse.RELAY_EVENTS, AnswerUse.FORWARD_WHOLE):
+            return None
+        try:
+            if use in (AnswerUse.TRY_NEXT, AnswerUse.FORWARD_REJECTION):
+                return await self._handle_refusal(exchange, head, AnswerUse.TRY_NEXT)
+            self._log_discarded(head)
+            self._gateway.note_outcome(self._choice.upstream_id, failed=True)
+            return MayHaveRun(Reason.UPSTREAM_FAILED)
+        finally:
+            self.close()
+
+    async def finish(self) -> "Outcome | Superseded":
+        """Relay the response whose head has been read."""
+        self._is_successor = False
+        assert self._exchange is not None
+        assert self._head is not None
         try:
-            is_delayed = await self._wait_for_start()
-            now = time.monotonic()
-            if is_delayed and self._gateway.table.is_silent(self._choice.upstream_id, now):
-                # No grant came: the VM may have frozen during the wait.
-                return NotRun(Reason.SILENT, reached_upstream=False)
-            if self._gateway.quarantine.is_refused(self._context.traits):
-                return NotRun(Reason.SUSPECT, reached_upstream=False)
-            if self._context.deadline - now < MIN_ATTEMPT_S:
-                # The process may have been paused since the upstream was chosen.
-                return NotRun(Reason.TIMEOUT, reached_upstream=False)
-            return await self._send()
+            return await self._handle_response(self._exchange, self._head)
+        except _SupersededError as error:
+            return Superseded(error.successor)
         finally:
-            self._gateway.note_ended(self._choice.upstream_id, target)
+            self.close()
+
+    def close(self) -> None:
+        """End the exchange, if there is one; may be called again."""
+        if self._exchange is not None:
+            exchange, self._exchange = self._exchange, None
+            # An answer also counts if its client has left.
+            self._note_stated(exchange)
+            self._gateway.pool.release(self._address, exchange)
+        if self._is_counted:
+            self._is_counted = False
+            self._gateway.note_ended(self._choice.upstream_id, self._request_info.target)
+
+    async def _open(self) -> "Outcome | Superseded | None":
+        """Send the request and read the head; return an outcome if there is none."""
+        self._gateway.note_started(self._choice.upstream_id, self._request_info.target)
+        self._is_counted = True
+        try:
+            outcome = await self._start()
+        except BaseException:
+            self.close()
+            raise
+        if outcome is not None:
+            self.close()
+        return outcome
+
+    async def _start(self) -> "Outcome | Superseded | None":
+        is_delayed = await self._wait_for_start()
+        now = time.monotonic()
+        if is_delayed and self._gateway.table.is_silent(self._choice.upstream_id, now):
+            # No grant came: the VM may have frozen during the wait.
+            return NotRun(Reason.SILENT, reached_upstream=False)
+        if self._gateway.quarantine.is_refused(self._context.traits):
+            return NotRun(Reason.SUSPECT, reached_upstream=False)
+        if self._context.deadline - now < MIN_ATTEMPT_S:
+            # The process may have been paused since the upstream was chosen.
+            return NotRun(Reason.TIMEOUT, reached_upstream=False)
+        return await self._send()
 
     async def _wait_for_start(self) -> bool:
         """Wait for the engine's turn; return whether that delayed the request.
@@ -121,7 +212,7 @@
         The adapter counts as used meanwhile.
         """
         context = self._context
-        if self._request_info.target is None or context.progress.attempts:
+        if self._request_info.target is None or context.progress.attempts or self._is_successor:
             return False
         delay_s = await self._gateway.agent_links.starts.wait(
             self._view, context.route, self._request_info, context.target_at
@@ -129,14 +220,13 @@
         context.progress.paced_s += delay_s
         return delay_s > 0
 
-    async def _send(self) -> Outcome:
+    async def _send(self) -> "Outcome | Superseded | None":
         choice, view = self._choice, self._view
         started = self._sent_at = time.monotonic()
         if not self._may_send():
             return NotRun(Reason.WITHDRAWN, reached_upstream=False)
         self._context.progress.upstream = choice.upstream_id
         self._context.progress.note_sent(started)
-        exchange: Exchange | None = None
         self._gateway.request_log.info(
             "A request was sent.",
             id=self._request_info.request_id,
@@ -146,33 +236,31 @@
             version=choice.version,
             software=self._upstream.software,
             resume_after=self._context.events.last_id if self._responder.is_started else None,
+            is_successor=self._is_successor,
         )
         try:
-            try:
-                exchange = await self._gateway.pool.send(
-                    view.upstream.address,
-                    self._build_call(),
-                    self._may_send,
-                )
-                head = await self._read_head(exchange)
-                self._note_stated(exchange)
-                if head.status == 200:
-                    elapsed = time.monotonic() - started
-                    self._gateway.table.note_first_byte(choice.upstream_id, elapsed)
-                    self._gateway.agent_links.starts.note_read(
-                        choice.upstream_id, self._request_info.prompt_tokens, elapsed
-                    )
-            except ExchangeError as error:
-                return self._handle_exchange_error(error)
-            except SendWithdrawnError:
-                return NotRun(Reason.WITHDRAWN, reached_upstream=False)
-            self._gateway.note_limit(view, head, started)
-            return await self._handle_response(exchange, head)
-        finally:
-            if exchange is not None:
-                # An answer also counts if its client has left.
-                self._note_stated(exchange)
-                self._gateway.pool.release(view.upstream.address, exchange)
+            self._address = view.upstream.address
+            exchange = self._exchange = await self._gateway.pool.send(
+                self._address, self._build_call(), self._may_send
+            )
+            self._is_sent = True
+            head = self._head = await self._read_head(exchange)
+        except ExchangeError as error:
+            return self._handle_exchange_error(error)
+        except SendWithdrawnError:
+            return NotRun(Reason.WITHDRAWN, reached_upstream=False)
+        except _SupersededError as error:
+            return Superseded(error.successor)
+        self._note_stated(exchange)
+        if head.status == 200:
+            elapsed = time.monotonic() - started
+            self._gateway.table.note_first_byte(choice.upstream_id, elapsed)
+            self._gateway.agent_links.starts.note_read(
+                choice.upstream_id, self._request_info.prompt_tokens, elapsed
+            )
+        self._gateway.note_limit(view, head, started)
+        self._gateway.note_load(choice.upstream_id, head)
+        return None
 
     def _may_send(self) -> bool:
         """Return whether the chosen incarnation still takes the request."""
@@ -230,10 +318,10 @@
         silence_s: float,
         progress_at: float | None = None,
     ) -> Read:
-        """Read from the upstream; raise ``ExchangeError`` to fail over if it is silent.
+        """Read from the upstream; raise ``_SupersededError`` if a successor goes on instead.
 
-        The request stays at a silent upstream until another one can start it at once, since the
-        silent one may go on. A request that cannot fail over waits until its deadline.
+        A request that cannot be sent to another upstream waits until its deadline. A successor that
+        is silent itself is given up for the next one with ``ExchangeError``.
         """
         silent_at = (time.monotonic() if progress_at is None else progress_at) + silence_s
         while True:
@@ -245,27 +333,127 @@
                     result = await read()
             except TimeoutError:
                 now = time.monotonic()
-                is_unreachable = self._gateway.table.is_unreachable(self._choice.upstream_id, now)
-                if (is_unreachable or now >= silent_at) and self._can_fail_over(now):
-                    detail = "VM is unreachable" if is_unreachable else "silence"
-                    raise ExchangeError(FailureReason.TIMEOUT, True, detail) from None
-                if now < silent_at or not self._is_only_request(now):
+                if now < silent_at and not self._is_unreachable(now):
+                    continue
+                if self._is_successor:
+                    if self._may_repeat(now) and self._choose_successor(now) is not None:
+                        detail = "a successor is silent"
+                        raise ExchangeError(FailureReason.TIMEOUT, True, detail) from None
                     continue
-                found = await self._read_after_probe(read)
+                successor = await self._find_successor(now)
+                if successor is None:
+                    continue
+                found = await self._read_beside(read, successor)
                 if found is None:
                     continue
                 result = found
             self._gateway.table.note_received(self._choice.upstream_id, time.monotonic())
             return result
 
-    def _can_fail_over(self, now: float) -> bool:
-        """Return whether the request may be repeated and an upstream can start it now.
+    async def _read_beside(
+        self, read: Callable[[], Awaitable[Read]], successor: "Attempt"
+    ) -> Read | None:
+        """Return what arrives while a successor is opened, ``None`` if that is not accepted.
+
+        Raises ``_SupersededError`` once the successor is accepted, and ``ExchangeError`` if this
+        exchange fails and the successor is not accepted either.
+        """
+        progress = self._context.progress
+        reading = asyncio.ensure_future(read())
+        opening: asyncio.Task[Outcome | None] | None = None
+        is_accepted = False
+        try:
+            # What has arrived meanwhile comes first.
+            await asyncio.wait({reading}, timeout=0.0)
+            if reading.done():
+                return reading.result()
+            opening = asyncio.get_running_loop().create_task(successor.accept())
+            await asyncio.wait({reading, opening}, return_when=asyncio.FIRST_COMPLETED)
+            if reading.done() and reading.exception() is None:
+                return reading.result()
+            if not opening.done():
+                # This exchange has failed, and only the successor is left.
+                await asyncio.wait({opening})
+            outcome = opening.result()
+            if outcome is not None:
+                self._note_successor_failed(successor, outcome)
+                return reading.result() if reading.done() else None
+            is_accepted = True
+            self._log_superseded(successor)
+            raise _SupersededError(successor)
+        finally:
+            _discard(reading)
+            if not is_accepted:
+                if opening is not None and not opening.done():
+                    # It may run by now, even though nothing of it is used.
+                    progress.attempts += successor.is_sent
+                    opening.cancel()
+                successor.close()
+                progress.upstream = self._choice.upstream_id
+
+    def _note_successor_failed(self, successor: "Attempt", outcome: Outcome) -> None:
+        progress = self._context.progress
+        progress.tried.add(successor.choice.upstream_id)
+        match outcome:
+            case NotRun():
+                progress.refusals += 1
+            case MayHaveRun(reason):
+                progress.attempts += 1
+                if reason is Reason.BROKEN:
+                    self._gateway.check_crash(
+                        successor.upstream, self._context.traits, self._request_info
+                    )
+        self._gateway.request_log.failure(
+            "No other upstream has accepted a request from a silent one yet.",
+            id=self._request_info.request_id,
+            runner=self._choice.upstream_id,
+            successor=successor.choice.upstream_id,
+            outcome=type(outcome).__name__,
+            attempts=progress.attempts,
+        )
+
+    def _log_superseded(self, successor: "Attempt") -> None:
+        self._gateway.note_outcome(self._choice.upstream_id, failed=True)
+        self._gateway.request_log.failure(
+            "Another upstream has accepted a request from a silent one.",
+            id=self._request_info.request_id,
+            runner=self._choice.upstream_id,
+            successor=successor.choice.upstream_id,
+            is_unreachable=self._is_unreachable(time.monotonic()),
+        )
+
+    def _is_unreachable(self, now: float) -> bool:
+        return self._gateway.table.is_unreachable(self._choice.upstream_id, now)
+
+    async def _find_successor(self, now: float) -> "Attempt | None":
+        """Return an attempt at an upstream that seems to take the request now, if there is one.
+
+        It is paid from the retry budget, and the next one waits for a time that doubles.
+        """
+        progress = self._context.progress
+        if now < progress.successor_at or not self._may_repeat(now):
+            return None
+        choice = self._choose_successor(now)
+        if (
+            choice is None
+            and self._is_only_request(now)
+            and await self._gateway.pool.can_connect(self._upstream.address)
+        ):
+            # Only the connection may be silent, so that a new one to the same upstream helps.
+            choice = SendNow(self._choice.upstream_id, self._choice.version)
+        if choice is None or not self._gateway.budget.try_spend(self._context.service):
+            return None
+        progress.note_successor(time.monotonic())
+        return Attempt(self._gateway, self._context, choice, is_successor=True)
+
+    def _choose_successor(self, now: float) -> SendNow | None:
+        """Choose another upstream that seems to take the request now.
 
         If all others have to load the adapter first, one of them is asked to do so.
         """
         context, target = self._context, self._request_info.target
-        if not self._may_repeat(now):
-            return False
+        if not self._is_origin_sure():
+            return None
         tried = {*context.progress.tried, self._upstream.upstream_id}
         min_version = self._gateway.required_version(target)
         choice = self._gateway.table.choose_again(
@@ -273,7 +461,20 @@
         )
         if isinstance(choice, WaitFor) and target is not None:
             self._gateway.request_load(choice.upstream_id, target)
-        return isinstance(choice, SendNow) and self._can_start_at(choice, now)
+        if isinstance(choice, SendNow) and self._can_start_at(choice, now):
+            return choice
+        return None
+
+    def _is_origin_sure(self) -> bool:
+        """Return whether it is known which incarnation began the stream, if any has."""
+        progress = self._context.progress
+        if progress.origin is None or progress.unsure_since is None:
+            return True
+        incarnation = progress.origin.incarnation
+        if not self._gateway.table.has_run_since(incarnation, progress.unsure_since):
+            return False
+        progress.unsure_since = None
+        return True
 
     def _may_repeat(self, now: float) -> bool:
         context = self._context
@@ -282,6 +483,7 @@
             and context.progress.attempts + 1 < context.route.max_attempts
             and context.deadline - now >= MIN_ATTEMPT_S
             and self._gateway.budget.has_room(context.service)
+            and not self._gateway.quarantine.is_refused(context.traits)
         )
 
     def _can_start_at(self, choice: SendNow, now: float) -> bool:
@@ -307,21 +509,8 @@
             and (target is None or target in view.resident)
         )
 
-    async def _read_after_probe(self, read: Callable[[], Awaitable[Read]]) -> Read | None:
-        """Try a new connection; return what has arrived on the old one meanwhile.
-
-        Raises ``ExchangeError`` if only the old one is silent; returns ``None`` if both are.
-        """
-        if not await self._gateway.pool.can_connect(self._upstream.address):
-            return None
-        with contextlib.suppress(TimeoutError):
-            async with limit_time(0.0):
-                return await read()
-        raise ExchangeError(FailureReason.TIMEOUT, True, "silent connection")
-
     async def _handle_response(self, exchange: Exchange, head: Head) -> Outcome:
         choice = self._choice
-        self._gateway.note_load(choice.upstream_id, head)
         use = decide_use(head, self._context.route.is_stream, self._responder.is_started)
         if use in (AnswerUse.TRY_NEXT, AnswerUse.FORWARD_REJECTION):
             return await self._handle_refusal(exchange, head, use)
@@ -506,3 +695,19 @@
             )
         self._gateway.note_outcome(choice.upstream_id, failed=False)
         return Answered(head.status)
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Superseded:
+    """Another upstream accepted the request; the successor relays its response."""
+
+    successor: Attempt
+
+
+def _discard(reading: asyncio.Future[Read]) -> None:
+    """Cancel a read, or mark its error as seen."""
+    if not reading.done():
+        reading.cancel()
+    elif not reading.cancelled():
+        reading.exception()
--- a/src/dragonflyhold/gateway/progress.py
+++ b/src/dragonflyhold/gateway/progress.py
@@ -14,6 +14,8 @@
 FIRST_SILENCE_RATIO = 6.0
 PAUSE_SILENCE_S = 1.0
 PAUSE_SILENCE_RATIO = 4.0
+# Pause between two attempts at successors of a silent upstream; it doubles each time.
+SUCCESSOR_PAUSE_S = 0.25
 # Upper bound of the time per prompt token; the slowest engine type takes 26 microseconds.
 PREFILL_S_PER_TOKEN = 0.00004
 
@@ -47,6 +49,15 @@
     # Upstreams on which an attempt failed or that refused the request.
     tried: set[UpstreamId] = dataclasses.field(default_factory=set)
 
+    # Monotonic time before which no further successor is tried, and the pause after the next one.
+    successor_at: float = -1e9
+    successor_pause_s: float = SUCCESSOR_PAUSE_S
+
+    def note_successor(self, now: float) -> None:
+        """Record that the request is sent to a successor of its silent upstream."""
+        self.successor_at = now + self.successor_pause_s
+        self.successor_pause_s *= 2
+
     def note_sent(self, now: float) -> None:
         """Record that the request is sent to an upstream."""
         if self.dispatch_wait_s is None:
--- a/src/dragonflyhold/gateway/request.py
+++ b/src/dragonflyhold/gateway/request.py
@@ -6,7 +6,13 @@
 import time
 from typing import TYPE_CHECKING, final
 
-from dragonflyhold.gateway.attempt import CHECK_PERIOD_S, MIN_ATTEMPT_S, Attempt, RequestContext
+from dragonflyhold.gateway.attempt import (
+    CHECK_PERIOD_S,
+    MIN_ATTEMPT_S,
+    Attempt,
+    RequestContext,
+    Superseded,
+)
 from dragonflyhold.gateway.crash_evidence import compute_traits
 from dragonflyhold.gateway.dispatch import NoUpstream, SendNow, WaitFor
 from dragonflyhold.gateway.events import EventSplitter
@@ -110,6 +116,11 @@
             choice = await self._choose_or_wait()
             attempt = Attempt(self._gateway, self._context, choice)
             outcome = await attempt.run()
+            while isinstance(outcome, Superseded):
+                self._note_superseded(attempt.choice, outcome.successor.choice)
+                attempt = outcome.successor
+                outcome = await attempt.finish()
+            choice = attempt.choice
             match outcome:
                 case Answered():
                     self._gateway.note_answered(traits)
@@ -296,12 +307,23 @@
             raise self._terminal_error(Reason.RETRY_BUDGET)
         self._gateway.count_retry(reason)
 
-    def _handle_failed_attempt(self, choice: SendNow, outcome: MayHaveRun) -> None:
+    def _note_superseded(self, left: SendNow, successor: SendNow) -> None:
+        """Count an attempt whose upstream was silent as failed."""
         self.progress.attempts += 1
-        self.progress.tried.add(choice.upstream_id)
+        self.progress.tried.add(left.upstream_id)
+        self.progress.upstream = successor.upstream_id
+        self._set_retry_limit()
+        self._gateway.count_retry(Reason.SILENT)
+
+    def _set_retry_limit(self) -> None:
         self._retry_until = min(
             time.monotonic() + CLIENT_PATIENCE_S, self._deadline - MIN_ATTEMPT_S
         )
+
+    def _handle_failed_attempt(self, choice: SendNow, outcome: MayHaveRun) -> None:
+        self.progress.attempts += 1
+        self.progress.tried.add(choice.upstream_id)
+        self._set_retry_limit()
         may_retry = (
             self._context.can_repeat
             and self.progress.attempts < self._route.max_attempts
