Let a broken-off request wait between refusals instead of ending it

Callers saw a stream whose upstream had broken cut for good within milliseconds: the fourth refusal by busy upstreams ended the request, although it may have run, so that its client could not be refused, and although the client would have waited for another two seconds.

The limit of four refusals is one for requests that have not run; those get 503 at once. Others are sent again after pauses that double, for as long as their client waits, within the retry budget.

--- a/src/dragonflyhold/gateway/request.py
+++ b/src/dragonflyhold/gateway/request.py
@@ -40,8 +40,10 @@
 NO_UPSTREAM_WAIT_SHARE = 0.12
 # Interval between checks for an available upstream while there is none.
 NO_UPSTREAM_POLL_S = 0.02
-# Refusals by upstreams after which the gateway gives up a request.
+# Refusals by upstreams after which the gateway refuses a request that has not run.
 MAX_REFUSALS = 4
+# Time after a refusal of a request that may have run before it is sent again; it doubles each time.
+REFUSAL_PAUSE_S = 0.05
 # Share of its remaining time for which the retry of a refused client waits for its adapter.
 CLIENT_RETRY_WAIT_SHARE = 0.25
 # A client that has been trying for longer than this share of the target latency is retrying after
@@ -84,6 +86,7 @@
         self._deadline = request.received + limit
         # Monotonic time until which a request that may have run can wait for another upstream.
         self._retry_until = self._deadline
+        self._refusal_pause_s = REFUSAL_PAUSE_S
         self._utility = gateway.estimate_utility(route, request_info)
         age = gateway.client_ages.estimate(route.name, request_info.time_left_s, route.timeout_s)
         self._is_client_retry = age > CLIENT_RETRY_AGE_SHARE * route.target_latency_s
@@ -126,7 +129,7 @@
                     self._gateway.note_answered(traits)
                     return
                 case NotRun(reason, reached_upstream):
-                    self._handle_refusal(choice, reason, reached_upstream)
+                    await self._handle_refusal(choice, reason, reached_upstream)
                 case MayHaveRun():
                     if outcome.reason is Reason.BROKEN:
                         self._gateway.check_crash(attempt.upstream, traits, self._request_info)
@@ -295,18 +298,29 @@
 
     # Outcomes of attempts
 
-    def _handle_refusal(self, choice: SendNow, reason: Reason, reached_upstream: bool) -> None:
+    async def _handle_refusal(
+        self, choice: SendNow, reason: Reason, reached_upstream: bool
+    ) -> None:
         if reason is Reason.WITHDRAWN:
             self._gateway.count_retry(reason)
             return
         self.progress.refusals += 1
         self.progress.tried.add(choice.upstream_id)
-        if self.progress.refusals >= MAX_REFUSALS:
+        if self.progress.attempts or self._responder.is_started:
+            await self._pause_after_refusal(reason)
+        elif self.progress.refusals >= MAX_REFUSALS:
             raise self._terminal_error(reason)
         if reached_upstream and not self._gateway.budget.try_spend(self._service):
             raise self._terminal_error(Reason.RETRY_BUDGET)
         self._gateway.count_retry(reason)
 
+    async def _pause_after_refusal(self, reason: Reason) -> None:
+        """Wait before a request that may have run is sent again, as its client can't be refused."""
+        pause_s, self._refusal_pause_s = self._refusal_pause_s, 2 * self._refusal_pause_s
+        if time.monotonic() + pause_s >= self._retry_until:
+            raise self._terminal_error(reason)
+        await asyncio.sleep(pause_s)
+
     def _note_superseded(self, left: SendNow, successor: SendNow) -> None:
         """Count an attempt whose upstream was silent as failed."""
         self.progress.attempts += 1
--- a/tests/gateway/test_successors.py
+++ b/tests/gateway/test_successors.py
@@ -204,3 +204,23 @@
             return running
 
         assert run_virtual(scenario()) == [0, 0]
+
+
+class TestRefusalsAfterABreak:
+    """Guards against streams that are cut by a few refusals within milliseconds."""
+
+    def test_a_stream_waits_until_an_upstream_takes_it(self) -> None:
+        async def scenario() -> Answer:
+            deployment = await _start_deployment("/ask/1")
+            for upstream in deployment.upstreams.values():
+                upstream.faults = [Fault.BREAK_MIDWAY]
+                upstream.resume_faults = [Fault.REFUSE] * 4
+            request = _call(deployment, "/ask/1")
+            await asyncio.sleep(0.02)
+            for upstream in deployment.upstreams.values():
+                upstream.faults = []
+            answer = await request
+            await deployment.close()
+            return answer
+
+        _assert_whole(_play(scenario))
