--- a/tests/gateway/test_reasons.py
+++ b/tests/gateway/test_reasons.py
@@ -23,12 +23,14 @@
 
     is_started = False
     is_ended = False
+    is_complete = False
+    connection_end = "open"
     status = 0
 
     def send(self, status: int, headers: object, body: bytes = b"") -> None:
         del headers, body
         self.status = status
-        self.is_started = self.is_ended = True
+        self.is_started = self.is_ended = self.is_complete = True
 
 
 @pytest.fixture(name="lines")
