Log the time limit of responses that a client did not get whole

Whether a client left at its time limit or before it could not be told from the line of a lost response if the line of its admission had been left out, as under load. The line now has limit_ms, and sent_ms, the time since the request was last sent to an upstream.

--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -340,6 +340,11 @@
         elif not responder.is_complete:
             self._metrics.count_event("response_incomplete")
             fields["connection"] = responder.connection_end
+            if run is not None:
+                progress = run.progress
+                fields["limit_ms"] = round((run.deadline - progress.received_at) * 1000)
+                if progress.last_sent_at is not None:
+                    fields["sent_ms"] = round((time.monotonic() - progress.last_sent_at) * 1000)
             self.request_log.loss("A request ended.", **fields)
         else:
             self.request_log.failure("A request ended.", **fields)
--- a/src/dragonflyhold/gateway/progress.py
+++ b/src/dragonflyhold/gateway/progress.py
@@ -37,6 +37,8 @@
     # Longest time between two pieces of the response, including a change of upstream.
     longest_pause_s: float | None = None
     last_piece_at: float | None = None
+    # Time at which the request was last sent to an upstream.
+    last_sent_at: float | None = None
     upstream: UpstreamId | None = None
     # What began the stream, ``None`` before its first event.
     origin: StreamOrigin | None = None
@@ -49,6 +51,7 @@
 
     def note_sent(self, now: float) -> None:
         """Record that the request is sent to an upstream."""
+        self.last_sent_at = now
         if self.dispatch_wait_s is None:
             self.dispatch_wait_s = max(0.0, now - self.received_at - self.waited_s - self.paced_s)
 
