--- a/src/dragonflyhold/bench/virtual_network.py
+++ b/src/dragonflyhold/bench/virtual_network.py
@@ -138,7 +138,8 @@
         self.loop = loop
         self.listeners: dict[Address, Callable[[], asyncio.Protocol]] = {}
         self._unreachable: set[str] = set()
-        self._transports: set[_VirtualTransport] = set()
+        # Ordered, so that deliveries come in the same order in each run.
+        self._transports: dict[_VirtualTransport, None] = {}
         self._next_port = FIRST_EPHEMERAL_PORT
 
     def listen(
@@ -168,7 +169,7 @@
         )
         client.peer, server.peer = server, client
         client.protocol, server.protocol = protocol_factory(), server_factory()
-        self._transports |= {client, server}
+        self._transports |= {client: None, server: None}
         server.protocol.connection_made(server)
         client.protocol.connection_made(client)
         return client, client.protocol
@@ -181,7 +182,7 @@
         """Deliver held-back data and let new data pass."""
         self._unreachable.discard(vm_ip)
         self._transports = {
-            transport for transport in self._transports if not transport.is_closing()
+            transport: None for transport in self._transports if not transport.is_closing()
         }
         for transport in list(self._transports):
             self.loop.call_soon(transport.deliver)
--- a/src/dragonflyhold/platform/standins/runner.py
+++ b/src/dragonflyhold/platform/standins/runner.py
@@ -13,17 +13,21 @@
 from dragonflyhold.gateway.model import Address, IngressLimits
 from dragonflyhold.platform.standins.engine_model import EngineModel
 from dragonflyhold.platform.standins.late_copies import AnswerCopier
+from dragonflyhold.platform.standins.pauses import Pause, RunTimeline
 
 LOAD_TIME_S = 0.03
 EVENT_INTERVAL_S = 0.005
 # Interval between the bytes of a response that trickles.
 TRICKLE_INTERVAL_S = 0.1
+# Time after which a request that was accepted is refused late.
+LATE_REFUSAL_S = 0.3
 
 
 class Fault(enum.Enum):
     """Fault that affects one request."""
 
     REFUSE = "refuse"
+    REFUSE_LATE = "refuse after some time in the queue"
     BREAK_BEFORE = "break before the answer"
     BREAK_MIDWAY = "break midway, inside an event"
     FAIL = "fail with a status of its own"
@@ -97,6 +101,17 @@
         # Whether streams are sent in chunks; others end with their connection.
         self.frames_streams = True
         self.runs: list[dict[str, Any]] = []
+        # Requests that were accepted, in the order of ``runs``.
+        self.timelines: list[RunTimeline] = []
+        # Requests that run at the same time; more are refused as full. ``None`` has no bound.
+        self.batch: int | None = None
+        self.pauses: list[Pause] = []
+        # Called when a run begins.
+        self.on_run_begun: Callable[[RunTimeline], None] = lambda timeline: None
+        # Requests that arrived while this upstream stood still, until it looked at them.
+        self.unread: list[RunTimeline] = []
+        # Times and ids of all requests but commands and reads of the state.
+        self.received: list[tuple[float, str]] = []
         self.commands: list[dict[str, Any]] = []
         self.max_slots_used = 0
         # Load time of the base model after a restart; 0 keeps it loaded.
@@ -151,6 +166,39 @@
         """Return the number of crashes."""
         return len(self.crash_times)
 
+    @property
+    def active_timelines(self) -> list[RunTimeline]:
+        """Return the runs that go on, the newest last."""
+        return [timeline for timeline in self.timelines if timeline.is_active]
+
+    @property
+    def is_full(self) -> bool:
+        """Whether all places of the batch are taken, or other callers take each that gets free."""
+        is_preempting = any(pause.is_open and not pause.is_of_all for pause in self.pauses)
+        return is_preempting or (
+            self.batch is not None and len(self.active_timelines) >= self.batch
+        )
+
+    def preempt(self, count: int) -> Pause:
+        """Let the newest runs stand still until the pause is finished.
+
+        Meanwhile other callers take each place that gets free, so that requests are refused.
+        """
+        pause = Pause(asyncio.get_running_loop().time())
+        for timeline in self.active_timelines[-count:]:
+            timeline.pauses.append(pause)
+        self.pauses.append(pause)
+        return pause
+
+    def stand_still(self, *, is_inside_event: bool = False) -> Pause:
+        """Let all runs stand still and answer nothing until the pause is finished."""
+        now = asyncio.get_running_loop().time()
+        pause = Pause(now, is_inside_event=is_inside_event, is_of_all=True)
+        for timeline in self.active_timelines:
+            timeline.pauses.append(pause)
+        self.pauses.append(pause)
+        return pause
+
     @property
     def address(self) -> Address:
         """Return the listener's address."""
@@ -232,6 +280,12 @@
             self.held.append(request.target)
         while self.is_frozen:
             await asyncio.sleep(TRICKLE_INTERVAL_S)
+        if request.target not in (b"/report", b"/health", b"/order"):
+            request_id = request.fields.get(b"attempt-id", b"").decode()
+            self.received.append((asyncio.get_running_loop().time(), request_id))
+            await self._wait_unread(request_id)
+        while (pause := self._open_standstill()) is not None:
+            await pause.wait()
         expected = request.fields.get(b"expected-instance")
         if request.target == b"/report":
             self.report_times.append(asyncio.get_running_loop().time())
@@ -250,6 +304,22 @@
         else:
             await self._handle_request(request, responder)
 
+    async def _wait_unread(self, request_id: str) -> None:
+        """Wait while the upstream stands still, and record the request as unread meanwhile."""
+        if self._open_standstill() is None:
+            return
+        loop = asyncio.get_running_loop()
+        timeline = RunTimeline(request_id, loop.time(), is_faulty=False)
+        self.unread.append(timeline)
+        try:
+            while (pause := self._open_standstill()) is not None:
+                await pause.wait()
+        finally:
+            timeline.ended_at = loop.time()
+
+    def _open_standstill(self) -> Pause | None:
+        return next((pause for pause in self.pauses if pause.is_open and pause.is_of_all), None)
+
     def _send(
         self,
         responder: Responder,
@@ -275,12 +345,19 @@
             "models": self._models(),
             "busy": self._is_loading_model,
             "sequence": self.sequence,
-            "running": self.model.running if self.model else sum(self.active_requests.values()),
+            "running": self._count_running(),
             "waiting": self.model.waiting if self.model else 0,
             "coming": [f"base/{name}@{version}" for name, version in self.loading.items()],
             "born": self.start_time_ms,
         }
 
+    def _count_running(self) -> int:
+        if self.model is not None:
+            return self.model.running
+        if self.batch is not None and self.is_full:
+            return self.batch
+        return sum(self.active_requests.values())
+
     def _handle_command(self, responder: Responder, command: dict[str, Any]) -> None:
         self.commands.append(command)
         status = self._execute_command(command)
@@ -351,7 +428,7 @@
         is_resume = b"last-event-id" in fields and bool(self.resume_faults)
         faults = self.resume_faults if is_resume else self.faults
         fault = faults.pop(0) if faults else None
-        if fault is Fault.REFUSE:
+        if fault is Fault.REFUSE or self.is_full:
             self._send(responder, 503, [*id_headers, (b"Not-Executed", b"1")])
             return
         first = int(fields.get(b"last-event-id", b"0")) + 1
@@ -366,11 +443,17 @@
                 "target": request.target,
             }
         )
+        timeline = RunTimeline(
+            request_id.decode(), asyncio.get_running_loop().time(), fault is not None
+        )
+        self.timelines.append(timeline)
         self.active_requests[adapter] = self.active_requests.get(adapter, 0) + 1
         try:
-            await self._respond(request, responder, id_headers, first, fault)
+            await self._respond(request, responder, id_headers, first, fault, timeline)
+            timeline.is_whole = responder.is_complete
         finally:
             self.active_requests[adapter] -= 1
+            timeline.ended_at = asyncio.get_running_loop().time()
 
     async def _respond(
         self,
@@ -379,6 +462,7 @@
         id_headers: list[tuple[bytes, bytes]],
         first: int,
         fault: Fault | RawAnswer | None,
+        timeline: RunTimeline,
     ) -> None:
         signed_headers = [
             *id_headers,
@@ -386,6 +470,9 @@
         ]
         if self.limit_per_s is not None:
             signed_headers.append((b"Server-Limit", b"%.1f" % self.limit_per_s))
+        is_plain = b"prompt-prefix" not in request.fields
+        if is_plain or fault in (Fault.BREAK_BEFORE, Fault.FAIL, Fault.UNSIGNED):
+            self._note_begun(timeline, has_head=False)
         if isinstance(fault, RawAnswer):
             await self._send_raw(responder, fault, request.fields.get(b"attempt-id", b""))
             return
@@ -393,20 +480,24 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(5.0):
                     await asyncio.Event().wait()
-        if fault is Fault.BREAK_BEFORE or fault is Fault.HANG:
+        if fault is Fault.REFUSE_LATE:
+            await asyncio.sleep(LATE_REFUSAL_S)
+            self._send(responder, 503, [*id_headers, (b"Not-Executed", b"1")])
+        elif fault is Fault.BREAK_BEFORE or fault is Fault.HANG:
             responder.abort()
         elif fault is Fault.FAIL:
             self._send(responder, 500, signed_headers, b"failed")
         elif fault is Fault.UNSIGNED:
             self._send(responder, 200, id_headers, b"unsigned")
-        elif b"prompt-prefix" not in request.fields:
+        elif is_plain:
             await asyncio.sleep(self.answer_s)
+            await timeline.wait()
             self._send(responder, 200, signed_headers, b"answer to " + request.target)
         else:
             counts = request.fields.get(b"token-count", b"").split(b",")
             if self.model is None or len(counts) != 2:
                 parts = request.fields[b"prompt-prefix"]
-                await self._stream(responder, signed_headers, first, fault, parts)
+                await self._stream(responder, signed_headers, first, fault, parts, timeline)
             else:
                 prompt, output = map(int, counts)
                 await self._generate(responder, signed_headers, first, prompt, output)
@@ -435,7 +526,10 @@
         first: int,
         fault: Fault | RawAnswer | None,
         parts: bytes,
+        timeline: RunTimeline,
     ) -> None:
+        await timeline.wait()
+        self._note_begun(timeline, has_head=True)
         if not self.frames_streams:
             responder._http_10 = True
         responder.start_stream(200, [*headers, *self._stated_headers()])
@@ -459,9 +553,21 @@
                 await responder.write(b"x")
                 await asyncio.sleep(TRICKLE_INTERVAL_S)
             text = self.software.encode() if self.names_software else b"piece"
-            await responder.write(b"id: %d\ndata: %s %d\n\n" % (number, text, number))
+            event = b"id: %d\ndata: %s %d\n\n" % (number, text, number)
+            pause = timeline.open_pause
+            if pause is not None and pause.is_inside_event:
+                await responder.write(event[: len(event) // 2])
+                event = event[len(event) // 2 :]
+            await timeline.wait()
+            await responder.write(event)
         responder.end_stream()
 
+    def _note_begun(self, timeline: RunTimeline, *, has_head: bool) -> None:
+        is_first = timeline.begun_at is None
+        timeline.note_begun(has_head=has_head)
+        if is_first:
+            self.on_run_begun(timeline)
+
     def _is_crashing(self, parts: bytes) -> bool:
         ids = {part.partition(":")[0] for part in parts.decode("latin-1").split(",")}
         return not ids.isdisjoint(self.crashing_parts)
--- a/src/dragonflyhold/platform/standins/site.py
+++ b/src/dragonflyhold/platform/standins/site.py
@@ -109,15 +109,22 @@
             service["engine"].update(slots=batch, adapter_slots=adapter_slots)
 
 
-class _FixedSettings:
-    """Replaces the settings file by fixed settings."""
+class _SettingsInMemory:
+    """Replaces the settings file by settings that ``change`` replaces for the next reload."""
 
     def __init__(self, current: DaemonSettings) -> None:
         self.current = current
+        self._next = current
+
+    def change(self, **fields: object) -> None:
+        """Replace fields of the settings, as an edit of the file does."""
+        self._next = dataclasses.replace(self._next, **fields)  # type: ignore[arg-type]
 
     def reload_if_changed(self, force: bool = False) -> bool:
         del force
-        return False
+        has_changed = self.current != self._next
+        self.current = self._next
+        return has_changed
 
 
 @dataclasses.dataclass
@@ -185,7 +192,7 @@
         """Start the agent of an engine."""
         upstream = self.upstreams[upstream_id]
         host = upstream.address.rpartition(":")[0]
-        agent = AgentDaemon(_FixedSettings(self._settings(host, engine=upstream.address)))  # type: ignore[arg-type]
+        agent = AgentDaemon(_SettingsInMemory(self._settings(host, engine=upstream.address)))  # type: ignore[arg-type]
         await agent.start()
         self.agents[upstream_id] = agent
 
@@ -209,11 +216,18 @@
         settings = dataclasses.replace(
             self._settings(host, client_listener=listener), is_first_start=is_first_start
         )
-        gateway = GatewayDaemon(_FixedSettings(settings))  # type: ignore[arg-type]
+        gateway = GatewayDaemon(_SettingsInMemory(settings))  # type: ignore[arg-type]
         await gateway.start()
         self.gateways.append(gateway)
         return gateway
 
+    def reload_settings(self, gateway: GatewayDaemon, **fields: object) -> None:
+        """Change fields of a gateway's settings, and let it reload them as after SIGHUP."""
+        settings = gateway._settings_file
+        assert isinstance(settings, _SettingsInMemory)
+        settings.change(**fields)
+        gateway._reload(force=True)
+
     async def restart_vms(self) -> None:
         """Restart all gateways and agents, with nothing in memory; one gateway comes back."""
         gateways, self.gateways = self.gateways, []
--- a/tests/gateway/soak.py
+++ b/tests/gateway/soak.py
@@ -6,6 +6,7 @@
 import math
 import random
 from collections.abc import Awaitable, Callable, Sequence
+from typing import Any
 
 from dragonflyhold.bench.virtual_network import create_task_on_vm
 from dragonflyhold.bench.virtual_time import VirtualLoop
@@ -48,6 +49,9 @@
     engines = 3
     plain = 2
     run_s = 24.0
+    request_gap_s = REQUEST_GAP_S
+    # Range of the time between two faults.
+    fault_gap_s = (0.3, 1.5)
     # Messages that a gateway misses for some time.
     lost_messages: tuple[type, ...] = ()
 
@@ -79,7 +83,7 @@
         """Start the deployment, send requests beside faults, and end with a calm time."""
         deployment, loop = self.deployment, asyncio.get_running_loop()
         await create_task_on_vm(STORE_IP, deployment.store.start())
-        deployment.store.put("op", "config", configuration())
+        deployment.store.put("op", "config", self._initial_configuration())
         for number in range(self.engines):
             ip = f"10.2.0.{number + 1}"
             await create_task_on_vm(ip, deployment.add_engine(f"e{number}", host=ip))
@@ -94,7 +98,7 @@
         faults = loop.create_task(self._inject_faults(end - CALM_S))
         while loop.time() < end:
             self._tasks.add(create_task_on_vm(CLIENT_IP, self._send()))
-            await asyncio.sleep(REQUEST_GAP_S)
+            await asyncio.sleep(self.request_gap_s)
         await faults
         await asyncio.gather(*self._tasks)
         await deployment.close()
@@ -108,6 +112,9 @@
             and not overlaps(self.cut[gateway], start, at)
         )
 
+    def _initial_configuration(self) -> dict[str, Any]:
+        return configuration()
+
     def _fault_kinds(self) -> Sequence[Fault]:
         """Return the faults to draw from; each gets the time at which faults end."""
         raise NotImplementedError
@@ -146,7 +153,7 @@
         kinds = self._fault_kinds()
         tasks = []
         while loop.time() < end - 1.0:
-            await asyncio.sleep(self._rng.uniform(0.3, 1.5))
+            await asyncio.sleep(self._rng.uniform(*self.fault_gap_s))
             kind = self._rng.choice(kinds)
             self.faults.append(f"{loop.time():.2f} {kind.__name__}")
             tasks.append(loop.create_task(kind(end)))  # type: ignore[arg-type]
