Answer the requests before a rejected one

A malformed or oversized request that came while another one was served closed the connection after that response: whole, valid requests that waited before it got neither an answer nor a refusal, and the rejected one got no status. A whole request that asks for an upgrade met the same end behind another one.

The rejection now waits until all requests before it are answered, and then closes the connection. A request with an upgrade is answered without it and with 'Connection: close', as one that comes alone. 15 tests of TestRejectionsBehindRequests failed before (one response instead of two to five); all 49 of the file pass.

--- a/src/dragonflyhold/gateway/http_server.py
+++ b/src/dragonflyhold/gateway/http_server.py
@@ -80,7 +80,10 @@
         self._can_write.set()
         self._must_close = False
         self._end = ConnectionEnd.OPEN
-        self._rejected = False
+        # Whether no more requests are read.
+        self._input_ended = False
+        # Status and detail of a rejection that waits for the responses before it.
+        self._rejection: tuple[int, str] | None = None
         self._url = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._head_bytes = 0
@@ -95,9 +98,10 @@
     def is_closing(self) -> bool:
         """Whether the connection closes after the current response.
 
-        A draining server first answers the requests that it has read behind it.
+        A draining server first answers or rejects the requests that it has read behind it.
         """
-        return self._must_close or (self._server.is_draining and not self._queue)
+        is_last = not self._queue and self._rejection is None
+        return self._must_close or (self._server.is_draining and is_last)
 
     @property
     def end(self) -> ConnectionEnd:
@@ -147,7 +151,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; reject malformed or oversized requests."""
-        if self._rejected or (self._must_close and self._task is None):
+        if self._input_ended or (self._must_close and self._task is None):
             return
         if not self._headers_done:
             # The parser reports no position, so each read counts in full until the head ends.
@@ -156,7 +160,8 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            self._reject(400, "upgrade is not supported")
+            # The request is answered without an upgrade, and what follows can't be read.
+            self._input_ended = True
         except httptools.HttpParserError as error:
             self._reject(400, str(error))
         if not self._headers_done and self._head_bytes > self._server.limits.header_bytes:
@@ -215,7 +220,7 @@
             self._reject(413, "body is too large")
         elif fields.get(b"expect", b"").lower() == b"100-continue" and self._task is None:
             self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        if self._task is None and not self._rejected:
+        if self._task is None and not self._input_ended:
             self._set_deadline(BODY_TIMEOUT_S, self._request_timeout)
 
     def on_body(self, data: bytes) -> None:
@@ -223,13 +228,13 @@
         self._body_bytes += len(data)
         if self._body_bytes > self._server.limits.body_bytes:
             self._reject(413, "body is too large")
-        elif not self._rejected:
+        elif not self._input_ended:
             self._body.append(data)
 
     def on_message_complete(self) -> None:
         """Queue a complete request; pause reading if the pipeline is full."""
         self._in_message = False
-        if self._rejected:
+        if self._input_ended:
             return
         fields = {name.lower(): value for name, value in self._headers}
         request = ClientRequest(
@@ -241,7 +246,8 @@
             received=time.monotonic(),
         )
         http_10 = self._parser.get_http_version() == "1.0"
-        self._queue.append((request, self._parser.should_keep_alive(), http_10))
+        keep_alive = self._parser.should_keep_alive() and not self._parser.should_upgrade()
+        self._queue.append((request, keep_alive, http_10))
         self._body = []
         self._headers_done = False
         self._clear_deadline()
@@ -318,6 +324,8 @@
         if self._queue:
             self._transport.resume_reading()
             self._start_next()
+        elif self._rejection is not None:
+            self._send_rejection(*self._rejection)
         else:
             self._set_deadline(self._server.limits.idle_timeout_s, self._close_idle)
 
@@ -333,17 +341,22 @@
             self._server.log.error("A failure could not be reported.", error=describe(error))
 
     def _reject(self, status: int, detail: str) -> None:
-        """Reject a request before it reaches the handler, and close the connection."""
-        if self._rejected:
+        """Reject a request before it reaches the handler, and close the connection.
+
+        The requests before it are answered first.
+        """
+        if self._input_ended:
             return
-        self._rejected = True
+        self._input_ended = True
         self._server.on_rejected(status, detail)
-        if self._task is None and not self._queue:
-            body = detail.encode()
-            responder = Responder(self, False, False)
-            responder.send(status, [(b"Content-Type", b"text/plain")], body)
+        if self._task is None:
+            self._send_rejection(status, detail)
         else:
-            self._must_close = True
+            self._rejection = status, detail
+
+    def _send_rejection(self, status: int, detail: str) -> None:
+        responder = Responder(self, False, False)
+        responder.send(status, [(b"Content-Type", b"text/plain")], detail.encode())
 
     def _request_timeout(self) -> None:
         self._reject(408, "the request was not complete in time")
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import re
 import socket
 import struct
 from collections.abc import AsyncIterator
@@ -19,7 +20,9 @@
 LIMITS = IngressLimits(header_bytes=1024, body_bytes=2048, header_timeout_s=0.2, idle_timeout_s=0.3)
 
 
+GET = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 POST = b"POST / HTTP/1.1\r\nHost: a\r\n"
+UPGRADE = b"GET / HTTP/1.1\r\nHost: a\r\nConnection: upgrade\r\nUpgrade: h2c\r\n\r\n"
 
 
 class _ServerHarness:
@@ -96,6 +99,22 @@
             connection.abort()
 
 
+@contextlib.asynccontextmanager
+async def _connected(
+    harness: _ServerHarness,
+) -> AsyncIterator[tuple[asyncio.StreamReader, asyncio.StreamWriter]]:
+    reader, writer = await asyncio.open_connection("127.0.0.1", harness.port)
+    try:
+        async with asyncio.timeout(5):
+            yield reader, writer
+    finally:
+        writer.transport.abort()
+
+
+def _statuses(response: bytes) -> list[int]:
+    return [int(status) for status in re.findall(rb"HTTP/1\.1 (\d+) ", response)]
+
+
 async def _exchange(data: bytes) -> tuple[bytes, list[ClientRequest]]:
     async with _running_server() as harness:
         async with asyncio.timeout(5):
@@ -366,3 +385,56 @@
         response = asyncio.run(run())
         assert response.count(b"HTTP/1.1 200 ") == 3
         assert response.count(b"Connection: close") == 1
+
+
+async def _send_behind(harness: _ServerHarness, data: bytes) -> bytes:
+    """Send bytes while a request before them is served; return all that comes back."""
+    async with _connected(harness) as (reader, writer):
+        harness.may_respond.clear()
+        writer.write(GET)
+        while not harness.requests:
+            await asyncio.sleep(0.01)
+        writer.write(data)
+        await asyncio.sleep(0.05)
+        harness.may_respond.set()
+        return await reader.read()
+
+
+async def _exchange_behind(data: bytes) -> bytes:
+    async with _running_server() as harness:
+        return await _send_behind(harness, data)
+
+
+class TestRejectionsBehindRequests:
+    """Guards against whole requests that get nothing since what follows them is rejected."""
+
+    @pytest.mark.parametrize(
+        ("rejected", "status"),
+        [
+            (b"no request at all\r\n\r\n", 400),
+            (b"GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", 400),
+            (POST + b"Content-Length: 9999\r\n\r\n", 413),
+            (b"GET / HTTP/1.1\r\nHost: a\r\nX: %s\r\n\r\n" % (b"x" * 2000), 431),
+        ],
+    )
+    @pytest.mark.parametrize("waiting", [0, 1, 3])
+    def test_the_rejection_comes_after_the_answers(
+        self, waiting: int, rejected: bytes, status: int
+    ) -> None:
+        response = asyncio.run(_exchange_behind(waiting * GET + rejected))
+        assert _statuses(response) == [200] * (1 + waiting) + [status]
+        assert response.count(b"Connection: close") == 1
+
+    def test_it_does_so_in_a_draining_server(self) -> None:
+        async def scenario() -> bytes:
+            async with _running_server() as harness:
+                harness.server.is_draining = True
+                return await _send_behind(harness, GET + b"no request at all\r\n\r\n")
+
+        assert _statuses(asyncio.run(scenario())) == [200, 200, 400]
+
+    @pytest.mark.parametrize("waiting", [0, 2])
+    def test_a_waiting_upgrade_request_is_answered_without_upgrade(self, waiting: int) -> None:
+        response = asyncio.run(_exchange_behind(waiting * GET + UPGRADE))
+        assert _statuses(response) == [200] * (2 + waiting)
+        assert response.count(b"Connection: close") == 1
