Time out a request that was read in part behind another one

When a part of a request came while another one was served, no timeout was armed for it afterwards: the idle timer found a part and never came again. The connection and its client hung without a limit, and a planned stop waited for it until the grace period was over. A client that waited for '100 Continue' before its body never got it.

The header or body timeout now starts when the response before it ends, and the interim response is sent then. Four tests of TestPartsBehindRequests failed before; the two in which the request is completed later passed. All 55 of the file pass.

--- a/src/dragonflyhold/gateway/http_server.py
+++ b/src/dragonflyhold/gateway/http_server.py
@@ -89,6 +89,8 @@
         self._head_bytes = 0
         self._headers_done = False
         self._in_message = False
+        # Whether the client waits for an interim response before it sends the body.
+        self._expects_continue = False
         self._body: list[bytes] = []
         self._body_bytes = 0
         # Bytes received since the end of the head or the last byte of the body.
@@ -189,10 +191,11 @@
         self._headers = []
         self._headers_done = False
         self._in_message = True
+        self._expects_continue = False
         self._body = []
         self._body_bytes = 0
         if self._task is None:
-            self._set_deadline(self._server.limits.header_timeout_s, self._request_timeout)
+            self._await_rest()
 
     def on_url(self, url: bytes) -> None:
         """Collect a part of the request target."""
@@ -218,10 +221,10 @@
             self._reject(400, "exactly one Host header is required")
         elif int(length) > limits.body_bytes:
             self._reject(413, "body is too large")
-        elif fields.get(b"expect", b"").lower() == b"100-continue" and self._task is None:
-            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        else:
+            self._expects_continue = fields.get(b"expect", b"").lower() == b"100-continue"
         if self._task is None and not self._input_ended:
-            self._set_deadline(BODY_TIMEOUT_S, self._request_timeout)
+            self._await_rest()
 
     def on_body(self, data: bytes) -> None:
         """Collect a part of the body."""
@@ -304,6 +307,15 @@
         responder = Responder(self, keep_alive, http_10)
         self._task = asyncio.get_running_loop().create_task(self._serve(request, responder))
 
+    def _await_rest(self) -> None:
+        """Limit the time for the rest of a request, the next one to be served."""
+        if not self._headers_done:
+            self._set_deadline(self._server.limits.header_timeout_s, self._request_timeout)
+            return
+        if self._expects_continue and not self._body_bytes:
+            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        self._set_deadline(BODY_TIMEOUT_S, self._request_timeout)
+
     async def _serve(self, request: ClientRequest, responder: Responder) -> None:
         detail = ""
         try:
@@ -326,6 +338,8 @@
             self._start_next()
         elif self._rejection is not None:
             self._send_rejection(*self._rejection)
+        elif self._in_message and not self._input_ended:
+            self._await_rest()
         else:
             self._set_deadline(self._server.limits.idle_timeout_s, self._close_idle)
 
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from dragonflyhold.gateway import http_server
 from dragonflyhold.gateway.http_server import (
     ClientRequest,
     ConnectionEnd,
@@ -438,3 +439,61 @@
         response = asyncio.run(_exchange_behind(waiting * GET + UPGRADE))
         assert _statuses(response) == [200] * (2 + waiting)
         assert response.count(b"Connection: close") == 1
+
+
+class TestPartsBehindRequests:
+    """Guards against a request that is read in part while another is served, and then forgotten."""
+
+    @pytest.mark.parametrize(
+        "part", [b"GET / HTTP/1.1\r\nHos", POST + b"Content-Length: 3\r\n\r\na"]
+    )
+    def test_a_request_that_stays_incomplete_gets_408(
+        self, part: bytes, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(http_server, "BODY_TIMEOUT_S", LIMITS.header_timeout_s)
+        response = asyncio.run(_exchange_behind(part))
+        assert _statuses(response) == [200, 408]
+
+    def test_a_draining_server_does_not_wait_for_it_without_limit(self) -> None:
+        async def scenario() -> None:
+            async with _running_server() as harness, _connected(harness) as (reader, writer):
+                writer.write(GET + b"GET / HTTP/1.1\r\nHos")
+                await reader.readuntil(b"empty")
+                harness.server.is_draining = True
+                while harness.server.open_requests:
+                    await asyncio.sleep(0.01)
+
+        asyncio.run(scenario())
+
+    def test_a_client_that_waits_to_send_its_body_is_told_to_go_on(self) -> None:
+        async def scenario() -> bytes:
+            async with _running_server() as harness, _connected(harness) as (reader, writer):
+                harness.may_respond.clear()
+                writer.write(GET)
+                while not harness.requests:
+                    await asyncio.sleep(0.01)
+                writer.write(POST + b"Expect: 100-continue\r\nContent-Length: 1\r\n\r\n")
+                await asyncio.sleep(0.05)
+                harness.may_respond.set()
+                response = await reader.readuntil(b"100 Continue\r\n\r\n")
+                writer.write(b"1")
+                return response + await reader.read()
+
+        assert _statuses(asyncio.run(scenario())) == [200, 100, 200]
+
+    @pytest.mark.parametrize("part", [b"GET / HTT", POST + b"Content-Length: 3\r\n\r\na"])
+    def test_a_request_that_is_completed_later_is_answered(self, part: bytes) -> None:
+        rest = b"bc" if part.startswith(b"POST") else b"P/1.1\r\nHost: a\r\n\r\n"
+
+        async def scenario() -> bytes:
+            async with _running_server() as harness, _connected(harness) as (reader, writer):
+                harness.may_respond.clear()
+                writer.write(GET + part)
+                while not harness.requests:
+                    await asyncio.sleep(0.01)
+                harness.may_respond.set()
+                response = await reader.readuntil(b"empty")
+                writer.write(rest)
+                return response + await reader.read()
+
+        assert _statuses(asyncio.run(scenario())) == [200, 200]
