Don't count a head or an earlier body as chunk extensions

A read that ended inside a request's head and body, with no byte of the body yet, was counted in full as chunk extensions: a head of more than 32 KiB in a configuration that allows it, or a request behind another one's body, was rejected with 413 though both were within all limits.

Only reads without the end of a head and without a byte of a body count now.

--- a/src/dragonflyhold/gateway/http_server.py
+++ b/src/dragonflyhold/gateway/http_server.py
@@ -93,8 +93,9 @@
         self._expects_continue = False
         self._body: list[bytes] = []
         self._body_bytes = 0
-        # Bytes received since the end of the head or the last byte of the body.
+        # Bytes received in reads without the end of a head or a byte of the body.
         self._framing_bytes = 0
+        self._has_progressed = False
 
     @property
     def is_closing(self) -> bool:
@@ -158,7 +159,7 @@
         if not self._headers_done:
             # The parser reports no position, so each read counts in full until the head ends.
             self._head_bytes += len(data)
-        body_bytes = self._body_bytes
+        self._has_progressed = False
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -168,7 +169,7 @@
             self._reject(400, str(error))
         if not self._headers_done and self._head_bytes > self._server.limits.header_bytes:
             self._reject(431, "header section is too large")
-        if self._headers_done and self._body_bytes == body_bytes:
+        if self._headers_done and not self._has_progressed:
             self._framing_bytes += len(data)
             if self._framing_bytes > MAX_FRAMING_BYTES:
                 self._reject(413, "chunk extensions or trailers are too large")
@@ -209,6 +210,7 @@
     def on_headers_complete(self) -> None:
         """Check the head before the body is read."""
         self._headers_done = True
+        self._has_progressed = True
         self._head_bytes = 0
         size = sum(len(name) + len(value) + 4 for name, value in self._headers) + len(self._url)
         limits = self._server.limits
@@ -228,6 +230,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Collect a part of the body."""
+        self._has_progressed = True
         self._body_bytes += len(data)
         if self._body_bytes > self._server.limits.body_bytes:
             self._reject(413, "body is too large")
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import re
 import socket
 import struct
@@ -497,3 +498,62 @@
                 return response + await reader.read()
 
         assert _statuses(asyncio.run(scenario())) == [200, 200]
+
+
+class TestSplitRequests:
+    """Guards against requests that are misread where the network has split them."""
+
+    REQUESTS = (
+        POST + b"Transfer-Encoding: chunked\r\n\r\n3;x=y\r\nabc\r\n1\r\nd\r\n0\r\nT: u\r\n\r\n",
+        GET,
+        POST + b"Content-Length: 3\r\n\r\nabc",
+        POST + b"Expect: 100-continue\r\nContent-Length: 1\r\n\r\n1",
+        b"HEAD / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
+    )
+
+    def test_requests_that_are_split_at_any_byte_are_answered(self) -> None:
+        data = b"".join(self.REQUESTS)
+
+        async def scenario() -> list[list[int]]:
+            async with _running_server() as harness:
+                return [
+                    await self._send_split(harness, data, position)
+                    for position in range(1, len(data))
+                ]
+
+        for statuses in asyncio.run(scenario()):
+            assert [status for status in statuses if status != 100] == [200] * len(self.REQUESTS)
+
+    async def _send_split(self, harness: _ServerHarness, data: bytes, position: int) -> list[int]:
+        async with _connected(harness) as (reader, writer):
+            writer.write(data[:position])
+            await asyncio.sleep(0.002)
+            writer.write(data[position:])
+            return _statuses(await reader.read())
+
+    @pytest.mark.parametrize(
+        "before",
+        [
+            POST + b"Content-Length: 40000\r\n\r\n" + 40_000 * b"x",
+            POST + b"X: %s\r\n" % (40_000 * b"x"),
+        ],
+    )
+    def test_what_comes_before_a_body_does_not_count_as_chunk_extensions(
+        self, before: bytes
+    ) -> None:
+        """Guards against a 413 for requests within all limits."""
+        head = b"Content-Length: 1\r\n\r\n"
+        if before.endswith(b"xx"):
+            head = POST + head
+
+        async def scenario() -> bytes:
+            async with _running_server() as harness, _connected(harness) as (reader, writer):
+                limits = dataclasses.replace(LIMITS, header_bytes=100_000, body_bytes=100_000)
+                harness.server.limits = limits
+                writer.write(before + head)
+                await asyncio.sleep(0.1)
+                writer.write(b"1")
+                return await reader.read()
+
+        statuses = _statuses(asyncio.run(scenario()))
+        assert statuses == [200] * (1 + before.endswith(b"xx"))
