Apply a raised idle timeout to connections that are idle already

After a change of the configuration that raised the idle timeout, connections that were idle kept the deadline of the old limit, while their clients reuse them for up to four fifths of the new one. They were closed as a request was on its way, which then got neither an answer nor a refusal.

A raised limit now holds at once, counted from the end of the last response. A lowered one still holds from the next response, since clients may rely on the one before.

--- a/src/dragonflyhold/gateway/http_server.py
+++ b/src/dragonflyhold/gateway/http_server.py
@@ -76,6 +76,8 @@
         self._queue: collections.deque[tuple[ClientRequest, bool, bool]] = collections.deque()
         self._task: asyncio.Task[None] | None = None
         self._deadline: asyncio.TimerHandle | None = None
+        # Loop time at which the connection was last opened or a response ended.
+        self._idle_since = 0.0
         self._can_write = asyncio.Event()
         self._can_write.set()
         self._must_close = False
@@ -126,7 +128,7 @@
         if sock is not None:
             set_dead_peer_detection(sock)
         self._server.connections.add(self)
-        self._set_deadline(self._server.limits.idle_timeout_s, self._close_idle)
+        self._start_idle_timeout()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request that is being served."""
@@ -303,6 +305,21 @@
         """Close the connection if it has no open request."""
         self._close_idle()
 
+    def extend_idle_timeout(self) -> None:
+        """Let a raised limit hold at once; the client may use the connection for that long.
+
+        A lowered one holds from the next response, as clients may rely on the one before.
+        """
+        if self._deadline is None or not self.is_idle or self._must_close:
+            return
+        end = self._idle_since + self._server.limits.idle_timeout_s
+        if end > self._deadline.when():
+            self._set_deadline(end - asyncio.get_running_loop().time(), self._close_idle)
+
+    def _start_idle_timeout(self) -> None:
+        self._idle_since = asyncio.get_running_loop().time()
+        self._set_deadline(self._server.limits.idle_timeout_s, self._close_idle)
+
     def _start_next(self) -> None:
         if not self._queue or self._must_close:
             return
@@ -344,7 +361,7 @@
         elif self._in_message and not self._input_ended:
             self._await_rest()
         else:
-            self._set_deadline(self._server.limits.idle_timeout_s, self._close_idle)
+            self._start_idle_timeout()
 
     def _end_failed(self, request: ClientRequest, responder: Responder, detail: str) -> None:
         """End a request whose handler failed; nothing is known of whether it has run."""
@@ -415,7 +432,7 @@
         on_failed: Callable[[ClientRequest, str], None] = lambda request, detail: None,
     ) -> None:
         self.handler = handler
-        self.limits = limits
+        self._limits = limits
         self.on_rejected = on_rejected
         self.on_unanswered = on_unanswered
         self.on_failed = on_failed
@@ -424,6 +441,17 @@
         self.connections: set[ServerConnection] = set()
         self._server: asyncio.Server | None = None
 
+    @property
+    def limits(self) -> IngressLimits:
+        """Return the limits in force; new ones also hold for the connections that are open."""
+        return self._limits
+
+    @limits.setter
+    def limits(self, limits: IngressLimits) -> None:
+        self._limits = limits
+        for connection in self.connections:
+            connection.extend_idle_timeout()
+
     @property
     def open_requests(self) -> int:
         """Return the number of connections with an open or partly received request."""
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -6,6 +6,7 @@
 import re
 import socket
 import struct
+import time
 from collections.abc import AsyncIterator
 
 import pytest
@@ -557,3 +558,67 @@
 
         statuses = _statuses(asyncio.run(scenario()))
         assert statuses == [200] * (1 + before.endswith(b"xx"))
+
+
+class TestIdleTimeouts:
+    """Guards against a close of connections that their clients may still use."""
+
+    @pytest.mark.parametrize("has_served", [False, True])
+    def test_a_raised_limit_holds_for_connections_that_are_idle(self, has_served: bool) -> None:
+        async def scenario() -> bytes:
+            async with _running_server() as harness, _connected(harness) as (reader, writer):
+                if has_served:
+                    writer.write(GET)
+                    await reader.readuntil(b"empty")
+                await asyncio.sleep(LIMITS.idle_timeout_s / 3)
+                harness.server.limits = dataclasses.replace(LIMITS, idle_timeout_s=2.0)
+                await asyncio.sleep(2 * LIMITS.idle_timeout_s)
+                writer.write(GET)
+                return await reader.readuntil(b"empty")
+
+        assert _statuses(asyncio.run(scenario())) == [200]
+
+    def test_it_is_counted_from_the_last_response(self) -> None:
+        async def scenario() -> float:
+            async with _running_server() as harness, _connected(harness) as (reader, writer):
+                writer.write(GET)
+                await reader.readuntil(b"empty")
+                (connection,) = harness.server.connections
+                assert connection._deadline is not None
+                before = connection._deadline.when()
+                await asyncio.sleep(LIMITS.idle_timeout_s / 3)
+                limits = dataclasses.replace(LIMITS, idle_timeout_s=2 * LIMITS.idle_timeout_s)
+                harness.server.limits = limits
+                return connection._deadline.when() - before
+
+        assert asyncio.run(scenario()) == pytest.approx(LIMITS.idle_timeout_s, abs=0.1)
+
+    def test_a_lowered_limit_holds_from_the_next_response(self) -> None:
+        """A client may rely on the limit that was in force when its last response ended."""
+
+        async def scenario() -> float:
+            async with _running_server() as harness:
+                harness.server.limits = dataclasses.replace(LIMITS, idle_timeout_s=5.0)
+                async with _connected(harness) as (reader, writer):
+                    writer.write(GET)
+                    await reader.readuntil(b"empty")
+                    harness.server.limits = dataclasses.replace(LIMITS, idle_timeout_s=0.01)
+                    await asyncio.sleep(0.1)
+                    writer.write(GET)
+                    await reader.readuntil(b"empty")
+                    answered_at = time.monotonic()
+                    assert await reader.read() == b""
+                    return time.monotonic() - answered_at
+
+        assert asyncio.run(scenario()) < 2.5
+
+    def test_a_request_that_has_come_during_a_stall_is_answered(self) -> None:
+        async def scenario() -> bytes:
+            async with _running_server() as harness, _connected(harness) as (reader, writer):
+                writer.write(GET)
+                await reader.readuntil(b"empty")
+                writer.write(GET)
+                time.sleep(2 * LIMITS.idle_timeout_s)
+                return await reader.readuntil(b"empty")
+
+        assert _statuses(asyncio.run(scenario())) == [200]
