Answer a request whose handler is cancelled from within

A handler that awaits something that is cancelled by itself, such as a future of a connection, was taken for one whose client had left: the connection was closed without an answer, and the log said 'client_left'.

Only a task that was cancelled ends without a response now; otherwise the request gets 502, or its stream is broken off, as after other errors.

--- a/src/dragonflyhold/gateway/http_server.py
+++ b/src/dragonflyhold/gateway/http_server.py
@@ -348,8 +348,12 @@
             if not responder.is_ended:
                 detail = "the handler returned without a response"
         except asyncio.CancelledError:
-            self.abort()
-            raise
+            task = asyncio.current_task()
+            if task is not None and task.cancelling():
+                self.abort()
+                raise
+            # Nobody has cancelled the task: what it awaited was cancelled.
+            detail = "the handler was cancelled from within"
         except Exception as error:
             detail = describe(error)
         finally:
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -60,6 +60,10 @@
             raise RuntimeError("unexpected")
         if request.target == b"/nothing":
             return
+        if request.target == b"/cancelled":
+            cancelled = asyncio.get_running_loop().create_future()
+            cancelled.cancel()
+            await cancelled
         if request.target == b"/begun":
             responder.start_stream(200, [])
             await responder.write(b"one")
@@ -319,6 +323,7 @@
         [
             (b"/error", "RuntimeError('unexpected')"),
             (b"/nothing", "the handler returned without a response"),
+            (b"/cancelled", "the handler was cancelled from within"),
         ],
     )
     @pytest.mark.parametrize("report_fails", [False, True])
