--- a/src/dragonflyhold/gateway/daemon.py
+++ b/src/dragonflyhold/gateway/daemon.py
@@ -68,9 +68,10 @@
     """The settings file; reloaded after SIGHUP or when it has changed."""
 
     def __init__(self) -> None:
-        self.current = load_settings()
-        self._path = os.environ[PATH_VARIABLE]
+        self._path = os.environ.get(PATH_VARIABLE, "")
+        # Before the file is read, so that a later change is noticed.
         self._stamp = self._read_stamp()
+        self.current = load_settings()
         self._log = JsonLogger("settings")
 
     def reload_if_changed(self, force: bool = False) -> bool:
@@ -435,10 +436,13 @@
 
 
 async def _run(settings_file: SettingsFile, settings: DaemonSettings, writer: LogWriter) -> None:
-    if settings.client_listener is not None:
-        await GatewayDaemon(settings_file, writer).run()
-    else:
-        await AgentDaemon(settings_file).run()
+    try:
+        if settings.client_listener is not None:
+            await GatewayDaemon(settings_file, writer).run()
+        else:
+            await AgentDaemon(settings_file).run()
+    finally:
+        _ignore_signals()
 
 
 def _start_task(
@@ -463,6 +467,14 @@
     loop.add_signal_handler(signal.SIGHUP, reload)
 
 
+def _ignore_signals() -> None:
+    """Let a process that has stopped exit with its own status, and write its last log lines."""
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
+
+
 async def _listen(server: HttpServer, address: Address) -> None:
     host, _, port = address.rpartition(":")
     await server.listen(host, int(port))
--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -2,9 +2,15 @@
 
 import asyncio
 import json
+import os
 import pathlib
 import signal
 
+import pytest
+
+from dragonflyhold.gateway import daemon
+from dragonflyhold.gateway.model import Address
+from dragonflyhold.platform.settings import PATH_VARIABLE, DaemonSettings, load_settings
 from dragonflyhold.platform.standins.processes import (
     agent_settings,
     call,
@@ -70,6 +76,104 @@
         assert "A request ended." in events
 
 
+def _ignores_hangups(process_id: int) -> bool:
+    status = pathlib.Path(f"/proc/{process_id}/status").read_text()
+    (mask,) = (line.split()[1] for line in status.splitlines() if line.startswith("SigIgn:"))
+    return bool(int(mask, 16) >> (signal.SIGHUP - 1) & 1)
+
+
+class TestSignalsOutsideService:
+    """Guards against a process that a signal ends while it starts or exits."""
+
+    def test_a_starting_process_survives_hangups(self, tmp_path: pathlib.Path) -> None:
+        """The default action of SIGHUP ends a process that has no handler yet."""
+
+        async def scenario() -> int:
+            store, settings_path = StoreStandIn(), tmp_path / "local.json"
+            await store.start()
+            settings = gateway_settings(IP, store.address, grace_s=1.0)
+            try:
+                async with running_daemon(settings_path, settings) as process:
+                    async with asyncio.timeout(20):
+                        while not _ignores_hangups(process.pid):
+                            assert process.returncode is None
+                            await asyncio.sleep(0.001)
+                        while not await self._is_listening(listener(settings, "ready")):
+                            process.send_signal(signal.SIGHUP)
+                            await asyncio.sleep(0.002)
+                    process.send_signal(signal.SIGTERM)
+                    return await process.wait()
+            finally:
+                store.close()
+
+        assert asyncio.run(scenario()) == 0
+
+    async def _is_listening(self, address: str) -> bool:
+        host, _, port = address.rpartition(":")
+        try:
+            _, writer = await asyncio.open_connection(host, int(port))
+        except ConnectionRefusedError:
+            return False
+        writer.close()
+        return True
+
+    @pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGTERM])
+    def test_a_stopping_process_exits_by_itself(
+        self, number: signal.Signals, tmp_path: pathlib.Path
+    ) -> None:
+        """Signals until its end don't change its exit status, nor what it logs."""
+
+        async def scenario() -> tuple[int, list[str]]:
+            store, settings_path = StoreStandIn(), tmp_path / "local.json"
+            await store.start()
+            settings = gateway_settings(IP, store.address, grace_s=1.0)
+            try:
+                async with running_daemon(settings_path, settings) as process:
+                    async with asyncio.timeout(20):
+                        while not await self._is_listening(listener(settings, "ready")):
+                            await asyncio.sleep(0.01)
+                    process.send_signal(signal.SIGTERM)
+                    events = asyncio.create_task(_read_events(process))
+                    # The process object would take the exit status from the event loop.
+                    descriptor = os.pidfd_open(process.pid)
+                    try:
+                        while process.returncode is None:
+                            signal.pidfd_send_signal(descriptor, number)
+                            await asyncio.sleep(0.001)
+                    except ProcessLookupError:
+                        pass
+                    finally:
+                        os.close(descriptor)
+                    return await process.wait(), await events
+            finally:
+                store.close()
+
+        exit_code, events = asyncio.run(scenario())
+        assert exit_code == 0
+        assert "Stopped." in events
+
+    def test_a_change_while_the_settings_are_read_is_noticed(
+        self, tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against outdated settings that stay in force, as SIGHUP is not handled yet."""
+        settings_path = tmp_path / "local.json"
+        fields = gateway_settings(IP, Address("127.0.0.1:1"), grace_s=5.0)
+        settings_path.write_text(json.dumps(fields))
+        monkeypatch.setenv(PATH_VARIABLE, str(settings_path))
+
+        def load_before_a_change() -> DaemonSettings:
+            settings = load_settings()
+            settings_path.write_text(json.dumps({**fields, "bounds": {"grace_s": 123}}))
+            return settings
+
+        with monkeypatch.context() as patch:
+            patch.setattr(daemon, "load_settings", load_before_a_change)
+            settings_file = daemon.SettingsFile()
+        assert settings_file.current.bounds.grace_s == 5.0
+        assert settings_file.reload_if_changed()
+        assert settings_file.current.bounds.grace_s == 123.0
+
+
 class TestAgentProcess:
     """Gateway and agent as processes; store and engine are stand-ins."""
 
