--- a/src/dragonflyhold/gateway/http_server.py
+++ b/src/dragonflyhold/gateway/http_server.py
@@ -6,12 +6,13 @@
 
 import asyncio
 import collections
+import contextlib
 import dataclasses
 import enum
 import socket
 import struct
 import time
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Iterator, Sequence
 from typing import final
 
 import httptools
@@ -28,6 +29,8 @@
 BODY_TIMEOUT_S = 10.0
 # A client that leaves the write buffer full for this long is disconnected.
 WRITE_TIMEOUT_S = 10.0
+# Any delay after which a task goes on in a later turn of the event loop, after its reads.
+EVENT_LOOP_TURN_S = 0.001
 
 
 @final
@@ -76,28 +79,37 @@
         self._queue: collections.deque[tuple[ClientRequest, bool, bool]] = collections.deque()
         self._task: asyncio.Task[None] | None = None
         self._deadline: asyncio.TimerHandle | None = None
+        # Loop time at which the connection was last opened or a response ended.
+        self._idle_since = 0.0
         self._can_write = asyncio.Event()
         self._can_write.set()
         self._must_close = False
         self._end = ConnectionEnd.OPEN
-        self._rejected = False
+        # Whether no more requests are read.
+        self._input_ended = False
+        # Status and detail of a rejection that waits for the responses before it.
+        self._rejection: tuple[int, str] | None = None
         self._url = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._head_bytes = 0
         self._headers_done = False
         self._in_message = False
+        # Whether the client waits for an interim response before it sends the body.
+        self._expects_continue = False
         self._body: list[bytes] = []
         self._body_bytes = 0
-        # Bytes received since the end of the head or the last byte of the body.
+        # Bytes received in reads without the end of a head or a byte of the body.
         self._framing_bytes = 0
+        self._has_progressed = False
 
     @property
     def is_closing(self) -> bool:
         """Whether the connection closes after the current response.
 
-        A draining server first answers the requests that it has read behind it.
+        A draining server first answers or rejects the requests that it has read behind it.
         """
-        return self._must_close or (self._server.is_draining and not self._queue)
+        is_last = not self._queue and self._rejection is None
+        return self._must_close or (self._server.is_draining and is_last)
 
     @property
     def end(self) -> ConnectionEnd:
@@ -119,7 +131,7 @@
         if sock is not None:
             set_dead_peer_detection(sock)
         self._server.connections.add(self)
-        self._set_deadline(self._server.limits.idle_timeout_s, self._close_idle)
+        self._start_idle_timeout()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request that is being served."""
@@ -147,21 +159,22 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; reject malformed or oversized requests."""
-        if self._rejected or (self._must_close and self._task is None):
+        if self._input_ended or (self._must_close and self._task is None):
             return
         if not self._headers_done:
             # The parser reports no position, so each read counts in full until the head ends.
             self._head_bytes += len(data)
-        body_bytes = self._body_bytes
+        self._has_progressed = False
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            self._reject(400, "upgrade is not supported")
+            # The request is answered without an upgrade, and what follows can't be read.
+            self._input_ended = True
         except httptools.HttpParserError as error:
             self._reject(400, str(error))
         if not self._headers_done and self._head_bytes > self._server.limits.header_bytes:
             self._reject(431, "header section is too large")
-        if self._headers_done and self._body_bytes == body_bytes:
+        if self._headers_done and not self._has_progressed:
             self._framing_bytes += len(data)
             if self._framing_bytes > MAX_FRAMING_BYTES:
                 self._reject(413, "chunk extensions or trailers are too large")
@@ -184,10 +197,11 @@
         self._headers = []
         self._headers_done = False
         self._in_message = True
+        self._expects_continue = False
         self._body = []
         self._body_bytes = 0
         if self._task is None:
-            self._set_deadline(self._server.limits.header_timeout_s, self._request_timeout)
+            self._await_rest()
 
     def on_url(self, url: bytes) -> None:
         """Collect a part of the request target."""
@@ -201,6 +215,7 @@
     def on_headers_complete(self) -> None:
         """Check the head before the body is read."""
         self._headers_done = True
+        self._has_progressed = True
         self._head_bytes = 0
         size = sum(len(name) + len(value) + 4 for name, value in self._headers) + len(self._url)
         limits = self._server.limits
@@ -213,23 +228,24 @@
             self._reject(400, "exactly one Host header is required")
         elif int(length) > limits.body_bytes:
             self._reject(413, "body is too large")
-        elif fields.get(b"expect", b"").lower() == b"100-continue" and self._task is None:
-            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        if self._task is None and not self._rejected:
-            self._set_deadline(BODY_TIMEOUT_S, self._request_timeout)
+        else:
+            self._expects_continue = fields.get(b"expect", b"").lower() == b"100-continue"
+        if self._task is None and not self._input_ended:
+            self._await_rest()
 
     def on_body(self, data: bytes) -> None:
         """Collect a part of the body."""
+        self._has_progressed = True
         self._body_bytes += len(data)
         if self._body_bytes > self._server.limits.body_bytes:
             self._reject(413, "body is too large")
-        elif not self._rejected:
+        elif not self._input_ended:
             self._body.append(data)
 
     def on_message_complete(self) -> None:
         """Queue a complete request; pause reading if the pipeline is full."""
         self._in_message = False
-        if self._rejected:
+        if self._input_ended:
             return
         fields = {name.lower(): value for name, value in self._headers}
         request = ClientRequest(
@@ -241,7 +257,8 @@
             received=time.monotonic(),
         )
         http_10 = self._parser.get_http_version() == "1.0"
-        self._queue.append((request, self._parser.should_keep_alive(), http_10))
+        keep_alive = self._parser.should_keep_alive() and not self._parser.should_upgrade()
+        self._queue.append((request, keep_alive, http_10))
         self._body = []
         self._headers_done = False
         self._clear_deadline()
@@ -288,8 +305,25 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", enabled, 0))
 
     def close_if_idle(self) -> None:
-        """Close the connection if it has no open request."""
-        self._close_idle()
+        """Close the connection if it has no open request, also none that waits in the kernel."""
+        if self.is_idle and not self._must_close:
+            # The event loop reads what has arrived before it runs timers that are due.
+            self._set_deadline(0.0, self._close_idle)
+
+    def extend_idle_timeout(self) -> None:
+        """Let a raised limit hold at once; the client may use the connection for that long.
+
+        A lowered one holds from the next response, as clients may rely on the one before.
+        """
+        if self._deadline is None or not self.is_idle or self._must_close:
+            return
+        end = self._idle_since + self._server.limits.idle_timeout_s
+        if end > self._deadline.when():
+            self._set_deadline(end - asyncio.get_running_loop().time(), self._close_idle)
+
+    def _start_idle_timeout(self) -> None:
+        self._idle_since = asyncio.get_running_loop().time()
+        self._set_deadline(self._server.limits.idle_timeout_s, self._close_idle)
 
     def _start_next(self) -> None:
         if not self._queue or self._must_close:
@@ -298,6 +332,15 @@
         responder = Responder(self, keep_alive, http_10)
         self._task = asyncio.get_running_loop().create_task(self._serve(request, responder))
 
+    def _await_rest(self) -> None:
+        """Limit the time for the rest of a request, the next one to be served."""
+        if not self._headers_done:
+            self._set_deadline(self._server.limits.header_timeout_s, self._request_timeout)
+            return
+        if self._expects_continue and not self._body_bytes:
+            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        self._set_deadline(BODY_TIMEOUT_S, self._request_timeout)
+
     async def _serve(self, request: ClientRequest, responder: Responder) -> None:
         detail = ""
         try:
@@ -305,8 +348,12 @@
             if not responder.is_ended:
                 detail = "the handler returned without a response"
         except asyncio.CancelledError:
-            self.abort()
-            raise
+            task = asyncio.current_task()
+            if task is not None and task.cancelling():
+                self.abort()
+                raise
+            # Nobody has cancelled the task: what it awaited was cancelled.
+            detail = "the handler was cancelled from within"
         except Exception as error:
             detail = describe(error)
         finally:
@@ -318,8 +365,12 @@
         if self._queue:
             self._transport.resume_reading()
             self._start_next()
+        elif self._rejection is not None:
+            self._send_rejection(*self._rejection)
+        elif self._in_message and not self._input_ended:
+            self._await_rest()
         else:
-            self._set_deadline(self._server.limits.idle_timeout_s, self._close_idle)
+            self._start_idle_timeout()
 
     def _end_failed(self, request: ClientRequest, responder: Responder, detail: str) -> None:
         """End a request whose handler failed; nothing is known of whether it has run."""
@@ -333,17 +384,22 @@
             self._server.log.error("A failure could not be reported.", error=describe(error))
 
     def _reject(self, status: int, detail: str) -> None:
-        """Reject a request before it reaches the handler, and close the connection."""
-        if self._rejected:
+        """Reject a request before it reaches the handler, and close the connection.
+
+        The requests before it are answered first.
+        """
+        if self._input_ended:
             return
-        self._rejected = True
+        self._input_ended = True
         self._server.on_rejected(status, detail)
-        if self._task is None and not self._queue:
-            body = detail.encode()
-            responder = Responder(self, False, False)
-            responder.send(status, [(b"Content-Type", b"text/plain")], body)
+        if self._task is None:
+            self._send_rejection(status, detail)
         else:
-            self._must_close = True
+            self._rejection = status, detail
+
+    def _send_rejection(self, status: int, detail: str) -> None:
+        responder = Responder(self, False, False)
+        responder.send(status, [(b"Content-Type", b"text/plain")], detail.encode())
 
     def _request_timeout(self) -> None:
         self._reject(408, "the request was not complete in time")
@@ -385,7 +441,7 @@
         on_failed: Callable[[ClientRequest, str], None] = lambda request, detail: None,
     ) -> None:
         self.handler = handler
-        self.limits = limits
+        self._limits = limits
         self.on_rejected = on_rejected
         self.on_unanswered = on_unanswered
         self.on_failed = on_failed
@@ -394,6 +450,17 @@
         self.connections: set[ServerConnection] = set()
         self._server: asyncio.Server | None = None
 
+    @property
+    def limits(self) -> IngressLimits:
+        """Return the limits in force; new ones also hold for the connections that are open."""
+        return self._limits
+
+    @limits.setter
+    def limits(self, limits: IngressLimits) -> None:
+        self._limits = limits
+        for connection in self.connections:
+            connection.extend_idle_timeout()
+
     @property
     def open_requests(self) -> int:
         """Return the number of connections with an open or partly received request."""
@@ -417,7 +484,37 @@
         for connection in list(self.connections):
             connection.abort(ConnectionEnd.SERVER_CLOSED)
 
+    async def stop_listening(self) -> None:
+        """Stop accepting connections, after those that the kernel has accepted already."""
+        # A connection that the event loop has just accepted needs the server once more.
+        await asyncio.sleep(EVENT_LOOP_TURN_S)
+        server, self._server = self._server, None
+        if server is None:
+            return
+        with contextlib.ExitStack() as stack:
+            listeners = [stack.enter_context(listener.dup()) for listener in server.sockets]
+            server.close()
+            accepted = [sock for listener in listeners for sock in self._accept_waiting(listener)]
+        loop = asyncio.get_running_loop()
+        for sock in accepted:
+            try:
+                await loop.connect_accepted_socket(lambda: ServerConnection(self), sock)
+            except OSError as error:
+                self.log.warning("An accepted connection could not be used.", error=str(error))
+
+    def _accept_waiting(self, listener: socket.socket) -> Iterator[socket.socket]:
+        while True:
+            try:
+                yield listener.accept()[0]
+            except BlockingIOError:
+                return
+            except ConnectionAbortedError:
+                continue
+            except OSError as error:
+                self.log.warning("Waiting connections could not be accepted.", error=str(error))
+                return
+
     def close_listener(self) -> None:
-        """Stop accepting connections."""
+        """Stop accepting connections at once; those that wait in the kernel are reset."""
         if self._server is not None:
             self._server.close()
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -2,12 +2,16 @@
 
 import asyncio
 import contextlib
+import dataclasses
+import re
 import socket
 import struct
+import time
 from collections.abc import AsyncIterator
 
 import pytest
 
+from dragonflyhold.gateway import http_server
 from dragonflyhold.gateway.http_server import (
     ClientRequest,
     ConnectionEnd,
@@ -19,7 +23,9 @@
 LIMITS = IngressLimits(header_bytes=1024, body_bytes=2048, header_timeout_s=0.2, idle_timeout_s=0.3)
 
 
+GET = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 POST = b"POST / HTTP/1.1\r\nHost: a\r\n"
+UPGRADE = b"GET / HTTP/1.1\r\nHost: a\r\nConnection: upgrade\r\nUpgrade: h2c\r\n\r\n"
 
 
 class _ServerHarness:
@@ -54,6 +60,10 @@
             raise RuntimeError("unexpected")
         if request.target == b"/nothing":
             return
+        if request.target == b"/cancelled":
+            cancelled = asyncio.get_running_loop().create_future()
+            cancelled.cancel()
+            await cancelled
         if request.target == b"/begun":
             responder.start_stream(200, [])
             await responder.write(b"one")
@@ -96,6 +106,32 @@
             connection.abort()
 
 
+@contextlib.asynccontextmanager
+async def _connected(
+    harness: _ServerHarness,
+) -> AsyncIterator[tuple[asyncio.StreamReader, asyncio.StreamWriter]]:
+    reader, writer = await asyncio.open_connection("127.0.0.1", harness.port)
+    try:
+        async with asyncio.timeout(5):
+            yield reader, writer
+    finally:
+        writer.transport.abort()
+
+
+def _statuses(response: bytes) -> list[int]:
+    return [int(status) for status in re.findall(rb"HTTP/1\.1 (\d+) ", response)]
+
+
+def _receive_all(client: socket.socket) -> bytes:
+    with client:
+        client.settimeout(5)
+        response = b""
+        with contextlib.suppress(ConnectionResetError):
+            while part := client.recv(65536):
+                response += part
+        return response
+
+
 async def _exchange(data: bytes) -> tuple[bytes, list[ClientRequest]]:
     async with _running_server() as harness:
         async with asyncio.timeout(5):
@@ -287,6 +323,7 @@
         [
             (b"/error", "RuntimeError('unexpected')"),
             (b"/nothing", "the handler returned without a response"),
+            (b"/cancelled", "the handler was cancelled from within"),
         ],
     )
     @pytest.mark.parametrize("report_fails", [False, True])
@@ -366,3 +403,300 @@
         response = asyncio.run(run())
         assert response.count(b"HTTP/1.1 200 ") == 3
         assert response.count(b"Connection: close") == 1
+
+    def test_a_request_that_waits_in_the_kernel_is_answered(self) -> None:
+        """Guards against a reset by a close of idle connections that a request has reached."""
+
+        async def scenario() -> bytes:
+            async with _running_server() as harness, _connected(harness) as (reader, writer):
+                while not harness.server.connections:
+                    await asyncio.sleep(0.01)
+                harness.server.is_draining = True
+                writer.write(GET)
+                harness.server.close_idle()
+                return await reader.read()
+
+        response = asyncio.run(scenario())
+        assert _statuses(response) == [200]
+        assert b"Connection: close" in response
+
+    def test_idle_connections_are_closed(self) -> None:
+        async def scenario() -> bytes:
+            async with _running_server() as harness, _connected(harness) as (reader, writer):
+                harness.server.limits = dataclasses.replace(LIMITS, idle_timeout_s=60.0)
+                writer.write(GET)
+                await reader.readuntil(b"empty")
+                harness.server.close_idle()
+                return await reader.read()
+
+        assert asyncio.run(scenario()) == b""
+
+
+async def _send_behind(harness: _ServerHarness, data: bytes) -> bytes:
+    """Send bytes while a request before them is served; return all that comes back."""
+    async with _connected(harness) as (reader, writer):
+        harness.may_respond.clear()
+        writer.write(GET)
+        while not harness.requests:
+            await asyncio.sleep(0.01)
+        writer.write(data)
+        await asyncio.sleep(0.05)
+        harness.may_respond.set()
+        return await reader.read()
+
+
+async def _exchange_behind(data: bytes) -> bytes:
+    async with _running_server() as harness:
+        return await _send_behind(harness, data)
+
+
+class TestRejectionsBehindRequests:
+    """Guards against whole requests that get nothing since what follows them is rejected."""
+
+    @pytest.mark.parametrize(
+        ("rejected", "status"),
+        [
+            (b"no request at all\r\n\r\n", 400),
+            (b"GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", 400),
+            (POST + b"Content-Length: 9999\r\n\r\n", 413),
+            (b"GET / HTTP/1.1\r\nHost: a\r\nX: %s\r\n\r\n" % (b"x" * 2000), 431),
+        ],
+    )
+    @pytest.mark.parametrize("waiting", [0, 1, 3])
+    def test_the_rejection_comes_after_the_answers(
+        self, waiting: int, rejected: bytes, status: int
+    ) -> None:
+        response = asyncio.run(_exchange_behind(waiting * GET + rejected))
+        assert _statuses(response) == [200] * (1 + waiting) + [status]
+        assert response.count(b"Connection: close") == 1
+
+    def test_it_does_so_in_a_draining_server(self) -> None:
+        async def scenario() -> bytes:
+            async with _running_server() as harness:
+                harness.server.is_draining = True
+                return await _send_behind(harness, GET + b"no request at all\r\n\r\n")
+
+        assert _statuses(asyncio.run(scenario())) == [200, 200, 400]
+
+    @pytest.mark.parametrize("waiting", [0, 2])
+    def test_a_waiting_upgrade_request_is_answered_without_upgrade(self, waiting: int) -> None:
+        response = asyncio.run(_exchange_behind(waiting * GET + UPGRADE))
+        assert _statuses(response) == [200] * (2 + waiting)
+        assert response.count(b"Connection: close") == 1
+
+
+class TestPartsBehindRequests:
+    """Guards against a request that is read in part while another is served, and then forgotten."""
+
+    @pytest.mark.parametrize(
+        "part", [b"GET / HTTP/1.1\r\nHos", POST + b"Content-Length: 3\r\n\r\na"]
+    )
+    def test_a_request_that_stays_incomplete_gets_408(
+        self, part: bytes, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(http_server, "BODY_TIMEOUT_S", LIMITS.header_timeout_s)
+        response = asyncio.run(_exchange_behind(part))
+        assert _statuses(response) == [200, 408]
+
+    def test_a_draining_server_does_not_wait_for_it_without_limit(self) -> None:
+        async def scenario() -> None:
+            async with _running_server() as harness, _connected(harness) as (reader, writer):
+                writer.write(GET + b"GET / HTTP/1.1\r\nHos")
+                await reader.readuntil(b"empty")
+                harness.server.is_draining = True
+                while harness.server.open_requests:
+                    await asyncio.sleep(0.01)
+
+        asyncio.run(scenario())
+
+    def test_a_client_that_waits_to_send_its_body_is_told_to_go_on(self) -> None:
+        async def scenario() -> bytes:
+            async with _running_server() as harness, _connected(harness) as (reader, writer):
+                harness.may_respond.clear()
+                writer.write(GET)
+                while not harness.requests:
+                    await asyncio.sleep(0.01)
+                writer.write(POST + b"Expect: 100-continue\r\nContent-Length: 1\r\n\r\n")
+                await asyncio.sleep(0.05)
+                harness.may_respond.set()
+                response = await reader.readuntil(b"100 Continue\r\n\r\n")
+                writer.write(b"1")
+                return response + await reader.read()
+
+        assert _statuses(asyncio.run(scenario())) == [200, 100, 200]
+
+    @pytest.mark.parametrize("part", [b"GET / HTT", POST + b"Content-Length: 3\r\n\r\na"])
+    def test_a_request_that_is_completed_later_is_answered(self, part: bytes) -> None:
+        rest = b"bc" if part.startswith(b"POST") else b"P/1.1\r\nHost: a\r\n\r\n"
+
+        async def scenario() -> bytes:
+            async with _running_server() as harness, _connected(harness) as (reader, writer):
+                harness.may_respond.clear()
+                writer.write(GET + part)
+                while not harness.requests:
+                    await asyncio.sleep(0.01)
+                harness.may_respond.set()
+                response = await reader.readuntil(b"empty")
+                writer.write(rest)
+                return response + await reader.read()
+
+        assert _statuses(asyncio.run(scenario())) == [200, 200]
+
+
+class TestSplitRequests:
+    """Guards against requests that are misread where the network has split them."""
+
+    REQUESTS = (
+        POST + b"Transfer-Encoding: chunked\r\n\r\n3;x=y\r\nabc\r\n1\r\nd\r\n0\r\nT: u\r\n\r\n",
+        GET,
+        POST + b"Content-Length: 3\r\n\r\nabc",
+        POST + b"Expect: 100-continue\r\nContent-Length: 1\r\n\r\n1",
+        b"HEAD / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
+    )
+
+    def test_requests_that_are_split_at_any_byte_are_answered(self) -> None:
+        data = b"".join(self.REQUESTS)
+
+        async def scenario() -> list[list[int]]:
+            async with _running_server() as harness:
+                return [
+                    await self._send_split(harness, data, position)
+                    for position in range(1, len(data))
+                ]
+
+        for statuses in asyncio.run(scenario()):
+            assert [status for status in statuses if status != 100] == [200] * len(self.REQUESTS)
+
+    async def _send_split(self, harness: _ServerHarness, data: bytes, position: int) -> list[int]:
+        async with _connected(harness) as (reader, writer):
+            writer.write(data[:position])
+            await asyncio.sleep(0.002)
+            writer.write(data[position:])
+            return _statuses(await reader.read())
+
+    @pytest.mark.parametrize(
+        "before",
+        [
+            POST + b"Content-Length: 40000\r\n\r\n" + 40_000 * b"x",
+            POST + b"X: %s\r\n" % (40_000 * b"x"),
+        ],
+    )
+    def test_what_comes_before_a_body_does_not_count_as_chunk_extensions(
+        self, before: bytes
+    ) -> None:
+        """Guards against a 413 for requests within all limits."""
+        head = b"Content-Length: 1\r\n\r\n"
+        if before.endswith(b"xx"):
+            head = POST + head
+
+        async def scenario() -> bytes:
+            async with _running_server() as harness, _connected(harness) as (reader, writer):
+                limits = dataclasses.replace(LIMITS, header_bytes=100_000, body_bytes=100_000)
+                harness.server.limits = limits
+                writer.write(before + head)
+                await asyncio.sleep(0.1)
+                writer.write(b"1")
+                return await reader.read()
+
+        statuses = _statuses(asyncio.run(scenario()))
+        assert statuses == [200] * (1 + before.endswith(b"xx"))
+
+
+class TestIdleTimeouts:
+    """Guards against a close of connections that their clients may still use."""
+
+    @pytest.mark.parametrize("has_served", [False, True])
+    def test_a_raised_limit_holds_for_connections_that_are_idle(self, has_served: bool) -> None:
+        async def scenario() -> bytes:
+            async with _running_server() as harness, _connected(harness) as (reader, writer):
+                if has_served:
+                    writer.write(GET)
+                    await reader.readuntil(b"empty")
+                await asyncio.sleep(LIMITS.idle_timeout_s / 3)
+                harness.server.limits = dataclasses.replace(LIMITS, idle_timeout_s=2.0)
+                await asyncio.sleep(2 * LIMITS.idle_timeout_s)
+                writer.write(GET)
+                return await reader.readuntil(b"empty")
+
+        assert _statuses(asyncio.run(scenario())) == [200]
+
+    def test_it_is_counted_from_the_last_response(self) -> None:
+        async def scenario() -> float:
+            async with _running_server() as harness, _connected(harness) as (reader, writer):
+                writer.write(GET)
+                await reader.readuntil(b"empty")
+                (connection,) = harness.server.connections
+                assert connection._deadline is not None
+                before = connection._deadline.when()
+                await asyncio.sleep(LIMITS.idle_timeout_s / 3)
+                limits = dataclasses.replace(LIMITS, idle_timeout_s=2 * LIMITS.idle_timeout_s)
+                harness.server.limits = limits
+                return connection._deadline.when() - before
+
+        assert asyncio.run(scenario()) == pytest.approx(LIMITS.idle_timeout_s, abs=0.1)
+
+    def test_a_lowered_limit_holds_from_the_next_response(self) -> None:
+        """A client may rely on the limit that was in force when its last response ended."""
+
+        async def scenario() -> float:
+            async with _running_server() as harness:
+                harness.server.limits = dataclasses.replace(LIMITS, idle_timeout_s=5.0)
+                async with _connected(harness) as (reader, writer):
+                    writer.write(GET)
+                    await reader.readuntil(b"empty")
+                    harness.server.limits = dataclasses.replace(LIMITS, idle_timeout_s=0.01)
+                    await asyncio.sleep(0.1)
+                    writer.write(GET)
+                    await reader.readuntil(b"empty")
+                    answered_at = time.monotonic()
+                    assert await reader.read() == b""
+                    return time.monotonic() - answered_at
+
+        assert asyncio.run(scenario()) < 2.5
+
+    def test_a_request_that_has_come_during_a_stall_is_answered(self) -> None:
+        async def scenario() -> bytes:
+            async with _running_server() as harness, _connected(harness) as (reader, writer):
+                writer.write(GET)
+                await reader.readuntil(b"empty")
+                writer.write(GET)
+                time.sleep(2 * LIMITS.idle_timeout_s)
+                return await reader.readuntil(b"empty")
+
+        assert _statuses(asyncio.run(scenario())) == [200]
+
+
+class TestStoppedListening:
+    """Guards against requests on connections that the kernel has accepted, but not the server."""
+
+    @pytest.mark.parametrize("turns", range(4))
+    def test_they_are_answered(self, turns: int) -> None:
+        """However far the event loop has come with accepting them."""
+
+        async def scenario() -> list[bytes]:
+            async with _running_server() as harness, asyncio.timeout(5):
+                address = ("127.0.0.1", harness.port)
+                harness.server.is_draining = True
+                clients = [socket.create_connection(address) for _ in range(3)]
+                for client in clients:
+                    client.sendall(GET)
+                for _ in range(turns):
+                    await asyncio.sleep(0)
+                await harness.server.stop_listening()
+                harness.server.close_idle()
+                responses = [await asyncio.to_thread(_receive_all, client) for client in clients]
+                with pytest.raises(ConnectionRefusedError):
+                    await asyncio.open_connection(*address)
+                return responses
+
+        for response in asyncio.run(scenario()):
+            assert _statuses(response) == [200]
+            assert b"Connection: close" in response
+
+    def test_a_server_that_does_not_listen_stays_closed(self) -> None:
+        async def scenario() -> None:
+            async with _running_server() as harness:
+                await harness.server.stop_listening()
+                await harness.server.stop_listening()
+
+        asyncio.run(scenario())
