Bound what a process keeps for all its peers together

Callers saw: upstreams in trouble answer many requests at once with bodies without end. Each exchange may keep 8 MiB, so that 60 of them took 505 MB and 150 took 1258 MB of a gateway that is killed at 200 or 300; all requests of all its clients would have ended with it.

Cause: each limit holds for one response, and none for their sum. Besides, a failed exchange, its error and the reader's frames referred to each other, so that the parts of its body stayed until the next full garbage collection.

A budget, a quarter of the memory limit in the settings, counts what is kept for upstreams, the store and peers. Beyond it the largest item is broken off, which is in doubt for its caller like any oversized response; small answers go on. The parts of a body are kept by its exchange, which drops them at once, and pieces of a few bytes no longer cost an object each.

--- a/src/dragonflyhold/gateway/attempt.py
+++ b/src/dragonflyhold/gateway/attempt.py
@@ -13,7 +13,7 @@
 from dragonflyhold.gateway.events import EventOrderError, EventSplitter, EventTooLargeError
 from dragonflyhold.gateway.http_client import Call, Exchange, ExchangeError, FailureReason, Head
 from dragonflyhold.gateway.http_server import ClientRequest, Responder
-from dragonflyhold.gateway.limits import MAX_REFUSAL_BYTES, MAX_RESPONSE_BYTES
+from dragonflyhold.gateway.limits import MAX_REFUSAL_BYTES
 from dragonflyhold.gateway.model import RequestInfo, RetrySafety, Route, SendOptions, Upstream
 from dragonflyhold.gateway.outcomes import (
     Answered,
@@ -363,13 +363,9 @@
         )
 
     async def _read_whole_body(self, exchange: Exchange) -> bytes:
-        parts, size = [], 0
         while chunk := await self._read_chunk(exchange):
-            size += len(chunk)
-            if size > MAX_RESPONSE_BYTES:
-                raise exchange.fail_oversized(f"body of more than {MAX_RESPONSE_BYTES} bytes")
-            parts.append(chunk)
-        return b"".join(parts)
+            exchange.keep(chunk)
+        return exchange.take_body()
 
     async def _handle_refusal(self, exchange: Exchange, head: Head, use: AnswerUse) -> Outcome:
         choice, view, target = self._choice, self._view, self._request_info.target
--- a/src/dragonflyhold/gateway/connection_pool.py
+++ b/src/dragonflyhold/gateway/connection_pool.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import final
 
+from dragonflyhold.gateway.byte_budget import ByteBudget
 from dragonflyhold.gateway.http_client import (
     Call,
     Connection,
@@ -29,9 +30,13 @@
 
 @final
 class ConnectionPool:
-    """Reuses idle connections; for use in one event loop."""
+    """Reuses idle connections; for use in one event loop.
 
-    def __init__(self) -> None:
+    What exchanges keep until they are released is charged to ``budget``.
+    """
+
+    def __init__(self, budget: ByteBudget | None = None) -> None:
+        self._budget = budget if budget is not None else ByteBudget()
         self.connections_opened = 0
         self._idle: dict[Address, list[Connection]] = {}
 
@@ -54,6 +59,7 @@
     def release(self, address: Address, exchange: Exchange) -> None:
         """Return the connection of an exchange to the pool, or close it if it can't be reused."""
         connection = exchange.connection
+        exchange.release()
         if not exchange.is_complete:
             connection.abort()
             return
@@ -113,7 +119,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
-                    lambda: Connection(lambda closed: self._remove(address, closed)),
+                    lambda: Connection(lambda closed: self._remove(address, closed), self._budget),
                     host,
                     int(port),
                 )
--- a/src/dragonflyhold/gateway/daemon.py
+++ b/src/dragonflyhold/gateway/daemon.py
@@ -12,6 +12,7 @@
 
 from dragonflyhold.errors import UsageError
 from dragonflyhold.gateway.agent import Agent
+from dragonflyhold.gateway.byte_budget import ByteBudget
 from dragonflyhold.gateway.catalogue import Catalogue
 from dragonflyhold.gateway.connection_pool import ConnectionPool
 from dragonflyhold.gateway.crash_archive import CrashArchive
@@ -337,7 +338,10 @@
         self._metrics = Metrics()
         self._log = JsonLogger("daemon")
         self._stop = asyncio.Event()
-        pool = ConnectionPool()
+        budget = ByteBudget(
+            settings.memory_bytes, lambda: self._metrics.count_event("byte_budget_exceeded")
+        )
+        pool = ConnectionPool(budget)
         self._pool = pool
         self._store = MetadataStore(
             settings.store, pool, self._metrics.count_event, self._metrics.observe_store_call
--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -9,6 +9,7 @@
 from typing import final
 
 from dragonflyhold.gateway.budget import RetryBudget
+from dragonflyhold.gateway.byte_budget import ByteBudget
 from dragonflyhold.gateway.catalogue import Catalogue
 from dragonflyhold.gateway.client_age import ClientAges
 from dragonflyhold.gateway.connection_pool import ConnectionPool
@@ -70,7 +71,11 @@
         self.log = JsonLogger("gateway")
         # Per-request log lines have a rate limit of their own.
         self.request_log = JsonLogger("request")
-        self.pool = ConnectionPool()
+        # Bytes of upstreams, clients, the store and peers.
+        self.byte_budget = ByteBudget(
+            settings.memory_bytes, lambda: metrics.count_event("byte_budget_exceeded")
+        )
+        self.pool = ConnectionPool(self.byte_budget)
         self.catalogue = Catalogue(
             self._configuration_changed, self._version_changed, count=metrics.count_event
         )
--- a/src/dragonflyhold/gateway/http_client.py
+++ b/src/dragonflyhold/gateway/http_client.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import collections
 import dataclasses
 import enum
 import socket
@@ -15,6 +14,7 @@
 
 import httptools
 
+from dragonflyhold.gateway.byte_budget import ByteBudget
 from dragonflyhold.gateway.limits import MAX_FRAMING_BYTES, MAX_HEAD_BYTES, MAX_RESPONSE_BYTES
 from dragonflyhold.gateway.numbers import parse_digits
 
@@ -128,7 +128,10 @@
 class Connection(asyncio.Protocol):
     """A client connection that carries one exchange at a time."""
 
-    def __init__(self, on_unusable: Callable[["Connection"], None]) -> None:
+    def __init__(
+        self, on_unusable: Callable[["Connection"], None], budget: ByteBudget | None = None
+    ) -> None:
+        self.budget = budget if budget is not None else ByteBudget()
         self.created = time.monotonic()
         self.idle_since = self.created
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
@@ -293,8 +296,13 @@
         # Body bytes of skipped responses.
         self._skipped_bytes = 0
         self._headers_done = False
-        self._chunks: collections.deque[bytes] = collections.deque()
-        self._buffered = 0
+        # Body bytes that were not read yet.
+        self._buffer = bytearray()
+        # Parts of a body that is read whole, and their size.
+        self._kept: list[bytes] = []
+        self._kept_bytes = 0
+        # Counts both.
+        self._account = connection.budget.open_account(self._break_off)
         self._paused = False
         self._error: ExchangeError | None = None
         self._updated = asyncio.Event()
@@ -382,12 +390,12 @@
             self._skipped_bytes += len(data)
             self.made_progress = self._skipped_bytes <= MAX_RESPONSE_BYTES
             return
-        if self.is_complete:
+        if self.is_complete or self._error is not None:
             return
         self.made_progress = True
-        self._chunks.append(data)
-        self._buffered += len(data)
-        if self._buffered > MAX_BUFFERED_BYTES and not self._paused:
+        self._buffer += data
+        self._account.add(len(data))
+        if len(self._buffer) > MAX_BUFFERED_BYTES and not self._paused:
             self._paused = True
             self._connection.set_reading(False)
         self._updated.set()
@@ -403,8 +411,8 @@
     # Called by the connection.
 
     def complete(self) -> None:
-        """Mark the response as complete."""
-        self.is_complete = True
+        """Mark the response as complete, unless the exchange has failed."""
+        self.is_complete = self._error is None
         self._updated.set()
 
     def fail(self, error: ExchangeError) -> None:
@@ -425,15 +433,15 @@
 
     async def read_chunk(self) -> bytes:
         """Return the next bytes of the body, empty at its end; raise ``ExchangeError``."""
-        while not self._chunks:
+        while not self._buffer:
             if self.is_complete:
                 return b""
             if self._error is not None:
                 raise self._error
             await self._wait()
-        data = b"".join(self._chunks)
-        self._chunks.clear()
-        self._buffered = 0
+        data = bytes(self._buffer)
+        self._buffer.clear()
+        self._account.add(-len(data))
         if self._paused:
             self._paused = False
             self._connection.set_reading(True)
@@ -441,18 +449,43 @@
 
     async def read_body(self, max_bytes: int = MAX_RESPONSE_BYTES) -> bytes:
         """Return the whole body; raise ``ExchangeError`` if it is incomplete or too large."""
-        parts, size = [], 0
         while chunk := await self.read_chunk():
-            size += len(chunk)
-            if size > max_bytes:
-                raise self.fail_oversized(f"body of more than {max_bytes} bytes")
-            parts.append(chunk)
-        return b"".join(parts)
+            self.keep(chunk, max_bytes)
+        return self.take_body()
+
+    def keep(self, chunk: bytes, max_bytes: int = MAX_RESPONSE_BYTES) -> None:
+        """Keep a part of a body that is read whole; raise ``ExchangeError`` if it is too large."""
+        self._kept_bytes += len(chunk)
+        if self._kept_bytes > max_bytes:
+            raise self.fail_oversized(f"body of more than {max_bytes} bytes")
+        self._kept.append(chunk)
+        self._account.add(len(chunk))
+
+    def take_body(self) -> bytes:
+        """Return all parts that were kept."""
+        body = b"".join(self._kept)
+        self._kept.clear()
+        return body
+
+    def release(self) -> None:
+        """Discard what is kept; nothing more is read."""
+        self._discard_bytes()
+        self._account.set(0)
+        # Its traceback refers to the readers' frames, and these to this exchange.
+        self._error = None
+
+    def _discard_bytes(self) -> None:
+        self._buffer.clear()
+        self._kept.clear()
+
+    def _break_off(self) -> None:
+        self.fail_oversized("the process keeps too many bytes")
+        self._updated.set()
 
     def fail_oversized(self, detail: str) -> ExchangeError:
         """Close the connection because of a breach of a limit; return the error to raise."""
         error = ExchangeError(FailureReason.OVERSIZED, True, detail)
-        self._chunks.clear()
+        self._discard_bytes()
         self.is_complete = False
         self._error = error
         self._connection.abort()
--- a/src/dragonflyhold/platform/settings.py
+++ b/src/dragonflyhold/platform/settings.py
@@ -12,6 +12,7 @@
 import orjson
 
 from dragonflyhold.errors import UsageError
+from dragonflyhold.gateway.byte_budget import DEFAULT_MEMORY_BYTES
 from dragonflyhold.gateway.model import Address
 from dragonflyhold.ids import DataCentre, VmName
 
@@ -60,6 +61,8 @@
     bounds: Bounds
     # Whether the whole system starts for the first time, so that nothing began before.
     is_first_start: bool = False
+    # Memory with which the process is killed.
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
 
     @property
     def agent_port(self) -> int:
@@ -116,6 +119,7 @@
         first_internal_port=ports[0],
         bounds=_bounds(bounds, problems),
         is_first_start=fields.get("bootstrap") is True,
+        memory_bytes=_memory_bytes(fields.get("limits"), problems),
     )
     if problems:
         raise UsageError("settings: " + "; ".join(problems))
@@ -144,6 +148,16 @@
     )
 
 
+def _memory_bytes(limits: Any, problems: list[str]) -> int:
+    value = limits.get("memory_mb") if isinstance(limits, dict) else None
+    if value is None:
+        return DEFAULT_MEMORY_BYTES
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 < value < 1e9:
+        problems.append(f"limits.memory_mb: {value!r} is not a positive number")
+        return DEFAULT_MEMORY_BYTES
+    return int(value * 1_000_000)
+
+
 def _object(fields: dict[str, Any], name: str, problems: list[str]) -> dict[str, Any]:
     value = fields.get(name)
     if not isinstance(value, dict):
