Count a successor that was sent and withdrawn as an attempt

A request could run at more upstreams than its route allows: whether a withdrawn successor had been sent was recorded under a name that nobody read.

--- a/src/dragonflyhold/gateway/attempt.py
+++ b/src/dragonflyhold/gateway/attempt.py
@@ -255,7 +255,7 @@
             exchange = self._exchange = await self._gateway.pool.send(
                 self._address, self._build_call(), self._may_send
             )
-            self._is_sent = True
+            self.is_sent = True
             head = self._head = await self._read_head(exchange)
         except ExchangeError as error:
             return self._handle_exchange_error(error)
@@ -387,7 +387,7 @@
         progress = self._context.progress
         reading = asyncio.ensure_future(read())
         opening: asyncio.Task[Outcome | None] | None = None
-        is_accepted = False
+        is_accepted = is_counted = False
         try:
             # What has arrived meanwhile comes first.
             await asyncio.wait({reading}, timeout=0.0)
@@ -402,6 +402,7 @@
                 await asyncio.wait({opening})
             outcome = opening.result()
             if outcome is not None:
+                is_counted = True
                 self._note_successor_failed(successor, outcome)
                 return reading.result() if reading.done() else None
             is_accepted = True
@@ -410,9 +411,10 @@
         finally:
             _discard(reading)
             if not is_accepted:
-                if opening is not None and not opening.done():
+                if not is_counted:
                     # It may run by now, even though nothing of it is used.
                     progress.attempts += successor.is_sent
+                if opening is not None:
                     opening.cancel()
                 successor.close()
                 progress.upstream = self._choice.upstream_id
--- a/tests/gateway/test_takeover_soak.py
+++ b/tests/gateway/test_takeover_soak.py
@@ -541,7 +541,7 @@
 class TestTakeoverSoak:
     """Guards against responses that are cut, or run twice, because their upstream paused."""
 
-    @pytest.mark.parametrize("seed", [3, 5, 16, 29, 43])
+    @pytest.mark.parametrize("seed", [3, 5, 7, 16, 29, 43])
     def test_guarantees_hold(self, seed: int) -> None:
         soak = play(seed)
         requests = soak.requests
