Show that the last attempt allowed is given up for nothing

With max_attempts 2, a silent successor is left as soon as another upstream looks able to run the request, although no further attempt is allowed.

--- /dev/null
+++ b/tests/gateway/test_successor_faults.py
@@ -0,0 +1,104 @@
+"""Tests in virtual time of attempts at successors that fail, are late, or run beside the first."""
+
+import asyncio
+import dataclasses
+import time
+from collections.abc import Coroutine
+from typing import Any
+
+from dragonflyhold.bench.virtual_network import create_task_on_vm
+from dragonflyhold.bench.virtual_time import run_virtual
+from dragonflyhold.platform.standins.runner import Fault, UpstreamStandIn
+from dragonflyhold.platform.standins.site import Answer, InProcessDeployment, configuration
+
+CLIENT_IP = "10.7.0.1"
+EVENTS = 10
+TIME_LIMIT_MS = 6000
+NEVER_S = 60.0
+
+
+@dataclasses.dataclass
+class _Site:
+    """A deployment whose first upstream runs a request and says nothing."""
+
+    deployment: InProcessDeployment
+    holder: UpstreamStandIn
+    others: list[UpstreamStandIn]
+    request: asyncio.Task[Answer]
+    sent_at: float
+
+    async def end(self) -> Answer:
+        """Wait for the answer, and stop the deployment."""
+        try:
+            return await self.request
+        finally:
+            await self.deployment.close()
+
+
+async def _start(
+    upstreams: int, max_attempts: int, path: str = "/read/1", answer_s: float = NEVER_S
+) -> _Site:
+    """Send a request, and return once an upstream runs it; whole answers take ``answer_s``."""
+    deployment = InProcessDeployment()
+    await create_task_on_vm("10.9.0.1", deployment.store.start())
+    fields = configuration()
+    for route in fields["routes"]:
+        route.update(timeout_ms=TIME_LIMIT_MS, max_attempts=max_attempts)
+    deployment.store.put("op", "config", fields)
+    is_plain = path.startswith("/read")
+    for number in range(upstreams):
+        ip = f"10.2.0.{number + 1}"
+        if is_plain:
+            added = await create_task_on_vm(ip, deployment.add_plain(f"p{number}", host=ip))
+        else:
+            added = await create_task_on_vm(ip, deployment.add_engine(f"e{number}", host=ip))
+        added.answer_s, added.events, added.event_interval_s = answer_s, EVENTS, 0.1
+    await create_task_on_vm("10.1.0.1", deployment.add_gateway("10.1.0.1"))
+    await deployment.wait_until_ready(0 if is_plain else upstreams)
+    await asyncio.sleep(1.0)
+    headers = {"Deadline-Remaining": str(TIME_LIMIT_MS)}
+    call = deployment.call(path, headers=headers, timeout_s=20.0)
+    request, sent_at = create_task_on_vm(CLIENT_IP, call), time.monotonic()
+    await asyncio.sleep(0.35)
+    holder = next(item for item in deployment.upstreams.values() if item.runs)
+    others = [item for item in deployment.upstreams.values() if item is not holder]
+    return _Site(deployment, holder, others, request, sent_at)
+
+
+async def _first_arrival(upstreams: list[UpstreamStandIn]) -> UpstreamStandIn:
+    while True:
+        for upstream in upstreams:
+            if upstream.arrivals:
+                return upstream
+        await asyncio.sleep(0.001)
+
+
+def _play(scenario: Coroutine[Any, Any, Any]) -> Any:
+    return run_virtual(scenario)
+
+
+class TestLateSuccessors:
+    """Guards against successors that are left although nothing is certain to replace them."""
+
+    def test_the_last_attempt_allowed_is_kept(self) -> None:
+        async def scenario() -> Answer:
+            site = await _start(upstreams=3, max_attempts=2)
+            for other in site.others:
+                other.answer_s = 1.5
+            return await site.end()
+
+        assert _play(scenario()).status == 200
+
+    def test_it_is_kept_once_the_first_upstream_has_broken(self) -> None:
+        async def scenario() -> Answer:
+            site = await _start(upstreams=3, max_attempts=3)
+            for other in site.others:
+                other.answer_s = 1.5
+            successor = await _first_arrival(site.others)
+            for other in site.others:
+                if other is not successor:
+                    other.faults = [Fault.REFUSE] * 50
+            site.holder.close()
+            return await site.end()
+
+        assert _play(scenario()).status == 200
