--- a/tests/gateway/test_successor_faults.py
+++ b/tests/gateway/test_successor_faults.py
@@ -102,3 +102,41 @@
             return await site.end()
 
         assert _play(scenario()).status == 200
+
+    def test_it_is_kept_once_the_first_upstream_has_broken(self) -> None:
+        async def scenario() -> Answer:
+            site = await _start(upstreams=3, max_attempts=3)
+            for other in site.others:
+                other.answer_s = 1.5
+            successor = await _first_arrival(site.others)
+            for other in site.others:
+                if other is not successor:
+                    other.faults = [Fault.REFUSE] * 50
+            site.holder.close()
+            return await site.end()
+
+        assert _play(scenario()).status == 200
+
+    def test_it_is_not_left_for_the_silent_upstream(self) -> None:
+        async def scenario() -> Answer:
+            site = await _start(upstreams=2, max_attempts=3)
+            # Only this request gets no answer from the holder, which responds to all others.
+            first_id = site.holder.runs[0]["id"].encode()
+            respond = site.holder._respond
+
+            async def respond_to_others(request: Any, *arguments: Any) -> None:
+                if request.fields[b"attempt-id"] == first_id:
+                    await asyncio.sleep(NEVER_S)
+                await respond(request, *arguments)
+
+            site.holder._respond = respond_to_others  # type: ignore[assignment,method-assign]
+            site.holder.answer_s, site.others[0].answer_s = 0.005, 1.5
+            calls = []
+            while not site.request.done():
+                call = site.deployment.call("/read/2", timeout_s=20.0)
+                calls.append(create_task_on_vm(CLIENT_IP, call))
+                await asyncio.sleep(0.05)
+            await asyncio.gather(*calls, return_exceptions=True)
+            return await site.end()
+
+        assert _play(scenario()).status == 200
