--- a/tests/gateway/test_successor_faults.py
+++ b/tests/gateway/test_successor_faults.py
@@ -1,6 +1,7 @@
 """Tests in virtual time of attempts at successors that fail, are late, or run beside the first."""
 
 import asyncio
+import contextlib
 import dataclasses
 import time
 from collections.abc import Coroutine
@@ -77,6 +78,17 @@
     return run_virtual(scenario)
 
 
+def _delay_heads(upstream: UpstreamStandIn, seconds: float) -> None:
+    """Let an upstream work on each request for a time before it begins its response."""
+    respond = upstream._respond
+
+    async def respond_late(*arguments: Any) -> None:
+        await asyncio.sleep(seconds)
+        await respond(*arguments)
+
+    upstream._respond = respond_late  # type: ignore[assignment,method-assign]
+
+
 class TestLateSuccessors:
     """Guards against successors that are left although nothing is certain to replace them."""
 
@@ -126,3 +138,18 @@
             return await site.end()
 
         assert _play(scenario()).status == 200
+
+
+class TestWithdrawnSuccessors:
+    """Guards against more runs than allowed of a stream whose upstream pauses again and again."""
+
+    def test_they_count_as_attempts(self) -> None:
+        async def scenario() -> int:
+            site = await _start(upstreams=2, max_attempts=2, path="/ask/1")
+            site.holder.event_interval_s = 1.4
+            _delay_heads(site.others[0], 0.5)
+            with contextlib.suppress(TimeoutError):
+                await site.end()
+            return len(site.holder.runs) + len(site.others[0].runs)
+
+        assert _play(scenario()) <= 2
