--- a/tests/gateway/test_successor_faults.py
+++ b/tests/gateway/test_successor_faults.py
@@ -15,6 +15,8 @@
 CLIENT_IP = "10.7.0.1"
 EVENTS = 10
 TIME_LIMIT_MS = 6000
+# Longest pause that clients of the platform accept before they leave.
+CLIENT_PATIENCE_S = 2.0
 NEVER_S = 60.0
 
 
@@ -153,3 +155,33 @@
             return len(site.holder.runs) + len(site.others[0].runs)
 
         assert _play(scenario()) <= 2
+
+
+class TestRefusalsByOthers:
+    """Guards against clients that leave while a gateway pauses between refusals."""
+
+    def test_a_request_finds_the_upstream_that_takes_it(self) -> None:
+        async def scenario() -> float:
+            site = await _start(upstreams=5, max_attempts=3)
+            refusals = 0
+
+            def refuse_three_times(upstream: UpstreamStandIn) -> None:
+                handle = upstream._handle_request
+
+                async def handle_request(request: Any, responder: Any) -> None:
+                    nonlocal refusals
+                    if refusals < 3:
+                        refusals += 1
+                        upstream.faults = [Fault.REFUSE]
+                    await handle(request, responder)
+
+                upstream.answer_s = 0.005
+                upstream._handle_request = handle_request  # type: ignore[assignment,method-assign]
+
+            for other in site.others:
+                refuse_three_times(other)
+            answer = await site.end()
+            assert answer.status == 200
+            return time.monotonic() - site.sent_at
+
+        assert _play(scenario()) < CLIENT_PATIENCE_S
