--- a/tests/gateway/test_successor_faults.py
+++ b/tests/gateway/test_successor_faults.py
@@ -7,8 +7,11 @@
 from collections.abc import Coroutine
 from typing import Any
 
+import pytest
+
 from dragonflyhold.bench.virtual_network import create_task_on_vm
 from dragonflyhold.bench.virtual_time import run_virtual
+from dragonflyhold.platform.standins import runner
 from dragonflyhold.platform.standins.runner import Fault, UpstreamStandIn
 from dragonflyhold.platform.standins.site import Answer, InProcessDeployment, configuration
 
@@ -185,3 +188,30 @@
             return time.monotonic() - site.sent_at
 
         assert _play(scenario()) < CLIENT_PATIENCE_S
+
+
+class TestTrickles:
+    """Guards against an upstream that keeps a request by bytes that complete no event."""
+
+    def test_a_stream_leaves_it(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        async def scenario() -> Answer:
+            site = await _start(upstreams=2, max_attempts=3, path="/ask/1")
+            _delay_heads(site.others[0], 0.3)
+            return await site.end()
+
+        async def trickle(*arguments: Any) -> None:
+            responder, headers, first = arguments[1:4]
+            responder.start_stream(200, [*headers, *arguments[0]._stated_headers()])
+            if first > 1:
+                for number in range(first, EVENTS + 1):
+                    await responder.write(b"id: %d\ndata: piece\n\n" % number)
+                    await asyncio.sleep(0.1)
+                responder.end_stream()
+                return
+            await responder.write(b"id: 1\ndata: piece\n\n")
+            while True:
+                await responder.write(b"x")
+                await asyncio.sleep(0.15)
+
+        monkeypatch.setattr(runner.UpstreamStandIn, "_stream", trickle)
+        assert _play(scenario()).event_ids == list(range(1, EVENTS + 1))
