Show that a crash beside an accepted successor is not recorded

The error of the first exchange is dropped if its successor is accepted: neither the evidence of crashes nor the broken connection is noted.

--- a/tests/gateway/test_successor_faults.py
+++ b/tests/gateway/test_successor_faults.py
@@ -215,3 +215,29 @@
 
         monkeypatch.setattr(runner.UpstreamStandIn, "_stream", trickle)
         assert _play(scenario()).event_ids == list(range(1, EVENTS + 1))
+
+
+class TestCrashesBesideASuccessor:
+    """Guards against crashes that are missed because a successor goes on with the request."""
+
+    def test_a_crash_is_recorded(self) -> None:
+        async def scenario() -> int:
+            site = await _start(upstreams=2, max_attempts=3)
+            other = site.others[0]
+            other.answer_s = 0.4
+            gateway = site.deployment.gateways[0].gateway
+            crashed = []
+            record = gateway.crashes.record_crash
+
+            def record_crash(*arguments: Any) -> Any:
+                crashed.append(arguments)
+                return record(*arguments)
+
+            gateway.crashes.record_crash = record_crash  # type: ignore[assignment,method-assign]
+            await _first_arrival(site.others)
+            site.holder.close()
+            answer = await site.end()
+            assert answer.status == 200
+            return len(crashed)
+
+        assert _play(scenario()) == 1
