Show that a successor accepted beside an event is not counted

If the first upstream's event and the successor's head arrive in the same step of the loop, the withdrawn run does not count towards max_attempts.

--- a/tests/gateway/test_successor_faults.py
+++ b/tests/gateway/test_successor_faults.py
@@ -241,3 +241,33 @@
             return len(crashed)
 
         assert _play(scenario()) == 1
+
+
+class TestEventsBesideAnAcceptance:
+    """Guards against runs that aren't counted as the first upstream goes on at the same time."""
+
+    def test_no_more_runs_than_allowed_begin(self) -> None:
+        async def scenario() -> int:
+            site = await _start(upstreams=2, max_attempts=2, path="/ask/1")
+            other, go_on = site.others[0], asyncio.Event()
+            site.holder.event_interval_s = other.event_interval_s = NEVER_S
+            connections = [item for item in site.holder._server.connections if not item.is_idle]
+            respond = other._respond
+
+            async def respond_later(*arguments: Any) -> None:
+                await go_on.wait()
+                await respond(*arguments)
+
+            other._respond = respond_later  # type: ignore[assignment,method-assign]
+            await _first_arrival(site.others)
+            await asyncio.sleep(0.1)
+            go_on.set()
+            await asyncio.sleep(0)
+            for connection in connections:
+                event = b"id: 5\ndata: piece 5\n\n"
+                connection.write(b"%x\r\n%s\r\n" % (len(event), event))
+            with contextlib.suppress(TimeoutError):
+                await site.end()
+            return len(site.holder.runs) + len(other.runs)
+
+        assert _play(scenario()) <= 2
