--- a/tests/gateway/test_successor_faults.py
+++ b/tests/gateway/test_successor_faults.py
@@ -11,6 +11,7 @@
 
 from dragonflyhold.bench.virtual_network import create_task_on_vm
 from dragonflyhold.bench.virtual_time import run_virtual
+from dragonflyhold.gateway.model import Address
 from dragonflyhold.platform.standins import runner
 from dragonflyhold.platform.standins.runner import Fault, UpstreamStandIn
 from dragonflyhold.platform.standins.site import Answer, InProcessDeployment, configuration
@@ -271,3 +272,23 @@
             return len(site.holder.runs) + len(other.runs)
 
         assert _play(scenario()) <= 2
+
+
+class TestErrorsOfSuccessors:
+    """Guards against sound requests that end with an error of the search for a successor."""
+
+    def test_a_request_goes_on_if_its_upstream_is_deregistered_meanwhile(self) -> None:
+        async def scenario() -> Answer:
+            site = await _start(upstreams=1, max_attempts=3, answer_s=3.0)
+            gateway = site.deployment.gateways[0].gateway
+            can_connect = gateway.pool.can_connect
+
+            async def deregister(address: Address) -> bool:
+                for view in list(gateway.table.views.values()):
+                    gateway.upstream_removed(view.upstream)
+                return await can_connect(address)
+
+            gateway.pool.can_connect = deregister  # type: ignore[assignment,method-assign]
+            return await site.end()
+
+        assert _play(scenario()).status == 200
