--- a/tests/gateway/test_successor_faults.py
+++ b/tests/gateway/test_successor_faults.py
@@ -292,3 +292,19 @@
             return await site.end()
 
         assert _play(scenario()).status == 200
+
+    def test_a_request_goes_on_after_an_unexpected_error(self) -> None:
+        async def scenario() -> Answer:
+            site = await _start(upstreams=2, max_attempts=3, path="/ask/1")
+            site.holder.event_interval_s = 2.3
+            gateway = site.deployment.gateways[0].gateway
+
+            def fail(*arguments: Any) -> None:
+                raise RuntimeError("unexpected")
+
+            gateway.note_limit = fail  # type: ignore[assignment,method-assign]
+            await asyncio.sleep(2.5)
+            site.holder.event_interval_s = 0.1
+            return await site.end()
+
+        assert _play(scenario()).event_ids == list(range(1, EVENTS + 1))
