Show that a sound stream is left for a response without an event

The head of the successor's response counts as acceptance. If no event follows, and no further attempt is allowed, the stream is cut at its deadline, although its first upstream went on 0.2 s later.

--- a/tests/gateway/test_successor_faults.py
+++ b/tests/gateway/test_successor_faults.py
@@ -146,6 +146,21 @@
         assert _play(scenario()).status == 200
 
 
+class TestHeadsWithoutEvents:
+    """Guards against sound streams that are left for a response without a single event."""
+
+    def test_a_stream_stays_until_the_successor_brings_an_event(self) -> None:
+        async def scenario() -> Answer:
+            site = await _start(upstreams=2, max_attempts=2, path="/ask/1")
+            site.holder.event_interval_s = 1.6
+            site.others[0].event_interval_s = NEVER_S
+            await asyncio.sleep(2.5)
+            site.holder.event_interval_s = 0.1
+            return await site.end()
+
+        assert _play(scenario()).event_ids == list(range(1, EVENTS + 1))
+
+
 class TestWithdrawnSuccessors:
     """Guards against more runs than allowed of a stream whose upstream pauses again and again."""
 
