--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -460,6 +460,15 @@
         """Record whether an attempt succeeded, for the upstream's failure rate."""
         self.table.record_outcome(upstream_id, failed, time.monotonic())
 
+    def report_successor_error(self, request_id: str, error: Exception) -> None:
+        """Log and count an unexpected error of an attempt beside another one, which goes on."""
+        self._metrics.count_event("request_failed_unexpectedly")
+        self.log.error(
+            "An unexpected error ended an attempt at a successor.",
+            id=request_id,
+            error=describe(error),
+        )
+
     def count_oversized_response(self) -> None:
         """Count a response that exceeded a limit."""
         self._metrics.count_event("upstream_oversized_response")
--- a/src/dragonflyhold/gateway/request.py
+++ b/src/dragonflyhold/gateway/request.py
@@ -131,9 +131,8 @@
                 case NotRun(reason, reached_upstream):
                     await self._handle_refusal(choice, reason, reached_upstream)
                 case MayHaveRun():
-                    if outcome.reason is Reason.BROKEN:
-                        self._gateway.check_crash(attempt.upstream, traits, self._request_info)
-                    elif outcome.failure is not None:
+                    attempt.check_crash(outcome.reason)
+                    if outcome.failure is not None:
                         self._gateway.note_answered(traits)
                     self._handle_failed_attempt(choice, outcome)
 
