Let a rejected client receive its rejection while it sends

The connection was closed as soon as a rejection (400, 408, 413, 431) was written. A client that was still sending, such as a body that is too large, had its connection reset, and could lose the rejection: it saw neither an answer nor a refusal.

The server now ends its side after the rejection and drops what comes until the client closes, for at most 1 s and 1 MiB. Idle connections and those after a response are closed at once as before: what arrives there may be a whole request, which must not be read and dropped.

--- a/src/dragonflyhold/bench/virtual_network.py
+++ b/src/dragonflyhold/bench/virtual_network.py
@@ -97,6 +97,10 @@
         if not self._is_closing:
             self._send(bytes(data))
 
+    def can_write_eof(self) -> bool:
+        """Return ``False``, as a virtual connection has no directions that close by themselves."""
+        return False
+
     def get_write_buffer_size(self) -> int:
         """Return 0, because writes never block."""
         return 0
--- a/src/dragonflyhold/gateway/http_server.py
+++ b/src/dragonflyhold/gateway/http_server.py
@@ -18,7 +18,7 @@
 import httptools
 
 from dragonflyhold.gateway.http_client import set_dead_peer_detection
-from dragonflyhold.gateway.limits import MAX_FRAMING_BYTES
+from dragonflyhold.gateway.limits import MAX_FRAMING_BYTES, MAX_REJECTED_BYTES
 from dragonflyhold.gateway.logs import JsonLogger, describe
 from dragonflyhold.gateway.model import IngressLimits
 from dragonflyhold.gateway.responder import Responder
@@ -29,6 +29,9 @@
 BODY_TIMEOUT_S = 10.0
 # A client that leaves the write buffer full for this long is disconnected.
 WRITE_TIMEOUT_S = 10.0
+# Time for which a rejected client may go on sending. A close before that resets the connection,
+# and the rejection can be lost.
+LINGER_S = 1.0
 # Any delay after which a task goes on in a later turn of the event loop, after its reads.
 EVENT_LOOP_TURN_S = 0.001
 
@@ -85,8 +88,9 @@
         self._can_write.set()
         self._must_close = False
         self._end = ConnectionEnd.OPEN
-        # Whether no more requests are read.
+        # Whether no more requests are read, and the bytes received since.
         self._input_ended = False
+        self._ignored_bytes = 0
         # Status and detail of a rejection that waits for the responses before it.
         self._rejection: tuple[int, str] | None = None
         self._url = b""
@@ -159,7 +163,12 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; reject malformed or oversized requests."""
-        if self._input_ended or (self._must_close and self._task is None):
+        if self._input_ended:
+            self._ignored_bytes += len(data)
+            if self._must_close and self._ignored_bytes > MAX_REJECTED_BYTES:
+                self.abort()
+            return
+        if self._must_close and self._task is None:
             return
         if not self._headers_done:
             # The parser reports no position, so each read counts in full until the head ends.
@@ -271,7 +280,7 @@
 
     def write(self, data: bytes) -> None:
         """Write bytes unless the connection is closed."""
-        if self._transport is not None and not self._transport.is_closing():
+        if self._transport is not None and not self._must_close:
             self._transport.write(data)
 
     async def drain(self) -> None:
@@ -288,8 +297,18 @@
         """Close the connection once the buffered bytes are written."""
         self._note_end(end)
         self._must_close = True
-        if self._transport is not None:
+        if self._transport is None:
+            return
+        if not self._input_ended or not self._transport.can_write_eof():
             self._transport.close()
+            return
+        try:
+            self._transport.write_eof()
+        except OSError:
+            # The client has reset the connection.
+            self._transport.close()
+        else:
+            self._set_deadline(LINGER_S, self._transport.close)
 
     def abort(self, end: ConnectionEnd = ConnectionEnd.RESPONSE) -> None:
         """Close the connection at once and discard buffered bytes."""
@@ -360,7 +379,7 @@
             self._task = None
         if detail:
             self._end_failed(request, responder, detail)
-        if self._transport is None or self._transport.is_closing():
+        if self._transport is None or self._transport.is_closing() or self._must_close:
             return
         if self._queue:
             self._transport.resume_reading()
--- a/src/dragonflyhold/gateway/limits.py
+++ b/src/dragonflyhold/gateway/limits.py
@@ -9,6 +9,8 @@
 MAX_HEAD_BYTES = 64 * 1024
 # Bytes between two bytes of a body, or after the last one: chunk extensions and trailers.
 MAX_FRAMING_BYTES = 32 * 1024
+# What a client may go on sending after its rejection, so that it receives the rejection.
+MAX_REJECTED_BYTES = 1024 * 1024
 # One event of a stream.
 MAX_EVENT_BYTES = 256 * 1024
 # Bodies that are read whole: a response of a plain service or an error of an engine, an upstream's
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -700,3 +700,48 @@
                 await harness.server.stop_listening()
 
         asyncio.run(scenario())
+
+
+class TestRejectionsOfSendingClients:
+    """Guards against a rejection that is lost as its client still sends when the server closes."""
+
+    HEAD = POST + b"Content-Length: 50000000\r\n\r\n"
+
+    @pytest.mark.parametrize("pause_s", [0.0, 0.005])
+    def test_the_rejection_arrives(self, pause_s: float) -> None:
+        def send(port: int) -> bytes:
+            with socket.create_connection(("127.0.0.1", port)) as client:
+                client.settimeout(5)
+                client.sendall(self.HEAD)
+                for _ in range(10):
+                    client.sendall(50_000 * b"x")
+                    time.sleep(pause_s)
+                client.shutdown(socket.SHUT_WR)
+                return _receive_all(client)
+
+        async def scenario() -> bytes:
+            async with _running_server() as harness:
+                return await asyncio.to_thread(send, harness.port)
+
+        assert _statuses(asyncio.run(scenario())) == [413]
+
+    @pytest.mark.parametrize(
+        ("linger_s", "max_bytes"), [(0.2, 10**9), (60.0, 10_000)], ids=["time", "bytes"]
+    )
+    def test_a_client_that_goes_on_is_disconnected(
+        self, linger_s: float, max_bytes: int, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(http_server, "LINGER_S", linger_s)
+        monkeypatch.setattr(http_server, "MAX_REJECTED_BYTES", max_bytes)
+
+        async def scenario() -> None:
+            async with _running_server() as harness, _connected(harness) as (reader, writer):
+                writer.write(self.HEAD)
+                assert _statuses(await reader.read()) == [413]
+                with contextlib.suppress(ConnectionError):
+                    while harness.server.connections:
+                        writer.write(1000 * b"x")
+                        await writer.drain()
+                        await asyncio.sleep(0.01)
+
+        asyncio.run(scenario())
