Send no body in a response to HEAD

A refusal of a HEAD request, and the stream of one, had a body. A client ends such a response with its head and reads what follows as the start of its next response on the connection, so the next request got no answer that can be read.

The responder now leaves the body out for HEAD.

--- a/src/dragonflyhold/gateway/http_server.py
+++ b/src/dragonflyhold/gateway/http_server.py
@@ -348,7 +348,7 @@
         if not self._queue or self._must_close:
             return
         request, keep_alive, http_10 = self._queue.popleft()
-        responder = Responder(self, keep_alive, http_10)
+        responder = Responder(self, keep_alive, http_10, has_body=request.method != b"HEAD")
         self._task = asyncio.get_running_loop().create_task(self._serve(request, responder))
 
     def _await_rest(self) -> None:
--- a/src/dragonflyhold/gateway/responder.py
+++ b/src/dragonflyhold/gateway/responder.py
@@ -65,8 +65,16 @@
 class Responder:
     """Writes the response to one request, either whole or as a stream."""
 
-    def __init__(self, connection: ResponseTransport, keep_alive: bool, http_10: bool) -> None:
+    def __init__(
+        self,
+        connection: ResponseTransport,
+        keep_alive: bool,
+        http_10: bool,
+        has_body: bool = True,
+    ) -> None:
         self.status = 0
+        # A response to HEAD ends with its head.
+        self._has_body = has_body
         self._state = ResponseState.NOT_STARTED
         self._connection = connection
         self._keep_alive = keep_alive
@@ -126,6 +134,8 @@
             # An empty chunk would be the end of the body.
             return
         self._state = ResponseState.STREAMING
+        if not self._has_body:
+            return
         if self._chunked:
             data = b"%x\r\n%s\r\n" % (len(data), data)
         self._connection.write(data)
@@ -139,10 +149,10 @@
     def end_stream(self) -> None:
         """Mark the body as complete; an interrupted one can't be."""
         self._require(ResponseState.STREAMING)
-        if self._chunked:
-            self._connection.write(b"0\r\n\r\n")
-        else:
+        if not self._chunked:
             self._connection.reset_on_close(False)
+        elif self._has_body:
+            self._connection.write(b"0\r\n\r\n")
         self._end()
 
     def abort(self) -> None:
@@ -173,7 +183,8 @@
             self._keep_alive = False
             lines.append(b"Connection: close\r\n")
         lines.append(b"\r\n")
-        lines.append(body)
+        if self._has_body:
+            lines.append(body)
         # Only now: a response that can't be built leaves room for another one.
         self._state = ResponseState.STREAMING
         self.status = status
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -187,6 +187,14 @@
         assert response.count(b"HTTP/1.1 200") == 2
         assert [request.body for request in requests] == [b"1", b"2"]
 
+    @pytest.mark.parametrize("target", [b"/", b"/stream"])
+    def test_response_to_head_has_no_body(self, target: bytes) -> None:
+        """Its bytes would be read as the start of the next response."""
+        request = b"HEAD %s HTTP/1.1\r\nHost: a\r\n\r\n" % target
+        response, _ = asyncio.run(_exchange(request + request))
+        heads = response.split(b"\r\n\r\n")
+        assert [head[:13] for head in heads] == [b"HTTP/1.1 200 ", b"HTTP/1.1 200 ", b""]
+
     def test_stream_ends_with_last_chunk(self) -> None:
         data = b"GET /stream HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
         response, _ = asyncio.run(_exchange(data))
