--- a/tests/gateway/test_successor_faults.py
+++ b/tests/gateway/test_successor_faults.py
@@ -176,6 +176,22 @@
         assert _play(scenario()) <= 2
 
 
+class TestOnlyUpstreams:
+    """Guards against requests that are refused because one at their only upstream is slow."""
+
+    def test_another_request_is_sent_there(self) -> None:
+        async def scenario() -> Answer:
+            site = await _start(upstreams=1, max_attempts=2, answer_s=3.0)
+            await asyncio.sleep(0.5)
+            headers = {"Deadline-Remaining": str(TIME_LIMIT_MS)}
+            call = site.deployment.call("/read/2", headers=headers)
+            answer = await create_task_on_vm(CLIENT_IP, call)
+            await site.end()
+            return answer
+
+        assert _play(scenario()).status == 200
+
+
 class TestRefusalsByOthers:
     """Guards against clients that leave while a gateway pauses between refusals."""
 
