Bound what is kept of all clients' requests and unread answers

Callers saw: on a gateway with a limit of 200 MB, 100 clients with bodies of 4 MB that never end took 430 MB, 20 clients with chunks of one byte 270 MB, 700 clients with heads of many short headers 279 MB, 20 clients that send large requests behind each other 494 MB, and 20 clients that send requests for large answers and read none 701 MB. All clients of the process would have lost their requests.

Cause: each request is bounded, their sum is not. A chunk cost an object, reading went on behind a request of any size, and the next answer was begun while the one before was still unread.

Requests, unread answers and what upstreams don't take are charged to the budget of the process. A request that finds no room gets 503, before it reaches the handler; its connection stays open for a moment, since a close with unread bytes would reset it before the client has read the answer. Reading pauses behind a large request, and the next request of a connection waits until its client has read. A client that reads slowly is kept as long as it reads.

--- a/src/dragonflyhold/gateway/byte_budget.py
+++ b/src/dragonflyhold/gateway/byte_budget.py
@@ -10,6 +10,8 @@
 # Share of the process's memory limit. Copies of the largest items, which last no longer than a
 # call, and everything else that the process holds need the remainder.
 MEMORY_SHARE = 0.25
+# Share of the budget that may hold what can't be broken off, such as requests in progress.
+STAYING_SHARE = 0.75
 DEFAULT_MEMORY_BYTES = 200_000_000
 
 
@@ -28,6 +30,8 @@
         self.limit_bytes = int(memory_bytes * MEMORY_SHARE)
         self.kept_bytes = 0
         self._on_exceeded = on_exceeded
+        # Bytes that can't be broken off.
+        self._staying_bytes = 0
         # Accounts with bytes that can be broken off.
         self._items: set[ByteAccount] = set()
 
@@ -38,13 +42,18 @@
         """
         return ByteAccount(self, break_off)
 
+    def may_stay(self, count: int) -> bool:
+        """Return whether an account that can't be broken off may grow by ``count`` bytes."""
+        return self._staying_bytes + count <= self.limit_bytes * STAYING_SHARE
+
     def _charge(self, account: "ByteAccount", added: int) -> None:
         self.kept_bytes += added
-        if account.break_off is not None:
-            if account.kept_bytes:
-                self._items.add(account)
-            else:
-                self._items.discard(account)
+        if account.break_off is None:
+            self._staying_bytes += added
+        elif account.kept_bytes:
+            self._items.add(account)
+        else:
+            self._items.discard(account)
         if added > 0:
             self._shed()
 
--- a/src/dragonflyhold/gateway/daemon.py
+++ b/src/dragonflyhold/gateway/daemon.py
@@ -150,13 +150,17 @@
         self.gateway.registry_watch = self._registry_watch
         self._store.subscribe_restored(self._note_restored)
         self._crash_archive = CrashArchive(self._store, self.gateway.crashes)
-        self._ready_server = HttpServer(self._serve_readiness, IngressLimits())
+        self._ready_server = HttpServer(
+            self._serve_readiness, IngressLimits(), budget=self.gateway.byte_budget
+        )
         self._peer_snapshots = PeerSnapshots(
             [self._operator_watch, self._registry_watch],
             self.gateway.pool,
             lambda: self._store.was_restored,
         )
-        self._peer_server = HttpServer(self._peer_snapshots.serve_snapshot, IngressLimits())
+        self._peer_server = HttpServer(
+            self._peer_snapshots.serve_snapshot, IngressLimits(), budget=self.gateway.byte_budget
+        )
         self._is_stopping = False
         self._tasks: list[asyncio.Task[None]] = []
 
--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -124,6 +124,7 @@
             self._log_rejected_request,
             self._log_unanswered_request,
             self._log_failed_request,
+            self.byte_budget,
         )
         self.is_store_stable = False
         # Set while the process stops as planned.
--- a/src/dragonflyhold/gateway/http_client.py
+++ b/src/dragonflyhold/gateway/http_client.py
@@ -145,6 +145,9 @@
         self._closed = False
         # Bytes received since the end of the head or the last byte of the body.
         self._unused_bytes = 0
+        # Bytes of the request that the peer has not taken yet.
+        self._unsent = self.budget.open_account()
+        self._is_writing_paused = False
         # Hashes of the ids of the requests sent so far.
         self._carried_ids: set[int] = set()
 
@@ -176,8 +179,19 @@
             self._carried_ids.add(hash(call.request_id))
         self._parser = httptools.HttpResponseParser(exchange)
         self._transport.write(call.encode())
+        if self._is_writing_paused:
+            self._unsent.set(self._transport.get_write_buffer_size())
         return exchange
 
+    def pause_writing(self) -> None:
+        """Note that the peer does not take the whole request at once."""
+        self._is_writing_paused = True
+
+    def resume_writing(self) -> None:
+        """End the count of what the peer has not taken."""
+        self._is_writing_paused = False
+        self._unsent.set(0)
+
     def data_received(self, data: bytes) -> None:
         """Parse bytes of the current response; abort the connection if no exchange is open."""
         exchange, parser = self._exchange, self._parser
@@ -193,6 +207,7 @@
             else:
                 self._fail(FailureReason.MALFORMED, str(error))
                 return
+        exchange.charge()
         if exchange.is_complete:
             self._finish(exchange)
         else:
@@ -228,6 +243,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the open exchange, if there is one."""
         self._closed = True
+        self._unsent.set(0)
         if self._exchange is not None:
             reason = FailureReason.RESET if exc is not None else FailureReason.CLOSED
             self._exchange.fail(ExchangeError(reason, True, str(exc or "")))
@@ -394,7 +410,6 @@
             return
         self.made_progress = True
         self._buffer += data
-        self._account.add(len(data))
         if len(self._buffer) > MAX_BUFFERED_BYTES and not self._paused:
             self._paused = True
             self._connection.set_reading(False)
@@ -410,6 +425,11 @@
 
     # Called by the connection.
 
+    def charge(self) -> None:
+        """Update the count of what is kept; this may break the exchange off."""
+        if self._error is None:
+            self._account.set(len(self._buffer) + self._kept_bytes)
+
     def complete(self) -> None:
         """Mark the response as complete, unless the exchange has failed."""
         self.is_complete = self._error is None
@@ -441,7 +461,7 @@
             await self._wait()
         data = bytes(self._buffer)
         self._buffer.clear()
-        self._account.add(-len(data))
+        self.charge()
         if self._paused:
             self._paused = False
             self._connection.set_reading(True)
@@ -459,7 +479,7 @@
         if self._kept_bytes > max_bytes:
             raise self.fail_oversized(f"body of more than {max_bytes} bytes")
         self._kept.append(chunk)
-        self._account.add(len(chunk))
+        self.charge()
 
     def take_body(self) -> bytes:
         """Return all parts that were kept."""
--- a/src/dragonflyhold/gateway/http_server.py
+++ b/src/dragonflyhold/gateway/http_server.py
@@ -16,6 +16,7 @@
 
 import httptools
 
+from dragonflyhold.gateway.byte_budget import ByteBudget
 from dragonflyhold.gateway.http_client import set_dead_peer_detection
 from dragonflyhold.gateway.limits import MAX_FRAMING_BYTES
 from dragonflyhold.gateway.logs import JsonLogger, describe
@@ -24,9 +25,17 @@
 
 # Reading pauses while this many pipelined requests wait behind the one in progress.
 MAX_PIPELINED = 8
+# The same for the bytes of that request and of those behind it.
+MAX_PIPELINED_BYTES = 256 * 1024
+# Time for which the client of a rejected request that is not complete may read the response.
+LINGER_S = 1.0
+# What a header takes beside its bytes.
+HEADER_OVERHEAD_BYTES = 128
+# Retry delay suggested to clients whose requests find no room in memory.
+RETRY_AFTER_S = 0.5
 # Limit for receiving the body of a request after its head.
 BODY_TIMEOUT_S = 10.0
-# A client that leaves the write buffer full for this long is disconnected.
+# A client that reads nothing from a full write buffer for this long is disconnected.
 WRITE_TIMEOUT_S = 10.0
 
 
@@ -43,6 +52,16 @@
     # Monotonic time at which the last byte arrived.
     received: float
 
+    @property
+    def kept_bytes(self) -> int:
+        """Return the approximate memory that the request takes."""
+        return len(self.body) + sum(map(_header_bytes, self.headers))
+
+
+def _header_bytes(header: tuple[bytes, bytes]) -> int:
+    name, value = header
+    return len(name) + len(value) + HEADER_OVERHEAD_BYTES
+
 
 Handler = Callable[[ClientRequest, Responder], Awaitable[None]]
 
@@ -86,10 +105,18 @@
         self._head_bytes = 0
         self._headers_done = False
         self._in_message = False
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._body_bytes = 0
         # Bytes received since the end of the head or the last byte of the body.
         self._framing_bytes = 0
+        # The request that is being read, those that were read, and what the client has not read.
+        self._receiving = server.budget.open_account(self._refuse)
+        self._received = server.budget.open_account()
+        self._unread = server.budget.open_account(lambda: self.abort(ConnectionEnd.UNREAD))
+        # Approximate memory of the headers that are being read.
+        self._kept_head_bytes = 0
+        # Bytes of the request that is being served.
+        self._served_bytes = 0
 
     @property
     def is_closing(self) -> bool:
@@ -136,6 +163,10 @@
             for request, _, _ in self._queue:
                 self._server.on_unanswered(request, "the connection closed before its turn")
         self._queue.clear()
+        self._discard_input()
+        self._receiving.set(0)
+        self._note_received()
+        self._unread.set(0)
         self._can_write.set()
         if self._task is not None:
             self._task.cancel()
@@ -167,6 +198,8 @@
                 self._reject(413, "chunk extensions or trailers are too large")
         else:
             self._framing_bytes = 0
+        if not self._rejected:
+            self._receiving.set(self._kept_head_bytes + len(self._body))
 
     def pause_writing(self) -> None:
         """Block ``drain`` while the write buffer is full."""
@@ -174,6 +207,7 @@
 
     def resume_writing(self) -> None:
         """Unblock ``drain``."""
+        self._unread.set(0)
         self._can_write.set()
 
     # Called by the parser.
@@ -184,7 +218,8 @@
         self._headers = []
         self._headers_done = False
         self._in_message = True
-        self._body = []
+        self._body.clear()
+        self._kept_head_bytes = 0
         self._body_bytes = 0
         if self._task is None:
             self._set_deadline(self._server.limits.header_timeout_s, self._request_timeout)
@@ -197,6 +232,7 @@
         """Collect a header; trailers are discarded."""
         if not self._headers_done:
             self._headers.append((name, value))
+            self._kept_head_bytes += _header_bytes((name, value))
 
     def on_headers_complete(self) -> None:
         """Check the head before the body is read."""
@@ -224,7 +260,7 @@
         if self._body_bytes > self._server.limits.body_bytes:
             self._reject(413, "body is too large")
         elif not self._rejected:
-            self._body.append(data)
+            self._body += data
 
     def on_message_complete(self) -> None:
         """Queue a complete request; pause reading if the pipeline is full."""
@@ -237,17 +273,25 @@
             target=self._url,
             headers=self._headers,
             fields=fields,
-            body=b"".join(self._body),
+            body=bytes(self._body),
             received=time.monotonic(),
         )
+        self._body.clear()
+        self._kept_head_bytes = 0
+        self._receiving.set(0)
+        if not self._server.budget.may_stay(request.kept_bytes):
+            self._refuse()
+            return
         http_10 = self._parser.get_http_version() == "1.0"
         self._queue.append((request, self._parser.should_keep_alive(), http_10))
-        self._body = []
         self._headers_done = False
         self._clear_deadline()
+        self._note_received()
         if self._task is None:
             self._start_next()
-        elif len(self._queue) >= MAX_PIPELINED and self._transport is not None:
+        elif self._transport is not None and (
+            len(self._queue) >= MAX_PIPELINED or self._received.kept_bytes > MAX_PIPELINED_BYTES
+        ):
             self._transport.pause_reading()
 
     # Called by the responder and the server.
@@ -256,22 +300,34 @@
         """Write bytes unless the connection is closed."""
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
+            if not self._can_write.is_set():
+                self._unread.set(self._transport.get_write_buffer_size())
 
     async def drain(self) -> None:
         """Wait until the write buffer has room; disconnect a client that stops reading."""
-        if self._can_write.is_set():
-            return
-        try:
-            async with asyncio.timeout(WRITE_TIMEOUT_S):
-                await self._can_write.wait()
-        except TimeoutError:
-            self.abort(ConnectionEnd.UNREAD)
+        while not self._can_write.is_set():
+            assert self._transport is not None
+            unread = self._transport.get_write_buffer_size()
+            try:
+                async with asyncio.timeout(WRITE_TIMEOUT_S):
+                    await self._can_write.wait()
+            except TimeoutError:
+                if self._transport.get_write_buffer_size() >= unread:
+                    self.abort(ConnectionEnd.UNREAD)
+                    return
 
     def close_after_response(self, end: ConnectionEnd = ConnectionEnd.RESPONSE) -> None:
         """Close the connection once the buffered bytes are written."""
         self._note_end(end)
         self._must_close = True
-        if self._transport is not None:
+        if self._transport is None:
+            return
+        if self._rejected and self._in_message and self._transport.can_write_eof():
+            # A close with unread bytes resets the connection, and the response may be lost.
+            self._transport.pause_reading()
+            self._transport.write_eof()
+            self._set_deadline(LINGER_S, self._transport.close)
+        else:
             self._transport.close()
 
     def abort(self, end: ConnectionEnd = ConnectionEnd.RESPONSE) -> None:
@@ -295,6 +351,7 @@
         if not self._queue or self._must_close:
             return
         request, keep_alive, http_10 = self._queue.popleft()
+        self._served_bytes = request.kept_bytes
         responder = Responder(self, keep_alive, http_10)
         self._task = asyncio.get_running_loop().create_task(self._serve(request, responder))
 
@@ -304,6 +361,8 @@
             await self._server.handler(request, responder)
             if not responder.is_ended:
                 detail = "the handler returned without a response"
+            # The next response must not pile up behind one that the client does not read.
+            await self.drain()
         except asyncio.CancelledError:
             self.abort()
             raise
@@ -311,6 +370,8 @@
             detail = describe(error)
         finally:
             self._task = None
+            self._served_bytes = 0
+            self._note_received()
         if detail:
             self._end_failed(request, responder, detail)
         if self._transport is None or self._transport.is_closing():
@@ -341,10 +402,27 @@
         if self._task is None and not self._queue:
             body = detail.encode()
             responder = Responder(self, False, False)
-            responder.send(status, [(b"Content-Type", b"text/plain")], body)
+            headers = [(b"Content-Type", b"text/plain")]
+            if status == 503:
+                headers.append((b"Retry-After", b"%.2f" % RETRY_AFTER_S))
+            responder.send(status, headers, body)
         else:
             self._must_close = True
 
+    def _refuse(self) -> None:
+        """Refuse the request that is being read, or was just read: there is no room for it."""
+        self._discard_input()
+        self._reject(503, "not run: no memory")
+
+    def _discard_input(self) -> None:
+        self._body.clear()
+        self._headers = []
+        self._kept_head_bytes = 0
+
+    def _note_received(self) -> None:
+        waiting = sum(request.kept_bytes for request, _, _ in self._queue)
+        self._received.set(self._served_bytes + waiting)
+
     def _request_timeout(self) -> None:
         self._reject(408, "the request was not complete in time")
 
@@ -373,7 +451,8 @@
     ``on_rejected`` is called with the status and detail of each rejected request,
     ``on_unanswered`` with each request that was read and whose connection this side closes without
     a response, and with the cause; ``on_failed`` with each request whose handler raised an error or
-    sent no response, and with the cause. It gets 502, or its response is broken off.
+    sent no response, and with the cause. It gets 502, or its response is broken off. What is kept
+    of requests, and of responses that clients don't read, is charged to ``budget``.
     """
 
     def __init__(
@@ -383,7 +462,9 @@
         on_rejected: Callable[[int, str], None] = lambda status, detail: None,
         on_unanswered: Callable[[ClientRequest, str], None] = lambda request, detail: None,
         on_failed: Callable[[ClientRequest, str], None] = lambda request, detail: None,
+        budget: ByteBudget | None = None,
     ) -> None:
+        self.budget = budget if budget is not None else ByteBudget()
         self.handler = handler
         self.limits = limits
         self.on_rejected = on_rejected
