Pause between refusals only after the first four

A request that may have run paused after each refusal, also of an upstream that could not be connected to, though another one could take it at once.

--- a/src/dragonflyhold/gateway/attempt.py
+++ b/src/dragonflyhold/gateway/attempt.py
@@ -87,6 +87,14 @@
         return not self.responder.is_started or self.events.can_resume
 
 
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Superseded:
+    """Another upstream accepted the request; the successor relays its response."""
+
+    successor: "Attempt"
+
+
 class _SupersededError(Exception):
     """Another upstream has accepted the request."""
 
@@ -141,12 +149,12 @@
         """Whether another attempt goes on until this one is accepted."""
         return bool(self._predecessors)
 
-    async def run(self) -> "Outcome | Superseded":
+    async def run(self) -> Outcome | Superseded:
         """Send the request, once it may start, and relay the response."""
         outcome = await self._open()
         return outcome if outcome is not None else await self.finish()
 
-    async def accept(self) -> "Outcome | Superseded | None":
+    async def accept(self) -> Outcome | Superseded | None:
         """Send the request as a successor; return ``None`` once its upstream has accepted it.
 
         The head of a response that can be relayed shows that. Any other outcome closes the attempt,
@@ -176,7 +184,7 @@
         finally:
             self.close()
 
-    async def finish(self) -> "Outcome | Superseded":
+    async def finish(self) -> Outcome | Superseded:
         """Relay the response whose head has been read."""
         self._predecessors = frozenset()
         assert self._exchange is not None
@@ -199,7 +207,7 @@
             self._is_counted = False
             self._gateway.note_ended(self._choice.upstream_id, self._request_info.target)
 
-    async def _open(self) -> "Outcome | Superseded | None":
+    async def _open(self) -> Outcome | Superseded | None:
         """Send the request and read the head; return an outcome if there is none."""
         self._gateway.note_started(self._choice.upstream_id, self._request_info.target)
         self._is_counted = True
@@ -212,7 +220,7 @@
             self.close()
         return outcome
 
-    async def _start(self) -> "Outcome | Superseded | None":
+    async def _start(self) -> Outcome | Superseded | None:
         is_delayed = await self._wait_for_start()
         now = time.monotonic()
         if is_delayed and self._gateway.table.is_silent(self._choice.upstream_id, now):
@@ -239,7 +247,7 @@
         context.progress.paced_s += delay_s
         return delay_s > 0
 
-    async def _send(self) -> "Outcome | Superseded | None":
+    async def _send(self) -> Outcome | Superseded | None:
         choice, view = self._choice, self._view
         started = self._sent_at = time.monotonic()
         if not self._may_send():
@@ -417,7 +425,7 @@
                 self._withdraw(successor, opening)
 
     def _withdraw(
-        self, successor: "Attempt", opening: "asyncio.Task[Outcome | Superseded | None] | None"
+        self, successor: "Attempt", opening: asyncio.Task[Outcome | Superseded | None] | None
     ) -> None:
         """Close a successor of which nothing is used; it may run by now."""
         progress = self._context.progress
@@ -752,14 +760,6 @@
         return Answered(head.status)
 
 
-@final
-@dataclasses.dataclass(frozen=True, slots=True)
-class Superseded:
-    """Another upstream accepted the request; the successor relays its response."""
-
-    successor: Attempt
-
-
 def _discard(reading: asyncio.Future[Read]) -> None:
     """Cancel a read, or mark its error as seen."""
     if not reading.done():
--- a/src/dragonflyhold/gateway/progress.py
+++ b/src/dragonflyhold/gateway/progress.py
@@ -50,7 +50,6 @@
     software: list[SoftwareVersion | None] = dataclasses.field(default_factory=list)
     # Upstreams on which an attempt failed or that refused the request.
     tried: set[UpstreamId] = dataclasses.field(default_factory=set)
-
     # Monotonic time before which no further successor is tried, and the pause after the next one.
     successor_at: float = -1e9
     successor_pause_s: float = SUCCESSOR_PAUSE_S
--- a/src/dragonflyhold/gateway/request.py
+++ b/src/dragonflyhold/gateway/request.py
@@ -42,7 +42,8 @@
 NO_UPSTREAM_POLL_S = 0.02
 # Refusals by upstreams after which the gateway refuses a request that has not run.
 MAX_REFUSALS = 4
-# Time after a refusal of a request that may have run before it is sent again; it doubles each time.
+# Time after which a request that may have run is sent again after as many refusals; it doubles each
+# time.
 REFUSAL_PAUSE_S = 0.05
 # Share of its remaining time for which the retry of a refused client waits for its adapter.
 CLIENT_RETRY_WAIT_SHARE = 0.25
@@ -305,10 +306,10 @@
             return
         self.progress.refusals += 1
         self.progress.tried.add(choice.upstream_id)
-        if self.progress.attempts or self._responder.is_started:
+        if self.progress.refusals >= MAX_REFUSALS:
+            if not self.progress.attempts and not self._responder.is_started:
+                raise self._terminal_error(reason)
             await self._pause_after_refusal(reason)
-        elif self.progress.refusals >= MAX_REFUSALS:
-            raise self._terminal_error(reason)
         if reached_upstream and not self._gateway.budget.try_spend(self._service):
             raise self._terminal_error(Reason.RETRY_BUDGET)
         self._gateway.count_retry(reason)
