Soak without preemptions too, and streams that may run once at several attempts

Without preemptions more takeovers are accepted. A route that may run once with several attempts lets the oracle see such a request repeated.

--- a/tests/gateway/test_takeover_soak.py
+++ b/tests/gateway/test_takeover_soak.py
@@ -45,7 +45,7 @@
 BATCH = 4
 ADAPTER_SLOTS = 3
 ADAPTERS = ("a1", "a2", "")
-EVENTS = 20
+EVENTS = 30
 EVENT_INTERVAL_S = 0.05
 ANSWER_S = 0.2
 TIME_LIMIT_MS = 8000
@@ -58,6 +58,10 @@
 # Share of the clients that leave early, and of the takeovers at which the old run goes on.
 LEAVING_SHARE = 0.1
 RETURN_SHARE = 0.3
+# Share of the runs in which engines are full and preempt streams.
+PREEMPTING_SHARE = 0.6
+# Share of the pauses that begin in the middle of an event.
+INSIDE_SHARE = 0.7
 # Share of the requests sent to a gateway that stops while one does.
 STOPPING_SHARE = 0.4
 # Least share of the last requests that must be served.
@@ -79,10 +83,12 @@
     "/ask/1": (Kind.RESUMABLE, 2),
     "/ask3/1": (Kind.RESUMABLE, 3),
     "/draft/1": (Kind.ONCE, 1),
+    "/draft3/1": (Kind.ONCE, 3),
     "/read/1": (Kind.SAFE, 2),
     "/read3/1": (Kind.SAFE, 3),
 }
-PATHS = ("/ask1/1", "/ask/1", "/ask/1", "/ask3/1", "/draft/1", "/read/1", "/read3/1")
+# Paths that are drawn more often, beside one of each.
+PATHS = (*ROUTES, "/ask/1", "/ask/1", "/ask3/1", "/ask3/1")
 SECOND_PLAIN_SERVICE = "shelf"
 CUT = pytest.mark.xfail(
     raises=AssertionError,
@@ -107,7 +113,7 @@
 class TakeoverSoak(Soak):
     """One run in which upstreams fall silent, are full, and break off what they take over."""
 
-    engines = 5
+    engines = 6
     plain = 2
     run_s = 24.0
     request_gap_s = 0.06
@@ -117,6 +123,8 @@
         super().__init__(seed)
         self.target_latency_s = self._rng.choice([0.3, 0.6])
         self.accepted_pause_s = self._rng.choice([0.2, 0.4])
+        # Without preemptions, more takeovers are accepted.
+        self._has_preemptions = self._rng.random() < PREEMPTING_SHARE
         self.unreachable: dict[str, list[Span]] = defaultdict(list)
         self._exchanges: dict[str, _Exchange] = {}
         # What gateways sent to each upstream.
@@ -314,12 +322,16 @@
     # Faults
 
     def _fault_kinds(self) -> Sequence[Fault]:
-        return (
+        preemptions = (
             self._preempt_all,
             self._preempt_all,
             self._preempt_some,
             self._preempt_some,
             self._preempt_in_series,
+        )
+        return (
+            *(preemptions if self._has_preemptions else ()),
+            self._stand_still,
             self._stand_still,
             self._stand_still,
             self._stand_still,
@@ -375,7 +387,7 @@
     async def _stand_still(self, end: float) -> None:
         """Let an upstream, but not its VM, pause, also in the middle of events."""
         upstream = self._rng.choice(list(self.deployment.upstreams.values()))
-        pause = upstream.stand_still(is_inside_event=self._rng.random() < 0.5)
+        pause = upstream.stand_still(is_inside_event=self._rng.random() < INSIDE_SHARE)
         await self._end_after([pause], self._rng.uniform(*PAUSE_RANGE_S), end)
 
     async def _freeze_vm(self, end: float) -> None:
@@ -388,7 +400,7 @@
         if loop.network.is_unreachable(ip):
             return
         loop.network.make_unreachable(ip)
-        pause = upstream.stand_still(is_inside_event=self._rng.random() < 0.5)
+        pause = upstream.stand_still(is_inside_event=self._rng.random() < INSIDE_SHARE)
         await self._end_after([pause], self._rng.uniform(*PAUSE_RANGE_S), end)
         loop.network.make_reachable(ip)
         self.unreachable[name].append((start, loop.time()))
@@ -459,6 +471,7 @@
         set_engine_size(fields, BATCH, ADAPTER_SLOTS)
         routes = {route["name"]: route for route in fields["routes"]}
         for name, base, max_attempts in (
+            ("draft3", "draft", 3),
             ("ask1", "ask", 1),
             ("ask3", "ask", 3),
             ("read3", "read", 3),
@@ -547,7 +560,7 @@
     """Guards against responses that are cut, or run twice, because their upstream paused."""
 
     @pytest.mark.parametrize(
-        "seed", [3, *(pytest.param(seed, marks=CUT) for seed in (5, 16, 29, 43))]
+        "seed", [22, *(pytest.param(seed, marks=CUT) for seed in (7, 12, 21))]
     )
     def test_guarantees_hold(self, seed: int) -> None:
         soak = play(seed)
