--- a/tests/gateway/test_takeover_soak.py
+++ b/tests/gateway/test_takeover_soak.py
@@ -559,9 +559,7 @@
 class TestTakeoverSoak:
     """Guards against responses that are cut, or run twice, because their upstream paused."""
 
-    @pytest.mark.parametrize(
-        "seed", [22, *(pytest.param(seed, marks=CUT) for seed in (7, 12, 21))]
-    )
+    @pytest.mark.parametrize("seed", [22, *(pytest.param(seed, marks=CUT) for seed in (7, 12, 21))])
     def test_guarantees_hold(self, seed: int) -> None:
         soak = play(seed)
         requests = soak.requests
