Keep a new connection open for its first request in a planned stop

A planned stop closed each connection without a request as idle, also one that its client had just opened: the request behind it was reset.

A connection that has brought no byte yet is now closed in a planned stop only 0.5 s after it was opened.

--- a/src/dragonflyhold/gateway/http_server.py
+++ b/src/dragonflyhold/gateway/http_server.py
@@ -32,6 +32,8 @@
 # Time for which a rejected client may go on sending. A close before that resets the connection,
 # and the rejection can be lost.
 LINGER_S = 1.0
+# Time in which a client sends its first request on a connection that it has opened for it.
+FIRST_REQUEST_S = 0.5
 # Any delay after which a task goes on in a later turn of the event loop, after its reads.
 EVENT_LOOP_TURN_S = 0.001
 
@@ -84,6 +86,8 @@
         self._deadline: asyncio.TimerHandle | None = None
         # Loop time at which the connection was last opened or a response ended.
         self._idle_since = 0.0
+        # Whether no byte of a request has come yet.
+        self._is_new = True
         self._can_write = asyncio.Event()
         self._can_write.set()
         self._must_close = False
@@ -202,6 +206,7 @@
 
     def on_message_begin(self) -> None:
         """Reset the parsing state and start the header timeout."""
+        self._is_new = False
         self._url = b""
         self._headers = []
         self._headers_done = False
@@ -324,7 +329,13 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", enabled, 0))
 
     def close_if_idle(self) -> None:
-        """Close the connection if it has no open request, also none that waits in the kernel."""
+        """Close the connection if it has no open request, also none that waits in the kernel.
+
+        One that was just opened stays open for its first request.
+        """
+        open_for = asyncio.get_running_loop().time() - self._idle_since
+        if self._is_new and open_for < FIRST_REQUEST_S:
+            return
         if self.is_idle and not self._must_close:
             # The event loop reads what has arrived before it runs timers that are due.
             self._set_deadline(0.0, self._close_idle)
