--- a/src/dragonflyhold/gateway/http_server.py
+++ b/src/dragonflyhold/gateway/http_server.py
@@ -39,7 +39,7 @@
 # Time for which a rejected client may go on sending. A close before that resets the connection,
 # and the rejection can be lost.
 LINGER_S = 1.0
-# Time after a response within which its client is expected to send the next request, if at once.
+# Time within which a client that has a request sends it on a new connection or after a response.
 REUSE_S = 0.5
 # Any delay after which a task goes on in a later turn of the event loop, after its reads.
 EVENT_LOOP_TURN_S = 0.001
@@ -375,7 +375,7 @@
     def close_if_idle(self) -> None:
         """Close the connection if it has no open request, also none that waits in the kernel.
 
-        After a response that keeps the connection open, its client may just send the next request.
+        One that was just opened, or kept open after a response, stays open for the next request.
         """
         if self.is_idle and not self._must_close:
             idle_s = asyncio.get_running_loop().time() - self._idle_since
