Split many small events in linear time

Cause: the end of each event was searched for in both forms, and the form that the stream does not use was looked for in all bytes that were read.

One pattern now finds the first end of either form.

--- a/src/dragonflyhold/gateway/events.py
+++ b/src/dragonflyhold/gateway/events.py
@@ -1,5 +1,6 @@
 """Splits a stream of server-sent events into complete events."""
 
+import re
 from typing import final
 
 from dragonflyhold.gateway.limits import MAX_EVENT_BYTES
@@ -7,6 +8,7 @@
 
 # Bytes before new data in which the end of an event may begin.
 _END_OVERLAP = 3
+_END = re.compile(rb"\n\n|\r\n\r\n")
 
 
 class UnsoundStreamError(Exception):
@@ -129,11 +131,9 @@
 
 def _event_end(data: bytearray, start: int) -> int:
     """Return the index after the blank line that ends an event, or -1."""
-    plain = data.find(b"\n\n", start)
-    crlf = data.find(b"\r\n\r\n", start)
-    if crlf >= 0 and (plain < 0 or crlf < plain):
-        return crlf + 4
-    return plain + 2 if plain >= 0 else -1
+    # One search for both: a search for the one that a stream does not use would read all of it.
+    end = _END.search(data, start)
+    return end.end() if end is not None else -1
 
 
 def _parse_event(event: bytes) -> tuple[str | None, bool]:
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -143,6 +143,17 @@
         assert time.process_time() - started < 0.5
         assert not splitter.has_partial
 
+    @pytest.mark.parametrize("event", [b":\n\n", b":\r\n\r\n", b"id:\n\n", b"\n\n"])
+    def test_many_small_events_cost_what_their_bytes_do(self, event: bytes) -> None:
+        """Guards against work that is quadratic in the events of one read."""
+        splitter, data, started = (
+            EventSplitter(),
+            event * (MAX_EVENT_BYTES // 3),
+            time.process_time(),
+        )
+        assert splitter.feed(data) == data
+        assert time.process_time() - started < 2.0
+
     def test_events_before_an_oversized_one_are_forwarded(self) -> None:
         """Guards against a stream that is resumed after an event that its client never got."""
         splitter, event = EventSplitter(), b"id: 1\ndata: x\n\n"
