--- a/src/dragonflyhold/gateway/http_client.py
+++ b/src/dragonflyhold/gateway/http_client.py
@@ -24,6 +24,9 @@
 DEFAULT_IDLE_TIMEOUT_S = 4.0
 # Reading from the peer pauses while more unread body bytes than this are buffered.
 MAX_BUFFERED_BYTES = 256 * 1024
+# What a reader gets at once; it may consist of thousands of events, and other tasks run between two
+# such parts.
+MAX_READ_BYTES = 16 * 1024
 MAX_HEADER_BYTES = 32 * 1024
 # A connection that has carried this many ids is not reused, which bounds its memory.
 MAX_CARRIED_IDS = 1024
@@ -320,6 +323,8 @@
         # Counts both.
         self._account = connection.budget.open_account(self._break_off)
         self._paused = False
+        # Whether the last read has left bytes in the buffer.
+        self._must_yield = False
         self._error: ExchangeError | None = None
         self._updated = asyncio.Event()
 
@@ -452,17 +457,23 @@
         return self.head
 
     async def read_chunk(self) -> bytes:
-        """Return the next bytes of the body, empty at its end; raise ``ExchangeError``."""
+        """Return the next bytes of the body, empty at its end; raise ``ExchangeError``.
+
+        They are at most ``MAX_READ_BYTES``.
+        """
+        if self._must_yield:
+            await asyncio.sleep(0)
         while not self._buffer:
             if self.is_complete:
                 return b""
             if self._error is not None:
                 raise self._error
             await self._wait()
-        data = bytes(self._buffer)
-        self._buffer.clear()
+        data = bytes(self._buffer[:MAX_READ_BYTES])
+        del self._buffer[:MAX_READ_BYTES]
+        self._must_yield = bool(self._buffer)
         self.charge()
-        if self._paused:
+        if self._paused and not self._buffer:
             self._paused = False
             self._connection.set_reading(True)
         return data
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -9,7 +9,12 @@
 
 from dragonflyhold.gateway.connection_pool import ConnectionPool
 from dragonflyhold.gateway.events import EventSplitter, EventTooLargeError
-from dragonflyhold.gateway.http_client import Call, ExchangeError, FailureReason
+from dragonflyhold.gateway.http_client import (
+    MAX_READ_BYTES,
+    Call,
+    ExchangeError,
+    FailureReason,
+)
 from dragonflyhold.gateway.http_server import HttpServer
 from dragonflyhold.gateway.limits import (
     MAX_EVENT_BYTES,
@@ -127,6 +132,47 @@
         assert asyncio.run(scenario()) == b"x" * 20_000
 
 
+class TestOtherTasks:
+    """Guards against one response that keeps all other clients of the process waiting."""
+
+    def test_they_run_between_the_parts_of_a_body(self) -> None:
+        body, turns, turns_between = b"\n" * (8 * MAX_READ_BYTES), 0, []
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.read(1000)
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+            await writer.drain()
+            writer.close()
+
+        async def count_turns() -> None:
+            nonlocal turns
+            while True:
+                turns += 1
+                await asyncio.sleep(0)
+
+        async def scenario() -> list[bytes]:
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            host, port = server.sockets[0].getsockname()
+            pool, address, parts = ConnectionPool(), Address(f"{host}:{port}"), []
+            exchange = await pool.send(address, CALL)
+            # All of the body has arrived.
+            await asyncio.sleep(0.2)
+            other = asyncio.create_task(count_turns())
+            while part := await exchange.read_chunk():
+                parts.append(part)
+                turns_between.append(turns)
+            other.cancel()
+            pool.release(address, exchange)
+            pool.close_idle(address)
+            server.close()
+            return parts
+
+        parts = asyncio.run(scenario())
+        assert b"".join(parts) == body
+        assert max(map(len, parts)) <= MAX_READ_BYTES
+        assert len(set(turns_between)) == len(parts)
+
+
 class TestEndlessEvents:
     """Events of a stream that never end."""
 
