Read the load of upstreams that state a fourth figure

Cause: upstreams on shared VMs add a fourth figure to Server-Load, the time that work takes there as a percentage of the usual one. The decoder wanted exactly three, so every such response was ignored: gateways learned no load from any answer of a plain service, nor how slow its VM is.

Change: three or four figures are read into ServerLoad; an odd fourth one leaves the counts valid. The fourth is decoded and not used yet.

Measured: tests/platform/test_codec.py and tests/gateway/test_dispatch.py pass; test_fourth_figure_is_the_slowness returned None on the code before.

--- a/src/dragonflyhold/gateway/dispatch.py
+++ b/src/dragonflyhold/gateway/dispatch.py
@@ -7,7 +7,7 @@
 from typing import final
 
 from dragonflyhold.gateway.messages import AgentHeartbeat, EngineUpdate
-from dragonflyhold.gateway.model import ModelAdapter, Upstream, UpstreamId
+from dragonflyhold.gateway.model import ModelAdapter, ServerLoad, Upstream, UpstreamId
 from dragonflyhold.gateway.send_gates import SendGates, SendState
 from dragonflyhold.gateway.stream_origins import StreamOrigin
 from dragonflyhold.gateway.upstream_index import UpstreamIndex, rank
@@ -528,12 +528,12 @@
         if view is not None:
             view.first_byte_s += FIRST_BYTE_WEIGHT * (seconds - view.first_byte_s)
 
-    def report_load(self, upstream_id: UpstreamId, running: int, waiting: int, now: float) -> None:
+    def report_load(self, upstream_id: UpstreamId, load: ServerLoad, now: float) -> None:
         """Record the load that an upstream of a plain service reports in a response."""
         view = self.views.get(upstream_id)
         if view is not None and not view.is_linked:
             # The request of this response is included in the counts but has ended.
-            view.reported_requests = max(0, running + waiting - 1)
+            view.reported_requests = max(0, load.running + load.waiting - 1)
             view.own_requests_at_report = max(0, view.in_flight - 1)
             view.reported_at = now
 
--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -444,7 +444,7 @@
         """Record the load that an upstream reports in its response headers."""
         load = codec.server_load(head)
         if load is not None:
-            self.table.report_load(upstream_id, load[0], load[1], time.monotonic())
+            self.table.report_load(upstream_id, load, time.monotonic())
 
     def note_limit(self, view: UpstreamView, head: Head, sent_at: float) -> None:
         """Record the limit that an upstream states in a response, or its end.
--- a/src/dragonflyhold/gateway/model.py
+++ b/src/dragonflyhold/gateway/model.py
@@ -166,6 +166,19 @@
     start_time_ms: int
 
 
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerLoad:
+    """Load that an upstream reports in a response."""
+
+    running: int
+    waiting: int
+    slots: int
+    # Time that work takes on its VM at this moment relative to the usual one, ``None`` if not
+    # stated.
+    slowness: float | None = None
+
+
 class CommandKind(enum.Enum):
     """Kind of a command to an engine."""
 
--- a/src/dragonflyhold/platform/codec.py
+++ b/src/dragonflyhold/platform/codec.py
@@ -27,6 +27,7 @@
     RetrySafety,
     Route,
     SendOptions,
+    ServerLoad,
     Service,
     ServiceShare,
     SoftwareVersion,
@@ -84,6 +85,10 @@
 )
 # Requests that an upstream may process at a time, far beyond any that exists.
 MAX_SLOTS = 1_000_000
+# Counts in the header with an upstream's load.
+LOAD_COUNTS = 3
+# Work that takes longer than this percentage of the usual time is not told apart from an error.
+MAX_SLOWNESS_PERCENT = 100_000
 # Higher limits are kept as this one, which no upstream reaches.
 MAX_LIMIT_PER_S = 1e6
 # Larger values in a client's headers are ignored like other invalid ones.
@@ -396,12 +401,21 @@
         return None
 
 
-def server_load(head: Head) -> tuple[int, int] | None:
-    """Return the numbers of running and waiting requests on an upstream, if they are given."""
-    counts = [parse_digits(part.strip()) for part in head.fields.get(SERVER_LOAD, b"").split(b",")]
-    if len(counts) != 3 or counts[0] is None or counts[1] is None or counts[2] is None:
+def server_load(head: Head) -> ServerLoad | None:
+    """Return the load that an upstream reports, if it is given and valid.
+
+    The first three figures are counts; the fourth, which not all upstreams state, is the time that
+    work takes as a percentage of the usual one. An invalid fourth figure leaves the counts valid.
+    """
+    parts = head.fields.get(SERVER_LOAD, b"").split(b",")
+    if not LOAD_COUNTS <= len(parts) <= LOAD_COUNTS + 1:
+        return None
+    running, waiting, slots, *rest = (parse_digits(part.strip()) for part in parts)
+    if running is None or waiting is None or slots is None:
         return None
-    return counts[0], counts[1]
+    percent = rest[0] if rest else None
+    is_valid = percent is not None and 0 < percent <= MAX_SLOWNESS_PERCENT
+    return ServerLoad(running, waiting, slots, percent / 100 if percent and is_valid else None)
 
 
 def server_limit(head: Head) -> float | None:
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -12,7 +12,7 @@
     WaitFor,
 )
 from dragonflyhold.gateway.liveness import DEFAULT_GAP_S, OVERDUE_S, UNREACHABLE_S
-from dragonflyhold.gateway.model import RegistrationState, UpstreamId
+from dragonflyhold.gateway.model import RegistrationState, ServerLoad, UpstreamId
 from dragonflyhold.gateway.send_gates import RETURN_S
 from dragonflyhold.gateway.upstream_view import (
     MAX_SUSPENSION_S,
@@ -249,7 +249,7 @@
     def test_plain_services_report_their_load_in_responses(self) -> None:
         table = _table(1, linked=False)
         table.request_started(UpstreamId("r1"), NOW)
-        table.report_load(UpstreamId("r1"), running=4, waiting=2, now=NOW)
+        table.report_load(UpstreamId("r1"), ServerLoad(running=4, waiting=2, slots=8), NOW)
         table.request_ended(UpstreamId("r1"))
         assert table.views[UpstreamId("r1")].load(NOW) == 5
 
--- a/tests/platform/test_codec.py
+++ b/tests/platform/test_codec.py
@@ -11,6 +11,7 @@
     ModelAdapter,
     RetrySafety,
     SendOptions,
+    ServerLoad,
 )
 from dragonflyhold.ids import AdapterName, Version
 from dragonflyhold.platform import codec
@@ -196,11 +197,23 @@
         assert not codec.may_forward_failure(_head(status, response_signature=b"x"))
 
     def test_server_load_is_decoded(self) -> None:
-        assert codec.server_load(_head(200, server_load=b"3, 1,8")) == (3, 1)
+        assert codec.server_load(_head(200, server_load=b"3, 1,8")) == ServerLoad(3, 1, 8)
         assert codec.server_load(_head(200, server_load=b"3,x,8")) is None
         assert codec.server_load(_head(200)) is None
 
-    @pytest.mark.parametrize("value", [b"1,%s,8" % (b"9" * 5000), b"\xb2,1,8", b"-1,1,8", b",,"])
+    def test_fourth_figure_is_the_slowness(self) -> None:
+        """Guards against a load that is ignored because its upstream states more than before."""
+        assert codec.server_load(_head(200, server_load=b"3,1,8,250")) == ServerLoad(3, 1, 8, 2.5)
+
+    @pytest.mark.parametrize("figure", [b"0", b"-5", b"x", b"", b"1e3", b"9" * 5000, b"100001"])
+    def test_odd_fourth_figure_leaves_the_counts(self, figure: bytes) -> None:
+        head = _head(200, server_load=b"3,1,8," + figure)
+        assert codec.server_load(head) == ServerLoad(3, 1, 8)
+
+    @pytest.mark.parametrize(
+        "value",
+        [b"1,%s,8" % (b"9" * 5000), b"\xb2,1,8", b"-1,1,8", b",,", b"1,2", b"1,2,8,100,7"],
+    )
     def test_odd_server_load_is_ignored(self, value: bytes) -> None:
         """Guards against a header that ends a request although its upstream has answered."""
         assert codec.server_load(_head(200, server_load=value)) is None
