Tell upstreams whose account sent a request, and reject unknown keys

Cause: the platform's path had no client accounts. On a deployment whose configuration has some, any key was served, the key itself reached upstreams and a caller's own account header was forwarded as it came.

Change: the configuration's accounts are decoded into an AccountDirectory, which keeps digests of keys. A request without exactly one known key gets 401 and runs nowhere, unless its route allows anonymous callers; the account's name replaces key and header on the way to the upstream, and its priority goes before the route's. Without accounts in the configuration nothing changes.

Measured: tests/accounts, tests/gateway/test_client_accounts.py; the latter's cases with accounts fail on the code before (200 instead of 401, key forwarded).

--- /dev/null
+++ b/src/dragonflyhold/accounts/model.py
@@ -0,0 +1,55 @@
+"""Data model of client accounts."""
+
+import dataclasses
+from typing import NewType, final
+
+from dragonflyhold.errors import DragonflyholdError
+
+AccountName = NewType("AccountName", str)
+# SHA-256 of a key; the key itself is kept nowhere.
+KeyDigest = NewType("KeyDigest", bytes)
+
+
+class UnknownKeyError(DragonflyholdError):
+    """A request carries no key that the configuration names, and its route requires one."""
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class TokenLimit:
+    """What an account may send over all gateways.
+
+    ``rate_per_s`` and ``burst`` are in tokens, or in requests if ``counts_tokens`` is false. A
+    request that states no tokens counts as ``plain_tokens``.
+    """
+
+    rate_per_s: float
+    burst: float
+    plain_tokens: int
+    counts_tokens: bool = True
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClientAccount:
+    """A client account of the configuration, and the caller of its requests."""
+
+    name: AccountName
+    # 0 is the highest; goes before that of the route. ``None`` leaves the route's in force.
+    priority: int | None = None
+    limit: TokenLimit | None = None
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Anonymous:
+    """The caller of a request without a valid key, on a route that allows it."""
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unidentified:
+    """Any caller under a configuration without accounts, which checks no keys."""
+
+
+Caller = ClientAccount | Anonymous | Unidentified
--- a/src/dragonflyhold/gateway/attempt.py
+++ b/src/dragonflyhold/gateway/attempt.py
@@ -11,6 +11,7 @@
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, TypeVar, final
 
+from dragonflyhold.accounts import Caller
 from dragonflyhold.gateway.answers import AnswerUse, decide_use
 from dragonflyhold.gateway.connection_pool import SendWithdrawnError
 from dragonflyhold.gateway.crash_evidence import RequestTraits
@@ -68,6 +69,8 @@
     request_info: RequestInfo
     route: Route
     service: ServiceName
+    # Who sent the request, as of the configuration in force when it was admitted.
+    caller: Caller
     # What may crash an upstream in the request.
     traits: RequestTraits
     responder: Responder
@@ -317,9 +320,10 @@
         options = SendOptions(
             upstream=self._choice.upstream_id,
             time_left_s=self._context.deadline - time.monotonic(),
-            urgency=self._gateway.urgency(self._context.route),
+            urgency=self._gateway.urgency(self._context.route, self._context.caller),
             expected_version=required if target is not None and required > 0 else None,
             resume_after=resume_after,
+            caller=self._context.caller,
         )
         headers = codec.upstream_headers(
             self._gateway.forwarded_headers(self._context.request), options
--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -8,6 +8,7 @@
 from collections.abc import AsyncIterator, Coroutine
 from typing import final
 
+from dragonflyhold.accounts import Caller, ClientAccount, Unidentified, UnknownKeyError
 from dragonflyhold.gateway.budget import RetryBudget
 from dragonflyhold.gateway.byte_budget import ByteBudget
 from dragonflyhold.gateway.catalogue import Catalogue
@@ -236,6 +237,7 @@
         )
         if route is None:
             raise RefusedError(Reason.NO_ROUTE, 0.0)
+        caller = _identify(configuration, route, request)
         service = self._pick_service(route)
         self.budget.note_request(service)
         self.request_log.info(
@@ -244,6 +246,7 @@
             route=route.name,
             config=configuration.version,
             service=service,
+            account=caller.name if isinstance(caller, ClientAccount) else None,
             left_ms=None
             if request_info.time_left_s is None
             else round(request_info.time_left_s * 1000),
@@ -252,7 +255,7 @@
             resumes=request_info.resumed_request_id,
             last_event=request_info.last_event_id,
         )
-        run = RequestRun(self, request, request_info, route, service, responder)
+        run = RequestRun(self, request, request_info, route, service, caller, responder)
         self.check_stop(run.deadline, service)
         return run
 
@@ -278,11 +281,14 @@
             self._fail(responder, 502, error.reason, request_info, run, error.detail)
             return
         self._metrics.count_refusal(error.reason.value)
-        if error.reason is Reason.NO_ROUTE:
-            responder.send(404, [(b"Content-Type", b"text/plain")], b"no route")
-        else:
-            headers = codec.refusal_headers(error.retry_after_s)
-            responder.send(503, headers, f"not run: {error.reason.value}\n".encode())
+        match error.reason:
+            case Reason.NO_ROUTE:
+                responder.send(404, [(b"Content-Type", b"text/plain")], b"no route")
+            case Reason.UNKNOWN_KEY:
+                responder.send(401, [(b"Content-Type", b"text/plain")], b"unknown key")
+            case _:
+                headers = codec.refusal_headers(error.retry_after_s)
+                responder.send(503, headers, f"not run: {error.reason.value}\n".encode())
         self._log_end(run, request_info, error.reason.value, responder, error.detail)
 
     def _fail(
@@ -401,9 +407,13 @@
         )
         return min(4.0, 0.3 + 0.7 * size / max(mean, 1.0))
 
-    def urgency(self, route: Route) -> int | None:
+    def urgency(self, route: Route, caller: Caller) -> int | None:
         """Return the urgency to send to an engine, ``None`` for plain services."""
-        return min(MAX_URGENCY, route.priority) if route.is_stream else None
+        if not route.is_stream:
+            return None
+        if isinstance(caller, ClientAccount) and caller.priority is not None:
+            return min(MAX_URGENCY, caller.priority)
+        return min(MAX_URGENCY, route.priority)
 
     def forwarded_headers(self, request: ClientRequest) -> list[tuple[bytes, bytes]]:
         """Return the client's headers that are forwarded, without hop-by-hop headers."""
@@ -574,6 +584,17 @@
         task.add_done_callback(self._tasks.discard)
 
 
+def _identify(configuration: Configuration, route: Route, request: ClientRequest) -> Caller:
+    """Return who sent a request; raise ``RefusedError`` if its key is not valid."""
+    if configuration.accounts is None:
+        return Unidentified()
+    keys = codec.client_keys(request.headers)
+    try:
+        return configuration.accounts.identify(keys, route.allows_anonymous)
+    except UnknownKeyError as error:
+        raise RefusedError(Reason.UNKNOWN_KEY, 0.0, str(error)) from error
+
+
 def _is_unsent(run: RequestRun | None, responder: Responder) -> bool:
     """Return whether a request was sent to no upstream, so that it can be refused as not run."""
     return (run is None or run.progress.upstream is None) and not responder.is_started
--- a/src/dragonflyhold/gateway/model.py
+++ b/src/dragonflyhold/gateway/model.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping, Sequence
 from typing import NamedTuple, NewType, final
 
+from dragonflyhold.accounts import AccountDirectory, Caller, Unidentified
 from dragonflyhold.ids import AdapterName, DataCentre, ServiceName, Version
 
 UpstreamId = NewType("UpstreamId", str)
@@ -66,6 +67,8 @@
     max_attempts: int
     # Longest pause between two events of a stream that is still in time, ``None`` if not stated.
     max_pause_s: float | None = None
+    # Whether callers need no key, if the configuration has client accounts.
+    allows_anonymous: bool = False
 
 
 @final
@@ -109,6 +112,8 @@
     routes: Mapping[str, Sequence[Route]]
     services: Mapping[ServiceName, Service]
     limits: IngressLimits
+    # ``None`` if the configuration has no client accounts, so that no key is checked.
+    accounts: AccountDirectory | None = None
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route of a host with the longest matching path prefix."""
@@ -244,3 +249,4 @@
     expected_version: Version | None
     # Id of the event after which a stream resumes; ``None`` keeps the client's own value.
     resume_after: str | None
+    caller: Caller = Unidentified()
--- a/src/dragonflyhold/gateway/request.py
+++ b/src/dragonflyhold/gateway/request.py
@@ -6,6 +6,7 @@
 import time
 from typing import TYPE_CHECKING, final
 
+from dragonflyhold.accounts import Caller
 from dragonflyhold.gateway.attempt import (
     CHECK_PERIOD_S,
     MIN_ATTEMPT_S,
@@ -72,6 +73,7 @@
         request_info: RequestInfo,
         route: Route,
         service: ServiceName,
+        caller: Caller,
         responder: Responder,
     ) -> None:
         self.progress = Progress(request.received)
@@ -98,6 +100,7 @@
             request_info,
             route,
             service,
+            caller,
             compute_traits(request, request_info),
             responder,
             self._deadline,
--- a/src/dragonflyhold/platform/codec.py
+++ b/src/dragonflyhold/platform/codec.py
@@ -13,6 +13,7 @@
 
 import orjson
 
+from dragonflyhold.accounts import ClientAccount, Unidentified
 from dragonflyhold.gateway.http_client import Head
 from dragonflyhold.gateway.model import (
     AdapterCommand,
@@ -36,6 +37,7 @@
 )
 from dragonflyhold.gateway.numbers import parse_digits
 from dragonflyhold.ids import AdapterName, DataCentre, ServiceName, Version
+from dragonflyhold.platform.accounts import decode_accounts
 from dragonflyhold.platform.fields import (
     DECODING_ERRORS,
     DecodeError,
@@ -68,6 +70,8 @@
 SERVER_LIMIT = b"server-limit"
 SERVER_LEAVING = b"server-leaving"
 RETRY_AFTER = b"retry-after"
+API_KEY = b"api-key"
+ACCOUNT = b"tenant"
 _SECONDS = re.compile(rb"[0-9]+(\.[0-9]+)?")
 # Set only by the gateway: values from a client must not reach an upstream.
 _SYSTEM_HEADERS = frozenset(
@@ -83,6 +87,8 @@
         b"kv-from",
     )
 )
+# The same if the configuration has client accounts; an account's key is for the gateway alone.
+_ACCOUNT_HEADERS = frozenset((API_KEY, ACCOUNT))
 # Requests that an upstream may process at a time, far beyond any that exists.
 MAX_SLOTS = 1_000_000
 # Counts in the header with an upstream's load.
@@ -113,6 +119,7 @@
             routes=routes,
             services={service.name: service for service in services},
             limits=_limits(value.get("limits") or {}),
+            accounts=decode_accounts(value.get("tenants")),
         )
     except DECODING_ERRORS as error:
         raise decode_error("configuration", error) from error
@@ -139,6 +146,7 @@
         shares=_shares(fields),
         max_attempts=max(1, int(number(fields.get("max_attempts") or 1))),
         max_pause_s=number(fields.get("gap_target_ms") or 0) / 1000 or None,
+        allows_anonymous=bool(fields.get("allow_anonymous")),
     )
 
 
@@ -282,6 +290,11 @@
     return ModelAdapter(ModelName(text(model)), name), version
 
 
+def client_keys(headers: Headers) -> list[bytes]:
+    """Return the values of all headers of a request that hold a client account's key."""
+    return [value for name, value in headers if name.lower() == API_KEY]
+
+
 def request_id(headers: Mapping[bytes, bytes]) -> str:
     """Return the id of a client's request, empty without one; header names are in lower case."""
     return headers.get(REQUEST_ID, b"").decode("latin-1")
@@ -331,10 +344,13 @@
 def upstream_headers(headers: Headers, options: SendOptions) -> list[tuple[bytes, bytes]]:
     """Return the headers to send to an upstream; ``headers`` must have no hop-by-hop headers."""
     resumed = options.resume_after is not None
+    dropped = _SYSTEM_HEADERS
+    if not isinstance(options.caller, Unidentified):
+        dropped |= _ACCOUNT_HEADERS
     kept = [
         (name, value)
         for name, value in headers
-        if name.lower() not in _SYSTEM_HEADERS and not (resumed and name.lower() == LAST_EVENT_ID)
+        if name.lower() not in dropped and not (resumed and name.lower() == LAST_EVENT_ID)
     ]
     kept.append((b"Deadline-Remaining", b"%d" % max(1, int(options.time_left_s * 1000))))
     kept.append((b"Expected-Instance", options.upstream.encode("latin-1")))
@@ -344,6 +360,8 @@
         kept.append((b"Expected-Version", b"%d" % options.expected_version))
     if options.resume_after is not None:
         kept.append((b"Last-Event-Id", options.resume_after.encode("latin-1")))
+    if isinstance(options.caller, ClientAccount):
+        kept.append((b"Tenant", options.caller.name.encode("latin-1")))
     return kept
 
 
--- a/tests/gateway/test_attempt.py
+++ b/tests/gateway/test_attempt.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 
+from dragonflyhold.accounts import Unidentified
 from dragonflyhold.gateway.attempt import Attempt
 from dragonflyhold.gateway.dispatch import SendNow
 from dragonflyhold.gateway.http_server import ClientRequest
@@ -52,6 +53,7 @@
                     codec.decode_request(request.fields),
                     route,
                     route.shares[0].service,
+                    Unidentified(),
                     _Responder(),  # type: ignore[arg-type]
                 )
                 choice = SendNow(UpstreamId("p0"), None)
--- a/tests/gateway/test_reasons.py
+++ b/tests/gateway/test_reasons.py
@@ -18,6 +18,10 @@
 from tests.platform.test_settings import GATEWAY_FIELDS
 
 
+# Statuses of refusals other than 503.
+STATUSES = {Reason.NO_ROUTE: 404, Reason.UNKNOWN_KEY: 401}
+
+
 class _Responder:
     """Records the status of a response without a connection."""
 
@@ -67,7 +71,7 @@
         responder = _Responder()
         error = RefusedError(reason, 0.5)
         gateway._refuse(responder, error, request_info, None)  # type: ignore[arg-type]
-        assert responder.status == (404 if reason is Reason.NO_ROUTE else 503)
+        assert responder.status == STATUSES.get(reason, 503)
         assert f'refusals_total{{code="{reason.value}"}} 1' in metrics.render()[0].decode()
         ended = [line for line in lines if line.get("id") == "x1"]
         assert [line["outcome"] for line in ended] == [reason.value]
