--- a/tests/gateway/test_reasons.py
+++ b/tests/gateway/test_reasons.py
@@ -17,7 +17,6 @@
 from dragonflyhold.platform.standins.site import running_deployment
 from tests.platform.test_settings import GATEWAY_FIELDS
 
-
 # Statuses of refusals other than 503.
 STATUSES = {Reason.NO_ROUTE: 404, Reason.UNKNOWN_KEY: 401}
 
