Order an engine's loads by the turns of the accounts that wait

Cause: agents know the demand by adapter only, not for whom it is. Change: demands name the accounts of their waiters in an optional field (at most four and the rest; nothing without accounts), the agent weighs the waiting utility by turns and charges loads to the accounts.

--- a/src/dragonflyhold/gateway/agent.py
+++ b/src/dragonflyhold/gateway/agent.py
@@ -23,6 +23,7 @@
 from dragonflyhold.gateway.fencing import FencingToken
 from dragonflyhold.gateway.limit_ledger import LimitLedger
 from dragonflyhold.gateway.link import Link
+from dragonflyhold.gateway.load_turns import LoadTurns
 from dragonflyhold.gateway.logs import JsonLogger, describe
 from dragonflyhold.gateway.messages import (
     CRASH_PROTOCOL,
@@ -62,6 +63,7 @@
 from dragonflyhold.gateway.origin_keeper import OriginKeeper
 from dragonflyhold.gateway.placement import (
     EngineView,
+    load_time,
     plan_commands,
 )
 from dragonflyhold.gateway.publication import Publication
@@ -118,6 +120,7 @@
         self._catalogue = catalogue
         self._log = JsonLogger("agent")
         self._demands: DemandTable[Link] = DemandTable()
+        self._turns = LoadTurns(self._log, metrics)
         self._popularity: Popularity[ModelAdapter] = Popularity(POPULARITY_HALF_LIFE_S)
         self._report: EngineReport | None = None
         self._failed_reads = 0
@@ -250,6 +253,7 @@
     def _apply_demand(self, link: Link, demand: AdapterDemand) -> None:
         now = time.monotonic()
         started = self._demands.apply(link, demand, now)
+        self._turns.note_demand(demand)
         self._starts.monitor.note_started(started, now)
         for _ in range(min(started, MAX_RECORDED_STARTS)):
             self._popularity.record(demand.key, now)
@@ -440,6 +444,9 @@
             # The engine unloads it once its running requests have ended.
             self._unloading[ModelAdapter(command.model, command.adapter)] = report.sequence
         if command.kind is CommandKind.LOAD:
+            may_load = result in (CommandResult.ACCEPTED, CommandResult.UNKNOWN)
+            if may_load and command.adapter is not None:
+                self._charge_load(ModelAdapter(command.model, command.adapter))
             self._unconfirmed_loads.add(
                 report.sequence,
                 self._upstream_id,
@@ -448,12 +455,19 @@
             )
         return result in (CommandResult.ACCEPTED, CommandResult.DONE)
 
+    def _charge_load(self, key: ModelAdapter) -> None:
+        spec = self._catalogue.engine_spec(self._service)
+        slots = spec.adapter_slots if spec is not None else 1
+        self._turns.note_load(key, load_time(key, self._host_cached), slots)
+
     # Reports to gateways
 
     def _engine_view(self, report: EngineReport, spec: EngineSpec) -> EngineView:
         now = time.monotonic()
         host_cached = frozenset(self._host_cached)
-        demands = self._demands.totals(now, host_cached)
+        demands = self._turns.apply(
+            self._demands.totals(now, host_cached), self._demands.claims(now, host_cached)
+        )
         return EngineView(
             report=report,
             slots=spec.adapter_slots - self._reserved_slots(report, now),
--- a/src/dragonflyhold/gateway/demand_table.py
+++ b/src/dragonflyhold/gateway/demand_table.py
@@ -7,9 +7,10 @@
 from collections.abc import Hashable
 from typing import Generic, TypeVar, final
 
+from dragonflyhold.fairness import Claim
 from dragonflyhold.gateway.messages import AdapterDemand
 from dragonflyhold.gateway.model import ModelAdapter
-from dragonflyhold.gateway.placement import TimedDemand, TotalDemand, sum_demands
+from dragonflyhold.gateway.placement import TimedDemand, TotalDemand, sum_demands, utility_at
 
 Gateway = TypeVar("Gateway", bound=Hashable)
 
@@ -23,19 +24,23 @@
         # Requests that each gateway has ever sent for an adapter, also for those without demand.
         self._started: dict[Gateway, dict[ModelAdapter, int]] = {}
         self._waiting: dict[Gateway, int] = {}
+        # Demands that name the accounts that wait.
+        self._claimed: dict[ModelAdapter, set[Gateway]] = {}
 
     def __len__(self) -> int:
         return len(self._by_gateway)
 
     def add_gateway(self, gateway: Gateway) -> None:
         """Add a gateway without demand."""
+        self.remove_gateway(gateway)
         self._by_gateway[gateway] = {}
         self._started[gateway] = {}
         self._waiting[gateway] = 0
 
     def remove_gateway(self, gateway: Gateway) -> None:
         """Drop a gateway and its demand."""
-        self._by_gateway.pop(gateway, None)
+        for key in self._by_gateway.pop(gateway, {}):
+            self._drop_claim(gateway, key)
         self._started.pop(gateway, None)
         self._waiting.pop(gateway, None)
 
@@ -58,6 +63,10 @@
             current[demand.key] = TimedDemand(demand, now + demand.slack_s)
         else:
             current.pop(demand.key, None)
+        if demand.shares and demand.waiting > 0:
+            self._claimed.setdefault(demand.key, set()).add(gateway)
+        else:
+            self._drop_claim(gateway, demand.key)
         before = started.get(demand.key, 0)
         started[demand.key] = demand.started
         return max(0, demand.started - before)
@@ -67,3 +76,24 @@
     ) -> dict[ModelAdapter, TotalDemand]:
         """Return the sums over all gateways of the adapters that have demand."""
         return sum_demands(self._by_gateway.values(), now, host_cached)
+
+    def claims(
+        self, now: float, host_cached: frozenset[ModelAdapter]
+    ) -> dict[ModelAdapter, dict[Claim, float]]:
+        """Return the waiting utility by adapter and claim, where gateways name accounts."""
+        claims: dict[ModelAdapter, dict[Claim, float]] = {}
+        for key, gateways in self._claimed.items():
+            by_claim = claims[key] = {}
+            for gateway in gateways:
+                timed = self._by_gateway[gateway][key]
+                for share in timed.demand.shares:
+                    utility = utility_at(timed, share.utility, now, host_cached)
+                    by_claim[share.claim] = by_claim.get(share.claim, 0.0) + utility
+        return claims
+
+    def _drop_claim(self, gateway: Gateway, key: ModelAdapter) -> None:
+        gateways = self._claimed.get(key)
+        if gateways is not None:
+            gateways.discard(gateway)
+            if not gateways:
+                del self._claimed[key]
--- a/src/dragonflyhold/gateway/engines.py
+++ b/src/dragonflyhold/gateway/engines.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Sequence
 from typing import final
 
+from dragonflyhold.fairness import AccountNeed
 from dragonflyhold.gateway.agent_link import AgentLink
 from dragonflyhold.gateway.catalogue import Catalogue
 from dragonflyhold.gateway.crash_batch import CrashBatch
@@ -76,10 +77,13 @@
         report_incarnation: Callable[[Upstream], None],
         count_event: Callable[[str], None],
     ) -> None:
+        # What client accounts usually ask of the engines.
+        self.account_need = AccountNeed()
         self.demands = DemandTracker(
             lambda key: catalogue.versions.get(key, Version(0)),
             self._send_demand,
             lambda call: asyncio.get_running_loop().call_soon(call),
+            need=self.account_need.share,
         )
         self.starts = PacedStarts(self._send_to_agent)
         self.permits = UpstreamPermits(self, count_event)
--- a/src/dragonflyhold/gateway/messages.py
+++ b/src/dragonflyhold/gateway/messages.py
@@ -6,6 +6,7 @@
 Builds of different age run side by side during a rolling restart. A gateway announces its protocol
 version with each demand, at first on a new link; a new message or a changed meaning needs a higher
 version. Fields may be added at the end of demands and heartbeats: older builds ignore them there.
+The last field of a demand maps the names of optional fields to their values.
 """
 
 import dataclasses
@@ -16,6 +17,7 @@
 import msgpack
 
 from dragonflyhold.errors import DragonflyholdError
+from dragonflyhold.fairness import MAX_RANK, MAX_SHARES, AccountShare, AccountTag, Claim
 from dragonflyhold.gateway.logs import describe
 from dragonflyhold.gateway.message_fields import (
     count,
@@ -35,6 +37,8 @@
 _TAG_START, _TAG_GRANT, _TAG_LATE, _TAG_CRASHES, _TAG_CRASH_DIGEST = 5, 6, 7, 8, 9
 _TAG_LIMITS, _TAG_LIMIT_REPORT, _TAG_PERMIT_REQUEST, _TAG_PERMIT_REPLY = 10, 11, 12, 13
 _TAG_ORIGINS, _TAG_ORIGIN_QUERY, _TAG_ORIGIN_REPLY = 14, 15, 16
+# Names of optional fields of demands.
+_ACCOUNTS = "accounts"
 # Larger frames are rejected as invalid.
 MAX_FRAME_BYTES = 1 << 20
 # Version 2 added the announced gap and the load to heartbeats, pings to demands, and paced starts.
@@ -70,6 +74,9 @@
     started: int
     # Time left to finish the load so that at least one waiting request is served in time.
     slack_s: float
+    # The client accounts that wait, at most ``MAX_SHARES`` and one for the rest; empty under a
+    # configuration without accounts.
+    shares: Sequence[AccountShare] = ()
 
 
 @final
@@ -340,6 +347,7 @@
                 is_ping,
                 change.version,
                 change.era,
+                *_encode_optional(demands),
             )
         case EngineUpdate():
             fields = (
@@ -416,6 +424,24 @@
     return packed
 
 
+def _encode_optional(demands: Sequence[AdapterDemand]) -> tuple[Any, ...]:
+    """Return the field with the optional fields of a demand update, none if there are none.
+
+    ``accounts`` lists the shares of the demands that have some, by the position of the demand.
+    """
+    rows = [
+        (position, [_encode_share(share) for share in demand.shares])
+        for position, demand in enumerate(demands)
+        if demand.shares
+    ]
+    return ({_ACCOUNTS: rows},) if rows else ()
+
+
+def _encode_share(share: AccountShare) -> tuple[Any, ...]:
+    permille = round(1000 * share.need)
+    return (share.claim.account, share.claim.rank, round(share.utility, 2), permille)
+
+
 def _encode_statement(statement: LimitStatement) -> tuple[Any, ...]:
     return (statement.incarnation, statement.limit_per_s, round(statement.age_s, 3))
 
@@ -497,10 +523,17 @@
     is_ping: bool = False,
     change: int = 0,
     era: int = FIRST_ERA,
+    optional: Any = None,
     *later: Any,
 ) -> DemandUpdate:
     del later
     demands = [_decode_demand(*row) for row in rows]
+    named = optional if isinstance(optional, dict) else {}
+    for position, by_account in named.get(_ACCOUNTS, ()):
+        place = count(position)
+        demands[place] = dataclasses.replace(
+            demands[place], shares=[_decode_share(*row) for row in by_account[: MAX_SHARES + 1]]
+        )
     position = StorePosition(count(era), count(change))
     return DemandUpdate(demands, bool(is_ping), count(protocol), position)
 
@@ -526,6 +559,14 @@
     )
 
 
+def _decode_share(
+    account: Any, rank: Any, utility: Any, permille: Any, *later: Any
+) -> AccountShare:
+    del later
+    claim = Claim(AccountTag(count(account)), min(count(rank), MAX_RANK))
+    return AccountShare(claim, max(0.0, number(utility)), min(1000, count(permille)) / 1000)
+
+
 def _decode_engine(
     start_time_ms: Any,
     incarnation: Any,
--- a/src/dragonflyhold/gateway/placement.py
+++ b/src/dragonflyhold/gateway/placement.py
@@ -53,6 +53,14 @@
     return HOST_CACHED_LOAD_S if key in host_cached else STORE_LOAD_S
 
 
+def utility_at(
+    timed: TimedDemand, utility: float, now: float, host_cached: Container[ModelAdapter]
+) -> float:
+    """Return what a utility of a demand is worth at ``now``, less if all answers would be late."""
+    is_late = now + load_time(timed.demand.key, host_cached) > timed.in_time_until
+    return utility * (LATE_UTILITY_SHARE if is_late else 1.0)
+
+
 def sum_demands(
     demands: Iterable[Mapping[ModelAdapter, TimedDemand]],
     now: float,
@@ -63,8 +71,7 @@
     for by_adapter in demands:
         for timed in by_adapter.values():
             demand = timed.demand
-            is_late = now + load_time(demand.key, host_cached) > timed.in_time_until
-            utility = demand.utility * (LATE_UTILITY_SHARE if is_late else 1.0)
+            utility = utility_at(timed, demand.utility, now, host_cached)
             old = totals.get(demand.key, TotalDemand(demand.key, Version(0), 0, 0.0, 0))
             totals[demand.key] = TotalDemand(
                 demand.key,
--- a/src/dragonflyhold/gateway/waiting.py
+++ b/src/dragonflyhold/gateway/waiting.py
@@ -3,9 +3,10 @@
 import asyncio
 import collections
 import dataclasses
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from typing import final
 
+from dragonflyhold.fairness import AccountShare, AccountTag, Claim, summarize_claims
 from dragonflyhold.gateway.clock import monotonic_now
 from dragonflyhold.gateway.messages import AdapterDemand, DemandUpdate
 from dragonflyhold.gateway.model import ModelAdapter, UpstreamId
@@ -23,6 +24,8 @@
     # Monotonic time by which the load must be complete to answer the request in time.
     in_time_until: float
     ready: asyncio.Event
+    # For whom it waits, ``None`` under a configuration without accounts.
+    claim: Claim | None = None
 
 
 @final
@@ -47,8 +50,10 @@
         send: Callable[[UpstreamId, DemandUpdate], None],
         call_soon: Callable[[Callable[[], None]], object],
         clock: Callable[[], float] = monotonic_now,
+        need: Callable[[AccountTag, float], float] = lambda account, now: 0.0,
     ) -> None:
         self._clock = clock
+        self._need = need
         self._newest_version = newest_version
         self._send = send
         self._call_soon = call_soon
@@ -166,6 +171,7 @@
                     running=counts.running,
                     started=counts.started,
                     slack_s=round(self._slack(counts.waiters), 3),
+                    shares=self._shares(counts.waiters),
                 )
             )
         return DemandUpdate(demands)
@@ -173,3 +179,10 @@
     def _slack(self, waiters: Iterable[Waiter]) -> float:
         latest = max((waiter.in_time_until for waiter in waiters), default=0.0)
         return max(0.0, latest - self._clock())
+
+    def _shares(self, waiters: Iterable[Waiter]) -> Sequence[AccountShare]:
+        claims = [(waiter.claim, waiter.utility) for waiter in waiters if waiter.claim is not None]
+        if not claims:
+            return ()
+        now = self._clock()
+        return summarize_claims(claims, lambda account: self._need(account, now))
