Refuse an account's excess first where there is no room

Cause: a gateway refuses whoever comes last, also accounts that ask for no more than usual, while one asks for many times its usual. Change: requests beyond twice their account's usual need are refused at once where their adapter would load too late, or where the least loaded upstream has more requests than slots (account_share); others aren't.

--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -9,6 +9,7 @@
 from typing import final
 
 from dragonflyhold.accounts import Caller, ClientAccount, Unidentified, UnknownKeyError
+from dragonflyhold.fairness import AccountNeed, Claim
 from dragonflyhold.gateway.budget import RetryBudget
 from dragonflyhold.gateway.byte_budget import ByteBudget
 from dragonflyhold.gateway.catalogue import Catalogue
@@ -116,6 +117,9 @@
         )
         self.demands = self.agent_links.demands
         self.permits = self.agent_links.permits
+        # What accounts usually ask for with an adapter, and without one by service.
+        self.account_need = self.agent_links.account_need
+        self._plain_needs: dict[ServiceName, AccountNeed] = {}
         self.notices = UpstreamNotices(
             self.table, self.pool, self.agent_links.release_waiting, metrics.count_event
         )
@@ -407,6 +411,13 @@
         )
         return min(4.0, 0.3 + 0.7 * size / max(mean, 1.0))
 
+    def note_claim(self, claim: Claim, service: ServiceName, has_adapter: bool) -> bool:
+        """Count an account's request; return whether it asks for more than usual."""
+        need = self.account_need
+        if not has_adapter:
+            need = self._plain_needs.setdefault(service, AccountNeed())
+        return not need.note_request(claim.account, time.monotonic())
+
     def urgency(self, route: Route, caller: Caller) -> int | None:
         """Return the urgency to send to an engine, ``None`` for plain services."""
         if not route.is_stream:
@@ -533,6 +544,8 @@
     def _configuration_changed(self, configuration: Configuration) -> None:
         self.server.limits = configuration.limits
         self.origins.note_configuration(configuration)
+        for service in self._plain_needs.keys() - configuration.services.keys():
+            del self._plain_needs[service]
         for upstream in self.registry.upstreams.values():
             # Which upstreams are engines is known only from the configuration.
             self.agent_links.ensure_link(upstream)
--- a/src/dragonflyhold/gateway/outcomes.py
+++ b/src/dragonflyhold/gateway/outcomes.py
@@ -20,6 +20,8 @@
     STREAM_UNKNOWN = "stream_unknown"
     WITHDRAWN = "withdrawn"
     ADAPTER_WAIT = "adapter_wait"
+    # Its account asks for more than usual, while others wait for too few adapter slots.
+    ACCOUNT_SHARE = "account_share"
     RETRY_BUDGET = "retry_budget"
     SUSPECT = "suspect"
     STOPPING = "stopping"
--- a/src/dragonflyhold/gateway/request.py
+++ b/src/dragonflyhold/gateway/request.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, final
 
 from dragonflyhold.accounts import Caller
+from dragonflyhold.fairness import is_out_of_room, make_claim
 from dragonflyhold.gateway.attempt import (
     CHECK_PERIOD_S,
     MIN_ATTEMPT_S,
@@ -91,6 +92,11 @@
         self._retry_until = self._deadline
         self._refusal_pause_s = REFUSAL_PAUSE_S
         self._utility = gateway.estimate_utility(route, request_info)
+        self._claim = make_claim(caller, route.priority)
+        # Whether the account asks for more than usual, so that it gives way to the others.
+        self._is_excess = self._claim is not None and gateway.note_claim(
+            self._claim, service, request_info.target is not None
+        )
         age = gateway.client_ages.estimate(route.name, request_info.time_left_s, route.timeout_s)
         self._is_client_retry = age > CLIENT_RETRY_AGE_SHARE * route.target_latency_s
         self._target_at = request.received - age + route.target_latency_s
@@ -189,6 +195,7 @@
             table, tried = gateway.table, self.progress.tried
             match table.choose_again(self._service, target, min_version, now, tried, origin):
                 case SendNow() as choice:
+                    self._give_way_if_full(table.views[choice.upstream_id], now)
                     gateway.request_replica_if_overloaded(self._service, target, choice.upstream_id)
                     if await self._acquire_permit(choice):
                         return choice
@@ -259,6 +266,7 @@
         until = self._wait_limit(view, in_time_until)
         if now >= until:
             raise self._terminal_error(Reason.ADAPTER_WAIT, str(upstream_id))
+        self._give_way_if_late(view, in_time_until, now)
         self._gateway.request_log.info(
             "A request waits for its adapter.",
             id=self._request_info.request_id,
@@ -268,8 +276,11 @@
             backlog=view.backlog,
             state_age_ms=round((now - view.reported_at) * 1000),
             until_ms=round((until - now) * 1000),
+            **self._claim_fields(),
+        )
+        waiter = Waiter(
+            target, upstream_id, self._utility, in_time_until, asyncio.Event(), self._claim
         )
-        waiter = Waiter(target, upstream_id, self._utility, in_time_until, asyncio.Event())
         self._gateway.demands.add_waiter(waiter)
         self._gateway.table.note_waiting(upstream_id)
         try:
@@ -282,6 +293,42 @@
             self._gateway.demands.remove_waiter(waiter)
             self.progress.waited_s += time.monotonic() - now
 
+    def _claim_fields(self) -> dict[str, object]:
+        """Return the fields of log lines that tell for whom the request asks."""
+        if self._claim is None:
+            return {}
+        return {
+            "account_tag": f"{self._claim.account:08x}",
+            "rank": self._claim.rank,
+            "excess": self._is_excess,
+        }
+
+    @property
+    def _may_give_way(self) -> bool:
+        """Whether the request is beyond its account's usual need and belongs to no begun work."""
+        return self._is_excess and not self.progress.attempts and self.progress.origin is None
+
+    def _give_way_if_late(self, view: UpstreamView, in_time_until: float, now: float) -> None:
+        """Refuse a request beyond its account's usual need behind a backlog that is too long."""
+        if not self._may_give_way or view.backlog == 0 or self._request_info.target in view.loading:
+            return
+        spec = self._gateway.catalogue.engine_spec(self._service)
+        slots = spec.adapter_slots if spec is not None else 1
+        if is_out_of_room(view.backlog, slots, in_time_until - now):
+            raise self._account_error(view, f"backlog={view.backlog}")
+
+    def _give_way_if_full(self, view: UpstreamView, now: float) -> None:
+        """Refuse a request beyond its account's usual need if others queue at the upstream.
+
+        The upstream is the least loaded one that could serve the request.
+        """
+        load = view.load(now) if self._may_give_way else 0.0
+        if load > view.upstream.slots:
+            raise self._account_error(view, f"load={load:.0f} slots={view.upstream.slots}")
+
+    def _account_error(self, view: UpstreamView, detail: str) -> RefusedError | InDoubtError:
+        return self._terminal_error(Reason.ACCOUNT_SHARE, f"{view.upstream.upstream_id} {detail}")
+
     def _wait_limit(self, view: UpstreamView, in_time_until: float) -> float:
         """Return the monotonic time until which to wait for an adapter at an upstream.
 
--- a/tests/gateway/test_client_accounts.py
+++ b/tests/gateway/test_client_accounts.py
@@ -36,7 +36,7 @@
     def test_the_upstream_gets_the_account_instead_of_the_key(self, path: str) -> None:
         async def scenario() -> tuple[Answer, dict[bytes, bytes]]:
             async with running_deployment(engines=1, plain=1) as deployment:
-                await _publish(deployment, with_accounts())
+                await publish(deployment, with_accounts())
                 answer = await _call(deployment, {"Api-Key": "key-3", "Tenant": "branch"}, path)
                 return answer, _only_run(deployment)
 
@@ -50,7 +50,7 @@
     def test_nothing_runs_without_a_known_key(self, headers: dict[str, str]) -> None:
         async def scenario() -> tuple[Answer, int]:
             async with running_deployment(engines=0, plain=1) as deployment:
-                await _publish(deployment, with_accounts())
+                await publish(deployment, with_accounts())
                 return await _call(deployment, headers), len(deployment.upstreams["p0"].runs)
 
         answer, runs = asyncio.run(scenario())
@@ -59,7 +59,7 @@
     def test_an_open_route_needs_no_key(self) -> None:
         async def scenario() -> tuple[Answer, dict[bytes, bytes]]:
             async with running_deployment(engines=0, plain=1) as deployment:
-                await _publish(deployment, with_accounts(allow_anonymous=True))
+                await publish(deployment, with_accounts(allow_anonymous=True))
                 answer = await _call(deployment, {"Api-Key": "other", "Tenant": "branch"})
                 return answer, _only_run(deployment)
 
@@ -79,7 +79,8 @@
         assert (answer.status, fields[b"tenant"]) == (200, b"mine")
 
 
-async def _publish(deployment: InProcessDeployment, fields: dict[str, Any]) -> None:
+async def publish(deployment: InProcessDeployment, fields: dict[str, Any]) -> None:
+    """Publish a configuration and wait until all gateways use it."""
     deployment.store.put("op", "config", fields)
     async with asyncio.timeout(5):
         while not all(
