Ignore odd accounts, keys and limits one by one

Cause: one odd field of one account (no name, keys that are not text, a negative limit) made the whole configuration invalid, so that no gateway took any of its changes; the error that was logged showed the key.

What is left out is counted by kind and logged once a version with some names, never with a key.

--- a/src/dragonflyhold/accounts/model.py
+++ b/src/dragonflyhold/accounts/model.py
@@ -1,6 +1,7 @@
 """Data model of client accounts."""
 
 import dataclasses
+import enum
 from typing import NewType, final
 
 from dragonflyhold.errors import DragonflyholdError
@@ -10,9 +11,35 @@
 KeyDigest = NewType("KeyDigest", bytes)
 
 
+class KeyRejection(enum.Enum):
+    """Why a request's key was not accepted; values appear in metrics and logs."""
+
+    MISSING = "missing"
+    EMPTY = "empty"
+    REPEATED = "repeated"
+    OVERLONG = "overlong"
+    UNKNOWN = "unknown"
+    # Unknown here, but a later configuration exists, or the store has not been read yet.
+    BEHIND = "behind"
+    # The store has not confirmed the configuration for longer than keys may go unconfirmed.
+    STALE = "stale"
+
+
 class UnknownKeyError(DragonflyholdError):
     """A request carries no key that the configuration names, and its route requires one."""
 
+    def __init__(self, rejection: KeyRejection) -> None:
+        super().__init__(rejection.value)
+        self.rejection = rejection
+
+
+class UnconfirmedKeyError(DragonflyholdError):
+    """Whether a request's key is valid can't be told at present."""
+
+    def __init__(self, rejection: KeyRejection) -> None:
+        super().__init__(rejection.value)
+        self.rejection = rejection
+
 
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/dragonflyhold/gateway/catalogue.py
+++ b/src/dragonflyhold/gateway/catalogue.py
@@ -5,6 +5,7 @@
 
 import orjson
 
+from dragonflyhold.accounts import AccountDirectory
 from dragonflyhold.gateway.clock import monotonic_now
 from dragonflyhold.gateway.logs import JsonLogger
 from dragonflyhold.gateway.model import Configuration, EngineSpec, ModelAdapter, Service
@@ -94,5 +95,22 @@
             version=configuration.version,
             row_version=row_version,
             routes=sum(len(group) for group in configuration.routes.values()),
+            accounts=None
+            if configuration.accounts is None
+            else len(configuration.accounts.accounts),
+            keys=None if configuration.accounts is None else len(configuration.accounts),
         )
+        if configuration.accounts is not None:
+            self._note_problems(configuration.accounts, configuration.version)
         self._on_configuration(configuration)
+
+    def _note_problems(self, accounts: AccountDirectory, version: int) -> None:
+        for problem, summary in accounts.problems.items():
+            self._count(f"account_{problem.value}")
+            self._log.warning(
+                "A part of the configuration's accounts is ignored.",
+                version=version,
+                problem=problem.value,
+                count=summary.count,
+                accounts=summary.examples,
+            )
