Tell keys that can't be confirmed from keys that are not valid

Cause: a gateway that knew of a configuration it had not read answered 401 for keys that may have just been added; so did one with rows of a peer alone. The settings' bound on keys without contact with the store (revoke_when_partitioned, revoke_ms) was not read, so removed keys stayed valid at a partitioned gateway for as long as it was cut off.

Unknown keys get 503 key_unconfirmed while the configuration is behind. Where the settings let keys lapse, all keys get it once the store has not confirmed the configuration for that time, and each wait for changes ends after a fifth of it (else 20 s as before). No key causes a call to the store. A caller stays that of the admission until its request ends. White space around a key's value is not part of it.

--- a/src/dragonflyhold/gateway/daemon.py
+++ b/src/dragonflyhold/gateway/daemon.py
@@ -27,12 +27,12 @@
 from dragonflyhold.gateway.shutdown import PlannedStop
 from dragonflyhold.gateway.table_rows import TableRules
 from dragonflyhold.gateway.tasks import run_until_done, supervise
-from dragonflyhold.gateway.watch import LONG_FEED_WAIT_S, TableWatch
+from dragonflyhold.gateway.watch import FEED_WAIT_S, LONG_FEED_WAIT_S, TableWatch
 from dragonflyhold.ids import ServiceName
 from dragonflyhold.observability.metrics import Metrics
 from dragonflyhold.platform.codec import operator_row_order, registry_row_order
 from dragonflyhold.platform.engine import HttpEngineControl
-from dragonflyhold.platform.settings import PATH_VARIABLE, DaemonSettings, load_settings
+from dragonflyhold.platform.settings import PATH_VARIABLE, Bounds, DaemonSettings, load_settings
 from dragonflyhold.platform.store import OPERATOR_TABLE, REGISTRY_TABLE, MetadataStore
 
 # Delay between two reads of the registry, as a share of the time limit for ending new work on a
@@ -49,6 +49,10 @@
 # The operator's rows are replaced, never removed; upstreams leave.
 OPERATOR_RULES = TableRules(operator_row_order, rows_stay=True)
 REGISTRY_RULES = TableRules(registry_row_order)
+# Wait for a change in a call that confirms keys, as a share of the time for which they stay valid
+# without one, and the shortest such wait.
+CONFIRMATION_SHARE = 0.2
+MIN_CONFIRMATION_S = 0.1
 # Interval at which crash records are compared with those of an agent.
 CRASH_COMPARISON_S = 1.0
 # Interval at which an agent repeats the limits of upstreams to all gateways.
@@ -132,7 +136,7 @@
             self._store,
             OPERATOR_TABLE,
             self.gateway.catalogue.apply,
-            wait_s=LONG_FEED_WAIT_S,
+            wait_s=_operator_wait_s(self._settings.bounds),
             rules=OPERATOR_RULES,
             count=self._metrics.count_event,
         )
@@ -159,6 +163,7 @@
             self.gateway.pool,
             lambda: self._store.was_restored,
         )
+        self.gateway.has_newest_rows = self._has_newest_rows
         self._peer_server = HttpServer(
             self._peer_snapshots.serve_snapshot, IngressLimits(), budget=self.gateway.byte_budget
         )
@@ -171,6 +176,10 @@
         is_complete = self._peer_snapshots.is_complete
         return self.gateway.is_ready and is_complete and not self._is_stopping
 
+    def _has_newest_rows(self) -> bool:
+        """Return whether peers were asked for what a restored store may have lost."""
+        return self._peer_snapshots.is_complete or not self._store.was_restored
+
     async def run(self) -> None:
         """Serve until SIGTERM, then drain and close."""
         _handle_signals(self._stop.set, lambda: self._reload(force=True))
@@ -312,6 +321,12 @@
         turned_away = sum(view.gate.state(now) is SendState.TURNED_AWAY for view in views)
         metrics.set_level("turned_away_runners", turned_away)
         metrics.set_level("config_version", configuration.version if configuration else 0)
+        accounts = configuration.accounts if configuration is not None else None
+        if accounts is not None:
+            metrics.set_level("accounts", len(accounts.accounts))
+            metrics.set_level("account_keys", len(accounts))
+            ignored = sum(summary.count for summary in accounts.problems.values())
+            metrics.set_level("account_problems", ignored)
         for watch in (self._operator_watch, self._registry_watch):
             unavailable_since = watch.unavailable_since
             metrics.set_level(
@@ -430,6 +445,17 @@
             self._store.address = self._settings.store
 
 
+def _operator_wait_s(bounds: Bounds) -> float:
+    """Return the time for which a gateway waits for a change of the operator's table in a call.
+
+    Where keys lapse without contact with the store, each call has to confirm them in time, also if
+    the one before was lost.
+    """
+    if bounds.max_key_age_s is None:
+        return LONG_FEED_WAIT_S
+    return max(MIN_CONFIRMATION_S, min(FEED_WAIT_S, CONFIRMATION_SHARE * bounds.max_key_age_s))
+
+
 def run_role() -> int:
     """Run the daemon selected by the settings; return the exit status."""
     try:
--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -5,10 +5,19 @@
 import math
 import random
 import time
-from collections.abc import AsyncIterator, Coroutine
+from collections.abc import AsyncIterator, Callable, Coroutine
 from typing import final
 
-from dragonflyhold.accounts import Caller, ClientAccount, Unidentified, UnknownKeyError
+from dragonflyhold.accounts import (
+    Caller,
+    ClientAccount,
+    KeyRejection,
+    StoreContact,
+    UnconfirmedKeyError,
+    Unidentified,
+    UnknownKeyError,
+    judge_freshness,
+)
 from dragonflyhold.gateway.budget import RetryBudget
 from dragonflyhold.gateway.byte_budget import ByteBudget
 from dragonflyhold.gateway.catalogue import Catalogue
@@ -111,6 +120,8 @@
         self.table.registry_read_at = self._registry_read_at
         # Watches the registry; set by the daemon.
         self.registry_watch: TableWatch | None = None
+        # Whether peers were asked for what a restored store may have lost; set by the daemon.
+        self.has_newest_rows: Callable[[], bool] = lambda: True
         self.silent_engines = SilentEngines(
             self.pool, settings.vm, self.agent_links.release_waiting
         )
@@ -237,7 +248,7 @@
         )
         if route is None:
             raise RefusedError(Reason.NO_ROUTE, 0.0)
-        caller = _identify(configuration, route, request)
+        caller = self._identify(configuration, route, request, request_info)
         service = self._pick_service(route)
         self.budget.note_request(service)
         self.request_log.info(
@@ -259,6 +270,62 @@
         self.check_stop(run.deadline, service)
         return run
 
+    def _identify(
+        self,
+        configuration: Configuration,
+        route: Route,
+        request: ClientRequest,
+        request_info: RequestInfo,
+    ) -> Caller:
+        """Return who sent a request; raise ``RefusedError`` if its key is not accepted.
+
+        The caller stays the same until the request ends, whatever becomes of the key meanwhile.
+        """
+        if configuration.accounts is None:
+            return Unidentified()
+        keys, now = codec.client_keys(request.headers), time.monotonic()
+        contact = self._store_contact()
+        freshness = judge_freshness(contact, self._settings.bounds.max_key_age_s, now)
+        try:
+            return configuration.accounts.identify(keys, route.allows_anonymous, freshness)
+        except UnknownKeyError as error:
+            rejection, refusal = error.rejection, RefusedError(Reason.UNKNOWN_KEY, 0.0)
+        except UnconfirmedKeyError as error:
+            retry_after_s = RETRY_AFTER_S + self._rng.random() * RETRY_JITTER_S
+            rejection = error.rejection
+            refusal = RefusedError(Reason.KEY_UNCONFIRMED, retry_after_s)
+        refusal.detail = rejection.value
+        self._log_rejected_key(rejection, configuration, route, request_info, contact, now)
+        raise refusal
+
+    def _store_contact(self) -> StoreContact:
+        watch = self.agent_links.operator_watch
+        if watch is None:
+            return StoreContact(None, is_behind=True)
+        return StoreContact(watch.read_at, watch.is_behind or not self.has_newest_rows())
+
+    def _log_rejected_key(
+        self,
+        rejection: KeyRejection,
+        configuration: Configuration,
+        route: Route,
+        request_info: RequestInfo,
+        contact: StoreContact,
+        now: float,
+    ) -> None:
+        self._metrics.count_event(f"key_rejected_{rejection.value}")
+        self.request_log.failure(
+            "A request's key was not accepted.",
+            id=request_info.request_id,
+            reason=rejection.value,
+            route=route.name,
+            config=configuration.version,
+            confirmed_ms_ago=None
+            if contact.confirmed_at is None
+            else round((now - contact.confirmed_at) * 1000),
+            is_behind=contact.is_behind,
+        )
+
     def _pick_service(self, route: Route) -> ServiceName:
         if len(route.shares) == 1:
             return route.shares[0].service
@@ -584,17 +651,6 @@
         task.add_done_callback(self._tasks.discard)
 
 
-def _identify(configuration: Configuration, route: Route, request: ClientRequest) -> Caller:
-    """Return who sent a request; raise ``RefusedError`` if its key is not valid."""
-    if configuration.accounts is None:
-        return Unidentified()
-    keys = codec.client_keys(request.headers)
-    try:
-        return configuration.accounts.identify(keys, route.allows_anonymous)
-    except UnknownKeyError as error:
-        raise RefusedError(Reason.UNKNOWN_KEY, 0.0, str(error)) from error
-
-
 def _is_unsent(run: RequestRun | None, responder: Responder) -> bool:
     """Return whether a request was sent to no upstream, so that it can be refused as not run."""
     return (run is None or run.progress.upstream is None) and not responder.is_started
--- a/src/dragonflyhold/gateway/outcomes.py
+++ b/src/dragonflyhold/gateway/outcomes.py
@@ -11,6 +11,8 @@
     NO_CONFIGURATION = "no_configuration"
     NO_ROUTE = "no_route"
     UNKNOWN_KEY = "unknown_key"
+    # The key may be valid in a configuration that this gateway can't read at present.
+    KEY_UNCONFIRMED = "key_unconfirmed"
     NO_UPSTREAM = "no_runner"
     UPSTREAM_LIMIT = "runner_limit"
     UPSTREAM_TURNED_AWAY = "runner_turned_away"
--- a/src/dragonflyhold/gateway/watch.py
+++ b/src/dragonflyhold/gateway/watch.py
@@ -13,6 +13,7 @@
 from dragonflyhold.gateway.logs import JsonLogger
 from dragonflyhold.gateway.table_rows import NO_RULES, TableRows, TableRules
 from dragonflyhold.platform.store import (
+    FIRST_ERA,
     HistoryTruncatedError,
     MetadataStore,
     StoredRow,
@@ -72,8 +73,15 @@
         self._is_restarting = False
         self._restarted_at = -MIN_RESTART_S
         self._is_hint_pending = False
+        # Latest change that a peer knows of.
+        self._latest_hint = StorePosition(FIRST_ERA, 0)
         self._log = JsonLogger("store")
 
+    @property
+    def is_behind(self) -> bool:
+        """Whether the whole table is to be read again, or a peer knows of a later change."""
+        return self.table_rows.position is None or self._lacks(self._latest_hint)
+
     def note_restored(self) -> None:
         """Read the whole table again: the store was restored, and its versions start anew."""
         self.available_since = self._clock()
@@ -90,6 +98,7 @@
 
         The connection of the pending call may have fallen silent.
         """
+        self._latest_hint = max(self._latest_hint, change)
         if not self._lacks(change) or self._is_hint_pending:
             return
         self._is_hint_pending = True
--- a/src/dragonflyhold/platform/codec.py
+++ b/src/dragonflyhold/platform/codec.py
@@ -292,7 +292,7 @@
 
 def client_keys(headers: Headers) -> list[bytes]:
     """Return the values of all headers of a request that hold a client account's key."""
-    return [value for name, value in headers if name.lower() == API_KEY]
+    return [value.strip(b" \t") for name, value in headers if name.lower() == API_KEY]
 
 
 def request_id(headers: Mapping[bytes, bytes]) -> str:
--- a/src/dragonflyhold/platform/settings.py
+++ b/src/dragonflyhold/platform/settings.py
@@ -18,6 +18,8 @@
 
 # Environment variable with the path of the settings file.
 PATH_VARIABLE = "DRAGONFLYHOLD_CONFIG"
+# Where keys lapse without contact with the store, and the settings do not tell after which time.
+DEFAULT_MAX_KEY_AGE_S = 5.0
 
 
 @final
@@ -35,6 +37,9 @@
     retry_ratio: float = 0.2
     retry_window_s: float = 10.0
     retry_slack: float = 56.0
+    # Time for which keys of client accounts stay valid without contact with the store; ``None`` if
+    # the last known configuration stays in force.
+    max_key_age_s: float | None = None
 
 
 @final
@@ -138,6 +143,13 @@
             return fallback
         return value * unit
 
+    def flag(name: str) -> bool:
+        value = fields.get(name)
+        if value is not None and not isinstance(value, bool):
+            problems.append(f"bounds.{name}: {value!r} is not true or false")
+        return value is True
+
+    max_key_age_s = number("revoke_ms", DEFAULT_MAX_KEY_AGE_S, 0.001)
     return Bounds(
         drain_s=number("drain_ms", default.drain_s, 0.001),
         grace_s=number("grace_s", default.grace_s, 1.0),
@@ -145,6 +157,7 @@
         retry_ratio=number("retry_budget_ratio", default.retry_ratio, 1.0),
         retry_window_s=number("budget_window_s", default.retry_window_s, 1.0),
         retry_slack=number("retry_budget_slack", default.retry_slack, 1.0),
+        max_key_age_s=max_key_age_s if flag("revoke_when_partitioned") else None,
     )
 
 
--- a/src/dragonflyhold/platform/standins/site.py
+++ b/src/dragonflyhold/platform/standins/site.py
@@ -146,7 +146,8 @@
 class InProcessDeployment:
     """Starts and stops the store, upstreams, agents and gateways, by default on 127.0.0.0/8."""
 
-    def __init__(self) -> None:
+    def __init__(self, bounds: Bounds | None = None) -> None:
+        self.bounds = bounds or Bounds()
         self.store = StoreStandIn()
         self.upstreams: dict[str, UpstreamStandIn] = {}
         self.agents: dict[str, AgentDaemon] = {}
@@ -253,7 +254,7 @@
             engine=engine,
             service=ENGINE_SERVICE if engine else "",
             first_internal_port=17380,
-            bounds=Bounds(),
+            bounds=self.bounds,
         )
 
     async def wait_until_ready(self, links: int) -> None:
@@ -347,10 +348,13 @@
 
 @contextlib.asynccontextmanager
 async def running_deployment(
-    engines: int = 2, plain: int = 2, gateways: int = 1
+    engines: int = 2,
+    plain: int = 2,
+    gateways: int = 1,
+    bounds: Bounds | None = None,
 ) -> AsyncIterator[InProcessDeployment]:
     """Run a deployment with the default configuration; yield it once its agents are linked."""
-    deployment = InProcessDeployment()
+    deployment = InProcessDeployment(bounds)
     await deployment.store.start()
     deployment.store.put("op", "config", configuration())
     try:
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -52,6 +52,29 @@
         assert not decode_settings({**GATEWAY_FIELDS, "bootstrap": value}).is_first_start
         assert decode_settings({**GATEWAY_FIELDS, "bootstrap": True}).is_first_start
 
+    @pytest.mark.parametrize(
+        ("fields", "max_key_age_s"),
+        [
+            ({}, None),
+            ({"revoke_ms": 5000}, None),
+            ({"revoke_when_partitioned": False, "revoke_ms": 4000}, None),
+            ({"revoke_when_partitioned": True, "revoke_ms": 4000}, 4.0),
+            ({"revoke_when_partitioned": True}, 5.0),
+        ],
+    )
+    def test_keys_lapse_only_if_stated(
+        self, fields: dict[str, object], max_key_age_s: float | None
+    ) -> None:
+        """Guards against proper keys that lapse where the settings name no such bound."""
+        settings = decode_settings({**GATEWAY_FIELDS, "bounds": fields})
+        assert settings.bounds.max_key_age_s == max_key_age_s
+
+    @pytest.mark.parametrize("value", ["true", 1, [], "no"])
+    def test_an_odd_choice_is_reported(self, value: object) -> None:
+        """Guards against keys that never lapse for a misspelt setting."""
+        with pytest.raises(UsageError, match="revoke_when_partitioned"):
+            decode_settings({**GATEWAY_FIELDS, "bounds": {"revoke_when_partitioned": value}})
+
     def test_all_problems_are_reported_together(self) -> None:
         fields = {
             **GATEWAY_FIELDS,
