Let explain show by which configuration a key was rejected

Cause: a request with a rejected key has no line on its admission, and the configuration that decided may have been published long before.

Change: explain ID lists the lines on the configuration that the rejection names, on the gateway that rejected, with what was ignored of its accounts.

--- a/src/dragonflyhold/observability/log_analysis.py
+++ b/src/dragonflyhold/observability/log_analysis.py
@@ -27,6 +27,12 @@
 TURNED_AWAY_EVENT = "An upstream turns requests away; nothing is sent to it for a time."
 MAX_RETURN_DELAY_S = 0.5
 DROPPED_EVENT = "An upstream was dropped."
+KEY_REJECTED_EVENT = "A request's key was not accepted."
+# Lines that name a version of the configuration: when it took effect, and what of it was ignored.
+CONFIG_EVENTS = (
+    "A configuration is in force.",
+    "A part of the configuration's accounts is ignored.",
+)
 # Example request ids listed per cause.
 MAX_EXAMPLES = 3
 
@@ -141,12 +147,13 @@
         for line in logs.lines
         if line.get("engine") in addresses and line.get("event") == "Started."
     }
-    closed = _closed_upstreams(logs.lines, request_lines, start_s, end_s)
+    earlier = _closed_upstreams(logs.lines, request_lines, start_s, end_s)
+    earlier |= _deciding_configurations(logs.lines, request_lines)
     trace = [
         line
         for line in logs.lines
         if line.get("id") == request_id
-        or id(line) in closed
+        or id(line) in earlier
         or (
             start_s - CONTEXT_S <= line.time_s <= end_s
             and _is_related(line, request_lines[0].node, upstreams, adapters, agent_nodes)
@@ -182,6 +189,22 @@
     return {id(line) for line in closed.values()}
 
 
+def _deciding_configurations(
+    lines: Sequence[LogLine], request_lines: Sequence[LogLine]
+) -> set[int]:
+    """Return the ids of the lines on the configurations by which the request's key was rejected."""
+    decided = {
+        (line.node, line.get("config"))
+        for line in request_lines
+        if line.get("event") == KEY_REJECTED_EVENT
+    }
+    return {
+        id(line)
+        for line in lines
+        if line.get("event") in CONFIG_EVENTS and (line.node, line.get("version")) in decided
+    }
+
+
 def _is_related(
     line: LogLine, gateway: str, upstreams: set[Any], adapters: set[Any], agent_nodes: set[str]
 ) -> bool:
--- a/tests/observability/test_log_analysis.py
+++ b/tests/observability/test_log_analysis.py
@@ -9,6 +9,8 @@
 from dragonflyhold.cli import main
 from dragonflyhold.errors import UsageError
 from dragonflyhold.observability.log_analysis import (
+    CONFIG_EVENTS,
+    KEY_REJECTED_EVENT,
     LEAVING_EVENT,
     TURNED_AWAY_EVENT,
     group_failures,
@@ -16,6 +18,7 @@
     trace_request,
 )
 
+CONFIG_EVENT, PROBLEM_EVENT = CONFIG_EVENTS
 # Clock offsets of the three processes from the true time, in seconds.
 CLOCK_OFFSETS_S = {"front-1": 0.0, "front-2": 3.0, "side-1": -2.0}
 
@@ -123,6 +126,38 @@
         named = [line.partition("runner=")[2].split()[0] for line in trace if "runner=" in line]
         assert named == ["leaves", "turns-away", "leaves-meanwhile"]
 
+    def test_trace_says_by_which_configuration_a_key_was_rejected(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """Guards against rejections that an operator can't trace to what was published."""
+
+        def config(node: str, at: float, version: int, problem: str | None = None) -> bytes:
+            event = PROBLEM_EVENT if problem else CONFIG_EVENT
+            fields = {"version": version, "problem": problem, "row_version": version}
+            return _line(node, at, event, "config", **fields)
+
+        path = tmp_path / "front-1.log"
+        rejected = {"id": "x1", "reason": "unknown", "config": 7}
+        lines = [
+            config("front-1", 1.0, 6),
+            config("front-1", 2.0, 7),
+            config("front-1", 2.0, 7, "key_shared"),
+            config("front-2", 2.0, 7),
+            _line("front-1", 50.0, KEY_REJECTED_EVENT, **rejected),
+            _line("front-1", 50.0, "A request ended.", id="x1", outcome="unknown_key"),
+        ]
+        path.write_bytes(b"\n".join(lines))
+        logs = read_logs([path])
+        named = [line.split("  ")[-1].strip() for line in trace_request(logs, "x1")]
+        assert named == [
+            f"{CONFIG_EVENT} version=7 row_version=7",
+            f"{PROBLEM_EVENT} version=7 problem=key_shared row_version=7",
+            f"{KEY_REJECTED_EVENT} reason=unknown config=7",
+            "A request ended. outcome=unknown_key",
+        ]
+        causes = [cause for cause, _, _ in group_failures(logs)]
+        assert causes == [f"unknown_key; before: {KEY_REJECTED_EVENT} unknown"]
+
     def test_clock_offsets_are_corrected(self, tmp_path: pathlib.Path) -> None:
         """Otherwise the agent's command would appear two seconds before the request."""
         trace = trace_request(read_logs(_write(tmp_path, _make_logs())), "x1")
