Log rejected keys by a limit of their own

Cause: each request with an unknown key wrote two lines against the reserve for failures, so a crowd with drawn keys suppressed the lines of requests that failed.

Change: a component of its own logs them.

Measured: tests/gateway/test_account_keys.py; beside 400 unknown keys in a second the failed attempts are logged. Under the shared limit that test fails.

--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -69,6 +69,7 @@
 LOAD_UTILITY = 1.0
 # Engines support 10 urgency levels, 0 to 9.
 MAX_URGENCY = 9
+_KEY_OUTCOMES = (Reason.UNKNOWN_KEY.value, Reason.KEY_UNCONFIRMED.value)
 # Cost of an output token relative to a prompt token, as in the platform's price list.
 OUTPUT_TOKEN_WEIGHT = 10
 
@@ -81,6 +82,8 @@
         self.log = JsonLogger("gateway")
         # Per-request log lines have a rate limit of their own.
         self.request_log = JsonLogger("request")
+        # A crowd with unknown keys must not crowd out the lines of failures.
+        self._key_log = JsonLogger("keys")
         # Bytes of upstreams, clients, the store and peers.
         self.byte_budget = ByteBudget(
             settings.memory_bytes, lambda: metrics.count_event("byte_budget_exceeded")
@@ -314,7 +317,7 @@
         now: float,
     ) -> None:
         self._metrics.count_event(f"key_rejected_{rejection.value}")
-        self.request_log.failure(
+        self._key_log.info(
             "A request's key was not accepted.",
             id=request_info.request_id,
             reason=rejection.value,
@@ -425,6 +428,8 @@
                 if progress.last_sent_at is not None:
                     fields["sent_ms"] = round((time.monotonic() - progress.last_sent_at) * 1000)
             self.request_log.loss("A request ended.", **fields)
+        elif outcome in _KEY_OUTCOMES:
+            self._key_log.info("A request ended.", **fields)
         else:
             self.request_log.failure("A request ended.", **fields)
 
--- a/tests/gateway/test_account_keys.py
+++ b/tests/gateway/test_account_keys.py
@@ -316,6 +316,23 @@
     logging.set_verbosity(level)
 
 
+class TestCrowdWithoutKeys:
+    """Many requests with keys that nobody holds."""
+
+    def test_failures_are_logged_beside_a_crowd(self, lines: list[str]) -> None:
+        """Guards against rejections that use up the lines of requests that failed."""
+
+        async def scenario(deployment: InProcessDeployment) -> None:
+            await _publish(deployment, _accounts(2, a=["k"]))
+            deployment.upstreams["p0"].faults = [Fault.FAIL] * 4
+            await asyncio.gather(*(_call(deployment, f"drawn{number}") for number in range(400)))
+            await _call(deployment, "k")
+
+        _run(scenario, engines=0, plain=1)
+        assert sum("An attempt failed." in line for line in lines) == 2
+        assert 0 < sum("was not accepted" in line for line in lines) < 400
+
+
 class TestSecrecy:
     """Guards against keys that leave a gateway other than as rows of the store."""
 
