Check a configuration before it is sent

Cause: an operator learned of errors in a configuration only from the gateways' logs, after it was written, and of entries that never match not at all.

Change: dragonflyhold config check lists errors, entries that can never match, limits that contradict each other, accounts that share a key, and the differences from another file or from the row in the store, as a table or JSON.

--- a/src/dragonflyhold/accounts/directory.py
+++ b/src/dragonflyhold/accounts/directory.py
@@ -50,6 +50,10 @@
         """Return the number of keys."""
         return len(self._by_key)
 
+    def holders(self) -> dict[KeyDigest, AccountName]:
+        """Return the account of each key."""
+        return {digest: account.name for digest, account in self._by_key.items()}
+
     def identify(
         self,
         keys: Sequence[bytes],
--- a/src/dragonflyhold/cli/root.py
+++ b/src/dragonflyhold/cli/root.py
@@ -13,6 +13,7 @@
     "apply": ("dragonflyhold.cli.changes", "apply_command"),
     "bench": ("dragonflyhold.cli.bench", "bench_group"),
     "change": ("dragonflyhold.cli.changes", "change_group"),
+    "config": ("dragonflyhold.cli.config", "config_group"),
     "demo": ("dragonflyhold.cli.demo", "demo_command"),
     "drain": ("dragonflyhold.cli.changes", "drain_command"),
     "explain": ("dragonflyhold.cli.inspect", "explain_command"),
