--- a/src/dragonflyhold/cli/config.py
+++ b/src/dragonflyhold/cli/config.py
@@ -114,7 +114,10 @@
     value = asyncio.run(_read_in_force(store))
     if value is None:
         raise UsageError(f"{store}: the store has no configuration")
-    return orjson.loads(value)
+    try:
+        return orjson.loads(value)
+    except ValueError as error:
+        raise UsageError(f"{store}: the configuration is invalid JSON: {error}") from error
 
 
 async def _read_in_force(store: str) -> bytes | None:
--- a/tests/cli/test_config_check.py
+++ b/tests/cli/test_config_check.py
@@ -215,6 +215,14 @@
         assert "changed  configuration: version: 4 -> 5" in result.output
         assert _check(tmp_path, configuration(4), *options).exit_code == 1
 
+    @pytest.mark.parametrize("row", [None, b"{"])
+    def test_a_store_without_a_valid_row(
+        self, tmp_path: pathlib.Path, store: StoreStandIn, row: bytes | None
+    ) -> None:
+        store.put("op", "config", row) if row else store.remove("op", "config")
+        options = ["--against", "in-force", "--store", store.address]
+        assert _check(tmp_path, configuration(5), *options).exit_code == 2
+
     def test_an_unreachable_store_exits_with_5(self, tmp_path: pathlib.Path) -> None:
         options = ["--against", "in-force", "--store", "127.0.0.1:1"]
         assert _check(tmp_path, configuration(5), *options).exit_code == 5
