Test a gateway that is cut off from the store alone

Cause: only the judgement of a hint was tested, not its way from an agent.

Change: a test with an agent that tells of the change; the rejection of a key is passed as one refusal.

--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -11,7 +11,6 @@
 from dragonflyhold.accounts import (
     Caller,
     ClientAccount,
-    KeyRejection,
     StoreContact,
     UnconfirmedKeyError,
     Unidentified,
@@ -292,13 +291,11 @@
         try:
             return configuration.accounts.identify(keys, route.allows_anonymous, freshness)
         except UnknownKeyError as error:
-            rejection, refusal = error.rejection, RefusedError(Reason.UNKNOWN_KEY, 0.0)
+            refusal = RefusedError(Reason.UNKNOWN_KEY, 0.0, error.rejection.value)
         except UnconfirmedKeyError as error:
             retry_after_s = RETRY_AFTER_S + self._rng.random() * RETRY_JITTER_S
-            rejection = error.rejection
-            refusal = RefusedError(Reason.KEY_UNCONFIRMED, retry_after_s)
-        refusal.detail = rejection.value
-        self._log_rejected_key(rejection, configuration, route, request_info, contact, now)
+            refusal = RefusedError(Reason.KEY_UNCONFIRMED, retry_after_s, error.rejection.value)
+        self._log_rejected_key(refusal, configuration, route, request_info, contact, now)
         raise refusal
 
     def _store_contact(self) -> StoreContact:
@@ -309,18 +306,18 @@
 
     def _log_rejected_key(
         self,
-        rejection: KeyRejection,
+        refusal: RefusedError,
         configuration: Configuration,
         route: Route,
         request_info: RequestInfo,
         contact: StoreContact,
         now: float,
     ) -> None:
-        self._metrics.count_event(f"key_rejected_{rejection.value}")
+        self._metrics.count_event(f"key_rejected_{refusal.detail}")
         self._key_log.info(
             "A request's key was not accepted.",
             id=request_info.request_id,
-            reason=rejection.value,
+            reason=refusal.detail,
             route=route.name,
             config=configuration.version,
             confirmed_ms_ago=None
--- a/tests/gateway/test_account_keys.py
+++ b/tests/gateway/test_account_keys.py
@@ -14,6 +14,7 @@
 from dragonflyhold.bench import virtual_network
 from dragonflyhold.bench.virtual_time import run_virtual
 from dragonflyhold.gateway.http_client import Call
+from dragonflyhold.gateway.model import Address
 from dragonflyhold.platform.settings import Bounds
 from dragonflyhold.platform.standins.runner import Fault
 from dragonflyhold.platform.standins.site import (
@@ -174,6 +175,25 @@
 
         assert _run(scenario, engines=0, plain=1) == [200, 503, 401, 401]
 
+    def test_a_gateway_that_is_cut_off_alone(self) -> None:
+        """Guards against 401 for a new key while agents know of the change that added it."""
+
+        async def scenario(deployment: InProcessDeployment) -> list[int]:
+            await _publish(deployment, _accounts(2, a=["k"]))
+            daemon, address = deployment.gateways[0], deployment.store.address
+            daemon._store.address = Address("127.0.0.1:1")
+            daemon._operator_watch.restart()
+            await asyncio.sleep(1)
+            statuses = [await _status(deployment, "new")]
+            await _publish(deployment, _accounts(3, a=["k", "new"]))
+            await asyncio.sleep(2)
+            statuses += [await _status(deployment, key) for key in ("k", "new")]
+            daemon._store.address = address
+            await asyncio.sleep(2)
+            return [*statuses, await _status(deployment, "new")]
+
+        assert _run(scenario, engines=1, plain=1) == [401, 200, 503, 200]
+
     def test_unknown_keys_cause_no_call_to_the_store(self) -> None:
         """Guards against a crowd with drawn keys that loads the store."""
 
