Let the store of a test close its connections

Cause: the new tests of config check stopped the loop of their store before its connections had closed; other tests of the process then failed for the unclosed sockets, in 4 of 6 runs of tests/cli.

Change: the loop goes on until they have.

--- a/tests/cli/test_config_check.py
+++ b/tests/cli/test_config_check.py
@@ -195,9 +195,14 @@
         await store.start()
         store.put("op", "config", configuration(4))
 
+    async def stop() -> None:
+        store.close()
+        # Transports close their sockets in later turns of the loop.
+        await asyncio.sleep(0.05)
+
     asyncio.run_coroutine_threadsafe(start(), loop).result(5)
     yield store
-    loop.call_soon_threadsafe(store.close)
+    asyncio.run_coroutine_threadsafe(stop(), loop).result(5)
     loop.call_soon_threadsafe(loop.stop)
     thread.join()
     loop.close()
