Reset the levels of accounts once a configuration has none

Cause: accounts, account_keys and account_problems kept their last values after a configuration without accounts came into force.

Change: they are set to 0 then; they are absent until a configuration had accounts, as before.

--- a/src/dragonflyhold/gateway/daemon.py
+++ b/src/dragonflyhold/gateway/daemon.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Coroutine
 from typing import final
 
+from dragonflyhold.accounts import AccountDirectory
 from dragonflyhold.errors import UsageError
 from dragonflyhold.gateway.agent import Agent
 from dragonflyhold.gateway.byte_budget import ByteBudget
@@ -173,6 +174,8 @@
             self._peer_snapshots.serve_snapshot, IngressLimits(), budget=self.gateway.byte_budget
         )
         self._is_stopping = False
+        # Whether a configuration with client accounts was in force.
+        self._has_account_levels = False
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
@@ -335,11 +338,9 @@
         metrics.set_level("turned_away_runners", turned_away)
         metrics.set_level("config_version", configuration.version if configuration else 0)
         accounts = configuration.accounts if configuration is not None else None
-        if accounts is not None:
-            metrics.set_level("accounts", len(accounts.accounts))
-            metrics.set_level("account_keys", len(accounts))
-            ignored = sum(summary.count for summary in accounts.problems.values())
-            metrics.set_level("account_problems", ignored)
+        self._has_account_levels |= accounts is not None
+        if self._has_account_levels:
+            self._set_account_levels(AccountDirectory({}) if accounts is None else accounts)
         for watch in (self._operator_watch, self._registry_watch):
             unavailable_since = watch.unavailable_since
             metrics.set_level(
@@ -349,6 +350,12 @@
         if self._log_writer is not None:
             metrics.set_level("log_lines_dropped", self._log_writer.dropped)
 
+    def _set_account_levels(self, accounts: AccountDirectory) -> None:
+        ignored = sum(summary.count for summary in accounts.problems.values())
+        self._metrics.set_level("accounts", len(accounts.accounts))
+        self._metrics.set_level("account_keys", len(accounts))
+        self._metrics.set_level("account_problems", ignored)
+
     def _reload(self, force: bool) -> None:
         if self._settings_file.reload_if_changed(force):
             self._settings = self._settings_file.current
--- a/tests/gateway/test_account_keys.py
+++ b/tests/gateway/test_account_keys.py
@@ -144,6 +144,24 @@
 
         assert set(_run(scenario, engines=0, plain=2)) == {b"a"}
 
+    def test_levels_follow_the_accounts_in_force(self) -> None:
+        """Guards against metrics that show accounts after their removal, or without any."""
+
+        async def scenario(deployment: InProcessDeployment) -> list[list[str]]:
+            levels, odd = [], {**configuration(4), "tenants": {}}
+            held = _accounts(3, a=["k", "l"])
+            for fields in (configuration(2), held, odd, configuration(5)):
+                await _publish(deployment, fields)
+                await asyncio.sleep(1)
+                text = deployment.gateways[0]._metrics.render()[0].decode()
+                levels.append([line for line in text.splitlines() if 'name="account' in line])
+            return levels
+
+        without, *others = _run(scenario, engines=0, plain=1)
+        assert not without
+        values = [[float(line.split()[-1]) for line in lines] for lines in others]
+        assert values == [[1, 2, 0], [0, 0, 1], [0, 0, 0]]
+
     def test_an_odd_account_leaves_the_others_in_force(self) -> None:
         async def scenario(deployment: InProcessDeployment) -> list[int]:
             fields = _accounts(2, a=["k"])
