--- a/src/dragonflyhold/gateway/daemon.py
+++ b/src/dragonflyhold/gateway/daemon.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Coroutine
 from typing import final
 
+from dragonflyhold.accounts import AccountDirectory
 from dragonflyhold.errors import UsageError
 from dragonflyhold.gateway.agent import Agent
 from dragonflyhold.gateway.byte_budget import ByteBudget
@@ -27,13 +28,18 @@
 from dragonflyhold.gateway.shutdown import PlannedStop
 from dragonflyhold.gateway.table_rows import TableRules
 from dragonflyhold.gateway.tasks import run_until_done, supervise
-from dragonflyhold.gateway.watch import LONG_FEED_WAIT_S, TableWatch
+from dragonflyhold.gateway.watch import FEED_WAIT_S, LONG_FEED_WAIT_S, TableWatch
 from dragonflyhold.ids import ServiceName
 from dragonflyhold.observability.metrics import Metrics
 from dragonflyhold.platform.codec import operator_row_order, registry_row_order
 from dragonflyhold.platform.engine import HttpEngineControl
-from dragonflyhold.platform.settings import PATH_VARIABLE, DaemonSettings, load_settings
-from dragonflyhold.platform.store import OPERATOR_TABLE, REGISTRY_TABLE, MetadataStore
+from dragonflyhold.platform.settings import PATH_VARIABLE, Bounds, DaemonSettings, load_settings
+from dragonflyhold.platform.store import (
+    OPERATOR_TABLE,
+    REGISTRY_TABLE,
+    MetadataStore,
+    StoredRow,
+)
 
 # Delay between two reads of the registry, as a share of the time limit for ending new work on a
 # draining upstream. The rows change with each lease renewal of an upstream; agents report changes
@@ -49,6 +55,10 @@
 # The operator's rows are replaced, never removed; upstreams leave.
 OPERATOR_RULES = TableRules(operator_row_order, rows_stay=True)
 REGISTRY_RULES = TableRules(registry_row_order)
+# Wait for a change in a call that confirms keys, as a share of the time for which they stay valid
+# without one, and the shortest such wait.
+CONFIRMATION_SHARE = 0.2
+MIN_CONFIRMATION_S = 0.1
 # Interval at which crash records are compared with those of an agent.
 CRASH_COMPARISON_S = 1.0
 # Interval at which an agent repeats the limits of upstreams to all gateways.
@@ -131,7 +141,7 @@
         self._operator_watch = TableWatch(
             self._store,
             OPERATOR_TABLE,
-            self.gateway.catalogue.apply,
+            self._apply_operator_row,
             wait_s=LONG_FEED_WAIT_S,
             rules=OPERATOR_RULES,
             count=self._metrics.count_event,
@@ -159,10 +169,13 @@
             self.gateway.pool,
             lambda: self._store.was_restored,
         )
+        self.gateway.has_newest_rows = self._has_newest_rows
         self._peer_server = HttpServer(
             self._peer_snapshots.serve_snapshot, IngressLimits(), budget=self.gateway.byte_budget
         )
         self._is_stopping = False
+        # Whether a configuration with client accounts was in force.
+        self._has_account_levels = False
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
@@ -171,6 +184,18 @@
         is_complete = self._peer_snapshots.is_complete
         return self.gateway.is_ready and is_complete and not self._is_stopping
 
+    def _apply_operator_row(self, row: StoredRow) -> None:
+        self.gateway.catalogue.apply(row)
+        configuration = self.gateway.catalogue.configuration
+        if configuration is not None and configuration.accounts is not None:
+            self._operator_watch.wait_s = _confirmation_wait_s(self._settings.bounds)
+        else:
+            self._operator_watch.wait_s = LONG_FEED_WAIT_S
+
+    def _has_newest_rows(self) -> bool:
+        """Return whether peers were asked for what a restored store may have lost."""
+        return self._peer_snapshots.is_complete or not self._store.was_restored
+
     async def run(self) -> None:
         """Serve until SIGTERM, then drain and close."""
         _handle_signals(self._stop.set, lambda: self._reload(force=True))
@@ -312,6 +337,10 @@
         turned_away = sum(view.gate.state(now) is SendState.TURNED_AWAY for view in views)
         metrics.set_level("turned_away_runners", turned_away)
         metrics.set_level("config_version", configuration.version if configuration else 0)
+        accounts = configuration.accounts if configuration is not None else None
+        self._has_account_levels |= accounts is not None
+        if self._has_account_levels:
+            self._set_account_levels(AccountDirectory({}) if accounts is None else accounts)
         for watch in (self._operator_watch, self._registry_watch):
             unavailable_since = watch.unavailable_since
             metrics.set_level(
@@ -321,6 +350,12 @@
         if self._log_writer is not None:
             metrics.set_level("log_lines_dropped", self._log_writer.dropped)
 
+    def _set_account_levels(self, accounts: AccountDirectory) -> None:
+        ignored = sum(summary.count for summary in accounts.problems.values())
+        self._metrics.set_level("accounts", len(accounts.accounts))
+        self._metrics.set_level("account_keys", len(accounts))
+        self._metrics.set_level("account_problems", ignored)
+
     def _reload(self, force: bool) -> None:
         if self._settings_file.reload_if_changed(force):
             self._settings = self._settings_file.current
@@ -430,6 +465,17 @@
             self._store.address = self._settings.store
 
 
+def _confirmation_wait_s(bounds: Bounds) -> float:
+    """Return the wait of a gateway with client accounts for a change of the operator's table.
+
+    Where keys lapse without contact with the store, each call has to confirm them in time, also if
+    the one before was lost.
+    """
+    if bounds.max_key_age_s is None:
+        return LONG_FEED_WAIT_S
+    return max(MIN_CONFIRMATION_S, min(FEED_WAIT_S, CONFIRMATION_SHARE * bounds.max_key_age_s))
+
+
 def run_role() -> int:
     """Run the daemon selected by the settings; return the exit status."""
     try:
