--- a/tests/gateway/test_account_keys.py
+++ b/tests/gateway/test_account_keys.py
@@ -144,6 +144,24 @@
 
         assert set(_run(scenario, engines=0, plain=2)) == {b"a"}
 
+    def test_levels_follow_the_accounts_in_force(self) -> None:
+        """Guards against metrics that show accounts after their removal, or without any."""
+
+        async def scenario(deployment: InProcessDeployment) -> list[list[str]]:
+            levels, odd = [], {**configuration(4), "tenants": {}}
+            held = _accounts(3, a=["k", "l"])
+            for fields in (configuration(2), held, odd, configuration(5)):
+                await _publish(deployment, fields)
+                await asyncio.sleep(1)
+                text = deployment.gateways[0]._metrics.render()[0].decode()
+                levels.append([line for line in text.splitlines() if 'name="account' in line])
+            return levels
+
+        without, *others = _run(scenario, engines=0, plain=1)
+        assert not without
+        values = [[float(line.split()[-1]) for line in lines] for lines in others]
+        assert values == [[1, 2, 0], [0, 0, 1], [0, 0, 0]]
+
     def test_an_odd_account_leaves_the_others_in_force(self) -> None:
         async def scenario(deployment: InProcessDeployment) -> list[int]:
             fields = _accounts(2, a=["k"])
@@ -299,6 +317,23 @@
 
         assert _run(scenario, LAPSING, engines=0, plain=1) == {200}
 
+    def test_without_accounts_the_store_is_not_called_more_often(self) -> None:
+        """Guards against calls that confirm keys where there are none, or none any more."""
+
+        async def scenario(deployment: InProcessDeployment) -> list[int]:
+            counts = []
+            for fields in (configuration(2), _accounts(3, a=["k"]), configuration(4)):
+                await _publish(deployment, fields)
+                before = len(deployment.store.calls)
+                await asyncio.sleep(60)
+                counts.append(len(deployment.store.calls) - before)
+            return counts
+
+        without, with_accounts, removed = _run(scenario, LAPSING, engines=0, plain=1)
+        # One call a second confirms keys; the calls of the registry go on in all three.
+        assert abs(removed - without) <= 3
+        assert with_accounts - without >= 50
+
     @pytest.mark.parametrize("has_accounts", [False, True])
     def test_what_needs_no_key_is_served(self, has_accounts: bool) -> None:
         """Guards against a setting on keys that acts where there are none."""
