--- a/src/dragonflyhold/gateway/watch.py
+++ b/src/dragonflyhold/gateway/watch.py
@@ -13,6 +13,7 @@
 from dragonflyhold.gateway.logs import JsonLogger
 from dragonflyhold.gateway.table_rows import NO_RULES, TableRows, TableRules
 from dragonflyhold.platform.store import (
+    FIRST_ERA,
     HistoryTruncatedError,
     MetadataStore,
     StoredRow,
@@ -60,10 +61,11 @@
         # Monotonic time for which the rows are complete, ``None`` before the first read: the start
         # of the last call, whose response may have been read much later.
         self.read_at: float | None = None
+        # Longest wait for a change in one call, from the next call on.
+        self.wait_s = wait_s
         self.table_rows = TableRows(table, on_change, rules, clock, count)
         self._store = store
         self._pause_s = pause_s
-        self._wait_s = wait_s
         self._on_recovered = on_recovered
         self._clock = clock
         self._backoff_s = MIN_BACKOFF_S
@@ -72,8 +74,15 @@
         self._is_restarting = False
         self._restarted_at = -MIN_RESTART_S
         self._is_hint_pending = False
+        # Latest change that a peer knows of.
+        self._latest_hint = StorePosition(FIRST_ERA, 0)
         self._log = JsonLogger("store")
 
+    @property
+    def is_behind(self) -> bool:
+        """Whether the whole table is to be read again, or a peer knows of a later change."""
+        return self.table_rows.position is None or self._lacks(self._latest_hint)
+
     def note_restored(self) -> None:
         """Read the whole table again: the store was restored, and its versions start anew."""
         self.available_since = self._clock()
@@ -90,6 +99,7 @@
 
         The connection of the pending call may have fallen silent.
         """
+        self._latest_hint = max(self._latest_hint, change)
         if not self._lacks(change) or self._is_hint_pending:
             return
         self._is_hint_pending = True
@@ -186,9 +196,9 @@
         if self.unavailable_since is not None:
             # The store may have been restored; its first response tells.
             return 0.0
-        if self._wait_s <= FEED_WAIT_S:
-            return self._wait_s
-        return self._wait_s * random.uniform(1 - LONG_WAIT_JITTER, 1.0)
+        if self.wait_s <= FEED_WAIT_S:
+            return self.wait_s
+        return self.wait_s * random.uniform(1 - LONG_WAIT_JITTER, 1.0)
 
     def _note_unavailable(self, error: PlatformUnavailableError) -> None:
         if self.unavailable_since is None:
