Let raised requests of an account give way in long queues

Change: beyond 1.25 times its usual an account's requests are raised, and refused at once where the least loaded upstream has more than twice as many requests as slots; those in excess (twice) as before.

--- a/src/dragonflyhold/fairness/__init__.py
+++ b/src/dragonflyhold/fairness/__init__.py
@@ -15,8 +15,8 @@
     make_claim,
     summarize_claims,
 )
-from dragonflyhold.fairness.need import AccountNeed
-from dragonflyhold.fairness.room import expected_wait_s, is_out_of_room
+from dragonflyhold.fairness.need import AccountNeed, Standing
+from dragonflyhold.fairness.room import expected_wait_s, is_full_for, is_out_of_room
 from dragonflyhold.fairness.turns import TurnOrder
 
 __all__ = [
@@ -28,9 +28,11 @@
     "AccountShare",
     "AccountTag",
     "Claim",
+    "Standing",
     "TurnOrder",
     "account_tag",
     "expected_wait_s",
+    "is_full_for",
     "is_out_of_room",
     "make_claim",
     "summarize_claims",
--- a/src/dragonflyhold/fairness/need.py
+++ b/src/dragonflyhold/fairness/need.py
@@ -1,13 +1,13 @@
 """What each client account usually needs, and which of its requests go beyond that.
 
-A gateway keeps this for the requests for adapters that it receives itself. A request counts as one,
-whatever its size, as each takes a turn of an adapter slot. The usual need is an average over
-half a minute; a request is in excess once its account has used up the multiple of its need that it
-may ask for at a time of scarcity. Such requests don't count as need, so that a sudden rise does not
+A gateway keeps this for the requests that it receives itself, with an adapter or of one service. A
+request counts as one, whatever its size, as each takes a turn of a slot. The usual need is an
+average over half a minute. Requests in excess don't count as need, so that a sudden rise does not
 raise an account's share at once.
 """
 
 import dataclasses
+import enum
 import heapq
 import math
 from typing import final
@@ -16,14 +16,13 @@
 
 # Half-life of the usual need.
 NEED_HALF_LIFE_S = 30.0
-# Multiple of its need that an account may ask for before its requests are in excess, and the time
+# Multiples of its need beyond which an account's requests are raised and in excess, and the time
 # for which it may ask for that much at once.
+RAISED_RATIO = 1.25
 EXCESS_RATIO = 2.0
 BURST_S = 3.0
 # Requests that any account may send at once.
 MIN_BURST = 2.0
-# Requests that any account may send at once.
-MIN_BURST = 2.0
 # Time after the first request in which all requests count as usual.
 LEARNING_S = 5.0
 # Least time over which a need is averaged, so that the first requests don't count as a high rate.
@@ -32,15 +31,41 @@
 MAX_ACCOUNTS = 4096
 
 
+class Standing(enum.IntEnum):
+    """What a request is to its account's usual need; higher ones give way sooner."""
+
+    USUAL = 0
+    RAISED = 1
+    EXCESS = 2
+
+
+@final
+@dataclasses.dataclass(slots=True)
+class _Allowance:
+    """Requests that an account may still send as of a time; infinite before the first one."""
+
+    since: float
+    left: float = math.inf
+
+    def take(self, rate: float, now: float) -> bool:
+        """Take a request from an allowance of ``rate`` requests a second, if any is left."""
+        most = max(MIN_BURST, BURST_S * rate)
+        self.left = min(most, self.left + rate * (now - self.since))
+        self.since = now
+        if self.left < 1.0:
+            return False
+        self.left -= 1.0
+        return True
+
+
 @final
 @dataclasses.dataclass(slots=True)
 class _Account:
+    counted_at: float = 0.0
     # Requests with exponential decay as of ``counted_at``.
     requests: float = 0.0
-    counted_at: float = 0.0
-    # Requests that the allowance leaves as of ``allowance_at``; infinite before the first one.
-    allowance: float = math.inf
-    allowance_at: float = 0.0
+    raised: _Allowance = dataclasses.field(default_factory=lambda: _Allowance(0.0))
+    excess: _Allowance = dataclasses.field(default_factory=lambda: _Allowance(0.0))
 
 
 @final
@@ -55,25 +80,24 @@
     def __len__(self) -> int:
         return len(self._accounts)
 
-    def note_request(self, account: AccountTag, now: float) -> bool:
-        """Count a request; return whether it is within its account's allowance."""
+    def note_request(self, account: AccountTag, now: float) -> Standing:
+        """Count a request; return what it is to its account's need, ``USUAL`` for one alone."""
         if self._started_at is None:
             self._started_at = now
         known = self._accounts.get(account)
         if known is None:
             self._make_room(now)
-            known = self._accounts[account] = _Account(counted_at=now, allowance_at=now)
-        rate = self._allowed_rate(known, now)
-        most = max(MIN_BURST, BURST_S * rate)
-        known.allowance = min(most, known.allowance + rate * (now - known.allowance_at))
-        known.allowance_at = now
-        is_learning = now - self._started_at < LEARNING_S
-        if len(self._accounts) > 1 and not is_learning and known.allowance < 1.0:
-            return False
-        known.allowance = max(0.0, known.allowance - 1.0)
+            known = _Account(now, 0.0, _Allowance(now), _Allowance(now))
+            self._accounts[account] = known
+        rate = self._usual_rate(known, now)
+        is_raised = not known.raised.take(RAISED_RATIO * rate, now)
+        is_excess = not known.excess.take(EXCESS_RATIO * rate, now)
+        is_judged = len(self._accounts) > 1 and now - self._started_at >= LEARNING_S
+        if is_judged and is_excess:
+            return Standing.EXCESS
         _add_request(known, now)
         _add_request(self._all, now)
-        return True
+        return Standing.RAISED if is_judged and is_raised else Standing.USUAL
 
     def share(self, account: AccountTag, now: float) -> float:
         """Return an account's share of the usual requests of all accounts, 0 to 1."""
@@ -82,10 +106,10 @@
             return 0.0
         return min(1.0, _requests(known, now) / total)
 
-    def _allowed_rate(self, account: _Account, now: float) -> float:
-        """Return the requests a second that an account may ask for, at least an equal share."""
+    def _usual_rate(self, account: _Account, now: float) -> float:
+        """Return an account's usual requests a second, at least an equal share of all."""
         equal = _requests(self._all, now) / max(1, len(self._accounts))
-        return EXCESS_RATIO * max(_requests(account, now), equal) / self._window_s(now)
+        return max(_requests(account, now), equal) / self._window_s(now)
 
     def _window_s(self, now: float) -> float:
         """Return the time that decayed counts stand for."""
--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -17,7 +17,7 @@
     UnknownKeyError,
     judge_freshness,
 )
-from dragonflyhold.fairness import AccountNeed, Claim
+from dragonflyhold.fairness import AccountNeed, Claim, Standing
 from dragonflyhold.gateway.budget import RetryBudget
 from dragonflyhold.gateway.byte_budget import ByteBudget
 from dragonflyhold.gateway.catalogue import Catalogue
@@ -480,12 +480,12 @@
         )
         return min(4.0, 0.3 + 0.7 * size / max(mean, 1.0))
 
-    def note_claim(self, claim: Claim, service: ServiceName, has_adapter: bool) -> bool:
-        """Count an account's request; return whether it asks for more than usual."""
+    def note_claim(self, claim: Claim, service: ServiceName, has_adapter: bool) -> Standing:
+        """Count an account's request; return what it is to the account's usual need."""
         need = self.account_need
         if not has_adapter:
             need = self._plain_needs.setdefault(service, AccountNeed())
-        return not need.note_request(claim.account, time.monotonic())
+        return need.note_request(claim.account, time.monotonic())
 
     def urgency(self, route: Route, caller: Caller) -> int | None:
         """Return the urgency to send to an engine, ``None`` for plain services."""
--- a/src/dragonflyhold/gateway/request.py
+++ b/src/dragonflyhold/gateway/request.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, final
 
 from dragonflyhold.accounts import Caller
-from dragonflyhold.fairness import is_out_of_room, make_claim
+from dragonflyhold.fairness import Standing, is_full_for, is_out_of_room, make_claim
 from dragonflyhold.gateway.attempt import (
     CHECK_PERIOD_S,
     MIN_ATTEMPT_S,
@@ -93,10 +93,11 @@
         self._refusal_pause_s = REFUSAL_PAUSE_S
         self._utility = gateway.estimate_utility(route, request_info)
         self._claim = make_claim(caller, route.priority)
-        # Whether the account asks for more than usual, so that it gives way to the others.
-        self._is_excess = self._claim is not None and gateway.note_claim(
-            self._claim, service, request_info.target is not None
-        )
+        # Requests beyond their account's usual need give way to those of the others.
+        self._standing = Standing.USUAL
+        if self._claim is not None:
+            has_adapter = request_info.target is not None
+            self._standing = gateway.note_claim(self._claim, service, has_adapter)
         age = gateway.client_ages.estimate(route.name, request_info.time_left_s, route.timeout_s)
         self._is_client_retry = age > CLIENT_RETRY_AGE_SHARE * route.target_latency_s
         self._target_at = request.received - age + route.target_latency_s
@@ -300,17 +301,19 @@
         return {
             "account_tag": f"{self._claim.account:08x}",
             "rank": self._claim.rank,
-            "excess": self._is_excess,
+            "standing": self._standing.name.lower(),
         }
 
     @property
     def _may_give_way(self) -> bool:
-        """Whether the request is beyond its account's usual need and belongs to no begun work."""
-        return self._is_excess and not self.progress.attempts and self.progress.origin is None
+        """Whether the request may be refused for others: it belongs to no begun work."""
+        return not self.progress.attempts and self.progress.origin is None
 
     def _give_way_if_late(self, view: UpstreamView, in_time_until: float, now: float) -> None:
-        """Refuse a request beyond its account's usual need behind a backlog that is too long."""
-        if not self._may_give_way or view.backlog == 0 or self._request_info.target in view.loading:
+        """Refuse a request in excess of its account's need behind a backlog that is too long."""
+        if self._standing is not Standing.EXCESS or not self._may_give_way:
+            return
+        if view.backlog == 0 or self._request_info.target in view.loading:
             return
         spec = self._gateway.catalogue.engine_spec(self._service)
         slots = spec.adapter_slots if spec is not None else 1
@@ -322,12 +325,17 @@
 
         The upstream is the least loaded one that could serve the request.
         """
-        load = view.load(now) if self._may_give_way else 0.0
-        if load > view.upstream.slots:
-            raise self._account_error(view, f"load={load:.0f} slots={view.upstream.slots}")
+        if self._standing is Standing.USUAL or not self._may_give_way:
+            return
+        load = view.load(now)
+        if is_full_for(self._standing, load, view.upstream.slots):
+            detail = f"load={load:.0f} slots={view.upstream.slots}"
+            raise self._account_error(view, detail)
 
     def _account_error(self, view: UpstreamView, detail: str) -> RefusedError | InDoubtError:
-        return self._terminal_error(Reason.ACCOUNT_SHARE, f"{view.upstream.upstream_id} {detail}")
+        standing = self._standing.name.lower()
+        detail = f"{view.upstream.upstream_id} {detail} standing={standing}"
+        return self._terminal_error(Reason.ACCOUNT_SHARE, detail)
 
     def _wait_limit(self, view: UpstreamView, in_time_until: float) -> float:
         """Return the monotonic time until which to wait for an adapter at an upstream.
--- a/tests/fairness/one_engine.py
+++ b/tests/fairness/one_engine.py
@@ -15,6 +15,7 @@
 from dragonflyhold.fairness import (
     AccountNeed,
     Claim,
+    Standing,
     TurnOrder,
     is_out_of_room,
     make_claim,
@@ -122,13 +123,15 @@
         return f"{account.name}/{self._rng.randrange(account.adapters)}"
 
     def _admit(self, request: Request, now: float, slots: int) -> None:
-        is_within = self.need.note_request(request.claim.account, now)
+        standing = self.need.note_request(request.claim.account, now)
         if request.adapter in self._resident:
             self._resident[request.adapter] = max(self._resident[request.adapter], now + USE_S)
             self._note_served(request)
             return
         backlog = len(self._waiting)
-        is_bounded = self._is_fair and not is_within and request.adapter not in self._waiting
+        is_bounded = (
+            self._is_fair and standing is Standing.EXCESS and request.adapter not in self._waiting
+        )
         if is_bounded and is_out_of_room(backlog, slots, PATIENCE_S):
             self.outcome.gave_way[request.account.name] += 1
             return
--- a/tests/fairness/test_need.py
+++ b/tests/fairness/test_need.py
@@ -1,5 +1,7 @@
 """Tests of what accounts usually need, and of the claims in a demand."""
 
+import collections
+
 import pytest
 
 from dragonflyhold.accounts import AccountName, Anonymous, ClientAccount, Unidentified
@@ -10,19 +12,22 @@
     AccountNeed,
     AccountTag,
     Claim,
+    Standing,
     account_tag,
     make_claim,
     summarize_claims,
 )
-from dragonflyhold.fairness.need import EXCESS_RATIO, MAX_ACCOUNTS
+from dragonflyhold.fairness.need import EXCESS_RATIO, MAX_ACCOUNTS, RAISED_RATIO
 
 HOT, USUAL = AccountTag(2), AccountTag(3)
 
 
-def _send(need: AccountNeed, account: AccountTag, rate: float, start: float, end: float) -> int:
-    """Send requests at a rate; return how many were within the account's allowance."""
-    count = round((end - start) * rate)
-    return sum(need.note_request(account, start + number / rate) for number in range(count))
+def _send(
+    need: AccountNeed, account: AccountTag, rate: float, start: float, end: float
+) -> collections.Counter[Standing]:
+    """Send requests at a rate; return how many had which standing."""
+    times = [start + number / rate for number in range(round((end - start) * rate))]
+    return collections.Counter(need.note_request(account, time) for time in times)
 
 
 class TestAccountNeed:
@@ -32,7 +37,8 @@
         need = AccountNeed()
         for second in range(60):
             for account, rate in ((HOT, 1.0), (USUAL, 8.0)):
-                assert _send(need, account, rate, second, second + 1) == rate
+                sent = _send(need, account, rate, second, second + 1)
+                assert sent == {Standing.USUAL: rate}
 
     def test_a_hot_account_is_in_excess_beyond_its_multiple(self) -> None:
         """Guards against an account whose sudden load is taken for its need at once."""
@@ -40,16 +46,19 @@
         for second in range(40):
             _send(need, HOT, 4.0, second, second + 1)
             _send(need, USUAL, 4.0, second, second + 1)
-        within = 0
+        sent: collections.Counter[Standing] = collections.Counter()
         for second in range(40, 60):
-            within += _send(need, HOT, 30.0, second, second + 1)
-            _send(need, USUAL, 4.0, second, second + 1)
-        assert within < 2 * EXCESS_RATIO * 4.0 * 20
+            sent += _send(need, HOT, 30.0, second, second + 1)
+            usual = _send(need, USUAL, 4.0, second, second + 1)
+            assert usual == {Standing.USUAL: 4}
+        assert sent.total() - sent[Standing.EXCESS] < 2 * EXCESS_RATIO * 4.0 * 20
+        assert 0 < sent[Standing.USUAL] < 2 * RAISED_RATIO * 4.0 * 20
         assert need.share(HOT, 60.0) < 0.75
 
     def test_an_account_alone_is_never_in_excess(self) -> None:
         need = AccountNeed()
-        assert _send(need, HOT, 1.0, 0.0, 30.0) + _send(need, HOT, 50.0, 30.0, 40.0) == 530
+        sent = _send(need, HOT, 1.0, 0.0, 30.0) + _send(need, HOT, 50.0, 30.0, 40.0)
+        assert sent == {Standing.USUAL: 530}
 
     def test_a_lasting_rise_becomes_usual(self) -> None:
         need = AccountNeed()
--- a/tests/gateway/test_account_turns.py
+++ b/tests/gateway/test_account_turns.py
@@ -8,7 +8,14 @@
 import pytest
 
 from dragonflyhold.accounts import AccountName
-from dragonflyhold.fairness import MAX_SHARES, AccountShare, AccountTag, Claim, account_tag
+from dragonflyhold.fairness import (
+    MAX_SHARES,
+    AccountShare,
+    AccountTag,
+    Claim,
+    Standing,
+    account_tag,
+)
 from dragonflyhold.gateway.demand_table import DemandTable
 from dragonflyhold.gateway.load_turns import LoadTurns
 from dragonflyhold.gateway.logs import JsonLogger
@@ -130,19 +137,27 @@
     """An account's requests beyond its usual need at an upstream where others queue."""
 
     @pytest.mark.parametrize(
-        ("in_flight", "key", "status"),
-        [(100, "key-1", 503), (100, "key-3", 200), (0, "key-1", 200)],
-        ids=["excess", "usual", "room"],
+        ("in_flight", "standing", "key", "status"),
+        [
+            (100, Standing.EXCESS, "key-1", 503),
+            (100, Standing.EXCESS, "key-3", 200),
+            (0, Standing.EXCESS, "key-1", 200),
+            (100, Standing.RAISED, "key-1", 503),
+            (10, Standing.RAISED, "key-1", 200),
+        ],
+        ids=["excess", "of another account", "room", "raised", "raised in a short queue"],
     )
     def test_only_the_excess_is_refused_and_at_once(
-        self, in_flight: int, key: str, status: int
+        self, in_flight: int, standing: Standing, key: str, status: int
     ) -> None:
         async def scenario() -> tuple[Answer, float]:
             async with running_deployment(engines=0, plain=1) as deployment:
                 await publish(deployment, with_accounts())
                 gateway = deployment.gateways[0].gateway
                 branch = account_tag(AccountName("branch"))
-                gateway.note_claim = lambda claim, *_: claim.account == branch
+                gateway.note_claim = lambda claim, *_: (
+                    standing if claim.account == branch else Standing.USUAL
+                )
                 gateway.table.views[UpstreamId("p0")].in_flight = in_flight
                 start = asyncio.get_running_loop().time()
                 answer = await deployment.call("/book/1", headers={"Api-Key": key})
