--- a/src/dragonflyhold/fairness/need.py
+++ b/src/dragonflyhold/fairness/need.py
@@ -22,8 +22,6 @@
 BURST_S = 3.0
 # Requests that any account may send at once.
 MIN_BURST = 2.0
-# Requests that any account may send at once.
-MIN_BURST = 2.0
 # Time after the first request in which all requests count as usual.
 LEARNING_S = 5.0
 # Least time over which a need is averaged, so that the first requests don't count as a high rate.
