Forget accounts that asked for nothing for minutes

The equal share that an account may ask for at any time was divided by all accounts that a gateway had ever seen. With 100 accounts of long ago, one that came back at the rate of the eight others had 83 of 100 requests in its first half minute counted as excess, 94 of 100 with 2,000; and an account whose neighbours had left was bounded although it was alone.

--- a/src/dragonflyhold/fairness/need.py
+++ b/src/dragonflyhold/fairness/need.py
@@ -26,6 +26,8 @@
 LEARNING_S = 5.0
 # Least time over which a need is averaged, so that the first requests don't count as a high rate.
 MIN_WINDOW_S = 2.0
+# Decayed requests below which an account is idle and forgotten: it takes no equal share.
+IDLE_REQUESTS = 1 / 16
 # Accounts beyond this number are forgotten, those with the least need first.
 MAX_ACCOUNTS = 4096
 
@@ -49,6 +51,7 @@
         self._accounts: dict[AccountTag, _Account] = {}
         self._all = _Account()
         self._started_at: float | None = None
+        self._checked_at = 0.0
 
     def __len__(self) -> int:
         return len(self._accounts)
@@ -56,7 +59,8 @@
     def note_request(self, account: AccountTag, now: float) -> bool:
         """Count a request; return whether it is within its account's allowance."""
         if self._started_at is None:
-            self._started_at = now
+            self._started_at = self._checked_at = now
+        self._forget_idle(now)
         known = self._accounts.get(account)
         if known is None:
             self._make_room(now)
@@ -92,6 +96,14 @@
         covered = 1.0 - 0.5 ** ((now - started_at) / NEED_HALF_LIFE_S)
         return max(MIN_WINDOW_S, mean_s * covered)
 
+    def _forget_idle(self, now: float) -> None:
+        if now - self._checked_at < NEED_HALF_LIFE_S:
+            return
+        self._checked_at = now
+        for account, known in list(self._accounts.items()):
+            if _requests(known, now) < IDLE_REQUESTS:
+                del self._accounts[account]
+
     def _make_room(self, now: float) -> None:
         if len(self._accounts) < MAX_ACCOUNTS:
             return
--- a/tests/fairness/test_need.py
+++ b/tests/fairness/test_need.py
@@ -58,6 +58,27 @@
             _send(need, USUAL, 8.0, second, second + 1)
         assert need.share(HOT, 300.0) == pytest.approx(0.5, abs=0.05)
 
+    def test_an_account_that_comes_back_may_ask_for_an_equal_share(self) -> None:
+        """Guards against accounts of long ago that lessen what is left for those that ask."""
+        need = AccountNeed()
+        for number in range(1000):
+            need.note_request(AccountTag(100 + number), number / 1000)
+        for second in range(300):
+            _send(need, USUAL, 4.0, second, second + 1)
+        within = 0
+        for second in range(300, 330):
+            _send(need, USUAL, 4.0, second, second + 1)
+            within += _send(need, HOT, 2.0, second, second + 1)
+        assert within == 60
+
+    def test_an_account_whose_neighbours_left_is_alone(self) -> None:
+        """One account that asks is never in excess, whoever asked long before."""
+        need = AccountNeed()
+        need.note_request(USUAL, 0.0)
+        for second in range(300):
+            _send(need, HOT, 1.0, second, second + 1)
+        assert _send(need, HOT, 50.0, 300.0, 310.0) == 500
+
     def test_the_number_of_accounts_is_bounded(self) -> None:
         """10,000 accounts may be configured."""
         need = AccountNeed()
