Forget accounts that no longer ask at an engine

The least weight of an account was half of an equal share of all accounts that ever asked at the engine, so one that asks rarely was charged ever more for a load. An account that waits without a state, forgotten or beyond the bound, starts level: it was not charged at all.

--- a/src/dragonflyhold/fairness/turns.py
+++ b/src/dragonflyhold/fairness/turns.py
@@ -32,6 +32,8 @@
 NEED_WEIGHT = 0.05
 # Least weight of an account relative to an equal share of all.
 MIN_NEED_RATIO = 0.5
+# Time of the engine's slots after which an account that got none of it is forgotten.
+MAX_IDLE_S = 60.0
 # Accounts beyond this number are forgotten, those that are least ahead first.
 MAX_ACCOUNTS = 1024
 
@@ -52,6 +54,7 @@
         self._accounts: dict[AccountTag, _Account] = {}
         # Virtual time of the account furthest behind of those that waited last.
         self._virtual_time = 0.0
+        self._checked_at = 0.0
         # Most urgent rank of those that waited last.
         self._first_rank = 0
         self._factors: dict[Claim, float] = {}
@@ -63,8 +66,7 @@
         """Learn an account's need from a gateway's report."""
         known = self._accounts.get(share.claim.account)
         if known is None:
-            self._make_room()
-            self._accounts[share.claim.account] = _Account(self._virtual_time, share.need)
+            self._known(share.claim.account).need = share.need
         else:
             known.need += NEED_WEIGHT * (share.need - known.need)
 
@@ -119,13 +121,30 @@
 
     def _advance(self, waiting: set[AccountTag]) -> None:
         """Advance the virtual time to the account that is furthest behind of those that wait."""
-        known = [self._accounts[account] for account in waiting if account in self._accounts]
+        known = [self._known(account) for account in waiting]
         for account in known:
             # Time without demand is no credit beyond a short while.
             account.served_until = max(account.served_until, self._virtual_time - MAX_CREDIT_S)
         if known:
             behind = min(account.served_until for account in known)
             self._virtual_time = max(self._virtual_time, behind)
+        if self._virtual_time - self._checked_at > MAX_IDLE_S:
+            self._checked_at = self._virtual_time
+            self._forget_idle()
+
+    def _known(self, account: AccountTag) -> _Account:
+        """Return the state of an account; one that is new or was forgotten starts level."""
+        known = self._accounts.get(account)
+        if known is None:
+            self._make_room()
+            known = self._accounts[account] = _Account(self._virtual_time, 0.0)
+        return known
+
+    def _forget_idle(self) -> None:
+        """Forget accounts that don't ask here any more; the others' least weight rests on them."""
+        for account, known in list(self._accounts.items()):
+            if known.served_until < self._virtual_time - MAX_IDLE_S:
+                del self._accounts[account]
 
     def _factor(self, claim: Claim) -> float:
         lead_s = max(0.0, self.lead_s(claim.account) - FREE_LEAD_S)
--- a/tests/fairness/test_turns.py
+++ b/tests/fairness/test_turns.py
@@ -7,7 +7,12 @@
 import pytest
 
 from dragonflyhold.fairness import AccountNeed, AccountShare, AccountTag, Claim, TurnOrder
-from dragonflyhold.fairness.turns import MAX_LEAD_S, MIN_FACTOR, MIN_RANK_FACTOR
+from dragonflyhold.fairness.turns import (
+    MAX_LEAD_S,
+    MIN_FACTOR,
+    MIN_NEED_RATIO,
+    MIN_RANK_FACTOR,
+)
 from tests.fairness.one_engine import LOADS, ORDINARY, Account, Engine, Outcome
 
 SEEDS = range(4)
@@ -139,6 +144,24 @@
             order.charge({Claim(AccountTag(account), 0): 1.0}, 0.04)
         assert order.lead_s(AccountTag(3)) > 2 * order.lead_s(AccountTag(2))
 
+    def test_accounts_of_long_ago_leave_the_least_weight_alone(self) -> None:
+        """Guards against small accounts that wait longer the more accounts were ever seen."""
+        order: TurnOrder[str] = TurnOrder()
+        large, small = Claim(AccountTag(2), 0), Claim(AccountTag(3), 0)
+        for account in range(10, 910):
+            order.note_need(_share(account, 0.001))
+        for _ in range(2000):
+            order.note_need(_share(2, 0.99))
+            order.note_need(_share(3, 0.001))
+            order.weigh({"a": {large: 1.0}, "b": {small: 1.0}}, {"a": 1.0, "b": 1.0})
+            for claim in (large, small):
+                order.charge({claim: 1.0}, 0.05)
+        order.weigh({"a": {large: 1.0}, "b": {small: 1.0}}, {"a": 1.0, "b": 1.0})
+        before = order.lead_s(small.account)
+        assert len(order) == 2
+        order.charge({small: 1.0}, 0.05)
+        assert order.lead_s(small.account) - before <= 0.05 / (MIN_NEED_RATIO / 2) + 1e-9
+
     def test_lead_and_factor_are_bounded(self) -> None:
         """However much an account got, it is served again, and soon."""
         order: TurnOrder[str] = TurnOrder()
