--- a/src/dragonflyhold/gateway/request.py
+++ b/src/dragonflyhold/gateway/request.py
@@ -305,12 +305,18 @@
 
     @property
     def _may_give_way(self) -> bool:
-        """Whether the request is beyond its account's usual need and belongs to no begun work."""
-        return self._is_excess and not self.progress.attempts and self.progress.origin is None
+        """Whether the request is beyond its account's usual need and belongs to no begun work.
+
+        A request that has waited keeps its place: the load for it is under way or next to come.
+        """
+        progress = self.progress
+        has_begun = progress.attempts or progress.waited_s or progress.origin is not None
+        return self._is_excess and not has_begun
 
     def _give_way_if_late(self, view: UpstreamView, in_time_until: float, now: float) -> None:
         """Refuse a request beyond its account's usual need behind a backlog that is too long."""
-        if not self._may_give_way or view.backlog == 0 or self._request_info.target in view.loading:
+        is_next = view.backlog == 0 or self._request_info.target in view.loading_or_awaited
+        if is_next or not self._may_give_way:
             return
         spec = self._gateway.catalogue.engine_spec(self._service)
         slots = spec.adapter_slots if spec is not None else 1
--- a/tests/gateway/test_account_turns.py
+++ b/tests/gateway/test_account_turns.py
@@ -3,21 +3,32 @@
 import asyncio
 import dataclasses
 import math
+import time
 
 import msgpack
 import pytest
 
-from dragonflyhold.accounts import AccountName
+from dragonflyhold.accounts import AccountName, ClientAccount
 from dragonflyhold.fairness import MAX_SHARES, AccountShare, AccountTag, Claim, account_tag
 from dragonflyhold.gateway.demand_table import DemandTable
+from dragonflyhold.gateway.http_server import ClientRequest
 from dragonflyhold.gateway.load_turns import LoadTurns
 from dragonflyhold.gateway.logs import JsonLogger
 from dragonflyhold.gateway.messages import AdapterDemand, DemandUpdate, decode, encode
 from dragonflyhold.gateway.model import ModelAdapter, UpstreamId
+from dragonflyhold.gateway.outcomes import Reason, RefusedError
+from dragonflyhold.gateway.request import RequestRun
 from dragonflyhold.gateway.waiting import DemandTracker, Waiter
 from dragonflyhold.ids import Version
 from dragonflyhold.observability.metrics import Metrics
-from dragonflyhold.platform.standins.site import Answer, running_deployment
+from dragonflyhold.platform import codec
+from dragonflyhold.platform.standins.site import (
+    HOST,
+    Answer,
+    InProcessDeployment,
+    client_call,
+    running_deployment,
+)
 from tests.gateway.builders import adapter, demand
 from tests.gateway.test_client_accounts import publish, with_accounts
 
@@ -153,3 +164,78 @@
         if status == 503:
             assert b"account_share" in answer.body
             assert seconds < 0.2
+
+
+class TestExcessBehindABacklog:
+    """An account's requests beyond its usual need where an adapter has to be loaded."""
+
+    @pytest.mark.parametrize(
+        ("is_awaited", "waited_s", "is_refused"),
+        [(False, 0.0, True), (True, 0.0, False), (False, 0.25, False)],
+        ids=["last", "awaited by others", "has waited"],
+    )
+    def test_only_what_adds_to_the_backlog_is_refused(
+        self, is_awaited: bool, waited_s: float, is_refused: bool
+    ) -> None:
+        """Guards against refusals that free no slot, or come after the wait for one."""
+
+        async def scenario() -> Reason | None:
+            async with running_deployment(engines=1, plain=0) as deployment:
+                gateway = deployment.gateways[0].gateway
+                run = _excess_run(deployment)
+                target = run._request_info.target
+                assert target is not None
+                view = gateway.table.views[UpstreamId("e0")]
+                view.backlog = 50
+                view.loading_or_awaited = frozenset({target} if is_awaited else ())
+                run.progress.waited_s = waited_s
+                now = time.monotonic()
+                try:
+                    run._give_way_if_late(view, now + 1.0, now)
+                except RefusedError as error:
+                    return error.reason
+                return None
+
+        assert asyncio.run(scenario()) == (Reason.ACCOUNT_SHARE if is_refused else None)
+
+    def test_a_request_whose_adapter_was_loaded_is_sent(self) -> None:
+        """Guards against loads that are thrown away."""
+
+        async def scenario() -> None:
+            async with running_deployment(engines=1, plain=0) as deployment:
+                run = _excess_run(deployment)
+                view = deployment.gateways[0].gateway.table.views[UpstreamId("e0")]
+                view.in_flight = 100
+                now = time.monotonic()
+                with pytest.raises(RefusedError):
+                    run._give_way_if_full(view, now)
+                run.progress.waited_s = 0.25
+                run._give_way_if_full(view, now)
+
+        asyncio.run(scenario())
+
+
+class _Responder:
+    is_started = False
+
+
+def _excess_run(deployment: InProcessDeployment) -> RequestRun:
+    gateway = deployment.gateways[0].gateway
+    gateway.note_claim = lambda claim, *_: True  # type: ignore[method-assign]
+    named = deployment.client_fields("/ask/1", "a1", 1500, (10, 10))
+    call = client_call("POST", "/ask/1", named, b"")
+    fields = {name.lower(): value for name, value in call.headers}
+    request = ClientRequest(b"POST", b"/ask/1", call.headers, fields, b"", time.monotonic())
+    configuration = gateway.catalogue.configuration
+    assert configuration is not None
+    route = configuration.find_route(HOST, "/ask/1")
+    assert route is not None
+    return RequestRun(
+        gateway,
+        request,
+        codec.decode_request(request.fields),
+        route,
+        route.shares[0].service,
+        ClientAccount(AccountName("branch")),
+        _Responder(),  # type: ignore[arg-type]
+    )
