Refuse an account's excess at an upstream only where its queue is too long

One request more than slots at the least loaded upstream was reason enough, though the answer would have been in time.

--- a/src/dragonflyhold/fairness/__init__.py
+++ b/src/dragonflyhold/fairness/__init__.py
@@ -16,7 +16,7 @@
     summarize_claims,
 )
 from dragonflyhold.fairness.need import AccountNeed
-from dragonflyhold.fairness.room import expected_wait_s, is_out_of_room
+from dragonflyhold.fairness.room import expected_wait_s, is_out_of_room, is_queue_too_long
 from dragonflyhold.fairness.turns import TurnOrder
 
 __all__ = [
@@ -32,6 +32,7 @@
     "account_tag",
     "expected_wait_s",
     "is_out_of_room",
+    "is_queue_too_long",
     "make_claim",
     "summarize_claims",
 ]
--- a/src/dragonflyhold/gateway/request.py
+++ b/src/dragonflyhold/gateway/request.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, final
 
 from dragonflyhold.accounts import Caller
-from dragonflyhold.fairness import is_out_of_room, make_claim
+from dragonflyhold.fairness import is_out_of_room, is_queue_too_long, make_claim
 from dragonflyhold.gateway.attempt import (
     CHECK_PERIOD_S,
     MIN_ATTEMPT_S,
@@ -324,13 +324,16 @@
             raise self._account_error(view, f"backlog={view.backlog}")
 
     def _give_way_if_full(self, view: UpstreamView, now: float) -> None:
-        """Refuse a request beyond its account's usual need if others queue at the upstream.
+        """Refuse a request beyond its account's usual need if the upstream's queue is too long.
 
         The upstream is the least loaded one that could serve the request.
         """
-        load = view.load(now) if self._may_give_way else 0.0
-        if load > view.upstream.slots:
-            raise self._account_error(view, f"load={load:.0f} slots={view.upstream.slots}")
+        if not self._may_give_way:
+            return
+        load, slots, left_s = view.load(now), view.upstream.slots, self._target_at - now
+        if is_queue_too_long(load, slots, view.first_byte_s, left_s):
+            first_ms = round(1000 * view.first_byte_s)
+            raise self._account_error(view, f"load={load:.0f} slots={slots} first_ms={first_ms}")
 
     def _account_error(self, view: UpstreamView, detail: str) -> RefusedError | InDoubtError:
         return self._terminal_error(Reason.ACCOUNT_SHARE, f"{view.upstream.upstream_id} {detail}")
