--- a/src/dragonflyhold/fairness/room.py
+++ b/src/dragonflyhold/fairness/room.py
@@ -1,4 +1,4 @@
-"""Whether there is room for the requests of an account that asks for more than usual."""
+"""Whether a request that waits behind others can be answered in time."""
 
 from dragonflyhold.fairness.need import Standing
 
@@ -6,9 +6,9 @@
 SLOT_TURN_S = 0.65
 # Time to load an adapter once a slot is free.
 LOAD_S = 0.25
-# Load of the least loaded upstream, relative to its slots, beyond which such requests give way. In
-# a short queue requests are still in time.
-FULL_RATIOS = {Standing.RAISED: 2.0, Standing.EXCESS: 1.0}
+# Share of the time left that a request may take up to its first byte where others queue; the rest
+# is room for requests within the need of their accounts, which are never refused for it.
+QUEUE_SHARES = {Standing.RAISED: 0.8, Standing.EXCESS: 0.5}
 
 
 def expected_wait_s(backlog: int, slots: int) -> float:
@@ -21,7 +21,14 @@
     return expected_wait_s(backlog, slots) > time_left_s
 
 
-def is_full_for(standing: Standing, load: float, slots: int) -> bool:
-    """Return whether a request gives way to others at the least loaded upstream."""
-    ratio = FULL_RATIOS.get(standing)
-    return ratio is not None and load > ratio * slots
+def is_queue_too_long(
+    standing: Standing, load: float, slots: int, first_byte_s: float, time_left_s: float
+) -> bool:
+    """Return whether an upstream's queue leaves no room for a request beyond usual need.
+
+    ``first_byte_s`` is the usual time to the first byte there; it grows late as a queue builds up.
+    """
+    queue_ratio, share = load / max(1, slots), QUEUE_SHARES.get(standing)
+    return (
+        share is not None and queue_ratio > 1.0 and first_byte_s * queue_ratio > share * time_left_s
+    )
--- a/src/dragonflyhold/gateway/request.py
+++ b/src/dragonflyhold/gateway/request.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, final
 
 from dragonflyhold.accounts import Caller
-from dragonflyhold.fairness import Standing, is_full_for, is_out_of_room, make_claim
+from dragonflyhold.fairness import Standing, is_out_of_room, is_queue_too_long, make_claim
 from dragonflyhold.gateway.attempt import (
     CHECK_PERIOD_S,
     MIN_ATTEMPT_S,
@@ -306,14 +306,18 @@
 
     @property
     def _may_give_way(self) -> bool:
-        """Whether the request may be refused for others: it belongs to no begun work."""
-        return not self.progress.attempts and self.progress.origin is None
+        """Whether the request is beyond its account's usual need and belongs to no begun work.
+
+        A request that has waited keeps its place: the load for it is under way or next to come.
+        """
+        progress = self.progress
+        has_begun = progress.attempts or progress.waited_s or progress.origin is not None
+        return self._standing is not Standing.USUAL and not has_begun
 
     def _give_way_if_late(self, view: UpstreamView, in_time_until: float, now: float) -> None:
         """Refuse a request in excess of its account's need behind a backlog that is too long."""
-        if self._standing is not Standing.EXCESS or not self._may_give_way:
-            return
-        if view.backlog == 0 or self._request_info.target in view.loading:
+        is_next = view.backlog == 0 or self._request_info.target in view.loading_or_awaited
+        if is_next or not self._may_give_way or self._standing is not Standing.EXCESS:
             return
         spec = self._gateway.catalogue.engine_spec(self._service)
         slots = spec.adapter_slots if spec is not None else 1
@@ -321,16 +325,16 @@
             raise self._account_error(view, f"backlog={view.backlog}")
 
     def _give_way_if_full(self, view: UpstreamView, now: float) -> None:
-        """Refuse a request beyond its account's usual need if others queue at the upstream.
+        """Refuse a request beyond its account's usual need if the upstream's queue is too long.
 
         The upstream is the least loaded one that could serve the request.
         """
-        if self._standing is Standing.USUAL or not self._may_give_way:
+        if not self._may_give_way:
             return
-        load = view.load(now)
-        if is_full_for(self._standing, load, view.upstream.slots):
-            detail = f"load={load:.0f} slots={view.upstream.slots}"
-            raise self._account_error(view, detail)
+        load, slots, left_s = view.load(now), view.upstream.slots, self._target_at - now
+        if is_queue_too_long(self._standing, load, slots, view.first_byte_s, left_s):
+            first_ms = round(1000 * view.first_byte_s)
+            raise self._account_error(view, f"load={load:.0f} slots={slots} first_ms={first_ms}")
 
     def _account_error(self, view: UpstreamView, detail: str) -> RefusedError | InDoubtError:
         standing = self._standing.name.lower()
