Name status 401 in responses

Cause: 401 was sent with an empty reason phrase, as the table of phrases lacked it. Change: its usual phrase.

--- a/src/dragonflyhold/gateway/responder.py
+++ b/src/dragonflyhold/gateway/responder.py
@@ -7,6 +7,7 @@
 _REASONS = {
     200: b"OK",
     400: b"Bad Request",
+    401: b"Unauthorized",
     404: b"Not Found",
     408: b"Request Timeout",
     413: b"Content Too Large",
