Keep connections, unread requests and turns of clients bounded

Cause: nothing counted connections, and all requests that a client had sent ahead were parsed at once and kept. Crowds opened more sockets than the process may have and filled its memory; ordinary callers waited behind them. A head with very many short fields that was inside the limit got 431, as each field counted one byte more than it has.

Change: package ingress. The settings' descriptors bound the connections of clients and of readiness checks; one that waits for its client, does not read, or has sent much ahead gives way to a new one. What follows eight requests is left unparsed, at most 64 KB, and counts in the byte budget. Eight connections are accepted in a turn. make abuse runs the crowds apart from other tests.

--- a/Makefile
+++ b/Makefile
@@ -5,10 +5,10 @@
 STAMP := $(VENV)/.installed
 
 # Processes among which the unit tests are spread; `make unit ARGS=...` runs the named ones in one.
-UNIT_WORKERS := --numprocesses auto --maxprocesses 6 --dist worksteal
+UNIT_WORKERS := --numprocesses auto --maxprocesses 6 --dist worksteal -m "not abuse"
 ARGS ?= $(UNIT_WORKERS)
 
-.PHONY: test demo lint format unit behave proto bench capacity clean
+.PHONY: test demo lint format unit abuse behave proto bench capacity clean
 
 $(STAMP): requirements.lock pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -16,11 +16,15 @@
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
 	touch $(STAMP)
 
-test: lint unit behave
+test: lint unit abuse behave
 
 unit: $(STAMP)
 	$(BIN)/python -m pytest $(ARGS)
 
+# A process beside crowds of clients that break the rules: one test at a time, apart from the others.
+abuse: $(STAMP)
+	$(BIN)/python -m pytest -m abuse tests
+
 behave: $(STAMP)
 	$(BIN)/python -m behave --format progress --no-capture features
 
--- a/src/dragonflyhold/bench/virtual_network.py
+++ b/src/dragonflyhold/bench/virtual_network.py
@@ -40,6 +40,9 @@
     def setsockopt(self, *option: object) -> None:
         """Ignore the option."""
 
+    def listen(self, backlog: int) -> None:
+        """Ignore the length of the queue."""
+
     def dup(self) -> Self:
         """Return the socket itself."""
         return self
--- a/src/dragonflyhold/gateway/daemon.py
+++ b/src/dragonflyhold/gateway/daemon.py
@@ -152,7 +152,11 @@
         self._store.subscribe_restored(self._note_restored)
         self._crash_archive = CrashArchive(self._store, self.gateway.crashes)
         self._ready_server = HttpServer(
-            self._serve_readiness, IngressLimits(), budget=self.gateway.byte_budget
+            self._serve_readiness,
+            IngressLimits(),
+            budget=self.gateway.byte_budget,
+            most_connections=self._settings.descriptor_limits.readiness_connections,
+            on_overload=self.gateway.note_overload,
         )
         self._peer_snapshots = PeerSnapshots(
             [self._operator_watch, self._registry_watch],
@@ -305,6 +309,7 @@
         metrics.set_level("waiting_requests", gateway.demands.waiting_count)
         metrics.set_level("runner_connections_opened", gateway.pool.connections_opened)
         metrics.set_level("quarantined_traits", gateway.quarantine.size)
+        metrics.set_level("client_connections", len(gateway.server.connections))
         metrics.set_level("runners", len(gateway.table.views))
         views = gateway.table.views.values()
         metrics.set_level("limited_runners", sum(view.limit_per_s is not None for view in views))
@@ -325,6 +330,9 @@
         if self._settings_file.reload_if_changed(force):
             self._settings = self._settings_file.current
             self._store.address = self._settings.store
+            limits = self._settings.descriptor_limits
+            self.gateway.server.most_connections = limits.client_connections
+            self._ready_server.most_connections = limits.readiness_connections
 
     async def _serve_readiness(self, request: ClientRequest, responder: Responder) -> None:
         del request
--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -42,6 +42,7 @@
 from dragonflyhold.gateway.upstream_view import UpstreamView
 from dragonflyhold.gateway.watch import TableWatch
 from dragonflyhold.ids import ServiceName, Version
+from dragonflyhold.ingress import Standing
 from dragonflyhold.observability.metrics import Metrics
 from dragonflyhold.platform import codec
 from dragonflyhold.platform.settings import DaemonSettings
@@ -126,6 +127,8 @@
             self._log_unanswered_request,
             self._log_failed_request,
             self.byte_budget,
+            settings.descriptor_limits.client_connections,
+            self.note_overload,
         )
         self.is_store_stable = False
         # Set while the process stops as planned.
@@ -385,6 +388,13 @@
             detail=detail,
         )
 
+    def note_overload(self, standing: Standing) -> None:
+        """Log and count a client's connection that was closed for a new one."""
+        self._metrics.count_event(f"connection_gave_way_{standing.value}")
+        self.log.failure(
+            "A client's connection was closed, as there are too many.", waited_for=standing.value
+        )
+
     # Queries and updates by request runs
 
     def required_version(self, target: ModelAdapter | None) -> Version:
--- a/src/dragonflyhold/gateway/http_server.py
+++ b/src/dragonflyhold/gateway/http_server.py
@@ -23,6 +23,7 @@
 from dragonflyhold.gateway.logs import JsonLogger, describe
 from dragonflyhold.gateway.model import IngressLimits
 from dragonflyhold.gateway.responder import Responder
+from dragonflyhold.ingress import REUSE_S, ConnectionTable, Standing, Turns
 
 # Reading pauses while this many pipelined requests wait behind the one in progress.
 MAX_PIPELINED = 8
@@ -32,6 +33,19 @@
 HEADER_OVERHEAD_BYTES = 128
 # Retry delay suggested to clients whose requests find no room in memory.
 RETRY_AFTER_S = 0.5
+# Largest read of a connection.
+READ_BYTES = 64 * 1024
+# Bytes parsed at a time outside of a body and in a body in chunks, so that only a few requests that
+# follow each other are parsed before their turn.
+HEAD_SLICE_BYTES = 1024
+BODY_SLICE_BYTES = 4096
+# A read of at most this size is parsed at once, a larger one in turns with other connections.
+SMALL_READ_BYTES = 4096
+# What a request that was sent ahead counts for in a turn of the event loop, in seconds.
+SENT_AHEAD_COST_S = 0.001
+# Connections that wait to be accepted, and those accepted in one turn of the event loop.
+BACKLOG = 1024
+ACCEPTS_PER_TURN = 8
 # Limit for receiving the body of a request after its head.
 BODY_TIMEOUT_S = 10.0
 # A client that reads nothing from a full write buffer for this long is disconnected.
@@ -39,8 +53,6 @@
 # Time for which a rejected client may go on sending. A close before that resets the connection,
 # and the rejection can be lost.
 LINGER_S = 1.0
-# Time within which a client that has a request sends it on a new connection or after a response.
-REUSE_S = 0.5
 # Any delay after which a task goes on in a later turn of the event loop, after its reads.
 EVENT_LOOP_TURN_S = 0.001
 
@@ -84,6 +96,8 @@
     # The client left the write buffer full for too long.
     UNREAD = "unread"
     IDLE = "idle"
+    # It gave way to a new one, as the server had too many.
+    OVERLOAD = "overload"
     # After a response, which was complete or not.
     RESPONSE = "response"
     # The server closed all connections.
@@ -91,7 +105,7 @@
 
 
 @final
-class ServerConnection(asyncio.Protocol):
+class ServerConnection(asyncio.BufferedProtocol):
     """A client's connection."""
 
     def __init__(self, server: "HttpServer") -> None:
@@ -106,6 +120,12 @@
         self._can_write = asyncio.Event()
         self._can_write.set()
         self._must_close = False
+        # Bytes that were received and not parsed yet; nothing more is read meanwhile.
+        self._unparsed = bytearray()
+        self._is_reading = True
+        # Whether the parser, or the next request, waits for its turn.
+        self._awaits_parsing = False
+        self._awaits_start = False
         self._end = ConnectionEnd.OPEN
         # Whether no more requests are read, and the bytes received since.
         self._input_ended = False
@@ -121,6 +141,8 @@
         self._expects_continue = False
         self._body = bytearray()
         self._body_bytes = 0
+        # Length of the body that is being read, ``None`` if it is not known before its end.
+        self._body_length: int | None = None
         # Bytes received in reads without the end of a head or a byte of the body.
         self._framing_bytes = 0
         self._has_progressed = False
@@ -139,7 +161,7 @@
 
         A draining server first answers or rejects the requests that it has read behind it.
         """
-        is_last = not self._queue and self._rejection is None
+        is_last = not self._queue and not self._unparsed and self._rejection is None
         return self._must_close or (self._server.is_draining and is_last)
 
     @property
@@ -150,7 +172,19 @@
     @property
     def is_idle(self) -> bool:
         """Whether no request is open or partly received."""
-        return self._task is None and not self._queue and not self._in_message
+        return (
+            self._task is None and not self._queue and not self._in_message and not self._unparsed
+        )
+
+    @property
+    def _standing(self) -> Standing:
+        if not self._can_write.is_set():
+            return Standing.READER
+        if self._unparsed and self._queue:
+            return Standing.TURN
+        if self._task is not None or self._queue or self._rejection is not None:
+            return Standing.RESPONSE
+        return Standing.CLIENT
 
     # Called by the transport.
 
@@ -161,8 +195,9 @@
         sock = transport.get_extra_info("socket")
         if sock is not None:
             set_dead_peer_detection(sock)
-        self._server.connections.add(self)
         self._start_idle_timeout()
+        peer = transport.get_extra_info("peername")
+        self._server.add_connection(self, peer[0] if peer else "")
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request that is being served."""
@@ -173,7 +208,7 @@
                 self._note_end(ConnectionEnd.UNACKNOWLEDGED)
             case _:
                 self._note_end(ConnectionEnd.CLIENT_RESET)
-        self._server.connections.discard(self)
+        self._server.remove_connection(self)
         self._clear_deadline()
         if self._must_close:
             for request, _, _ in self._queue:
@@ -192,8 +227,17 @@
         self._note_end(ConnectionEnd.CLIENT_CLOSED)
         return None
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next read, which all connections share."""
+        del sizehint
+        return self._server.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Take the bytes that were read."""
+        self.data_received(bytes(self._server.read_buffer[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
-        """Parse received bytes; reject malformed or oversized requests."""
+        """Parse received bytes; many of them, and many requests, in turns with other clients."""
         if self._input_ended:
             self._ignored_bytes += len(data)
             if self._must_close and self._ignored_bytes > MAX_REJECTED_BYTES:
@@ -201,6 +245,78 @@
             return
         if self._must_close and self._task is None:
             return
+        self._unparsed += data
+        if len(data) <= SMALL_READ_BYTES and not self._awaits_parsing:
+            self._parse()
+        else:
+            self._offer_parsing()
+
+    def _offer_parsing(self) -> None:
+        if not self._awaits_parsing:
+            self._awaits_parsing = True
+            self._server.turns.offer(self._parse_in_turn)
+            self._note_parsed()
+
+    def _parse_in_turn(self) -> None:
+        self._awaits_parsing = False
+        if self._must_close and self._task is None:
+            return
+        try:
+            self._parse()
+        except Exception as error:
+            # Another connection may have run this work.
+            self._server.log.error("Received bytes could not be handled.", error=describe(error))
+            self.abort()
+
+    def _parse(self) -> None:
+        """Parse what was received until enough requests wait behind the one in progress."""
+        parsed = 0
+        while self._unparsed and not self._input_ended and not self._has_enough:
+            if parsed >= READ_BYTES // 4:
+                self._offer_parsing()
+                return
+            size = self._slice_bytes()
+            data = bytes(self._unparsed[:size])
+            del self._unparsed[:size]
+            parsed += len(data)
+            self._parse_slice(data)
+        if self._input_ended:
+            self._unparsed.clear()
+        self._note_parsed()
+
+    @property
+    def _has_enough(self) -> bool:
+        """Whether enough requests wait behind the one in progress."""
+        return len(self._queue) >= MAX_PIPELINED or self._received.kept_bytes > MAX_PIPELINED_BYTES
+
+    def _slice_bytes(self) -> int:
+        """Return how much to parse at a time, at most to the end of a body of known length."""
+        if not (self._in_message and self._headers_done):
+            return HEAD_SLICE_BYTES
+        if self._body_length is None:
+            return BODY_SLICE_BYTES
+        return min(READ_BYTES // 4, max(1, self._body_length - self._body_bytes))
+
+    def _note_parsed(self) -> None:
+        """Read on once everything is parsed, and charge what is not."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        must_read = not self._unparsed
+        if must_read != self._is_reading:
+            self._is_reading = must_read
+            if must_read:
+                self._transport.resume_reading()
+            else:
+                self._transport.pause_reading()
+        if not self._input_ended:
+            self._receiving.set(self._kept_head_bytes + len(self._body) + len(self._unparsed))
+        self.note_standing(restarts=False)
+
+    def note_standing(self, *, restarts: bool) -> None:
+        """Tell the server what the connection waits for."""
+        self._server.note_connection(self, self._standing, restarts=restarts)
+
+    def _parse_slice(self, data: bytes) -> None:
         if not self._headers_done:
             # The parser reports no position, so each read counts in full until the head ends.
             self._head_bytes += len(data)
@@ -220,17 +336,17 @@
                 self._reject(413, "chunk extensions or trailers are too large")
         else:
             self._framing_bytes = 0
-        if not self._input_ended:
-            self._receiving.set(self._kept_head_bytes + len(self._body))
 
     def pause_writing(self) -> None:
         """Block ``drain`` while the write buffer is full."""
         self._can_write.clear()
+        self.note_standing(restarts=True)
 
     def resume_writing(self) -> None:
         """Unblock ``drain``."""
         self._unread.set(0)
         self._can_write.set()
+        self.note_standing(restarts=True)
 
     # Called by the parser.
 
@@ -244,8 +360,11 @@
         self._body.clear()
         self._kept_head_bytes = 0
         self._body_bytes = 0
+        self._body_length = None
         if self._task is None:
             self._await_rest()
+            if not self._queue:
+                self.note_standing(restarts=True)
 
     def on_url(self, url: bytes) -> None:
         """Collect a part of the request target."""
@@ -262,7 +381,8 @@
         self._headers_done = True
         self._has_progressed = True
         self._head_bytes = 0
-        size = sum(len(name) + len(value) + 4 for name, value in self._headers) + len(self._url)
+        # The least that was received, as the space before a value may be absent.
+        size = sum(len(name) + len(value) + 3 for name, value in self._headers) + len(self._url)
         limits = self._server.limits
         fields = {name.lower(): value for name, value in self._headers}
         hosts = sum(name.lower() == b"host" for name, _ in self._headers)
@@ -275,6 +395,8 @@
             self._reject(413, "body is too large")
         else:
             self._expects_continue = fields.get(b"expect", b"").lower() == b"100-continue"
+            if b"transfer-encoding" not in fields:
+                self._body_length = int(length)
         if self._task is None and not self._input_ended:
             self._await_rest()
 
@@ -313,12 +435,8 @@
         self._headers_done = False
         self._clear_deadline()
         self._note_received()
-        if self._task is None:
+        if self._task is None and not self._awaits_start:
             self._start_next()
-        elif self._transport is not None and (
-            len(self._queue) >= MAX_PIPELINED or self._received.kept_bytes > MAX_PIPELINED_BYTES
-        ):
-            self._transport.pause_reading()
 
     # Called by the responder and the server.
 
@@ -404,6 +522,18 @@
         self._served_bytes = request.kept_bytes
         responder = Responder(self, keep_alive, http_10, has_body=request.method != b"HEAD")
         self._task = asyncio.get_running_loop().create_task(self._serve(request, responder))
+        self.note_standing(restarts=True)
+
+    def _offer_start(self) -> None:
+        """Serve the next request, which was sent ahead, when it is its turn."""
+        if not self._awaits_start:
+            self._awaits_start = True
+            self._server.turns.offer(self._start_in_turn, SENT_AHEAD_COST_S)
+
+    def _start_in_turn(self) -> None:
+        self._awaits_start = False
+        if self._task is None:
+            self._start_next()
 
     def _await_rest(self) -> None:
         """Limit the time for the rest of a request, the next one to be served."""
@@ -439,9 +569,11 @@
             self._end_failed(request, responder, detail)
         if self._transport is None or self._transport.is_closing() or self._must_close:
             return
+        if self._unparsed and not self._input_ended:
+            self._offer_parsing()
+        self.note_standing(restarts=True)
         if self._queue:
-            self._transport.resume_reading()
-            self._start_next()
+            self._offer_start()
         elif self._rejection is not None:
             self._send_rejection(*self._rejection)
         elif self._in_message and not self._input_ended:
@@ -488,6 +620,7 @@
 
     def _discard_input(self) -> None:
         self._body.clear()
+        self._unparsed.clear()
         self._headers = []
         self._kept_head_bytes = 0
 
@@ -524,7 +657,8 @@
     ``on_unanswered`` with each request that was read and whose connection this side closes without
     a response, and with the cause; ``on_failed`` with each request whose handler raised an error or
     sent no response, and with the cause. It gets 502, or its response is broken off. What is kept
-    of requests, and of responses that clients don't read, is charged to ``budget``.
+    of requests, and of responses that clients don't read, is charged to ``budget``. Beyond
+    ``most_connections`` one gives way to each new one; ``on_overload`` is called for it.
     """
 
     def __init__(
@@ -535,6 +669,8 @@
         on_unanswered: Callable[[ClientRequest, str], None] = lambda request, detail: None,
         on_failed: Callable[[ClientRequest, str], None] = lambda request, detail: None,
         budget: ByteBudget | None = None,
+        most_connections: int | None = None,
+        on_overload: Callable[[Standing], None] = lambda standing: None,
     ) -> None:
         self.budget = budget if budget is not None else ByteBudget()
         self.handler = handler
@@ -545,6 +681,16 @@
         self.log = JsonLogger("http")
         self.is_draining = False
         self.connections: set[ServerConnection] = set()
+        # Overwritten by each read, before which the bytes of the last one are copied.
+        self.read_buffer = memoryview(bytearray(READ_BYTES))
+        self.turns = Turns(
+            lambda call: asyncio.get_running_loop().call_soon(call),
+            lambda: asyncio.get_running_loop().time(),
+        )
+        self._on_overload = on_overload
+        self._table: ConnectionTable[ServerConnection] = ConnectionTable(
+            lambda: asyncio.get_running_loop().time(), most_connections
+        )
         self._server: asyncio.Server | None = None
 
     @property
@@ -563,12 +709,54 @@
         """Return the number of connections with an open or partly received request."""
         return sum(not connection.is_idle for connection in self.connections)
 
+    @property
+    def most_connections(self) -> int | None:
+        """Return the number of connections that are kept, ``None`` for any number."""
+        return self._table.most
+
+    @most_connections.setter
+    def most_connections(self, most: int | None) -> None:
+        self._table.most = most
+
+    def add_connection(self, connection: ServerConnection, address: str) -> None:
+        """Add a connection, for which another one, or it itself, may have to give way."""
+        self.connections.add(connection)
+        victim = self._table.pick_victim() if self._table.is_full else None
+        if self._table.is_full:
+            self._close_for_overload(victim or connection)
+        if victim is not None or not self._table.is_full:
+            self._table.add(connection, address)
+
+    def _close_for_overload(self, connection: ServerConnection) -> None:
+        self._on_overload(self._table.standing(connection))
+        self._table.remove(connection)
+        connection.abort(ConnectionEnd.OVERLOAD)
+
+    def remove_connection(self, connection: ServerConnection) -> None:
+        """Remove a connection that was lost."""
+        self.connections.discard(connection)
+        self._table.remove(connection)
+
+    def note_connection(
+        self, connection: ServerConnection, standing: Standing, *, restarts: bool
+    ) -> None:
+        """Record what a connection waits for."""
+        self._table.note(connection, standing, restarts=restarts)
+
     async def listen(self, host: str, port: int) -> None:
         """Start to accept connections."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: ServerConnection(self), host, port, backlog=1024, reuse_address=True
+            lambda: ServerConnection(self),
+            host,
+            port,
+            # Also the number of connections that asyncio accepts at a time.
+            backlog=ACCEPTS_PER_TURN,
+            reuse_address=True,
         )
+        for listener in self._server.sockets:
+            with listener.dup() as sock:
+                sock.listen(BACKLOG)
 
     def close_idle(self) -> None:
         """Close all connections without an open request."""
--- a/src/dragonflyhold/platform/settings.py
+++ b/src/dragonflyhold/platform/settings.py
@@ -15,9 +15,12 @@
 from dragonflyhold.gateway.byte_budget import DEFAULT_MEMORY_BYTES
 from dragonflyhold.gateway.model import Address
 from dragonflyhold.ids import DataCentre, VmName
+from dragonflyhold.ingress import DescriptorLimits
 
 # Environment variable with the path of the settings file.
 PATH_VARIABLE = "DRAGONFLYHOLD_CONFIG"
+# Part of a process's descriptors that is only for files.
+FILE_DESCRIPTORS = 200
 
 
 @final
@@ -63,6 +66,8 @@
     is_first_start: bool = False
     # Memory with which the process is killed.
     memory_bytes: int = DEFAULT_MEMORY_BYTES
+    # Connections that the process accepts, by its limit on descriptors.
+    descriptor_limits: DescriptorLimits = DescriptorLimits()
 
     @property
     def agent_port(self) -> int:
@@ -120,6 +125,7 @@
         bounds=_bounds(bounds, problems),
         is_first_start=fields.get("bootstrap") is True,
         memory_bytes=_memory_bytes(fields.get("limits"), problems),
+        descriptor_limits=_descriptor_limits(fields.get("limits"), problems),
     )
     if problems:
         raise UsageError("settings: " + "; ".join(problems))
@@ -158,6 +164,16 @@
     return int(value * 1_000_000)
 
 
+def _descriptor_limits(limits: Any, problems: list[str]) -> DescriptorLimits:
+    value = limits.get("file_descriptors") if isinstance(limits, dict) else None
+    if value is None:
+        return DescriptorLimits()
+    if isinstance(value, bool) or not isinstance(value, int) or not 0 < value < 1e9:
+        problems.append(f"limits.file_descriptors: {value!r} is not a positive whole number")
+        return DescriptorLimits()
+    return DescriptorLimits.of_process(max(1, value - FILE_DESCRIPTORS))
+
+
 def _object(fields: dict[str, Any], name: str, problems: list[str]) -> dict[str, Any]:
     value = fields.get(name)
     if not isinstance(value, dict):
--- a/tests/gateway/test_abusive_clients.py
+++ b/tests/gateway/test_abusive_clients.py
@@ -290,3 +290,31 @@
         assert found["sockets"] <= DESCRIPTORS - FILE_DESCRIPTORS
         for caller in ("beside", "ready", "after"):
             assert found[caller][-1] == 200, caller  # type: ignore[index]
+
+
+class TestCalm:
+    """Guards against limits that a client meets which keeps to those of the configuration."""
+
+    @pytest.mark.parametrize(
+        "request_bytes",
+        [
+            _head(b"/read/1", *[b"%x:" % number for number in range(2400)], method=b"GET"),
+            _head(b"/book/1", b"Content-Length: %d" % BODY_BYTES) + bytes(BODY_BYTES),
+            _head(b"/book/1", b"Transfer-Encoding: chunked")
+            + 50_000 * b"1\r\nx\r\n"
+            + b"0\r\n\r\n",
+        ],
+        ids=["many fields", "large body", "small chunks"],
+    )
+    def test_a_single_request_is_served(self, request_bytes: bytes, tmp_path: pathlib.Path) -> None:
+        async def scenario() -> bytes:
+            async with _running_gateway(tmp_path / "local.json") as (_, settings):
+                host, _, port = listener(settings, "front").rpartition(":")
+                streams = await asyncio.open_connection(host, int(port))
+                await _send(streams, request_bytes)
+                status = await streams[0].readline()
+                streams[1].close()
+                return status
+
+        assert len(request_bytes.partition(b"\r\n\r\n")[0]) < HEADER_BYTES
+        assert asyncio.run(scenario()).startswith(b"HTTP/1.1 200")
