Answer requests in order while the bytes behind them are parsed later

Bytes behind enough requests are now parsed between two of them, when no handler runs though requests wait, or when the parse itself starts the next one. A rejection, an interim response or an idle timeout of that moment went out as if nothing waited: the client got 400 as the answer to a proper request and the rest were closed unanswered, got 100 Continue early and twice, or its rejected connection stayed open for good since the idle timeout replaced the one that closes it.

--- a/src/dragonflyhold/gateway/http_server.py
+++ b/src/dragonflyhold/gateway/http_server.py
@@ -176,13 +176,18 @@
             self._task is None and not self._queue and not self._in_message and not self._unparsed
         )
 
+    @property
+    def _has_requests(self) -> bool:
+        """Whether a request is served, or waits for its turn."""
+        return self._task is not None or bool(self._queue)
+
     @property
     def _standing(self) -> Standing:
         if not self._can_write.is_set():
             return Standing.READER
         if self._unparsed and self._queue:
             return Standing.TURN
-        if self._task is not None or self._queue or self._rejection is not None:
+        if self._has_requests or self._rejection is not None:
             return Standing.RESPONSE
         return Standing.CLIENT
 
@@ -361,10 +366,9 @@
         self._kept_head_bytes = 0
         self._body_bytes = 0
         self._body_length = None
-        if self._task is None:
+        if not self._has_requests:
             self._await_rest()
-            if not self._queue:
-                self.note_standing(restarts=True)
+            self.note_standing(restarts=True)
 
     def on_url(self, url: bytes) -> None:
         """Collect a part of the request target."""
@@ -397,7 +401,7 @@
             self._expects_continue = fields.get(b"expect", b"").lower() == b"100-continue"
             if b"transfer-encoding" not in fields:
                 self._body_length = int(length)
-        if self._task is None and not self._input_ended:
+        if not self._has_requests and not self._input_ended:
             self._await_rest()
 
     def on_body(self, data: bytes) -> None:
@@ -541,6 +545,7 @@
             self._set_deadline(self._server.limits.header_timeout_s, self._request_timeout)
             return
         if self._expects_continue and not self._body_bytes:
+            self._expects_continue = False
             self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         self._set_deadline(BODY_TIMEOUT_S, self._request_timeout)
 
@@ -571,6 +576,13 @@
             return
         if self._unparsed and not self._input_ended:
             self._offer_parsing()
+        self._go_on()
+
+    def _go_on(self) -> None:
+        """Turn to what follows a response."""
+        if self._task is not None or self._must_close:
+            # The bytes that were just parsed held the next request, or one that was rejected.
+            return
         self.note_standing(restarts=True)
         if self._queue:
             self._offer_start()
@@ -601,10 +613,10 @@
             return
         self._input_ended = True
         self._server.on_rejected(status, detail)
-        if self._task is None:
-            self._send_rejection(status, detail)
-        else:
+        if self._has_requests:
             self._rejection = status, detail
+        else:
+            self._send_rejection(status, detail)
 
     def _send_rejection(self, status: int, detail: str) -> None:
         responder = Responder(self, False, False)
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -530,6 +530,49 @@
         assert response.count(b"Connection: close") == 1
 
 
+class TestRequestsParsedLater:
+    """Guards against requests that are mixed up as the bytes behind them are parsed later."""
+
+    @pytest.fixture(autouse=True)
+    def _small_slices(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        monkeypatch.setattr(http_server, "HEAD_SLICE_BYTES", len(GET))
+        monkeypatch.setattr(http_server, "LINGER_S", 0.05)
+
+    @pytest.mark.parametrize("most", [1, 2, 3])
+    @pytest.mark.parametrize("count", range(1, 8))
+    def test_a_rejection_comes_last_and_closes_the_connection(
+        self, most: int, count: int, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(http_server, "MAX_PIPELINED", most)
+
+        async def run() -> bytes:
+            async with _running_server() as harness, _connected(harness) as (reader, writer):
+                writer.write(count * GET + b"malformed\r\n\r\n")
+                response = await reader.read()
+                while harness.server.connections:
+                    await asyncio.sleep(0.01)
+                return response
+
+        assert _statuses(asyncio.run(run())) == count * [200] + [400]
+
+    @pytest.mark.parametrize("most", [1, 2, 3])
+    @pytest.mark.parametrize("count", range(1, 8))
+    def test_an_interim_response_comes_after_the_responses_before_it(
+        self, most: int, count: int, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(http_server, "MAX_PIPELINED", most)
+
+        async def run() -> bytes:
+            async with _running_server() as harness, _connected(harness) as (reader, writer):
+                writer.write(count * GET + POST + b"Expect: 100-continue\r\n")
+                writer.write(b"Content-Length: 1\r\nConnection: close\r\n\r\n")
+                response = await reader.readuntil(b"HTTP/1.1 100 Continue\r\n\r\n")
+                writer.write(b"x")
+                return response + await reader.read()
+
+        assert _statuses(asyncio.run(run())) == count * [200] + [100, 200]
+
+
 class TestPartsBehindRequests:
     """Guards against a request that is read in part while another is served, and then forgotten."""
 
