See the close of a client whose request in progress is large

A request of more than 256 KB counted as enough by itself, so anything behind it, also a stray line break, stayed unparsed and paused reading: its client's close was not seen until the response. Reading now pauses only behind a request that waits, as before.

Seen before: the handler ran to its end after the close (the new test times out); after: cancelled.

--- a/src/dragonflyhold/gateway/http_server.py
+++ b/src/dragonflyhold/gateway/http_server.py
@@ -292,6 +292,8 @@
     @property
     def _has_enough(self) -> bool:
         """Whether enough requests wait behind the one in progress."""
+        if not self._queue:
+            return False
         return len(self._queue) >= MAX_PIPELINED or self._received.kept_bytes > MAX_PIPELINED_BYTES
 
     def _slice_bytes(self) -> int:
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -284,6 +284,25 @@
 
         assert asyncio.run(run()) == 1
 
+    def test_handler_is_cancelled_behind_a_large_request(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a close that isn't seen, as a byte behind the request stays unparsed."""
+        monkeypatch.setattr(http_server, "MAX_PIPELINED_BYTES", 0)
+
+        async def run() -> int:
+            async with _running_server() as harness, _connected(harness) as (_, writer):
+                harness.may_respond.clear()
+                writer.write(POST + b"Content-Length: 2000\r\n\r\n" + bytes(2000) + b"\r\n")
+                while not harness.requests:
+                    await asyncio.sleep(0.01)
+                writer.close()
+                while not harness.cancelled:
+                    await asyncio.sleep(0.01)
+                return harness.cancelled
+
+        assert asyncio.run(run()) == 1
+
     @pytest.mark.parametrize(
         ("how", "end"),
         [
