Read on when bytes that were not parsed make room

Reading stayed paused after the budget had discarded them: the close of a client was not seen while its request ran, and its refusal could be lost to a reset.

--- a/src/dragonflyhold/gateway/http_server.py
+++ b/src/dragonflyhold/gateway/http_server.py
@@ -631,6 +631,7 @@
         """Refuse the request that is being read, or was just read: there is no room for it."""
         self._discard_input()
         self._reject(503, "not run: no memory")
+        self._note_parsed()
 
     def _discard_input(self) -> None:
         self._body.clear()
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -592,6 +592,29 @@
         assert _statuses(asyncio.run(run())) == count * [200] + [100, 200]
 
 
+class TestRefusedBytes:
+    """Guards against reading that stays paused for bytes that made room for others."""
+
+    def test_a_close_is_seen(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        monkeypatch.setattr(http_server, "HEAD_SLICE_BYTES", len(GET))
+
+        async def run() -> int:
+            async with _running_server() as harness, _connected(harness) as (_, writer):
+                harness.may_respond.clear()
+                writer.write(50 * GET)
+                while not harness.requests:
+                    await asyncio.sleep(0.01)
+                budget = harness.server.budget
+                budget.limit_bytes = 0
+                budget.open_account().add(1)
+                writer.close()
+                while not harness.cancelled:
+                    await asyncio.sleep(0.01)
+                return budget.kept_bytes
+
+        assert asyncio.run(run()) == 1
+
+
 class TestPartsBehindRequests:
     """Guards against a request that is read in part while another is served, and then forgotten."""
 
