--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -284,6 +284,25 @@
 
         assert asyncio.run(run()) == 1
 
+    def test_handler_is_cancelled_behind_a_large_request(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a close that isn't seen, as a byte behind the request stays unparsed."""
+        monkeypatch.setattr(http_server, "MAX_PIPELINED_BYTES", 0)
+
+        async def run() -> int:
+            async with _running_server() as harness, _connected(harness) as (_, writer):
+                harness.may_respond.clear()
+                writer.write(POST + b"Content-Length: 2000\r\n\r\n" + bytes(2000) + b"\r\n")
+                while not harness.requests:
+                    await asyncio.sleep(0.01)
+                writer.close()
+                while not harness.cancelled:
+                    await asyncio.sleep(0.01)
+                return harness.cancelled
+
+        assert asyncio.run(run()) == 1
+
     @pytest.mark.parametrize(
         ("how", "end"),
         [
@@ -530,6 +549,72 @@
         assert response.count(b"Connection: close") == 1
 
 
+class TestRequestsParsedLater:
+    """Guards against requests that are mixed up as the bytes behind them are parsed later."""
+
+    @pytest.fixture(autouse=True)
+    def _small_slices(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        monkeypatch.setattr(http_server, "HEAD_SLICE_BYTES", len(GET))
+        monkeypatch.setattr(http_server, "LINGER_S", 0.05)
+
+    @pytest.mark.parametrize("most", [1, 2, 3])
+    @pytest.mark.parametrize("count", range(1, 8))
+    def test_a_rejection_comes_last_and_closes_the_connection(
+        self, most: int, count: int, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(http_server, "MAX_PIPELINED", most)
+
+        async def run() -> bytes:
+            async with _running_server() as harness, _connected(harness) as (reader, writer):
+                writer.write(count * GET + b"malformed\r\n\r\n")
+                response = await reader.read()
+                while harness.server.connections:
+                    await asyncio.sleep(0.01)
+                return response
+
+        assert _statuses(asyncio.run(run())) == count * [200] + [400]
+
+    @pytest.mark.parametrize("most", [1, 2, 3])
+    @pytest.mark.parametrize("count", range(1, 8))
+    def test_an_interim_response_comes_after_the_responses_before_it(
+        self, most: int, count: int, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(http_server, "MAX_PIPELINED", most)
+
+        async def run() -> bytes:
+            async with _running_server() as harness, _connected(harness) as (reader, writer):
+                writer.write(count * GET + POST + b"Expect: 100-continue\r\n")
+                writer.write(b"Content-Length: 1\r\nConnection: close\r\n\r\n")
+                response = await reader.readuntil(b"HTTP/1.1 100 Continue\r\n\r\n")
+                writer.write(b"x")
+                return response + await reader.read()
+
+        assert _statuses(asyncio.run(run())) == count * [200] + [100, 200]
+
+
+class TestRefusedBytes:
+    """Guards against reading that stays paused for bytes that made room for others."""
+
+    def test_a_close_is_seen(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        monkeypatch.setattr(http_server, "HEAD_SLICE_BYTES", len(GET))
+
+        async def run() -> int:
+            async with _running_server() as harness, _connected(harness) as (_, writer):
+                harness.may_respond.clear()
+                writer.write(50 * GET)
+                while not harness.requests:
+                    await asyncio.sleep(0.01)
+                budget = harness.server.budget
+                budget.limit_bytes = 0
+                budget.open_account().add(1)
+                writer.close()
+                while not harness.cancelled:
+                    await asyncio.sleep(0.01)
+                return budget.kept_bytes
+
+        assert asyncio.run(run()) == 1
+
+
 class TestPartsBehindRequests:
     """Guards against a request that is read in part while another is served, and then forgotten."""
 
