Give way by what a connection really waits for, and log it apart

Cause, found in review: a response that the kernel had not taken yet did not count as unread, so a connection whose handler had ended could be cut in the middle of it (8,192 of 60,000 bytes arrived); a new connection that was closed because requests were served on all others was counted as waiting for its client; the lines of a crowd used the reserve for failures; bodies of known length were parsed in four parts a read.

Change: unsent bytes make a connection one that waits for its reader; the count has a value of its own; the lines have a logger of their own; bodies of known length are parsed in one part.

--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -83,6 +83,8 @@
         self.log = JsonLogger("gateway")
         # Per-request log lines have a rate limit of their own.
         self.request_log = JsonLogger("request")
+        # Crowds of clients must not use up the lines of others.
+        self._ingress_log = JsonLogger("ingress")
         # A crowd with unknown keys must not crowd out the lines of failures.
         self._key_log = JsonLogger("keys")
         # Bytes of upstreams, clients, the store and peers.
@@ -464,7 +466,7 @@
     def note_overload(self, standing: Standing) -> None:
         """Log and count a client's connection that was closed for a new one."""
         self._metrics.count_event(f"connection_gave_way_{standing.value}")
-        self.log.failure(
+        self._ingress_log.info(
             "A client's connection was closed, as there are too many.", waited_for=standing.value
         )
 
--- a/src/dragonflyhold/gateway/http_server.py
+++ b/src/dragonflyhold/gateway/http_server.py
@@ -181,9 +181,14 @@
         """Whether a request is served, or waits for its turn."""
         return self._task is not None or bool(self._queue)
 
+    @property
+    def _has_unsent(self) -> bool:
+        """Whether the kernel has not taken all that was written."""
+        return self._transport is not None and self._transport.get_write_buffer_size() > 0
+
     @property
     def _standing(self) -> Standing:
-        if not self._can_write.is_set():
+        if not self._can_write.is_set() or (self._task is None and self._has_unsent):
             return Standing.READER
         if self._unparsed and self._queue:
             return Standing.TURN
@@ -302,7 +307,7 @@
             return HEAD_SLICE_BYTES
         if self._body_length is None:
             return BODY_SLICE_BYTES
-        return min(READ_BYTES // 4, max(1, self._body_length - self._body_bytes))
+        return max(1, self._body_length - self._body_bytes)
 
     def _note_parsed(self) -> None:
         """Read on once everything is parsed, and charge what is not."""
@@ -673,7 +678,8 @@
     a response, and with the cause; ``on_failed`` with each request whose handler raised an error or
     sent no response, and with the cause. It gets 502, or its response is broken off. What is kept
     of requests, and of responses that clients don't read, is charged to ``budget``. Beyond
-    ``most_connections`` one gives way to each new one; ``on_overload`` is called for it.
+    ``most_connections`` one gives way to each new one; ``on_overload`` is called with what it
+    waited for, or with ``RESPONSE`` if the new one is closed as requests are served on all others.
     """
 
     def __init__(
@@ -736,16 +742,16 @@
     def add_connection(self, connection: ServerConnection, address: str) -> None:
         """Add a connection, for which another one, or it itself, may have to give way."""
         self.connections.add(connection)
-        victim = self._table.pick_victim() if self._table.is_full else None
         if self._table.is_full:
-            self._close_for_overload(victim or connection)
-        if victim is not None or not self._table.is_full:
-            self._table.add(connection, address)
-
-    def _close_for_overload(self, connection: ServerConnection) -> None:
-        self._on_overload(self._table.standing(connection))
-        self._table.remove(connection)
-        connection.abort(ConnectionEnd.OVERLOAD)
+            victim = self._table.pick_victim()
+            if victim is None:
+                self._on_overload(Standing.RESPONSE)
+                connection.abort(ConnectionEnd.OVERLOAD)
+                return
+            self._on_overload(self._table.standing(victim))
+            self._table.remove(victim)
+            victim.abort(ConnectionEnd.OVERLOAD)
+        self._table.add(connection, address)
 
     def remove_connection(self, connection: ServerConnection) -> None:
         """Remove a connection that was lost."""
--- a/src/dragonflyhold/ingress/connection_table.py
+++ b/src/dragonflyhold/ingress/connection_table.py
@@ -27,9 +27,9 @@
     CLIENT = "client"
     # The client: it does not read what was written.
     READER = "reader"
-    # This process, which has more requests of this client to read than it takes at a time.
+    # This process, which serves requests of a client that has sent more than are taken at a time.
     TURN = "turn"
-    # This process, which serves a request. Such a connection never gives way.
+    # This process, which serves a request, or has one to serve. Such a connection never gives way.
     RESPONSE = "response"
 
 
