--- a/src/dragonflyhold/fairness/__init__.py
+++ b/src/dragonflyhold/fairness/__init__.py
@@ -15,7 +15,7 @@
     make_claim,
     summarize_claims,
 )
-from dragonflyhold.fairness.need import AccountNeed, Standing
+from dragonflyhold.fairness.need import AccountNeed, NeedLevel
 from dragonflyhold.fairness.room import expected_wait_s, is_out_of_room, is_queue_too_long
 from dragonflyhold.fairness.turns import TurnOrder
 
@@ -28,7 +28,7 @@
     "AccountShare",
     "AccountTag",
     "Claim",
-    "Standing",
+    "NeedLevel",
     "TurnOrder",
     "account_tag",
     "expected_wait_s",
--- a/src/dragonflyhold/fairness/need.py
+++ b/src/dragonflyhold/fairness/need.py
@@ -33,7 +33,7 @@
 MAX_ACCOUNTS = 4096
 
 
-class Standing(enum.IntEnum):
+class NeedLevel(enum.IntEnum):
     """What a request is to its account's usual need; higher ones give way sooner."""
 
     USUAL = 0
@@ -83,7 +83,7 @@
     def __len__(self) -> int:
         return len(self._accounts)
 
-    def note_request(self, account: AccountTag, now: float) -> Standing:
+    def note_request(self, account: AccountTag, now: float) -> NeedLevel:
         """Count a request; return what it is to its account's need, ``USUAL`` for one alone."""
         if self._started_at is None:
             self._started_at = self._checked_at = now
@@ -98,10 +98,10 @@
         is_excess = not known.excess.take(EXCESS_RATIO * rate, now)
         is_judged = len(self._accounts) > 1 and now - self._started_at >= LEARNING_S
         if is_judged and is_excess:
-            return Standing.EXCESS
+            return NeedLevel.EXCESS
         _add_request(known, now)
         _add_request(self._all, now)
-        return Standing.RAISED if is_judged and is_raised else Standing.USUAL
+        return NeedLevel.RAISED if is_judged and is_raised else NeedLevel.USUAL
 
     def share(self, account: AccountTag, now: float) -> float:
         """Return an account's share of the usual requests of all accounts, 0 to 1."""
--- a/src/dragonflyhold/fairness/room.py
+++ b/src/dragonflyhold/fairness/room.py
@@ -1,6 +1,6 @@
 """Whether a request that waits behind others can be answered in time."""
 
-from dragonflyhold.fairness.need import Standing
+from dragonflyhold.fairness.need import NeedLevel
 
 # Time for which an adapter occupies a slot while others wait: its load and the requests after it.
 SLOT_TURN_S = 0.65
@@ -8,7 +8,7 @@
 LOAD_S = 0.25
 # Share of the time left that a request may take up to its first byte where others queue; the rest
 # is room for requests within the need of their accounts, which are never refused for it.
-QUEUE_SHARES = {Standing.RAISED: 0.8, Standing.EXCESS: 0.5}
+QUEUE_SHARES = {NeedLevel.RAISED: 0.8, NeedLevel.EXCESS: 0.5}
 
 
 def expected_wait_s(backlog: int, slots: int) -> float:
@@ -22,7 +22,7 @@
 
 
 def is_queue_too_long(
-    standing: Standing, load: float, slots: int, first_byte_s: float, time_left_s: float
+    standing: NeedLevel, load: float, slots: int, first_byte_s: float, time_left_s: float
 ) -> bool:
     """Return whether an upstream's queue leaves no room for a request beyond usual need.
 
--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -17,7 +17,7 @@
     UnknownKeyError,
     judge_freshness,
 )
-from dragonflyhold.fairness import AccountNeed, Claim, Standing
+from dragonflyhold.fairness import AccountNeed, Claim, NeedLevel
 from dragonflyhold.gateway.budget import RetryBudget
 from dragonflyhold.gateway.byte_budget import ByteBudget
 from dragonflyhold.gateway.catalogue import Catalogue
@@ -492,7 +492,7 @@
         )
         return min(4.0, 0.3 + 0.7 * size / max(mean, 1.0))
 
-    def note_claim(self, claim: Claim, service: ServiceName, has_adapter: bool) -> Standing:
+    def note_claim(self, claim: Claim, service: ServiceName, has_adapter: bool) -> NeedLevel:
         """Count an account's request; return what it is to the account's usual need."""
         need = self.account_need
         if not has_adapter:
--- a/src/dragonflyhold/gateway/request.py
+++ b/src/dragonflyhold/gateway/request.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, final
 
 from dragonflyhold.accounts import Caller
-from dragonflyhold.fairness import Standing, is_out_of_room, is_queue_too_long, make_claim
+from dragonflyhold.fairness import NeedLevel, is_out_of_room, is_queue_too_long, make_claim
 from dragonflyhold.gateway.attempt import (
     CHECK_PERIOD_S,
     MIN_ATTEMPT_S,
@@ -94,7 +94,7 @@
         self._utility = gateway.estimate_utility(route, request_info)
         self._claim = make_claim(caller, route.priority)
         # Requests beyond their account's usual need give way to those of the others.
-        self._standing = Standing.USUAL
+        self._standing = NeedLevel.USUAL
         if self._claim is not None:
             has_adapter = request_info.target is not None
             self._standing = gateway.note_claim(self._claim, service, has_adapter)
@@ -312,12 +312,12 @@
         """
         progress = self.progress
         has_begun = progress.attempts or progress.waited_s or progress.origin is not None
-        return self._standing is not Standing.USUAL and not has_begun
+        return self._standing is not NeedLevel.USUAL and not has_begun
 
     def _give_way_if_late(self, view: UpstreamView, in_time_until: float, now: float) -> None:
         """Refuse a request in excess of its account's need behind a backlog that is too long."""
         is_next = view.backlog == 0 or self._request_info.target in view.loading_or_awaited
-        if is_next or not self._may_give_way or self._standing is not Standing.EXCESS:
+        if is_next or not self._may_give_way or self._standing is not NeedLevel.EXCESS:
             return
         spec = self._gateway.catalogue.engine_spec(self._service)
         slots = spec.adapter_slots if spec is not None else 1
--- a/tests/fairness/one_engine.py
+++ b/tests/fairness/one_engine.py
@@ -15,7 +15,7 @@
 from dragonflyhold.fairness import (
     AccountNeed,
     Claim,
-    Standing,
+    NeedLevel,
     TurnOrder,
     is_out_of_room,
     make_claim,
@@ -130,7 +130,7 @@
             return
         backlog = len(self._waiting)
         is_bounded = (
-            self._is_fair and standing is Standing.EXCESS and request.adapter not in self._waiting
+            self._is_fair and standing is NeedLevel.EXCESS and request.adapter not in self._waiting
         )
         if is_bounded and is_out_of_room(backlog, slots, PATIENCE_S):
             self.outcome.gave_way[request.account.name] += 1
--- a/tests/fairness/test_need.py
+++ b/tests/fairness/test_need.py
@@ -12,7 +12,7 @@
     AccountNeed,
     AccountTag,
     Claim,
-    Standing,
+    NeedLevel,
     account_tag,
     make_claim,
     summarize_claims,
@@ -24,7 +24,7 @@
 
 def _send(
     need: AccountNeed, account: AccountTag, rate: float, start: float, end: float
-) -> collections.Counter[Standing]:
+) -> collections.Counter[NeedLevel]:
     """Send requests at a rate; return how many had which standing."""
     times = [start + number / rate for number in range(round((end - start) * rate))]
     return collections.Counter(need.note_request(account, time) for time in times)
@@ -38,7 +38,7 @@
         for second in range(60):
             for account, rate in ((HOT, 1.0), (USUAL, 8.0)):
                 sent = _send(need, account, rate, second, second + 1)
-                assert sent == {Standing.USUAL: rate}
+                assert sent == {NeedLevel.USUAL: rate}
 
     def test_a_hot_account_is_in_excess_beyond_its_multiple(self) -> None:
         """Guards against an account whose sudden load is taken for its need at once."""
@@ -46,19 +46,19 @@
         for second in range(40):
             _send(need, HOT, 4.0, second, second + 1)
             _send(need, USUAL, 4.0, second, second + 1)
-        sent: collections.Counter[Standing] = collections.Counter()
+        sent: collections.Counter[NeedLevel] = collections.Counter()
         for second in range(40, 60):
             sent += _send(need, HOT, 30.0, second, second + 1)
             usual = _send(need, USUAL, 4.0, second, second + 1)
-            assert usual == {Standing.USUAL: 4}
-        assert sent.total() - sent[Standing.EXCESS] < 2 * EXCESS_RATIO * 4.0 * 20
-        assert 0 < sent[Standing.USUAL] < 2 * RAISED_RATIO * 4.0 * 20
+            assert usual == {NeedLevel.USUAL: 4}
+        assert sent.total() - sent[NeedLevel.EXCESS] < 2 * EXCESS_RATIO * 4.0 * 20
+        assert 0 < sent[NeedLevel.USUAL] < 2 * RAISED_RATIO * 4.0 * 20
         assert need.share(HOT, 60.0) < 0.75
 
     def test_an_account_alone_is_never_in_excess(self) -> None:
         need = AccountNeed()
         sent = _send(need, HOT, 1.0, 0.0, 30.0) + _send(need, HOT, 50.0, 30.0, 40.0)
-        assert sent == {Standing.USUAL: 530}
+        assert sent == {NeedLevel.USUAL: 530}
 
     def test_a_lasting_rise_becomes_usual(self) -> None:
         need = AccountNeed()
@@ -74,11 +74,11 @@
             need.note_request(AccountTag(100 + number), number / 1000)
         for second in range(300):
             _send(need, USUAL, 4.0, second, second + 1)
-        sent: collections.Counter[Standing] = collections.Counter()
+        sent: collections.Counter[NeedLevel] = collections.Counter()
         for second in range(300, 330):
             _send(need, USUAL, 4.0, second, second + 1)
             sent += _send(need, HOT, 2.0, second, second + 1)
-        assert sent == {Standing.USUAL: 60}
+        assert sent == {NeedLevel.USUAL: 60}
 
     def test_an_account_whose_neighbours_left_is_alone(self) -> None:
         """One account that asks is never in excess, whoever asked long before."""
@@ -86,7 +86,7 @@
         need.note_request(USUAL, 0.0)
         for second in range(300):
             _send(need, HOT, 1.0, second, second + 1)
-        assert _send(need, HOT, 50.0, 300.0, 310.0) == {Standing.USUAL: 500}
+        assert _send(need, HOT, 50.0, 300.0, 310.0) == {NeedLevel.USUAL: 500}
 
     def test_the_number_of_accounts_is_bounded(self) -> None:
         """10,000 accounts may be configured."""
--- a/tests/fairness/test_room.py
+++ b/tests/fairness/test_room.py
@@ -6,7 +6,7 @@
 import pytest
 
 from dragonflyhold.accounts import AccountName
-from dragonflyhold.fairness import AccountNeed, Standing, account_tag, is_queue_too_long
+from dragonflyhold.fairness import AccountNeed, NeedLevel, account_tag, is_queue_too_long
 
 SLOTS, QUEUE, RATE_PER_S = 6, 24, 87.0
 # Requests a second of eight ordinary accounts, and of a large one.
@@ -82,10 +82,12 @@
     def test_a_queue_is_too_long_only_if_answers_would_be_late(
         self, load: int, first_byte_s: float, time_left_s: float, is_too_long: bool
     ) -> None:
-        assert is_queue_too_long(Standing.EXCESS, load, 6, first_byte_s, time_left_s) == is_too_long
+        assert (
+            is_queue_too_long(NeedLevel.EXCESS, load, 6, first_byte_s, time_left_s) == is_too_long
+        )
 
     def test_an_upstream_without_slots_is_no_error(self) -> None:
-        assert not is_queue_too_long(Standing.EXCESS, 0, 0, 0.05, 1.0)
+        assert not is_queue_too_long(NeedLevel.EXCESS, 0, 0, 0.05, 1.0)
 
     def test_usual_requests_never_give_way(self) -> None:
-        assert not is_queue_too_long(Standing.USUAL, 1000.0, SLOTS, 1.0, 0.1)
+        assert not is_queue_too_long(NeedLevel.USUAL, 1000.0, SLOTS, 1.0, 0.1)
--- a/tests/gateway/test_account_turns.py
+++ b/tests/gateway/test_account_turns.py
@@ -14,7 +14,7 @@
     AccountShare,
     AccountTag,
     Claim,
-    Standing,
+    NeedLevel,
     account_tag,
 )
 from dragonflyhold.gateway.demand_table import DemandTable
@@ -150,16 +150,16 @@
     @pytest.mark.parametrize(
         ("in_flight", "standing", "key", "status"),
         [
-            (100, Standing.EXCESS, "key-1", 503),
-            (100, Standing.EXCESS, "key-3", 200),
-            (0, Standing.EXCESS, "key-1", 200),
-            (100, Standing.RAISED, "key-1", 503),
-            (10, Standing.RAISED, "key-1", 200),
+            (100, NeedLevel.EXCESS, "key-1", 503),
+            (100, NeedLevel.EXCESS, "key-3", 200),
+            (0, NeedLevel.EXCESS, "key-1", 200),
+            (100, NeedLevel.RAISED, "key-1", 503),
+            (10, NeedLevel.RAISED, "key-1", 200),
         ],
         ids=["excess", "of another account", "room", "raised", "raised in a short queue"],
     )
     def test_only_the_excess_is_refused_and_at_once(
-        self, in_flight: int, standing: Standing, key: str, status: int
+        self, in_flight: int, standing: NeedLevel, key: str, status: int
     ) -> None:
         async def scenario() -> tuple[Answer, float]:
             async with running_deployment(engines=0, plain=1) as deployment:
@@ -167,7 +167,7 @@
                 gateway = deployment.gateways[0].gateway
                 branch = account_tag(AccountName("branch"))
                 gateway.note_claim = lambda claim, *_: (
-                    standing if claim.account == branch else Standing.USUAL
+                    standing if claim.account == branch else NeedLevel.USUAL
                 )
                 gateway.table.views[UpstreamId("p0")].in_flight = in_flight
                 start = asyncio.get_running_loop().time()
@@ -236,7 +236,7 @@
 
 def _excess_run(deployment: InProcessDeployment) -> RequestRun:
     gateway = deployment.gateways[0].gateway
-    gateway.note_claim = lambda claim, *_: Standing.EXCESS  # type: ignore[method-assign]
+    gateway.note_claim = lambda claim, *_: NeedLevel.EXCESS  # type: ignore[method-assign]
     named = deployment.client_fields("/ask/1", "a1", 1500, (10, 10))
     call = client_call("POST", "/ask/1", named, b"")
     fields = {name.lower(): value for name, value in call.headers}
