--- a/src/dragonflyhold/gateway/request.py
+++ b/src/dragonflyhold/gateway/request.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, final
 
 from dragonflyhold.accounts import Caller
-from dragonflyhold.fairness import is_out_of_room, is_queue_too_long, make_claim
+from dragonflyhold.fairness import NeedLevel, is_out_of_room, is_queue_too_long, make_claim
 from dragonflyhold.gateway.attempt import (
     CHECK_PERIOD_S,
     MIN_ATTEMPT_S,
@@ -93,10 +93,11 @@
         self._refusal_pause_s = REFUSAL_PAUSE_S
         self._utility = gateway.estimate_utility(route, request_info)
         self._claim = make_claim(caller, route.priority)
-        # Whether the account asks for more than usual, so that it gives way to the others.
-        self._is_excess = self._claim is not None and gateway.note_claim(
-            self._claim, service, request_info.target is not None
-        )
+        # Requests beyond their account's usual need give way to those of the others.
+        self._standing = NeedLevel.USUAL
+        if self._claim is not None:
+            has_adapter = request_info.target is not None
+            self._standing = gateway.note_claim(self._claim, service, has_adapter)
         age = gateway.client_ages.estimate(route.name, request_info.time_left_s, route.timeout_s)
         self._is_client_retry = age > CLIENT_RETRY_AGE_SHARE * route.target_latency_s
         self._target_at = request.received - age + route.target_latency_s
@@ -300,7 +301,7 @@
         return {
             "account_tag": f"{self._claim.account:08x}",
             "rank": self._claim.rank,
-            "excess": self._is_excess,
+            "standing": self._standing.name.lower(),
         }
 
     @property
@@ -311,12 +312,12 @@
         """
         progress = self.progress
         has_begun = progress.attempts or progress.waited_s or progress.origin is not None
-        return self._is_excess and not has_begun
+        return self._standing is not NeedLevel.USUAL and not has_begun
 
     def _give_way_if_late(self, view: UpstreamView, in_time_until: float, now: float) -> None:
-        """Refuse a request beyond its account's usual need behind a backlog that is too long."""
+        """Refuse a request in excess of its account's need behind a backlog that is too long."""
         is_next = view.backlog == 0 or self._request_info.target in view.loading_or_awaited
-        if is_next or not self._may_give_way:
+        if is_next or not self._may_give_way or self._standing is not NeedLevel.EXCESS:
             return
         spec = self._gateway.catalogue.engine_spec(self._service)
         slots = spec.adapter_slots if spec is not None else 1
@@ -331,12 +332,14 @@
         if not self._may_give_way:
             return
         load, slots, left_s = view.load(now), view.upstream.slots, self._target_at - now
-        if is_queue_too_long(load, slots, view.first_byte_s, left_s):
+        if is_queue_too_long(self._standing, load, slots, view.first_byte_s, left_s):
             first_ms = round(1000 * view.first_byte_s)
             raise self._account_error(view, f"load={load:.0f} slots={slots} first_ms={first_ms}")
 
     def _account_error(self, view: UpstreamView, detail: str) -> RefusedError | InDoubtError:
-        return self._terminal_error(Reason.ACCOUNT_SHARE, f"{view.upstream.upstream_id} {detail}")
+        standing = self._standing.name.lower()
+        detail = f"{view.upstream.upstream_id} {detail} standing={standing}"
+        return self._terminal_error(Reason.ACCOUNT_SHARE, detail)
 
     def _wait_limit(self, view: UpstreamView, in_time_until: float) -> float:
         """Return the monotonic time until which to wait for an adapter at an upstream.
