Take an engine's service from its own entry, not from the engine before it

Cause: an agent kept the slots of the service in its settings though the engine at its address was of another service, and ordered one adapter too many (LIMIT); a gateway gave a new id at an old address the service of the entry before it until the registry was read (ROUTE). The catalogue fell back to the first engine service if the named one was missing.

Change: an engine's service is what the entry under its id names. Until that is read, the agent orders nothing and gateways send nothing, unless the configuration has a single engine service or the id stayed the same. A plan ends when another incarnation answers. The demand at an agent is replaced whenever the engine's id changes, and the agent's last report is applied to an entry that is read later.

--- a/src/dragonflyhold/gateway/agent.py
+++ b/src/dragonflyhold/gateway/agent.py
@@ -15,6 +15,7 @@
 from dragonflyhold.gateway.crash_evidence import CrashEvidence
 from dragonflyhold.gateway.demand_table import DemandTable
 from dragonflyhold.gateway.doubtful import UnconfirmedLoads, has_free_slot
+from dragonflyhold.gateway.engine_identity import EngineIdentity
 from dragonflyhold.gateway.engine_state import (
     UNKNOWN_ENGINE,
     make_update,
@@ -57,7 +58,6 @@
     EngineReport,
     EngineSpec,
     ModelAdapter,
-    UpstreamId,
 )
 from dragonflyhold.gateway.origin_keeper import OriginKeeper
 from dragonflyhold.gateway.placement import (
@@ -113,7 +113,6 @@
         # Exchanges the newest known change with the gateways; set by the daemon.
         self.operator_watch: TableWatch | None = None
         self._metrics = metrics
-        self._service = service
         self._engine = engine
         self._catalogue = catalogue
         self._log = JsonLogger("agent")
@@ -127,7 +126,7 @@
         # Adapters to be unloaded, each with the sequence of its command.
         self._unloading: dict[ModelAdapter, int] = {}
         self._fencing_token = FencingToken(holder, store)
-        self._upstream_id: UpstreamId | None = None
+        self._identity = EngineIdentity(service, catalogue, store, self.request_replan)
         # Ordered by the time at which the engine last held the adapter.
         self._host_cached: dict[ModelAdapter, None] = {}
         self._unconfirmed_loads = UnconfirmedLoads()
@@ -295,6 +294,7 @@
     def close(self) -> None:
         """Close all links."""
         self._starts.close()
+        self._identity.close()
         for link in self._demands.gateways():
             link.close()
 
@@ -359,7 +359,7 @@
             )
             self._unloading.clear()
             self._host_cached.clear()
-            self._upstream_id = None
+            self._identity.forget()
         else:
             self._unconfirmed_loads.confirm(report.sequence)
         # A command that left the sequence as it was is not being executed: the response came from
@@ -370,17 +370,14 @@
             if key in report.adapters and report.sequence > sequence
         }
         self._note_host_cached(report)
-        if self._upstream_id is None:
-            service = self._catalogue.engine_service(self._service)
-            if service is not None:
-                self._upstream_id = await self._engine.identify(service.health_path)
+        await self._identity.update(self._engine)
 
     def _note_host_cached(self, report: EngineReport) -> None:
         """Update the host-cached adapters: those that the engine held most recently."""
         for key in report.adapters:
             self._host_cached.pop(key, None)
             self._host_cached[key] = None
-        spec = self._catalogue.engine_spec(self._service)
+        spec = self._identity.spec
         max_cached = HOST_CACHE_PER_ADAPTER_SLOT * (spec.adapter_slots if spec is not None else 1)
         while len(self._host_cached) > max_cached:
             del self._host_cached[next(iter(self._host_cached))]
@@ -394,15 +391,19 @@
             self._log.error("The plan could not be executed.", error=describe(error))
 
     async def _execute_plan(self, report: EngineReport) -> None:
-        spec = self._catalogue.engine_spec(self._service)
+        spec = self._identity.spec
         if spec is None or report.is_draining or not await self._fencing_token.acquire():
             return
         if not report.models:
             await self._load_model(report, spec)
             return
+        planned_for = self._identity.upstream_id, report.start_time_ms
         for command in plan_commands(self._engine_view(report, spec)):
             if self._report is None:
                 return
+            if (self._identity.upstream_id, self._report.start_time_ms) != planned_for:
+                # Another engine has taken the address since.
+                return
             slots = spec.adapter_slots - self._reserved_slots(self._report, time.monotonic())
             if not has_free_slot(command, self._report, slots):
                 return
@@ -411,7 +412,7 @@
             await self._read_engine()
 
     def _reserved_slots(self, report: EngineReport, now: float) -> int:
-        return self._unconfirmed_loads.reserved_slots(report, self._upstream_id, now)
+        return self._unconfirmed_loads.reserved_slots(report, self._identity.upstream_id, now)
 
     async def _load_model(self, report: EngineReport, spec: EngineSpec) -> None:
         if not report.busy and spec.models:
@@ -420,7 +421,9 @@
     async def _send_command(self, command: AdapterCommand, report: EngineReport) -> bool:
         token = self._fencing_token.value
         assert token is not None
-        result = await self._engine.send_command(command, report.sequence, token, self._upstream_id)
+        result = await self._engine.send_command(
+            command, report.sequence, token, self._identity.upstream_id
+        )
         self._metrics.count_event(f"order_{command.kind.value}_{result.value}")
         self._log.info(
             "An order was given.",
@@ -442,7 +445,7 @@
         if command.kind is CommandKind.LOAD:
             self._unconfirmed_loads.add(
                 report.sequence,
-                self._upstream_id,
+                self._identity.upstream_id,
                 time.monotonic(),
                 is_answered=result is not CommandResult.UNKNOWN,
             )
@@ -500,9 +503,11 @@
         link.send_encoded(encode(update))
 
     def _build_update(self) -> EngineUpdate:
-        report, spec = self._report, self._catalogue.engine_spec(self._service)
+        report, spec = self._report, self._identity.spec
         if report is None:
             return UNKNOWN_ENGINE
         if spec is None or self._fencing_token.value is None:
-            return update_without_commands(report, self._upstream_id)
-        return make_update(self._engine_view(report, spec), spec.adapter_slots, self._upstream_id)
+            return update_without_commands(report, self._identity.upstream_id)
+        return make_update(
+            self._engine_view(report, spec), spec.adapter_slots, self._identity.upstream_id
+        )
--- a/src/dragonflyhold/gateway/agent_link.py
+++ b/src/dragonflyhold/gateway/agent_link.py
@@ -4,7 +4,8 @@
 from typing import Protocol, final
 
 from dragonflyhold.gateway.link import Link
-from dragonflyhold.gateway.messages import Message
+from dragonflyhold.gateway.messages import EngineUpdate, Message
+from dragonflyhold.gateway.model import UpstreamId
 from dragonflyhold.hashing import hash64
 
 
@@ -30,6 +31,10 @@
         self.ip_hash = hash64(ip.encode())
         # Start time of the engine's incarnation as last reported by the agent, initially 0.
         self.start_time_ms = 0
+        # The incarnation whose demand was sent to the agent last.
+        self.demands_of: UpstreamId | None = None
+        # The agent's last report, also on an incarnation whose entry is not read yet.
+        self.last_update: EngineUpdate | None = None
         # Protocol version that the agent last announced.
         self.protocol = 1
         self.link: Link | None = None
--- a/src/dragonflyhold/gateway/catalogue.py
+++ b/src/dragonflyhold/gateway/catalogue.py
@@ -7,8 +7,8 @@
 
 from dragonflyhold.gateway.clock import monotonic_now
 from dragonflyhold.gateway.logs import JsonLogger
-from dragonflyhold.gateway.model import Configuration, EngineSpec, ModelAdapter, Service
-from dragonflyhold.ids import ServiceName, Version
+from dragonflyhold.gateway.model import Configuration, ModelAdapter, Service
+from dragonflyhold.ids import Version
 from dragonflyhold.platform.codec import DecodeError, decode_adapter_version, decode_configuration
 from dragonflyhold.platform.store import CONFIG_KEY, VERSION_PREFIX, StoredRow
 
@@ -34,18 +34,16 @@
         self._count = count
         self._log = JsonLogger("config")
 
-    def engine_service(self, name: ServiceName | None) -> Service | None:
-        """Return an engine service, preferably the named one, else the first one."""
+    def engine_services(self) -> list[Service]:
+        """Return the services that are run by engines."""
         if self.configuration is None:
-            return None
-        found = [item for item in self.configuration.services.values() if item.engine]
-        found.sort(key=lambda item: item.name != name)
-        return found[0] if found else None
+            return []
+        return [item for item in self.configuration.services.values() if item.engine]
 
-    def engine_spec(self, name: ServiceName | None) -> EngineSpec | None:
-        """Return the engine limits of an engine service, chosen as in ``engine_service``."""
-        service = self.engine_service(name)
-        return service.engine if service is not None else None
+    def sole_engine_service(self) -> Service | None:
+        """Return the service that every engine belongs to, ``None`` if there are several."""
+        services = self.engine_services()
+        return services[0] if len(services) == 1 else None
 
     def apply(self, row: StoredRow) -> None:
         """Apply a changed row of the operator's table."""
--- a/src/dragonflyhold/gateway/engines.py
+++ b/src/dragonflyhold/gateway/engines.py
@@ -87,6 +87,8 @@
         self.origins: OriginDirectory | None = None
         # Exchanges the newest known change with the agents; set by the daemon.
         self.operator_watch: TableWatch | None = None
+        # Has the registry read soon; set by the gateway.
+        self.read_registry_soon: Callable[[], None] = lambda: None
         self._table = table
         self._catalogue = catalogue
         self._crashes = crashes
@@ -130,7 +132,7 @@
         if not self.is_engine(upstream):
             return
         if upstream.ip in self._agents:
-            self._mark_superseded(self._agents[upstream.ip])
+            self._add_entry(self._agents[upstream.ip], upstream)
             return
         agent = AgentLink(self, upstream.ip)
         self._agents[upstream.ip] = agent
@@ -138,6 +140,19 @@
             maintain_link(agent, upstream.ip, self._agent_port, lambda: self._is_link_needed(agent))
         )
 
+    def _add_entry(self, agent: AgentLink, upstream: Upstream) -> None:
+        self._mark_superseded(agent)
+        self._replace_demand(agent)
+        view, update = self._table.views.get(upstream.upstream_id), agent.last_update
+        if view is None or view.is_linked or update is None:
+            return
+        if (update.upstream_id, update.start_time_ms) == (
+            upstream.upstream_id,
+            upstream.start_time_ms,
+        ):
+            # The agent's report came before the entry, and is repeated only when it changes.
+            self._apply_engine_update(agent, update)
+
     def share_crashes(self, news: Sequence[CrashRecord]) -> None:
         """Send new records to some agents, which forward them to the other gateways."""
         self._crash_batch.add(news)
@@ -225,12 +240,14 @@
         self._log.info("Connected to an agent.", ip=agent.ip)
         view = self._current_view(agent)
         if agent.link is not None and view is not None:
+            agent.demands_of = view.upstream.upstream_id
             agent.link.send(self.demands.snapshot(view.upstream.upstream_id))
 
     def agent_disconnected(self, agent: AgentLink, was_silent: bool) -> None:
         """Let requests that wait at the agent's engine choose an upstream again."""
         self._log.warning("The connection to an agent was closed.", ip=agent.ip)
         agent.protocol = 1
+        agent.last_update = None
         for view in self._table.at_ip(agent.ip):
             view.is_linked = False
             view.lost_silently = was_silent
@@ -247,6 +264,7 @@
             self._table.note_agent_message(view.upstream.upstream_id, now)
         match message:
             case EngineUpdate():
+                agent.last_update = message
                 self._apply_engine_update(agent, message)
             case SuspectUpdate():
                 # Only gateways of an earlier build count by request.
@@ -306,19 +324,9 @@
             return
         if update.start_time_ms > view.upstream.start_time_ms and update.upstream_id is not None:
             # The registry still holds the entry of the previous incarnation.
-            self._report_incarnation(
-                dataclasses.replace(
-                    view.upstream,
-                    upstream_id=update.upstream_id,
-                    start_time_ms=update.start_time_ms,
-                    state=RegistrationState.READY,
-                    adapters={},
-                    software=None,
-                )
-            )
-            old, view = view, self._current_view(agent) or view
-            if view is not old:
-                self.demands.transfer_demand(old.upstream.upstream_id, view.upstream.upstream_id)
+            self._add_incarnation(view.upstream, update.upstream_id, update.start_time_ms)
+            self._replace_demand(agent)
+            view = self._current_view(agent) or view
         if update.start_time_ms and update.start_time_ms != view.upstream.start_time_ms:
             # Either the agent or the registry does not know the newest incarnation yet.
             return
@@ -338,6 +346,45 @@
         if not update.has_model or update.is_draining:
             self.demands.notify_upstream_waiters(upstream_id)
 
+    def _add_incarnation(
+        self, previous: Upstream, upstream_id: UpstreamId, start_time_ms: int
+    ) -> None:
+        """Add an incarnation that has no entry yet, if it is known to be of the same service.
+
+        Otherwise its address may have passed on to another service; the entry tells.
+        """
+        sole = self._catalogue.sole_engine_service()
+        is_sole = sole is not None and sole.name == previous.service
+        if not is_sole and upstream_id != previous.upstream_id:
+            self._log.info(
+                "An engine's service is unknown; nothing is sent to it until its entry is read.",
+                runner=upstream_id,
+                address=previous.address,
+                born=start_time_ms,
+                service_before=previous.service,
+            )
+            self.read_registry_soon()
+            return
+        self._report_incarnation(
+            dataclasses.replace(
+                previous,
+                upstream_id=upstream_id,
+                start_time_ms=start_time_ms,
+                state=RegistrationState.READY,
+                adapters={},
+                software=None,
+            )
+        )
+
+    def _replace_demand(self, agent: AgentLink) -> None:
+        """Replace the demand at an agent if its engine has another id now."""
+        view = self._current_view(agent)
+        if view is None or view.upstream.upstream_id == agent.demands_of:
+            return
+        before, agent.demands_of = agent.demands_of, view.upstream.upstream_id
+        if before is not None:
+            self.demands.transfer_demand(before, view.upstream.upstream_id)
+
     def _incarnation_changed(self, agent: AgentLink, start_time_ms: int) -> None:
         known = {
             view.upstream.upstream_id: view.upstream.start_time_ms
--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -108,6 +108,7 @@
             self.table.has_run_since,
         )
         self.agent_links.origins = self.origins
+        self.agent_links.read_registry_soon = self._read_registry_soon
         self.table.registry_read_at = self._registry_read_at
         # Watches the registry; set by the daemon.
         self.registry_watch: TableWatch | None = None
@@ -546,8 +547,12 @@
 
     def _incarnation_reported(self, upstream: Upstream) -> None:
         self.registry.report_incarnation(upstream)
-        if self.registry_watch is not None and upstream.software is None:
+        if upstream.software is None:
             # Its entry states the software, without which streams rather begin elsewhere.
+            self._read_registry_soon()
+
+    def _read_registry_soon(self) -> None:
+        if self.registry_watch is not None:
             self.registry_watch.read_soon()
 
     def _registry_read_at(self) -> float | None:
--- a/src/dragonflyhold/platform/store.py
+++ b/src/dragonflyhold/platform/store.py
@@ -153,6 +153,13 @@
                 return RowSet(rows, position.version, position.era)
             start = page.rows[-1].key + "\0"
 
+    async def read_row(self, table: str, key: str) -> StoredRow | None:
+        """Return the row with a key in the part with the empty name, ``None`` without one."""
+        query = {"table": table, "part": "", "from": key, "to": key + "\0", "limit": "1"}
+        response = await self._call("GET", f"/rows-get?{urlencode(query)}")
+        _check_status(response, table)
+        return next((row for row in _decode_rows(response).rows if row.key == key), None)
+
     async def read_changes(self, table: str, after: StorePosition, wait_s: float) -> RowSet:
         """Return the changes after a position; wait up to ``wait_s`` if there is none yet."""
         query = {"table": table, "after": str(after.version), "wait_ms": str(int(wait_s * 1000))}
