Believe a refusal only if no other answer's bytes can be in it

Cause: the start of an earlier answer before the own one reads as one head, with the second status line in a header's value or the reason phrase. Only the id told whose answer it is, so a request that ran was taken for refused and ran again (TWICE), and a failure could become a success.

Change: a head with a status line inside its reason phrase, values or trailers fails its exchange. Not run also needs that nothing came before the answer, that it names the request at most once, and a body in which no status line can begin; else the request may have run, and the connection is closed.

--- a/src/dragonflyhold/gateway/answers.py
+++ b/src/dragonflyhold/gateway/answers.py
@@ -1,8 +1,15 @@
-"""Decides what an upstream's answer means for a request."""
+"""Decides what an upstream's answer means for a request.
+
+Each outcome needs its evidence. An answer belongs to the request if its head names it and holds no
+other status line (``http_client``). A success also needs the upstream's signature and the whole
+body. That a request did not run lets it run again, so it needs the strongest evidence: a head that
+says so, and no byte before or in the answer that could belong to another one. In all other cases
+the request may have run. Bytes after a whole answer belong to no request.
+"""
 
 import enum
 
-from dragonflyhold.gateway.http_client import Head
+from dragonflyhold.gateway.http_client import Exchange, Head, may_hold_status_line
 from dragonflyhold.platform import codec
 
 
@@ -41,3 +48,11 @@
             return AnswerUse.DISCARD
         case _:
             return AnswerUse.KEEP_FAILURE
+
+
+def is_refusal_certain(exchange: Exchange, body: bytes) -> bool:
+    """Return whether an answer that states that the request did not run is surely its own.
+
+    ``body`` is what was read of its body.
+    """
+    return exchange.is_certain and not may_hold_status_line(body)
--- a/src/dragonflyhold/gateway/attempt.py
+++ b/src/dragonflyhold/gateway/attempt.py
@@ -12,7 +12,7 @@
 from typing import TYPE_CHECKING, TypeVar, final
 
 from dragonflyhold.accounts import Caller
-from dragonflyhold.gateway.answers import AnswerUse, decide_use
+from dragonflyhold.gateway.answers import AnswerUse, decide_use, is_refusal_certain
 from dragonflyhold.gateway.connection_pool import SendWithdrawnError
 from dragonflyhold.gateway.crash_evidence import RequestTraits
 from dragonflyhold.gateway.dispatch import SendNow, WaitFor
@@ -657,6 +657,9 @@
                 id=self._request_info.request_id,
                 error=repr(error),
             )
+            body = exchange.take_body()
+        if not is_refusal_certain(exchange, body):
+            return self._handle_doubtful_refusal(exchange, head)
         if use is AnswerUse.FORWARD_REJECTION:
             self._responder.send(head.status, head.end_to_end(), body)
             return Answered(head.status)
@@ -677,6 +680,19 @@
         )
         return NotRun(Reason.UPSTREAM_REFUSED, reached_upstream=True)
 
+    def _handle_doubtful_refusal(self, exchange: Exchange, head: Head) -> Outcome:
+        """Close the connection of a refusal beside which other bytes came."""
+        exchange.discard()
+        self._gateway.count_doubtful_refusal()
+        self._gateway.request_log.failure(
+            "A refusal came with bytes of another answer; the request may have run.",
+            id=self._request_info.request_id,
+            runner=self._choice.upstream_id,
+            status=head.status,
+        )
+        self._gateway.note_outcome(self._choice.upstream_id, failed=True)
+        return MayHaveRun(Reason.UPSTREAM_FAILED)
+
     def _handle_exchange_error(self, error: ExchangeError) -> Outcome:
         choice, now = self._choice, time.monotonic()
         self._gateway.request_log.failure(
--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -485,6 +485,10 @@
         """Count a response that exceeded a limit."""
         self._metrics.count_event("upstream_oversized_response")
 
+    def count_doubtful_refusal(self) -> None:
+        """Count a refusal that may belong to another request."""
+        self._metrics.count_event("upstream_doubtful_refusal")
+
     def count_unsound_stream(self) -> None:
         """Count a run of a stream that does not follow the events before it."""
         self._metrics.count_event("upstream_unsound_stream")
--- a/src/dragonflyhold/gateway/http_client.py
+++ b/src/dragonflyhold/gateway/http_client.py
@@ -2,11 +2,17 @@
 
 Parses with ``httptools``. A response that is truncated or malformed fails its exchange; one with
 bytes beyond its end, or an unexpected response, makes the connection unusable for later requests.
+
+A peer may write the beginning of an earlier response before the own one. The parser then reads both
+as one head, with the second status line inside the reason phrase or a header's value: no statement
+of such a head counts, and the exchange fails. A head is one response's own if there is no status
+line within it and it names the request; the response is certain if nothing else came before it.
 """
 
 import asyncio
 import dataclasses
 import enum
+import re
 import socket
 import time
 from collections.abc import Callable, Sequence
@@ -30,6 +36,9 @@
 MAX_HEADER_BYTES = 32 * 1024
 # A connection that has carried this many ids is not reused, which bounds its memory.
 MAX_CARRIED_IDS = 1024
+# The start of a response, which may also begin where an earlier one was cut.
+_STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] [0-9]{3}")
+_STATUS_LINE_PREFIXES = tuple(b"HTTP/"[:length] for length in range(1, 6))
 
 HOP_BY_HOP = frozenset(
     (
@@ -272,6 +281,7 @@
     def _fail(self, reason: FailureReason, detail: str) -> None:
         exchange, self._exchange = self._exchange, None
         if exchange is not None:
+            exchange.is_certain &= reason is not FailureReason.MALFORMED
             exchange.fail(ExchangeError(reason, True, detail))
         self.abort()
 
@@ -299,6 +309,9 @@
     def __init__(self, connection: Connection, call: Call) -> None:
         self.is_complete = False
         self.has_unexpected_response = False
+        # Whether no other bytes came before or in the response, and it names the request at most
+        # once.
+        self.is_certain = True
         # Whether the response lacks the required header, so that a late copy names no request.
         self.is_unnamed = False
         # Set when the head ends and with each part of the body; cleared by the connection.
@@ -309,6 +322,7 @@
         self.head: Head | None = None
         self._connection = connection
         self._call = call
+        self._reason_phrase = bytearray()
         self._headers: list[tuple[bytes, bytes]] = []
         self._header_bytes = 0
         self._is_skipping = False
@@ -340,13 +354,22 @@
         if self.is_complete:
             self.has_unexpected_response = True
             return
+        self._reason_phrase = bytearray()
         self._headers = []
         self._headers_done = False
         self._is_skipping = False
 
+    def on_status(self, part: bytes) -> None:
+        """Collect the reason phrase."""
+        if not self.is_complete:
+            self._reason_phrase += part
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header; trailers are discarded."""
-        if self.is_complete or self._headers_done:
+        if self.is_complete:
+            return
+        _check_single(value)
+        if self._headers_done:
             return
         self._header_bytes += len(name) + len(value)
         if self._header_bytes > MAX_HEADER_BYTES:
@@ -358,18 +381,21 @@
         if self.is_complete:
             return
         self._headers_done = True
+        _check_single(self._reason_phrase)
         parser = self._connection._parser
         assert parser is not None
         fields = {name.lower(): value for name, value in self._headers}
         head = Head(parser.get_status_code(), self._headers, fields)
         if head.status < 200:
             self._is_skipping = True
+            self.is_certain = False
             return
         if not self._is_own(head):
             if not parser.should_keep_alive() or _is_close_delimited(head):
                 raise ValueError("nothing can follow a response to an earlier request")
             self._is_skipping = True
             self.has_unexpected_response = True
+            self.is_certain = False
             return
         self.head = head
         self.made_progress = True
@@ -391,8 +417,10 @@
         if self._call.required_header is None:
             return True
         name, required = self._call.required_header
-        values = {value.strip() for key, value in head.headers if key.lower() == name} - {b""}
+        named = [value.strip() for key, value in head.headers if key.lower() == name]
+        values = set(named) - {b""}
         self.is_unnamed = not values
+        self.is_certain &= len(named) <= 1
         if not required.strip():
             return self.is_unnamed
         if self.is_unnamed:
@@ -542,6 +570,17 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
 
 
+def may_hold_status_line(content: bytes) -> bool:
+    """Return whether another response may begin in a body, also in its last bytes."""
+    return b"HTTP/" in content or content.endswith(_STATUS_LINE_PREFIXES)
+
+
+def _check_single(part: bytes | bytearray) -> None:
+    """Raise ``ValueError`` if a part of a head holds the status line of another response."""
+    if _STATUS_LINE.search(part):
+        raise ValueError("the head holds the beginning of another response")
+
+
 def _is_close_delimited(head: Head) -> bool:
     is_framed = b"content-length" in head.fields or b"transfer-encoding" in head.fields
     return not is_framed and head.status not in (204, 304)
