Keep a start, a short failure and an outage of the store apart

Cause: one time stood for the first read after a start and for the first after an outage, so a gateway that had just started kept an upstream whose entry was removed for 2.2 s and sent to it as it ended (DRAIN). A single failed read had the same effect.

Change: the contact with the store has a state (never read, confirmed, away, returning). An outage counts only if entries can have expired in it, as told by the interval of renewals in the settings; short ones in a row count as one.

--- a/src/dragonflyhold/gateway/daemon.py
+++ b/src/dragonflyhold/gateway/daemon.py
@@ -22,9 +22,9 @@
 from dragonflyhold.gateway.logs import JsonLogger, LogWriter, setup_json_logging
 from dragonflyhold.gateway.model import Address, IngressLimits
 from dragonflyhold.gateway.peers import PeerSnapshots
-from dragonflyhold.gateway.registry import EXPIRY_GRACE_S
 from dragonflyhold.gateway.send_gates import SendState
 from dragonflyhold.gateway.shutdown import PlannedStop
+from dragonflyhold.gateway.store_contact import ContactState
 from dragonflyhold.gateway.table_rows import TableRules
 from dragonflyhold.gateway.tasks import run_until_done, supervise
 from dragonflyhold.gateway.watch import LONG_FEED_WAIT_S, TableWatch
@@ -147,6 +147,7 @@
             on_recovered=self._operator_watch.restart,
             rules=REGISTRY_RULES,
             count=self._metrics.count_event,
+            renewal_s=self._settings.renewal_s,
         )
         self.gateway.registry_watch = self._registry_watch
         self._store.subscribe_restored(self._note_restored)
@@ -263,9 +264,7 @@
                 self._log.warning("The process was paused.", for_s=round(now - last, 3))
             last = now
             watch = self._registry_watch
-            is_up = watch.unavailable_since is None
-            is_stable = is_up and now - watch.available_since > EXPIRY_GRACE_S
-            self.gateway.is_store_stable = is_stable
+            is_stable = watch.contact.state is ContactState.CONFIRMED
             if is_stable and not was_stable:
                 self._log.info(
                     "The registry is stable after an outage or start.",
@@ -281,8 +280,6 @@
             self._reload(force=False)
 
     def _note_restored(self) -> None:
-        # Entries may be missing because the store has lost them.
-        self.gateway.is_store_stable = False
         self._operator_watch.note_restored()
         self._registry_watch.note_restored()
         self._write_crashes(self._crash_archive.repeat(self.gateway.quarantine.causes))
--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -39,6 +39,7 @@
 from dragonflyhold.gateway.responder import ResponseStateError
 from dragonflyhold.gateway.shutdown import PlannedStop
 from dragonflyhold.gateway.silent_engines import SilentEngines
+from dragonflyhold.gateway.store_contact import ContactState
 from dragonflyhold.gateway.upstream_view import UpstreamView
 from dragonflyhold.gateway.watch import TableWatch
 from dragonflyhold.ids import ServiceName, Version
@@ -128,7 +129,6 @@
             self._log_failed_request,
             self.byte_budget,
         )
-        self.is_store_stable = False
         # Set while the process stops as planned.
         self._planned_stop: PlannedStop | None = None
         # Time limits of the open requests.
@@ -547,7 +547,8 @@
         self.demands.notify_target_waiters(key)
 
     def _is_store_stable(self) -> bool:
-        return self.is_store_stable
+        watch = self.registry_watch
+        return watch is not None and watch.contact.state is ContactState.CONFIRMED
 
     def _incarnation_reported(self, upstream: Upstream) -> None:
         self.registry.report_incarnation(upstream)
--- a/src/dragonflyhold/gateway/registry.py
+++ b/src/dragonflyhold/gateway/registry.py
@@ -8,11 +8,12 @@
 from dragonflyhold.gateway.clock import monotonic_now
 from dragonflyhold.gateway.logs import JsonLogger
 from dragonflyhold.gateway.model import RegistrationState, Upstream, UpstreamId
+from dragonflyhold.gateway.store_contact import RETURN_GRACE_S
 from dragonflyhold.platform.codec import DecodeError, decode_upstream
 from dragonflyhold.platform.store import StoredRow
 
-# Entries that expired during a store outage are registered again within about 2 s of its end.
-EXPIRY_GRACE_S = 2.2
+# Time for which an upstream without an entry is kept around an outage.
+EXPIRY_GRACE_S = RETURN_GRACE_S
 
 
 class RegistryEvents(Protocol):
--- /dev/null
+++ b/src/dragonflyhold/gateway/store_contact.py
@@ -0,0 +1,88 @@
+"""What a process knows of its contact with the store, and since when; does no I/O.
+
+An entry of the registry that disappears means that its upstream left, unless the store was away for
+so long that the entry may have expired only for lack of renewal.
+"""
+
+import enum
+from collections.abc import Callable
+from typing import final
+
+from dragonflyhold.gateway.clock import monotonic_now
+
+# Entries that expired during a store outage are registered again within about 2 s of its end.
+RETURN_GRACE_S = 2.2
+# An entry expires after three intervals without renewal. One of them may have passed before the
+# outage began, and intervals may be a fifth longer than stated.
+EXPIRY_INTERVALS = 1.8
+
+
+class ContactState(enum.Enum):
+    """State of the contact with the store."""
+
+    # No read has succeeded yet.
+    NEVER_READ = "never read"
+    # The rows are those of the store, and what disappears was removed.
+    CONFIRMED = "confirmed"
+    # The last call failed.
+    AWAY = "away"
+    # Reads succeed again, but expired entries may be missing still.
+    RETURNING = "returning"
+
+
+@final
+class StoreContact:
+    """The contact of one watch with the store.
+
+    An outage after which entries may be missing lasts for ``renewal_s`` times
+    ``EXPIRY_INTERVALS`` at least, counted from the last read that succeeded before it. Outages
+    that follow one another within the grace period count as one.
+    """
+
+    def __init__(self, renewal_s: float, clock: Callable[[], float] = monotonic_now) -> None:
+        self._min_outage_s = EXPIRY_INTERVALS * renewal_s
+        self._clock = clock
+        self._is_away = False
+        # Start of the last call that succeeded.
+        self._read_at: float | None = None
+        # Start of the current or last outage, at the earliest.
+        self._away_since = float("-inf")
+        self._returned_at = float("-inf")
+        self._returning_until = float("-inf")
+
+    @property
+    def state(self) -> ContactState:
+        """Return the state now."""
+        if self._is_away:
+            return ContactState.AWAY
+        if self._read_at is None:
+            return ContactState.NEVER_READ
+        if self._clock() < self._returning_until:
+            return ContactState.RETURNING
+        return ContactState.CONFIRMED
+
+    def note_failed(self) -> None:
+        """Record a call that failed."""
+        if self._is_away:
+            return
+        self._is_away = True
+        if self._read_at is None:
+            self._away_since = float("-inf")
+        elif self._clock() - self._returned_at >= RETURN_GRACE_S:
+            self._away_since = self._read_at
+
+    def note_read(self, started_at: float) -> None:
+        """Record a read that succeeded, with the time at which it began."""
+        now = self._clock()
+        if self._is_away:
+            self._is_away = False
+            self._returned_at = now
+            if now - self._away_since >= self._min_outage_s:
+                self._returning_until = now + RETURN_GRACE_S
+        self._read_at = started_at
+
+    def note_restored(self) -> None:
+        """Record that the store was restored: it may have lost entries."""
+        self._away_since = float("-inf")
+        self._returned_at = self._clock()
+        self._returning_until = self._returned_at + RETURN_GRACE_S
--- a/src/dragonflyhold/gateway/watch.py
+++ b/src/dragonflyhold/gateway/watch.py
@@ -11,6 +11,7 @@
 from dragonflyhold.errors import PlatformUnavailableError
 from dragonflyhold.gateway.clock import monotonic_now
 from dragonflyhold.gateway.logs import JsonLogger
+from dragonflyhold.gateway.store_contact import StoreContact
 from dragonflyhold.gateway.table_rows import NO_RULES, TableRows, TableRules
 from dragonflyhold.platform.store import (
     HistoryTruncatedError,
@@ -51,12 +52,14 @@
         on_recovered: Callable[[], None] = lambda: None,
         rules: TableRules = NO_RULES,
         count: Callable[[str], None] = lambda event: None,
+        renewal_s: float = 0.0,
     ) -> None:
         self.table = table
         self.has_read = False
         # Monotonic time since which no call has succeeded, ``None`` while the store is available.
         self.unavailable_since: float | None = clock()
-        self.available_since = clock()
+        # Whether rows that disappear were removed; owners renew theirs every ``renewal_s``.
+        self.contact = StoreContact(renewal_s, clock)
         # Monotonic time for which the rows are complete, ``None`` before the first read: the start
         # of the last call, whose response may have been read much later.
         self.read_at: float | None = None
@@ -76,7 +79,7 @@
 
     def note_restored(self) -> None:
         """Read the whole table again: the store was restored, and its versions start anew."""
-        self.available_since = self._clock()
+        self.contact.note_restored()
         self.table_rows.position = None
         if self._read is not None and self._read is not asyncio.current_task():
             self._cancel_read()
@@ -170,12 +173,12 @@
         started_at = self._clock()
         if position is None:
             rows = await self._store.read_table(self.table)
-            self._note_available()
+            self._note_available(started_at)
             self.table_rows.apply_snapshot(rows)
             self.has_read = True
         else:
             rows = await self._store.read_changes(self.table, position, self._draw_wait())
-            self._note_available()
+            self._note_available(started_at)
             self.table_rows.apply_changes(rows)
         if rows.position >= known:
             # Else the store has returned what it was before.
@@ -191,11 +194,13 @@
         return self._wait_s * random.uniform(1 - LONG_WAIT_JITTER, 1.0)
 
     def _note_unavailable(self, error: PlatformUnavailableError) -> None:
+        self.contact.note_failed()
         if self.unavailable_since is None:
             self.unavailable_since = self._clock()
             self._log.warning("The store is unavailable.", table=self.table, error=str(error))
 
-    def _note_available(self) -> None:
+    def _note_available(self, started_at: float) -> None:
+        self.contact.note_read(started_at)
         self._backoff_s = MIN_BACKOFF_S
         if self.unavailable_since is not None:
             now = self._clock()
@@ -205,6 +210,5 @@
                 lost_for_s=round(now - self.unavailable_since, 3),
             )
             self.unavailable_since = None
-            self.available_since = now
             self.table_rows.note_outage_ended()
             self._on_recovered()
--- a/src/dragonflyhold/platform/settings.py
+++ b/src/dragonflyhold/platform/settings.py
@@ -61,6 +61,8 @@
     bounds: Bounds
     # Whether the whole system starts for the first time, so that nothing began before.
     is_first_start: bool = False
+    # Interval at which upstreams renew their entries; 0 if it is not known.
+    renewal_s: float = 0.0
     # Memory with which the process is killed.
     memory_bytes: int = DEFAULT_MEMORY_BYTES
 
@@ -119,6 +121,7 @@
         first_internal_port=ports[0],
         bounds=_bounds(bounds, problems),
         is_first_start=fields.get("bootstrap") is True,
+        renewal_s=_renewal_s(fields.get("heartbeat_ms")),
         memory_bytes=_memory_bytes(fields.get("limits"), problems),
     )
     if problems:
@@ -148,6 +151,13 @@
     )
 
 
+def _renewal_s(value: Any) -> float:
+    """Return the interval of renewals in seconds, 0 without a valid one."""
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 <= value < 1e9:
+        return 0.0
+    return value / 1000
+
+
 def _memory_bytes(limits: Any, problems: list[str]) -> int:
     value = limits.get("memory_mb") if isinstance(limits, dict) else None
     if value is None:
