Notice in time that the connection of a long read has died

Cause: a watch of the operator's rows waits up to 20 s for a change, and nothing but the answer tells that its connection has fallen silent: outdated adapter versions and configurations stayed in use (VERSION, CONFIG).

Change: a link between gateway and agent that falls silent ends the pending read of both ends. Gateways wait for 0.35 s times their number, 2 s at least and 20 s at most; agents hear from them by the hints that exist. A read that gets no answer or is given up closes the idle connections to the store too.

--- a/src/dragonflyhold/gateway/agent.py
+++ b/src/dragonflyhold/gateway/agent.py
@@ -492,6 +492,8 @@
         for link in self._demands.gateways():
             if link.is_heartbeat_overdue(now):
                 link.close()
+                if self.operator_watch is not None:
+                    self.operator_watch.note_silent_peer()
         due = self._publication.due(update, now)
         data = encode(update) if due else b""
         for link in due:
--- a/src/dragonflyhold/gateway/daemon.py
+++ b/src/dragonflyhold/gateway/daemon.py
@@ -27,7 +27,7 @@
 from dragonflyhold.gateway.store_contact import ContactState
 from dragonflyhold.gateway.table_rows import TableRules
 from dragonflyhold.gateway.tasks import run_until_done, supervise
-from dragonflyhold.gateway.watch import LONG_FEED_WAIT_S, TableWatch
+from dragonflyhold.gateway.watch import LONG_FEED_WAIT_S, WAIT_PER_GATEWAY_S, TableWatch
 from dragonflyhold.ids import ServiceName
 from dragonflyhold.observability.metrics import Metrics
 from dragonflyhold.platform.codec import operator_row_order, registry_row_order
@@ -133,6 +133,7 @@
             OPERATOR_TABLE,
             self.gateway.catalogue.apply,
             wait_s=LONG_FEED_WAIT_S,
+            wait_limit=lambda: WAIT_PER_GATEWAY_S * self.gateway.agent_links.count_gateways(),
             rules=OPERATOR_RULES,
             count=self._metrics.count_event,
         )
--- a/src/dragonflyhold/gateway/engines.py
+++ b/src/dragonflyhold/gateway/engines.py
@@ -248,6 +248,8 @@
         self._log.warning("The connection to an agent was closed.", ip=agent.ip)
         agent.protocol = 1
         agent.last_update = None
+        if was_silent and self.operator_watch is not None:
+            self.operator_watch.note_silent_peer()
         for view in self._table.at_ip(agent.ip):
             view.is_linked = False
             view.lost_silently = was_silent
--- a/src/dragonflyhold/gateway/watch.py
+++ b/src/dragonflyhold/gateway/watch.py
@@ -24,10 +24,14 @@
 # Together with the response timeout it stays below the 3 s after which a VM whose connections fell
 # silent counts as in contact again.
 FEED_WAIT_S = 2.0
-# Longest wait of a watch that is restarted once peers know of a later change, or once calls to the
-# store work again. The waits of different processes end at different times.
+# Longest wait of a watch that is restarted once peers know of a later change, once a link to a peer
+# has fallen silent, or once calls to the store work again. The waits of different processes end at
+# different times.
 LONG_FEED_WAIT_S = 20.0
 LONG_WAIT_JITTER = 0.25
+# Time per gateway that the waits of a gateway's watch may last: the first of all gateways whose
+# call is new since its connections fell silent tells the others of a change.
+WAIT_PER_GATEWAY_S = 0.35
 # Time for which a change that a peer knows of may still arrive by the own call, and the shortest
 # interval between two restarts.
 HINT_DELAY_S = 0.15
@@ -53,6 +57,7 @@
         rules: TableRules = NO_RULES,
         count: Callable[[str], None] = lambda event: None,
         renewal_s: float = 0.0,
+        wait_limit: Callable[[], float] = lambda: LONG_FEED_WAIT_S,
     ) -> None:
         self.table = table
         self.has_read = False
@@ -67,6 +72,7 @@
         self._store = store
         self._pause_s = pause_s
         self._wait_s = wait_s
+        self._wait_limit = wait_limit
         self._on_recovered = on_recovered
         self._clock = clock
         self._backoff_s = MIN_BACKOFF_S
@@ -98,6 +104,14 @@
         self._is_hint_pending = True
         asyncio.get_running_loop().call_later(HINT_DELAY_S, self._check_hint, change)
 
+    def note_silent_peer(self) -> None:
+        """Read again: a link fell silent, and the connection of the pending call may have too.
+
+        Does nothing if the read was restarted lately.
+        """
+        if self._clock() - self._restarted_at >= MIN_RESTART_S:
+            self.restart()
+
     def restart(self) -> None:
         """Give up the pending call and read again on another connection."""
         if self._read is not None and self.table_rows.position is not None:
@@ -189,9 +203,10 @@
         if self.unavailable_since is not None:
             # The store may have been restored; its first response tells.
             return 0.0
-        if self._wait_s <= FEED_WAIT_S:
-            return self._wait_s
-        return self._wait_s * random.uniform(1 - LONG_WAIT_JITTER, 1.0)
+        wait_s = min(self._wait_s, max(FEED_WAIT_S, self._wait_limit()))
+        if wait_s <= FEED_WAIT_S:
+            return wait_s
+        return max(FEED_WAIT_S, wait_s * random.uniform(1 - LONG_WAIT_JITTER, 1.0))
 
     def _note_unavailable(self, error: PlatformUnavailableError) -> None:
         self.contact.note_failed()
--- a/src/dragonflyhold/platform/store.py
+++ b/src/dragonflyhold/platform/store.py
@@ -1,5 +1,6 @@
 """Client of the platform's metadata store: rows, transactions and the change feed."""
 
+import asyncio
 import base64
 import dataclasses
 import time
@@ -253,7 +254,13 @@
                 data = await exchange.read_body(MAX_STORE_BYTES)
             fields = _decode_object(data)
             self._check_order(exchange, head, fields, hash(data))
+        except asyncio.CancelledError:
+            # The caller doubts the connection, and those that were idle meanwhile are no better.
+            self._pool.close_idle(self.address)
+            raise
         except (ExchangeError, TimeoutError) as error:
+            if isinstance(error, TimeoutError):
+                self._pool.close_idle(self.address)
             self._count("store_call_lost")
             raise PlatformUnavailableError(f"store: {method} {target}: {error!r}") from error
         finally:
--- a/tests/gateway/test_watch.py
+++ b/tests/gateway/test_watch.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Callable
 
+import pytest
+
 from dragonflyhold.errors import PlatformUnavailableError
 from dragonflyhold.gateway.table_rows import NO_RULES, TableRows
 from dragonflyhold.gateway.watch import HINT_DELAY_S, TableWatch
@@ -164,6 +166,42 @@
         asyncio.run(scenario())
         assert len(store.waits) <= 3
 
+    def test_a_silent_link_ends_the_wait_once(self) -> None:
+        """Guards against a long wait on a connection that fell silent with the links."""
+        store, rows = _SilentStore(), list[StoredRow]()
+        watch = TableWatch(store, "op", rows.append, wait_s=20.0)  # type: ignore[arg-type]
+
+        def note_silent_links() -> None:
+            for _ in range(30):
+                watch.note_silent_peer()
+
+        asyncio.run(_run_for(watch, 0.1, note_silent_links))
+        assert [row.version for row in rows] == [3, 8]
+        assert len(store.waits) == 3, "the wait, the read after it, and the next wait"
+
+    @pytest.mark.parametrize(
+        ("limit_s", "shortest_s", "longest_s"), [(0.35, 2.0, 2.0), (5.0, 3.75, 5.0), (90, 15, 20)]
+    )
+    def test_waits_are_as_long_as_the_limit_allows(
+        self, limit_s: float, shortest_s: float, longest_s: float
+    ) -> None:
+        """Guards against waits beyond those that few gateways may take, and calls beyond them."""
+
+        async def draw() -> list[float]:
+            store = _SilentStore()
+            watch = TableWatch(
+                store,  # type: ignore[arg-type]
+                "op",
+                lambda row: None,
+                wait_s=20.0,
+                wait_limit=lambda: limit_s,
+            )
+            watch.unavailable_since = None
+            return [watch._draw_wait() for _ in range(200)]
+
+        waits = asyncio.run(draw())
+        assert shortest_s <= min(waits) <= max(waits) <= longest_s
+
     def test_a_watch_tells_when_the_store_is_back(self) -> None:
         """Its owner then restarts the other watches, whose calls may be lost."""
         store, recovered = _SilentStore(), list[bool]()
