--- a/src/dragonflyhold/gateway/catalogue.py
+++ b/src/dragonflyhold/gateway/catalogue.py
@@ -5,10 +5,11 @@
 
 import orjson
 
+from dragonflyhold.accounts import AccountDirectory
 from dragonflyhold.gateway.clock import monotonic_now
 from dragonflyhold.gateway.logs import JsonLogger
-from dragonflyhold.gateway.model import Configuration, ModelAdapter, Service
-from dragonflyhold.ids import Version
+from dragonflyhold.gateway.model import Configuration, EngineSpec, ModelAdapter, Service
+from dragonflyhold.ids import ServiceName, Version
 from dragonflyhold.platform.codec import DecodeError, decode_adapter_version, decode_configuration
 from dragonflyhold.platform.store import CONFIG_KEY, VERSION_PREFIX, StoredRow
 
@@ -40,6 +41,13 @@
             return []
         return [item for item in self.configuration.services.values() if item.engine]
 
+    def engine_spec(self, name: ServiceName) -> EngineSpec | None:
+        """Return the engine limits of a service, ``None`` if no engines run it."""
+        if self.configuration is None:
+            return None
+        service = self.configuration.services.get(name)
+        return service.engine if service is not None else None
+
     def sole_engine_service(self) -> Service | None:
         """Return the service that every engine belongs to, ``None`` if there are several."""
         services = self.engine_services()
@@ -92,5 +100,22 @@
             version=configuration.version,
             row_version=row_version,
             routes=sum(len(group) for group in configuration.routes.values()),
+            accounts=None
+            if configuration.accounts is None
+            else len(configuration.accounts.accounts),
+            keys=None if configuration.accounts is None else len(configuration.accounts),
         )
+        if configuration.accounts is not None:
+            self._note_problems(configuration.accounts, configuration.version)
         self._on_configuration(configuration)
+
+    def _note_problems(self, accounts: AccountDirectory, version: int) -> None:
+        for problem, summary in accounts.problems.items():
+            self._count(f"account_{problem.value}")
+            self._log.warning(
+                "A part of the configuration's accounts is ignored.",
+                version=version,
+                problem=problem.value,
+                count=summary.count,
+                accounts=summary.examples,
+            )
