Find the entry of an engine that tells no id by its address and start time

Cause: with two or more engine services, an engine's service is that of its entry, and only the health check told the id to read it by. A full engine rejects health checks like requests. An agent that restarted beside one knew no limits, ordered nothing and told gateways so: requests for adapters got 503 until a place was free. Each reading of the engine also waited for the health paths of all services in turn.

Change: after a health check without an id the agent searches the registry for the only entry with the engine's address and the start time of its reports, again after 0.2 to 5 s while there is none; an id that is stated meanwhile ends the search. One health path is asked for each reading. The stand-in can reject health checks when full.

--- a/src/dragonflyhold/gateway/agent.py
+++ b/src/dragonflyhold/gateway/agent.py
@@ -54,6 +54,7 @@
 )
 from dragonflyhold.gateway.model import (
     AdapterCommand,
+    Address,
     CommandKind,
     CommandResult,
     EngineReport,
@@ -111,6 +112,7 @@
         store: MetadataStore,
         catalogue: Catalogue,
         metrics: Metrics,
+        engine_address: Address | None = None,
     ) -> None:
         # Exchanges the newest known change with the gateways; set by the daemon.
         self.operator_watch: TableWatch | None = None
@@ -129,7 +131,9 @@
         # Adapters to be unloaded, each with the sequence of its command.
         self._unloading: dict[ModelAdapter, int] = {}
         self._fencing_token = FencingToken(holder, store)
-        self._identity = EngineIdentity(service, catalogue, store, self.request_replan)
+        self._identity = EngineIdentity(
+            engine_address, service, catalogue, store, self.request_replan
+        )
         # Ordered by the time at which the engine last held the adapter.
         self._host_cached: dict[ModelAdapter, None] = {}
         self._unconfirmed_loads = UnconfirmedLoads()
@@ -363,7 +367,7 @@
             )
             self._unloading.clear()
             self._host_cached.clear()
-            self._identity.forget()
+            self._identity.forget(report.start_time_ms)
         else:
             self._unconfirmed_loads.confirm(report.sequence)
         # A command that left the sequence as it was is not being executed: the response came from
--- a/src/dragonflyhold/gateway/daemon.py
+++ b/src/dragonflyhold/gateway/daemon.py
@@ -407,7 +407,13 @@
         engine = HttpEngineControl(settings.engine, settings.vm, pool)
         service = ServiceName(settings.service) if settings.service else None
         self._agent = Agent(
-            settings.vm, service, engine, self._store, self._catalogue, self._metrics
+            settings.vm,
+            service,
+            engine,
+            self._store,
+            self._catalogue,
+            self._metrics,
+            settings.engine,
         )
         self._agent.operator_watch = self._operator_watch
         self._tasks: list[asyncio.Task[None]] = []
--- a/src/dragonflyhold/platform/codec.py
+++ b/src/dragonflyhold/platform/codec.py
@@ -17,6 +17,7 @@
 from dragonflyhold.gateway.http_client import Head
 from dragonflyhold.gateway.model import (
     AdapterCommand,
+    Address,
     Configuration,
     EngineReport,
     EngineSpec,
@@ -211,6 +212,24 @@
         raise decode_error(f"upstream {reprlib.repr(key)}", error) from error
 
 
+def find_upstream(
+    rows: Sequence[StoredRow], wanted: Address, start_time_ms: int
+) -> Upstream | None:
+    """Return the only entry with an address and start time; ``None`` without or with several."""
+    digits = str(start_time_ms).encode()
+    found = []
+    for row in rows:
+        if digits not in row.value:
+            continue
+        try:
+            upstream = decode_upstream(row.key, orjson.loads(row.value))
+        except (DecodeError, ValueError):
+            continue
+        if (upstream.address, upstream.start_time_ms) == (wanted, start_time_ms):
+            found.append(upstream)
+    return found[0] if len(found) == 1 else None
+
+
 def is_report(body: bytes) -> bool:
     """Return whether the body of an engine's response is a report of its state."""
     try:
--- a/src/dragonflyhold/platform/standins/runner.py
+++ b/src/dragonflyhold/platform/standins/runner.py
@@ -135,6 +135,8 @@
         self.limit_per_s: float | None = None
         # Value of the header by which all answers state that this upstream leaves, if any.
         self.leaving: bytes | None = None
+        # Whether health checks are rejected, as requests are, while it is full.
+        self.rejects_health_when_full = False
         # Values of the header by which this upstream turns requests away, if any.
         self.turn_away: list[bytes] = []
         # Status of these answers, and whether they state that the request did not run.
@@ -298,6 +300,9 @@
             self.misdirected += 1
             self._send(responder, 421, [(b"Instance-Id", self.upstream_id.encode())])
         elif request.target == b"/health":
+            if self.rejects_health_when_full and self.is_full:
+                self._send(responder, 503, [(b"Not-Executed", b"1")])
+                return
             self._send(responder, 200, [(b"Instance-Id", self.upstream_id.encode())])
         elif request.target == b"/order":
             self._handle_command(responder, orjson.loads(request.body))
--- a/tests/gateway/test_engine_identity.py
+++ b/tests/gateway/test_engine_identity.py
@@ -3,7 +3,7 @@
 import asyncio
 from typing import Any
 
-from dragonflyhold.platform.standins.runner import UpstreamStandIn
+from dragonflyhold.platform.standins.runner import EVENT_INTERVAL_S, UpstreamStandIn
 from dragonflyhold.platform.standins.site import (
     ENGINE_SERVICE,
     InProcessDeployment,
@@ -11,6 +11,7 @@
     running_deployment,
 )
 from dragonflyhold.platform.standins.store import StoreFault
+from dragonflyhold.platform.store import RowSet
 
 OTHER_SERVICE = "writer"
 # Adapter slots of the engines of the other service; those of the first one have three.
@@ -51,6 +52,20 @@
     upstream.restart(upstream_id)
 
 
+def _count_searches(deployment: InProcessDeployment) -> list[str]:
+    """Return a list to which each read of the whole registry by the agent adds an item."""
+    store = deployment.agents["e0"]._store
+    reads: list[str] = []
+    read_table = store.read_table
+
+    async def count_read(table: str) -> RowSet:
+        reads.append(table)
+        return await read_table(table)
+
+    store.read_table = count_read  # type: ignore[method-assign]
+    return reads
+
+
 class TestAddressOfAnotherService:
     """The service of an engine is that of its entry, not that of the engine before it."""
 
@@ -130,3 +145,105 @@
                 return len(upstream.commands)
 
         assert asyncio.run(run_scenario()) == 0
+
+
+class TestEngineThatTellsNoId:
+    """A full engine rejects health checks; its entry has its address and start time."""
+
+    @staticmethod
+    async def _fill(
+        upstream: UpstreamStandIn, deployment: InProcessDeployment
+    ) -> asyncio.Task[Any]:
+        """Let a request take the only place of the engine's batch, then restart the agent."""
+        upstream.batch, upstream.rejects_health_when_full = 1, True
+        upstream.event_interval_s = 10.0
+        running = asyncio.get_running_loop().create_task(deployment.call("/ask/1", adapter="a1"))
+        async with asyncio.timeout(3):
+            while not upstream.is_full:
+                await asyncio.sleep(0.01)
+        identity = deployment.agents["e0"]._agent._identity
+        identity._entry = None
+        identity.forget(upstream.start_time_ms)
+        return running
+
+    def test_it_loads_adapters_and_is_searched_for_once(self) -> None:
+        """Guards against an engine that is lost for as long as it is full."""
+
+        async def run_scenario() -> tuple[object, int, int]:
+            async with running_deployment(engines=1, plain=0) as deployment:
+                upstream = await _use_two_services(deployment)
+                await deployment.call("/ask/1", adapter="a1")
+                reads = _count_searches(deployment)
+                running = await self._fill(upstream, deployment)
+                waiting = asyncio.get_running_loop().create_task(
+                    deployment.call("/ask/2", adapter="a2")
+                )
+                async with asyncio.timeout(2):
+                    while "a2" not in upstream.adapters:
+                        await asyncio.sleep(0.01)
+                running.cancel()
+                waiting.cancel()
+                upstream.batch, upstream.event_interval_s = None, EVENT_INTERVAL_S
+                answer = await deployment.call("/ask/3", adapter="a2")
+                identity = deployment.agents["e0"]._agent._identity
+                return identity.upstream_id, len(reads), answer.status
+
+        assert asyncio.run(run_scenario()) == ("e0", 1, 200)
+
+    def test_an_entry_of_an_earlier_start_is_not_taken(self) -> None:
+        """Guards against the slots of the engine before at the address; the search is not busy."""
+
+        async def run_scenario() -> tuple[int, int, object]:
+            async with running_deployment(engines=1, plain=0) as deployment:
+                upstream = await _use_two_services(deployment)
+                await deployment.call("/ask/1", adapter="a1")
+                _pass_on(upstream)
+                upstream.batch, upstream.rejects_health_when_full = 0, True
+                await asyncio.sleep(0.3)
+                reads = _count_searches(deployment)
+                commands = len(upstream.commands)
+                await asyncio.gather(*(deployment.call(f"/ask/{n}", adapter="a1") for n in (2, 3)))
+                await asyncio.sleep(2)
+                searches = len(reads)
+                commands = len(upstream.commands) - commands
+                deployment.store.put("servers", upstream.upstream_id, upstream.entry())
+                identity = deployment.agents["e0"]._agent._identity
+                async with asyncio.timeout(5):
+                    while identity.spec is None:
+                        await asyncio.sleep(0.01)
+                return commands, searches, identity.spec.adapter_slots
+
+        commands, searches, slots = asyncio.run(run_scenario())
+        assert commands == 0
+        assert 1 <= searches <= 6
+        assert slots == OTHER_SLOTS
+
+    def test_one_health_path_is_asked_for_each_reading(self) -> None:
+        """Guards against a control loop that waits for the health paths of all services in turn."""
+
+        async def run_scenario() -> tuple[list[str], list[str]]:
+            class _Silent:
+                def __init__(self) -> None:
+                    self.paths: list[str] = []
+
+                async def identify(self, path: str) -> None:
+                    self.paths.append(path)
+
+            async with running_deployment(engines=1, plain=0) as deployment:
+                fields = _two_services()
+                fields["services"][-1]["health_check_path"] = "/other"
+                deployment.store.put("op", "config", fields)
+                daemon = deployment.agents["e0"]
+                async with asyncio.timeout(3):
+                    while len(daemon._catalogue.engine_services()) < 2:
+                        await asyncio.sleep(0.01)
+                identity, engine = daemon._agent._identity, _Silent()
+                identity.forget(0)
+                await identity.update(engine)  # type: ignore[arg-type]
+                first = list(engine.paths)
+                await identity.update(engine)  # type: ignore[arg-type]
+                return first, engine.paths
+
+        first, both = asyncio.run(run_scenario())
+        assert first == ["/health"]
+        assert both == ["/health", "/other"]
