--- a/src/dragonflyhold/gateway/store_contact.py
+++ b/src/dragonflyhold/gateway/store_contact.py
@@ -13,7 +13,8 @@
 # Entries that expired during a store outage are registered again within about 2 s of its end.
 RETURN_GRACE_S = 2.2
 # An entry expires after three intervals without renewal. One of them may have passed before the
-# outage began, and intervals may be a fifth longer than stated.
+# outage began, and intervals may be a fifth longer than stated. Few entries expire in shorter
+# outages; they are back with their next renewal.
 EXPIRY_INTERVALS = 1.8
 
 
