--- a/tests/gateway/test_engine_identity.py
+++ b/tests/gateway/test_engine_identity.py
@@ -3,6 +3,10 @@
 import asyncio
 from typing import Any
 
+import orjson
+
+from dragonflyhold.gateway.model import Address
+from dragonflyhold.platform.codec import find_upstream
 from dragonflyhold.platform.standins.runner import EVENT_INTERVAL_S, UpstreamStandIn
 from dragonflyhold.platform.standins.site import (
     ENGINE_SERVICE,
@@ -11,7 +15,7 @@
     running_deployment,
 )
 from dragonflyhold.platform.standins.store import StoreFault
-from dragonflyhold.platform.store import RowSet
+from dragonflyhold.platform.store import RowSet, StoredRow
 
 OTHER_SERVICE = "writer"
 # Adapter slots of the engines of the other service; those of the first one have three.
@@ -247,3 +251,29 @@
         first, both = asyncio.run(run_scenario())
         assert first == ["/health"]
         assert both == ["/health", "/other"]
+
+    def test_of_two_entries_with_its_address_and_start_none_is_taken(self) -> None:
+        """Guards against an entry of another writer that is taken for the engine's."""
+        entry = {
+            "service": ENGINE_SERVICE,
+            "address": "10.0.0.1:80",
+            "zone": "dc-a",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "cold_remaining_ms": 0,
+            "sequence": 0,
+            "born": 17,
+        }
+        other = {**entry, "address": "10.0.0.2:80"}
+        rows = [
+            StoredRow("e0", 1, orjson.dumps(entry)),
+            StoredRow("e1", 2, orjson.dumps(other)),
+            StoredRow("broken", 3, b"17"),
+        ]
+        found = find_upstream(rows, Address("10.0.0.1:80"), 17)
+        assert found is not None
+        assert found.upstream_id == "e0"
+        assert find_upstream(rows, Address("10.0.0.1:80"), 1) is None
+        rows.append(StoredRow("e2", 4, orjson.dumps({**entry, "service": OTHER_SERVICE})))
+        assert find_upstream(rows, Address("10.0.0.1:80"), 17) is None
