--- a/src/dragonflyhold/gateway/agent.py
+++ b/src/dragonflyhold/gateway/agent.py
@@ -15,6 +15,7 @@
 from dragonflyhold.gateway.crash_evidence import CrashEvidence
 from dragonflyhold.gateway.demand_table import DemandTable
 from dragonflyhold.gateway.doubtful import UnconfirmedLoads, has_free_slot
+from dragonflyhold.gateway.engine_identity import EngineIdentity
 from dragonflyhold.gateway.engine_state import (
     UNKNOWN_ENGINE,
     make_update,
@@ -53,12 +54,12 @@
 )
 from dragonflyhold.gateway.model import (
     AdapterCommand,
+    Address,
     CommandKind,
     CommandResult,
     EngineReport,
     EngineSpec,
     ModelAdapter,
-    UpstreamId,
 )
 from dragonflyhold.gateway.origin_keeper import OriginKeeper
 from dragonflyhold.gateway.placement import (
@@ -111,11 +112,11 @@
         store: MetadataStore,
         catalogue: Catalogue,
         metrics: Metrics,
+        engine_address: Address | None = None,
     ) -> None:
         # Exchanges the newest known change with the gateways; set by the daemon.
         self.operator_watch: TableWatch | None = None
         self._metrics = metrics
-        self._service = service
         self._engine = engine
         self._catalogue = catalogue
         self._log = JsonLogger("agent")
@@ -130,7 +131,9 @@
         # Adapters to be unloaded, each with the sequence of its command.
         self._unloading: dict[ModelAdapter, int] = {}
         self._fencing_token = FencingToken(holder, store)
-        self._upstream_id: UpstreamId | None = None
+        self._identity = EngineIdentity(
+            engine_address, service, catalogue, store, self.request_replan
+        )
         # Ordered by the time at which the engine last held the adapter.
         self._host_cached: dict[ModelAdapter, None] = {}
         self._unconfirmed_loads = UnconfirmedLoads()
@@ -299,6 +302,7 @@
     def close(self) -> None:
         """Close all links."""
         self._starts.close()
+        self._identity.close()
         for link in self._demands.gateways():
             link.close()
 
@@ -363,7 +367,7 @@
             )
             self._unloading.clear()
             self._host_cached.clear()
-            self._upstream_id = None
+            self._identity.forget(report.start_time_ms)
         else:
             self._unconfirmed_loads.confirm(report.sequence)
         # A command that left the sequence as it was is not being executed: the response came from
@@ -374,17 +378,14 @@
             if key in report.adapters and report.sequence > sequence
         }
         self._note_host_cached(report)
-        if self._upstream_id is None:
-            service = self._catalogue.engine_service(self._service)
-            if service is not None:
-                self._upstream_id = await self._engine.identify(service.health_path)
+        await self._identity.update(self._engine)
 
     def _note_host_cached(self, report: EngineReport) -> None:
         """Update the host-cached adapters: those that the engine held most recently."""
         for key in report.adapters:
             self._host_cached.pop(key, None)
             self._host_cached[key] = None
-        spec = self._catalogue.engine_spec(self._service)
+        spec = self._identity.spec
         max_cached = HOST_CACHE_PER_ADAPTER_SLOT * (spec.adapter_slots if spec is not None else 1)
         while len(self._host_cached) > max_cached:
             del self._host_cached[next(iter(self._host_cached))]
@@ -398,15 +399,19 @@
             self._log.error("The plan could not be executed.", error=describe(error))
 
     async def _execute_plan(self, report: EngineReport) -> None:
-        spec = self._catalogue.engine_spec(self._service)
+        spec = self._identity.spec
         if spec is None or report.is_draining or not await self._fencing_token.acquire():
             return
         if not report.models:
             await self._load_model(report, spec)
             return
+        planned_for = self._identity.upstream_id, report.start_time_ms
         for command in plan_commands(self._engine_view(report, spec)):
             if self._report is None:
                 return
+            if (self._identity.upstream_id, self._report.start_time_ms) != planned_for:
+                # Another engine has taken the address since.
+                return
             slots = spec.adapter_slots - self._reserved_slots(self._report, time.monotonic())
             if not has_free_slot(command, self._report, slots):
                 return
@@ -415,7 +420,7 @@
             await self._read_engine()
 
     def _reserved_slots(self, report: EngineReport, now: float) -> int:
-        return self._unconfirmed_loads.reserved_slots(report, self._upstream_id, now)
+        return self._unconfirmed_loads.reserved_slots(report, self._identity.upstream_id, now)
 
     async def _load_model(self, report: EngineReport, spec: EngineSpec) -> None:
         if not report.busy and spec.models:
@@ -424,7 +429,9 @@
     async def _send_command(self, command: AdapterCommand, report: EngineReport) -> bool:
         token = self._fencing_token.value
         assert token is not None
-        result = await self._engine.send_command(command, report.sequence, token, self._upstream_id)
+        result = await self._engine.send_command(
+            command, report.sequence, token, self._identity.upstream_id
+        )
         self._metrics.count_event(f"order_{command.kind.value}_{result.value}")
         self._log.info(
             "An order was given.",
@@ -449,14 +456,14 @@
                 self._charge_load(ModelAdapter(command.model, command.adapter))
             self._unconfirmed_loads.add(
                 report.sequence,
-                self._upstream_id,
+                self._identity.upstream_id,
                 time.monotonic(),
                 is_answered=result is not CommandResult.UNKNOWN,
             )
         return result in (CommandResult.ACCEPTED, CommandResult.DONE)
 
     def _charge_load(self, key: ModelAdapter) -> None:
-        spec = self._catalogue.engine_spec(self._service)
+        spec = self._identity.spec
         slots = spec.adapter_slots if spec is not None else 1
         self._turns.note_load(key, load_time(key, self._host_cached), slots)
 
@@ -503,6 +510,8 @@
         for link in self._demands.gateways():
             if link.is_heartbeat_overdue(now):
                 link.close()
+                if self.operator_watch is not None:
+                    self.operator_watch.note_silent_peer()
         due = self._publication.due(update, now)
         data = encode(update) if due else b""
         for link in due:
@@ -514,9 +523,11 @@
         link.send_encoded(encode(update))
 
     def _build_update(self) -> EngineUpdate:
-        report, spec = self._report, self._catalogue.engine_spec(self._service)
+        report, spec = self._report, self._identity.spec
         if report is None:
             return UNKNOWN_ENGINE
         if spec is None or self._fencing_token.value is None:
-            return update_without_commands(report, self._upstream_id)
-        return make_update(self._engine_view(report, spec), spec.adapter_slots, self._upstream_id)
+            return update_without_commands(report, self._identity.upstream_id)
+        return make_update(
+            self._engine_view(report, spec), spec.adapter_slots, self._identity.upstream_id
+        )
--- a/src/dragonflyhold/gateway/catalogue.py
+++ b/src/dragonflyhold/gateway/catalogue.py
@@ -35,19 +35,24 @@
         self._count = count
         self._log = JsonLogger("config")
 
-    def engine_service(self, name: ServiceName | None) -> Service | None:
-        """Return an engine service, preferably the named one, else the first one."""
+    def engine_services(self) -> list[Service]:
+        """Return the services that are run by engines."""
         if self.configuration is None:
-            return None
-        found = [item for item in self.configuration.services.values() if item.engine]
-        found.sort(key=lambda item: item.name != name)
-        return found[0] if found else None
+            return []
+        return [item for item in self.configuration.services.values() if item.engine]
 
-    def engine_spec(self, name: ServiceName | None) -> EngineSpec | None:
-        """Return the engine limits of an engine service, chosen as in ``engine_service``."""
-        service = self.engine_service(name)
+    def engine_spec(self, name: ServiceName) -> EngineSpec | None:
+        """Return the engine limits of a service, ``None`` if no engines run it."""
+        if self.configuration is None:
+            return None
+        service = self.configuration.services.get(name)
         return service.engine if service is not None else None
 
+    def sole_engine_service(self) -> Service | None:
+        """Return the service that every engine belongs to, ``None`` if there are several."""
+        services = self.engine_services()
+        return services[0] if len(services) == 1 else None
+
     def apply(self, row: StoredRow) -> None:
         """Apply a changed row of the operator's table."""
         if row.removed:
--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -48,6 +48,7 @@
 from dragonflyhold.gateway.responder import ResponseStateError
 from dragonflyhold.gateway.shutdown import PlannedStop
 from dragonflyhold.gateway.silent_engines import SilentEngines
+from dragonflyhold.gateway.store_contact import ContactState
 from dragonflyhold.gateway.upstream_view import UpstreamView
 from dragonflyhold.gateway.watch import TableWatch
 from dragonflyhold.ids import ServiceName, Version
@@ -123,6 +124,7 @@
             self.table.has_run_since,
         )
         self.agent_links.origins = self.origins
+        self.agent_links.read_registry_soon = self._read_registry_soon
         self.table.registry_read_at = self._registry_read_at
         # Watches the registry; set by the daemon.
         self.registry_watch: TableWatch | None = None
@@ -149,7 +151,6 @@
             settings.descriptor_limits.client_connections,
             self.note_overload,
         )
-        self.is_store_stable = False
         # Set while the process stops as planned.
         self._planned_stop: PlannedStop | None = None
         # Time limits of the open requests.
@@ -576,6 +577,10 @@
         """Count a response that exceeded a limit."""
         self._metrics.count_event("upstream_oversized_response")
 
+    def count_doubtful_refusal(self) -> None:
+        """Count a refusal that may belong to another request."""
+        self._metrics.count_event("upstream_doubtful_refusal")
+
     def count_unsound_stream(self) -> None:
         """Count a run of a stream that does not follow the events before it."""
         self._metrics.count_event("upstream_unsound_stream")
@@ -636,12 +641,17 @@
         self.demands.notify_target_waiters(key)
 
     def _is_store_stable(self) -> bool:
-        return self.is_store_stable
+        watch = self.registry_watch
+        return watch is not None and watch.contact.state is ContactState.CONFIRMED
 
     def _incarnation_reported(self, upstream: Upstream) -> None:
         self.registry.report_incarnation(upstream)
-        if self.registry_watch is not None and upstream.software is None:
+        if upstream.software is None:
             # Its entry states the software, without which streams rather begin elsewhere.
+            self._read_registry_soon()
+
+    def _read_registry_soon(self) -> None:
+        if self.registry_watch is not None:
             self.registry_watch.read_soon()
 
     def _registry_read_at(self) -> float | None:
--- a/src/dragonflyhold/platform/store.py
+++ b/src/dragonflyhold/platform/store.py
@@ -1,5 +1,6 @@
 """Client of the platform's metadata store: rows, transactions and the change feed."""
 
+import asyncio
 import base64
 import dataclasses
 import time
@@ -153,6 +154,13 @@
                 return RowSet(rows, position.version, position.era)
             start = page.rows[-1].key + "\0"
 
+    async def read_row(self, table: str, key: str) -> StoredRow | None:
+        """Return the row with a key in the part with the empty name, ``None`` without one."""
+        query = {"table": table, "part": "", "from": key, "to": key + "\0", "limit": "1"}
+        response = await self._call("GET", f"/rows-get?{urlencode(query)}")
+        _check_status(response, table)
+        return next((row for row in _decode_rows(response).rows if row.key == key), None)
+
     async def read_changes(self, table: str, after: StorePosition, wait_s: float) -> RowSet:
         """Return the changes after a position; wait up to ``wait_s`` if there is none yet."""
         query = {"table": table, "after": str(after.version), "wait_ms": str(int(wait_s * 1000))}
@@ -246,7 +254,13 @@
                 data = await exchange.read_body(MAX_STORE_BYTES)
             fields = _decode_object(data)
             self._check_order(exchange, head, fields, hash(data))
+        except asyncio.CancelledError:
+            # The caller doubts the connection, and those that were idle meanwhile are no better.
+            self._pool.close_idle(self.address)
+            raise
         except (ExchangeError, TimeoutError) as error:
+            if isinstance(error, TimeoutError):
+                self._pool.close_idle(self.address)
             self._count("store_call_lost")
             raise PlatformUnavailableError(f"store: {method} {target}: {error!r}") from error
         finally:
