End a watch that is cancelled while it restarts its read

Cause: a watch whose read was being restarted took its own cancellation for that of the read and went on, so a daemon that closed in this moment did not end.

--- a/src/dragonflyhold/gateway/watch.py
+++ b/src/dragonflyhold/gateway/watch.py
@@ -176,7 +176,8 @@
         try:
             await self._read
         except asyncio.CancelledError:
-            if not self._is_restarting:
+            task = asyncio.current_task()
+            if not self._is_restarting or (task is not None and task.cancelling()):
                 raise
         finally:
             self._is_restarting = False
--- a/tests/gateway/test_watch.py
+++ b/tests/gateway/test_watch.py
@@ -179,6 +179,23 @@
         assert [row.version for row in rows] == [3, 8]
         assert len(store.waits) == 3, "the wait, the read after it, and the next wait"
 
+    def test_a_watch_that_is_cancelled_as_it_restarts_ends(self) -> None:
+        """Guards against a daemon that does not stop, as its watch goes on."""
+        store = _SilentStore()
+        watch = TableWatch(store, "op", lambda row: None, wait_s=20.0)  # type: ignore[arg-type]
+
+        async def scenario() -> bool:
+            task = asyncio.ensure_future(watch.run())
+            await asyncio.sleep(0.02)
+            watch.note_silent_peer()
+            task.cancel()
+            await asyncio.wait({task}, timeout=0.2)
+            is_over = task.done()
+            task.cancel()
+            return is_over
+
+        assert asyncio.run(scenario())
+
     @pytest.mark.parametrize(
         ("limit_s", "shortest_s", "longest_s"), [(0.35, 2.0, 2.0), (5.0, 3.75, 5.0), (90, 15, 20)]
     )
