--- a/src/dragonflyhold/gateway/catalogue.py
+++ b/src/dragonflyhold/gateway/catalogue.py
@@ -5,10 +5,11 @@
 
 import orjson
 
+from dragonflyhold.accounts import AccountDirectory
 from dragonflyhold.gateway.clock import monotonic_now
 from dragonflyhold.gateway.logs import JsonLogger
-from dragonflyhold.gateway.model import Configuration, ModelAdapter, Service
-from dragonflyhold.ids import Version
+from dragonflyhold.gateway.model import Configuration, EngineSpec, ModelAdapter, Service
+from dragonflyhold.ids import ServiceName, Version
 from dragonflyhold.platform.codec import DecodeError, decode_adapter_version, decode_configuration
 from dragonflyhold.platform.store import CONFIG_KEY, VERSION_PREFIX, StoredRow
 
@@ -34,6 +35,11 @@
         self._count = count
         self._log = JsonLogger("config")
 
+    def engine_spec(self, name: ServiceName) -> EngineSpec | None:
+        """Return the engine limits of a service, ``None`` if no engines run it."""
+        service = self.configuration.services.get(name) if self.configuration is not None else None
+        return service.engine if service is not None else None
+
     def engine_services(self) -> list[Service]:
         """Return the services that are run by engines."""
         if self.configuration is None:
@@ -92,5 +98,22 @@
             version=configuration.version,
             row_version=row_version,
             routes=sum(len(group) for group in configuration.routes.values()),
+            accounts=None
+            if configuration.accounts is None
+            else len(configuration.accounts.accounts),
+            keys=None if configuration.accounts is None else len(configuration.accounts),
         )
+        if configuration.accounts is not None:
+            self._note_problems(configuration.accounts, configuration.version)
         self._on_configuration(configuration)
+
+    def _note_problems(self, accounts: AccountDirectory, version: int) -> None:
+        for problem, summary in accounts.problems.items():
+            self._count(f"account_{problem.value}")
+            self._log.warning(
+                "A part of the configuration's accounts is ignored.",
+                version=version,
+                problem=problem.value,
+                count=summary.count,
+                accounts=summary.examples,
+            )
--- a/src/dragonflyhold/gateway/engine_identity.py
+++ b/src/dragonflyhold/gateway/engine_identity.py
@@ -55,11 +55,8 @@
     @property
     def spec(self) -> EngineSpec | None:
         """Return the engine limits of the engine's service, ``None`` while that is unknown."""
-        configuration, name = self._catalogue.configuration, self._service_name()
-        if configuration is None or name is None:
-            return None
-        service = configuration.services.get(name)
-        return service.engine if service is not None else None
+        name = self._service_name()
+        return self._catalogue.engine_spec(name) if name is not None else None
 
     def forget(self) -> None:
         """Note that another engine, or the same one anew, answers at the address."""
--- a/src/dragonflyhold/gateway/watch.py
+++ b/src/dragonflyhold/gateway/watch.py
@@ -14,6 +14,7 @@
 from dragonflyhold.gateway.store_contact import StoreContact
 from dragonflyhold.gateway.table_rows import NO_RULES, TableRows, TableRules
 from dragonflyhold.platform.store import (
+    FIRST_ERA,
     HistoryTruncatedError,
     MetadataStore,
     StoredRow,
@@ -68,10 +69,11 @@
         # Monotonic time for which the rows are complete, ``None`` before the first read: the start
         # of the last call, whose response may have been read much later.
         self.read_at: float | None = None
+        # Longest wait for a change in one call, from the next call on.
+        self.wait_s = wait_s
         self.table_rows = TableRows(table, on_change, rules, clock, count)
         self._store = store
         self._pause_s = pause_s
-        self._wait_s = wait_s
         self._wait_limit = wait_limit
         self._on_recovered = on_recovered
         self._clock = clock
@@ -81,8 +83,15 @@
         self._is_restarting = False
         self._restarted_at = -MIN_RESTART_S
         self._is_hint_pending = False
+        # Latest change that a peer knows of.
+        self._latest_hint = StorePosition(FIRST_ERA, 0)
         self._log = JsonLogger("store")
 
+    @property
+    def is_behind(self) -> bool:
+        """Whether the whole table is to be read again, or a peer knows of a later change."""
+        return self.table_rows.position is None or self._lacks(self._latest_hint)
+
     def note_restored(self) -> None:
         """Read the whole table again: the store was restored, and its versions start anew."""
         self.contact.note_restored()
@@ -99,6 +108,7 @@
 
         The connection of the pending call may have fallen silent.
         """
+        self._latest_hint = max(self._latest_hint, change)
         if not self._lacks(change) or self._is_hint_pending:
             return
         self._is_hint_pending = True
@@ -204,7 +214,7 @@
         if self.unavailable_since is not None:
             # The store may have been restored; its first response tells.
             return 0.0
-        wait_s = min(self._wait_s, max(FEED_WAIT_S, self._wait_limit()))
+        wait_s = min(self.wait_s, max(FEED_WAIT_S, self._wait_limit()))
         if wait_s <= FEED_WAIT_S:
             return wait_s
         return max(FEED_WAIT_S, wait_s * random.uniform(1 - LONG_WAIT_JITTER, 1.0))
--- a/src/dragonflyhold/platform/settings.py
+++ b/src/dragonflyhold/platform/settings.py
@@ -15,9 +15,14 @@
 from dragonflyhold.gateway.byte_budget import DEFAULT_MEMORY_BYTES
 from dragonflyhold.gateway.model import Address
 from dragonflyhold.ids import DataCentre, VmName
+from dragonflyhold.ingress import DescriptorLimits
 
 # Environment variable with the path of the settings file.
 PATH_VARIABLE = "DRAGONFLYHOLD_CONFIG"
+# Part of a process's descriptors that is only for files.
+FILE_DESCRIPTORS = 200
+# Where keys lapse without contact with the store, and the settings do not tell after which time.
+DEFAULT_MAX_KEY_AGE_S = 5.0
 
 
 @final
@@ -35,6 +40,9 @@
     retry_ratio: float = 0.2
     retry_window_s: float = 10.0
     retry_slack: float = 56.0
+    # Time for which keys of client accounts stay valid without contact with the store; ``None`` if
+    # the last known configuration stays in force.
+    max_key_age_s: float | None = None
 
 
 @final
@@ -65,6 +73,8 @@
     renewal_s: float = 0.0
     # Memory with which the process is killed.
     memory_bytes: int = DEFAULT_MEMORY_BYTES
+    # Connections that the process accepts, by its limit on descriptors.
+    descriptor_limits: DescriptorLimits = DescriptorLimits()
 
     @property
     def agent_port(self) -> int:
@@ -123,6 +133,7 @@
         is_first_start=fields.get("bootstrap") is True,
         renewal_s=_renewal_s(fields.get("heartbeat_ms")),
         memory_bytes=_memory_bytes(fields.get("limits"), problems),
+        descriptor_limits=_descriptor_limits(fields.get("limits"), problems),
     )
     if problems:
         raise UsageError("settings: " + "; ".join(problems))
@@ -141,6 +152,13 @@
             return fallback
         return value * unit
 
+    def flag(name: str) -> bool:
+        value = fields.get(name)
+        if value is not None and not isinstance(value, bool):
+            problems.append(f"bounds.{name}: {value!r} is not true or false")
+        return value is True
+
+    max_key_age_s = number("revoke_ms", DEFAULT_MAX_KEY_AGE_S, 0.001)
     return Bounds(
         drain_s=number("drain_ms", default.drain_s, 0.001),
         grace_s=number("grace_s", default.grace_s, 1.0),
@@ -148,6 +166,7 @@
         retry_ratio=number("retry_budget_ratio", default.retry_ratio, 1.0),
         retry_window_s=number("budget_window_s", default.retry_window_s, 1.0),
         retry_slack=number("retry_budget_slack", default.retry_slack, 1.0),
+        max_key_age_s=max_key_age_s if flag("revoke_when_partitioned") else None,
     )
 
 
@@ -168,6 +187,16 @@
     return int(value * 1_000_000)
 
 
+def _descriptor_limits(limits: Any, problems: list[str]) -> DescriptorLimits:
+    value = limits.get("file_descriptors") if isinstance(limits, dict) else None
+    if value is None:
+        return DescriptorLimits()
+    if isinstance(value, bool) or not isinstance(value, int) or not 0 < value < 1e9:
+        problems.append(f"limits.file_descriptors: {value!r} is not a positive whole number")
+        return DescriptorLimits()
+    return DescriptorLimits.of_process(max(1, value - FILE_DESCRIPTORS))
+
+
 def _object(fields: dict[str, Any], name: str, problems: list[str]) -> dict[str, Any]:
     value = fields.get(name)
     if not isinstance(value, dict):
