--- a/src/dragonflyhold/gateway/catalogue.py
+++ b/src/dragonflyhold/gateway/catalogue.py
@@ -35,19 +35,17 @@
         self._count = count
         self._log = JsonLogger("config")
 
+    def engine_spec(self, name: ServiceName) -> EngineSpec | None:
+        """Return the engine limits of a service, ``None`` if no engines run it."""
+        service = self.configuration.services.get(name) if self.configuration is not None else None
+        return service.engine if service is not None else None
+
     def engine_services(self) -> list[Service]:
         """Return the services that are run by engines."""
         if self.configuration is None:
             return []
         return [item for item in self.configuration.services.values() if item.engine]
 
-    def engine_spec(self, name: ServiceName) -> EngineSpec | None:
-        """Return the engine limits of a service, ``None`` if no engines run it."""
-        if self.configuration is None:
-            return None
-        service = self.configuration.services.get(name)
-        return service.engine if service is not None else None
-
     def sole_engine_service(self) -> Service | None:
         """Return the service that every engine belongs to, ``None`` if there are several."""
         services = self.engine_services()
