Count the tokens of an account's window: allowance, ledger of an agent, purse of a gateway

Change: package ratelimits (pure, clock passed in) and the bounds quota_window_s, quota_overage and quota_slack of the settings.

--- a/src/dragonflyhold/platform/settings.py
+++ b/src/dragonflyhold/platform/settings.py
@@ -15,6 +15,7 @@
 from dragonflyhold.gateway.byte_budget import DEFAULT_MEMORY_BYTES
 from dragonflyhold.gateway.model import Address
 from dragonflyhold.ids import DataCentre, VmName
+from dragonflyhold.ratelimits import QuotaBounds
 
 # Environment variable with the path of the settings file.
 PATH_VARIABLE = "DRAGONFLYHOLD_CONFIG"
@@ -35,6 +36,8 @@
     retry_ratio: float = 0.2
     retry_window_s: float = 10.0
     retry_slack: float = 56.0
+    # Window of the token limits of client accounts, and what is tolerated beyond them.
+    quota: QuotaBounds = QuotaBounds()
 
 
 @final
@@ -145,6 +148,12 @@
         retry_ratio=number("retry_budget_ratio", default.retry_ratio, 1.0),
         retry_window_s=number("budget_window_s", default.retry_window_s, 1.0),
         retry_slack=number("retry_budget_slack", default.retry_slack, 1.0),
+        quota=QuotaBounds(
+            # A window of 0 is none: the default holds.
+            number("quota_window_s", 0.0, 1.0) or default.quota.window_s,
+            number("quota_overage", default.quota.overage, 1.0),
+            number("quota_slack", default.quota.slack, 1.0),
+        ),
     )
 
 
--- /dev/null
+++ b/src/dragonflyhold/ratelimits/ledger.py
@@ -0,0 +1,168 @@
+"""An agent's count of one account's tokens: grants them to gateways within the limit."""
+
+import dataclasses
+import enum
+from collections.abc import Hashable, Sequence
+from typing import Generic, TypeVar, final
+
+from dragonflyhold.ratelimits.usage import Usage, UsageRow
+
+G = TypeVar("G", bound=Hashable)
+
+# Time for which refused requests are expected to come back.
+RETURN_S = 1.0
+# Tokens beyond those that a gateway needs at once are granted while this share of the limit is
+# free, and at most this share of what is free.
+AMPLE_SHARE = 0.25
+BATCH_SHARE = 0.1
+
+
+class Cause(enum.Enum):
+    """Why tokens were granted or refused, and by whom; values appear in metrics and logs."""
+
+    # The agent that counts for all gateways.
+    LIMIT = "limit"
+    # An agent that counts for some gateways only, and grants no more than their share.
+    SHARE = "share"
+    # An agent that doesn't know yet what was sent before it began to count.
+    UNKNOWN = "unknown"
+    # This gateway alone: from tokens granted before, or from its own part while no agent replies.
+    BATCH = "batch"
+    AWAY = "away"
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Grant:
+    """Tokens that a gateway may use; without any, times in seconds until there is room."""
+
+    tokens: int
+    # For this request alone.
+    wait_s: float
+    cause: Cause
+    # For this request after those that were refused lately.
+    return_s: float = 0.0
+    # Share of the limit that is used.
+    used_share: float = 1.0
+
+
+@final
+class AccountLedger(Generic[G]):
+    """Tokens of one account that one agent has granted, and what gateways have told of others.
+
+    An agent knows all that was sent once each gateway counts here and has told what it used. What
+    it doesn't know counts as sent just before the gateway came. An agent at which only some
+    gateways count grants their share of the limit.
+    """
+
+    def __init__(self, held_s: float, epoch: int = 0) -> None:
+        self._epoch = epoch
+        self._usage = Usage(held_s)
+        # Shares of the limit that gateways may have used elsewhere before they came.
+        self._unknown = Usage(held_s)
+        # Granted tokens that gateways told when they came; not unknown any more.
+        self._found = 0.0
+        # Largest share of the limit that was used before, as far as gateways saw it.
+        self._seen_share: float | None = None
+        self._refused = Usage(RETURN_S)
+        self._held_s = held_s
+        # Gateways that count here, each with the time from which on its reports are complete.
+        self._members: dict[G, float] = {}
+        self._is_known = False
+        self._version = -1
+        self._allowed = 0.0
+
+    @property
+    def is_known(self) -> bool:
+        """Whether the agent knows all that was sent in the window."""
+        return self._is_known
+
+    def set_limit(self, version: int, allowed: float) -> None:
+        """Set the tokens allowed in the held time, as of a version of the configuration."""
+        if version >= self._version:
+            self._version, self._allowed = version, allowed
+
+    def join(
+        self,
+        gateway: G,
+        age_s: float,
+        now: float,
+        gateways: int,
+        rows: Sequence[UsageRow] = (),
+        seen_share: float | None = None,
+    ) -> None:
+        """Count for a gateway, whose process knows what it used for ``age_s``.
+
+        ``rows`` is all that it used. ``seen_share`` is the share of the limit that all gateways may
+        have used, by what it saw before the agent that counted ended.
+        """
+        self.note_used(rows)
+        if gateway not in self._members:
+            self._members[gateway] = now - age_s + self._held_s
+            if not self._is_known:
+                self._unknown.add(now, 1 / max(1, gateways))
+                self._found += sum(row.tokens for row in rows if row.source)
+                if seen_share is not None:
+                    self._seen_share = max(self._seen_share or 0.0, seen_share)
+        self.refresh(now, gateways)
+
+    def leave(self, gateway: G) -> None:
+        """Count no longer for a gateway; what it used still counts."""
+        self._members.pop(gateway, None)
+        if not self._members:
+            self._is_known = False
+            self._forget_unknown()
+
+    def note_used(self, rows: Sequence[UsageRow]) -> None:
+        """Add what a gateway used that others granted, or give back what it has left."""
+        for row in rows:
+            if row.source != self._epoch or not self._epoch:
+                self._usage.add(row.at, row.tokens)
+
+    def refresh(self, now: float, gateways: int) -> None:
+        """Note whether all that was sent is known by now."""
+        if not self._is_known and len(self._members) >= gateways:
+            self._is_known = all(now >= complete for complete in self._members.values())
+            if self._is_known:
+                self._forget_unknown()
+
+    def _forget_unknown(self) -> None:
+        self._unknown.clear()
+        self._found, self._seen_share = 0.0, None
+
+    def _unknown_tokens(self, now: float) -> float:
+        """Return the tokens that others may have granted unknown to this agent."""
+        share = min(1.0, self._unknown.total(now))
+        if share <= 0:
+            return 0.0
+        if self._seen_share is not None:
+            share = min(share, self._seen_share)
+        return max(0.0, self._allowed * share - self._found)
+
+    def take(self, needed: int, wanted: int, now: float, gateways: int) -> Grant:
+        """Grant the tokens that a gateway needs at once, and more of those that it wants."""
+        self.refresh(now, gateways)
+        is_whole = len(self._members) >= gateways
+        allowed = self._allowed * (1.0 if is_whole else len(self._members) / gateways)
+        unknown = self._unknown_tokens(now)
+        used = self._usage.total(now)
+        room = allowed - used - unknown
+        cause = Cause.UNKNOWN if unknown > 0 else Cause.LIMIT if is_whole else Cause.SHARE
+        if needed > room:
+            return self._refuse(needed, needed - room, cause, now)
+        tokens = needed
+        if room > AMPLE_SHARE * allowed and wanted > needed:
+            tokens += int(min(wanted - needed, BATCH_SHARE * (room - needed)))
+        self._usage.add(now, tokens)
+        used_share = (used + tokens) / self._allowed
+        return Grant(tokens, 0.0, cause, used_share=min(1.0, max(0.0, used_share)))
+
+    def _refuse(self, needed: int, excess: float, cause: Cause, now: float) -> Grant:
+        """Return when there is room for a request that lacks ``excess`` tokens."""
+        room_at = self._usage.room_at(excess, now)
+        return_at = self._usage.room_at(excess + self._refused.total(now), now)
+        if cause is Cause.UNKNOWN:
+            known_at = self._unknown.room_at(self._unknown.total(now), now)
+            room_at, return_at = min(room_at, known_at), min(return_at, known_at)
+        self._refused.add(now, needed)
+        return Grant(0, room_at - now, cause, return_at - now)
--- /dev/null
+++ b/tests/ratelimits/test_ledger.py
@@ -0,0 +1,106 @@
+"""Tests of an agent's count of one account's tokens."""
+
+import pytest
+
+from dragonflyhold.ratelimits import AccountLedger, Cause, UsageRow
+
+HELD_S = 8.0
+AGE_S = 100.0
+
+
+def _ledger(*gateways: str, allowed: float = 1000.0) -> AccountLedger[str]:
+    ledger: AccountLedger[str] = AccountLedger(HELD_S, epoch=1)
+    ledger.set_limit(1, allowed)
+    for gateway in gateways:
+        ledger.join(gateway, AGE_S, 0.0, len(gateways))
+    return ledger
+
+
+class TestGrants:
+    """Guards against more tokens than the limit, and against less than it allows."""
+
+    def test_the_whole_limit_is_granted_once_in_a_window(self) -> None:
+        ledger = _ledger("a", "b")
+        assert [ledger.take(500, 500, at, 2).tokens for at in (0.0, 1.0, 2.0)] == [500, 500, 0]
+        assert ledger.take(500, 500, HELD_S + 0.1, 2).tokens == 500
+        assert ledger.take(500, 500, HELD_S + 0.2, 2).tokens == 0
+
+    def test_a_refusal_tells_when_there_is_room(self) -> None:
+        ledger = _ledger("a")
+        ledger.take(1000, 1000, 0.0, 1)
+        grant = ledger.take(100, 100, 3.0, 1)
+        assert (grant.tokens, grant.cause) == (0, Cause.LIMIT)
+        assert grant.wait_s == pytest.approx(5.0)
+
+    def test_refused_requests_are_told_to_come_back_one_after_the_other(self) -> None:
+        """Guards against a crowd that comes back when there is room for the first of it."""
+        ledger = _ledger("a")
+        for at in range(5):
+            ledger.take(200, 200, float(at), 1)
+        returns = [ledger.take(200, 200, 5.0, 1).return_s for _ in range(4)]
+        assert returns == pytest.approx([3.0, 4.0, 5.0, 6.0])
+
+    def test_no_more_than_needed_is_granted_near_the_limit(self) -> None:
+        ledger = _ledger("a")
+        assert ledger.take(100, 5000, 0.0, 1).tokens > 100
+        ledger.take(700, 700, 0.0, 1)
+        assert ledger.take(10, 5000, 0.0, 1).tokens == 10
+
+    def test_a_lower_limit_holds_at_once_and_a_higher_one_too(self) -> None:
+        ledger = _ledger("a")
+        ledger.take(500, 500, 0.0, 1)
+        ledger.set_limit(2, 400.0)
+        assert ledger.take(10, 10, 1.0, 1).tokens == 0
+        ledger.set_limit(1, 1000.0)
+        assert ledger.take(10, 10, 1.0, 1).tokens == 0
+        ledger.set_limit(3, 2000.0)
+        assert ledger.take(1500, 1500, 1.0, 1).tokens == 1500
+
+    def test_tokens_that_were_left_are_granted_again(self) -> None:
+        ledger = _ledger("a")
+        ledger.take(1000, 1000, 0.0, 1)
+        ledger.note_used([UsageRow(0.0, -300)])
+        assert ledger.take(300, 300, 1.0, 1).tokens == 300
+
+
+class TestBeginning:
+    """Guards against a limit that a new counting agent grants a second time."""
+
+    def test_an_agent_that_all_gateways_have_told_grants_the_rest(self) -> None:
+        ledger: AccountLedger[str] = AccountLedger(HELD_S, epoch=2)
+        ledger.set_limit(1, 1000.0)
+        ledger.join("a", AGE_S, 1.0, 2, [UsageRow(0.5, 600, 1)])
+        assert ledger.take(10, 10, 1.0, 2).tokens == 0
+        ledger.join("b", AGE_S, 1.0, 2, [UsageRow(0.5, 100, 1)])
+        assert ledger.is_known
+        assert [ledger.take(300, 300, 1.0, 2).tokens for _ in range(2)] == [300, 0]
+
+    def test_a_restarted_gateway_hides_what_was_sent_for_a_window(self) -> None:
+        ledger: AccountLedger[str] = AccountLedger(HELD_S, epoch=2)
+        ledger.set_limit(1, 1000.0)
+        ledger.join("a", AGE_S, 1.0, 2)
+        ledger.join("b", 0.5, 1.0, 2)
+        assert ledger.take(10, 10, 1.0, 2).tokens == 0
+        assert ledger.take(10, 10, 1.0 + HELD_S, 2).tokens == 10
+
+    def test_what_gateways_saw_bounds_what_is_unknown(self) -> None:
+        ledger: AccountLedger[str] = AccountLedger(HELD_S, epoch=2)
+        ledger.set_limit(1, 1000.0)
+        ledger.join("a", AGE_S, 1.0, 2, [UsageRow(0.5, 200, 1)], seen_share=0.6)
+        ledger.join("b", 0.5, 1.0, 2)
+        assert ledger.take(300, 300, 1.0, 2).tokens == 300
+        assert ledger.take(200, 200, 1.0, 2).tokens == 0
+
+    def test_an_agent_with_some_gateways_grants_their_share(self) -> None:
+        ledger = _ledger("a", "b", "c", "d")
+        ledger.leave("d")
+        assert ledger.take(800, 800, 1.0, 4).cause is Cause.SHARE
+        assert ledger.take(750, 750, 1.0, 4).tokens == 750
+
+    def test_what_the_agent_granted_itself_counts_once(self) -> None:
+        """Guards against gateways that reconnect and tell what the agent knows."""
+        ledger = _ledger("a")
+        ledger.take(600, 600, 0.0, 1)
+        ledger.leave("a")
+        ledger.join("a", AGE_S, 1.0, 1, [UsageRow(0.0, 600, 1)])
+        assert ledger.take(400, 400, 1.0, 1).tokens == 400
