Hold the token limit of an account over all gateways

Change: one agent by account (rendezvous hashing) grants tokens for a short lease (protocol 6, tags 17 to 20); a gateway without an agent uses a part of the tolerance. Beyond the limit 429 at once, with a Retry-After at which there is room. Tokens of requests that ran nowhere go back, requests sent again count again. Nothing is asked or counted where an account has no limit.

--- a/src/dragonflyhold/gateway/agent.py
+++ b/src/dragonflyhold/gateway/agent.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from typing import final
 
+from dragonflyhold.gateway.account_counter import AccountCounter
 from dragonflyhold.gateway.catalogue import Catalogue
 from dragonflyhold.gateway.crash_batch import CrashBatch
 from dragonflyhold.gateway.crash_evidence import CrashEvidence
@@ -30,6 +31,7 @@
     NO_CHANGE,
     ORIGIN_PROTOCOL,
     PROTOCOL_VERSION,
+    TOKEN_PROTOCOL,
     AdapterDemand,
     AgentHeartbeat,
     CrashDigest,
@@ -48,6 +50,10 @@
     StartGrant,
     StartRequest,
     SuspectUpdate,
+    TokenQuery,
+    TokenReply,
+    TokenReport,
+    TokenRequest,
     encode,
 )
 from dragonflyhold.gateway.model import (
@@ -138,6 +144,12 @@
         self._crashes = CrashEvidence()
         self._crash_batch = CrashBatch(self._crashes, self._forward_crashes)
         self._limits = LimitLedger()
+        # What the gateways use of the limits of client accounts.
+        self._account_tokens = AccountCounter(
+            self._token_gateways,
+            lambda delay_s, call: asyncio.get_running_loop().call_later(delay_s, call),
+            metrics.count_event,
+        )
         self._origins = OriginKeeper(self._origin_gateways)
         self._logged_at = 0.0
         # Whether requests wait for adapters without a slot, so that an ended request matters.
@@ -149,6 +161,7 @@
         """Send the engine's state to a new gateway."""
         self._demands.add_gateway(link)
         self._publication.add(link)
+        self._account_tokens.note_gateways(len(self._demands))
         self._log.info("A gateway connected.", peer=link.peer, gateways=len(self._demands))
         self._send_update(link, self._build_update(), time.monotonic())
 
@@ -156,6 +169,8 @@
         """Drop the demand of a disconnected gateway."""
         self._demands.remove_gateway(link)
         self._publication.remove(link)
+        self._account_tokens.remove(link)
+        self._account_tokens.note_gateways(len(self._demands))
         self._log.info("A gateway disconnected.", peer=link.peer, gateways=len(self._demands))
         self._changed.set()
 
@@ -200,7 +215,19 @@
                 self._origins.answer(link, message)
             case OriginReply():
                 self._origins.note_reply(message)
-            case EngineUpdate() | AgentHeartbeat() | StartGrant() | LimitUpdate() | PermitReply():
+            case TokenRequest():
+                self._account_tokens.answer(link, message)
+            case TokenReport():
+                self._account_tokens.apply(link, message)
+            case (
+                EngineUpdate()
+                | AgentHeartbeat()
+                | StartGrant()
+                | LimitUpdate()
+                | PermitReply()
+                | TokenReply()
+                | TokenQuery()
+            ):
                 self._log.warning("A message that only agents send was ignored.", peer=link.peer)
 
     def _forward_crashes(self, update: CrashUpdate) -> None:
@@ -238,8 +265,17 @@
             if self._publication.protocol(link) >= ORIGIN_PROTOCOL
         ]
 
+    def _token_gateways(self) -> list[Link]:
+        return [
+            link
+            for link in self._demands.gateways()
+            if self._publication.protocol(link) >= TOKEN_PROTOCOL
+        ]
+
     def repeat_limits(self) -> None:
         """Tell all gateways of all limits again, in case a message was lost; call regularly."""
+        self._account_tokens.note_gateways(len(self._demands))
+        self._account_tokens.expire()
         statements = self._limits.statements()
         if statements:
             data = encode(LimitUpdate(statements))
--- a/src/dragonflyhold/gateway/daemon.py
+++ b/src/dragonflyhold/gateway/daemon.py
@@ -276,6 +276,7 @@
             self.gateway.budget.set_gateways(self.gateway.agent_links.count_gateways())
             self.gateway.registry.expire()
             self.gateway.origins.tell_uncertain()
+            self.gateway.account_limits.flush()
             self.gateway.pool.close_expired(now)
             self._update_metrics(now)
             self._reload(force=False)
--- a/src/dragonflyhold/gateway/engines.py
+++ b/src/dragonflyhold/gateway/engines.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Sequence
 from typing import final
 
+from dragonflyhold.gateway.account_limits import AccountLimits
 from dragonflyhold.gateway.agent_link import AgentLink
 from dragonflyhold.gateway.catalogue import Catalogue
 from dragonflyhold.gateway.crash_batch import CrashBatch
@@ -21,6 +22,7 @@
     LIMIT_PROTOCOL,
     NO_CHANGE,
     ORIGIN_PROTOCOL,
+    TOKEN_PROTOCOL,
     AgentHeartbeat,
     CrashDigest,
     CrashUpdate,
@@ -39,6 +41,10 @@
     StartGrant,
     StartRequest,
     SuspectUpdate,
+    TokenQuery,
+    TokenReply,
+    TokenReport,
+    TokenRequest,
     encode,
 )
 from dragonflyhold.gateway.model import ModelAdapter, RegistrationState, Upstream, UpstreamId
@@ -85,6 +91,8 @@
         self.permits = UpstreamPermits(self, count_event)
         # Exchanges the origins of streams with the agents; set by the gateway.
         self.origins: OriginDirectory | None = None
+        # Takes tokens of limited accounts; set by the gateway.
+        self.account_limits: AccountLimits | None = None
         # Exchanges the newest known change with the agents; set by the daemon.
         self.operator_watch: TableWatch | None = None
         self._table = table
@@ -178,6 +186,14 @@
             ip = max(agents, key=lambda ip: combine(view.address_hash, hash64(ip.encode())))
         return agents[ip]
 
+    def token_agents(self) -> list[AgentLink]:
+        """Return the connected agents that count for client accounts."""
+        return [
+            agent
+            for agent in self._agents.values()
+            if agent.link is not None and agent.protocol >= TOKEN_PROTOCOL
+        ]
+
     def origin_keepers(self, key: StreamKey) -> list[Link]:
         """Return the links to the agents that keep a stream's origin, first those of first rank."""
         agents = (
@@ -210,6 +226,10 @@
         """Return the number of gateways, as far as known, at least 1."""
         return self._gateway_count.value
 
+    def count_known_gateways(self) -> int | None:
+        """Return the number of gateways, ``None`` before an agent has told it."""
+        return self._gateway_count.told
+
     def close(self) -> None:
         """Close all links."""
         for agent in self._agents.values():
@@ -239,6 +259,8 @@
         self.permits.note_agents_changed(self._table.views.values())
         if self.origins is not None:
             self.origins.note_keepers_changed()
+        if self.account_limits is not None:
+            self.account_limits.note_agent_lost(agent, was_silent)
 
     def agent_message(self, agent: AgentLink, message: Message) -> None:
         """Handle a message from an agent."""
@@ -267,6 +289,8 @@
                         self.origins.note_keepers_changed()
                     self.compare_crashes()
                     self.permits.note_agents_changed(self._table.views.values())
+                    if self.account_limits is not None and message.protocol >= TOKEN_PROTOCOL:
+                        self.account_limits.note_agent_gained(agent)
                 if view is not None:
                     self._table.apply_heartbeat(view.upstream.upstream_id, message, now)
             case StartGrant():
@@ -281,6 +305,12 @@
             case OriginQuery():
                 if agent.link is not None and self.origins is not None:
                     agent.link.send(self.origins.reply_to(message))
+            case TokenReply():
+                if self.account_limits is not None:
+                    self.account_limits.note_reply(message)
+            case TokenQuery():
+                if agent.link is not None and self.account_limits is not None:
+                    self.account_limits.answer(agent.link, message)
             case (
                 DemandUpdate()
                 | StartRequest()
@@ -288,6 +318,8 @@
                 | LimitReport()
                 | PermitRequest()
                 | OriginUpdate()
+                | TokenRequest()
+                | TokenReport()
             ):
                 self._log.warning("A message that only gateways send was ignored.", ip=agent.ip)
 
--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -9,6 +9,7 @@
 from typing import final
 
 from dragonflyhold.accounts import Caller, ClientAccount, Unidentified, UnknownKeyError
+from dragonflyhold.gateway.account_limits import AccountLimits, Decision
 from dragonflyhold.gateway.budget import RetryBudget
 from dragonflyhold.gateway.byte_budget import ByteBudget
 from dragonflyhold.gateway.catalogue import Catalogue
@@ -108,6 +109,14 @@
             self.table.has_run_since,
         )
         self.agent_links.origins = self.origins
+        # Tokens of limited accounts, shared with the other gateways.
+        self.account_limits = AccountLimits(
+            self.agent_links,
+            settings.bounds.quota,
+            metrics.count_event,
+            is_first_start=settings.is_first_start,
+        )
+        self.agent_links.account_limits = self.account_limits
         self.table.registry_read_at = self._registry_read_at
         # Watches the registry; set by the daemon.
         self.registry_watch: TableWatch | None = None
@@ -255,7 +264,9 @@
             resumes=request_info.resumed_request_id,
             last_event=request_info.last_event_id,
         )
-        run = RequestRun(self, request, request_info, route, service, caller, responder)
+        run = RequestRun(
+            self, request, request_info, route, service, caller, responder, configuration.version
+        )
         self.check_stop(run.deadline, service)
         return run
 
@@ -286,9 +297,10 @@
                 responder.send(404, [(b"Content-Type", b"text/plain")], b"no route")
             case Reason.UNKNOWN_KEY:
                 responder.send(401, [(b"Content-Type", b"text/plain")], b"unknown key")
-            case _:
+            case reason:
+                status = 429 if reason is Reason.ACCOUNT_LIMIT else 503
                 headers = codec.refusal_headers(error.retry_after_s)
-                responder.send(503, headers, f"not run: {error.reason.value}\n".encode())
+                responder.send(status, headers, f"not run: {reason.value}\n".encode())
         self._log_end(run, request_info, error.reason.value, responder, error.detail)
 
     def _fail(
@@ -480,6 +492,20 @@
             error=describe(error),
         )
 
+    def note_limited(
+        self, request_info: RequestInfo, account: ClientAccount, tokens: int, decision: Decision
+    ) -> None:
+        """Log and count a request beyond its account's limit, or without room below it."""
+        self._metrics.count_event(f"account_limited_{decision.cause.value}")
+        self.request_log.info(
+            "An account's limit allows no request now.",
+            id=request_info.request_id,
+            account=account.name,
+            tokens=tokens,
+            decided_by=decision.cause.value,
+            return_ms=round(decision.return_s * 1000),
+        )
+
     def count_oversized_response(self) -> None:
         """Count a response that exceeded a limit."""
         self._metrics.count_event("upstream_oversized_response")
--- a/src/dragonflyhold/gateway/messages.py
+++ b/src/dragonflyhold/gateway/messages.py
@@ -35,18 +35,21 @@
 _TAG_START, _TAG_GRANT, _TAG_LATE, _TAG_CRASHES, _TAG_CRASH_DIGEST = 5, 6, 7, 8, 9
 _TAG_LIMITS, _TAG_LIMIT_REPORT, _TAG_PERMIT_REQUEST, _TAG_PERMIT_REPLY = 10, 11, 12, 13
 _TAG_ORIGINS, _TAG_ORIGIN_QUERY, _TAG_ORIGIN_REPLY = 14, 15, 16
+_TAG_TOKEN_REQUEST, _TAG_TOKEN_REPLY, _TAG_TOKEN_REPORT, _TAG_TOKEN_QUERY = 17, 18, 19, 20
 # Larger frames are rejected as invalid.
 MAX_FRAME_BYTES = 1 << 20
 # Version 2 added the announced gap and the load to heartbeats, pings to demands, and paced starts.
 # Version 3 replaced suspects by crash records, and added the version to heartbeats.
 # Version 4 added the limits that upstreams state.
 # Version 5 added the origins of streams.
-PROTOCOL_VERSION = 5
-# Protocol versions from which on a peer understands crash records, limits of upstreams, and origins
-# of streams.
+# Version 6 added the token limits of client accounts.
+PROTOCOL_VERSION = 6
+# Protocol versions from which on a peer understands crash records, limits of upstreams, origins of
+# streams, and token limits of accounts.
 CRASH_PROTOCOL = 3
 LIMIT_PROTOCOL = 4
 ORIGIN_PROTOCOL = 5
+TOKEN_PROTOCOL = 6
 NO_CHANGE = StorePosition(FIRST_ERA, 0)
 
 
@@ -305,6 +308,81 @@
     is_sure: bool = True
 
 
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class UsedTokens:
+    """Tokens that a gateway used, or, if negative, that it was granted and left."""
+
+    age_s: float
+    tokens: float
+    # Epoch of the agent that granted them, 0 if none did.
+    source: int
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class TokenReport:
+    """A gateway tells an agent what it used of an account that the agent does not know."""
+
+    account: str
+    # Version of the configuration, and the tokens that it allows in ``held_s``; 0 if the gateway
+    # knows none.
+    version: int
+    allowed: float
+    held_s: float
+    # Number of gateways, as far as known.
+    gateways: int
+    # Whether the gateway will ask this agent for tokens of the account.
+    is_counter: bool
+    # Age of the gateway's process.
+    age_s: float
+    used: Sequence[UsedTokens] = ()
+    # Share of the limit that was used at most when the agent that counted before ended.
+    seen_share: float | None = None
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class TokenRequest:
+    """A gateway asks for tokens of an account."""
+
+    # Unique on its link.
+    number: int
+    # Tokens needed at once, and those that are of use soon.
+    needed: int
+    wanted: int
+    report: TokenReport
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class TokenReply:
+    """An agent's answer to a ``TokenRequest``."""
+
+    number: int
+    # 0 if fewer than needed are left.
+    tokens: int
+    # Time until there is room for the needed tokens.
+    wait_s: float
+    # Why; the value of a ``Cause``.
+    cause: str
+    # Identifies the agent's process.
+    epoch: int
+    # Time until there is room after the requests that were refused lately.
+    return_s: float = 0.0
+    # Share of the limit that is used.
+    used_share: float = 1.0
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class TokenQuery:
+    """An agent that begins to count for an account asks all gateways for a ``TokenReport``."""
+
+    account: str
+    epoch: int
+
+
 Message = (
     DemandUpdate
     | EngineUpdate
@@ -322,6 +400,10 @@
     | OriginUpdate
     | OriginQuery
     | OriginReply
+    | TokenRequest
+    | TokenReply
+    | TokenReport
+    | TokenQuery
 )
 
 
@@ -412,6 +494,16 @@
         case OriginReply(number, origin, age_s, is_sure):
             known = (*_encode_origin(origin), round(age_s, 3), is_sure) if origin else ()
             fields = (_TAG_ORIGIN_REPLY, number, *known)
+        case TokenRequest(number, needed, wanted, token_report):
+            encoded = _encode_token_report(token_report)
+            fields = (_TAG_TOKEN_REQUEST, number, needed, wanted, *encoded)
+        case TokenReply(number, tokens, wait_s, cause, epoch, return_s, used_share):
+            state = (round(wait_s, 3), round(return_s, 3), round(used_share, 3))
+            fields = (_TAG_TOKEN_REPLY, number, tokens, cause, epoch, *state)
+        case TokenReport():
+            fields = (_TAG_TOKEN_REPORT, *_encode_token_report(message))
+        case TokenQuery(account, epoch):
+            fields = (_TAG_TOKEN_QUERY, account, epoch)
     packed: bytes = msgpack.packb(fields)
     return packed
 
@@ -424,6 +516,20 @@
     return (_encode_statement(report.statement), list(report.sent_ages_s))
 
 
+def _encode_token_report(report: TokenReport) -> tuple[Any, ...]:
+    return (
+        report.account,
+        report.version,
+        report.allowed,
+        report.held_s,
+        report.gateways,
+        report.is_counter,
+        round(report.age_s, 3),
+        [(round(row.age_s, 3), row.tokens, row.source) for row in report.used],
+        report.seen_share,
+    )
+
+
 def _encode_origin(origin: StreamOrigin) -> tuple[Any, ...]:
     return (origin.service, origin.software, origin.incarnation)
 
@@ -486,6 +592,27 @@
                 return OriginReply(
                     count(request), _decode_origin(*origin), number(age_s), bool(is_sure)
                 )
+            case 17:
+                request, needed, wanted, *report = rest
+                return TokenRequest(
+                    count(request), count(needed), count(wanted), _decode_token_report(*report)
+                )
+            case 18:
+                request, granted, cause, epoch, wait_s, return_s, used_share, *_ = rest
+                return TokenReply(
+                    count(request),
+                    count(granted),
+                    number(wait_s),
+                    text(cause),
+                    count(epoch),
+                    number(return_s),
+                    number(used_share),
+                )
+            case 19:
+                return _decode_token_report(*rest)
+            case 20:
+                account, epoch, *_ = rest
+                return TokenQuery(text(account), count(epoch))
     except (TypeError, ValueError, LookupError, AttributeError) as error:
         raise MessageError(f"received fields are not a valid message: {describe(error)}") from error
     raise MessageError(f"received a message with unknown tag {reprlib.repr(tag)}")
@@ -614,3 +741,32 @@
     incarnation, limit_per_s, age_s = row
     limit = number(limit_per_s) if limit_per_s is not None else None
     return LimitStatement(text(incarnation), limit, number(age_s))
+
+
+def _decode_token_report(
+    account: Any,
+    version: Any,
+    allowed: Any,
+    held_s: Any,
+    gateways: Any,
+    is_counter: Any,
+    age_s: Any,
+    used: Sequence[Any],
+    seen_share: Any,
+    *later: Any,
+) -> TokenReport:
+    del later
+    return TokenReport(
+        text(account),
+        count(version),
+        number(allowed),
+        number(held_s),
+        count(gateways),
+        bool(is_counter),
+        number(age_s),
+        [
+            UsedTokens(number(row_age_s), number(tokens), count(source))
+            for row_age_s, tokens, source in used
+        ],
+        number(seen_share) if seen_share is not None else None,
+    )
--- a/src/dragonflyhold/gateway/request.py
+++ b/src/dragonflyhold/gateway/request.py
@@ -6,7 +6,8 @@
 import time
 from typing import TYPE_CHECKING, final
 
-from dragonflyhold.accounts import Caller
+from dragonflyhold.accounts import Caller, ClientAccount
+from dragonflyhold.gateway.account_limits import Taken
 from dragonflyhold.gateway.attempt import (
     CHECK_PERIOD_S,
     MIN_ATTEMPT_S,
@@ -33,6 +34,7 @@
 from dragonflyhold.gateway.upstream_view import UpstreamView
 from dragonflyhold.gateway.waiting import Waiter
 from dragonflyhold.ids import ServiceName
+from dragonflyhold.ratelimits import count_tokens
 
 if TYPE_CHECKING:
     from dragonflyhold.gateway.gateway import Gateway
@@ -75,6 +77,7 @@
         service: ServiceName,
         caller: Caller,
         responder: Responder,
+        config_version: int = 0,
     ) -> None:
         self.progress = Progress(request.received)
         self._gateway = gateway
@@ -82,7 +85,11 @@
         self._request_info = request_info
         self._route = route
         self._service = service
+        # Version of the configuration that names the caller and its limit.
+        self._config_version = config_version
         self._responder = responder
+        # Tokens of the request, if its account has a limit.
+        self._taken: Taken | None = None
         limit = route.timeout_s
         if request_info.time_left_s is not None:
             limit = min(limit, request_info.time_left_s)
@@ -116,6 +123,18 @@
 
     async def run(self) -> None:
         """Serve the request; raise ``RefusedError`` or ``InDoubtError``."""
+        await self._take_tokens()
+        try:
+            await self._serve()
+        except RefusedError:
+            # Not run: its tokens are free again, also if an upstream turned it away.
+            self._put_back_tokens()
+            raise
+        finally:
+            if self.progress.last_sent_at is None:
+                self._put_back_tokens()
+
+    async def _serve(self) -> None:
         if self._route.is_stream and self._request_info.takes_up_stream:
             await self._find_origin()
         traits = self._context.traits
@@ -140,6 +159,35 @@
                         self._gateway.note_answered(traits)
                     self._handle_failed_attempt(choice, outcome)
 
+    # Limit of the account
+
+    async def _take_tokens(self) -> None:
+        """Count the request against its account's limit; raise ``RefusedError`` if that is used."""
+        gateway, caller, info = self._gateway, self._context.caller, self._request_info
+        if not isinstance(caller, ClientAccount) or caller.limit is None:
+            return
+        tokens = count_tokens(caller.limit, info.prompt_tokens, info.output_tokens)
+        decision = await gateway.account_limits.acquire(
+            caller.name, caller.limit, self._config_version, tokens
+        )
+        if decision.is_granted:
+            self._taken = Taken(caller.name, tokens, time.monotonic())
+            return
+        gateway.note_limited(info, caller, tokens, decision)
+        delay_s = decision.return_s * (1 + RETURN_SPREAD_SHARE * random.random())
+        detail = f"account={caller.name} tokens={tokens} decided_by={decision.cause.value}"
+        raise self._terminal_error(Reason.ACCOUNT_LIMIT, detail, delay_s)
+
+    def _put_back_tokens(self) -> None:
+        taken, self._taken = self._taken, None
+        if taken is not None:
+            self._gateway.account_limits.put_back(taken)
+
+    def _charge_again(self) -> None:
+        """Count the request once more, as it may run once more."""
+        if self._taken is not None:
+            self._gateway.account_limits.charge(self._taken)
+
     async def _find_origin(self) -> None:
         """Find out what began the stream that the client takes up, where alone it may go on."""
         info = self._request_info
@@ -330,6 +378,7 @@
         self.progress.tried.add(left.upstream_id)
         self.progress.upstream = successor.upstream_id
         self._set_retry_limit()
+        self._charge_again()
         self._gateway.count_retry(Reason.SILENT)
 
     def _set_retry_limit(self) -> None:
@@ -357,6 +406,7 @@
             kind=self._route.retry_safety.value,
         )
         if may_retry:
+            self._charge_again()
             self._gateway.count_retry(outcome.reason)
             return
         failure = outcome.failure
--- a/tests/gateway/test_messages.py
+++ b/tests/gateway/test_messages.py
@@ -20,6 +20,11 @@
     OriginUpdate,
     PermitReply,
     PermitRequest,
+    TokenQuery,
+    TokenReply,
+    TokenReport,
+    TokenRequest,
+    UsedTokens,
     decode,
     encode,
 )
@@ -35,6 +40,9 @@
 
 
 ORIGIN = StreamOrigin(ServiceName("assistant"), SoftwareVersion("v1"), "e0@1")
+TOKEN_REPORT = TokenReport(
+    "branch", 7, 2e6, 8.25, 31, True, 60.5, [UsedTokens(0.5, 700, 9), UsedTokens(0.25, -80, 0)], 0.5
+)
 ORIGIN_ROW = OriginRow(StreamKey(7), ORIGIN, 0.5, True)
 
 
@@ -59,6 +67,10 @@
             OriginQuery(3, StreamKey(2**64 - 1), "ask"),
             OriginReply(3, ORIGIN, 0.25, False),
             OriginReply(3, None),
+            TOKEN_REPORT,
+            TokenRequest(7, 700, 900, TOKEN_REPORT),
+            TokenReply(7, 900, 0.125, "limit", 2**52 - 1, 0.5, 0.25),
+            TokenQuery("branch", 5),
         ],
     )
     def test_decoded_messages_equal_the_sent_ones(self, message: object) -> None:
@@ -76,6 +88,10 @@
             [9],
             [10, [[1]]],
             [12, 1],
+            [17, 1, 2, 3],
+            [18, 1, -1, "limit", 1, 0, 0, 0],
+            [19, "branch", 1, 2e6, 8.25, 31, True, 1.0, [[1, 2]], None],
+            [20],
             7,
         ):
             with pytest.raises(MessageError):
--- a/tests/gateway/test_reasons.py
+++ b/tests/gateway/test_reasons.py
@@ -18,7 +18,7 @@
 from tests.platform.test_settings import GATEWAY_FIELDS
 
 # Statuses of refusals other than 503.
-STATUSES = {Reason.NO_ROUTE: 404, Reason.UNKNOWN_KEY: 401}
+STATUSES = {Reason.NO_ROUTE: 404, Reason.UNKNOWN_KEY: 401, Reason.ACCOUNT_LIMIT: 429}
 
 
 class _Responder:
