--- a/src/dragonflyhold/gateway/account_counter.py
+++ b/src/dragonflyhold/gateway/account_counter.py
@@ -19,13 +19,15 @@
     TokenReport,
     TokenRequest,
 )
-from dragonflyhold.ratelimits import AccountLedger, Cause, UsageRow
+from dragonflyhold.ratelimits import AccountLedger, Cause, Grant, UsageRow
 
 # Time after which an account is forgotten for which no gateway asks.
 EXPIRY_S = 60.0
 # Time for which requests wait until the agent knows what was sent, and before it asks again.
 HELD_REQUEST_S = 0.03
 QUERY_INTERVAL_S = 0.5
+# Shortest time between two lines about the same account.
+LOG_INTERVAL_S = 1.0
 # Time for which a smaller number of gateways is not believed: some may be cut off.
 GATEWAYS_HELD_S = 60.0
 # Bounds of what gateways state, so that an odd message does no lasting harm.
@@ -48,6 +50,7 @@
     held_s: float
     used_at: float
     queried_at: float = -1e9
+    logged_at: float = -1e9
     waiting: list[tuple[GatewayLink, TokenRequest]] = dataclasses.field(default_factory=list)
 
 
@@ -147,7 +150,7 @@
         if grant.tokens:
             self._count_event("account_tokens_granted", grant.tokens)
         else:
-            self._count_event(f"account_tokens_refused_{grant.cause.value}", 1)
+            self._note_refused(account, request, grant)
         link.send(
             TokenReply(
                 request.number,
@@ -160,6 +163,22 @@
             )
         )
 
+    def _note_refused(self, account: _Account, request: TokenRequest, grant: Grant) -> None:
+        self._count_event(f"account_tokens_refused_{grant.cause.value}", 1)
+        now = self._clock()
+        if now >= account.logged_at + LOG_INTERVAL_S:
+            account.logged_at = now
+            self._log.info(
+                "An account's limit leaves no room.",
+                account=request.report.account,
+                decided_by=grant.cause.value,
+                config=request.report.version,
+                allowed=round(request.report.allowed),
+                needed=request.needed,
+                room_ms=round(grant.wait_s * 1000),
+                gateways=self._gateway_count.value,
+            )
+
     def expire(self) -> None:
         """Forget accounts for which no gateway asks any more; call from time to time."""
         now = self._clock()
--- a/src/dragonflyhold/gateway/account_limits.py
+++ b/src/dragonflyhold/gateway/account_limits.py
@@ -133,6 +133,9 @@
         # Time since which no agent is connected.
         self._alone_since = self._started_at
         self._accounts: dict[AccountName, _Account] = {}
+        # Accounts with tokens to give back, or with something to tell.
+        self._unsettled: dict[AccountName, _Account] = {}
+        self._expire_at = 0.0
         self._numbers = itertools.count(1)
         self._questions: dict[int, _Question] = {}
         # Questions whose reply came too late for their request.
@@ -173,6 +176,7 @@
         now = self._clock()
         account = self._account(name, now)
         account.used_at = now
+        self._unsettled[name] = account
         if version >= account.version:
             account.version = version
             account.purse.set_allowance(Allowance.of(limit, self._bounds))
@@ -208,6 +212,7 @@
             late = self._given_up.pop(reply.number, None)
             if late is not None:
                 late.account.purse.give_back_late(grant, late.asked_at, reply.epoch)
+                self._unsettled[late.account.name] = late.account
                 self._count_event("account_tokens_late", grant.tokens)
             return
         account = question.account
@@ -246,7 +251,7 @@
     def _decide_alone(self, account: _Account, tokens: int, refusal: Grant) -> Decision:
         """Decide after an agent's refusal, or without an agent."""
         if refusal.cause is not Cause.LIMIT and account.purse.take_alone(
-            tokens, self._clock(), self._gateways()
+            tokens, self._clock(), self._gateways(), refusal.cause
         ):
             return Decision(True, Cause.AWAY)
         return Decision(False, refusal.cause, refusal.return_s)
@@ -256,12 +261,14 @@
         account, now = self._accounts.get(taken.account), self._clock()
         if account is not None:
             account.purse.charge(taken.tokens, now)
+            self._unsettled[account.name] = account
 
     def put_back(self, taken: Taken) -> None:
         """Give back the tokens of a request that was sent nowhere."""
         account = self._accounts.get(taken.account)
         if account is not None:
             account.purse.put_back(taken.tokens, taken.taken_at, self._clock())
+            self._unsettled[account.name] = account
             self._count_event("account_tokens_returned", taken.tokens)
 
     # Agents
@@ -292,10 +299,22 @@
     def flush(self) -> None:
         """Give back tokens whose lease has ended, and forget unused accounts; call regularly."""
         now = self._clock()
-        for account in list(self._accounts.values()):
+        unsettled, self._unsettled = self._unsettled, {}
+        for account in unsettled.values():
+            expired = account.purse.end_lease(now)
+            if expired:
+                self._count_event("account_tokens_expired", expired)
             link = account.agent.link if account.agent is not None else None
-            if account.purse.end_lease(now) and link is not None:
+            if account.purse.has_news and link is not None:
                 link.send(self._report(account, link, is_counter=True))
+            if not account.purse.is_settled:
+                self._unsettled[account.name] = account
+        if now >= self._expire_at:
+            self._expire_at = now + EXPIRY_S / 10
+            self._expire(now)
+
+    def _expire(self, now: float) -> None:
+        for account in list(self._accounts.values()):
             if now - account.used_at > max(EXPIRY_S, self._bounds.held_s):
                 del self._accounts[account.name]
         for number, question in list(self._given_up.items()):
--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -341,6 +341,8 @@
                 attempts=progress.attempts,
                 refusals=progress.refusals,
             )
+            if progress.limit_decided_by is not None:
+                fields["limit_decided_by"] = progress.limit_decided_by
             if progress.software:
                 # One entry for each run that brought events.
                 fields["software"] = progress.software
--- a/src/dragonflyhold/gateway/messages.py
+++ b/src/dragonflyhold/gateway/messages.py
@@ -370,7 +370,7 @@
     epoch: int
     # Time until there is room after the requests that were refused lately.
     return_s: float = 0.0
-    # Share of the limit that is used.
+    # Share of the limit that all gateways have used at most.
     used_share: float = 1.0
 
 
--- a/src/dragonflyhold/gateway/progress.py
+++ b/src/dragonflyhold/gateway/progress.py
@@ -48,6 +48,8 @@
     unsure_since: float | None = None
     # Software of the upstream of each run that brought events of the stream.
     software: list[SoftwareVersion | None] = dataclasses.field(default_factory=list)
+    # What allowed the request within its account's limit, ``None`` without a limit.
+    limit_decided_by: str | None = None
     # Upstreams on which an attempt failed or that refused the request.
     tried: set[UpstreamId] = dataclasses.field(default_factory=set)
     # Monotonic time before which no further successor is tried, and the pause after the next one.
--- a/src/dragonflyhold/gateway/request.py
+++ b/src/dragonflyhold/gateway/request.py
@@ -170,6 +170,7 @@
         decision = await gateway.account_limits.acquire(
             caller.name, caller.limit, self._config_version, tokens
         )
+        self.progress.limit_decided_by = decision.cause.value
         if decision.is_granted:
             self._taken = Taken(caller.name, tokens, time.monotonic())
             return
--- a/src/dragonflyhold/ratelimits/ledger.py
+++ b/src/dragonflyhold/ratelimits/ledger.py
@@ -42,7 +42,7 @@
     cause: Cause
     # For this request after those that were refused lately.
     return_s: float = 0.0
-    # Share of the limit that is used.
+    # Share of the limit that all gateways have used at most.
     used_share: float = 1.0
 
 
@@ -62,8 +62,8 @@
         self._unknown = Usage(held_s)
         # Granted tokens that gateways told when they came; not unknown any more.
         self._found = 0.0
-        # Largest share of the limit that was used before, as far as gateways saw it.
-        self._seen_share: float | None = None
+        # Share of the limit that was used at most before, as far as gateways saw it.
+        self._seen_share = 1.0
         self._refused = Usage(RETURN_S)
         self._held_s = held_s
         # Gateways that count here, each with the time from which on its reports are complete.
@@ -103,7 +103,7 @@
                 self._unknown.add(now, 1 / max(1, gateways))
                 self._found += sum(row.tokens for row in rows if row.source)
                 if seen_share is not None:
-                    self._seen_share = max(self._seen_share or 0.0, seen_share)
+                    self._seen_share = min(self._seen_share, seen_share)
         self.refresh(now, gateways)
 
     def leave(self, gateway: G) -> None:
@@ -128,16 +128,14 @@
 
     def _forget_unknown(self) -> None:
         self._unknown.clear()
-        self._found, self._seen_share = 0.0, None
+        self._found, self._seen_share = 0.0, 1.0
 
     def _unknown_tokens(self, now: float) -> float:
         """Return the tokens that others may have granted unknown to this agent."""
         share = min(1.0, self._unknown.total(now))
         if share <= 0:
             return 0.0
-        if self._seen_share is not None:
-            share = min(share, self._seen_share)
-        return max(0.0, self._allowed * share - self._found)
+        return max(0.0, self._allowed * min(share, self._seen_share) - self._found)
 
     def take(self, needed: int, wanted: int, now: float, gateways: int) -> Grant:
         """Grant the tokens that a gateway needs at once, and more of those that it wants."""
@@ -154,8 +152,9 @@
         if room > AMPLE_SHARE * allowed and wanted > needed:
             tokens += int(min(wanted - needed, BATCH_SHARE * (room - needed)))
         self._usage.add(now, tokens)
-        used_share = (used + tokens) / self._allowed
-        return Grant(tokens, 0.0, cause, used_share=min(1.0, max(0.0, used_share)))
+        # What gateways that count elsewhere use is not known.
+        most = used + unknown + tokens if is_whole else self._allowed
+        return Grant(tokens, 0.0, cause, used_share=min(1.0, most / max(1.0, self._allowed)))
 
     def _refuse(self, needed: int, excess: float, cause: Cause, now: float) -> Grant:
         """Return when there is room for a request that lacks ``excess`` tokens."""
--- a/src/dragonflyhold/ratelimits/purse.py
+++ b/src/dragonflyhold/ratelimits/purse.py
@@ -14,6 +14,9 @@
 # far as it told them within this time. This share of the limit is left out: some was used since.
 VIEW_HELD_S = 2.0
 UNSEEN_SHARE = 0.25
+# Share of the limit that gateways may have used since an agent told it: at once, and a second.
+SEEN_MARGIN = 0.15
+GROWTH_PER_S = 1.0
 # Longest time for which a refusal by an agent holds for further requests.
 REFUSAL_HELD_S = 0.1
 
@@ -49,9 +52,20 @@
         self._free_share = 0.0
         self._free_at = -1e9
         self._has_ended = False
+        self._seen_share = 1.0
         # Time since which no agent counts, ``None`` while one does.
         self._alone_since: float | None = None
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether no granted tokens are left, and the agent that counts has been told all."""
+        return not self._batch.tokens and not self._untold
+
+    @property
+    def has_news(self) -> bool:
+        """Whether the agent that counts has something to be told."""
+        return bool(self._untold)
+
     @property
     def allowance(self) -> Allowance:
         """Return what all gateways may send."""
@@ -70,14 +84,15 @@
 
     def note_counter_lost(self, was_silent: bool, now: float) -> None:
         """Note that the agent that counted is disconnected; a silent one may go on elsewhere."""
-        self._has_ended = not was_silent and now - self._free_at <= VIEW_HELD_S
+        age_s = now - self._free_at
+        self._has_ended = not was_silent and age_s <= VIEW_HELD_S
+        used_share = 1.0 - self._free_share + SEEN_MARGIN + GROWTH_PER_S * age_s
+        self._seen_share = min(1.0, used_share)
 
     @property
     def seen_share(self) -> float | None:
         """Return the share of the limit that was used at most when the agent that counted ended."""
-        if not self._has_ended:
-            return None
-        return min(1.0, 1.0 - self._free_share + UNSEEN_SHARE)
+        return self._seen_share if self._has_ended else None
 
     def wanted(self, needed: int, now: float) -> int:
         """Count a request's tokens as demand, and return how many to ask for.
@@ -110,10 +125,8 @@
 
     def apply(self, grant: Grant, needed: int, asked_at: float, source: int, now: float) -> bool:
         """Use what an agent granted; return whether the request may be sent."""
-        if grant.cause is not Cause.UNKNOWN:
-            self._has_ended = False
-            self._free_share = 1.0 - grant.used_share if grant.cause is Cause.LIMIT else 0.0
-            self._free_at = now
+        self._has_ended = False
+        self._free_share, self._free_at = 1.0 - grant.used_share, now
         if not grant.tokens:
             self._refusal = (needed, now, grant)
             return False
@@ -136,16 +149,18 @@
         if grant.tokens:
             self._give_back(UsageRow(asked_at, grant.tokens, source))
 
-    def take_alone(self, needed: int, now: float, gateways: int) -> bool:
+    def take_alone(self, needed: int, now: float, gateways: int, cause: Cause = Cause.AWAY) -> bool:
         """Use tokens of this gateway's own part, without an agent.
 
         It is a part of the reserve and of what was free of the limit, and after a whole window
         without an agent also a part of the limit. A process that has just started doesn't know what
-        the one before it used.
+        the one before it used. ``cause`` is why no agent grants tokens: one that counts already
+        grants what was free.
         """
         if now < self._started_at + self._bounds.held_s:
             return False
-        free_share = max(0.0, self._free_share - UNSEEN_SHARE) if self._has_ended else 0.0
+        has_free = self._has_ended and cause is Cause.AWAY
+        free_share = max(0.0, self._free_share - UNSEEN_SHARE) if has_free else 0.0
         part = (self._allowance.reserve + free_share * self._allowance.granted) / gateways
         if self._reserve.total(now) + needed > part and not self._has_share(needed, now, gateways):
             return False
@@ -173,12 +188,13 @@
             self._usage.add(now, -tokens)
             self._untold.append(UsageRow(taken_at, -tokens))
 
-    def end_lease(self, now: float) -> bool:
-        """Give back granted tokens whose time has ended; return whether there is news to tell."""
-        if self._batch.tokens and now >= self._batch.until:
-            batch, self._batch = self._batch, _Batch()
-            self._give_back(UsageRow(batch.asked_at, batch.tokens, batch.source))
-        return bool(self._untold)
+    def end_lease(self, now: float) -> int:
+        """Give back granted tokens whose time has ended, and return their number."""
+        if not self._batch.tokens or now < self._batch.until:
+            return 0
+        batch, self._batch = self._batch, _Batch()
+        self._give_back(UsageRow(batch.asked_at, batch.tokens, batch.source))
+        return batch.tokens
 
     def _give_back(self, row: UsageRow) -> None:
         self._untold.append(UsageRow(row.at, -row.tokens, row.source))
--- a/src/dragonflyhold/ratelimits/usage.py
+++ b/src/dragonflyhold/ratelimits/usage.py
@@ -1,5 +1,6 @@
 """Tokens by the time at which they were granted or used."""
 
+import bisect
 import dataclasses
 from collections.abc import Iterator
 from typing import final
@@ -36,19 +37,19 @@
     def add(self, at: float, tokens: float, source: int = 0) -> None:
         """Add tokens; a negative number takes some back."""
         self._total += tokens
+        # Tokens that share an entry count until the later time, never too short.
+        span_s = self._held_s * ENTRY_SHARE
         last = self._rows[-1] if self._rows else None
-        if (
-            last is not None
-            and last.source == source
-            and last.at <= at <= last.began_at + self._held_s * ENTRY_SHARE
-        ):
-            # The later time: tokens never end to count too early.
+        if last is not None and last.at <= at <= last.began_at + span_s and last.source == source:
             last.at = at
             last.tokens += tokens
             return
-        index = len(self._rows)
-        while index and self._rows[index - 1].at > at:
-            index -= 1
+        index = bisect.bisect_left(self._rows, at, key=lambda row: row.at)
+        later = self._rows[index] if index < len(self._rows) else None
+        if later is not None and later.at <= at + span_s and later.source == source and tokens > 0:
+            later.began_at = min(later.began_at, at)
+            later.tokens += tokens
+            return
         self._rows.insert(index, UsageRow(at, tokens, source, at))
 
     def total(self, now: float) -> float:
