--- a/src/dragonflyhold/gateway/account_limits.py
+++ b/src/dragonflyhold/gateway/account_limits.py
@@ -12,6 +12,7 @@
 
 from dragonflyhold.accounts import AccountName, TokenLimit
 from dragonflyhold.gateway.clock import monotonic_now
+from dragonflyhold.gateway.message_fields import MAX_NUMBER
 from dragonflyhold.gateway.messages import (
     Message,
     TokenQuery,
@@ -369,7 +370,7 @@
         return TokenReport(
             account.name,
             account.version,
-            account.purse.allowance.granted,
+            min(MAX_NUMBER, account.purse.allowance.granted),
             self._bounds.held_s,
             self._agents.count_known_gateways() or 0,
             is_counter,
--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -5,10 +5,18 @@
 import math
 import random
 import time
-from collections.abc import AsyncIterator, Coroutine
+from collections.abc import AsyncIterator, Callable, Coroutine
 from typing import final
 
-from dragonflyhold.accounts import Caller, ClientAccount, Unidentified, UnknownKeyError
+from dragonflyhold.accounts import (
+    Caller,
+    ClientAccount,
+    StoreContact,
+    UnconfirmedKeyError,
+    Unidentified,
+    UnknownKeyError,
+    judge_freshness,
+)
 from dragonflyhold.gateway.account_limits import AccountLimits, Decision
 from dragonflyhold.gateway.budget import RetryBudget
 from dragonflyhold.gateway.byte_budget import ByteBudget
@@ -61,6 +69,7 @@
 LOAD_UTILITY = 1.0
 # Engines support 10 urgency levels, 0 to 9.
 MAX_URGENCY = 9
+_KEY_OUTCOMES = (Reason.UNKNOWN_KEY.value, Reason.KEY_UNCONFIRMED.value)
 # Cost of an output token relative to a prompt token, as in the platform's price list.
 OUTPUT_TOKEN_WEIGHT = 10
 
@@ -73,6 +82,8 @@
         self.log = JsonLogger("gateway")
         # Per-request log lines have a rate limit of their own.
         self.request_log = JsonLogger("request")
+        # A crowd with unknown keys must not crowd out the lines of failures.
+        self._key_log = JsonLogger("keys")
         # Bytes of upstreams, clients, the store and peers.
         self.byte_budget = ByteBudget(
             settings.memory_bytes, lambda: metrics.count_event("byte_budget_exceeded")
@@ -120,6 +131,8 @@
         self.table.registry_read_at = self._registry_read_at
         # Watches the registry; set by the daemon.
         self.registry_watch: TableWatch | None = None
+        # Whether peers were asked for what a restored store may have lost; set by the daemon.
+        self.has_newest_rows: Callable[[], bool] = lambda: True
         self.silent_engines = SilentEngines(
             self.pool, settings.vm, self.agent_links.release_waiting
         )
@@ -246,7 +259,7 @@
         )
         if route is None:
             raise RefusedError(Reason.NO_ROUTE, 0.0)
-        caller = _identify(configuration, route, request)
+        caller = self._identify(configuration, route, request, request_info)
         service = self._pick_service(route)
         self.budget.note_request(service)
         self.request_log.info(
@@ -270,6 +283,60 @@
         self.check_stop(run.deadline, service)
         return run
 
+    def _identify(
+        self,
+        configuration: Configuration,
+        route: Route,
+        request: ClientRequest,
+        request_info: RequestInfo,
+    ) -> Caller:
+        """Return who sent a request; raise ``RefusedError`` if its key is not accepted.
+
+        The caller stays the same until the request ends, whatever becomes of the key meanwhile.
+        """
+        if configuration.accounts is None:
+            return Unidentified()
+        keys, now = codec.client_keys(request.headers), time.monotonic()
+        contact = self._store_contact()
+        freshness = judge_freshness(contact, self._settings.bounds.max_key_age_s, now)
+        try:
+            return configuration.accounts.identify(keys, route.allows_anonymous, freshness)
+        except UnknownKeyError as error:
+            refusal = RefusedError(Reason.UNKNOWN_KEY, 0.0, error.rejection.value)
+        except UnconfirmedKeyError as error:
+            retry_after_s = RETRY_AFTER_S + self._rng.random() * RETRY_JITTER_S
+            refusal = RefusedError(Reason.KEY_UNCONFIRMED, retry_after_s, error.rejection.value)
+        self._log_rejected_key(refusal, configuration, route, request_info, contact, now)
+        raise refusal
+
+    def _store_contact(self) -> StoreContact:
+        watch = self.agent_links.operator_watch
+        if watch is None:
+            return StoreContact(None, is_behind=True)
+        return StoreContact(watch.read_at, watch.is_behind or not self.has_newest_rows())
+
+    def _log_rejected_key(
+        self,
+        refusal: RefusedError,
+        configuration: Configuration,
+        route: Route,
+        request_info: RequestInfo,
+        contact: StoreContact,
+        now: float,
+    ) -> None:
+        self._metrics.count_event(f"key_rejected_{refusal.detail}")
+        self._key_log.info(
+            "A request's key was not accepted.",
+            id=request_info.request_id,
+            reason=refusal.detail,
+            route=route.name,
+            config=configuration.version,
+            confirmed_ms_ago=None
+            if contact.confirmed_at is None
+            else round((now - contact.confirmed_at) * 1000),
+            is_behind=contact.is_behind,
+        )
+
     def _pick_service(self, route: Route) -> ServiceName:
         if len(route.shares) == 1:
             return route.shares[0].service
@@ -372,6 +439,8 @@
                 if progress.last_sent_at is not None:
                     fields["sent_ms"] = round((time.monotonic() - progress.last_sent_at) * 1000)
             self.request_log.loss("A request ended.", **fields)
+        elif outcome in _KEY_OUTCOMES:
+            self._key_log.info("A request ended.", **fields)
         else:
             self.request_log.failure("A request ended.", **fields)
 
@@ -612,17 +681,6 @@
         task.add_done_callback(self._tasks.discard)
 
 
-def _identify(configuration: Configuration, route: Route, request: ClientRequest) -> Caller:
-    """Return who sent a request; raise ``RefusedError`` if its key is not valid."""
-    if configuration.accounts is None:
-        return Unidentified()
-    keys = codec.client_keys(request.headers)
-    try:
-        return configuration.accounts.identify(keys, route.allows_anonymous)
-    except UnknownKeyError as error:
-        raise RefusedError(Reason.UNKNOWN_KEY, 0.0, str(error)) from error
-
-
 def _is_unsent(run: RequestRun | None, responder: Responder) -> bool:
     """Return whether a request was sent to no upstream, so that it can be refused as not run."""
     return (run is None or run.progress.upstream is None) and not responder.is_started
--- a/src/dragonflyhold/platform/settings.py
+++ b/src/dragonflyhold/platform/settings.py
@@ -19,6 +19,8 @@
 
 # Environment variable with the path of the settings file.
 PATH_VARIABLE = "DRAGONFLYHOLD_CONFIG"
+# Where keys lapse without contact with the store, and the settings do not tell after which time.
+DEFAULT_MAX_KEY_AGE_S = 5.0
 
 
 @final
@@ -38,6 +40,9 @@
     retry_slack: float = 56.0
     # Window of the token limits of client accounts, and what is tolerated beyond them.
     quota: QuotaBounds = QuotaBounds()
+    # Time for which keys of client accounts stay valid without contact with the store; ``None`` if
+    # the last known configuration stays in force.
+    max_key_age_s: float | None = None
 
 
 @final
@@ -141,6 +146,13 @@
             return fallback
         return value * unit
 
+    def flag(name: str) -> bool:
+        value = fields.get(name)
+        if value is not None and not isinstance(value, bool):
+            problems.append(f"bounds.{name}: {value!r} is not true or false")
+        return value is True
+
+    max_key_age_s = number("revoke_ms", DEFAULT_MAX_KEY_AGE_S, 0.001)
     return Bounds(
         drain_s=number("drain_ms", default.drain_s, 0.001),
         grace_s=number("grace_s", default.grace_s, 1.0),
@@ -154,6 +166,7 @@
             number("quota_overage", default.quota.overage, 1.0),
             number("quota_slack", default.quota.slack, 1.0),
         ),
+        max_key_age_s=max_key_age_s if flag("revoke_when_partitioned") else None,
     )
 
 
