Let explain show which agent counted for a limited account

Cause: a refusal for an account's limit is decided on another machine, whose lines the trace left out. Change: the trace of such a request has the lines of the agents on its account in the 10 s before; its cause names what decided. Measured: test of the analysis.

--- a/src/dragonflyhold/observability/log_analysis.py
+++ b/src/dragonflyhold/observability/log_analysis.py
@@ -33,6 +33,11 @@
     "A configuration is in force.",
     "A part of the configuration's accounts is ignored.",
 )
+ACCOUNT_LIMITED_EVENT = "An account's limit allows no request now."
+# Part of the agents that count for accounts, and the time before a request for which they explain
+# a refusal: about a window of a limit.
+COUNTER_PART = "accounts"
+ACCOUNT_CONTEXT_S = 10.0
 # Example request ids listed per cause.
 MAX_EXAMPLES = 3
 
@@ -149,6 +154,7 @@
     }
     earlier = _closed_upstreams(logs.lines, request_lines, start_s, end_s)
     earlier |= _deciding_configurations(logs.lines, request_lines)
+    earlier |= _account_counts(logs.lines, request_lines, end_s)
     trace = [
         line
         for line in logs.lines
@@ -205,6 +211,24 @@
     }
 
 
+def _account_counts(
+    lines: Sequence[LogLine], request_lines: Sequence[LogLine], end_s: float
+) -> set[int]:
+    """Return the ids of the lines of agents on the limit for which the request was refused."""
+    accounts = {
+        line.get("account"): line.time_s
+        for line in request_lines
+        if line.get("event") == ACCOUNT_LIMITED_EVENT
+    }
+    return {
+        id(line)
+        for line in lines
+        if line.get("part") == COUNTER_PART
+        and line.get("account") in accounts
+        and accounts[line.get("account")] - ACCOUNT_CONTEXT_S <= line.time_s <= end_s
+    }
+
+
 def _is_related(
     line: LogLine, gateway: str, upstreams: set[Any], adapters: set[Any], agent_nodes: set[str]
 ) -> bool:
@@ -248,6 +272,6 @@
 def _cause(ended: LogLine, previous: LogLine | None) -> str:
     cause = str(ended.get("outcome"))
     if previous is not None:
-        reason = previous.get("reason") or previous.get("status")
+        reason = previous.get("reason") or previous.get("status") or previous.get("decided_by")
         cause += f"; before: {previous.get('event')}" + (f" {reason}" if reason else "")
     return cause
--- a/tests/observability/test_log_analysis.py
+++ b/tests/observability/test_log_analysis.py
@@ -9,6 +9,7 @@
 from dragonflyhold.cli import main
 from dragonflyhold.errors import UsageError
 from dragonflyhold.observability.log_analysis import (
+    ACCOUNT_LIMITED_EVENT,
     CONFIG_EVENTS,
     KEY_REJECTED_EVENT,
     LEAVING_EVENT,
@@ -158,6 +159,35 @@
         causes = [cause for cause, _, _ in group_failures(logs)]
         assert causes == [f"unknown_key; before: {KEY_REJECTED_EVENT} unknown"]
 
+    def test_trace_says_which_agent_counted_for_a_limited_account(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """Guards against refusals for a limit that nobody can trace to the one who counted."""
+
+        def counted(at: float, account: str) -> bytes:
+            event = "An account's limit leaves no room."
+            return _line("side-1", at, event, "accounts", account=account, decided_by="limit")
+
+        path = tmp_path / "logs"
+        limited = {"id": "x1", "account": "branch", "decided_by": "limit"}
+        lines = [
+            counted(20.0, "branch"),
+            counted(45.0, "branch"),
+            counted(45.0, "office"),
+            _line("front-1", 50.0, ACCOUNT_LIMITED_EVENT, **limited),
+            _line("front-1", 50.0, "A request ended.", id="x1", outcome="account_limit"),
+        ]
+        path.write_bytes(b"\n".join(lines))
+        logs = read_logs([path])
+        named = [line.split("  ")[-1].strip() for line in trace_request(logs, "x1")]
+        assert named == [
+            "An account's limit leaves no room. account=branch decided_by=limit",
+            f"{ACCOUNT_LIMITED_EVENT} account=branch decided_by=limit",
+            "A request ended. outcome=account_limit",
+        ]
+        causes = [cause for cause, _, _ in group_failures(logs)]
+        assert causes == [f"account_limit; before: {ACCOUNT_LIMITED_EVENT} limit"]
+
     def test_clock_offsets_are_corrected(self, tmp_path: pathlib.Path) -> None:
         """Otherwise the agent's command would appear two seconds before the request."""
         trace = trace_request(read_logs(_write(tmp_path, _make_logs())), "x1")
