--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -10,6 +10,7 @@
 from dragonflyhold.cli import main
 from dragonflyhold.errors import UsageError
 from dragonflyhold.platform.settings import PATH_VARIABLE, decode_settings, load_settings
+from dragonflyhold.ratelimits import QuotaBounds
 
 GATEWAY_FIELDS: dict[str, Any] = {
     "node_name": "front-1",
@@ -116,3 +117,21 @@
         result = CliRunner().invoke(main, ["platform", "check", str(path)])
         assert result.exit_code == 0
         assert "gateway" in result.output
+
+
+class TestQuotaBounds:
+    """Guards against limits of accounts that are kept in another window than the stated one."""
+
+    def test_stated_bounds_hold(self) -> None:
+        bounds = {"quota_window_s": 5, "quota_overage": 0.1, "quota_slack": 110000}
+        settings = decode_settings({**GATEWAY_FIELDS, "bounds": bounds})
+        assert settings.bounds.quota == QuotaBounds(5.0, 0.1, 110_000.0)
+
+    @pytest.mark.parametrize("bounds", [{}, {"quota_window_s": 0}])
+    def test_without_them_nothing_is_tolerated(self, bounds: dict[str, object]) -> None:
+        settings = decode_settings({**GATEWAY_FIELDS, "bounds": bounds})
+        assert settings.bounds.quota == QuotaBounds()
+
+    def test_odd_bounds_are_reported(self) -> None:
+        with pytest.raises(UsageError, match="quota_slack"):
+            decode_settings({**GATEWAY_FIELDS, "bounds": {"quota_slack": -1}})
