Ask gateways that have not come before their share is kept back

Cause: a restarted gateway without requests of an account did not count at the agent, so the others were refused its share (found by reading; the new test failed before the change). Change: the counting agent queries the gateways when a request lacks room and some have not come.

--- a/src/dragonflyhold/gateway/account_counter.py
+++ b/src/dragonflyhold/gateway/account_counter.py
@@ -111,7 +111,7 @@
                 gateways=gateways,
                 after_ms=round((now - account.queried_at) * 1000),
             )
-        if ledger.is_known:
+        if ledger.is_known and ledger.is_whole(gateways):
             self._answer_waiting(account)
 
     def answer(self, link: GatewayLink, request: TokenRequest) -> None:
@@ -123,11 +123,12 @@
             return
         account.used_at = now
         account.ledger.refresh(now, self._gateway_count.value)
-        if not account.ledger.is_known and now >= account.queried_at + QUERY_INTERVAL_S:
+        if self._should_query(account, request.needed, now):
+            if not account.ledger.is_known:
+                self._log.info(
+                    "An agent begins to count for an account.", account=request.report.account
+                )
             account.queried_at = now
-            self._log.info(
-                "An agent begins to count for an account.", account=request.report.account
-            )
             account.waiting.append((link, request))
             self._call_later(HELD_REQUEST_S, lambda: self._answer_waiting(account))
             for gateway in self._gateways():
@@ -138,6 +139,15 @@
         else:
             self._grant(account, link, request)
 
+    def _should_query(self, account: _Account, needed: int, now: float) -> bool:
+        """Return whether to ask all gateways: some may count here that have not asked yet."""
+        if now < account.queried_at + QUERY_INTERVAL_S:
+            return False
+        ledger, gateways = account.ledger, self._gateway_count.value
+        if not ledger.is_known:
+            return True
+        return not ledger.is_whole(gateways) and not ledger.has_room(needed, now, gateways)
+
     def _answer_waiting(self, account: _Account) -> None:
         waiting, account.waiting = account.waiting, []
         for link, request in waiting:
--- a/src/dragonflyhold/ratelimits/ledger.py
+++ b/src/dragonflyhold/ratelimits/ledger.py
@@ -121,7 +121,7 @@
 
     def refresh(self, now: float, gateways: int) -> None:
         """Note whether all that was sent is known by now."""
-        if not self._is_known and len(self._members) >= gateways:
+        if not self._is_known and self.is_whole(gateways):
             self._is_known = all(now >= complete for complete in self._members.values())
             if self._is_known:
                 self._forget_unknown()
@@ -137,13 +137,23 @@
             return 0.0
         return max(0.0, self._allowed * min(share, self._seen_share) - self._found)
 
+    def is_whole(self, gateways: int) -> bool:
+        """Return whether all gateways count here."""
+        return len(self._members) >= gateways
+
+    def has_room(self, needed: int, now: float, gateways: int) -> bool:
+        """Return whether a request's tokens would be granted."""
+        used = self._usage.total(now) + self._unknown_tokens(now)
+        return needed <= self._capacity(gateways) - used
+
+    def _capacity(self, gateways: int) -> float:
+        return self._allowed * min(1.0, len(self._members) / max(1, gateways))
+
     def take(self, needed: int, wanted: int, now: float, gateways: int) -> Grant:
         """Grant the tokens that a gateway needs at once, and more of those that it wants."""
         self.refresh(now, gateways)
-        is_whole = len(self._members) >= gateways
-        allowed = self._allowed * (1.0 if is_whole else len(self._members) / gateways)
-        unknown = self._unknown_tokens(now)
-        used = self._usage.total(now)
+        is_whole, allowed = self.is_whole(gateways), self._capacity(gateways)
+        unknown, used = self._unknown_tokens(now), self._usage.total(now)
         room = allowed - used - unknown
         cause = Cause.UNKNOWN if unknown > 0 else Cause.LIMIT if is_whole else Cause.SHARE
         if needed > room:
--- a/tests/gateway/test_account_limits.py
+++ b/tests/gateway/test_account_limits.py
@@ -1,10 +1,12 @@
 """Tests of the token limits of accounts in a deployment in one event loop."""
 
 import asyncio
+import dataclasses
 from typing import Any
 
 import pytest
 
+from dragonflyhold.gateway.agent import Agent
 from dragonflyhold.gateway.engines import AgentLinks
 from dragonflyhold.gateway.messages import TOKEN_PROTOCOL
 from dragonflyhold.platform.standins.site import (
@@ -176,6 +178,13 @@
         assert (accounts, "account_" in events) == (0, False)
 
 
+def _announce_older_protocol(agent: Agent) -> None:
+    heartbeat = agent._heartbeat
+    agent._heartbeat = lambda: dataclasses.replace(  # type: ignore[method-assign]
+        heartbeat(), protocol=TOKEN_PROTOCOL - 1
+    )
+
+
 class TestOlderBuilds:
     """Guards against requests refused in a rolling restart, and messages that peers don't know."""
 
@@ -185,7 +194,12 @@
                 await _publish(deployment, with_limit(2, requests=2.4))
                 links = deployment.gateways[0].gateway.agent_links
                 older, newer = links._agents.values()
-                older.protocol = TOKEN_PROTOCOL - 1
+                for daemon in deployment.agents.values():
+                    if daemon._settings.ip == older.ip:
+                        _announce_older_protocol(daemon._agent)
+                async with asyncio.timeout(5):
+                    while older.protocol >= TOKEN_PROTOCOL:
+                        await asyncio.sleep(0.01)
                 statuses = [
                     (await deployment.call("/book/1", headers=KEYS)).status for _ in range(3)
                 ]
--- a/tests/ratelimits/test_schedules.py
+++ b/tests/ratelimits/test_schedules.py
@@ -145,3 +145,16 @@
         fleet.run(END_S)
         refused = sum(tokens for _, tokens, _ in fleet.refused)
         assert refused <= 0.01 * fleet.used(0.0, END_S)
+
+    def test_gateways_that_restarted_do_not_keep_their_share_from_the_others(self) -> None:
+        """Guards against a limit that is divided by gateways without requests of the account."""
+        limit, bounds = TokenLimit(10_000, 10_000, 200), QuotaBounds(WINDOW_S, 0.1, 0.0)
+        fleet = Fleet(10, 3, limit, bounds, seed=1)
+        fleet.run(BEGIN_S)
+        weights = [1.0] * 2 + [0.0] * 8
+        fleet.arrive(0.8 * in_window(limit) / WINDOW_S / 500, 500, weights, END_S)
+        for number in range(2, 10):
+            fleet.call(2.0, lambda number=number: fleet.kill(fleet.gateways[number], 1.0), None)
+        fleet.run(END_S)
+        since_restart = [cause for at, _, cause in fleet.refused if at > BEGIN_S + 4.0]
+        assert since_restart == []
