Take a token reply that comes at the time limit

Cause: a reply in the same event loop step as the time limit left no question to give up; the request would end with an unexpected error (found by reading; the new test failed with it). A question to an agent that no longer counts also made the next one silent for half a second. Change: such a reply counts; only the agent that counts is taken for silent. Measured: the new test passes.

--- a/src/dragonflyhold/gateway/account_limits.py
+++ b/src/dragonflyhold/gateway/account_limits.py
@@ -161,7 +161,8 @@
             async with asyncio.timeout(REPLY_TIMEOUT_S):
                 return await future
         except TimeoutError:
-            return self.give_up(number)
+            # The reply may have come in the same step of the event loop.
+            return future.result() if future.done() else self.give_up(number)
         finally:
             self._forget(number)
 
@@ -239,7 +240,8 @@
         """Decide without the reply to a question that has not come in time."""
         question = self._questions.pop(number)
         self._given_up[number] = question
-        question.account.silent_until = self._clock() + SILENT_AGENT_S
+        if question.account.told is question.link:
+            question.account.silent_until = self._clock() + SILENT_AGENT_S
         self._count_event("account_reply_missing", 1)
         return self._decide_alone(question.account, question.needed, NO_REPLY)
 
--- a/tests/gateway/test_account_limits.py
+++ b/tests/gateway/test_account_limits.py
@@ -6,15 +6,19 @@
 
 import pytest
 
+from dragonflyhold.accounts import AccountName, TokenLimit
+from dragonflyhold.gateway import account_limits
+from dragonflyhold.gateway.account_limits import AccountLimits
 from dragonflyhold.gateway.agent import Agent
 from dragonflyhold.gateway.engines import AgentLinks
-from dragonflyhold.gateway.messages import TOKEN_PROTOCOL
+from dragonflyhold.gateway.messages import TOKEN_PROTOCOL, Message, TokenReply, TokenRequest
 from dragonflyhold.platform.standins.site import (
     Answer,
     InProcessDeployment,
     configuration,
     running_deployment,
 )
+from dragonflyhold.ratelimits import QuotaBounds
 
 KEYS = {"Api-Key": "key-1", "Token-Count": "100,20"}
 TOKENS = 120
@@ -235,3 +239,41 @@
         statuses, events = asyncio.run(scenario())
         assert statuses == [200] * 3 + [429]
         assert 'event="account_limited_away"} 1' in events
+
+
+@dataclasses.dataclass
+class _LateAgent:
+    """Replies in the next step of the event loop."""
+
+    limits: AccountLimits | None = None
+    ip_hash: int = 1
+
+    @property
+    def link(self) -> "_LateAgent":
+        return self
+
+    def send(self, message: Message) -> None:
+        assert isinstance(message, TokenRequest)
+        assert self.limits is not None
+        reply = TokenReply(message.number, message.needed, 0.0, "limit", 1, 0.0, 0.5)
+        asyncio.get_running_loop().call_soon(self.limits.note_reply, reply)
+
+    def token_agents(self) -> "list[_LateAgent]":
+        return [self]
+
+    def count_known_gateways(self) -> int:
+        return 1
+
+
+class TestReplies:
+    """Guards against errors in the handling of replies at odd times."""
+
+    def test_a_reply_at_the_time_limit_counts(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        monkeypatch.setattr(account_limits, "REPLY_TIMEOUT_S", 0.0)
+
+        async def scenario() -> account_limits.Decision:
+            agent = _LateAgent()
+            agent.limits = AccountLimits(agent, QuotaBounds(), lambda event, amount: None)
+            return await agent.limits.acquire(AccountName("branch"), TokenLimit(9, 9, 9), 1, 5)
+
+        assert asyncio.run(scenario()).is_granted
