--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -52,6 +52,7 @@
 from dragonflyhold.gateway.upstream_view import UpstreamView
 from dragonflyhold.gateway.watch import TableWatch
 from dragonflyhold.ids import ServiceName, Version
+from dragonflyhold.ingress import Standing
 from dragonflyhold.observability.metrics import Metrics
 from dragonflyhold.platform import codec
 from dragonflyhold.platform.settings import DaemonSettings
@@ -83,6 +84,8 @@
         self.log = JsonLogger("gateway")
         # Per-request log lines have a rate limit of their own.
         self.request_log = JsonLogger("request")
+        # Crowds of clients must not use up the lines of others.
+        self._ingress_log = JsonLogger("ingress")
         # A crowd with unknown keys must not crowd out the lines of failures.
         self._key_log = JsonLogger("keys")
         # Bytes of upstreams, clients, the store and peers.
@@ -152,6 +155,8 @@
             self._log_unanswered_request,
             self._log_failed_request,
             self.byte_budget,
+            settings.descriptor_limits.client_connections,
+            self.note_overload,
         )
         self.is_store_stable = False
         # Set while the process stops as planned.
@@ -472,6 +477,13 @@
             detail=detail,
         )
 
+    def note_overload(self, standing: Standing) -> None:
+        """Log and count a client's connection that was closed for a new one."""
+        self._metrics.count_event(f"connection_gave_way_{standing.value}")
+        self._ingress_log.info(
+            "A client's connection was closed, as there are too many.", waited_for=standing.value
+        )
+
     # Queries and updates by request runs
 
     def required_version(self, target: ModelAdapter | None) -> Version:
