Ask only gateways that have not come what they used of an account

An agent that could not know all, since a gateway was gone for good or of an older build, asked every gateway twice a second for each account with requests, for 60 s or a whole rolling restart. Those that count there tell what they use by themselves; only the others are asked now, and no request waits where there is none to ask.

--- a/src/dragonflyhold/gateway/account_counter.py
+++ b/src/dragonflyhold/gateway/account_counter.py
@@ -123,22 +123,34 @@
             return
         account.used_at = now
         account.ledger.refresh(now, self._gateway_count.value)
-        if self._should_query(account, request.needed, now):
+        unasked = self._unasked(account, link, request.needed, now)
+        if unasked:
             if not account.ledger.is_known:
                 self._log.info(
                     "An agent begins to count for an account.", account=request.report.account
                 )
-            account.queried_at = now
             account.waiting.append((link, request))
             self._call_later(HELD_REQUEST_S, lambda: self._answer_waiting(account))
-            for gateway in self._gateways():
-                if gateway is not link:
-                    gateway.send(TokenQuery(request.report.account, self._epoch))
+            for gateway in unasked:
+                gateway.send(TokenQuery(request.report.account, self._epoch))
         elif account.waiting:
             account.waiting.append((link, request))
         else:
             self._grant(account, link, request)
 
+    def _unasked(
+        self, account: _Account, link: GatewayLink, needed: int, now: float
+    ) -> list[GatewayLink]:
+        """Return the gateways to ask for what they used: those that do not count here."""
+        if not self._should_query(account, needed, now):
+            return []
+        account.queried_at = now
+        return [
+            gateway
+            for gateway in self._gateways()
+            if gateway is not link and not account.ledger.counts_for(gateway)
+        ]
+
     def _should_query(self, account: _Account, needed: int, now: float) -> bool:
         """Return whether to ask all gateways: some may count here that have not asked yet."""
         if now < account.queried_at + QUERY_INTERVAL_S:
--- a/src/dragonflyhold/ratelimits/ledger.py
+++ b/src/dragonflyhold/ratelimits/ledger.py
@@ -113,6 +113,10 @@
             self._is_known = False
             self._forget_unknown()
 
+    def counts_for(self, gateway: G) -> bool:
+        """Return whether a gateway counts here, so that it tells what it uses by itself."""
+        return gateway in self._members
+
     def note_used(self, rows: Sequence[UsageRow]) -> None:
         """Add what a gateway used that others granted, or give back what it has left."""
         for row in rows:
--- a/tests/ratelimits/test_schedules.py
+++ b/tests/ratelimits/test_schedules.py
@@ -158,3 +158,19 @@
         fleet.run(END_S)
         since_restart = [cause for at, _, cause in fleet.refused if at > BEGIN_S + 4.0]
         assert since_restart == []
+
+    def test_a_gateway_that_is_gone_makes_no_agent_ask_the_others_again(self) -> None:
+        """Guards against messages that grow with accounts times gateways for as long."""
+        limit, bounds = TokenLimit(10_000, 10_000, 200), QuotaBounds(WINDOW_S, 0.1, 0.0)
+        fleet = Fleet(30, 3, limit, bounds, seed=1)
+        fleet.run(BEGIN_S)
+        fleet.kill(fleet.gateways[0], 1000.0)
+        fleet.run(BEGIN_S + 0.5)
+        for agent in list(fleet.agents.values()):
+            fleet.kill(agent, 0.1)
+        rate, begin = 0.5 * in_window(limit) / WINDOW_S / 500, 20.0
+        fleet.arrive(rate, 500, [0.0] + [1.0] * 29, END_S)
+        fleet.run(begin)
+        before = fleet.messages
+        fleet.run(END_S)
+        assert fleet.messages - before <= 3 * rate * (END_S - begin)
