Keep no more than a window of an account's use while no agent comes

A gateway on its own kept a row for each request until an agent was told: 20,000 rows after 200 s at 100 requests a second, and 5,000 of its own use, without a bound. Rows that left the window go.

--- a/src/dragonflyhold/ratelimits/purse.py
+++ b/src/dragonflyhold/ratelimits/purse.py
@@ -1,6 +1,7 @@
 """A gateway's tokens of one account: a batch granted by an agent, and its own part without one."""
 
 import dataclasses
+from collections import deque
 from collections.abc import Sequence
 from typing import final
 
@@ -44,7 +45,7 @@
         self._usage = Usage(bounds.held_s)
         # What was used without a grant, and what the agent that counts has not been told.
         self._reserve = Usage(bounds.held_s)
-        self._untold: list[UsageRow] = []
+        self._untold: deque[UsageRow] = deque()
         self._demand = Usage(DEMAND_S)
         self._refusal: tuple[int, float, Grant] | None = None
         # Share of the limit that was free, when the agent that counts for all told it, and whether
@@ -175,7 +176,11 @@
 
     def charge(self, tokens: int, now: float) -> None:
         """Count tokens that were used without a grant."""
+        self._usage.total(now)
         self._usage.add(now, tokens)
+        # No agent may come for a long time, and none counts what left the window.
+        while self._untold and self._untold[0].at <= now - self._bounds.held_s:
+            self._untold.popleft()
         self._untold.append(UsageRow(now, tokens))
 
     def put_back(self, tokens: int, taken_at: float, now: float) -> None:
@@ -204,7 +209,7 @@
 
         ``to`` is the agent's epoch, 0 if it is not known.
         """
-        untold, self._untold = self._untold, []
+        untold, self._untold = self._untold, deque()
         self._usage.total(now)
         if is_first:
             rows = [UsageRow(row.at, row.tokens, row.source) for row in self._usage]
--- a/tests/ratelimits/test_purse.py
+++ b/tests/ratelimits/test_purse.py
@@ -85,6 +85,14 @@
         assert not purse.take_alone(10, 1.0, 4)
         assert purse.take_alone(10, 9.0, 4)
 
+    def test_a_long_time_without_agents_keeps_no_more_than_a_window(self) -> None:
+        """Guards against memory that grows while all agents are away."""
+        purse = _purse()
+        for step in range(1000):
+            purse.charge(1, float(step))
+        assert len(purse.report(1, False, 999.0)) <= BOUNDS.held_s + 1
+        assert len(purse.report(1, True, 999.0)) <= BOUNDS.held_s + 1
+
     def test_what_was_used_alone_is_told(self) -> None:
         purse = _purse()
         purse.take_alone(10, 1.0, 4)
