Let tokens given back leave the window together with their grant

A request that was refused after waiting gave its tokens back in the gateway's own record at the time of the refusal, seconds after they were granted, and without the agent that granted them. An agent that was told the window then counted too little: after a takeover for as long as the request had waited, after a new link to the same agent twice.

--- a/src/dragonflyhold/gateway/account_limits.py
+++ b/src/dragonflyhold/gateway/account_limits.py
@@ -73,6 +73,8 @@
     cause: Cause
     # Time until there is room for the request if it comes back.
     return_s: float = 0.0
+    # Epoch of the agent that granted the tokens, 0 if none did.
+    source: int = 0
 
 
 @final
@@ -83,6 +85,8 @@
     account: AccountName
     tokens: int
     taken_at: float
+    # Epoch of the agent that granted them, 0 if none did.
+    source: int = 0
 
 
 @final
@@ -184,7 +188,7 @@
             account.purse.set_allowance(Allowance.of(limit, self._bounds))
         wanted = account.purse.wanted(tokens, now)
         if account.purse.take_batch(tokens, now):
-            conclude(Decision(True, Cause.BATCH))
+            conclude(Decision(True, Cause.BATCH, source=account.purse.batch_source))
             return None
         refusal = account.purse.refusal(tokens, now)
         if refusal is not None:
@@ -223,7 +227,7 @@
             return
         account.epoch = reply.epoch
         if account.purse.apply(grant, question.needed, question.asked_at, reply.epoch, now):
-            question.conclude(Decision(True, grant.cause))
+            question.conclude(Decision(True, grant.cause, source=reply.epoch))
         else:
             refusal = grant if not grant.tokens else NO_REPLY
             question.conclude(self._decide_alone(account, question.needed, refusal))
@@ -270,7 +274,7 @@
         """Give back the tokens of a request that was sent nowhere."""
         account = self._accounts.get(taken.account)
         if account is not None:
-            account.purse.put_back(taken.tokens, taken.taken_at, self._clock())
+            account.purse.put_back(taken.tokens, taken.taken_at, self._clock(), taken.source)
             self._unsettled[account.name] = account
             self._count_event("account_tokens_returned", taken.tokens)
 
--- a/src/dragonflyhold/gateway/request.py
+++ b/src/dragonflyhold/gateway/request.py
@@ -178,7 +178,7 @@
         )
         self.progress.limit_decided_by = decision.cause.value
         if decision.is_granted:
-            self._taken = Taken(caller.name, tokens, time.monotonic())
+            self._taken = Taken(caller.name, tokens, time.monotonic(), decision.source)
             return
         gateway.note_limited(info, caller, tokens, decision)
         delay_s = decision.return_s * (1 + RETURN_SPREAD_SHARE * random.random())
--- a/src/dragonflyhold/ratelimits/purse.py
+++ b/src/dragonflyhold/ratelimits/purse.py
@@ -104,6 +104,11 @@
         ahead = int(self._demand.total(now) * self._bounds.lease_s / DEMAND_S / 2)
         return needed + ahead if ahead >= needed else needed
 
+    @property
+    def batch_source(self) -> int:
+        """Return the agent that granted the tokens that are left."""
+        return self._batch.source
+
     def take_batch(self, needed: int, now: float) -> bool:
         """Use tokens that were granted before, if there are enough."""
         self.end_lease(now)
@@ -183,14 +188,17 @@
             self._untold.popleft()
         self._untold.append(UsageRow(now, tokens))
 
-    def put_back(self, tokens: int, taken_at: float, now: float) -> None:
-        """Give back the tokens of a request that was sent nowhere."""
+    def put_back(self, tokens: int, taken_at: float, now: float, source: int = 0) -> None:
+        """Give back the tokens of a request that was sent nowhere.
+
+        They leave the window together with what ``source`` granted, so that no agent that is told
+        the window counts too little.
+        """
         batch = self._batch
+        self._usage.add(taken_at, -tokens, source)
         if now < batch.until and taken_at >= batch.asked_at:
             batch.tokens += tokens
-            self._usage.add(now, -tokens, batch.source)
         else:
-            self._usage.add(now, -tokens)
             self._untold.append(UsageRow(taken_at, -tokens))
 
     def end_lease(self, now: float) -> int:
--- a/tests/ratelimits/fleet.py
+++ b/tests/ratelimits/fleet.py
@@ -8,7 +8,7 @@
 
 from dragonflyhold.accounts import AccountName, TokenLimit
 from dragonflyhold.gateway.account_counter import AccountCounter
-from dragonflyhold.gateway.account_limits import REPLY_TIMEOUT_S, AccountLimits, Decision
+from dragonflyhold.gateway.account_limits import REPLY_TIMEOUT_S, AccountLimits, Decision, Taken
 from dragonflyhold.gateway.messages import (
     Message,
     TokenQuery,
@@ -23,6 +23,8 @@
 LATENCY_S = 0.001
 SILENCE_S = 1.6
 RECONNECT_S = 0.1
+# Longest time for which a request waits that is refused then.
+UNSENT_S = 4.0
 
 
 class End:
@@ -148,6 +150,8 @@
         self.now = 0.0
         self.messages = 0
         self.bounds, self.limit, self.version = bounds, limit, 1
+        # Share of the granted requests that wait, are refused and give their tokens back.
+        self.unsent_share = 0.0
         # Time and tokens of each request that was sent, and of those refused, by cause.
         self.sent: list[tuple[float, int]] = []
         self.refused: list[tuple[float, int, str]] = []
@@ -295,7 +299,12 @@
         def conclude(decision: Decision) -> None:
             nonlocal is_concluded
             is_concluded = True
-            if decision.is_granted:
+            if decision.is_granted and self.rng.random() < self.unsent_share:
+                taken = Taken(ACCOUNT, tokens, self.now, decision.source)
+                self.call(
+                    self.rng.uniform(0.0, UNSENT_S), lambda: gateway.limits.put_back(taken), gateway
+                )
+            elif decision.is_granted:
                 self.sent.append((self.now, tokens))
             else:
                 self.refused.append((self.now, tokens, decision.cause.value))
--- a/tests/ratelimits/test_purse.py
+++ b/tests/ratelimits/test_purse.py
@@ -44,6 +44,13 @@
         purse.put_back(10, 0.0, 1.0)
         assert [row.tokens for row in purse.report(1, False, 1.0)] == [-10]
 
+    def test_what_was_put_back_leaves_the_window_with_its_grant(self) -> None:
+        purse = _purse()
+        purse.apply(Grant(10, 0.0, Cause.LIMIT), 10, 0.0, 1, 0.0)
+        purse.put_back(10, 0.0, 4.0, source=1)
+        assert [(row.tokens, row.source) for row in purse.report(2, True, 5.0) if row.tokens] == []
+        assert list(purse.report(2, True, 10.0)) == []
+
     def test_a_refusal_holds_for_a_short_time_and_not_for_smaller_requests(self) -> None:
         purse = _purse()
         purse.apply(Grant(0, 5.0, Cause.LIMIT), 10, 0.0, 1, 0.0)
--- a/tests/ratelimits/test_schedules.py
+++ b/tests/ratelimits/test_schedules.py
@@ -9,6 +9,7 @@
 from tests.ratelimits.fleet import Fleet, Process
 
 SCHEDULES = 1000
+UNSENT_SCHEDULES = range(5000, 5300)
 GROUPS = 8
 WINDOW_S = 8.0
 # Traffic begins when the first processes have run for a window.
@@ -54,7 +55,7 @@
     return f"{fleet.now:.2f} {kind} {type(process).__name__}{process.number} {for_s:.2f}"
 
 
-def _play(seed: int) -> str | None:
+def _play(seed: int, unsent_share: float = 0.0) -> str | None:
     """Play one schedule; return what was sent beyond the bound."""
     rng = random.Random(seed)
     rate = rng.choice([2_000, 20_000, 225_000])
@@ -63,6 +64,7 @@
     limit = TokenLimit(rate, rate * rng.choice([0, 1, 1, 4]), 200)
     count = rng.choice([3, 8, 20])
     fleet = Fleet(count, rng.choice([2, 3, 6]), limit, bounds, seed)
+    fleet.unsent_share = unsent_share
     log: list[str] = []
     for _ in range(rng.randrange(5)):
         at = rng.uniform(BEGIN_S, END_S - 2)
@@ -99,6 +101,12 @@
         problems = [_play(seed) for seed in range(group, SCHEDULES, GROUPS)]
         assert [problem for problem in problems if problem] == []
 
+    @pytest.mark.parametrize("group", range(GROUPS))
+    def test_tokens_given_back_do_not_loosen_it(self, group: int) -> None:
+        """Guards against tokens given back that leave the window later than they came into it."""
+        problems = [_play(seed, 0.5) for seed in UNSENT_SCHEDULES[group::GROUPS]]
+        assert [problem for problem in problems if problem] == []
+
 
 class TestCalm:
     """Guards against limits that leave a part unused while demand exceeds them."""
