--- a/src/dragonflyhold/gateway/outcomes.py
+++ b/src/dragonflyhold/gateway/outcomes.py
@@ -13,6 +13,7 @@
     UNKNOWN_KEY = "unknown_key"
     # The key may be valid in a configuration that this gateway can't read at present.
     KEY_UNCONFIRMED = "key_unconfirmed"
+    ACCOUNT_LIMIT = "account_limit"
     NO_UPSTREAM = "no_runner"
     UPSTREAM_LIMIT = "runner_limit"
     UPSTREAM_TURNED_AWAY = "runner_turned_away"
