--- a/src/dragonflyhold/platform/standins/store.py
+++ b/src/dragonflyhold/platform/standins/store.py
@@ -46,6 +46,8 @@
     def __init__(self) -> None:
         self.fault = StoreFault.NONE
         self.calls: list[str] = []
+        # Table of each call, empty for calls that name none.
+        self.tables: list[str] = []
         # Writes earlier answers again.
         self.copier = AnswerCopier()
         # Feed requests for changes after an older version get 410.
@@ -126,13 +128,14 @@
 
     async def _answer(self, request: ClientRequest, responder: Responder) -> None:
         path, _, query = request.target.decode().partition("?")
+        arguments = {name: values[0] for name, values in parse_qs(query).items()}
         self.calls.append(path)
+        self.tables.append(arguments.get("table", ""))
         if self.fault is StoreFault.REFUSING:
             responder.send(503, [self._era_header])
             return
         if self.fault is StoreFault.UNRESPONSIVE:
             await asyncio.Event().wait()
-        arguments = {name: values[0] for name, values in parse_qs(query).items()}
         if path == "/rows-get":
             self._respond(responder, 200, self._read_rows(arguments))
         elif path == "/rows-feed":
