Spread requests by the age of what is known of loads

Cause: all gateways chose the least loaded upstream of the same reports, so upstreams were overrun in turns while others idled. Change: balancing/ chooses by load interpretation from the reports, their age, own requests and the number of gateways; dispatch calls it for holders, plain services and the place of a replica. No message, store call or status check more. What callers of a deployment see isn't measured yet.

--- /dev/null
+++ b/src/dragonflyhold/balancing/__init__.py
@@ -0,0 +1,6 @@
+"""Even load: the choice among upstreams whose loads are known only with some delay."""
+
+from dragonflyhold.balancing.arrivals import ArrivalRate
+from dragonflyhold.balancing.choice import Basis, Candidate, choose, choose_for_key, unevenness
+
+__all__ = ["ArrivalRate", "Basis", "Candidate", "choose", "choose_for_key", "unevenness"]
--- a/src/dragonflyhold/gateway/daemon.py
+++ b/src/dragonflyhold/gateway/daemon.py
@@ -311,6 +311,7 @@
         metrics.set_level("leaving_runners", sum(view.is_ending(now) for view in views))
         turned_away = sum(view.gate.state(now) is SendState.TURNED_AWAY for view in views)
         metrics.set_level("turned_away_runners", turned_away)
+        metrics.set_level("load_unevenness", gateway.table.unevenness(now))
         metrics.set_level("config_version", configuration.version if configuration else 0)
         for watch in (self._operator_watch, self._registry_watch):
             unavailable_since = watch.unavailable_since
--- a/src/dragonflyhold/gateway/dispatch.py
+++ b/src/dragonflyhold/gateway/dispatch.py
@@ -6,11 +6,19 @@
 from collections.abc import Callable, Collection, Sequence
 from typing import final
 
+from dragonflyhold.balancing import (
+    ArrivalRate,
+    Basis,
+    Candidate,
+    choose,
+    choose_for_key,
+    unevenness,
+)
 from dragonflyhold.gateway.messages import AgentHeartbeat, EngineUpdate
 from dragonflyhold.gateway.model import ModelAdapter, ServerLoad, Upstream, UpstreamId
 from dragonflyhold.gateway.send_gates import SendGates, SendState
 from dragonflyhold.gateway.stream_origins import StreamOrigin
-from dragonflyhold.gateway.upstream_index import UpstreamIndex, rank
+from dragonflyhold.gateway.upstream_index import UpstreamIndex, hash_target, rank
 from dragonflyhold.gateway.upstream_view import MAX_SUSPENSION_S, MIN_SUSPENSION_S, UpstreamView
 from dragonflyhold.hashing import hash64
 from dragonflyhold.ids import DataCentre, ServiceName, Version
@@ -51,6 +59,8 @@
     upstream_id: UpstreamId
     # Version of the resident adapter, ``None`` for requests without an adapter.
     version: Version | None
+    # What decided among the upstreams that could serve the request.
+    basis: Basis | None = dataclasses.field(default=None, compare=False)
 
 
 @final
@@ -89,6 +99,10 @@
         self.gates = SendGates()
         # Returns the monotonic time of the last read of the registry; set by the gateway.
         self.registry_read_at: Callable[[], float | None] = lambda: None
+        # Returns the number of gateways, which all send to the same upstreams; set by the gateway.
+        self.count_gateways: Callable[[], int] = lambda: 1
+        # Rates of this gateway's requests by service.
+        self._arrivals: dict[ServiceName, ArrivalRate] = {}
         self._index = UpstreamIndex()
         self._data_centre = data_centre
         self._rng = rng
@@ -123,6 +137,8 @@
         view = self.views.pop(upstream_id, None)
         if view is not None:
             self._index.remove(view)
+            if not self.count_of_service(view.upstream.service):
+                self._arrivals.pop(view.upstream.service, None)
 
     def apply_update(self, upstream_id: UpstreamId, update: EngineUpdate, now: float) -> None:
         """Apply an agent's report on its engine."""
@@ -246,7 +262,7 @@
                 if not view.is_heartbeat_overdue(now) and _may_begin(view, origin, now)
             ]
             if responsive:
-                return SendNow(self._least_loaded(responsive, now).upstream.upstream_id, None)
+                return self._send_evenly(responsive, None, now)
         available = self._available(views, now, excluded, origin)
         available = [view for view in available if _may_begin(view, origin, now)] or available
         # If the heartbeats of all of them are overdue, this process has not read for a while.
@@ -254,10 +270,10 @@
         if not available:
             return self._describe_lack(service, now, excluded, origin)
         if target is None:
-            return SendNow(self._least_loaded(available, now).upstream.upstream_id, None)
+            return self._send_evenly(available, None, now)
         holders = [view for view in available if view.resident.get(target, -1) >= min_version]
         if holders:
-            return self._send_to_holder(holders, target, now)
+            return self._send_evenly(holders, target, now)
         loadable = [view for view in available if view.is_linked and view.can_load]
         loadable = [view for view in loadable if not view.is_limited(now)] or loadable
         if not loadable:
@@ -403,7 +419,7 @@
             if view.resident.get(target, -1) >= min_version and is_usable(view)
         ]
         if holders:
-            return self._send_to_holder(holders, target, now)
+            return self._send_evenly(holders, target, now)
         awaited = [
             view
             for view in self._index.awaited_at(target)
@@ -422,11 +438,49 @@
         ranked = list(candidates)
         return WaitFor(_cheapest(ranked).upstream.upstream_id) if ranked else None
 
-    def _send_to_holder(
-        self, holders: list[UpstreamView], target: ModelAdapter, now: float
+    def _send_evenly(
+        self, views: Sequence[UpstreamView], target: ModelAdapter | None, now: float
     ) -> SendNow:
-        best = self._least_loaded(holders, now)
-        return SendNow(best.upstream.upstream_id, best.resident[target])
+        """Send to one of the upstreams, so that requests of all gateways load them evenly."""
+        candidates = [self._candidate(view, now) for view in views]
+        chosen, basis = choose(candidates, self._others_per_s(views, now), self._rng)
+        view = views[chosen]
+        version = None if target is None else view.resident[target]
+        return SendNow(view.upstream.upstream_id, version, basis)
+
+    def _candidate(self, view: UpstreamView, now: float) -> Candidate:
+        slots, load = view.upstream.slots, view.load(now)
+        is_local = view.upstream.data_centre == self._data_centre
+        bonus = LOCAL_BONUS_REQUESTS / slots if is_local else 0.0
+        handicap = view.gate.return_load(now) - bonus + 2.0 * view.current_failure_rate(now)
+        if not view.has_report(now):
+            return Candidate(0, load, slots, handicap=handicap)
+        reported = view.reported_requests
+        return Candidate(reported, load - reported, slots, now - view.reported_at, handicap)
+
+    def _others_per_s(self, views: Sequence[UpstreamView], now: float) -> float:
+        """Return the rate at which all other gateways send to one of the upstreams.
+
+        They are assumed to send as this gateway does: evenly over the service, or more to the
+        holders of a popular adapter.
+        """
+        others = self.count_gateways() - 1
+        if others <= 0:
+            return 0.0
+        service = views[0].upstream.service
+        arrivals = self._arrivals.get(service)
+        mean = arrivals.per_s(now) / self.count_of_service(service) if arrivals else 0.0
+        own = sum(view.sends.per_s(now) for view in views) / len(views)
+        return others * max(mean, own)
+
+    def unevenness(self, now: float) -> float:
+        """Return the highest known load relative to the mean, of the least even service."""
+        by_service: dict[ServiceName, list[Candidate]] = {}
+        for view in self.views.values():
+            if view.has_report(now) and view.is_usable(now):
+                candidate = Candidate(view.load(now), 0, view.upstream.slots)
+                by_service.setdefault(view.upstream.service, []).append(candidate)
+        return max((unevenness(candidates) for candidates in by_service.values()), default=1.0)
 
     def note_waiting(self, upstream_id: UpstreamId) -> None:
         """Count a request that begins to wait at an upstream, until its agent's next report."""
@@ -456,18 +510,13 @@
         ]
         if not others or any(target in view.resident for view in others):
             return None
-        return min(others, key=lambda view: view.load(now)).upstream.upstream_id
-
-    def _least_loaded(self, views: list[UpstreamView], now: float) -> UpstreamView:
-        self._rng.shuffle(views)
-
-        def cost(view: UpstreamView) -> float:
-            load = view.load(now) / view.upstream.slots + view.gate.return_load(now)
-            is_local = view.upstream.data_centre == self._data_centre
-            bonus = LOCAL_BONUS_REQUESTS / view.upstream.slots if is_local else 0.0
-            return load - bonus + 2.0 * view.current_failure_rate(now)
-
-        return min(views, key=cost)
+        chosen = choose_for_key(
+            [self._candidate(view, now) for view in others],
+            [view.address_hash for view in others],
+            hash_target(target),
+            self._others_per_s(others, now),
+        )
+        return others[chosen].upstream.upstream_id
 
     # Outcomes of requests
 
@@ -476,6 +525,8 @@
         view = self.views.get(upstream_id)
         if view is not None:
             view.in_flight += 1
+            view.sends.note(now)
+            self._arrivals.setdefault(view.upstream.service, ArrivalRate()).note(now)
             if view.awaiting_since is None:
                 view.awaiting_since = now
 
--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -109,6 +109,7 @@
         )
         self.agent_links.origins = self.origins
         self.table.registry_read_at = self._registry_read_at
+        self.table.count_gateways = self.agent_links.count_gateways
         # Watches the registry; set by the daemon.
         self.registry_watch: TableWatch | None = None
         self.silent_engines = SilentEngines(
--- a/src/dragonflyhold/gateway/upstream_index.py
+++ b/src/dragonflyhold/gateway/upstream_index.py
@@ -96,10 +96,15 @@
 
 def rank(views: Sequence[UpstreamView], target: ModelAdapter, length: int) -> list[UpstreamView]:
     """Return the first ``length`` upstreams of an adapter's ranking by rendezvous hashing."""
-    key_hash = hash64(f"{target.model}/{target.adapter}".encode())
+    key_hash = hash_target(target)
     return heapq.nlargest(length, views, key=lambda view: combine(key_hash, view.address_hash))
 
 
+def hash_target(target: ModelAdapter) -> int:
+    """Return the hash of an adapter that ranks upstreams for it."""
+    return hash64(f"{target.model}/{target.adapter}".encode())
+
+
 def _add_all(index: dict[Key, list[UpstreamView]], keys: Iterable[Key], view: UpstreamView) -> None:
     for key in keys:
         index.setdefault(key, []).append(view)
--- a/src/dragonflyhold/gateway/upstream_view.py
+++ b/src/dragonflyhold/gateway/upstream_view.py
@@ -4,6 +4,7 @@
 import dataclasses
 from typing import final
 
+from dragonflyhold.balancing import ArrivalRate
 from dragonflyhold.gateway.link import Link
 from dragonflyhold.gateway.liveness import VmLiveness
 from dragonflyhold.gateway.model import ModelAdapter, RegistrationState, Upstream
@@ -70,6 +71,8 @@
     reported_requests: int = 0
     own_requests_at_report: int = 0
     reported_at: float = -1e9
+    # Rate of this gateway's requests to it.
+    sends: ArrivalRate = dataclasses.field(default_factory=ArrivalRate)
     # Requests a second that the upstream takes from all gateways, ``None`` if it states no limit.
     limit_per_s: float | None = None
     # Monotonic time of the answer that stated the limit, or its end, last.
@@ -109,12 +112,16 @@
 
     def load(self, now: float) -> float:
         """Return the number of requests that the upstream has, as far as known."""
-        if now - self.reported_at > MAX_REPORT_AGE_S:
+        if not self.has_report(now):
             return float(self.in_flight)
         return max(
             self.in_flight, self.reported_requests + self.in_flight - self.own_requests_at_report
         )
 
+    def has_report(self, now: float) -> bool:
+        """Return whether a report on the load is recent enough to be used."""
+        return now - self.reported_at <= MAX_REPORT_AGE_S
+
     def record_load(self, requests: int, now: float) -> None:
         """Record the number of requests of all gateways that the agent reports."""
         self.reported_requests = requests
--- /dev/null
+++ b/tests/balancing/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the choice among upstreams."""
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -1,6 +1,7 @@
 """Tests of the choice of an upstream."""
 
 import random
+from collections import Counter
 
 import pytest
 
@@ -12,7 +13,12 @@
     WaitFor,
 )
 from dragonflyhold.gateway.liveness import DEFAULT_GAP_S, OVERDUE_S, UNREACHABLE_S
-from dragonflyhold.gateway.model import RegistrationState, ServerLoad, UpstreamId
+from dragonflyhold.gateway.model import (
+    ModelAdapter,
+    RegistrationState,
+    ServerLoad,
+    UpstreamId,
+)
 from dragonflyhold.gateway.send_gates import RETURN_S
 from dragonflyhold.gateway.upstream_view import (
     MAX_SUSPENSION_S,
@@ -302,6 +308,72 @@
         assert table.choose(SERVICE, adapter(901), ANY, NOW) == WaitFor(UpstreamId(waiting))
 
 
+class TestEvenLoad:
+    """Gateways that see the same reports at the same time must not all choose the same upstream."""
+
+    def _table(self, gateways: int) -> UpstreamTable:
+        table = _table(1, 2, 3)
+        table.count_gateways = lambda: gateways
+        for number, running in ((1, 3), (2, 4), (3, 40)):
+            name = UpstreamId(f"r{number}")
+            for _ in range(20):
+                table.request_started(name, NOW)
+                table.request_ended(name)
+            table.apply_update(name, engine_update({7: 1}, running=running), NOW)
+        return table
+
+    def _chosen(self, table: UpstreamTable, target: ModelAdapter | None) -> Counter[str]:
+        choices = [table.choose(SERVICE, target, ANY, NOW + 0.2) for _ in range(200)]
+        return Counter(str(choice.upstream_id) for choice in choices if isinstance(choice, SendNow))
+
+    @pytest.mark.parametrize("target", [adapter(7), None], ids=["holders", "plain"])
+    def test_requests_are_spread_over_upstreams_that_others_fill_up(
+        self, target: ModelAdapter | None
+    ) -> None:
+        chosen = self._chosen(self._table(gateways=30), target)
+        assert chosen["r1"] > 50
+        assert chosen["r2"] > 50
+
+    @pytest.mark.parametrize("target", [adapter(7), None], ids=["holders", "plain"])
+    def test_a_single_gateway_sends_to_the_least_loaded(self, target: ModelAdapter | None) -> None:
+        """What is new acts only where several gateways choose."""
+        assert self._chosen(self._table(gateways=1), target) == {"r1": 200}
+
+    def test_a_popular_adapter_raises_the_estimate_for_its_holders(self) -> None:
+        """Guards against an estimate as if all upstreams got the requests for it."""
+        table = _table(*range(1, 31))
+        table.count_gateways = lambda: 30
+        holders = [UpstreamId("r1"), UpstreamId("r2")]
+        for _ in range(30):
+            for name in holders:
+                table.request_started(name, NOW)
+                table.request_ended(name)
+        for name in holders:
+            table.apply_update(name, engine_update({7: 1}, running=3), NOW)
+        choice = table.choose(SERVICE, adapter(7), ANY, NOW + 0.2)
+        assert isinstance(choice, SendNow)
+        assert choice.basis is not None
+        # 30 requests in at least one half-life of 2 s at each holder, by each of 29 others.
+        assert choice.basis.unreported > 29 * 2 * 2 * 0.2 * 10
+
+    def test_gateways_without_requests_agree_on_the_place_of_a_replica(self) -> None:
+        """Guards against a replica of the same adapter on several upstreams."""
+        places = set()
+        for seed in range(5):
+            table = UpstreamTable(DataCentre("dc-a"), random.Random(seed))
+            for number in range(1, 9):
+                table.put(upstream(number))
+                running = 40 if number == 1 else number % 3
+                update = engine_update({7: 1} if number == 1 else {}, running=running)
+                table.apply_update(UpstreamId(f"r{number}"), update, NOW)
+            places.add(table.choose_replica_upstream(SERVICE, adapter(7), UpstreamId("r1"), NOW))
+        assert len(places) == 1
+
+    def test_the_unevenness_of_the_least_even_service_is_told(self) -> None:
+        assert self._table(gateways=1).unevenness(NOW) == pytest.approx(3 * 40 / 47)
+        assert _table(1, linked=False).unevenness(NOW) == 1.0
+
+
 class TestLimits:
     """Guards against requests beyond a limit, and adapters on upstreams that can't use them."""
 
