Choose among unequal upstreams by how long work takes there

Cause: the fourth figure of an upstream's load was read and not used. Change: a figure counts for the moment and falls back to the mean of 10 s; the capacity of a candidate, and the wait for an adapter slot, follow it. Reports of linked engines count as well, those of another incarnation and in a 421 do not.

--- a/src/dragonflyhold/balancing/__init__.py
+++ b/src/dragonflyhold/balancing/__init__.py
@@ -2,5 +2,14 @@
 
 from dragonflyhold.balancing.arrivals import ArrivalRate
 from dragonflyhold.balancing.choice import Basis, Candidate, choose, choose_for_key, unevenness
+from dragonflyhold.balancing.slowness import Slowness
 
-__all__ = ["ArrivalRate", "Basis", "Candidate", "choose", "choose_for_key", "unevenness"]
+__all__ = [
+    "ArrivalRate",
+    "Basis",
+    "Candidate",
+    "Slowness",
+    "choose",
+    "choose_for_key",
+    "unevenness",
+]
--- a/src/dragonflyhold/gateway/attempt.py
+++ b/src/dragonflyhold/gateway/attempt.py
@@ -268,6 +268,7 @@
             load=view.load(started),
             state_age_ms=round((started - view.reported_at) * 1000),
             own=view.in_flight,
+            slowness=view.slowness.rounded(started),
             candidates=choice.basis.candidates if choice.basis else None,
             eligible=choice.basis.eligible if choice.basis else None,
             unreported=round(choice.basis.unreported, 1) if choice.basis else None,
@@ -298,7 +299,7 @@
                 choice.upstream_id, self._request_info.prompt_tokens, elapsed
             )
         self._gateway.note_limit(view, head, started)
-        self._gateway.note_load(choice.upstream_id, head)
+        self._gateway.note_load(self._upstream, head)
         return None
 
     def _may_send(self) -> bool:
--- a/src/dragonflyhold/gateway/dispatch.py
+++ b/src/dragonflyhold/gateway/dispatch.py
@@ -47,6 +47,9 @@
 # Number of upstreams, the first ones of an adapter's ranking, among which the one that loads the
 # adapter is chosen.
 MAX_LOAD_CANDIDATES = 8
+# Load, relative to its slots, at which an upstream that is not slower takes twice as long for
+# another request as an idle one, with what that one adds to the time of the others.
+DOUBLING_LOAD = 0.3
 # Upstreams drawn of a larger service, among which a request without an adapter goes to the best.
 MAX_DRAWN = 32
 
@@ -278,7 +281,7 @@
         loadable = [view for view in loadable if not view.is_limited(now)] or loadable
         if not loadable:
             return NoUpstream(self.count_of_service(service))
-        best = _cheapest(rank(loadable, target, MAX_LOAD_CANDIDATES))
+        best = _cheapest(rank(loadable, target, MAX_LOAD_CANDIDATES), now)
         return WaitFor(best.upstream.upstream_id)
 
     def _available(
@@ -436,7 +439,7 @@
             MAX_LOAD_CANDIDATES,
         )
         ranked = list(candidates)
-        return WaitFor(_cheapest(ranked).upstream.upstream_id) if ranked else None
+        return WaitFor(_cheapest(ranked, now).upstream.upstream_id) if ranked else None
 
     def _send_evenly(
         self, views: Sequence[UpstreamView], target: ModelAdapter | None, now: float
@@ -452,11 +455,18 @@
         slots, load = view.upstream.slots, view.load(now)
         is_local = view.upstream.data_centre == self._data_centre
         bonus = LOCAL_BONUS_REQUESTS / slots if is_local else 0.0
-        handicap = view.gate.return_load(now) - bonus + 2.0 * view.current_failure_rate(now)
+        slowness = view.slowness.now(now)
+        handicap = (
+            view.gate.return_load(now)
+            - bonus
+            + 2.0 * view.current_failure_rate(now)
+            + DOUBLING_LOAD * (slowness - 1.0)
+        )
+        capacity = slots / slowness
         if not view.has_report(now):
-            return Candidate(0, load, slots, handicap=handicap)
+            return Candidate(0, load, capacity, handicap=handicap)
         reported = view.reported_requests
-        return Candidate(reported, load - reported, slots, now - view.reported_at, handicap)
+        return Candidate(reported, load - reported, capacity, now - view.reported_at, handicap)
 
     def _others_per_s(self, views: Sequence[UpstreamView], now: float) -> float:
         """Return the rate at which all other gateways send to one of the upstreams.
@@ -478,7 +488,8 @@
         by_service: dict[ServiceName, list[Candidate]] = {}
         for view in self.views.values():
             if view.has_report(now) and view.is_usable(now):
-                candidate = Candidate(view.load(now), 0, view.upstream.slots)
+                capacity = view.upstream.slots / view.slowness.mean(now)
+                candidate = Candidate(view.load(now), 0, capacity)
                 by_service.setdefault(view.upstream.service, []).append(candidate)
         return max((unevenness(candidates) for candidates in by_service.values()), default=1.0)
 
@@ -579,14 +590,17 @@
         if view is not None:
             view.first_byte_s += FIRST_BYTE_WEIGHT * (seconds - view.first_byte_s)
 
-    def report_load(self, upstream_id: UpstreamId, load: ServerLoad, now: float) -> None:
-        """Record the load that an upstream of a plain service reports in a response."""
-        view = self.views.get(upstream_id)
-        if view is not None and not view.is_linked:
-            # The request of this response is included in the counts but has ended.
-            view.reported_requests = max(0, load.running + load.waiting - 1)
-            view.own_requests_at_report = max(0, view.in_flight - 1)
-            view.reported_at = now
+    def report_load(self, upstream: Upstream, load: ServerLoad, now: float) -> None:
+        """Record the load that an incarnation of an upstream reports in a response."""
+        view = self._current(upstream.incarnation_id)
+        if view is None:
+            return
+        # The request of this response is included in the counts but has ended.
+        view.reported_requests = max(0, load.running + load.waiting - 1)
+        view.own_requests_at_report = max(0, view.in_flight - 1)
+        view.reported_at = now
+        if load.slowness is not None:
+            view.slowness.note(load.slowness, now)
 
     def drop_resident(self, upstream_id: UpstreamId, target: ModelAdapter) -> None:
         """Drop an adapter that an upstream reported as not loaded."""
@@ -600,16 +614,17 @@
     return origin is not None or now >= view.begins_streams_at
 
 
-def _cheapest(ranked: Sequence[UpstreamView]) -> UpstreamView:
-    """Return the upstream of a ranking that should load the adapter."""
+def _cheapest(ranked: Sequence[UpstreamView], now: float) -> UpstreamView:
+    """Return the upstream of a ranking that should load the adapter.
+
+    The adapter slots of a slower upstream become free that much later.
+    """
 
     def cost(item: tuple[int, UpstreamView]) -> float:
         position, view = item
-        queue_length = (
-            view.backlog
-            + view.waiters_since_report
-            - min(view.free_adapter_slots, MAX_COUNTED_FREE_SLOTS)
-        )
-        return queue_length + min(position, 2) * STORE_LOAD_COST
+        queue_length = view.backlog + view.waiters_since_report
+        free_slots = min(view.free_adapter_slots, MAX_COUNTED_FREE_SLOTS)
+        wait = queue_length * view.slowness.mean(now) - free_slots
+        return wait + min(position, 2) * STORE_LOAD_COST
 
     return min(enumerate(ranked), key=cost)[1]
--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -451,11 +451,11 @@
         if target is not None:
             self.demands.request_ended(upstream_id, target)
 
-    def note_load(self, upstream_id: UpstreamId, head: Head) -> None:
+    def note_load(self, upstream: Upstream, head: Head) -> None:
         """Record the load that an upstream reports in its response headers."""
         load = codec.server_load(head)
         if load is not None:
-            self.table.report_load(upstream_id, load, time.monotonic())
+            self.table.report_load(upstream, load, time.monotonic())
 
     def note_limit(self, view: UpstreamView, head: Head, sent_at: float) -> None:
         """Record the limit that an upstream states in a response, or its end.
--- a/src/dragonflyhold/gateway/upstream_view.py
+++ b/src/dragonflyhold/gateway/upstream_view.py
@@ -4,7 +4,7 @@
 import dataclasses
 from typing import final
 
-from dragonflyhold.balancing import ArrivalRate
+from dragonflyhold.balancing import ArrivalRate, Slowness
 from dragonflyhold.gateway.link import Link
 from dragonflyhold.gateway.liveness import VmLiveness
 from dragonflyhold.gateway.model import ModelAdapter, RegistrationState, Upstream
@@ -73,6 +73,8 @@
     reported_at: float = -1e9
     # Rate of this gateway's requests to it.
     sends: ArrivalRate = dataclasses.field(default_factory=ArrivalRate)
+    # How long work takes there, as it states itself.
+    slowness: Slowness = dataclasses.field(default_factory=Slowness)
     # Requests a second that the upstream takes from all gateways, ``None`` if it states no limit.
     limit_per_s: float | None = None
     # Monotonic time of the answer that stated the limit, or its end, last.
--- a/src/dragonflyhold/platform/codec.py
+++ b/src/dragonflyhold/platform/codec.py
@@ -424,7 +424,10 @@
 
     The first three figures are counts; the fourth, which not all upstreams state, is the time that
     work takes as a percentage of the usual one. An invalid fourth figure leaves the counts valid.
+    A response with status 421 comes from another upstream.
     """
+    if head.status == 421:
+        return None
     parts = head.fields.get(SERVER_LOAD, b"").split(b",")
     if not LOAD_COUNTS <= len(parts) <= LOAD_COUNTS + 1:
         return None
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -255,7 +255,7 @@
     def test_plain_services_report_their_load_in_responses(self) -> None:
         table = _table(1, linked=False)
         table.request_started(UpstreamId("r1"), NOW)
-        table.report_load(UpstreamId("r1"), ServerLoad(running=4, waiting=2, slots=8), NOW)
+        table.report_load(upstream(1), ServerLoad(running=4, waiting=2, slots=8), NOW)
         table.request_ended(UpstreamId("r1"))
         assert table.views[UpstreamId("r1")].load(NOW) == 5
 
@@ -374,6 +374,80 @@
         assert _table(1, linked=False).unevenness(NOW) == 1.0
 
 
+class TestUnequalUpstreams:
+    """Upstreams that state how long work takes on their machine."""
+
+    def _table(self, figures: dict[int, float | None], running: int = 0) -> UpstreamTable:
+        table = _table(*figures)
+        for second in range(20):
+            for number, figure in figures.items():
+                load = ServerLoad(running + 1, 0, 64, figure)
+                table.report_load(upstream(number), load, NOW - 20.0 + second)
+        for number in figures:
+            update = engine_update({7: 1}, running=running)
+            table.apply_update(UpstreamId(f"r{number}"), update, NOW)
+        return table
+
+    def _chosen(self, table: UpstreamTable) -> Counter[str]:
+        choices = [table.choose(SERVICE, adapter(7), ANY, NOW + 0.3) for _ in range(300)]
+        return Counter(str(choice.upstream_id) for choice in choices if isinstance(choice, SendNow))
+
+    def test_the_faster_of_equally_loaded_holders_gets_the_request(self) -> None:
+        assert self._chosen(self._table({1: 1.2, 2: 0.55}, running=10)) == {"r2": 300}
+        assert self._chosen(self._table({1: 1.2, 2: 0.55})) == {"r2": 300}
+
+    def test_a_slower_upstream_gets_what_it_does_as_soon(self) -> None:
+        """Guards against a fast upstream that is overrun while slow ones idle."""
+        table = self._table({1: 1.2, 2: 0.55})
+        table.apply_update(UpstreamId("r2"), engine_update({7: 1}, running=50), NOW)
+        assert self._chosen(table) == {"r1": 300}
+
+    def test_not_all_gateways_leave_a_slow_upstream_together(self) -> None:
+        table = self._table({1: 1.2, 2: 0.55}, running=10)
+        table.count_gateways = lambda: 30
+        for _ in range(300):
+            table.request_started(UpstreamId("r1"), NOW)
+            table.request_ended(UpstreamId("r1"))
+        chosen = self._chosen(table)
+        assert chosen["r1"] > 30
+        assert chosen["r2"] > chosen["r1"]
+
+    def test_without_figures_nothing_changes(self) -> None:
+        chosen = self._chosen(self._table({1: None, 2: None}))
+        assert min(chosen["r1"], chosen["r2"]) > 100
+        candidate_speeds = {
+            view.slowness.now(NOW) for view in self._table({1: None}).views.values()
+        }
+        assert candidate_speeds == {1.0}
+
+    def test_a_figure_of_another_incarnation_says_nothing(self) -> None:
+        table = _table(1)
+        load = ServerLoad(50, 3, 64, 9.0)
+        table.report_load(upstream(1, start_time_ms=2), load, NOW)
+        view = table.views[UpstreamId("r1")]
+        assert view.slowness.rounded(NOW) is None
+        assert view.load(NOW) == 0
+        table.report_load(upstream(1), load, NOW)
+        table.put(upstream(1, start_time_ms=2))
+        assert table.views[UpstreamId("r1")].slowness.rounded(NOW) is None
+
+    def test_a_place_at_a_slow_upstream_is_worth_less(self) -> None:
+        """The adapter slots of a slower upstream become free later."""
+        table = _table(1, 2)
+        preferred = table.choose(SERVICE, adapter(7), ANY, NOW)
+        assert isinstance(preferred, WaitFor)
+        for name in ("r1", "r2"):
+            update = engine_update(free_adapter_slots=0, backlog=2)
+            table.apply_update(UpstreamId(name), update, NOW)
+        assert table.choose(SERVICE, adapter(7), ANY, NOW) == preferred
+        slow = upstream(int(preferred.upstream_id[1:]))
+        for second in range(20):
+            table.report_load(slow, ServerLoad(1, 0, 64, 6.0), NOW - 20.0 + second)
+        choice = table.choose(SERVICE, adapter(7), ANY, NOW)
+        assert isinstance(choice, WaitFor)
+        assert choice != preferred
+
+
 class TestLimits:
     """Guards against requests beyond a limit, and adapters on upstreams that can't use them."""
 
--- a/tests/platform/test_codec.py
+++ b/tests/platform/test_codec.py
@@ -218,6 +218,9 @@
         """Guards against a header that ends a request although its upstream has answered."""
         assert codec.server_load(_head(200, server_load=value)) is None
 
+    def test_the_load_in_a_421_is_that_of_another_upstream(self) -> None:
+        assert codec.server_load(_head(421, server_load=b"3,1,8,250")) is None
+
 
 class TestEngine:
     """Commands to an engine and its reports."""
