Give faster engines more adapters and slow ones earlier replicas

Change: the ranking of upstreams for an adapter is weighted by classes of the mean figure, which gateways agree on; work instead of requests decides on replicas. Without figures the ranking is as before (test).

--- a/src/dragonflyhold/balancing/__init__.py
+++ b/src/dragonflyhold/balancing/__init__.py
@@ -1,7 +1,14 @@
 """Even load: the choice among upstreams whose loads are known only with some delay."""
 
 from dragonflyhold.balancing.arrivals import ArrivalRate
-from dragonflyhold.balancing.choice import Basis, Candidate, choose, choose_for_key, unevenness
+from dragonflyhold.balancing.choice import (
+    Basis,
+    Candidate,
+    choose,
+    choose_for_key,
+    unevenness,
+    weighted_score,
+)
 from dragonflyhold.balancing.slowness import Slowness
 
 __all__ = [
@@ -12,4 +19,5 @@
     "choose",
     "choose_for_key",
     "unevenness",
+    "weighted_score",
 ]
--- a/src/dragonflyhold/balancing/choice.py
+++ b/src/dragonflyhold/balancing/choice.py
@@ -80,14 +80,20 @@
     weights, _ = _shares(candidates, others_per_s)
 
     def score(index: int) -> float:
-        if not weights[index]:
-            return 0.0
-        uniform = (combine(key_hash, hashes[index]) + 0.5) / HASH_RANGE
-        return -weights[index] / math.log(uniform)
+        return weighted_score(key_hash, hashes[index], weights[index])
 
     return max(range(len(candidates)), key=score)
 
 
+def weighted_score(key_hash: int, candidate_hash: int, weight: float) -> float:
+    """Return the rank of a candidate for a key by weighted rendezvous hashing; the highest wins.
+
+    Keys are spread in proportion to the weights; a change of one weight moves few keys.
+    """
+    uniform = (combine(key_hash, candidate_hash) + 0.5) / HASH_RANGE
+    return -weight / math.log(uniform) if uniform < 1.0 else math.inf
+
+
 def unevenness(upstreams: Sequence[Candidate]) -> float:
     """Return the highest load relative to the mean of at least one upstream; 1 is even.
 
--- a/src/dragonflyhold/balancing/slowness.py
+++ b/src/dragonflyhold/balancing/slowness.py
@@ -15,6 +15,10 @@
 SAMPLE_GAP_S = 0.1
 # Time without a figure after which nothing is known.
 MAX_AGE_S = 30.0
+# Classes of the mean, for decisions on which gateways with figures of their own must agree: a
+# class is a factor of the square root of 2 wide, and is left at this distance from its middle.
+CLASSES_PER_DOUBLING = 2
+LEAVE_CLASS_AT = 0.8
 # Bounds of a figure, so that a single absurd one neither stops an upstream's work nor draws all.
 MIN_SLOWNESS = 0.1
 MAX_SLOWNESS = 10.0
@@ -32,6 +36,12 @@
         self._last = USUAL
         self._last_at = -math.inf
         self._sampled_at = -math.inf
+        self._class = 0
+
+    @property
+    def steady(self) -> float:
+        """The middle of the mean's class, which changes rarely."""
+        return float(2.0 ** (self._class / CLASSES_PER_DOUBLING))
 
     def note(self, figure: float, now: float) -> None:
         """Record a figure that an upstream stated at a monotonic time."""
@@ -48,6 +58,9 @@
         self._samples += 1
         weight = max(1.0 / self._samples, 1.0 - math.exp(-min(gap_s, MOMENT_S) / MEAN_S))
         self._mean += weight * (figure - self._mean)
+        position = CLASSES_PER_DOUBLING * math.log2(self._mean)
+        if abs(position - self._class) > LEAVE_CLASS_AT:
+            self._class = round(position)
 
     def is_known(self, now: float) -> bool:
         """Return whether the upstream has stated a figure that still counts."""
--- a/src/dragonflyhold/gateway/dispatch.py
+++ b/src/dragonflyhold/gateway/dispatch.py
@@ -38,7 +38,7 @@
 # as long and is charged.
 STORE_LOAD_COST = 3.0
 # An upstream whose batch is filled beyond REPLICA_LOAD_SHARE gets replicas of its popular adapters
-# on upstreams with less than REPLICA_LOAD_RATIO of its requests and enough free adapter slots.
+# on upstreams with less than REPLICA_LOAD_RATIO of its work and enough free adapter slots.
 REPLICA_LOAD_SHARE = 0.3
 REPLICA_LOAD_RATIO = 0.5
 REPLICA_MIN_FREE_SLOTS = 3
@@ -508,7 +508,8 @@
         restarted ones, are idle.
         """
         holder_view = self.views[holder]
-        if holder_view.load(now) < REPLICA_LOAD_SHARE * holder_view.upstream.slots:
+        holder_work = holder_view.work(now)
+        if holder_work < REPLICA_LOAD_SHARE * holder_view.upstream.slots:
             return None
         others = [
             view
@@ -517,7 +518,7 @@
             and not view.is_limited(now)
             and view.is_available(now)
             and view.free_adapter_slots - view.waiters_since_report >= REPLICA_MIN_FREE_SLOTS
-            and view.load(now) < REPLICA_LOAD_RATIO * holder_view.load(now)
+            and view.work(now) < REPLICA_LOAD_RATIO * holder_work
         ]
         if not others or any(target in view.resident for view in others):
             return None
@@ -600,7 +601,10 @@
         view.own_requests_at_report = max(0, view.in_flight - 1)
         view.reported_at = now
         if load.slowness is not None:
+            steady = view.slowness.steady
             view.slowness.note(load.slowness, now)
+            if view.slowness.steady != steady:
+                self._index.note_speed_changed()
 
     def drop_resident(self, upstream_id: UpstreamId, target: ModelAdapter) -> None:
         """Drop an adapter that an upstream reported as not loaded."""
--- a/src/dragonflyhold/gateway/upstream_index.py
+++ b/src/dragonflyhold/gateway/upstream_index.py
@@ -4,9 +4,10 @@
 from collections.abc import Hashable, Iterable, Sequence
 from typing import TypeVar, final
 
+from dragonflyhold.balancing import weighted_score
 from dragonflyhold.gateway.model import ModelAdapter
 from dragonflyhold.gateway.upstream_view import UpstreamView
-from dragonflyhold.hashing import combine, hash64
+from dragonflyhold.hashing import hash64
 from dragonflyhold.ids import ServiceName, Version
 
 # Upstreams kept of an adapter's ranking; more are available if the first ones are not.
@@ -63,6 +64,10 @@
         if view.resident.pop(target, None) is not None:
             _remove_all(self._holders, (target,), view)
 
+    def note_speed_changed(self) -> None:
+        """Rank anew, as an upstream has become slower or faster for longer than a moment."""
+        self._rankings.clear()
+
     def at_ip(self, ip: str) -> list[UpstreamView]:
         """Return the upstreams on a VM, one for each known incarnation."""
         return list(self._by_ip.get(ip, ()))
@@ -95,9 +100,16 @@
 
 
 def rank(views: Sequence[UpstreamView], target: ModelAdapter, length: int) -> list[UpstreamView]:
-    """Return the first ``length`` upstreams of an adapter's ranking by rendezvous hashing."""
+    """Return the first ``length`` upstreams of an adapter's ranking by rendezvous hashing.
+
+    A faster upstream is the first one of more adapters, as its adapter slots are free again sooner.
+    """
     key_hash = hash_target(target)
-    return heapq.nlargest(length, views, key=lambda view: combine(key_hash, view.address_hash))
+    return heapq.nlargest(
+        length,
+        views,
+        key=lambda view: weighted_score(key_hash, view.address_hash, 1.0 / view.slowness.steady),
+    )
 
 
 def hash_target(target: ModelAdapter) -> int:
--- a/src/dragonflyhold/gateway/upstream_view.py
+++ b/src/dragonflyhold/gateway/upstream_view.py
@@ -120,6 +120,10 @@
             self.in_flight, self.reported_requests + self.in_flight - self.own_requests_at_report
         )
 
+    def work(self, now: float) -> float:
+        """Return the load in requests of an upstream that is neither fast nor slow."""
+        return self.load(now) * self.slowness.mean(now)
+
     def has_report(self, now: float) -> bool:
         """Return whether a report on the load is recent enough to be used."""
         return now - self.reported_at <= MAX_REPORT_AGE_S
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -447,6 +447,33 @@
         assert isinstance(choice, WaitFor)
         assert choice != preferred
 
+    def test_a_slow_holder_gets_a_replica_sooner_and_a_slow_upstream_none(self) -> None:
+        for figure, other, is_expected in ((1.0, 1.0, False), (2.5, 1.0, True), (2.5, 4.0, False)):
+            table = self._table({1: figure, 2: other})
+            table.apply_update(UpstreamId("r1"), engine_update({7: 1}, running=14), NOW)
+            table.apply_update(UpstreamId("r2"), engine_update(running=6), NOW)
+            place = table.choose_replica_upstream(SERVICE, adapter(7), UpstreamId("r1"), NOW)
+            assert (place == "r2") == is_expected
+
+    def test_a_faster_upstream_is_the_home_of_more_adapters(self) -> None:
+        """Its adapter slots are free again sooner; all gateways must agree on the home."""
+        homes = []
+        for seed in (1, 2):
+            rng = random.Random(seed)
+            table = _table(1, 2, 3, 4)
+            for second in range(60):
+                for number, figure in ((1, 0.55), (2, 1.2), (3, 1.2), (4, 1.2)):
+                    moment = figure * (2.5 if rng.random() < 0.15 else 1.0)
+                    load = ServerLoad(1, 0, 64, moment)
+                    table.report_load(upstream(number), load, NOW - 60.0 + second)
+            for name in table.views:
+                table.apply_update(name, engine_update(), NOW)
+            choices = [table.choose(SERVICE, adapter(n), ANY, NOW) for n in range(400)]
+            homes.append([choice.upstream_id for choice in choices if isinstance(choice, WaitFor)])
+        agreed = sum(first == second for first, second in zip(*homes, strict=True))
+        assert agreed >= 360
+        assert homes[0].count(UpstreamId("r1")) > 1.4 * homes[0].count(UpstreamId("r2"))
+
 
 class TestLimits:
     """Guards against requests beyond a limit, and adapters on upstreams that can't use them."""
--- a/tests/gateway/test_upstream_index.py
+++ b/tests/gateway/test_upstream_index.py
@@ -8,7 +8,9 @@
 
 from dragonflyhold.gateway.dispatch import SendNow, UpstreamTable, WaitFor
 from dragonflyhold.gateway.model import Address, RegistrationState, UpstreamId
+from dragonflyhold.gateway.upstream_index import hash_target, rank
 from dragonflyhold.gateway.upstream_view import UpstreamView
+from dragonflyhold.hashing import combine
 from dragonflyhold.ids import DataCentre, Version
 from tests.gateway.builders import SERVICE, adapter, engine_update, upstream
 
@@ -119,3 +121,20 @@
             assert isinstance(choice, WaitFor)
             chosen.add(choice.upstream_id)
         assert len(chosen) == 60
+
+
+class TestRanking:
+    """The order in which upstreams are considered for the load of an adapter."""
+
+    def test_without_stated_speeds_it_is_that_of_earlier_builds(self) -> None:
+        """Guards against homes that move in a rolling restart, with one fetch for each adapter."""
+        table = UpstreamTable(DataCentre("dc-a"), random.Random(1))
+        for number in range(1, 40):
+            table.put(upstream(number))
+        views = list(table.views.values())
+        for number in range(300):
+            key_hash = hash_target(adapter(number))
+            expected = sorted(
+                views, key=lambda view: combine(key_hash, view.address_hash), reverse=True
+            )
+            assert rank(views, adapter(number), 8) == expected[:8]
