Keep an engine from getting more requests than its memory holds

Cause: nothing counted the memory that requests hold at an engine, over all gateways; an engine that holds more than its memory crashes with all of them. Change: the agent's heartbeat carries the engine's used and total memory. A gateway adds what it sent since, an estimate of what others sent and a margin for its variance; an engine without room for a request isn't chosen, also not to load its adapter, and runner_memory names a refusal for it. Without the figures nothing changes. A test of messages has its unknown field one place later, as the place before it has a meaning now.

--- a/src/dragonflyhold/balancing/__init__.py
+++ b/src/dragonflyhold/balancing/__init__.py
@@ -9,12 +9,16 @@
     unevenness,
     weighted_score,
 )
+from dragonflyhold.balancing.memory import HeldMemory, MemoryReport, RequestSizes
 from dragonflyhold.balancing.slowness import Slowness
 
 __all__ = [
     "ArrivalRate",
     "Basis",
     "Candidate",
+    "HeldMemory",
+    "MemoryReport",
+    "RequestSizes",
     "Slowness",
     "choose",
     "choose_for_key",
--- a/src/dragonflyhold/gateway/agent.py
+++ b/src/dragonflyhold/gateway/agent.py
@@ -286,6 +286,7 @@
             change=self._known_change(),
             gateways=len(self._demands),
             protocol=PROTOCOL_VERSION,
+            memory=report.memory if report is not None else None,
         )
 
     def _known_change(self) -> StorePosition:
--- a/src/dragonflyhold/gateway/attempt.py
+++ b/src/dragonflyhold/gateway/attempt.py
@@ -212,11 +212,13 @@
             self._gateway.pool.release(self._address, exchange)
         if self._is_counted:
             self._is_counted = False
-            self._gateway.note_ended(self._choice.upstream_id, self._request_info.target)
+            info = self._request_info
+            self._gateway.note_ended(self._choice.upstream_id, info.target, info.held_tokens)
 
     async def _open(self) -> Outcome | Superseded | None:
         """Send the request and read the head; return an outcome if there is none."""
-        self._gateway.note_started(self._choice.upstream_id, self._request_info.target)
+        info = self._request_info
+        self._gateway.note_started(self._choice.upstream_id, info.target, info.held_tokens)
         self._is_counted = True
         try:
             outcome = await self._start()
@@ -550,7 +552,13 @@
         left = {self._upstream.upstream_id, *self._predecessors}
         for excluded in ({*context.progress.tried, *left}, left):
             choice = self._gateway.table.choose(
-                context.service, target, min_version, now, excluded, context.progress.origin
+                context.service,
+                target,
+                min_version,
+                now,
+                excluded,
+                context.progress.origin,
+                self._request_info.held_tokens,
             )
             if isinstance(choice, SendNow):
                 view = self._gateway.table.views[choice.upstream_id]
--- a/src/dragonflyhold/gateway/dispatch.py
+++ b/src/dragonflyhold/gateway/dispatch.py
@@ -10,6 +10,7 @@
     ArrivalRate,
     Basis,
     Candidate,
+    RequestSizes,
     choose,
     choose_for_key,
     unevenness,
@@ -88,6 +89,8 @@
     all_leave: bool = False
     # Whether no upstream is left that may go on with the stream, though others are.
     is_version_gone: bool = False
+    # Whether an upstream that is available otherwise has no memory for the request.
+    is_memory_full: bool = False
 
 
 Choice = SendNow | WaitFor | NoUpstream
@@ -106,6 +109,7 @@
         self.count_gateways: Callable[[], int] = lambda: 1
         # Rates of this gateway's requests by service.
         self._arrivals: dict[ServiceName, ArrivalRate] = {}
+        self._sizes = RequestSizes()
         self._index = UpstreamIndex()
         self._data_centre = data_centre
         self._rng = rng
@@ -178,6 +182,7 @@
         view.is_paced = heartbeat.is_paced
         if heartbeat.running is not None and heartbeat.waiting is not None and view.is_linked:
             view.record_load(heartbeat.running + heartbeat.waiting, now)
+            view.memory.note_report(heartbeat.memory, heartbeat.running, heartbeat.waiting, now)
 
     def note_agent_message(self, upstream_id: UpstreamId, now: float) -> None:
         """Record the time of a message from the agent on an upstream's VM."""
@@ -243,13 +248,17 @@
         now: float,
         excluded: Collection[UpstreamId] = (),
         origin: StreamOrigin | None = None,
+        tokens: int = 0,
     ) -> Choice:
         """Choose an upstream that has version ``min_version`` or newer, or one that may load it.
 
-        A stream that began elsewhere goes on only where its ``origin`` allows it.
+        ``tokens`` is the memory that the request will hold at an engine. A stream that began
+        elsewhere goes on only where its ``origin`` allows it.
         """
         if target is not None:
-            choice = self._choose_for_adapter(service, target, min_version, now, excluded, origin)
+            choice = self._choose_for_adapter(
+                service, target, min_version, now, excluded, origin, tokens
+            )
             if isinstance(choice, SendNow):
                 return choice
             if origin is not None and self._awaits_holder(target, min_version, origin, now):
@@ -262,11 +271,17 @@
             responsive = [
                 view
                 for view in self._available(drawn, now, excluded, origin)
-                if not view.is_heartbeat_overdue(now) and _may_begin(view, origin, now)
+                if not view.is_heartbeat_overdue(now)
+                and _may_begin(view, origin, now)
+                and self._has_room(view, tokens, now)
             ]
             if responsive:
                 return self._send_evenly(responsive, None, now)
         available = self._available(views, now, excluded, origin)
+        with_room = [view for view in available if self._has_room(view, tokens, now)]
+        if available and not with_room:
+            return NoUpstream(len(views), is_memory_full=True)
+        available = with_room
         available = [view for view in available if _may_begin(view, origin, now)] or available
         # If the heartbeats of all of them are overdue, this process has not read for a while.
         available = [view for view in available if not view.is_heartbeat_overdue(now)] or available
@@ -284,6 +299,13 @@
         best = _cheapest(rank(loadable, target, MAX_LOAD_CANDIDATES), now)
         return WaitFor(best.upstream.upstream_id)
 
+    def _has_room(self, view: UpstreamView, tokens: int, now: float) -> bool:
+        """Return whether a request fits into an engine's memory, with those of all gateways."""
+        if not view.memory.is_stated:
+            return True
+        others_per_s = self._others_per_s([view], now)
+        return view.memory.fits(tokens, self._sizes, others_per_s, now)
+
     def _available(
         self,
         views: Sequence[UpstreamView],
@@ -343,14 +365,15 @@
         now: float,
         tried: Collection[UpstreamId],
         origin: StreamOrigin | None = None,
+        tokens: int = 0,
     ) -> Choice:
         """Choose an upstream; use one that was tried only if no other can start at once."""
         # Once all upstreams have been tried, any may be tried again.
         excluded = tried if len(tried) < self.count_of_service(service) else ()
-        choice = self.choose(service, target, min_version, now, excluded, origin)
+        choice = self.choose(service, target, min_version, now, excluded, origin, tokens)
         if isinstance(choice, SendNow) or not tried:
             return choice
-        again = self.choose(service, target, min_version, now, (), origin)
+        again = self.choose(service, target, min_version, now, (), origin, tokens)
         return again if isinstance(again, SendNow) else choice
 
     def _describe_lack(
@@ -397,6 +420,7 @@
         now: float,
         excluded: Collection[UpstreamId],
         origin: StreamOrigin | None,
+        tokens: int,
     ) -> SendNow | WaitFor | None:
         """Choose among the upstreams that the indexes name; ``None`` if none of them is usable.
 
@@ -414,6 +438,7 @@
                 and not view.is_heartbeat_overdue(now)
                 and _may_begin(view, origin, now)
                 and (origin is None or self._may_go_on(view, origin, now))
+                and self._has_room(view, tokens, now)
             )
 
         holders = [
@@ -532,12 +557,14 @@
 
     # Outcomes of requests
 
-    def request_started(self, upstream_id: UpstreamId, now: float) -> None:
-        """Count a request that is sent to an upstream."""
+    def request_started(self, upstream_id: UpstreamId, now: float, tokens: int = 0) -> None:
+        """Count a request that is sent to an upstream and holds so many tokens there."""
+        self._sizes.note(tokens)
         view = self.views.get(upstream_id)
         if view is not None:
             view.in_flight += 1
             view.sends.note(now)
+            view.memory.note_started(tokens)
             self._arrivals.setdefault(view.upstream.service, ArrivalRate()).note(now)
             if view.awaiting_since is None:
                 view.awaiting_since = now
@@ -552,11 +579,12 @@
             if view.awaiting_since is not None:
                 view.awaiting_since = now
 
-    def request_ended(self, upstream_id: UpstreamId) -> None:
-        """Count a request that ended at an upstream."""
+    def request_ended(self, upstream_id: UpstreamId, tokens: int = 0) -> None:
+        """Count a request that ended at an upstream and held so many tokens there."""
         view = self.views.get(upstream_id)
         if view is not None:
             view.in_flight = max(0, view.in_flight - 1)
+            view.memory.note_ended(tokens)
             if view.in_flight == 0:
                 view.awaiting_since = None
 
--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -439,15 +439,17 @@
         if not self._replica_requests.is_requested(target):
             self._spawn(self._replica_requests.request_replica(upstream_id, target, LOAD_UTILITY))
 
-    def note_started(self, upstream_id: UpstreamId, target: ModelAdapter | None) -> None:
-        """Count a request that is sent to an upstream."""
-        self.table.request_started(upstream_id, time.monotonic())
+    def note_started(
+        self, upstream_id: UpstreamId, target: ModelAdapter | None, tokens: int
+    ) -> None:
+        """Count a request that is sent to an upstream and holds so many tokens there."""
+        self.table.request_started(upstream_id, time.monotonic(), tokens)
         if target is not None:
             self.demands.request_started(upstream_id, target)
 
-    def note_ended(self, upstream_id: UpstreamId, target: ModelAdapter | None) -> None:
-        """Count a request that ended at an upstream."""
-        self.table.request_ended(upstream_id)
+    def note_ended(self, upstream_id: UpstreamId, target: ModelAdapter | None, tokens: int) -> None:
+        """Count a request that ended at an upstream and held so many tokens there."""
+        self.table.request_ended(upstream_id, tokens)
         if target is not None:
             self.demands.request_ended(upstream_id, target)
 
--- a/src/dragonflyhold/gateway/messages.py
+++ b/src/dragonflyhold/gateway/messages.py
@@ -15,6 +15,7 @@
 
 import msgpack
 
+from dragonflyhold.balancing import MemoryReport
 from dragonflyhold.errors import DragonflyholdError
 from dragonflyhold.gateway.logs import describe
 from dragonflyhold.gateway.message_fields import (
@@ -140,6 +141,8 @@
     # Number of connected gateways.
     gateways: int = 0
     protocol: int = 1
+    # Memory of the engine, ``None`` if it states none.
+    memory: MemoryReport | None = None
 
 
 @final
@@ -369,6 +372,7 @@
                 message.gateways,
                 message.protocol,
                 message.change.era,
+                message.memory and (message.memory.used, message.memory.total),
             )
         case StartRequest():
             fields = (
@@ -567,6 +571,7 @@
     gateways: Any = 0,
     protocol: Any = 1,
     era: Any = FIRST_ERA,
+    memory: Any = None,
     *later: Any,
 ) -> AgentHeartbeat:
     del later
@@ -578,6 +583,7 @@
         StorePosition(count(era), count(change)),
         count(gateways),
         count(protocol),
+        MemoryReport(*map(count, memory)) if memory is not None else None,
     )
 
 
--- a/src/dragonflyhold/gateway/model.py
+++ b/src/dragonflyhold/gateway/model.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple, NewType, final
 
 from dragonflyhold.accounts import AccountDirectory, Caller, Unidentified
+from dragonflyhold.balancing import MemoryReport
 from dragonflyhold.ids import AdapterName, DataCentre, ServiceName, Version
 
 UpstreamId = NewType("UpstreamId", str)
@@ -169,6 +170,8 @@
     # Adapters being loaded; each already occupies an adapter slot.
     loading: Mapping[ModelAdapter, Version]
     start_time_ms: int
+    # Memory that requests hold, ``None`` if the engine states none.
+    memory: MemoryReport | None = None
 
 
 @final
@@ -232,6 +235,11 @@
     # Id of the client's earlier request that brought the first event of the stream, if any.
     resumed_request_id: str | None = None
 
+    @property
+    def held_tokens(self) -> int:
+        """Memory that the request holds at an engine at most, in tokens."""
+        return self.prompt_tokens + self.output_tokens
+
     @property
     def takes_up_stream(self) -> bool:
         """Whether the client has received events of the stream before."""
--- a/src/dragonflyhold/gateway/outcomes.py
+++ b/src/dragonflyhold/gateway/outcomes.py
@@ -11,6 +11,7 @@
     NO_CONFIGURATION = "no_configuration"
     NO_ROUTE = "no_route"
     UNKNOWN_KEY = "unknown_key"
+    UPSTREAM_MEMORY = "runner_memory"
     NO_UPSTREAM = "no_runner"
     UPSTREAM_LIMIT = "runner_limit"
     UPSTREAM_TURNED_AWAY = "runner_turned_away"
--- a/src/dragonflyhold/gateway/request.py
+++ b/src/dragonflyhold/gateway/request.py
@@ -187,14 +187,19 @@
                 raise self._terminal_error(Reason.TIMEOUT)
             min_version = gateway.required_version(target)
             table, tried = gateway.table, self.progress.tried
-            match table.choose_again(self._service, target, min_version, now, tried, origin):
+            tokens = self._request_info.held_tokens
+            match table.choose_again(
+                self._service, target, min_version, now, tried, origin, tokens
+            ):
                 case SendNow() as choice:
                     gateway.request_replica_if_overloaded(self._service, target, choice.upstream_id)
                     if await self._acquire_permit(choice):
                         return choice
                 case WaitFor(upstream_id):
                     await self._wait_for(upstream_id, now)
-                case NoUpstream(known_upstreams, free_at, is_turned_away, all_leave, is_gone):
+                case NoUpstream(
+                    known_upstreams, free_at, is_turned_away, all_leave, is_gone, is_memory_full
+                ):
                     until = min(wait_until, self._deadline - MIN_ATTEMPT_S)
                     detail = f"known={known_upstreams}"
                     if is_gone and origin is not None:
@@ -207,6 +212,8 @@
                             Reason.UPSTREAM_TURNED_AWAY if is_turned_away else Reason.UPSTREAM_LIMIT
                         )
                         raise self._terminal_error(reason, detail, free_at - now)
+                    if now >= until and is_memory_full:
+                        raise self._terminal_error(Reason.UPSTREAM_MEMORY, f"tokens={tokens}")
                     if now >= until:
                         raise self._terminal_error(Reason.NO_UPSTREAM, detail)
                     await asyncio.sleep(NO_UPSTREAM_POLL_S)
--- a/src/dragonflyhold/gateway/upstream_view.py
+++ b/src/dragonflyhold/gateway/upstream_view.py
@@ -4,7 +4,7 @@
 import dataclasses
 from typing import final
 
-from dragonflyhold.balancing import ArrivalRate, Slowness
+from dragonflyhold.balancing import ArrivalRate, HeldMemory, Slowness
 from dragonflyhold.gateway.link import Link
 from dragonflyhold.gateway.liveness import VmLiveness
 from dragonflyhold.gateway.model import ModelAdapter, RegistrationState, Upstream
@@ -75,6 +75,8 @@
     sends: ArrivalRate = dataclasses.field(default_factory=ArrivalRate)
     # How long work takes there, as it states itself.
     slowness: Slowness = dataclasses.field(default_factory=Slowness)
+    # What the requests there hold of its memory.
+    memory: HeldMemory = dataclasses.field(default_factory=HeldMemory)
     # Requests a second that the upstream takes from all gateways, ``None`` if it states no limit.
     limit_per_s: float | None = None
     # Monotonic time of the answer that stated the limit, or its end, last.
--- a/src/dragonflyhold/platform/codec.py
+++ b/src/dragonflyhold/platform/codec.py
@@ -14,6 +14,7 @@
 import orjson
 
 from dragonflyhold.accounts import ClientAccount, Unidentified
+from dragonflyhold.balancing import MemoryReport
 from dragonflyhold.gateway.http_client import Head
 from dragonflyhold.gateway.model import (
     AdapterCommand,
@@ -95,6 +96,8 @@
 LOAD_COUNTS = 3
 # Work that takes longer than this percentage of the usual time is not told apart from an error.
 MAX_SLOWNESS_PERCENT = 100_000
+# Larger figures of an engine's memory are kept as this one.
+MAX_MEMORY_TOKENS = 2**48
 # Higher limits are kept as this one, which no upstream reaches.
 MAX_LIMIT_PER_S = 1e6
 # Larger values in a client's headers are ignored like other invalid ones.
@@ -234,11 +237,20 @@
             is_draining=fields.get("state") == RegistrationState.DRAINING.value,
             loading=dict(_parse_loading(entry) for entry in items(fields.get("coming"))),
             start_time_ms=integer(fields.get("born") or 0),
+            memory=_memory(fields),
         )
     except DECODING_ERRORS as error:
         raise decode_error("report", error) from error
 
 
+def _memory(fields: Any) -> MemoryReport | None:
+    """Return what an engine states of its memory; odd values leave the report valid."""
+    used, total = fields.get("kv_used"), fields.get("kv_total")
+    if type(used) is not int or type(total) is not int or not used >= 0 or not total > 0:
+        return None
+    return MemoryReport(min(used, MAX_MEMORY_TOKENS), min(total, MAX_MEMORY_TOKENS))
+
+
 def decode_adapter_version(value: Any) -> tuple[ModelAdapter, Version]:
     """Decode a row that announces a new version of an adapter."""
     try:
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from dragonflyhold.balancing import MemoryReport
 from dragonflyhold.gateway.dispatch import (
     MAX_DRAWN,
     NoUpstream,
@@ -13,6 +14,7 @@
     WaitFor,
 )
 from dragonflyhold.gateway.liveness import DEFAULT_GAP_S, OVERDUE_S, UNREACHABLE_S
+from dragonflyhold.gateway.messages import AgentHeartbeat
 from dragonflyhold.gateway.model import (
     ModelAdapter,
     RegistrationState,
@@ -475,6 +477,55 @@
         assert homes[0].count(UpstreamId("r1")) > 1.4 * homes[0].count(UpstreamId("r2"))
 
 
+class TestMemory:
+    """An engine that holds more than its memory crashes with all its requests."""
+
+    def _table(self, used: int, total: int = 1000) -> UpstreamTable:
+        table = _table(1, 2)
+        for name, held in (("r1", used), ("r2", 0)):
+            update = engine_update({7: 1} if name == "r1" else {})
+            table.apply_update(UpstreamId(name), update, NOW)
+            beat = AgentHeartbeat(1.0, 3, 0, memory=MemoryReport(held, total))
+            table.apply_heartbeat(UpstreamId(name), beat, NOW)
+        return table
+
+    def test_a_request_goes_where_it_fits(self) -> None:
+        table = self._table(used=700)
+        sent = SendNow(UpstreamId("r1"), Version(1))
+        assert table.choose(SERVICE, adapter(7), ANY, NOW, tokens=200) == sent
+        elsewhere = WaitFor(UpstreamId("r2"))
+        assert table.choose(SERVICE, adapter(7), ANY, NOW, tokens=201) == elsewhere
+
+    def test_own_requests_since_the_report_count(self) -> None:
+        table = self._table(used=700)
+        table.request_started(UpstreamId("r1"), NOW, 150)
+        assert isinstance(table.choose(SERVICE, adapter(7), ANY, NOW, tokens=51), WaitFor)
+        table.request_ended(UpstreamId("r1"), 150)
+        assert isinstance(table.choose(SERVICE, adapter(7), ANY, NOW, tokens=51), SendNow)
+
+    def test_requests_of_other_gateways_since_the_report_count(self) -> None:
+        """Guards against a burst that each gateway alone takes for small enough."""
+        table = self._table(used=700)
+        for _ in range(10):
+            table.request_started(UpstreamId("r1"), NOW, 50)
+            table.request_ended(UpstreamId("r1"), 50)
+        assert isinstance(table.choose(SERVICE, adapter(7), ANY, NOW + 0.1, tokens=50), SendNow)
+        table.count_gateways = lambda: 30
+        choice = table.choose(SERVICE, adapter(7), ANY, NOW + 0.1, tokens=50)
+        assert choice != SendNow(UpstreamId("r1"), Version(1))
+
+    def test_a_request_that_fits_nowhere_is_told_apart(self) -> None:
+        table = self._table(used=0)
+        choice = table.choose(SERVICE, adapter(7), ANY, NOW, tokens=5000)
+        assert choice == NoUpstream(2, is_memory_full=True)
+
+    def test_engines_that_state_no_memory_take_any_request(self) -> None:
+        table = _table(1)
+        table.apply_update(UpstreamId("r1"), engine_update({7: 1}), NOW)
+        choice = table.choose(SERVICE, adapter(7), ANY, NOW, tokens=10**9)
+        assert choice == SendNow(UpstreamId("r1"), Version(1))
+
+
 class TestLimits:
     """Guards against requests beyond a limit, and adapters on upstreams that can't use them."""
 
--- a/tests/gateway/test_messages.py
+++ b/tests/gateway/test_messages.py
@@ -3,6 +3,7 @@
 import msgpack
 import pytest
 
+from dragonflyhold.balancing import MemoryReport
 from dragonflyhold.gateway.messages import (
     PROTOCOL_VERSION,
     AgentHeartbeat,
@@ -105,7 +106,19 @@
         later = DemandUpdate([], True, PROTOCOL_VERSION + 1, change)
         assert decode([1, [], PROTOCOL_VERSION + 1, True, 7, 2, "more"]) == later
         expected = AgentHeartbeat(0.5, 1, 2, True, change, 60, 3)
-        assert decode([4, 0.5, 1, 2, True, 7, 60, 3, 2, "more"]) == expected
+        assert decode([4, 0.5, 1, 2, True, 7, 60, 3, 2, None, "more"]) == expected
+
+    def test_memory_is_unknown_to_an_earlier_build(self) -> None:
+        """Guards against an engine that gets nothing, or anything, during a rolling restart."""
+        beat = AgentHeartbeat(0.5, 1, 2, memory=MemoryReport(41_000, 90_000))
+        assert decode(_fields(encode(beat))) == beat
+        earlier = decode([4, 0.5, 1, 2, False, 0, 0, 1, 0])
+        assert earlier == AgentHeartbeat(0.5, 1, 2)
+
+    @pytest.mark.parametrize("memory", [[1], [1, 2, 3], [-1, 5], ["x", 5], 7, "ab"])
+    def test_odd_memory_is_no_message(self, memory: object) -> None:
+        with pytest.raises(MessageError):
+            decode([4, 0.5, 1, 2, False, 0, 0, 1, 0, memory])
 
     def test_changes_of_an_earlier_build_have_no_era(self) -> None:
         """Guards against hints that seem newer than any change after a restore of the store."""
--- a/tests/platform/test_codec.py
+++ b/tests/platform/test_codec.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from dragonflyhold.balancing import MemoryReport
 from dragonflyhold.gateway.http_client import Head
 from dragonflyhold.gateway.model import (
     AdapterCommand,
@@ -248,6 +249,23 @@
         assert {key.adapter: version for key, version in report.loading.items()} == {"a9": 3}
         assert report.is_draining
 
+    def test_report_states_memory(self) -> None:
+        fields = {"sequence": 1, "models": [], "kv_used": 41000, "kv_total": 90000}
+        assert codec.decode_report(fields).memory == MemoryReport(41000, 90000)
+
+    @pytest.mark.parametrize("used", [None, -1, "9", 1.5, True, [], {}])
+    @pytest.mark.parametrize("total", [None, 0, -1, "9", 1.5])
+    def test_odd_memory_leaves_the_report_valid(self, used: object, total: object) -> None:
+        """Guards against an engine that gets nothing for a figure that can't be read."""
+        fields = {"sequence": 1, "models": [], "kv_used": used, "kv_total": total}
+        assert codec.decode_report(fields).memory is None
+
+    def test_huge_memory_is_bounded(self) -> None:
+        fields = {"sequence": 1, "models": [], "kv_used": 10**40, "kv_total": 10**40}
+        memory = codec.decode_report(fields).memory
+        assert memory is not None
+        assert memory.total < 2**63
+
     @pytest.mark.parametrize("value", [None, [], {}, {"sequence": 1, "coming": [3]}])
     def test_invalid_report_is_rejected(self, value: object) -> None:
         with pytest.raises(codec.DecodeError):
