Let engines of the deployment model differ in speed

Change: two patterns of bench site, with engines that state their load and slowness and with engines that state nothing.

--- a/src/dragonflyhold/bench/site_model.py
+++ b/src/dragonflyhold/bench/site_model.py
@@ -46,6 +46,13 @@
 # Limited engines: their share, and their limit relative to their share of all requests.
 LIMITED_SHARE = 1 / 3
 LIMIT_RATIO = 0.4
+# Engines of different speed: the time that work takes at each third one and at the others, and how
+# much longer it takes for moments, with mean durations with and without that.
+FAST_SLOWNESS = 0.55
+SLOW_SLOWNESS = 1.2
+BUSY_FACTOR = 2.5
+BUSY_S = 0.4
+CALM_S = 1.6
 
 
 @final
@@ -125,6 +132,7 @@
         await asyncio.sleep(STARTUP_S)
         start = asyncio.get_running_loop().time()
         disruption = create_task_on_vm("10.8.0.1", self._disrupt(start))
+        speeds = self._vary_speeds()
         clients = []
         for arrival in make_arrivals(self.cell):
             await asyncio.sleep(max(0.0, start + arrival.at - asyncio.get_running_loop().time()))
@@ -132,8 +140,34 @@
             self.records.append(record)
             clients.append(create_task_on_vm("10.7.0.1", self._call_until_answered(record, start)))
         await asyncio.gather(disruption, *clients)
+        for speed in speeds:
+            speed.cancel()
         await self._deployment.close()
 
+    def _vary_speeds(self) -> list[asyncio.Task[None]]:
+        """Let engines differ in speed, if the pattern says so, and state it."""
+        if self.cell.pattern not in (Pattern.UNEVEN_ENGINES, Pattern.UNEVEN_SILENT):
+            return []
+        for upstream in self._deployment.upstreams.values():
+            upstream.states_load = self.cell.pattern is Pattern.UNEVEN_ENGINES
+        return [
+            create_task_on_vm(
+                "10.8.0.1",
+                self._vary_speed(
+                    model, FAST_SLOWNESS if number % 3 == 2 else SLOW_SLOWNESS, number
+                ),
+            )
+            for number, model in enumerate(self.models)
+        ]
+
+    async def _vary_speed(self, model: EngineModel, slowness: float, number: int) -> None:
+        rng = random.Random(f"speed {self.cell.seed} {number}")
+        while True:
+            model.timing.slowdown = slowness
+            await asyncio.sleep(rng.expovariate(1 / CALM_S))
+            model.timing.slowdown = slowness * BUSY_FACTOR
+            await asyncio.sleep(rng.expovariate(1 / BUSY_S))
+
     async def _add_engine(self, number: int, adapter_slots: int) -> None:
         spec = self.spec
         timing = EngineTiming(
--- a/src/dragonflyhold/bench/site_workloads.py
+++ b/src/dragonflyhold/bench/site_workloads.py
@@ -31,6 +31,9 @@
     LOSE_ENGINES = "lose_engines"
     SLOW_ENGINE = "slow_engine"
     LIMITED_ENGINES = "limited_engines"
+    # Engines of different speed during the whole run, with figures of their load and without.
+    UNEVEN_ENGINES = "uneven_engines"
+    UNEVEN_SILENT = "uneven_silent"
     RETRY_STORM = "retry_storm"
 
 
--- a/src/dragonflyhold/platform/standins/runner.py
+++ b/src/dragonflyhold/platform/standins/runner.py
@@ -133,6 +133,8 @@
         self.crash_times: list[float] = []
         # Requests a second that answers state as the limit, if any.
         self.limit_per_s: float | None = None
+        # Whether answers of an engine model state its load and how long its work takes.
+        self.states_load = False
         # Value of the header by which all answers state that this upstream leaves, if any.
         self.leaving: bytes | None = None
         # Values of the header by which this upstream turns requests away, if any.
@@ -337,7 +339,12 @@
 
     def _stated_headers(self) -> list[tuple[bytes, bytes]]:
         """Return what all answers state now."""
-        return [] if self.leaving is None else [(b"Server-Leaving", self.leaving)]
+        stated = [] if self.leaving is None else [(b"Server-Leaving", self.leaving)]
+        if self.states_load and self.model is not None:
+            timing = self.model.timing
+            figures = (self.model.running, self.model.waiting, timing.batch, timing.slowdown * 100)
+            stated.append((b"Server-Load", b"%d,%d,%d,%d" % figures))
+        return stated
 
     def _report(self) -> dict[str, Any]:
         return {
