Follow an engine's memory through messages that don't state it

Cause: updates of an engine's state replace its agent's heartbeats, and only these state the memory; without messages the estimate of what others sent grew until nothing seemed to fit. Change: the requests that updates name count with the mean size of the engine's requests, and 1.5 s after the last message nothing is known. Result: tests.

--- a/src/dragonflyhold/balancing/memory.py
+++ b/src/dragonflyhold/balancing/memory.py
@@ -12,6 +12,9 @@
 USABLE_SHARE = 0.9
 # Standard deviations by which the requests of other gateways may exceed their estimate.
 DEVIATIONS = 3.0
+# Time without a message from the agent after which nothing is known; requests must not wait for
+# an agent that ended.
+MAX_AGE_S = 1.5
 # Weight of the latest request in the mean size, and what the largest one loses with each request.
 SIZE_WEIGHT = 0.05
 LARGEST_DECAY = 0.999
@@ -47,19 +50,29 @@
 
     def __init__(self) -> None:
         self._report: MemoryReport | None = None
-        self._reported_at = 0.0
+        # Running requests as of that report, and those of the last message that names them.
+        self._reported_running = 0
         self._running = 0
         self._waiting = 0
+        self._known_at = -math.inf
         self._own = 0
-        # Own requests sent since the report; those that ended are taken off.
+        # Own requests sent since; those that ended are taken off.
         self._own_since = 0
 
+    def is_known(self, now: float) -> bool:
+        """Return whether the engine has stated its memory, and its requests of late."""
+        return self._report is not None and now - self._known_at <= MAX_AGE_S
+
     def note_report(
         self, report: MemoryReport | None, running: int, waiting: int, now: float
     ) -> None:
         """Record what the engine reports, and how many requests run and wait there."""
-        self._report, self._reported_at = report, now
-        self._running, self._waiting = running, waiting
+        self._report, self._reported_running = report, running
+        self.note_load(running, waiting, now)
+
+    def note_load(self, running: int, waiting: int, now: float) -> None:
+        """Record how many requests run and wait there, from a message without the memory."""
+        self._running, self._waiting, self._known_at = running, waiting, now
         self._own_since = 0
 
     def note_started(self, tokens: int) -> None:
@@ -72,24 +85,21 @@
         self._own = max(0, self._own - tokens)
         self._own_since = max(0, self._own_since - tokens)
 
-    @property
-    def is_stated(self) -> bool:
-        """Whether the engine states its memory."""
-        return self._report is not None and self._report.total > 0
-
     def fits(self, tokens: int, sizes: RequestSizes, others_per_s: float, now: float) -> bool:
-        """Return whether another request fits; ``True`` if the engine states no memory.
+        """Return whether another request fits; ``True`` if too little is known.
 
         ``others_per_s`` is the rate at which other gateways send to the engine.
         """
         report = self._report
-        if report is None or not self.is_stated:
+        if report is None or not self.is_known(now):
             return True
         # A gateway with few requests knows little of their sizes; the engine's tell more.
-        mean = max(sizes.mean, report.used / self._running if self._running else 0.0)
+        running_mean = report.used / self._reported_running if self._reported_running else 0.0
+        mean = max(sizes.mean, running_mean)
         largest = max(sizes.largest, mean, float(tokens))
-        unreported = others_per_s * max(0.0, now - self._reported_at)
+        unreported = others_per_s * max(0.0, now - self._known_at)
         spread = DEVIATIONS * math.sqrt(unreported * mean * largest)
         others = (self._waiting + unreported) * mean + spread
-        held = max(report.used + others + self._own_since, float(self._own))
+        began = (self._running - self._reported_running) * mean
+        held = max(report.used + began + others + self._own_since, float(self._own))
         return held + tokens <= USABLE_SHARE * report.total
--- a/src/dragonflyhold/gateway/dispatch.py
+++ b/src/dragonflyhold/gateway/dispatch.py
@@ -166,6 +166,7 @@
         view.backlog = len(update.backlog)
         view.waiters_since_report = 0
         view.record_load(update.running + update.waiting, now)
+        view.memory.note_load(update.running, update.waiting, now)
 
     def apply_heartbeat(
         self, upstream_id: UpstreamId, heartbeat: AgentHeartbeat, now: float
@@ -301,7 +302,7 @@
 
     def _has_room(self, view: UpstreamView, tokens: int, now: float) -> bool:
         """Return whether a request fits into an engine's memory, with those of all gateways."""
-        if not view.memory.is_stated:
+        if not view.memory.is_known(now):
             return True
         others_per_s = self._others_per_s([view], now)
         return view.memory.fits(tokens, self._sizes, others_per_s, now)
--- a/tests/balancing/test_memory.py
+++ b/tests/balancing/test_memory.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from dragonflyhold.balancing.memory import HeldMemory, MemoryReport, RequestSizes
+from dragonflyhold.balancing.memory import MAX_AGE_S, HeldMemory, MemoryReport, RequestSizes
 
 TOTAL = 250_000
 NOW = 50.0
@@ -19,7 +19,7 @@
         memory = HeldMemory()
         memory.note_started(10**9)
         assert memory.fits(10**9, SIZES, 5.0, NOW)
-        memory.note_report(MemoryReport(5, 0), 0, 0, NOW)
+        memory.note_load(20, 5, NOW)
         assert memory.fits(10**9, SIZES, 5.0, NOW)
 
     def test_reported_waiting_own_and_other_requests_count(self) -> None:
@@ -49,6 +49,24 @@
         memory.note_report(MemoryReport(0, TOTAL), 0, 0, NOW)
         assert not memory.fits(30_000, SIZES, 0.0, NOW)
 
+    def test_running_requests_of_a_later_message_count(self) -> None:
+        """Messages that name no memory may come between, or instead of, those that do."""
+        memory = HeldMemory()
+        memory.note_report(MemoryReport(100_000, TOTAL), 50, 0, NOW)
+        memory.note_load(100, 0, NOW + 0.3)
+        # 100,000 + 50 * 2,000 of 225,000 usable tokens.
+        assert memory.fits(25_000, SIZES, 0.0, NOW + 0.3)
+        assert not memory.fits(25_001, SIZES, 0.0, NOW + 0.3)
+        memory.note_load(10, 0, NOW + 0.6)
+        assert memory.fits(200_000, SIZES, 0.0, NOW + 0.6)
+
+    def test_an_agent_that_ended_stops_no_requests(self) -> None:
+        """Guards against an estimate that grows for as long as no message comes."""
+        memory = HeldMemory()
+        memory.note_report(MemoryReport(200_000, TOTAL), 100, 5, NOW)
+        assert not memory.fits(50_000, SIZES, 30.0, NOW + 1.0)
+        assert memory.fits(50_000, SIZES, 30.0, NOW + MAX_AGE_S + 0.1)
+
     @pytest.mark.parametrize("gateways", [3, 30, 300])
     @pytest.mark.parametrize("report_s", [0.05, 0.5])
     def test_no_engine_gets_more_than_it_holds(self, gateways: int, report_s: float) -> None:
