--- a/src/dragonflyhold/bench/site_model.py
+++ b/src/dragonflyhold/bench/site_model.py
@@ -148,8 +148,10 @@
         """Let engines differ in speed, if the pattern says so, and state it."""
         if self.cell.pattern not in (Pattern.UNEVEN_ENGINES, Pattern.UNEVEN_SILENT):
             return []
-        for upstream in self._deployment.upstreams.values():
-            upstream.states_load = self.cell.pattern is Pattern.UNEVEN_ENGINES
+        if self.cell.pattern is Pattern.UNEVEN_ENGINES:
+            upstreams = self._deployment.upstreams.values()
+            for upstream, model in zip(upstreams, self.models, strict=True):
+                upstream.state_load = model.state_load
         return [
             create_task_on_vm(
                 "10.8.0.1",
--- a/src/dragonflyhold/platform/standins/engine_model.py
+++ b/src/dragonflyhold/platform/standins/engine_model.py
@@ -80,6 +80,11 @@
         """Return the number of requests that wait for a batch slot."""
         return len(self._waiting)
 
+    def state_load(self) -> bytes:
+        """Return the load and the slowness as engines state them."""
+        timing = self.timing
+        return b"%d,%d,%d,%d" % (self.running, self.waiting, timing.batch, timing.slowdown * 100)
+
     async def generate(self, prompt_tokens: int, events: int) -> AsyncIterator[None]:
         """Process a prompt, then yield once for each event of the response."""
         generation = _Generation(max(1, prompt_tokens))
--- a/src/dragonflyhold/platform/standins/runner.py
+++ b/src/dragonflyhold/platform/standins/runner.py
@@ -133,8 +133,10 @@
         self.crash_times: list[float] = []
         # Requests a second that answers state as the limit, if any.
         self.limit_per_s: float | None = None
-        # Whether answers of an engine model state its load and how long its work takes.
-        self.states_load = False
+        # Returns the load that all answers state, if any.
+        self.state_load: Callable[[], bytes] | None = None
+        # Used and total memory that reports state, if any.
+        self.memory: tuple[int, int] | None = None
         # Value of the header by which all answers state that this upstream leaves, if any.
         self.leaving: bytes | None = None
         # Values of the header by which this upstream turns requests away, if any.
@@ -340,14 +342,14 @@
     def _stated_headers(self) -> list[tuple[bytes, bytes]]:
         """Return what all answers state now."""
         stated = [] if self.leaving is None else [(b"Server-Leaving", self.leaving)]
-        if self.states_load and self.model is not None:
-            timing = self.model.timing
-            figures = (self.model.running, self.model.waiting, timing.batch, timing.slowdown * 100)
-            stated.append((b"Server-Load", b"%d,%d,%d,%d" % figures))
+        if self.state_load is not None:
+            stated.append((b"Server-Load", self.state_load()))
         return stated
 
     def _report(self) -> dict[str, Any]:
+        memory = dict(zip(("kv_used", "kv_total"), self.memory or (), strict=False))
         return {
+            **memory,
             "stage": "both",
             "models": self._models(),
             "busy": self._is_loading_model,
