Rank upstreams by the median of what they state

Cause: the mean of a machine that is slowed down for moments differs between gateways, so the homes of adapters did. Change: classes of the median of 15 figures.

--- a/src/dragonflyhold/balancing/slowness.py
+++ b/src/dragonflyhold/balancing/slowness.py
@@ -4,7 +4,9 @@
 figures vary around a mean, which is the best guess once the last figure is old.
 """
 
+import collections
 import math
+import statistics
 from typing import final
 
 # Time after which the last figure tells little more than the mean.
@@ -15,10 +17,14 @@
 SAMPLE_GAP_S = 0.1
 # Time without a figure after which nothing is known.
 MAX_AGE_S = 30.0
-# Classes of the mean, for decisions on which gateways with figures of their own must agree: a
-# class is a factor of the square root of 2 wide, and is left at this distance from its middle.
+# Classes of the median, which moments don't change, for decisions on which gateways must agree that
+# have figures of their own. A class is a factor of the square root of 2 wide; what differs from the
+# usual by less than this share of a class counts as usual.
 CLASSES_PER_DOUBLING = 2
-LEAVE_CLASS_AT = 0.8
+USUAL_WIDTH = 0.6
+# Figures of which the median is taken, and fewer than which tell none.
+MEDIAN_SAMPLES = 15
+MIN_MEDIAN_SAMPLES = 3
 # Bounds of a figure, so that a single absurd one neither stops an upstream's work nor draws all.
 MIN_SLOWNESS = 0.1
 MAX_SLOWNESS = 10.0
@@ -36,11 +42,12 @@
         self._last = USUAL
         self._last_at = -math.inf
         self._sampled_at = -math.inf
+        self._recent: collections.deque[float] = collections.deque(maxlen=MEDIAN_SAMPLES)
         self._class = 0
 
     @property
     def steady(self) -> float:
-        """The middle of the mean's class, which changes rarely."""
+        """The middle of the median's class, which changes rarely."""
         return float(2.0 ** (self._class / CLASSES_PER_DOUBLING))
 
     def note(self, figure: float, now: float) -> None:
@@ -48,6 +55,7 @@
         figure = min(max(figure, MIN_SLOWNESS), MAX_SLOWNESS)
         if not self.is_known(now):
             self._mean, self._samples = USUAL, 1
+            self._recent.clear()
         elif now < self._last_at:
             return
         self._last, self._last_at = figure, now
@@ -58,9 +66,11 @@
         self._samples += 1
         weight = max(1.0 / self._samples, 1.0 - math.exp(-min(gap_s, MOMENT_S) / MEAN_S))
         self._mean += weight * (figure - self._mean)
-        position = CLASSES_PER_DOUBLING * math.log2(self._mean)
-        if abs(position - self._class) > LEAVE_CLASS_AT:
-            self._class = round(position)
+        self._recent.append(figure)
+        if len(self._recent) >= MIN_MEDIAN_SAMPLES:
+            position = CLASSES_PER_DOUBLING * math.log2(statistics.median(self._recent))
+            distance = max(0, math.ceil(abs(position) - USUAL_WIDTH))
+            self._class = distance if position > 0 else -distance
 
     def is_known(self, now: float) -> bool:
         """Return whether the upstream has stated a figure that still counts."""
--- a/tests/balancing/test_slowness.py
+++ b/tests/balancing/test_slowness.py
@@ -78,6 +78,23 @@
             slowness.note(3.0, 20.0 + index / 1000)
         assert slowness.mean(20.1) < 1.2
 
+    def test_gateways_with_other_figures_agree_on_the_class(self) -> None:
+        """Guards against homes of adapters that differ by gateway: each is one more fetch."""
+        for usual, expected in ((0.55, 0.5), (1.2, 1.0), (2.0, 2.0)):
+            changes, steady = 0, set()
+            for seed in range(20):
+                slowness, rng = Slowness(), random.Random(seed)
+                machine = _machine(usual, 1, 60.0)
+                now, last = 0.0, slowness.steady
+                while now < 59.0:
+                    now += rng.expovariate(1.0)
+                    slowness.note(machine(now), now)
+                    changes += slowness.steady != last
+                    last = slowness.steady
+                steady.add(last)
+            assert steady == {expected}
+            assert changes <= 40
+
     def test_nothing_is_known_without_figures_and_after_a_long_time(self) -> None:
         slowness = Slowness()
         assert slowness.now(5.0) == 1.0
