Log no age of a report that there isn't

Cause: the line of a send showed an age of thousands of years for an upstream that has not reported its load. Change: no age is logged then. Result: none for callers.

--- a/src/dragonflyhold/gateway/attempt.py
+++ b/src/dragonflyhold/gateway/attempt.py
@@ -268,7 +268,7 @@
             id=self._request_info.request_id,
             runner=choice.upstream_id,
             load=view.load(started),
-            state_age_ms=round((started - view.reported_at) * 1000),
+            state_age_ms=view.report_age_ms(started),
             own=view.in_flight,
             slowness=view.slowness.rounded(started),
             candidates=choice.basis.candidates if choice.basis else None,
--- a/src/dragonflyhold/gateway/upstream_view.py
+++ b/src/dragonflyhold/gateway/upstream_view.py
@@ -130,6 +130,10 @@
         """Return whether a report on the load is recent enough to be used."""
         return now - self.reported_at <= MAX_REPORT_AGE_S
 
+    def report_age_ms(self, now: float) -> int | None:
+        """Return the age of the report on the load for logs, ``None`` if there is none."""
+        return round((now - self.reported_at) * 1000) if self.has_report(now) else None
+
     def record_load(self, requests: int, now: float) -> None:
         """Record the number of requests of all gateways that the agent reports."""
         self.reported_requests = requests
