--- a/src/dragonflyhold/gateway/outcomes.py
+++ b/src/dragonflyhold/gateway/outcomes.py
@@ -12,6 +12,8 @@
     NO_ROUTE = "no_route"
     UNKNOWN_KEY = "unknown_key"
     UPSTREAM_MEMORY = "runner_memory"
+    # The key may be valid in a configuration that this gateway can't read at present.
+    KEY_UNCONFIRMED = "key_unconfirmed"
     NO_UPSTREAM = "no_runner"
     UPSTREAM_LIMIT = "runner_limit"
     UPSTREAM_TURNED_AWAY = "runner_turned_away"
