--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -17,6 +17,7 @@
     UnknownKeyError,
     judge_freshness,
 )
+from dragonflyhold.fairness import AccountNeed, Claim
 from dragonflyhold.gateway.budget import RetryBudget
 from dragonflyhold.gateway.byte_budget import ByteBudget
 from dragonflyhold.gateway.catalogue import Catalogue
@@ -50,6 +51,7 @@
 from dragonflyhold.gateway.upstream_view import UpstreamView
 from dragonflyhold.gateway.watch import TableWatch
 from dragonflyhold.ids import ServiceName, Version
+from dragonflyhold.ingress import Standing
 from dragonflyhold.observability.metrics import Metrics
 from dragonflyhold.platform import codec
 from dragonflyhold.platform.settings import DaemonSettings
@@ -81,6 +83,8 @@
         self.log = JsonLogger("gateway")
         # Per-request log lines have a rate limit of their own.
         self.request_log = JsonLogger("request")
+        # Crowds of clients must not use up the lines of others.
+        self._ingress_log = JsonLogger("ingress")
         # A crowd with unknown keys must not crowd out the lines of failures.
         self._key_log = JsonLogger("keys")
         # Bytes of upstreams, clients, the store and peers.
@@ -130,6 +134,9 @@
         )
         self.demands = self.agent_links.demands
         self.permits = self.agent_links.permits
+        # What accounts usually ask for with an adapter, and without one by service.
+        self.account_need = self.agent_links.account_need
+        self._plain_needs: dict[ServiceName, AccountNeed] = {}
         self.notices = UpstreamNotices(
             self.table, self.pool, self.agent_links.release_waiting, metrics.count_event
         )
@@ -140,6 +147,8 @@
             self._log_unanswered_request,
             self._log_failed_request,
             self.byte_budget,
+            settings.descriptor_limits.client_connections,
+            self.note_overload,
         )
         self.is_store_stable = False
         # Set while the process stops as planned.
@@ -455,6 +464,13 @@
             detail=detail,
         )
 
+    def note_overload(self, standing: Standing) -> None:
+        """Log and count a client's connection that was closed for a new one."""
+        self._metrics.count_event(f"connection_gave_way_{standing.value}")
+        self._ingress_log.info(
+            "A client's connection was closed, as there are too many.", waited_for=standing.value
+        )
+
     # Queries and updates by request runs
 
     def required_version(self, target: ModelAdapter | None) -> Version:
@@ -477,6 +493,13 @@
         )
         return min(4.0, 0.3 + 0.7 * size / max(mean, 1.0))
 
+    def note_claim(self, claim: Claim, service: ServiceName, has_adapter: bool) -> bool:
+        """Count an account's request; return whether it asks for more than usual."""
+        need = self.account_need
+        if not has_adapter:
+            need = self._plain_needs.setdefault(service, AccountNeed())
+        return not need.note_request(claim.account, time.monotonic())
+
     def urgency(self, route: Route, caller: Caller) -> int | None:
         """Return the urgency to send to an engine, ``None`` for plain services."""
         if not route.is_stream:
@@ -605,6 +628,8 @@
     def _configuration_changed(self, configuration: Configuration) -> None:
         self.server.limits = configuration.limits
         self.origins.note_configuration(configuration)
+        for service in self._plain_needs.keys() - configuration.services.keys():
+            del self._plain_needs[service]
         for upstream in self.registry.upstreams.values():
             # Which upstreams are engines is known only from the configuration.
             self.agent_links.ensure_link(upstream)
