Keep requests in their data centre while no upstream can be overrun

Cause: the half request that local upstreams count less decided at little load when the least loaded one was chosen. Traffic between data centres is charged, and it made no load more even. Change: while the near upstreams have slots for all unreported requests, the weights move there as far as the loads stay even if all data centres send alike. When requests could wait for that, nothing changes.

--- a/src/dragonflyhold/balancing/choice.py
+++ b/src/dragonflyhold/balancing/choice.py
@@ -36,6 +36,8 @@
     age_s: float = 0.0
     # Added to its requests relative to its capacity; negative for a preferred upstream.
     handicap: float = 0.0
+    # Whether it is in the gateway's data centre.
+    is_near: bool = False
 
     @property
     def cost(self) -> float:
@@ -58,13 +60,20 @@
 
 
 def choose(
-    candidates: Sequence[Candidate], others_per_s: float, rng: random.Random
+    candidates: Sequence[Candidate],
+    others_per_s: float,
+    rng: random.Random,
+    near_share: float = 1.0,
 ) -> tuple[int, Basis]:
     """Return the index of the chosen candidate, of at least one, and what decided.
 
-    ``others_per_s`` is the rate at which other gateways send to an upstream, in requests a second.
+    ``others_per_s`` is the rate at which other gateways send to an upstream, in requests a second;
+    ``near_share`` is the share of all requests that comes from this gateway's data centre.
     """
     weights, unreported = _shares(candidates, others_per_s)
+    near = [candidate for candidate in candidates if candidate.is_near]
+    if unreported > 0.0 and _have_room(near, unreported):
+        weights = _prefer_near(candidates, weights, near_share)
     chosen = rng.choices(range(len(candidates)), weights)[0]
     return chosen, _basis(weights, chosen, unreported)
 
@@ -116,6 +125,35 @@
     return [1.0 if cost == lowest else 0.0 for cost in costs], unreported
 
 
+def _have_room(candidates: Sequence[Candidate], requests: float) -> bool:
+    """Return whether no request would wait if all of them went to these upstreams."""
+    if not candidates:
+        return False
+    return _fill(candidates, [candidate.cost for candidate in candidates], requests) <= 1.0
+
+
+def _prefer_near(
+    candidates: Sequence[Candidate], weights: Sequence[float], near_share: float
+) -> list[float]:
+    """Move the weights to the gateway's data centre as far as the loads stay even.
+
+    The near upstreams should get their part of all requests, and the gateways of this data centre
+    send ``near_share`` of them: what exceeds that part goes elsewhere. If the gateways of other
+    data centres do the same, each upstream gets what its weight says. ``near_share`` may be wrong,
+    so that holds only while no request has to wait.
+    """
+    total = sum(weights)
+    pairs = list(zip(candidates, weights, strict=True))
+    near = sum(weight for candidate, weight in pairs if candidate.is_near) / total
+    if not 0.0 < near < 1.0:
+        return list(weights)
+    probability = max(near, min(1.0, near / near_share))
+    near_factor, far_factor = probability / near, (1.0 - probability) / (1.0 - near)
+    return [
+        weight * (near_factor if candidate.is_near else far_factor) for candidate, weight in pairs
+    ]
+
+
 def _fill(candidates: Sequence[Candidate], costs: Sequence[float], requests: float) -> float:
     """Return the cost of the lowest candidates once they have got so many requests more."""
     order = sorted(range(len(costs)), key=costs.__getitem__)
--- a/src/dragonflyhold/gateway/dispatch.py
+++ b/src/dragonflyhold/gateway/dispatch.py
@@ -443,7 +443,10 @@
     ) -> SendNow:
         """Send to one of the upstreams, so that requests of all gateways load them evenly."""
         candidates = [self._candidate(view, now) for view in views]
-        chosen, basis = choose(candidates, self._others_per_s(views, now), self._rng)
+        # All data centres are assumed to send the same number of requests.
+        near_share = 1.0 / len({view.upstream.data_centre for view in views})
+        others_per_s = self._others_per_s(views, now)
+        chosen, basis = choose(candidates, others_per_s, self._rng, near_share)
         view = views[chosen]
         version = None if target is None else view.resident[target]
         return SendNow(view.upstream.upstream_id, version, basis)
@@ -454,9 +457,9 @@
         bonus = LOCAL_BONUS_REQUESTS / slots if is_local else 0.0
         handicap = view.gate.return_load(now) - bonus + 2.0 * view.current_failure_rate(now)
         if not view.has_report(now):
-            return Candidate(0, load, slots, handicap=handicap)
-        reported = view.reported_requests
-        return Candidate(reported, load - reported, slots, now - view.reported_at, handicap)
+            return Candidate(0, load, slots, handicap=handicap, is_near=is_local)
+        reported, age_s = view.reported_requests, now - view.reported_at
+        return Candidate(reported, load - reported, slots, age_s, handicap, is_local)
 
     def _others_per_s(self, views: Sequence[UpstreamView], now: float) -> float:
         """Return the rate at which all other gateways send to one of the upstreams.
--- a/tests/balancing/test_choice.py
+++ b/tests/balancing/test_choice.py
@@ -78,6 +78,41 @@
             assert 0.0 < basis.probability <= 1.0
 
 
+class TestNear:
+    """Requests stay in their data centre as far as all upstreams are loaded evenly."""
+
+    def _chances(self, loads: list[float], near: set[int], near_share: float) -> list[float]:
+        candidates = [
+            Candidate(load, 0, 64.0, 0.1, is_near=index in near) for index, load in enumerate(loads)
+        ]
+        rng = random.Random(1)
+        counts = Counter(choose(candidates, 50.0, rng, near_share)[0] for _ in range(4000))
+        return [counts[index] / 4000 for index in range(len(loads))]
+
+    def test_requests_stay_if_near_upstreams_have_room_for_their_part(self) -> None:
+        """Guards against traffic between data centres that makes no load more even."""
+        assert self._chances([2, 2, 2], {1}, 1 / 3) == [0.0, 1.0, 0.0]
+
+    def test_a_part_goes_elsewhere_from_a_data_centre_with_few_upstreams(self) -> None:
+        """One of four upstreams for half of the requests: half of these stay."""
+        chances = self._chances([2, 2, 2, 2], {0}, 1 / 2)
+        assert chances[0] == pytest.approx(0.5, abs=0.03)
+        assert min(chances[1:]) > 0.13
+
+    def test_overrun_near_upstreams_get_nothing(self) -> None:
+        assert self._chances([500, 2, 2], {0}, 1 / 3)[0] == 0.0
+
+    def test_no_request_stays_where_it_may_wait(self) -> None:
+        """Guards against queues where most requests come from one data centre."""
+        assert self._chances([50, 45, 45], {0}, 1 / 3)[0] < 1 / 3
+
+    def test_all_data_centres_together_load_evenly(self) -> None:
+        zones = ({0}, {1, 2, 3})
+        chances = [self._chances([2, 2, 2, 2], zone, 1 / 2) for zone in zones]
+        for both in zip(*chances, strict=True):
+            assert sum(both) / 2 == pytest.approx(0.25, abs=0.03)
+
+
 class TestKeys:
     """The place of a replica, which several gateways look for at the same time."""
 
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -1,5 +1,6 @@
 """Tests of the choice of an upstream."""
 
+import dataclasses
 import random
 from collections import Counter
 
@@ -339,6 +340,20 @@
         """What is new acts only where several gateways choose."""
         assert self._chosen(self._table(gateways=1), target) == {"r1": 200}
 
+    def test_requests_stay_in_their_data_centre_at_little_load(self) -> None:
+        """Guards against charged traffic between data centres while all upstreams are idle."""
+        table = UpstreamTable(DataCentre("dc-a"), random.Random(1))
+        table.count_gateways = lambda: 30
+        for number in range(1, 28):
+            data_centre = DataCentre(f"dc-{'abc'[number % 3]}")
+            table.put(dataclasses.replace(upstream(number), data_centre=data_centre))
+            name = UpstreamId(f"r{number}")
+            table.request_started(name, NOW)
+            table.request_ended(name)
+            table.apply_update(name, engine_update({7: 1}), NOW)
+        chosen = self._chosen(table, None)
+        assert sum(chosen[f"r{number}"] for number in range(3, 28, 3)) == 200
+
     def test_a_popular_adapter_raises_the_estimate_for_its_holders(self) -> None:
         """Guards against an estimate as if all upstreams got the requests for it."""
         table = _table(*range(1, 31))
