--- a/src/dragonflyhold/gateway/dispatch.py
+++ b/src/dragonflyhold/gateway/dispatch.py
@@ -492,8 +492,6 @@
             + DOUBLING_LOAD * (slowness - 1.0)
         )
         capacity = slots / slowness
-        if not view.has_report(now):
-        capacity = slots / slowness
         if not view.has_report(now):
             return Candidate(0, load, capacity, handicap=handicap, is_near=is_local)
         reported, age_s = view.reported_requests, now - view.reported_at
