Keep an absurd size of one request out of the sizes of all

Cause: the mean and the largest size, from which a gateway estimates what waits at an engine, took in each request that was sent, also where the memory wasn't known. One that stated 100,000,000 tokens (sent before the first heartbeat, to a plain service or while an agent was away) left a mean of 5,000,613: engines of 250,000 tokens that held 20,000 had no room for 646 until 1,975 more requests had been sent (others 10 a second). Change: sizes count where the memory is known, so each of them fitted in one. Result: the new test fails without the change and passes with it.

--- a/src/dragonflyhold/gateway/dispatch.py
+++ b/src/dragonflyhold/gateway/dispatch.py
@@ -563,9 +563,11 @@
 
     def request_started(self, upstream_id: UpstreamId, now: float, tokens: int = 0) -> None:
         """Count a request that is sent to an upstream and holds so many tokens there."""
-        self._sizes.note(tokens)
         view = self.views.get(upstream_id)
         if view is not None:
+            # Where the memory is unknown, any size that a client states is sent.
+            if view.memory.is_known(now):
+                self._sizes.note(tokens)
             view.in_flight += 1
             view.sends.note(now)
             view.memory.note_started(tokens)
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -534,6 +534,21 @@
         choice = table.choose(SERVICE, adapter(7), ANY, NOW, tokens=5000)
         assert choice == NoUpstream(2, is_memory_full=True)
 
+    def test_an_absurd_size_counts_only_for_its_own_request(self) -> None:
+        """Guards against one client that has a gateway refuse everybody's requests for long."""
+        table = _table(1, 2)
+        for _ in range(20):
+            table.request_started(UpstreamId("r1"), NOW, 50)
+            table.request_ended(UpstreamId("r1"), 50)
+        table.request_started(UpstreamId("r1"), NOW, 10**8)
+        table.request_ended(UpstreamId("r1"), 10**8)
+        table.count_gateways = lambda: 30
+        beat = AgentHeartbeat(1.0, 3, 1, memory=MemoryReport(150, 100_000))
+        table.apply_update(UpstreamId("r1"), engine_update({7: 1}), NOW)
+        table.apply_heartbeat(UpstreamId("r1"), beat, NOW)
+        choice = table.choose(SERVICE, adapter(7), ANY, NOW + 0.05, tokens=50)
+        assert choice == SendNow(UpstreamId("r1"), Version(1))
+
     def test_engines_that_state_no_memory_take_any_request(self) -> None:
         table = _table(1)
         table.apply_update(UpstreamId("r1"), engine_update({7: 1}), NOW)
