Let one odd figure, or an old mean, not keep an upstream idle for long

Cause: the first figure counted half in the mean, which then held for 30 s without another. After one of 1000 (bounded to 10) an idle engine of 64 slots got nothing for 30 s from a gateway beside a holder with all its slots taken; after one of 2.5, beside one with a tenth taken. Change: a figure counts in the mean for at most three times as much or as little as the mean; without figures the mean falls back to the usual over 30 s. Three new tests fail without the change.

--- a/src/dragonflyhold/balancing/slowness.py
+++ b/src/dragonflyhold/balancing/slowness.py
@@ -15,8 +15,11 @@
 # moment.
 MEAN_S = 10.0
 SAMPLE_GAP_S = 0.1
-# Time without a figure after which nothing is known.
+# Time without a figure over which the mean falls back to the usual; then nothing is known. Else an
+# upstream that seems slow and so gets nothing could never show that it isn't.
 MAX_AGE_S = 30.0
+# Factor by which a figure may differ from the mean that it changes.
+MAX_STEP = 3.0
 # Classes of the median, which moments don't change, for decisions on which gateways must agree that
 # have figures of their own. A class is a factor of the square root of 2 wide; what differs from the
 # usual by less than this share of a class counts as usual.
@@ -65,7 +68,8 @@
         self._sampled_at = now
         self._samples += 1
         weight = max(1.0 / self._samples, 1.0 - math.exp(-min(gap_s, MOMENT_S) / MEAN_S))
-        self._mean += weight * (figure - self._mean)
+        bounded = min(max(figure, self._mean / MAX_STEP), self._mean * MAX_STEP)
+        self._mean += weight * (bounded - self._mean)
         self._recent.append(figure)
         if len(self._recent) >= MIN_MEDIAN_SAMPLES:
             position = CLASSES_PER_DOUBLING * math.log2(statistics.median(self._recent))
@@ -81,11 +85,13 @@
         if not self.is_known(now):
             return USUAL
         weight = math.exp(-max(0.0, now - self._last_at) / MOMENT_S)
-        return self._mean + weight * (self._last - self._mean)
+        mean = self.mean(now)
+        return mean + weight * (self._last - mean)
 
     def mean(self, now: float) -> float:
         """Return the expected figure for work that begins later."""
-        return self._mean if self.is_known(now) else USUAL
+        share = min(1.0, max(0.0, 1.0 - (now - self._last_at) / MAX_AGE_S))
+        return USUAL + share * (self._mean - USUAL)
 
     def rounded(self, now: float) -> float | None:
         """Return the expected figure for logs, ``None`` if nothing is known."""
--- a/tests/balancing/test_slowness.py
+++ b/tests/balancing/test_slowness.py
@@ -69,6 +69,24 @@
         assert slowness.now(20.0) == pytest.approx(3.0)
         assert slowness.now(22.0) < 1.2
 
+    @pytest.mark.parametrize("figure", [1000.0, 0.0001])
+    def test_one_absurd_figure_moves_the_mean_little(self, figure: float) -> None:
+        """Guards against an upstream that is left, or overrun, for one odd answer."""
+        slowness = Slowness()
+        slowness.note(figure, 0.0)
+        assert 0.6 < slowness.now(2.0) < 2.1
+
+    def test_without_figures_the_mean_falls_back_to_the_usual(self) -> None:
+        """Guards against an upstream that gets nothing, and so can't show that it is fast again."""
+        slowness = Slowness()
+        for second in range(20):
+            slowness.note(3.0, float(second))
+        means = [slowness.mean(19.0 + age) for age in (0.0, 10.0, 20.0, MAX_AGE_S)]
+        assert means[0] > 2.5
+        assert means == sorted(means, reverse=True)
+        assert means[2] < 1.8
+        assert means[3] == pytest.approx(1.0)
+
     def test_many_figures_of_one_moment_count_once(self) -> None:
         """Guards against a mean led by whoever sends most at a bad moment."""
         slowness = Slowness()
