Leave the load of an engine to its agent where answers state no slowness

Cause: since any stated load replaced the one that the engine's agent reports, also one of three figures as the engines of earlier deployments state; so the choice changed without anything new being stated, and lost the requests that the agent holds back. Change: answers of linked engines count only with a valid fourth figure. Result: the new test fails without the change.

--- a/src/dragonflyhold/gateway/dispatch.py
+++ b/src/dragonflyhold/gateway/dispatch.py
@@ -630,10 +630,12 @@
         view = self._current(upstream.incarnation_id)
         if view is None:
             return
-        # The request of this response is included in the counts but has ended.
-        view.reported_requests = max(0, load.running + load.waiting - 1)
-        view.own_requests_at_report = max(0, view.in_flight - 1)
-        view.reported_at = now
+        # Agents report the counts of their engines, with the requests that they hold back.
+        if not view.is_linked or load.slowness is not None:
+            # The request of this response is included in the counts but has ended.
+            view.reported_requests = max(0, load.running + load.waiting - 1)
+            view.own_requests_at_report = max(0, view.in_flight - 1)
+            view.reported_at = now
         if load.slowness is not None:
             steady = view.slowness.steady
             view.slowness.note(load.slowness, now)
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -437,6 +437,16 @@
         }
         assert candidate_speeds == {1.0}
 
+    def test_counts_without_a_figure_leave_those_of_the_agent(self) -> None:
+        """Guards against another choice where engines state nothing new."""
+        table = _table(1)
+        table.apply_update(UpstreamId("r1"), engine_update(running=20), NOW)
+        table.report_load(upstream(1), ServerLoad(5, 0, 64), NOW + 0.1)
+        view = table.views[UpstreamId("r1")]
+        assert (view.load(NOW + 0.1), view.reported_at) == (20, NOW)
+        table.report_load(upstream(1), ServerLoad(5, 0, 64, 1.0), NOW + 0.1)
+        assert (view.load(NOW + 0.1), view.reported_at) == (4, NOW + 0.1)
+
     def test_a_figure_of_another_incarnation_says_nothing(self) -> None:
         table = _table(1)
         load = ServerLoad(50, 3, 64, 9.0)
