Count an engine's memory only where engines share their machines

Cause: engines of all deployments state their memory, but on the earlier ones they interrupt requests when it runs out and don't crash. Change: the memory counts in services of which an upstream has stated how long work takes.

--- a/src/dragonflyhold/gateway/dispatch.py
+++ b/src/dragonflyhold/gateway/dispatch.py
@@ -110,6 +110,8 @@
         # Rates of this gateway's requests by service.
         self._arrivals: dict[ServiceName, ArrivalRate] = {}
         self._sizes = RequestSizes()
+        # Services whose upstreams state how long work takes on machines that they share.
+        self._on_shared_machines: set[ServiceName] = set()
         self._index = UpstreamIndex()
         self._data_centre = data_centre
         self._rng = rng
@@ -146,6 +148,7 @@
             self._index.remove(view)
             if not self.count_of_service(view.upstream.service):
                 self._arrivals.pop(view.upstream.service, None)
+                self._on_shared_machines.discard(view.upstream.service)
 
     def apply_update(self, upstream_id: UpstreamId, update: EngineUpdate, now: float) -> None:
         """Apply an agent's report on its engine."""
@@ -301,8 +304,11 @@
         return WaitFor(best.upstream.upstream_id)
 
     def _has_room(self, view: UpstreamView, tokens: int, now: float) -> bool:
-        """Return whether a request fits into an engine's memory, with those of all gateways."""
-        if not view.memory.is_known(now):
+        """Return whether a request fits into an engine's memory, with those of all gateways.
+
+        Engines on machines of their own make room themselves: they interrupt requests.
+        """
+        if view.upstream.service not in self._on_shared_machines or not view.memory.is_known(now):
             return True
         others_per_s = self._others_per_s([view], now)
         return view.memory.fits(tokens, self._sizes, others_per_s, now)
@@ -637,6 +643,7 @@
             view.own_requests_at_report = max(0, view.in_flight - 1)
             view.reported_at = now
         if load.slowness is not None:
+            self._on_shared_machines.add(upstream.service)
             steady = view.slowness.steady
             view.slowness.note(load.slowness, now)
             if view.slowness.steady != steady:
