--- a/src/dragonflyhold/gateway/daemon.py
+++ b/src/dragonflyhold/gateway/daemon.py
@@ -23,12 +23,17 @@
 from dragonflyhold.gateway.logs import JsonLogger, LogWriter, setup_json_logging
 from dragonflyhold.gateway.model import Address, IngressLimits
 from dragonflyhold.gateway.peers import PeerSnapshots
-from dragonflyhold.gateway.registry import EXPIRY_GRACE_S
 from dragonflyhold.gateway.send_gates import SendState
 from dragonflyhold.gateway.shutdown import PlannedStop
+from dragonflyhold.gateway.store_contact import ContactState
 from dragonflyhold.gateway.table_rows import TableRules
 from dragonflyhold.gateway.tasks import run_until_done, supervise
-from dragonflyhold.gateway.watch import FEED_WAIT_S, LONG_FEED_WAIT_S, TableWatch
+from dragonflyhold.gateway.watch import (
+    FEED_WAIT_S,
+    LONG_FEED_WAIT_S,
+    WAIT_PER_GATEWAY_S,
+    TableWatch,
+)
 from dragonflyhold.ids import ServiceName
 from dragonflyhold.observability.metrics import Metrics
 from dragonflyhold.platform.codec import operator_row_order, registry_row_order
@@ -143,6 +148,7 @@
             OPERATOR_TABLE,
             self._apply_operator_row,
             wait_s=LONG_FEED_WAIT_S,
+            wait_limit=lambda: WAIT_PER_GATEWAY_S * self.gateway.agent_links.count_gateways(),
             rules=OPERATOR_RULES,
             count=self._metrics.count_event,
         )
@@ -157,6 +163,7 @@
             on_recovered=self._operator_watch.restart,
             rules=REGISTRY_RULES,
             count=self._metrics.count_event,
+            renewal_s=self._settings.renewal_s,
         )
         self.gateway.registry_watch = self._registry_watch
         self._store.subscribe_restored(self._note_restored)
@@ -292,9 +299,7 @@
                 self._log.warning("The process was paused.", for_s=round(now - last, 3))
             last = now
             watch = self._registry_watch
-            is_up = watch.unavailable_since is None
-            is_stable = is_up and now - watch.available_since > EXPIRY_GRACE_S
-            self.gateway.is_store_stable = is_stable
+            is_stable = watch.contact.state is ContactState.CONFIRMED
             if is_stable and not was_stable:
                 self._log.info(
                     "The registry is stable after an outage or start.",
@@ -310,8 +315,6 @@
             self._reload(force=False)
 
     def _note_restored(self) -> None:
-        # Entries may be missing because the store has lost them.
-        self.gateway.is_store_stable = False
         self._operator_watch.note_restored()
         self._registry_watch.note_restored()
         self._write_crashes(self._crash_archive.repeat(self.gateway.quarantine.causes))
@@ -413,7 +416,13 @@
         engine = HttpEngineControl(settings.engine, settings.vm, pool)
         service = ServiceName(settings.service) if settings.service else None
         self._agent = Agent(
-            settings.vm, service, engine, self._store, self._catalogue, self._metrics
+            settings.vm,
+            service,
+            engine,
+            self._store,
+            self._catalogue,
+            self._metrics,
+            settings.engine,
         )
         self._agent.operator_watch = self._operator_watch
         self._tasks: list[asyncio.Task[None]] = []
--- a/src/dragonflyhold/gateway/watch.py
+++ b/src/dragonflyhold/gateway/watch.py
@@ -11,6 +11,7 @@
 from dragonflyhold.errors import PlatformUnavailableError
 from dragonflyhold.gateway.clock import monotonic_now
 from dragonflyhold.gateway.logs import JsonLogger
+from dragonflyhold.gateway.store_contact import StoreContact
 from dragonflyhold.gateway.table_rows import NO_RULES, TableRows, TableRules
 from dragonflyhold.platform.store import (
     FIRST_ERA,
@@ -24,10 +25,14 @@
 # Together with the response timeout it stays below the 3 s after which a VM whose connections fell
 # silent counts as in contact again.
 FEED_WAIT_S = 2.0
-# Longest wait of a watch that is restarted once peers know of a later change, or once calls to the
-# store work again. The waits of different processes end at different times.
+# Longest wait of a watch that is restarted once peers know of a later change, once a link to a peer
+# has fallen silent, or once calls to the store work again. The waits of different processes end at
+# different times.
 LONG_FEED_WAIT_S = 20.0
 LONG_WAIT_JITTER = 0.25
+# Time per gateway that the waits of a gateway's watch may last: the first of all gateways whose
+# call is new since its connections fell silent tells the others of a change.
+WAIT_PER_GATEWAY_S = 0.35
 # Time for which a change that a peer knows of may still arrive by the own call, and the shortest
 # interval between two restarts.
 HINT_DELAY_S = 0.15
@@ -52,12 +57,15 @@
         on_recovered: Callable[[], None] = lambda: None,
         rules: TableRules = NO_RULES,
         count: Callable[[str], None] = lambda event: None,
+        renewal_s: float = 0.0,
+        wait_limit: Callable[[], float] = lambda: LONG_FEED_WAIT_S,
     ) -> None:
         self.table = table
         self.has_read = False
         # Monotonic time since which no call has succeeded, ``None`` while the store is available.
         self.unavailable_since: float | None = clock()
-        self.available_since = clock()
+        # Whether rows that disappear were removed; owners renew theirs every ``renewal_s``.
+        self.contact = StoreContact(renewal_s, clock)
         # Monotonic time for which the rows are complete, ``None`` before the first read: the start
         # of the last call, whose response may have been read much later.
         self.read_at: float | None = None
@@ -66,6 +74,7 @@
         self.table_rows = TableRows(table, on_change, rules, clock, count)
         self._store = store
         self._pause_s = pause_s
+        self._wait_limit = wait_limit
         self._on_recovered = on_recovered
         self._clock = clock
         self._backoff_s = MIN_BACKOFF_S
@@ -85,7 +94,7 @@
 
     def note_restored(self) -> None:
         """Read the whole table again: the store was restored, and its versions start anew."""
-        self.available_since = self._clock()
+        self.contact.note_restored()
         self.table_rows.position = None
         if self._read is not None and self._read is not asyncio.current_task():
             self._cancel_read()
@@ -105,6 +114,14 @@
         self._is_hint_pending = True
         asyncio.get_running_loop().call_later(HINT_DELAY_S, self._check_hint, change)
 
+    def note_silent_peer(self) -> None:
+        """Read again: a link fell silent, and the connection of the pending call may have too.
+
+        Does nothing if the read was restarted lately.
+        """
+        if self._clock() - self._restarted_at >= MIN_RESTART_S:
+            self.restart()
+
     def restart(self) -> None:
         """Give up the pending call and read again on another connection."""
         if self._read is not None and self.table_rows.position is not None:
@@ -180,12 +197,12 @@
         started_at = self._clock()
         if position is None:
             rows = await self._store.read_table(self.table)
-            self._note_available()
+            self._note_available(started_at)
             self.table_rows.apply_snapshot(rows)
             self.has_read = True
         else:
             rows = await self._store.read_changes(self.table, position, self._draw_wait())
-            self._note_available()
+            self._note_available(started_at)
             self.table_rows.apply_changes(rows)
         if rows.position >= known:
             # Else the store has returned what it was before.
@@ -196,16 +213,19 @@
         if self.unavailable_since is not None:
             # The store may have been restored; its first response tells.
             return 0.0
-        if self.wait_s <= FEED_WAIT_S:
-            return self.wait_s
-        return self.wait_s * random.uniform(1 - LONG_WAIT_JITTER, 1.0)
+        wait_s = min(self.wait_s, max(FEED_WAIT_S, self._wait_limit()))
+        if wait_s <= FEED_WAIT_S:
+            return wait_s
+        return max(FEED_WAIT_S, wait_s * random.uniform(1 - LONG_WAIT_JITTER, 1.0))
 
     def _note_unavailable(self, error: PlatformUnavailableError) -> None:
+        self.contact.note_failed()
         if self.unavailable_since is None:
             self.unavailable_since = self._clock()
             self._log.warning("The store is unavailable.", table=self.table, error=str(error))
 
-    def _note_available(self) -> None:
+    def _note_available(self, started_at: float) -> None:
+        self.contact.note_read(started_at)
         self._backoff_s = MIN_BACKOFF_S
         if self.unavailable_since is not None:
             now = self._clock()
@@ -215,6 +235,5 @@
                 lost_for_s=round(now - self.unavailable_since, 3),
             )
             self.unavailable_since = None
-            self.available_since = now
             self.table_rows.note_outage_ended()
             self._on_recovered()
