Pass on the loads that upstreams of plain services state

Cause: with many gateways each hears of an upstream's load with its own answers only, once in half a second, while all of them together hear of it each 20 ms. Change: a load goes along with the next demand to an agent and its next heartbeat to all gateways. No message more; older builds ignore the fields. The last unknown field in a test of messages stands one place later.

--- a/src/dragonflyhold/balancing/__init__.py
+++ b/src/dragonflyhold/balancing/__init__.py
@@ -10,6 +10,7 @@
     weighted_score,
 )
 from dragonflyhold.balancing.memory import HeldMemory, MemoryReport, RequestSizes
+from dragonflyhold.balancing.shared_loads import LoadRow, SharedLoads
 from dragonflyhold.balancing.slowness import Slowness
 
 __all__ = [
@@ -17,8 +18,10 @@
     "Basis",
     "Candidate",
     "HeldMemory",
+    "LoadRow",
     "MemoryReport",
     "RequestSizes",
+    "SharedLoads",
     "Slowness",
     "choose",
     "choose_for_key",
--- a/src/dragonflyhold/gateway/agent.py
+++ b/src/dragonflyhold/gateway/agent.py
@@ -7,9 +7,10 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import final
 
+from dragonflyhold.balancing import LoadRow, SharedLoads
 from dragonflyhold.gateway.catalogue import Catalogue
 from dragonflyhold.gateway.crash_batch import CrashBatch
 from dragonflyhold.gateway.crash_evidence import CrashEvidence
@@ -132,6 +133,8 @@
         self._host_cached: dict[ModelAdapter, None] = {}
         self._unconfirmed_loads = UnconfirmedLoads()
         self._changed = asyncio.Event()
+        # Loads of upstreams without an agent, on their way from some gateways to the others.
+        self._loads = SharedLoads()
         self._publication: Publication[Link] = Publication()
         self._starts = StartGranter()
         # What the gateways know of crashes, also for those that start later.
@@ -162,7 +165,9 @@
     def link_message(self, link: Link, message: Message) -> None:
         """Apply a gateway's demand or forward its suspects to the other gateways."""
         match message:
-            case DemandUpdate(demands, is_ping, protocol, change):
+            case DemandUpdate(demands, is_ping, protocol, change, loads):
+                for row in loads:
+                    self._loads.note(row, time.monotonic())
                 if self.operator_watch is not None:
                     self.operator_watch.note_hint(change)
                 if self._publication.protocol(link) < LIMIT_PROTOCOL <= protocol:
@@ -270,13 +275,13 @@
         A gateway that got a message within the last half interval gets none.
         """
         now, interval_s = time.monotonic(), self._publication.heartbeat_s
-        data = encode(self._heartbeat())
+        data = encode(self._heartbeat(self._loads.take_news(now)))
         for link in self._demands.gateways():
             if now - link.last_sent_at >= interval_s / 2:
                 link.send_encoded(data)
         return interval_s
 
-    def _heartbeat(self) -> AgentHeartbeat:
+    def _heartbeat(self, loads: Sequence[LoadRow] = ()) -> AgentHeartbeat:
         report, gap_s = self._report, self._publication.gap_s
         return AgentHeartbeat(
             gap_s,
@@ -287,6 +292,7 @@
             gateways=len(self._demands),
             protocol=PROTOCOL_VERSION,
             memory=report.memory if report is not None else None,
+            loads=loads,
         )
 
     def _known_change(self) -> StorePosition:
--- a/src/dragonflyhold/gateway/dispatch.py
+++ b/src/dragonflyhold/gateway/dispatch.py
@@ -10,6 +10,7 @@
     ArrivalRate,
     Basis,
     Candidate,
+    LoadRow,
     RequestSizes,
     choose,
     choose_for_key,
@@ -625,13 +626,26 @@
         view = self._current(upstream.incarnation_id)
         if view is None:
             return
-        # The request of this response is included in the counts but has ended.
-        view.reported_requests = max(0, load.running + load.waiting - 1)
+        view.reported_requests = load.other_requests
         view.own_requests_at_report = max(0, view.in_flight - 1)
         view.reported_at = now
-        if load.slowness is not None:
+        self._note_slowness(view, load.slowness, now)
+
+    def apply_shared_load(self, row: LoadRow, now: float) -> None:
+        """Record a load that an upstream without an agent reported to another gateway."""
+        view, stated_at = self._current(row.incarnation), now - row.age_s
+        if view is None or view.is_linked or stated_at <= view.reported_at:
+            return
+        view.reported_requests = row.requests
+        # Requests sent since the report are few; they count as included in it.
+        view.own_requests_at_report = view.in_flight
+        view.reported_at = stated_at
+        self._note_slowness(view, row.slowness, stated_at)
+
+    def _note_slowness(self, view: UpstreamView, figure: float | None, at: float) -> None:
+        if figure is not None:
             steady = view.slowness.steady
-            view.slowness.note(load.slowness, now)
+            view.slowness.note(figure, at)
             if view.slowness.steady != steady:
                 self._index.note_speed_changed()
 
--- a/src/dragonflyhold/gateway/engines.py
+++ b/src/dragonflyhold/gateway/engines.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Sequence
 from typing import final
 
+from dragonflyhold.balancing import SharedLoads
 from dragonflyhold.gateway.agent_link import AgentLink
 from dragonflyhold.gateway.catalogue import Catalogue
 from dragonflyhold.gateway.crash_batch import CrashBatch
@@ -83,6 +84,8 @@
         )
         self.starts = PacedStarts(self._send_to_agent)
         self.permits = UpstreamPermits(self, count_event)
+        # Loads that upstreams without an agent have stated to this and to other gateways.
+        self.loads = SharedLoads()
         # Exchanges the origins of streams with the agents; set by the gateway.
         self.origins: OriginDirectory | None = None
         # Exchanges the newest known change with the agents; set by the daemon.
@@ -269,6 +272,8 @@
                     self.permits.note_agents_changed(self._table.views.values())
                 if view is not None:
                     self._table.apply_heartbeat(view.upstream.upstream_id, message, now)
+                for row in self.loads.merge(message.loads, now):
+                    self._table.apply_shared_load(row, now)
             case StartGrant():
                 self.starts.note_grant(message)
             case PermitReply():
@@ -365,7 +370,8 @@
             return
         agent = self._agents.get(view.ip)
         if agent is not None and agent.link is not None and self._current_view(agent) is view:
-            agent.link.send(dataclasses.replace(update, change=self._known_change()))
+            loads = self.loads.take_news(time.monotonic())
+            agent.link.send(dataclasses.replace(update, change=self._known_change(), loads=loads))
 
     def _known_change(self) -> StorePosition:
         watch = self.operator_watch
--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -17,6 +17,7 @@
     UnknownKeyError,
     judge_freshness,
 )
+from dragonflyhold.balancing import LoadRow
 from dragonflyhold.gateway.budget import RetryBudget
 from dragonflyhold.gateway.byte_budget import ByteBudget
 from dragonflyhold.gateway.catalogue import Catalogue
@@ -526,7 +527,11 @@
         """Record the load that an upstream reports in its response headers."""
         load = codec.server_load(head)
         if load is not None:
-            self.table.report_load(upstream, load, time.monotonic())
+            now = time.monotonic()
+            self.table.report_load(upstream, load, now)
+            if not self.agent_links.is_engine(upstream):
+                row = LoadRow(upstream.incarnation_id, load.other_requests, load.slowness, 0.0)
+                self.agent_links.loads.note(row, now)
 
     def note_limit(self, view: UpstreamView, head: Head, sent_at: float) -> None:
         """Record the limit that an upstream states in a response, or its end.
--- a/src/dragonflyhold/gateway/messages.py
+++ b/src/dragonflyhold/gateway/messages.py
@@ -6,6 +6,7 @@
 Builds of different age run side by side during a rolling restart. A gateway announces its protocol
 version with each demand, at first on a new link; a new message or a changed meaning needs a higher
 version. Fields may be added at the end of demands and heartbeats: older builds ignore them there.
+The last field of a demand maps the names of optional fields to their values.
 """
 
 import dataclasses
@@ -15,7 +16,7 @@
 
 import msgpack
 
-from dragonflyhold.balancing import MemoryReport
+from dragonflyhold.balancing import LoadRow, MemoryReport
 from dragonflyhold.errors import DragonflyholdError
 from dragonflyhold.gateway.logs import describe
 from dragonflyhold.gateway.message_fields import (
@@ -36,6 +37,8 @@
 _TAG_START, _TAG_GRANT, _TAG_LATE, _TAG_CRASHES, _TAG_CRASH_DIGEST = 5, 6, 7, 8, 9
 _TAG_LIMITS, _TAG_LIMIT_REPORT, _TAG_PERMIT_REQUEST, _TAG_PERMIT_REPLY = 10, 11, 12, 13
 _TAG_ORIGINS, _TAG_ORIGIN_QUERY, _TAG_ORIGIN_REPLY = 14, 15, 16
+# Names of optional fields of demands.
+_LOADS = "loads"
 # Larger frames are rejected as invalid.
 MAX_FRAME_BYTES = 1 << 20
 # Version 2 added the announced gap and the load to heartbeats, pings to demands, and paced starts.
@@ -84,6 +87,8 @@
     protocol: int = PROTOCOL_VERSION
     # Position of the newest change of the operator's table that the gateway knows.
     change: StorePosition = NO_CHANGE
+    # Loads that upstreams without an agent have stated, to be passed on to the other gateways.
+    loads: Sequence[LoadRow] = ()
 
 
 @final
@@ -143,6 +148,8 @@
     protocol: int = 1
     # Memory of the engine, ``None`` if it states none.
     memory: MemoryReport | None = None
+    # Loads that upstreams without an agent have stated to gateways.
+    loads: Sequence[LoadRow] = ()
 
 
 @final
@@ -331,7 +338,7 @@
 def encode(message: Message) -> bytes:
     """Return the msgpack encoding of a message."""
     match message:
-        case DemandUpdate(demands, is_ping, protocol, change):
+        case DemandUpdate(demands, is_ping, protocol, change, loads):
             rows = [
                 (*d.key, d.version, d.waiting, round(d.utility, 2), d.running, d.started, d.slack_s)
                 for d in demands
@@ -343,6 +350,7 @@
                 is_ping,
                 change.version,
                 change.era,
+                *(({_LOADS: _encode_loads(loads)},) if loads else ()),
             )
         case EngineUpdate():
             fields = (
@@ -373,6 +381,7 @@
                 message.protocol,
                 message.change.era,
                 message.memory and (message.memory.used, message.memory.total),
+                _encode_loads(message.loads),
             )
         case StartRequest():
             fields = (
@@ -420,6 +429,10 @@
     return packed
 
 
+def _encode_loads(loads: Sequence[LoadRow]) -> list[tuple[Any, ...]]:
+    return [(row.incarnation, row.requests, row.slowness, round(row.age_s, 3)) for row in loads]
+
+
 def _encode_statement(statement: LimitStatement) -> tuple[Any, ...]:
     return (statement.incarnation, statement.limit_per_s, round(statement.age_s, 3))
 
@@ -501,12 +514,20 @@
     is_ping: bool = False,
     change: int = 0,
     era: int = FIRST_ERA,
+    optional: Any = None,
     *later: Any,
 ) -> DemandUpdate:
     del later
+    named = optional if isinstance(optional, dict) else {}
+    loads = tuple(_decode_load(*row) for row in named.get(_LOADS, ()))
     demands = [_decode_demand(*row) for row in rows]
     position = StorePosition(count(era), count(change))
-    return DemandUpdate(demands, bool(is_ping), count(protocol), position)
+    return DemandUpdate(demands, bool(is_ping), count(protocol), position, loads)
+
+
+def _decode_load(incarnation: Any, requests: Any, slowness: Any, age_s: Any) -> LoadRow:
+    figure = number(slowness) if slowness is not None else None
+    return LoadRow(text(incarnation), count(requests), figure, number(age_s))
 
 
 def _decode_demand(
@@ -572,6 +593,7 @@
     protocol: Any = 1,
     era: Any = FIRST_ERA,
     memory: Any = None,
+    loads: Sequence[Any] = (),
     *later: Any,
 ) -> AgentHeartbeat:
     del later
@@ -584,6 +606,7 @@
         count(gateways),
         count(protocol),
         MemoryReport(*map(count, memory)) if memory is not None else None,
+        tuple(_decode_load(*row) for row in loads),
     )
 
 
--- a/src/dragonflyhold/gateway/model.py
+++ b/src/dragonflyhold/gateway/model.py
@@ -186,6 +186,11 @@
     # stated.
     slowness: float | None = None
 
+    @property
+    def other_requests(self) -> int:
+        """Requests without that of the response, which is included in the counts but has ended."""
+        return max(0, self.running + self.waiting - 1)
+
 
 class CommandKind(enum.Enum):
     """Kind of a command to an engine."""
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from dragonflyhold.balancing import MemoryReport
+from dragonflyhold.balancing import LoadRow, MemoryReport
 from dragonflyhold.gateway.dispatch import (
     MAX_DRAWN,
     NoUpstream,
@@ -422,6 +422,19 @@
         }
         assert candidate_speeds == {1.0}
 
+    def test_a_newer_load_that_another_gateway_heard_of_counts(self) -> None:
+        """Guards against choices by a gateway's own answers only, which are rare."""
+        table = _table(1, linked=False)
+        view = table.views[UpstreamId("r1")]
+        table.report_load(upstream(1), ServerLoad(5, 0, 8, 1.0), NOW)
+        table.apply_shared_load(LoadRow("r1@1", 7, 2.0, 0.1), NOW + 0.5)
+        assert view.load(NOW + 0.5) == 7
+        assert view.report_age_ms(NOW + 0.5) == 100
+        table.apply_shared_load(LoadRow("r1@1", 1, 9.0, 0.3), NOW + 0.5)
+        table.apply_shared_load(LoadRow("r1@2", 1, 9.0, 0.0), NOW + 0.5)
+        assert view.load(NOW + 0.5) == 7
+        assert view.slowness.now(NOW + 0.4) == pytest.approx(2.0)
+
     def test_a_figure_of_another_incarnation_says_nothing(self) -> None:
         table = _table(1)
         load = ServerLoad(50, 3, 64, 9.0)
--- a/tests/gateway/test_messages.py
+++ b/tests/gateway/test_messages.py
@@ -3,7 +3,7 @@
 import msgpack
 import pytest
 
-from dragonflyhold.balancing import MemoryReport
+from dragonflyhold.balancing import LoadRow, MemoryReport
 from dragonflyhold.gateway.messages import (
     PROTOCOL_VERSION,
     AgentHeartbeat,
@@ -106,7 +106,22 @@
         later = DemandUpdate([], True, PROTOCOL_VERSION + 1, change)
         assert decode([1, [], PROTOCOL_VERSION + 1, True, 7, 2, "more"]) == later
         expected = AgentHeartbeat(0.5, 1, 2, True, change, 60, 3)
-        assert decode([4, 0.5, 1, 2, True, 7, 60, 3, 2, None, "more"]) == expected
+        assert decode([4, 0.5, 1, 2, True, 7, 60, 3, 2, None, [], "more"]) == expected
+
+    def test_loads_are_passed_on_between_new_builds_only(self) -> None:
+        rows = (LoadRow("p1@7", 5, 1.2, 0.25), LoadRow("p2@7", 0, None, 0.0))
+        beat = AgentHeartbeat(0.5, 1, 2, loads=rows)
+        assert decode(_fields(encode(beat))) == beat
+        update = DemandUpdate([demand(1)], loads=rows)
+        assert decode(_fields(encode(update))) == update
+        assert len(_fields(encode(DemandUpdate([demand(1)])))) == 6  # type: ignore[arg-type]
+
+    @pytest.mark.parametrize("loads", [[1], [["p1", -1, None, 0.0]], [["p1", 1]], 7])
+    def test_odd_loads_are_no_message(self, loads: object) -> None:
+        with pytest.raises(MessageError):
+            decode([4, 0.5, 1, 2, False, 0, 0, 1, 0, None, loads])
+        with pytest.raises(MessageError):
+            decode([1, [], PROTOCOL_VERSION, False, 7, 2, {"loads": loads}])
 
     def test_memory_is_unknown_to_an_earlier_build(self) -> None:
         """Guards against an engine that gets nothing, or anything, during a rolling restart."""
--- a/tests/gateway/test_stated_load.py
+++ b/tests/gateway/test_stated_load.py
@@ -50,6 +50,24 @@
 
         assert _run(scenario) == [200] * 5
 
+    def test_other_gateways_hear_of_it(self) -> None:
+        """Passed on beside demands and heartbeats, so that nothing more is sent."""
+
+        async def scenario(deployment: InProcessDeployment) -> list[float]:
+            for name in ("p0", "p1"):
+                deployment.upstreams[name].state_load = lambda: b"6,0,8,200"
+            assert (await deployment.call("/ask/x", adapter="a5")).status == 200
+            for _ in range(4):
+                assert (await deployment.call("/book/1")).status == 200
+            # Any demand takes the news along.
+            assert (await deployment.call("/ask/x", adapter="a5")).status == 200
+            await asyncio.sleep(0.3)
+            now = asyncio.get_running_loop().time()
+            views = deployment.gateways[1].gateway.table.views.values()
+            return [view.load(now) for view in views if not view.is_linked]
+
+        assert 5.0 in _run(scenario, gateways=2)
+
 
 class TestStatedMemory:
     """What engines state about their memory."""
