--- a/src/dragonflyhold/gateway/messages.py
+++ b/src/dragonflyhold/gateway/messages.py
@@ -18,6 +18,7 @@
 
 from dragonflyhold.balancing import LoadRow, MemoryReport
 from dragonflyhold.errors import DragonflyholdError
+from dragonflyhold.fairness import MAX_RANK, MAX_SHARES, AccountShare, AccountTag, Claim
 from dragonflyhold.gateway.logs import describe
 from dragonflyhold.gateway.message_fields import (
     count,
@@ -38,7 +39,7 @@
 _TAG_LIMITS, _TAG_LIMIT_REPORT, _TAG_PERMIT_REQUEST, _TAG_PERMIT_REPLY = 10, 11, 12, 13
 _TAG_ORIGINS, _TAG_ORIGIN_QUERY, _TAG_ORIGIN_REPLY = 14, 15, 16
 # Names of optional fields of demands.
-_LOADS = "loads"
+_ACCOUNTS, _LOADS = "accounts", "loads"
 # Larger frames are rejected as invalid.
 MAX_FRAME_BYTES = 1 << 20
 # Version 2 added the announced gap and the load to heartbeats, pings to demands, and paced starts.
@@ -74,6 +75,9 @@
     started: int
     # Time left to finish the load so that at least one waiting request is served in time.
     slack_s: float
+    # The client accounts that wait, at most ``MAX_SHARES`` and one for the rest; empty under a
+    # configuration without accounts.
+    shares: Sequence[AccountShare] = ()
 
 
 @final
@@ -350,7 +354,7 @@
                 is_ping,
                 change.version,
                 change.era,
-                *(({_LOADS: _encode_loads(loads)},) if loads else ()),
+                *_encode_optional(demands, loads),
             )
         case EngineUpdate():
             fields = (
@@ -433,6 +437,27 @@
     return [(row.incarnation, row.requests, row.slowness, round(row.age_s, 3)) for row in loads]
 
 
+def _encode_optional(demands: Sequence[AdapterDemand], loads: Sequence[LoadRow]) -> tuple[Any, ...]:
+    """Return the field with the optional fields of a demand update, none if there are none.
+
+    ``accounts`` lists the shares of the demands that have some, by the position of the demand.
+    """
+    rows = [
+        (position, [_encode_share(share) for share in demand.shares])
+        for position, demand in enumerate(demands)
+        if demand.shares
+    ]
+    optional: dict[str, Any] = {_ACCOUNTS: rows} if rows else {}
+    if loads:
+        optional[_LOADS] = _encode_loads(loads)
+    return (optional,) if optional else ()
+
+
+def _encode_share(share: AccountShare) -> tuple[Any, ...]:
+    permille = round(1000 * share.need)
+    return (share.claim.account, share.claim.rank, round(share.utility, 2), permille)
+
+
 def _encode_statement(statement: LimitStatement) -> tuple[Any, ...]:
     return (statement.incarnation, statement.limit_per_s, round(statement.age_s, 3))
 
@@ -521,6 +546,11 @@
     named = optional if isinstance(optional, dict) else {}
     loads = tuple(_decode_load(*row) for row in named.get(_LOADS, ()))
     demands = [_decode_demand(*row) for row in rows]
+    for position, by_account in named.get(_ACCOUNTS, ()):
+        place = count(position)
+        demands[place] = dataclasses.replace(
+            demands[place], shares=[_decode_share(*row) for row in by_account[: MAX_SHARES + 1]]
+        )
     position = StorePosition(count(era), count(change))
     return DemandUpdate(demands, bool(is_ping), count(protocol), position, loads)
 
@@ -551,6 +581,14 @@
     )
 
 
+def _decode_share(
+    account: Any, rank: Any, utility: Any, permille: Any, *later: Any
+) -> AccountShare:
+    del later
+    claim = Claim(AccountTag(count(account)), min(count(rank), MAX_RANK))
+    return AccountShare(claim, max(0.0, number(utility)), min(1000, count(permille)) / 1000)
+
+
 def _decode_engine(
     start_time_ms: Any,
     incarnation: Any,
