--- a/src/dragonflyhold/gateway/messages.py
+++ b/src/dragonflyhold/gateway/messages.py
@@ -16,7 +16,7 @@
 
 import msgpack
 
-from dragonflyhold.balancing import MemoryReport
+from dragonflyhold.balancing import LoadRow, MemoryReport
 from dragonflyhold.errors import DragonflyholdError
 from dragonflyhold.fairness import MAX_RANK, MAX_SHARES, AccountShare, AccountTag, Claim
 from dragonflyhold.gateway.logs import describe
@@ -39,7 +39,7 @@
 _TAG_LIMITS, _TAG_LIMIT_REPORT, _TAG_PERMIT_REQUEST, _TAG_PERMIT_REPLY = 10, 11, 12, 13
 _TAG_ORIGINS, _TAG_ORIGIN_QUERY, _TAG_ORIGIN_REPLY = 14, 15, 16
 # Names of optional fields of demands.
-_ACCOUNTS = "accounts"
+_ACCOUNTS, _LOADS = "accounts", "loads"
 # Larger frames are rejected as invalid.
 MAX_FRAME_BYTES = 1 << 20
 # Version 2 added the announced gap and the load to heartbeats, pings to demands, and paced starts.
@@ -91,6 +91,8 @@
     protocol: int = PROTOCOL_VERSION
     # Position of the newest change of the operator's table that the gateway knows.
     change: StorePosition = NO_CHANGE
+    # Loads that upstreams without an agent have stated, to be passed on to the other gateways.
+    loads: Sequence[LoadRow] = ()
 
 
 @final
@@ -150,6 +152,8 @@
     protocol: int = 1
     # Memory of the engine, ``None`` if it states none.
     memory: MemoryReport | None = None
+    # Loads that upstreams without an agent have stated to gateways.
+    loads: Sequence[LoadRow] = ()
 
 
 @final
@@ -338,7 +342,7 @@
 def encode(message: Message) -> bytes:
     """Return the msgpack encoding of a message."""
     match message:
-        case DemandUpdate(demands, is_ping, protocol, change):
+        case DemandUpdate(demands, is_ping, protocol, change, loads):
             rows = [
                 (*d.key, d.version, d.waiting, round(d.utility, 2), d.running, d.started, d.slack_s)
                 for d in demands
@@ -350,7 +354,7 @@
                 is_ping,
                 change.version,
                 change.era,
-                *_encode_optional(demands),
+                *_encode_optional(demands, loads),
             )
         case EngineUpdate():
             fields = (
@@ -381,6 +385,7 @@
                 message.protocol,
                 message.change.era,
                 message.memory and (message.memory.used, message.memory.total),
+                _encode_loads(message.loads),
             )
         case StartRequest():
             fields = (
@@ -428,7 +433,11 @@
     return packed
 
 
-def _encode_optional(demands: Sequence[AdapterDemand]) -> tuple[Any, ...]:
+def _encode_loads(loads: Sequence[LoadRow]) -> list[tuple[Any, ...]]:
+    return [(row.incarnation, row.requests, row.slowness, round(row.age_s, 3)) for row in loads]
+
+
+def _encode_optional(demands: Sequence[AdapterDemand], loads: Sequence[LoadRow]) -> tuple[Any, ...]:
     """Return the field with the optional fields of a demand update, none if there are none.
 
     ``accounts`` lists the shares of the demands that have some, by the position of the demand.
@@ -438,7 +447,10 @@
         for position, demand in enumerate(demands)
         if demand.shares
     ]
-    return ({_ACCOUNTS: rows},) if rows else ()
+    optional: dict[str, Any] = {_ACCOUNTS: rows} if rows else {}
+    if loads:
+        optional[_LOADS] = _encode_loads(loads)
+    return (optional,) if optional else ()
 
 
 def _encode_share(share: AccountShare) -> tuple[Any, ...]:
@@ -531,15 +543,21 @@
     *later: Any,
 ) -> DemandUpdate:
     del later
-    demands = [_decode_demand(*row) for row in rows]
     named = optional if isinstance(optional, dict) else {}
+    loads = tuple(_decode_load(*row) for row in named.get(_LOADS, ()))
+    demands = [_decode_demand(*row) for row in rows]
     for position, by_account in named.get(_ACCOUNTS, ()):
         place = count(position)
         demands[place] = dataclasses.replace(
             demands[place], shares=[_decode_share(*row) for row in by_account[: MAX_SHARES + 1]]
         )
     position = StorePosition(count(era), count(change))
-    return DemandUpdate(demands, bool(is_ping), count(protocol), position)
+    return DemandUpdate(demands, bool(is_ping), count(protocol), position, loads)
+
+
+def _decode_load(incarnation: Any, requests: Any, slowness: Any, age_s: Any) -> LoadRow:
+    figure = number(slowness) if slowness is not None else None
+    return LoadRow(text(incarnation), count(requests), figure, number(age_s))
 
 
 def _decode_demand(
@@ -613,6 +631,7 @@
     protocol: Any = 1,
     era: Any = FIRST_ERA,
     memory: Any = None,
+    loads: Sequence[Any] = (),
     *later: Any,
 ) -> AgentHeartbeat:
     del later
@@ -625,6 +644,7 @@
         count(gateways),
         count(protocol),
         MemoryReport(*map(count, memory)) if memory is not None else None,
+        tuple(_decode_load(*row) for row in loads),
     )
 
 
