Take no load that another process states for one of the future

Cause: the age of a shared load was not bounded below: one of -1e9 s was the newest for ever, and kept the view's report valid an hour later. Change: a negative age is 0.

--- a/src/dragonflyhold/gateway/messages.py
+++ b/src/dragonflyhold/gateway/messages.py
@@ -557,7 +557,7 @@
 
 def _decode_load(incarnation: Any, requests: Any, slowness: Any, age_s: Any) -> LoadRow:
     figure = number(slowness) if slowness is not None else None
-    return LoadRow(text(incarnation), count(requests), figure, number(age_s))
+    return LoadRow(text(incarnation), count(requests), figure, max(0.0, number(age_s)))
 
 
 def _decode_demand(
--- a/tests/gateway/test_messages.py
+++ b/tests/gateway/test_messages.py
@@ -116,6 +116,12 @@
         assert decode(_fields(encode(update))) == update
         assert len(_fields(encode(DemandUpdate([demand(1)])))) == 6  # type: ignore[arg-type]
 
+    def test_no_load_is_of_the_future(self) -> None:
+        """Guards against a load that counts as the newest for ever."""
+        beat = decode([4, 0.5, 1, 2, False, 0, 0, 1, 0, None, [["p1@7", 5, None, -1e9]]])
+        assert isinstance(beat, AgentHeartbeat)
+        assert beat.loads == (LoadRow("p1@7", 5, None, 0.0),)
+
     @pytest.mark.parametrize("loads", [[1], [["p1", -1, None, 0.0]], [["p1", 1]], 7])
     def test_odd_loads_are_no_message(self, loads: object) -> None:
         with pytest.raises(MessageError):
