--- a/src/dragonflyhold/gateway/attempt.py
+++ b/src/dragonflyhold/gateway/attempt.py
@@ -212,11 +212,13 @@
             self._gateway.pool.release(self._address, exchange)
         if self._is_counted:
             self._is_counted = False
-            self._gateway.note_ended(self._choice.upstream_id, self._request_info.target)
+            info = self._request_info
+            self._gateway.note_ended(self._choice.upstream_id, info.target, info.held_tokens)
 
     async def _open(self) -> Outcome | Superseded | None:
         """Send the request and read the head; return an outcome if there is none."""
-        self._gateway.note_started(self._choice.upstream_id, self._request_info.target)
+        info = self._request_info
+        self._gateway.note_started(self._choice.upstream_id, info.target, info.held_tokens)
         self._is_counted = True
         try:
             outcome = await self._start()
@@ -266,7 +268,13 @@
             id=self._request_info.request_id,
             runner=choice.upstream_id,
             load=view.load(started),
-            state_age_ms=round((started - view.reported_at) * 1000),
+            state_age_ms=view.report_age_ms(started),
+            own=view.in_flight,
+            slowness=view.slowness.rounded(started),
+            candidates=choice.basis.candidates if choice.basis else None,
+            eligible=choice.basis.eligible if choice.basis else None,
+            unreported=round(choice.basis.unreported, 1) if choice.basis else None,
+            probability=round(choice.basis.probability, 2) if choice.basis else None,
             version=choice.version,
             software=self._upstream.software,
             resume_after=self._context.events.last_id if self._responder.is_started else None,
@@ -293,7 +301,7 @@
                 choice.upstream_id, self._request_info.prompt_tokens, elapsed
             )
         self._gateway.note_limit(view, head, started)
-        self._gateway.note_load(choice.upstream_id, head)
+        self._gateway.note_load(self._upstream, head)
         return None
 
     def _may_send(self) -> bool:
@@ -544,7 +552,13 @@
         left = {self._upstream.upstream_id, *self._predecessors}
         for excluded in ({*context.progress.tried, *left}, left):
             choice = self._gateway.table.choose(
-                context.service, target, min_version, now, excluded, context.progress.origin
+                context.service,
+                target,
+                min_version,
+                now,
+                excluded,
+                context.progress.origin,
+                self._request_info.held_tokens,
             )
             if isinstance(choice, SendNow):
                 view = self._gateway.table.views[choice.upstream_id]
--- a/src/dragonflyhold/gateway/daemon.py
+++ b/src/dragonflyhold/gateway/daemon.py
@@ -345,6 +345,7 @@
         metrics.set_level("leaving_runners", sum(view.is_ending(now) for view in views))
         turned_away = sum(view.gate.state(now) is SendState.TURNED_AWAY for view in views)
         metrics.set_level("turned_away_runners", turned_away)
+        metrics.set_level("load_unevenness", gateway.table.unevenness(now))
         metrics.set_level("config_version", configuration.version if configuration else 0)
         accounts = configuration.accounts if configuration is not None else None
         self._has_account_levels |= accounts is not None
--- a/src/dragonflyhold/gateway/dispatch.py
+++ b/src/dragonflyhold/gateway/dispatch.py
@@ -2,15 +2,26 @@
 
 import dataclasses
 import itertools
+import math
 import random
 from collections.abc import Callable, Collection, Sequence
 from typing import final
 
+from dragonflyhold.balancing import (
+    ArrivalRate,
+    Basis,
+    Candidate,
+    LoadRow,
+    RequestSizes,
+    choose,
+    choose_for_key,
+    unevenness,
+)
 from dragonflyhold.gateway.messages import AgentHeartbeat, EngineUpdate
 from dragonflyhold.gateway.model import ModelAdapter, ServerLoad, Upstream, UpstreamId
 from dragonflyhold.gateway.send_gates import SendGates, SendState
 from dragonflyhold.gateway.stream_origins import StreamOrigin
-from dragonflyhold.gateway.upstream_index import UpstreamIndex, rank
+from dragonflyhold.gateway.upstream_index import UpstreamIndex, hash_target, rank
 from dragonflyhold.gateway.upstream_view import MAX_SUSPENSION_S, MIN_SUSPENSION_S, UpstreamView
 from dragonflyhold.hashing import hash64
 from dragonflyhold.ids import DataCentre, ServiceName, Version
@@ -30,7 +41,7 @@
 # as long and is charged.
 STORE_LOAD_COST = 3.0
 # An upstream whose batch is filled beyond REPLICA_LOAD_SHARE gets replicas of its popular adapters
-# on upstreams with less than REPLICA_LOAD_RATIO of its requests and enough free adapter slots.
+# on upstreams with less than REPLICA_LOAD_RATIO of its work and enough free adapter slots.
 REPLICA_LOAD_SHARE = 0.3
 REPLICA_LOAD_RATIO = 0.5
 REPLICA_MIN_FREE_SLOTS = 3
@@ -39,6 +50,12 @@
 # Number of upstreams, the first ones of an adapter's ranking, among which the one that loads the
 # adapter is chosen.
 MAX_LOAD_CANDIDATES = 8
+# Load, relative to its slots, at which an upstream that is not slower takes twice as long for
+# another request as an idle one, with what that one adds to the time of the others.
+DOUBLING_LOAD = 0.3
+# Time for which a service without memory for a request is not searched again: many requests wait
+# for room at once, and each looks at all upstreams.
+FULL_S = 0.02
 # Upstreams drawn of a larger service, among which a request without an adapter goes to the best.
 MAX_DRAWN = 32
 
@@ -51,6 +68,8 @@
     upstream_id: UpstreamId
     # Version of the resident adapter, ``None`` for requests without an adapter.
     version: Version | None
+    # What decided among the upstreams that could serve the request.
+    basis: Basis | None = dataclasses.field(default=None, compare=False)
 
 
 @final
@@ -75,6 +94,8 @@
     all_leave: bool = False
     # Whether no upstream is left that may go on with the stream, though others are.
     is_version_gone: bool = False
+    # Whether an upstream that is available otherwise has no memory for the request.
+    is_memory_full: bool = False
 
 
 Choice = SendNow | WaitFor | NoUpstream
@@ -89,6 +110,15 @@
         self.gates = SendGates()
         # Returns the monotonic time of the last read of the registry; set by the gateway.
         self.registry_read_at: Callable[[], float | None] = lambda: None
+        # Returns the number of gateways, which all send to the same upstreams; set by the gateway.
+        self.count_gateways: Callable[[], int] = lambda: 1
+        # Rates of this gateway's requests by service.
+        self._arrivals: dict[ServiceName, ArrivalRate] = {}
+        self._sizes = RequestSizes()
+        # Services whose upstreams state how long work takes on machines that they share.
+        self._on_shared_machines: set[ServiceName] = set()
+        # Monotonic time at which a service last had no memory for a request, and its tokens.
+        self._full: dict[ServiceName, tuple[float, int]] = {}
         self._index = UpstreamIndex()
         self._data_centre = data_centre
         self._rng = rng
@@ -123,6 +153,10 @@
         view = self.views.pop(upstream_id, None)
         if view is not None:
             self._index.remove(view)
+            if not self.count_of_service(view.upstream.service):
+                self._arrivals.pop(view.upstream.service, None)
+                self._on_shared_machines.discard(view.upstream.service)
+                self._full.pop(view.upstream.service, None)
 
     def apply_update(self, upstream_id: UpstreamId, update: EngineUpdate, now: float) -> None:
         """Apply an agent's report on its engine."""
@@ -143,6 +177,7 @@
         view.backlog = len(update.backlog)
         view.waiters_since_report = 0
         view.record_load(update.running + update.waiting, now)
+        view.memory.note_load(update.running, update.waiting, now)
 
     def apply_heartbeat(
         self, upstream_id: UpstreamId, heartbeat: AgentHeartbeat, now: float
@@ -159,6 +194,7 @@
         view.is_paced = heartbeat.is_paced
         if heartbeat.running is not None and heartbeat.waiting is not None and view.is_linked:
             view.record_load(heartbeat.running + heartbeat.waiting, now)
+            view.memory.note_report(heartbeat.memory, heartbeat.running, heartbeat.waiting, now)
 
     def note_agent_message(self, upstream_id: UpstreamId, now: float) -> None:
         """Record the time of a message from the agent on an upstream's VM."""
@@ -224,13 +260,20 @@
         now: float,
         excluded: Collection[UpstreamId] = (),
         origin: StreamOrigin | None = None,
+        tokens: int = 0,
     ) -> Choice:
         """Choose an upstream that has version ``min_version`` or newer, or one that may load it.
 
-        A stream that began elsewhere goes on only where its ``origin`` allows it.
+        ``tokens`` is the memory that the request will hold at an engine. A stream that began
+        elsewhere goes on only where its ``origin`` allows it.
         """
+        is_free = not excluded and origin is None
+        if is_free and self._is_full(service, tokens, now):
+            return NoUpstream(self.count_of_service(service), is_memory_full=True)
         if target is not None:
-            choice = self._choose_for_adapter(service, target, min_version, now, excluded, origin)
+            choice = self._choose_for_adapter(
+                service, target, min_version, now, excluded, origin, tokens
+            )
             if isinstance(choice, SendNow):
                 return choice
             if origin is not None and self._awaits_holder(target, min_version, origin, now):
@@ -243,28 +286,51 @@
             responsive = [
                 view
                 for view in self._available(drawn, now, excluded, origin)
-                if not view.is_heartbeat_overdue(now) and _may_begin(view, origin, now)
+                if not view.is_heartbeat_overdue(now)
+                and _may_begin(view, origin, now)
+                and self._has_room(view, tokens, now)
             ]
             if responsive:
-                return SendNow(self._least_loaded(responsive, now).upstream.upstream_id, None)
+                return self._send_evenly(responsive, None, now)
         available = self._available(views, now, excluded, origin)
+        with_room = [view for view in available if self._has_room(view, tokens, now)]
+        if available and not with_room:
+            if is_free:
+                self._full[service] = (now, tokens)
+            return NoUpstream(len(views), is_memory_full=True)
+        available = with_room
         available = [view for view in available if _may_begin(view, origin, now)] or available
         # If the heartbeats of all of them are overdue, this process has not read for a while.
         available = [view for view in available if not view.is_heartbeat_overdue(now)] or available
         if not available:
             return self._describe_lack(service, now, excluded, origin)
         if target is None:
-            return SendNow(self._least_loaded(available, now).upstream.upstream_id, None)
+            return self._send_evenly(available, None, now)
         holders = [view for view in available if view.resident.get(target, -1) >= min_version]
         if holders:
-            return self._send_to_holder(holders, target, now)
+            return self._send_evenly(holders, target, now)
         loadable = [view for view in available if view.is_linked and view.can_load]
         loadable = [view for view in loadable if not view.is_limited(now)] or loadable
         if not loadable:
             return NoUpstream(self.count_of_service(service))
-        best = _cheapest(rank(loadable, target, MAX_LOAD_CANDIDATES))
+        best = _cheapest(rank(loadable, target, MAX_LOAD_CANDIDATES), now)
         return WaitFor(best.upstream.upstream_id)
 
+    def _is_full(self, service: ServiceName, tokens: int, now: float) -> bool:
+        """Return whether a request of no more tokens has found no memory just now."""
+        at, least = self._full.get(service, (-math.inf, 0))
+        return now - at < FULL_S and tokens >= least
+
+    def _has_room(self, view: UpstreamView, tokens: int, now: float) -> bool:
+        """Return whether a request fits into an engine's memory, with those of all gateways.
+
+        Engines on machines of their own make room themselves: they interrupt requests.
+        """
+        if view.upstream.service not in self._on_shared_machines or not view.memory.is_known(now):
+            return True
+        others_per_s = self._others_per_s([view], now)
+        return view.memory.fits(tokens, self._sizes, others_per_s, now)
+
     def _available(
         self,
         views: Sequence[UpstreamView],
@@ -324,14 +390,15 @@
         now: float,
         tried: Collection[UpstreamId],
         origin: StreamOrigin | None = None,
+        tokens: int = 0,
     ) -> Choice:
         """Choose an upstream; use one that was tried only if no other can start at once."""
         # Once all upstreams have been tried, any may be tried again.
         excluded = tried if len(tried) < self.count_of_service(service) else ()
-        choice = self.choose(service, target, min_version, now, excluded, origin)
+        choice = self.choose(service, target, min_version, now, excluded, origin, tokens)
         if isinstance(choice, SendNow) or not tried:
             return choice
-        again = self.choose(service, target, min_version, now, (), origin)
+        again = self.choose(service, target, min_version, now, (), origin, tokens)
         return again if isinstance(again, SendNow) else choice
 
     def _describe_lack(
@@ -378,6 +445,7 @@
         now: float,
         excluded: Collection[UpstreamId],
         origin: StreamOrigin | None,
+        tokens: int,
     ) -> SendNow | WaitFor | None:
         """Choose among the upstreams that the indexes name; ``None`` if none of them is usable.
 
@@ -395,6 +463,7 @@
                 and not view.is_heartbeat_overdue(now)
                 and _may_begin(view, origin, now)
                 and (origin is None or self._may_go_on(view, origin, now))
+                and self._has_room(view, tokens, now)
             )
 
         holders = [
@@ -403,7 +472,7 @@
             if view.resident.get(target, -1) >= min_version and is_usable(view)
         ]
         if holders:
-            return self._send_to_holder(holders, target, now)
+            return self._send_evenly(holders, target, now)
         awaited = [
             view
             for view in self._index.awaited_at(target)
@@ -420,13 +489,62 @@
             MAX_LOAD_CANDIDATES,
         )
         ranked = list(candidates)
-        return WaitFor(_cheapest(ranked).upstream.upstream_id) if ranked else None
+        return WaitFor(_cheapest(ranked, now).upstream.upstream_id) if ranked else None
 
-    def _send_to_holder(
-        self, holders: list[UpstreamView], target: ModelAdapter, now: float
+    def _send_evenly(
+        self, views: Sequence[UpstreamView], target: ModelAdapter | None, now: float
     ) -> SendNow:
-        best = self._least_loaded(holders, now)
-        return SendNow(best.upstream.upstream_id, best.resident[target])
+        """Send to one of the upstreams, so that requests of all gateways load them evenly."""
+        candidates = [self._candidate(view, now) for view in views]
+        # All data centres are assumed to send the same number of requests.
+        near_share = 1.0 / len({view.upstream.data_centre for view in views})
+        others_per_s = self._others_per_s(views, now)
+        chosen, basis = choose(candidates, others_per_s, self._rng, near_share)
+        view = views[chosen]
+        version = None if target is None else view.resident[target]
+        return SendNow(view.upstream.upstream_id, version, basis)
+
+    def _candidate(self, view: UpstreamView, now: float) -> Candidate:
+        slots, load = view.upstream.slots, view.load(now)
+        is_local = view.upstream.data_centre == self._data_centre
+        bonus = LOCAL_BONUS_REQUESTS / slots if is_local else 0.0
+        slowness = view.slowness.now(now)
+        handicap = (
+            view.gate.return_load(now)
+            - bonus
+            + 2.0 * view.current_failure_rate(now)
+            + DOUBLING_LOAD * (slowness - 1.0)
+        )
+        capacity = slots / slowness
+        if not view.has_report(now):
+            return Candidate(0, load, capacity, handicap=handicap, is_near=is_local)
+        reported, age_s = view.reported_requests, now - view.reported_at
+        return Candidate(reported, load - reported, capacity, age_s, handicap, is_local)
+
+    def _others_per_s(self, views: Sequence[UpstreamView], now: float) -> float:
+        """Return the rate at which all other gateways send to one of the upstreams.
+
+        They are assumed to send as this gateway does: evenly over the service, or more to the
+        holders of a popular adapter.
+        """
+        others = self.count_gateways() - 1
+        if others <= 0:
+            return 0.0
+        service = views[0].upstream.service
+        arrivals = self._arrivals.get(service)
+        mean = arrivals.per_s(now) / self.count_of_service(service) if arrivals else 0.0
+        own = sum(view.sends.per_s(now) for view in views) / len(views)
+        return others * max(mean, own)
+
+    def unevenness(self, now: float) -> float:
+        """Return the highest known load relative to the mean, of the least even service."""
+        by_service: dict[ServiceName, list[Candidate]] = {}
+        for view in self.views.values():
+            if view.has_report(now) and view.is_usable(now):
+                capacity = view.upstream.slots / view.slowness.mean(now)
+                candidate = Candidate(view.load(now), 0, capacity)
+                by_service.setdefault(view.upstream.service, []).append(candidate)
+        return max((unevenness(candidates) for candidates in by_service.values()), default=1.0)
 
     def note_waiting(self, upstream_id: UpstreamId) -> None:
         """Count a request that begins to wait at an upstream, until its agent's next report."""
@@ -443,7 +561,8 @@
         restarted ones, are idle.
         """
         holder_view = self.views[holder]
-        if holder_view.load(now) < REPLICA_LOAD_SHARE * holder_view.upstream.slots:
+        holder_work = holder_view.work(now)
+        if holder_work < REPLICA_LOAD_SHARE * holder_view.upstream.slots:
             return None
         others = [
             view
@@ -452,30 +571,31 @@
             and not view.is_limited(now)
             and view.is_available(now)
             and view.free_adapter_slots - view.waiters_since_report >= REPLICA_MIN_FREE_SLOTS
-            and view.load(now) < REPLICA_LOAD_RATIO * holder_view.load(now)
+            and view.work(now) < REPLICA_LOAD_RATIO * holder_work
         ]
         if not others or any(target in view.resident for view in others):
             return None
-        return min(others, key=lambda view: view.load(now)).upstream.upstream_id
-
-    def _least_loaded(self, views: list[UpstreamView], now: float) -> UpstreamView:
-        self._rng.shuffle(views)
-
-        def cost(view: UpstreamView) -> float:
-            load = view.load(now) / view.upstream.slots + view.gate.return_load(now)
-            is_local = view.upstream.data_centre == self._data_centre
-            bonus = LOCAL_BONUS_REQUESTS / view.upstream.slots if is_local else 0.0
-            return load - bonus + 2.0 * view.current_failure_rate(now)
-
-        return min(views, key=cost)
+        chosen = choose_for_key(
+            [self._candidate(view, now) for view in others],
+            [view.address_hash for view in others],
+            hash_target(target),
+            self._others_per_s(others, now),
+        )
+        return others[chosen].upstream.upstream_id
 
     # Outcomes of requests
 
-    def request_started(self, upstream_id: UpstreamId, now: float) -> None:
-        """Count a request that is sent to an upstream."""
+    def request_started(self, upstream_id: UpstreamId, now: float, tokens: int = 0) -> None:
+        """Count a request that is sent to an upstream and holds so many tokens there."""
         view = self.views.get(upstream_id)
         if view is not None:
+            # Where the memory is unknown, any size that a client states is sent.
+            if view.memory.is_known(now):
+                self._sizes.note(tokens)
             view.in_flight += 1
+            view.sends.note(now)
+            view.memory.note_started(tokens)
+            self._arrivals.setdefault(view.upstream.service, ArrivalRate()).note(now)
             if view.awaiting_since is None:
                 view.awaiting_since = now
 
@@ -489,11 +609,12 @@
             if view.awaiting_since is not None:
                 view.awaiting_since = now
 
-    def request_ended(self, upstream_id: UpstreamId) -> None:
-        """Count a request that ended at an upstream."""
+    def request_ended(self, upstream_id: UpstreamId, tokens: int = 0) -> None:
+        """Count a request that ended at an upstream and held so many tokens there."""
         view = self.views.get(upstream_id)
         if view is not None:
             view.in_flight = max(0, view.in_flight - 1)
+            view.memory.note_ended(tokens)
             if view.in_flight == 0:
                 view.awaiting_since = None
 
@@ -528,14 +649,36 @@
         if view is not None:
             view.first_byte_s += FIRST_BYTE_WEIGHT * (seconds - view.first_byte_s)
 
-    def report_load(self, upstream_id: UpstreamId, load: ServerLoad, now: float) -> None:
-        """Record the load that an upstream of a plain service reports in a response."""
-        view = self.views.get(upstream_id)
-        if view is not None and not view.is_linked:
-            # The request of this response is included in the counts but has ended.
-            view.reported_requests = max(0, load.running + load.waiting - 1)
+    def report_load(self, upstream: Upstream, load: ServerLoad, now: float) -> None:
+        """Record the load that an incarnation of an upstream reports in a response."""
+        view = self._current(upstream.incarnation_id)
+        if view is None:
+            return
+        # Agents report the counts of their engines, with the requests that they hold back.
+        if not view.is_linked or load.slowness is not None:
+            view.reported_requests = load.other_requests
             view.own_requests_at_report = max(0, view.in_flight - 1)
             view.reported_at = now
+        self._note_slowness(view, load.slowness, now)
+
+    def apply_shared_load(self, row: LoadRow, now: float) -> None:
+        """Record a load that an upstream without an agent reported to another gateway."""
+        view, stated_at = self._current(row.incarnation), now - row.age_s
+        if view is None or view.is_linked or stated_at <= view.reported_at:
+            return
+        view.reported_requests = row.requests
+        # Requests sent since the report are few; they count as included in it.
+        view.own_requests_at_report = view.in_flight
+        view.reported_at = stated_at
+        self._note_slowness(view, row.slowness, stated_at)
+
+    def _note_slowness(self, view: UpstreamView, figure: float | None, at: float) -> None:
+        if figure is not None:
+            self._on_shared_machines.add(view.upstream.service)
+            steady = view.slowness.steady
+            view.slowness.note(figure, at)
+            if view.slowness.steady != steady:
+                self._index.note_speed_changed()
 
     def drop_resident(self, upstream_id: UpstreamId, target: ModelAdapter) -> None:
         """Drop an adapter that an upstream reported as not loaded."""
@@ -549,16 +692,17 @@
     return origin is not None or now >= view.begins_streams_at
 
 
-def _cheapest(ranked: Sequence[UpstreamView]) -> UpstreamView:
-    """Return the upstream of a ranking that should load the adapter."""
+def _cheapest(ranked: Sequence[UpstreamView], now: float) -> UpstreamView:
+    """Return the upstream of a ranking that should load the adapter.
+
+    The adapter slots of a slower upstream become free that much later.
+    """
 
     def cost(item: tuple[int, UpstreamView]) -> float:
         position, view = item
-        queue_length = (
-            view.backlog
-            + view.waiters_since_report
-            - min(view.free_adapter_slots, MAX_COUNTED_FREE_SLOTS)
-        )
-        return queue_length + min(position, 2) * STORE_LOAD_COST
+        queue_length = view.backlog + view.waiters_since_report
+        free_slots = min(view.free_adapter_slots, MAX_COUNTED_FREE_SLOTS)
+        wait = queue_length * view.slowness.mean(now) - free_slots
+        return wait + min(position, 2) * STORE_LOAD_COST
 
     return min(enumerate(ranked), key=cost)[1]
--- a/src/dragonflyhold/gateway/engines.py
+++ b/src/dragonflyhold/gateway/engines.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Sequence
 from typing import final
 
+from dragonflyhold.balancing import SharedLoads
 from dragonflyhold.fairness import AccountNeed
 from dragonflyhold.gateway.account_limits import AccountLimits
 from dragonflyhold.gateway.agent_link import AgentLink
@@ -93,6 +94,8 @@
         )
         self.starts = PacedStarts(self._send_to_agent)
         self.permits = UpstreamPermits(self, count_event)
+        # Loads that upstreams without an agent have stated to this and to other gateways.
+        self.loads = SharedLoads()
         # Exchanges the origins of streams with the agents; set by the gateway.
         self.origins: OriginDirectory | None = None
         # Takes tokens of limited accounts; set by the gateway.
@@ -317,6 +320,8 @@
                         self.account_limits.note_agent_gained(agent)
                 if view is not None:
                     self._table.apply_heartbeat(view.upstream.upstream_id, message, now)
+                for row in self.loads.merge(message.loads, now):
+                    self._table.apply_shared_load(row, now)
             case StartGrant():
                 self.starts.note_grant(message)
             case PermitReply():
@@ -450,7 +455,8 @@
             return
         agent = self._agents.get(view.ip)
         if agent is not None and agent.link is not None and self._current_view(agent) is view:
-            agent.link.send(dataclasses.replace(update, change=self._known_change()))
+            loads = self.loads.take_news(time.monotonic())
+            agent.link.send(dataclasses.replace(update, change=self._known_change(), loads=loads))
 
     def _known_change(self) -> StorePosition:
         watch = self.operator_watch
--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -17,6 +17,7 @@
     UnknownKeyError,
     judge_freshness,
 )
+from dragonflyhold.balancing import LoadRow
 from dragonflyhold.fairness import AccountNeed, Claim, NeedLevel
 from dragonflyhold.gateway.account_limits import AccountLimits, Decision
 from dragonflyhold.gateway.budget import RetryBudget
@@ -135,6 +136,7 @@
         )
         self.agent_links.account_limits = self.account_limits
         self.table.registry_read_at = self._registry_read_at
+        self.table.count_gateways = self.agent_links.count_gateways
         # Watches the registry; set by the daemon.
         self.registry_watch: TableWatch | None = None
         # Whether peers were asked for what a restored store may have lost; set by the daemon.
@@ -545,23 +547,29 @@
         if not self._replica_requests.is_requested(target):
             self._spawn(self._replica_requests.request_replica(upstream_id, target, LOAD_UTILITY))
 
-    def note_started(self, upstream_id: UpstreamId, target: ModelAdapter | None) -> None:
-        """Count a request that is sent to an upstream."""
-        self.table.request_started(upstream_id, time.monotonic())
+    def note_started(
+        self, upstream_id: UpstreamId, target: ModelAdapter | None, tokens: int
+    ) -> None:
+        """Count a request that is sent to an upstream and holds so many tokens there."""
+        self.table.request_started(upstream_id, time.monotonic(), tokens)
         if target is not None:
             self.demands.request_started(upstream_id, target)
 
-    def note_ended(self, upstream_id: UpstreamId, target: ModelAdapter | None) -> None:
-        """Count a request that ended at an upstream."""
-        self.table.request_ended(upstream_id)
+    def note_ended(self, upstream_id: UpstreamId, target: ModelAdapter | None, tokens: int) -> None:
+        """Count a request that ended at an upstream and held so many tokens there."""
+        self.table.request_ended(upstream_id, tokens)
         if target is not None:
             self.demands.request_ended(upstream_id, target)
 
-    def note_load(self, upstream_id: UpstreamId, head: Head) -> None:
+    def note_load(self, upstream: Upstream, head: Head) -> None:
         """Record the load that an upstream reports in its response headers."""
         load = codec.server_load(head)
         if load is not None:
-            self.table.report_load(upstream_id, load, time.monotonic())
+            now = time.monotonic()
+            self.table.report_load(upstream, load, now)
+            if not self.agent_links.is_engine(upstream):
+                row = LoadRow(upstream.incarnation_id, load.other_requests, load.slowness, 0.0)
+                self.agent_links.loads.note(row, now)
 
     def note_limit(self, view: UpstreamView, head: Head, sent_at: float) -> None:
         """Record the limit that an upstream states in a response, or its end.
--- a/src/dragonflyhold/gateway/model.py
+++ b/src/dragonflyhold/gateway/model.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple, NewType, final
 
 from dragonflyhold.accounts import AccountDirectory, Caller, Unidentified
+from dragonflyhold.balancing import MemoryReport
 from dragonflyhold.ids import AdapterName, DataCentre, ServiceName, Version
 
 UpstreamId = NewType("UpstreamId", str)
@@ -169,6 +170,8 @@
     # Adapters being loaded; each already occupies an adapter slot.
     loading: Mapping[ModelAdapter, Version]
     start_time_ms: int
+    # Memory that requests hold, ``None`` if the engine states none.
+    memory: MemoryReport | None = None
 
 
 @final
@@ -183,6 +186,11 @@
     # stated.
     slowness: float | None = None
 
+    @property
+    def other_requests(self) -> int:
+        """Requests without that of the response, which is included in the counts but has ended."""
+        return max(0, self.running + self.waiting - 1)
+
 
 class CommandKind(enum.Enum):
     """Kind of a command to an engine."""
@@ -232,6 +240,11 @@
     # Id of the client's earlier request that brought the first event of the stream, if any.
     resumed_request_id: str | None = None
 
+    @property
+    def held_tokens(self) -> int:
+        """Memory that the request holds at an engine at most, in tokens."""
+        return self.prompt_tokens + self.output_tokens
+
     @property
     def takes_up_stream(self) -> bool:
         """Whether the client has received events of the stream before."""
--- a/src/dragonflyhold/platform/standins/runner.py
+++ b/src/dragonflyhold/platform/standins/runner.py
@@ -133,6 +133,10 @@
         self.crash_times: list[float] = []
         # Requests a second that answers state as the limit, if any.
         self.limit_per_s: float | None = None
+        # Returns the load that all answers state, if any.
+        self.state_load: Callable[[], bytes] | None = None
+        # Used and total memory that reports state, if any.
+        self.memory: tuple[int, int] | None = None
         # Value of the header by which all answers state that this upstream leaves, if any.
         self.leaving: bytes | None = None
         # Whether health checks are rejected, as requests are, while it is full.
@@ -342,10 +346,15 @@
 
     def _stated_headers(self) -> list[tuple[bytes, bytes]]:
         """Return what all answers state now."""
-        return [] if self.leaving is None else [(b"Server-Leaving", self.leaving)]
+        stated = [] if self.leaving is None else [(b"Server-Leaving", self.leaving)]
+        if self.state_load is not None:
+            stated.append((b"Server-Load", self.state_load()))
+        return stated
 
     def _report(self) -> dict[str, Any]:
+        memory = dict(zip(("kv_used", "kv_total"), self.memory or (), strict=False))
         return {
+            **memory,
             "stage": "both",
             "models": self._models(),
             "busy": self._is_loading_model,
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -1,9 +1,12 @@
 """Tests of the choice of an upstream."""
 
+import dataclasses
 import random
+from collections import Counter
 
 import pytest
 
+from dragonflyhold.balancing import LoadRow, MemoryReport
 from dragonflyhold.gateway.dispatch import (
     MAX_DRAWN,
     NoUpstream,
@@ -12,7 +15,13 @@
     WaitFor,
 )
 from dragonflyhold.gateway.liveness import DEFAULT_GAP_S, OVERDUE_S, UNREACHABLE_S
-from dragonflyhold.gateway.model import RegistrationState, ServerLoad, UpstreamId
+from dragonflyhold.gateway.messages import AgentHeartbeat
+from dragonflyhold.gateway.model import (
+    ModelAdapter,
+    RegistrationState,
+    ServerLoad,
+    UpstreamId,
+)
 from dragonflyhold.gateway.send_gates import RETURN_S
 from dragonflyhold.gateway.upstream_view import (
     MAX_SUSPENSION_S,
@@ -249,7 +258,7 @@
     def test_plain_services_report_their_load_in_responses(self) -> None:
         table = _table(1, linked=False)
         table.request_started(UpstreamId("r1"), NOW)
-        table.report_load(UpstreamId("r1"), ServerLoad(running=4, waiting=2, slots=8), NOW)
+        table.report_load(upstream(1), ServerLoad(running=4, waiting=2, slots=8), NOW)
         table.request_ended(UpstreamId("r1"))
         assert table.views[UpstreamId("r1")].load(NOW) == 5
 
@@ -302,6 +311,297 @@
         assert table.choose(SERVICE, adapter(901), ANY, NOW) == WaitFor(UpstreamId(waiting))
 
 
+class TestEvenLoad:
+    """Gateways that see the same reports at the same time must not all choose the same upstream."""
+
+    def _table(self, gateways: int) -> UpstreamTable:
+        table = _table(1, 2, 3)
+        table.count_gateways = lambda: gateways
+        for number, running in ((1, 3), (2, 4), (3, 40)):
+            name = UpstreamId(f"r{number}")
+            for _ in range(20):
+                table.request_started(name, NOW)
+                table.request_ended(name)
+            table.apply_update(name, engine_update({7: 1}, running=running), NOW)
+        return table
+
+    def _chosen(self, table: UpstreamTable, target: ModelAdapter | None) -> Counter[str]:
+        choices = [table.choose(SERVICE, target, ANY, NOW + 0.2) for _ in range(200)]
+        return Counter(str(choice.upstream_id) for choice in choices if isinstance(choice, SendNow))
+
+    @pytest.mark.parametrize("target", [adapter(7), None], ids=["holders", "plain"])
+    def test_requests_are_spread_over_upstreams_that_others_fill_up(
+        self, target: ModelAdapter | None
+    ) -> None:
+        chosen = self._chosen(self._table(gateways=30), target)
+        assert chosen["r1"] > 50
+        assert chosen["r2"] > 50
+
+    @pytest.mark.parametrize("target", [adapter(7), None], ids=["holders", "plain"])
+    def test_a_single_gateway_sends_to_the_least_loaded(self, target: ModelAdapter | None) -> None:
+        """What is new acts only where several gateways choose."""
+        assert self._chosen(self._table(gateways=1), target) == {"r1": 200}
+
+    def test_requests_stay_in_their_data_centre_at_little_load(self) -> None:
+        """Guards against charged traffic between data centres while all upstreams are idle."""
+        table = UpstreamTable(DataCentre("dc-a"), random.Random(1))
+        table.count_gateways = lambda: 30
+        for number in range(1, 28):
+            data_centre = DataCentre(f"dc-{'abc'[number % 3]}")
+            table.put(dataclasses.replace(upstream(number), data_centre=data_centre))
+            name = UpstreamId(f"r{number}")
+            table.request_started(name, NOW)
+            table.request_ended(name)
+            table.apply_update(name, engine_update({7: 1}), NOW)
+        chosen = self._chosen(table, None)
+        assert sum(chosen[f"r{number}"] for number in range(3, 28, 3)) == 200
+
+    def test_a_popular_adapter_raises_the_estimate_for_its_holders(self) -> None:
+        """Guards against an estimate as if all upstreams got the requests for it."""
+        table = _table(*range(1, 31))
+        table.count_gateways = lambda: 30
+        holders = [UpstreamId("r1"), UpstreamId("r2")]
+        for _ in range(30):
+            for name in holders:
+                table.request_started(name, NOW)
+                table.request_ended(name)
+        for name in holders:
+            table.apply_update(name, engine_update({7: 1}, running=3), NOW)
+        choice = table.choose(SERVICE, adapter(7), ANY, NOW + 0.2)
+        assert isinstance(choice, SendNow)
+        assert choice.basis is not None
+        # 30 requests in at least one half-life of 2 s at each holder, by each of 29 others.
+        assert choice.basis.unreported > 29 * 2 * 2 * 0.2 * 10
+
+    def test_gateways_without_requests_agree_on_the_place_of_a_replica(self) -> None:
+        """Guards against a replica of the same adapter on several upstreams."""
+        places = set()
+        for seed in range(5):
+            table = UpstreamTable(DataCentre("dc-a"), random.Random(seed))
+            for number in range(1, 9):
+                table.put(upstream(number))
+                running = 40 if number == 1 else number % 3
+                update = engine_update({7: 1} if number == 1 else {}, running=running)
+                table.apply_update(UpstreamId(f"r{number}"), update, NOW)
+            places.add(table.choose_replica_upstream(SERVICE, adapter(7), UpstreamId("r1"), NOW))
+        assert len(places) == 1
+
+    def test_the_unevenness_of_the_least_even_service_is_told(self) -> None:
+        assert self._table(gateways=1).unevenness(NOW) == pytest.approx(3 * 40 / 47)
+        assert _table(1, linked=False).unevenness(NOW) == 1.0
+
+
+class TestUnequalUpstreams:
+    """Upstreams that state how long work takes on their machine."""
+
+    def _table(self, figures: dict[int, float | None], running: int = 0) -> UpstreamTable:
+        table = _table(*figures)
+        for second in range(20):
+            for number, figure in figures.items():
+                load = ServerLoad(running + 1, 0, 64, figure)
+                table.report_load(upstream(number), load, NOW - 20.0 + second)
+        for number in figures:
+            update = engine_update({7: 1}, running=running)
+            table.apply_update(UpstreamId(f"r{number}"), update, NOW)
+        return table
+
+    def _chosen(self, table: UpstreamTable) -> Counter[str]:
+        choices = [table.choose(SERVICE, adapter(7), ANY, NOW + 0.3) for _ in range(300)]
+        return Counter(str(choice.upstream_id) for choice in choices if isinstance(choice, SendNow))
+
+    def test_the_faster_of_equally_loaded_holders_gets_the_request(self) -> None:
+        assert self._chosen(self._table({1: 1.2, 2: 0.55}, running=10)) == {"r2": 300}
+        assert self._chosen(self._table({1: 1.2, 2: 0.55})) == {"r2": 300}
+
+    def test_a_slower_upstream_gets_what_it_does_as_soon(self) -> None:
+        """Guards against a fast upstream that is overrun while slow ones idle."""
+        table = self._table({1: 1.2, 2: 0.55})
+        table.apply_update(UpstreamId("r2"), engine_update({7: 1}, running=50), NOW)
+        assert self._chosen(table) == {"r1": 300}
+
+    def test_not_all_gateways_leave_a_slow_upstream_together(self) -> None:
+        table = self._table({1: 1.2, 2: 0.55}, running=10)
+        table.count_gateways = lambda: 30
+        for _ in range(300):
+            table.request_started(UpstreamId("r1"), NOW)
+            table.request_ended(UpstreamId("r1"))
+        chosen = self._chosen(table)
+        assert chosen["r1"] > 30
+        assert chosen["r2"] > chosen["r1"]
+
+    def test_without_figures_nothing_changes(self) -> None:
+        chosen = self._chosen(self._table({1: None, 2: None}))
+        assert min(chosen["r1"], chosen["r2"]) > 100
+        candidate_speeds = {
+            view.slowness.now(NOW) for view in self._table({1: None}).views.values()
+        }
+        assert candidate_speeds == {1.0}
+
+    def test_counts_without_a_figure_leave_those_of_the_agent(self) -> None:
+        """Guards against another choice where engines state nothing new."""
+        table = _table(1)
+        table.apply_update(UpstreamId("r1"), engine_update(running=20), NOW)
+        table.report_load(upstream(1), ServerLoad(5, 0, 64), NOW + 0.1)
+        view = table.views[UpstreamId("r1")]
+        assert (view.load(NOW + 0.1), view.reported_at) == (20, NOW)
+        table.report_load(upstream(1), ServerLoad(5, 0, 64, 1.0), NOW + 0.1)
+        assert (view.load(NOW + 0.1), view.reported_at) == (4, NOW + 0.1)
+
+    def test_a_newer_load_that_another_gateway_heard_of_counts(self) -> None:
+        """Guards against choices by a gateway's own answers only, which are rare."""
+        table = _table(1, linked=False)
+        view = table.views[UpstreamId("r1")]
+        table.report_load(upstream(1), ServerLoad(5, 0, 8, 1.0), NOW)
+        table.apply_shared_load(LoadRow("r1@1", 7, 2.0, 0.1), NOW + 0.5)
+        assert view.load(NOW + 0.5) == 7
+        assert view.report_age_ms(NOW + 0.5) == 100
+        table.apply_shared_load(LoadRow("r1@1", 1, 9.0, 0.3), NOW + 0.5)
+        table.apply_shared_load(LoadRow("r1@2", 1, 9.0, 0.0), NOW + 0.5)
+        assert view.load(NOW + 0.5) == 7
+        assert view.slowness.now(NOW + 0.4) == pytest.approx(2.0)
+
+    def test_a_figure_of_another_incarnation_says_nothing(self) -> None:
+        table = _table(1)
+        load = ServerLoad(50, 3, 64, 9.0)
+        table.report_load(upstream(1, start_time_ms=2), load, NOW)
+        view = table.views[UpstreamId("r1")]
+        assert view.slowness.rounded(NOW) is None
+        assert view.load(NOW) == 0
+        table.report_load(upstream(1), load, NOW)
+        table.put(upstream(1, start_time_ms=2))
+        assert table.views[UpstreamId("r1")].slowness.rounded(NOW) is None
+
+    def test_a_place_at_a_slow_upstream_is_worth_less(self) -> None:
+        """The adapter slots of a slower upstream become free later."""
+        table = _table(1, 2)
+        preferred = table.choose(SERVICE, adapter(7), ANY, NOW)
+        assert isinstance(preferred, WaitFor)
+        for name in ("r1", "r2"):
+            update = engine_update(free_adapter_slots=0, backlog=2)
+            table.apply_update(UpstreamId(name), update, NOW)
+        assert table.choose(SERVICE, adapter(7), ANY, NOW) == preferred
+        slow = upstream(int(preferred.upstream_id[1:]))
+        for second in range(20):
+            table.report_load(slow, ServerLoad(1, 0, 64, 6.0), NOW - 20.0 + second)
+        choice = table.choose(SERVICE, adapter(7), ANY, NOW)
+        assert isinstance(choice, WaitFor)
+        assert choice != preferred
+
+    def test_a_slow_holder_gets_a_replica_sooner_and_a_slow_upstream_none(self) -> None:
+        for figure, other, is_expected in ((1.0, 1.0, False), (2.5, 1.0, True), (2.5, 4.0, False)):
+            table = self._table({1: figure, 2: other})
+            table.apply_update(UpstreamId("r1"), engine_update({7: 1}, running=14), NOW)
+            table.apply_update(UpstreamId("r2"), engine_update(running=6), NOW)
+            place = table.choose_replica_upstream(SERVICE, adapter(7), UpstreamId("r1"), NOW)
+            assert (place == "r2") == is_expected
+
+    def test_a_faster_upstream_is_the_home_of_more_adapters(self) -> None:
+        """Its adapter slots are free again sooner; all gateways must agree on the home."""
+        homes = []
+        for seed in (1, 2):
+            rng = random.Random(seed)
+            table = _table(1, 2, 3, 4)
+            for second in range(60):
+                for number, figure in ((1, 0.55), (2, 1.2), (3, 1.2), (4, 1.2)):
+                    moment = figure * (2.5 if rng.random() < 0.15 else 1.0)
+                    load = ServerLoad(1, 0, 64, moment)
+                    table.report_load(upstream(number), load, NOW - 60.0 + second)
+            for name in table.views:
+                table.apply_update(name, engine_update(), NOW)
+            choices = [table.choose(SERVICE, adapter(n), ANY, NOW) for n in range(400)]
+            homes.append([choice.upstream_id for choice in choices if isinstance(choice, WaitFor)])
+        agreed = sum(first == second for first, second in zip(*homes, strict=True))
+        assert agreed >= 360
+        assert homes[0].count(UpstreamId("r1")) > 1.4 * homes[0].count(UpstreamId("r2"))
+
+
+class TestMemory:
+    """An engine that holds more than its memory crashes with all its requests."""
+
+    def _table(self, used: int, total: int = 1000, slowness: float | None = 1.0) -> UpstreamTable:
+        table = _table(1, 2)
+        table.report_load(upstream(2), ServerLoad(1, 0, 64, slowness), NOW)
+        for name, held in (("r1", used), ("r2", 0)):
+            update = engine_update({7: 1} if name == "r1" else {})
+            table.apply_update(UpstreamId(name), update, NOW)
+            beat = AgentHeartbeat(1.0, 3, 0, memory=MemoryReport(held, total))
+            table.apply_heartbeat(UpstreamId(name), beat, NOW)
+        return table
+
+    def test_a_request_goes_where_it_fits(self) -> None:
+        table = self._table(used=700)
+        sent = SendNow(UpstreamId("r1"), Version(1))
+        assert table.choose(SERVICE, adapter(7), ANY, NOW, tokens=200) == sent
+        elsewhere = WaitFor(UpstreamId("r2"))
+        assert table.choose(SERVICE, adapter(7), ANY, NOW, tokens=201) == elsewhere
+
+    def test_own_requests_since_the_report_count(self) -> None:
+        table = self._table(used=700)
+        table.request_started(UpstreamId("r1"), NOW, 150)
+        assert isinstance(table.choose(SERVICE, adapter(7), ANY, NOW, tokens=51), WaitFor)
+        table.request_ended(UpstreamId("r1"), 150)
+        assert isinstance(table.choose(SERVICE, adapter(7), ANY, NOW, tokens=51), SendNow)
+
+    def test_requests_of_other_gateways_since_the_report_count(self) -> None:
+        """Guards against a burst that each gateway alone takes for small enough."""
+        table = self._table(used=700)
+        for _ in range(10):
+            table.request_started(UpstreamId("r1"), NOW, 50)
+            table.request_ended(UpstreamId("r1"), 50)
+        assert isinstance(table.choose(SERVICE, adapter(7), ANY, NOW + 0.1, tokens=50), SendNow)
+        table.count_gateways = lambda: 30
+        choice = table.choose(SERVICE, adapter(7), ANY, NOW + 0.1, tokens=50)
+        assert choice != SendNow(UpstreamId("r1"), Version(1))
+
+    def test_a_request_that_fits_nowhere_is_told_apart(self) -> None:
+        table = self._table(used=0)
+        choice = table.choose(SERVICE, adapter(7), ANY, NOW, tokens=5000)
+        assert choice == NoUpstream(2, is_memory_full=True)
+
+    def test_a_full_service_is_searched_once_for_all_that_wait(self) -> None:
+        """Guards against work for each waiting request that grows with the upstreams."""
+        table = self._table(used=900)
+        report = AgentHeartbeat(1.0, 3, 0, memory=MemoryReport(900, 1000))
+        table.apply_heartbeat(UpstreamId("r2"), report, NOW)
+        full = NoUpstream(2, is_memory_full=True)
+        assert table.choose(SERVICE, adapter(7), ANY, NOW, tokens=100) == full
+        emptied = AgentHeartbeat(1.0, 3, 0, memory=MemoryReport(0, 1000))
+        table.apply_heartbeat(UpstreamId("r1"), emptied, NOW)
+        sent = SendNow(UpstreamId("r1"), Version(1))
+        assert table.choose(SERVICE, adapter(8), ANY, NOW + 0.01, tokens=100) == full
+        assert table.choose(SERVICE, adapter(7), ANY, NOW + 0.01, tokens=99) == sent
+        assert table.choose(SERVICE, adapter(7), ANY, NOW + 0.02, tokens=100) == sent
+
+    def test_an_absurd_size_counts_only_for_its_own_request(self) -> None:
+        """Guards against one client that has a gateway refuse everybody's requests for long."""
+        table = _table(1, 2)
+        table.report_load(upstream(2), ServerLoad(1, 0, 64, 1.0), NOW)
+        for _ in range(20):
+            table.request_started(UpstreamId("r1"), NOW, 50)
+            table.request_ended(UpstreamId("r1"), 50)
+        table.request_started(UpstreamId("r1"), NOW, 10**8)
+        table.request_ended(UpstreamId("r1"), 10**8)
+        table.count_gateways = lambda: 30
+        beat = AgentHeartbeat(1.0, 3, 1, memory=MemoryReport(150, 100_000))
+        table.apply_update(UpstreamId("r1"), engine_update({7: 1}), NOW)
+        table.apply_heartbeat(UpstreamId("r1"), beat, NOW)
+        choice = table.choose(SERVICE, adapter(7), ANY, NOW + 0.05, tokens=50)
+        assert choice == SendNow(UpstreamId("r1"), Version(1))
+
+    def test_engines_that_state_no_slowness_take_any_request(self) -> None:
+        """Guards against refusals by engines that make room for a request themselves."""
+        table = self._table(used=990, slowness=None)
+        choice = table.choose(SERVICE, adapter(7), ANY, NOW, tokens=5000)
+        assert choice == SendNow(UpstreamId("r1"), Version(1))
+
+    def test_engines_that_state_no_memory_take_any_request(self) -> None:
+        table = _table(1)
+        table.apply_update(UpstreamId("r1"), engine_update({7: 1}), NOW)
+        table.report_load(upstream(1), ServerLoad(1, 0, 64, 1.0), NOW)
+        choice = table.choose(SERVICE, adapter(7), ANY, NOW, tokens=10**9)
+        assert choice == SendNow(UpstreamId("r1"), Version(1))
+
+
 class TestLimits:
     """Guards against requests beyond a limit, and adapters on upstreams that can't use them."""
 
--- a/tests/gateway/test_messages.py
+++ b/tests/gateway/test_messages.py
@@ -3,6 +3,7 @@
 import msgpack
 import pytest
 
+from dragonflyhold.balancing import LoadRow, MemoryReport
 from dragonflyhold.gateway.messages import (
     PROTOCOL_VERSION,
     AgentHeartbeat,
@@ -121,7 +122,40 @@
         later = DemandUpdate([], True, PROTOCOL_VERSION + 1, change)
         assert decode([1, [], PROTOCOL_VERSION + 1, True, 7, 2, "more"]) == later
         expected = AgentHeartbeat(0.5, 1, 2, True, change, 60, 3)
-        assert decode([4, 0.5, 1, 2, True, 7, 60, 3, 2, "more"]) == expected
+        assert decode([4, 0.5, 1, 2, True, 7, 60, 3, 2, None, [], "more"]) == expected
+
+    def test_loads_are_passed_on_between_new_builds_only(self) -> None:
+        rows = (LoadRow("p1@7", 5, 1.2, 0.25), LoadRow("p2@7", 0, None, 0.0))
+        beat = AgentHeartbeat(0.5, 1, 2, loads=rows)
+        assert decode(_fields(encode(beat))) == beat
+        update = DemandUpdate([demand(1)], loads=rows)
+        assert decode(_fields(encode(update))) == update
+        assert len(_fields(encode(DemandUpdate([demand(1)])))) == 6  # type: ignore[arg-type]
+
+    def test_no_load_is_of_the_future(self) -> None:
+        """Guards against a load that counts as the newest for ever."""
+        beat = decode([4, 0.5, 1, 2, False, 0, 0, 1, 0, None, [["p1@7", 5, None, -1e9]]])
+        assert isinstance(beat, AgentHeartbeat)
+        assert beat.loads == (LoadRow("p1@7", 5, None, 0.0),)
+
+    @pytest.mark.parametrize("loads", [[1], [["p1", -1, None, 0.0]], [["p1", 1]], 7])
+    def test_odd_loads_are_no_message(self, loads: object) -> None:
+        with pytest.raises(MessageError):
+            decode([4, 0.5, 1, 2, False, 0, 0, 1, 0, None, loads])
+        with pytest.raises(MessageError):
+            decode([1, [], PROTOCOL_VERSION, False, 7, 2, {"loads": loads}])
+
+    def test_memory_is_unknown_to_an_earlier_build(self) -> None:
+        """Guards against an engine that gets nothing, or anything, during a rolling restart."""
+        beat = AgentHeartbeat(0.5, 1, 2, memory=MemoryReport(41_000, 90_000))
+        assert decode(_fields(encode(beat))) == beat
+        earlier = decode([4, 0.5, 1, 2, False, 0, 0, 1, 0])
+        assert earlier == AgentHeartbeat(0.5, 1, 2)
+
+    @pytest.mark.parametrize("memory", [[1], [1, 2, 3], [-1, 5], ["x", 5], 7, "ab"])
+    def test_odd_memory_is_no_message(self, memory: object) -> None:
+        with pytest.raises(MessageError):
+            decode([4, 0.5, 1, 2, False, 0, 0, 1, 0, memory])
 
     def test_changes_of_an_earlier_build_have_no_era(self) -> None:
         """Guards against hints that seem newer than any change after a restore of the store."""
