--- a/tests/gateway/test_messages.py
+++ b/tests/gateway/test_messages.py
@@ -1,9 +1,12 @@
 """Tests of the encoding of messages, also between builds of different age."""
 
+import dataclasses
+
 import msgpack
 import pytest
 
 from dragonflyhold.balancing import LoadRow, MemoryReport
+from dragonflyhold.fairness import AccountShare, AccountTag, Claim
 from dragonflyhold.gateway.messages import (
     PROTOCOL_VERSION,
     AgentHeartbeat,
@@ -116,6 +119,16 @@
         assert decode(_fields(encode(update))) == update
         assert len(_fields(encode(DemandUpdate([demand(1)])))) == 6  # type: ignore[arg-type]
 
+    def test_loads_travel_beside_the_shares_of_accounts(self) -> None:
+        """Guards against one optional field that displaces another."""
+        share = AccountShare(Claim(AccountTag(7), 1), 2.0, 0.5)
+        shared = dataclasses.replace(demand(1, waiting=1), shares=[share])
+        loads = (LoadRow("p1@7", 5, 1.2, 0.25),)
+        update = decode(_fields(encode(DemandUpdate([demand(2), shared], loads=loads))))
+        assert isinstance(update, DemandUpdate)
+        assert update.loads == loads
+        assert [list(row.shares) for row in update.demands] == [[], [share]]
+
     @pytest.mark.parametrize("loads", [[1], [["p1", -1, None, 0.0]], [["p1", 1]], 7])
     def test_odd_loads_are_no_message(self, loads: object) -> None:
         with pytest.raises(MessageError):
