Move a client's connection out of the HTTP server's module

Change: http_connection.py holds the connection with what it parses and limits, http_server.py the listener; nothing but imports changed, also in tests.

--- a/src/dragonflyhold/gateway/attempt.py
+++ b/src/dragonflyhold/gateway/attempt.py
@@ -18,7 +18,7 @@
 from dragonflyhold.gateway.dispatch import SendNow, WaitFor
 from dragonflyhold.gateway.events import EventOrderError, EventSplitter, EventTooLargeError
 from dragonflyhold.gateway.http_client import Call, Exchange, ExchangeError, FailureReason, Head
-from dragonflyhold.gateway.http_server import ClientRequest, Responder
+from dragonflyhold.gateway.http_connection import ClientRequest
 from dragonflyhold.gateway.limits import MAX_REFUSAL_BYTES
 from dragonflyhold.gateway.model import (
     RequestInfo,
@@ -37,6 +37,7 @@
     Reason,
 )
 from dragonflyhold.gateway.progress import Progress, silence_limit
+from dragonflyhold.gateway.responder import Responder
 from dragonflyhold.gateway.stream_origins import origin_of
 from dragonflyhold.gateway.tasks import limit_time
 from dragonflyhold.ids import ServiceName
--- a/src/dragonflyhold/gateway/crash_evidence.py
+++ b/src/dragonflyhold/gateway/crash_evidence.py
@@ -15,7 +15,7 @@
 from typing import NewType, final
 
 from dragonflyhold.gateway.clock import monotonic_now
-from dragonflyhold.gateway.http_server import ClientRequest
+from dragonflyhold.gateway.http_connection import ClientRequest
 from dragonflyhold.gateway.messages import CrashRow, CrashUpdate
 from dragonflyhold.gateway.model import RequestInfo, Upstream
 
--- a/src/dragonflyhold/gateway/daemon.py
+++ b/src/dragonflyhold/gateway/daemon.py
@@ -18,11 +18,13 @@
 from dragonflyhold.gateway.connection_pool import ConnectionPool
 from dragonflyhold.gateway.crash_archive import CrashArchive
 from dragonflyhold.gateway.gateway import Gateway
-from dragonflyhold.gateway.http_server import ClientRequest, HttpServer, Responder
+from dragonflyhold.gateway.http_connection import ClientRequest
+from dragonflyhold.gateway.http_server import HttpServer
 from dragonflyhold.gateway.link import HEARTBEAT_S, Link
 from dragonflyhold.gateway.logs import JsonLogger, LogWriter, setup_json_logging
 from dragonflyhold.gateway.model import Address, IngressLimits
 from dragonflyhold.gateway.peers import PeerSnapshots
+from dragonflyhold.gateway.responder import Responder
 from dragonflyhold.gateway.send_gates import SendState
 from dragonflyhold.gateway.shutdown import PlannedStop
 from dragonflyhold.gateway.store_contact import ContactState
--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -30,7 +30,8 @@
 from dragonflyhold.gateway.dispatch import UpstreamTable
 from dragonflyhold.gateway.engines import AgentLinks
 from dragonflyhold.gateway.http_client import Head, strip_hop_by_hop
-from dragonflyhold.gateway.http_server import ClientRequest, HttpServer, Responder
+from dragonflyhold.gateway.http_connection import ClientRequest
+from dragonflyhold.gateway.http_server import HttpServer
 from dragonflyhold.gateway.logs import JsonLogger, describe
 from dragonflyhold.gateway.model import (
     Configuration,
@@ -47,7 +48,7 @@
 from dragonflyhold.gateway.quarantine import Quarantine
 from dragonflyhold.gateway.registry import Registry
 from dragonflyhold.gateway.request import RequestRun
-from dragonflyhold.gateway.responder import ResponseStateError
+from dragonflyhold.gateway.responder import Responder, ResponseStateError
 from dragonflyhold.gateway.shutdown import PlannedStop
 from dragonflyhold.gateway.silent_engines import SilentEngines
 from dragonflyhold.gateway.store_contact import ContactState
--- a/src/dragonflyhold/gateway/peers.py
+++ b/src/dragonflyhold/gateway/peers.py
@@ -11,10 +11,11 @@
 from dragonflyhold.errors import DragonflyholdError
 from dragonflyhold.gateway.connection_pool import ConnectionPool
 from dragonflyhold.gateway.http_client import Call, ExchangeError
-from dragonflyhold.gateway.http_server import ClientRequest, Responder
+from dragonflyhold.gateway.http_connection import ClientRequest
 from dragonflyhold.gateway.limits import MAX_SNAPSHOT_BYTES
 from dragonflyhold.gateway.logs import JsonLogger, describe
 from dragonflyhold.gateway.model import Address
+from dragonflyhold.gateway.responder import Responder
 from dragonflyhold.gateway.tasks import limit_time
 from dragonflyhold.gateway.watch import TableWatch
 from dragonflyhold.platform.fields import DECODING_ERRORS, DecodeError, integer
--- a/src/dragonflyhold/gateway/request.py
+++ b/src/dragonflyhold/gateway/request.py
@@ -19,7 +19,7 @@
 from dragonflyhold.gateway.crash_evidence import compute_traits
 from dragonflyhold.gateway.dispatch import NoUpstream, SendNow, WaitFor
 from dragonflyhold.gateway.events import EventSplitter
-from dragonflyhold.gateway.http_server import ClientRequest, Responder
+from dragonflyhold.gateway.http_connection import ClientRequest
 from dragonflyhold.gateway.model import RequestInfo, RetrySafety, Route, UpstreamId
 from dragonflyhold.gateway.outcomes import (
     Answered,
@@ -30,6 +30,7 @@
     RefusedError,
 )
 from dragonflyhold.gateway.progress import Progress
+from dragonflyhold.gateway.responder import Responder
 from dragonflyhold.gateway.stream_origins import StreamOrigin
 from dragonflyhold.gateway.tasks import limit_time
 from dragonflyhold.gateway.upstream_view import UpstreamView
--- a/src/dragonflyhold/platform/standins/late_copies.py
+++ b/src/dragonflyhold/platform/standins/late_copies.py
@@ -5,8 +5,8 @@
 import weakref
 from typing import final
 
-from dragonflyhold.gateway.http_server import ClientRequest, Handler, Responder
-from dragonflyhold.gateway.responder import ResponseTransport
+from dragonflyhold.gateway.http_connection import ClientRequest, Handler
+from dragonflyhold.gateway.responder import Responder, ResponseTransport
 
 # Delay of a copy that is written while the connection is idle.
 IDLE_COPY_DELAY_S = 0.005
--- a/src/dragonflyhold/platform/standins/runner.py
+++ b/src/dragonflyhold/platform/standins/runner.py
@@ -9,8 +9,10 @@
 
 import orjson
 
-from dragonflyhold.gateway.http_server import ClientRequest, HttpServer, Responder
+from dragonflyhold.gateway.http_connection import ClientRequest
+from dragonflyhold.gateway.http_server import HttpServer
 from dragonflyhold.gateway.model import Address, IngressLimits
+from dragonflyhold.gateway.responder import Responder
 from dragonflyhold.platform.standins.engine_model import EngineModel
 from dragonflyhold.platform.standins.late_copies import AnswerCopier
 from dragonflyhold.platform.standins.pauses import Pause, RunTimeline
--- a/tests/gateway/test_account_turns.py
+++ b/tests/gateway/test_account_turns.py
@@ -18,7 +18,7 @@
     account_tag,
 )
 from dragonflyhold.gateway.demand_table import DemandTable
-from dragonflyhold.gateway.http_server import ClientRequest
+from dragonflyhold.gateway.http_connection import ClientRequest
 from dragonflyhold.gateway.load_turns import LoadTurns
 from dragonflyhold.gateway.logs import JsonLogger
 from dragonflyhold.gateway.messages import AdapterDemand, DemandUpdate, decode, encode
--- a/tests/gateway/test_attempt.py
+++ b/tests/gateway/test_attempt.py
@@ -6,7 +6,7 @@
 from dragonflyhold.accounts import Unidentified
 from dragonflyhold.gateway.attempt import Attempt
 from dragonflyhold.gateway.dispatch import SendNow
-from dragonflyhold.gateway.http_server import ClientRequest
+from dragonflyhold.gateway.http_connection import ClientRequest
 from dragonflyhold.gateway.model import UpstreamId
 from dragonflyhold.gateway.outcomes import NotRun, Outcome, Reason
 from dragonflyhold.gateway.request import RequestRun
--- a/tests/gateway/test_crash_evidence.py
+++ b/tests/gateway/test_crash_evidence.py
@@ -21,7 +21,7 @@
     Trait,
     compute_traits,
 )
-from dragonflyhold.gateway.http_server import ClientRequest
+from dragonflyhold.gateway.http_connection import ClientRequest
 from dragonflyhold.gateway.link import MAX_UNSENT_BYTES
 from dragonflyhold.gateway.messages import MAX_FRAME_BYTES, CrashUpdate, decode, encode
 from dragonflyhold.platform import codec
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -11,14 +11,11 @@
 
 import pytest
 
-from dragonflyhold.gateway import http_server
-from dragonflyhold.gateway.http_server import (
-    ClientRequest,
-    ConnectionEnd,
-    HttpServer,
-    Responder,
-)
+from dragonflyhold.gateway import http_connection
+from dragonflyhold.gateway.http_connection import ClientRequest, ConnectionEnd
+from dragonflyhold.gateway.http_server import HttpServer
 from dragonflyhold.gateway.model import IngressLimits
+from dragonflyhold.gateway.responder import Responder
 
 LIMITS = IngressLimits(header_bytes=1024, body_bytes=2048, header_timeout_s=0.2, idle_timeout_s=0.3)
 
@@ -288,7 +285,7 @@
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
         """Guards against a close that isn't seen, as a byte behind the request stays unparsed."""
-        monkeypatch.setattr(http_server, "MAX_PIPELINED_BYTES", 0)
+        monkeypatch.setattr(http_connection, "MAX_PIPELINED_BYTES", 0)
 
         async def run() -> int:
             async with _running_server() as harness, _connected(harness) as (_, writer):
@@ -436,7 +433,7 @@
     ) -> None:
         """Guards against a reset by a close of idle connections that a request has reached."""
         # The connection counts as idle for long enough to be closed.
-        monkeypatch.setattr(http_server, "REUSE_S", 0.0)
+        monkeypatch.setattr(http_connection, "REUSE_S", 0.0)
 
         async def scenario() -> bytes:
             async with _running_server() as harness, _connected(harness) as (reader, writer):
@@ -471,7 +468,7 @@
     def test_a_new_connection_without_a_request_is_closed(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
-        monkeypatch.setattr(http_server, "REUSE_S", 0.05)
+        monkeypatch.setattr(http_connection, "REUSE_S", 0.05)
 
         async def scenario() -> None:
             async with _running_server() as harness, _connected(harness) as (reader, _):
@@ -554,15 +551,15 @@
 
     @pytest.fixture(autouse=True)
     def _small_slices(self, monkeypatch: pytest.MonkeyPatch) -> None:
-        monkeypatch.setattr(http_server, "HEAD_SLICE_BYTES", len(GET))
-        monkeypatch.setattr(http_server, "LINGER_S", 0.05)
+        monkeypatch.setattr(http_connection, "HEAD_SLICE_BYTES", len(GET))
+        monkeypatch.setattr(http_connection, "LINGER_S", 0.05)
 
     @pytest.mark.parametrize("most", [1, 2, 3])
     @pytest.mark.parametrize("count", range(1, 8))
     def test_a_rejection_comes_last_and_closes_the_connection(
         self, most: int, count: int, monkeypatch: pytest.MonkeyPatch
     ) -> None:
-        monkeypatch.setattr(http_server, "MAX_PIPELINED", most)
+        monkeypatch.setattr(http_connection, "MAX_PIPELINED", most)
 
         async def run() -> bytes:
             async with _running_server() as harness, _connected(harness) as (reader, writer):
@@ -579,7 +576,7 @@
     def test_an_interim_response_comes_after_the_responses_before_it(
         self, most: int, count: int, monkeypatch: pytest.MonkeyPatch
     ) -> None:
-        monkeypatch.setattr(http_server, "MAX_PIPELINED", most)
+        monkeypatch.setattr(http_connection, "MAX_PIPELINED", most)
 
         async def run() -> bytes:
             async with _running_server() as harness, _connected(harness) as (reader, writer):
@@ -596,7 +593,7 @@
     """Guards against reading that stays paused for bytes that made room for others."""
 
     def test_a_close_is_seen(self, monkeypatch: pytest.MonkeyPatch) -> None:
-        monkeypatch.setattr(http_server, "HEAD_SLICE_BYTES", len(GET))
+        monkeypatch.setattr(http_connection, "HEAD_SLICE_BYTES", len(GET))
 
         async def run() -> int:
             async with _running_server() as harness, _connected(harness) as (_, writer):
@@ -624,7 +621,7 @@
     def test_a_request_that_stays_incomplete_gets_408(
         self, part: bytes, monkeypatch: pytest.MonkeyPatch
     ) -> None:
-        monkeypatch.setattr(http_server, "BODY_TIMEOUT_S", LIMITS.header_timeout_s)
+        monkeypatch.setattr(http_connection, "BODY_TIMEOUT_S", LIMITS.header_timeout_s)
         response = asyncio.run(_exchange_behind(part))
         assert _statuses(response) == [200, 408]
 
@@ -861,8 +858,8 @@
     def test_a_client_that_goes_on_is_disconnected(
         self, linger_s: float, max_bytes: int, monkeypatch: pytest.MonkeyPatch
     ) -> None:
-        monkeypatch.setattr(http_server, "LINGER_S", linger_s)
-        monkeypatch.setattr(http_server, "MAX_REJECTED_BYTES", max_bytes)
+        monkeypatch.setattr(http_connection, "LINGER_S", linger_s)
+        monkeypatch.setattr(http_connection, "MAX_REJECTED_BYTES", max_bytes)
 
         async def scenario() -> None:
             async with _running_server() as harness, _connected(harness) as (reader, writer):
--- a/tests/gateway/test_odd_entries.py
+++ b/tests/gateway/test_odd_entries.py
@@ -8,9 +8,11 @@
 import pytest
 
 from dragonflyhold.gateway.connection_pool import ConnectionPool
-from dragonflyhold.gateway.http_server import ClientRequest, HttpServer, Responder
+from dragonflyhold.gateway.http_connection import ClientRequest
+from dragonflyhold.gateway.http_server import HttpServer
 from dragonflyhold.gateway.model import Address, IngressLimits
 from dragonflyhold.gateway.peers import PeerSnapshots
+from dragonflyhold.gateway.responder import Responder
 from dragonflyhold.gateway.watch import TableWatch
 from dragonflyhold.platform.standins.site import (
     ENGINE_SERVICE,
--- a/tests/gateway/test_responder.py
+++ b/tests/gateway/test_responder.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from dragonflyhold.gateway.http_server import ConnectionEnd
+from dragonflyhold.gateway.http_connection import ConnectionEnd
 from dragonflyhold.gateway.outcomes import Reason, RefusedError
 from dragonflyhold.gateway.request import RequestRun
 from dragonflyhold.gateway.responder import Responder, ResponseStateError
