Grant an account that asks for too much its rate at any time

Cause: an agent granted all of a window's tokens at once.

Change: beyond a burst (that of the limit, at least a second's tokens, and what the tolerance leaves) tokens are granted evenly; a request larger than the burst waits for all of it. Gateways tell the burst with the limit. The window's bound stays as it is.

--- a/src/dragonflyhold/gateway/account_counter.py
+++ b/src/dragonflyhold/gateway/account_counter.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import math
 import random
 from collections.abc import Callable, Hashable, Iterable
 from typing import Protocol, final
@@ -96,7 +97,8 @@
             self._gateway_count.note(report.gateways)
         ledger, gateways = account.ledger, self._gateway_count.value
         if report.version:
-            ledger.set_limit(report.version, report.allowed)
+            burst = math.inf if report.burst is None else report.burst
+            ledger.set_limit(report.version, report.allowed, burst)
         rows = [UsageRow(now - max(0.0, row.age_s), row.tokens, row.source) for row in report.used]
         was_known = ledger.is_known
         if report.is_counter:
--- a/src/dragonflyhold/gateway/account_limits.py
+++ b/src/dragonflyhold/gateway/account_limits.py
@@ -383,6 +383,7 @@
             self._clock() - self._started_at,
             list(used),
             account.purse.seen_share,
+            min(MAX_NUMBER, account.purse.allowance.burst),
         )
 
 
--- a/src/dragonflyhold/gateway/messages.py
+++ b/src/dragonflyhold/gateway/messages.py
@@ -353,6 +353,8 @@
     used: Sequence[UsedTokens] = ()
     # Share of the limit that was used at most when the agent that counted before ended.
     seen_share: float | None = None
+    # The most of the allowed tokens that are granted at once, ``None`` for all of them.
+    burst: float | None = None
 
 
 @final
@@ -569,6 +571,7 @@
         round(report.age_s, 3),
         [(round(row.age_s, 3), row.tokens, row.source) for row in report.used],
         report.seen_share,
+        report.burst,
     )
 
 
@@ -820,6 +823,7 @@
     age_s: Any,
     used: Sequence[Any],
     seen_share: Any,
+    burst: Any = None,
     *later: Any,
 ) -> TokenReport:
     del later
@@ -836,4 +840,5 @@
             for row_age_s, tokens, source in used
         ],
         number(seen_share) if seen_share is not None else None,
+        number(burst) if burst is not None else None,
     )
--- a/src/dragonflyhold/ratelimits/allowance.py
+++ b/src/dragonflyhold/ratelimits/allowance.py
@@ -1,6 +1,7 @@
 """How many tokens of an account may be sent, and how they divide between agents and gateways."""
 
 import dataclasses
+import math
 from typing import final
 
 from dragonflyhold.accounts import TokenLimit
@@ -11,6 +12,8 @@
 RESERVE_SHARE = 0.6
 # Smallest reserve, as a share of all that may be sent.
 MIN_RESERVE_SHARE = 0.04
+# Time at the usual rate that may be sent at once at least.
+MIN_BURST_S = 1.0
 
 
 @final
@@ -43,19 +46,28 @@
     granted: float
     # By gateways on their own, without an agent.
     reserve: float
+    # The most of ``granted`` that agents grant at once; infinite if it is not paced.
+    burst: float = math.inf
+    # Part of both that the tolerance adds to the limit.
+    spare: float = 0.0
 
     @classmethod
     def of(cls, limit: TokenLimit, bounds: QuotaBounds) -> "Allowance":
         """Divide what a limit allows in a window.
 
         Granted tokens count for the time of their lease longer than the window; as many more are
-        granted, as far as the tolerance covers it.
+        granted, as far as the tolerance covers it. Beyond a burst they are granted evenly, so that
+        an account that asks for too much gets its rate at any time.
         """
         in_window = limit.rate_per_s * bounds.window_s + limit.burst
         most = in_window * (1 + bounds.overage) + bounds.slack
         reserve = max(RESERVE_SHARE * (most - in_window), MIN_RESERVE_SHARE * most)
-        granted = min(in_window * bounds.held_s / bounds.window_s, most - reserve)
-        return cls(granted, reserve)
+        paced = min(in_window * bounds.held_s / bounds.window_s, most - reserve)
+        burst_share = limit.burst / in_window if in_window else 0.0
+        burst = paced * max(burst_share, MIN_BURST_S / bounds.held_s)
+        # The rest of the tolerance is for bursts.
+        spare = max(0.0, most - reserve - paced)
+        return cls(paced + spare, reserve, burst + spare, spare)
 
 
 def count_tokens(limit: TokenLimit, prompt_tokens: int, output_tokens: int) -> int:
--- a/src/dragonflyhold/ratelimits/ledger.py
+++ b/src/dragonflyhold/ratelimits/ledger.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import math
 from collections.abc import Hashable, Sequence
 from typing import Generic, TypeVar, final
 
@@ -71,16 +72,20 @@
         self._is_known = False
         self._version = -1
         self._allowed = 0.0
+        self._burst = math.inf
 
     @property
     def is_known(self) -> bool:
         """Whether the agent knows all that was sent in the window."""
         return self._is_known
 
-    def set_limit(self, version: int, allowed: float) -> None:
-        """Set the tokens allowed in the held time, as of a version of the configuration."""
+    def set_limit(self, version: int, allowed: float, burst: float = math.inf) -> None:
+        """Set the tokens allowed in the held time, as of a version of the configuration.
+
+        At most ``burst`` of them are granted at once, the others at an even rate.
+        """
         if version >= self._version:
-            self._version, self._allowed = version, allowed
+            self._version, self._allowed, self._burst = version, allowed, burst
 
     def join(
         self,
@@ -148,32 +153,61 @@
     def has_room(self, needed: int, now: float, gateways: int) -> bool:
         """Return whether a request's tokens would be granted."""
         used = self._usage.total(now) + self._unknown_tokens(now)
-        return needed <= self._capacity(gateways) - used
+        if needed > self._capacity(gateways) - used:
+            return False
+        return self._paced_needs(needed, gateways) <= self._paced_room(now, gateways)
 
     def _capacity(self, gateways: int) -> float:
-        return self._allowed * min(1.0, len(self._members) / max(1, gateways))
+        return self._allowed * self._share(gateways)
+
+    def _share(self, gateways: int) -> float:
+        return min(1.0, len(self._members) / max(1, gateways))
+
+    def _rate_per_s(self, gateways: int) -> float:
+        return self._share(gateways) * max(0.0, self._allowed - self._burst) / self._held_s
+
+    def _paced_needs(self, needed: int, gateways: int) -> float:
+        """Return the room at which the pace allows a request; a large one takes all of a burst."""
+        return min(needed, self._burst * self._share(gateways))
+
+    def _paced_room(self, now: float, gateways: int) -> float:
+        if self._burst >= self._allowed:
+            return math.inf
+        burst = self._burst * self._share(gateways)
+        return self._usage.paced_room(burst, self._rate_per_s(gateways), now)
 
     def take(self, needed: int, wanted: int, now: float, gateways: int) -> Grant:
         """Grant the tokens that a gateway needs at once, and more of those that it wants."""
         self.refresh(now, gateways)
         is_whole, allowed = self.is_whole(gateways), self._capacity(gateways)
         unknown, used = self._unknown_tokens(now), self._usage.total(now)
-        room = allowed - used - unknown
+        paced, room = self._paced_room(now, gateways), allowed - used - unknown
+        paced_needs = self._paced_needs(needed, gateways)
         cause = Cause.UNKNOWN if unknown > 0 else Cause.LIMIT if is_whole else Cause.SHARE
-        if needed > room:
-            return self._refuse(needed, needed - room, cause, now)
+        if needed > room or paced_needs > paced:
+            pace_s = max(0.0, paced_needs - paced) / max(1.0, self._rate_per_s(gateways))
+            return self._refuse(needed, needed - room, cause, now, pace_s)
+        room = min(room, paced)
         tokens = needed
-        if room > AMPLE_SHARE * allowed and wanted > needed:
-            tokens += int(min(wanted - needed, BATCH_SHARE * (room - needed)))
+        at_once = min(self._burst, self._allowed) * self._share(gateways)
+        if room > AMPLE_SHARE * at_once and wanted > needed:
+            tokens += max(0, int(min(wanted - needed, BATCH_SHARE * (room - needed))))
         self._usage.add(now, tokens)
         # What gateways that count elsewhere use is not known.
         most = used + unknown + tokens if is_whole else self._allowed
         return Grant(tokens, 0.0, cause, used_share=min(1.0, most / max(1.0, self._allowed)))
 
-    def _refuse(self, needed: int, excess: float, cause: Cause, now: float) -> Grant:
-        """Return when there is room for a request that lacks ``excess`` tokens."""
-        room_at = self._usage.room_at(excess, now)
-        return_at = self._usage.room_at(excess + self._refused.total(now), now)
+    def _refuse(self, needed: int, excess: float, cause: Cause, now: float, pace_s: float) -> Grant:
+        """Return when there is room for a request that lacks ``excess`` tokens in the window.
+
+        ``pace_s`` is the time after which the pace allows it.
+        """
+        room_at = max(self._usage.room_at(excess, now), now + pace_s)
+        refused = self._refused.total(now)
+        return_at = self._usage.room_at(excess + refused, now)
+        if pace_s:
+            rate = max(1.0, self._rate_per_s(len(self._members)))
+            return_at = max(return_at, now + pace_s + refused / rate)
         if cause is Cause.UNKNOWN:
             known_at = self._unknown.room_at(self._unknown.total(now), now)
             room_at, return_at = min(room_at, known_at), min(return_at, known_at)
--- a/src/dragonflyhold/ratelimits/usage.py
+++ b/src/dragonflyhold/ratelimits/usage.py
@@ -7,6 +7,8 @@
 
 # Tokens of one source within this share of the held time share an entry.
 ENTRY_SHARE = 1 / 256
+# Share of the held time by which tokens may be taken back before they were granted.
+EARLY_SHARE = 1 / 32
 
 
 @final
@@ -75,6 +77,25 @@
                 return max(now, row.at + self._held_s)
         return now if excess <= 0 else now + self._held_s
 
+    def paced_room(self, burst: float, per_s: float, now: float) -> float:
+        """Return the tokens that keep to a rate after any time, with a burst beyond it.
+
+        Tokens that were taken back count with those that were granted shortly after, too: the
+        times that gateways tell are a little early.
+        """
+        early_s = self._held_s * EARLY_SHARE
+        returned = [row for row in reversed(self._rows) if row.tokens < 0]
+        room, since, credited = burst, 0.0, 0
+        for row in reversed(self._rows):
+            if row.tokens < 0:
+                continue
+            while credited < len(returned) and returned[credited].at >= row.began_at - early_s:
+                since += returned[credited].tokens
+                credited += 1
+            since += row.tokens
+            room = min(room, burst + per_s * (now - row.began_at) - since)
+        return room
+
     def clear(self) -> None:
         """Forget all tokens."""
         self._rows.clear()
--- a/tests/ratelimits/test_ledger.py
+++ b/tests/ratelimits/test_ledger.py
@@ -63,6 +63,56 @@
         assert ledger.take(300, 300, 1.0, 1).tokens == 300
 
 
+class TestPace:
+    """Guards against an account that uses its window up at once and then gets nothing for long."""
+
+    def _ledger(self) -> AccountLedger[str]:
+        ledger = _ledger("a")
+        ledger.set_limit(2, 900.0, 100.0)
+        return ledger
+
+    def test_an_account_that_asks_for_too_much_gets_its_rate_all_the_time(self) -> None:
+        ledger = self._ledger()
+        granted = [ledger.take(10, 10, 0.1 * turn, 1).tokens for turn in range(400)]
+        seconds = [sum(granted[start : start + 10]) for start in range(0, 400, 10)]
+        assert seconds[0] <= 200
+        assert all(90 <= tokens <= 110 for tokens in seconds[1:])
+
+    def test_a_burst_is_granted_after_a_calm_time(self) -> None:
+        ledger = self._ledger()
+        for at in (0.0, 1.0, 9.0):
+            grants = [ledger.take(10, 10, at, 1).tokens for _ in range(20)]
+            assert sum(grants) == 100
+
+    def test_a_refusal_tells_when_the_pace_allows_the_request(self) -> None:
+        ledger = self._ledger()
+        ledger.take(100, 100, 0.0, 1)
+        grant = ledger.take(50, 50, 0.0, 1)
+        assert (grant.tokens, grant.wait_s) == (0, pytest.approx(0.5))
+        assert ledger.take(50, 50, grant.wait_s + 0.001, 1).tokens == 50
+
+    def test_tokens_given_back_are_granted_again(self) -> None:
+        ledger = self._ledger()
+        ledger.take(100, 100, 0.0, 1)
+        ledger.note_used([UsageRow(0.0, -60)])
+        assert ledger.take(60, 60, 0.0, 1).tokens == 60
+
+    def test_a_share_of_the_gateways_gets_a_share_of_the_pace(self) -> None:
+        ledger = _ledger("a", "b")
+        ledger.set_limit(2, 900.0, 100.0)
+        ledger.leave("b")
+        assert ledger.take(50, 50, 1.0, 2).tokens == 50
+        assert ledger.take(10, 10, 1.0, 2).tokens == 0
+        assert ledger.take(10, 10, 1.2001, 2).tokens == 10
+
+    def test_a_request_beyond_the_burst_runs_after_a_calm_time(self) -> None:
+        """Guards against long requests that never run although the limit allows them."""
+        ledger = self._ledger()
+        assert ledger.take(300, 300, 0.0, 1).tokens == 300
+        assert ledger.take(10, 10, 2.0, 1).tokens == 0
+        assert ledger.take(10, 10, 2.2, 1).tokens == 10
+
+
 class TestBeginning:
     """Guards against a limit that a new counting agent grants a second time."""
 
