Let what an agent can't know of an account leave the window at the pace

Cause: an agent that begins to count after the ends of all processes took the whole limit as used for a window, so nothing of a limited account ran for 8.25 s.

Change: what was granted before kept to the pace too, so the part of it that is still in the window gets less evenly. An account gets its rate from the start. What gateways tell as granted is left out for as long as it is in the window.

--- a/src/dragonflyhold/ratelimits/ledger.py
+++ b/src/dragonflyhold/ratelimits/ledger.py
@@ -62,7 +62,7 @@
         # Shares of the limit that gateways may have used elsewhere before they came.
         self._unknown = Usage(held_s)
         # Granted tokens that gateways told when they came; not unknown any more.
-        self._found = 0.0
+        self._found = Usage(held_s)
         # Share of the limit that was used at most before, as far as gateways saw it.
         self._seen_share = 1.0
         self._refused = Usage(RETURN_S)
@@ -106,7 +106,9 @@
             self._members[gateway] = now - age_s + self._held_s
             if not self._is_known:
                 self._unknown.add(now, 1 / max(1, gateways))
-                self._found += sum(row.tokens for row in rows if row.source)
+                for row in rows:
+                    if row.source:
+                        self._found.add(row.at, row.tokens)
                 if seen_share is not None:
                     self._seen_share = min(self._seen_share, seen_share)
         self.refresh(now, gateways)
@@ -137,14 +139,24 @@
 
     def _forget_unknown(self) -> None:
         self._unknown.clear()
-        self._found, self._seen_share = 0.0, 1.0
+        self._found.clear()
+        self._seen_share = 1.0
 
     def _unknown_tokens(self, now: float) -> float:
-        """Return the tokens that others may have granted unknown to this agent."""
-        share = min(1.0, self._unknown.total(now))
-        if share <= 0:
+        """Return the tokens that others may have granted unknown to this agent.
+
+        They were granted at the pace too, so what is left of them in the window gets less evenly.
+        """
+        if self._unknown.total(now) <= 0:
             return 0.0
-        return max(0.0, self._allowed * min(share, self._seen_share) - self._found)
+        burst = min(self._burst, self._allowed)
+        rate_per_s = (self._allowed - burst) / self._held_s
+        most = sum(
+            row.tokens * (burst + rate_per_s * (self._held_s - (now - row.at)))
+            for row in self._unknown
+        )
+        most = min(most, self._allowed * self._seen_share)
+        return max(0.0, most - self._found.total(now))
 
     def is_whole(self, gateways: int) -> bool:
         """Return whether all gateways count here."""
--- a/tests/ratelimits/test_ledger.py
+++ b/tests/ratelimits/test_ledger.py
@@ -133,6 +133,14 @@
         assert ledger.take(10, 10, 1.0, 2).tokens == 0
         assert ledger.take(10, 10, 1.0 + HELD_S, 2).tokens == 10
 
+    def test_what_is_unknown_gets_less_at_the_pace(self) -> None:
+        """Guards against accounts that get nothing for a window after all processes ended."""
+        ledger: AccountLedger[str] = AccountLedger(HELD_S, epoch=2)
+        ledger.set_limit(1, 900.0, 100.0)
+        ledger.join("a", 0.0, 0.0, 1)
+        grants = [ledger.take(50, 50, at, 1).tokens for at in (0.0, 0.4, 0.51, 0.9, 1.01)]
+        assert grants == [0, 0, 50, 0, 50]
+
     def test_what_gateways_saw_bounds_what_is_unknown(self) -> None:
         ledger: AccountLedger[str] = AccountLedger(HELD_S, epoch=2)
         ledger.set_limit(1, 1000.0)
