--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -201,13 +201,23 @@
 
     def __init__(self, ip: str, name: str, service: str, record: Record, work_s: float) -> None:
         super().__init__(ip)
-        self.name = name
         self.runs: list[tuple[float, str]] = []
         self._service = service
         self._record = record
         self._work_s = work_s
+        self.begin_life(name)
+
+    def begin_life(self, name: str) -> None:
+        """Take a new id and time of start."""
+        self.name = name
         self._born = int(time.time() * 1000)
 
+    def note_run(self, line: str, fields: Headers) -> None:
+        """Note that a request begins to run."""
+        attempt = fields.get("attempt-id", "")
+        self.runs.append((time.monotonic(), attempt))
+        self._record.note(f"{self.name} ({self._service}) runs {attempt}: {line}")
+
     def entry(self) -> dict[str, object]:
         """Return the runner's entry in the store."""
         return {
@@ -229,8 +239,7 @@
         attempt = fields.get("attempt-id", "")
         if fields.get("expected-instance", self.name) != self.name:
             return encode_answer(421, {"Attempt-Id": attempt, "Instance-Id": self.name})
-        self.runs.append((time.monotonic(), attempt))
-        self._record.note(f"{self.name} ({self._service}) runs {attempt}: {line}")
+        self.note_run(line, fields)
         await asyncio.sleep(self._work_s)
         signature = {"Attempt-Id": attempt, "Response-Signature": f"{self.name}.{attempt}"}
         return encode_answer(200, signature, f"{self.name} {attempt}".encode())
