Log why and since when a registry entry's removal is deferred

Callers saw: nothing changes for them. Cause: the line didn't tell a start from an outage or a restore, nor how old the doubt was. Change: StoreContact keeps the reason of the last doubt; the line of a deferred removal has the state of the contact, the reason, the ages of the outage and of the return, and the row version.

--- a/src/dragonflyhold/gateway/gateway.py
+++ b/src/dragonflyhold/gateway/gateway.py
@@ -6,7 +6,7 @@
 import random
 import time
 from collections.abc import AsyncIterator, Callable, Coroutine
-from typing import final
+from typing import Any, final
 
 from dragonflyhold.accounts import (
     Caller,
@@ -100,7 +100,12 @@
             self._configuration_changed, self._version_changed, count=metrics.count_event
         )
         self.table = UpstreamTable(settings.data_centre, random.Random())
-        self.registry = Registry(self, self._is_store_stable, count=metrics.count_event)
+        self.registry = Registry(
+            self,
+            self._is_store_stable,
+            count=metrics.count_event,
+            describe_contact=self._describe_store_contact,
+        )
         self.budget = RetryBudget(
             settings.bounds.retry_ratio,
             settings.bounds.retry_window_s,
@@ -681,6 +686,10 @@
         watch = self.registry_watch
         return watch is not None and watch.contact.state is ContactState.CONFIRMED
 
+    def _describe_store_contact(self) -> dict[str, Any]:
+        watch = self.registry_watch
+        return watch.contact.describe() if watch is not None else {}
+
     def _incarnation_reported(self, upstream: Upstream) -> None:
         self.registry.report_incarnation(upstream)
         if upstream.software is None:
--- a/src/dragonflyhold/gateway/registry.py
+++ b/src/dragonflyhold/gateway/registry.py
@@ -1,7 +1,7 @@
 """Membership of upstreams, from the registry's rows; tolerates outages of the store."""
 
 from collections.abc import Callable
-from typing import Protocol, final
+from typing import Any, Protocol, final
 
 import orjson
 
@@ -40,12 +40,14 @@
         is_store_stable: Callable[[], bool],
         clock: Callable[[], float] = monotonic_now,
         count: Callable[[str], None] = lambda event: None,
+        describe_contact: Callable[[], dict[str, Any]] = dict,
     ) -> None:
         self.upstreams: dict[UpstreamId, Upstream] = {}
         self._events = events
         self._is_store_stable = is_store_stable
         self._clock = clock
         self._count = count
+        self._describe_contact = describe_contact
         # Upstreams whose entry is missing, with the start of their grace period.
         self._missing_since: dict[UpstreamId, float] = {}
         # Upstreams that were reported by an agent and have no entry yet.
@@ -56,7 +58,7 @@
         """Apply a changed row of the registry."""
         upstream_id = UpstreamId(row.key)
         if row.removed:
-            self._handle_removal(upstream_id)
+            self._handle_removal(row)
             return
         try:
             upstream = decode_upstream(row.key, orjson.loads(row.value))
@@ -65,7 +67,7 @@
             self._log.warning(
                 "An invalid registry entry was treated as removed.", key=row.key, error=str(error)
             )
-            self._handle_removal(upstream_id)
+            self._handle_removal(row)
             return
         self._missing_since.pop(upstream_id, None)
         self._peer_reported.discard(upstream_id)
@@ -124,7 +126,8 @@
             if now - since >= EXPIRY_GRACE_S:
                 self._remove(upstream_id, "entry still missing after the grace period")
 
-    def _handle_removal(self, upstream_id: UpstreamId) -> None:
+    def _handle_removal(self, row: StoredRow) -> None:
+        upstream_id = UpstreamId(row.key)
         upstream = self.upstreams.get(upstream_id)
         if upstream is None:
             return
@@ -133,6 +136,8 @@
             self._log.info(
                 "A registry entry expired around a store outage; its upstream is kept for now.",
                 runner=upstream_id,
+                row_version=row.version,
+                **self._describe_contact(),
             )
             return
         self._remove(upstream_id, "entry removed")
--- a/src/dragonflyhold/gateway/store_contact.py
+++ b/src/dragonflyhold/gateway/store_contact.py
@@ -6,7 +6,7 @@
 
 import enum
 from collections.abc import Callable
-from typing import final
+from typing import Any, final
 
 from dragonflyhold.gateway.clock import monotonic_now
 
@@ -31,6 +31,15 @@
     RETURNING = "returning"
 
 
+class DoubtReason(enum.Enum):
+    """Why entries may be missing whose owners are alive."""
+
+    # The first call failed, so it is not known since when the store has been away.
+    START = "start"
+    OUTAGE = "outage"
+    RESTORE = "restore"
+
+
 @final
 class StoreContact:
     """The contact of one watch with the store.
@@ -50,6 +59,8 @@
         self._away_since = float("-inf")
         self._returned_at = float("-inf")
         self._returning_until = float("-inf")
+        # Why the last doubt arose, ``None`` if there was none.
+        self._reason: DoubtReason | None = None
 
     @property
     def state(self) -> ContactState:
@@ -80,6 +91,10 @@
             self._returned_at = now
             if now - self._away_since >= self._min_outage_s:
                 self._returning_until = now + RETURN_GRACE_S
+                if self._away_since > float("-inf"):
+                    self._reason = DoubtReason.OUTAGE
+                elif self._reason is None:
+                    self._reason = DoubtReason.START
         self._read_at = started_at
 
     def note_restored(self) -> None:
@@ -87,3 +102,19 @@
         self._away_since = float("-inf")
         self._returned_at = self._clock()
         self._returning_until = self._returned_at + RETURN_GRACE_S
+        self._reason = DoubtReason.RESTORE
+
+    def describe(self) -> dict[str, Any]:
+        """Return fields for the log: the state, why it holds and since when; ages in seconds."""
+        now = self._clock()
+
+        def age(at: float) -> float | None:
+            return round(now - at, 3) if at > float("-inf") else None
+
+        return {
+            "contact": self.state.value,
+            "reason": self._reason.value if self._reason is not None else None,
+            "away_for_s": age(self._away_since),
+            "returned_for_s": age(self._returned_at),
+            "doubt_left_s": round(max(0.0, self._returning_until - now), 3),
+        }
