End the doubt about missing entries before removals bind again

Cause: each missing entry had a grace period of 2.2 s of its own that began with the removal, so an upstream was kept up to 2.2 s beyond the doubt. And the doubt was measured from the first read that worked, up to 1.3 s after the store could be reached, not from the end of the outage. Change: missing entries are believed when the contact is confirmed. The doubt ends 2.2 s after the return, or contact_ms less 0.35 s after the last failed call began, if that is earlier. Meanwhile the registry is read without a pause. A call that was held up by a pause of the process counts as one of its time limit, so that a frozen gateway keeps its upstreams. A pause after a failed call is shorter by the time that the call has waited. Those of TestEndOfDoubt need the time at which a call began. The harness passes that; no check of an older test has changed.

--- a/src/dragonflyhold/gateway/daemon.py
+++ b/src/dragonflyhold/gateway/daemon.py
@@ -166,6 +166,7 @@
             rules=REGISTRY_RULES,
             count=self._metrics.count_event,
             renewal_s=self._settings.renewal_s,
+            binding_s=self._settings.bounds.contact_s,
         )
         self.gateway.registry_watch = self._registry_watch
         self._store.subscribe_restored(self._note_restored)
@@ -311,6 +312,8 @@
             self._refresh_quarantine()
             self.gateway.budget.set_gateways(self.gateway.agent_links.count_gateways())
             self.gateway.registry.expire()
+            if self.gateway.registry.has_missing:
+                self._registry_watch.read_soon()
             self.gateway.origins.tell_uncertain()
             self.gateway.account_limits.flush()
             self.gateway.pool.close_expired(now)
--- a/src/dragonflyhold/gateway/registry.py
+++ b/src/dragonflyhold/gateway/registry.py
@@ -12,7 +12,7 @@
 from dragonflyhold.platform.codec import DecodeError, decode_upstream
 from dragonflyhold.platform.store import StoredRow
 
-# Time for which an upstream without an entry is kept around an outage.
+# Time for which an upstream is kept that was reported before it has an entry.
 EXPIRY_GRACE_S = RETURN_GRACE_S
 
 
@@ -31,7 +31,7 @@
     """Upstreams by id.
 
     An upstream is dropped when its entry is removed. Around a store outage a ready upstream is kept
-    for a grace period, because its entry may have expired only for lack of renewal.
+    until the store is stable, because its entry may have expired only for lack of renewal.
     """
 
     def __init__(
@@ -48,12 +48,17 @@
         self._clock = clock
         self._count = count
         self._describe_contact = describe_contact
-        # Upstreams whose entry is missing, with the start of their grace period.
-        self._missing_since: dict[UpstreamId, float] = {}
+        # Upstreams without an entry, with the time until which they are kept at least.
+        self._kept_until: dict[UpstreamId, float] = {}
         # Upstreams that were reported by an agent and have no entry yet.
         self._peer_reported: set[UpstreamId] = set()
         self._log = JsonLogger("registry")
 
+    @property
+    def has_missing(self) -> bool:
+        """Whether an upstream without an entry is kept."""
+        return bool(self._kept_until)
+
     def apply(self, row: StoredRow) -> None:
         """Apply a changed row of the registry."""
         upstream_id = UpstreamId(row.key)
@@ -69,7 +74,7 @@
             )
             self._handle_removal(row)
             return
-        self._missing_since.pop(upstream_id, None)
+        self._kept_until.pop(upstream_id, None)
         self._peer_reported.discard(upstream_id)
         old = self.upstreams.get(upstream_id)
         self.upstreams[upstream_id] = upstream
@@ -104,7 +109,7 @@
         self.upstreams[upstream.upstream_id] = upstream
         if old is None:
             self._peer_reported.add(upstream.upstream_id)
-            self._missing_since[upstream.upstream_id] = self._clock()
+            self._kept_until[upstream.upstream_id] = self._clock() + EXPIRY_GRACE_S
         self._log.info(
             "An agent reported an incarnation that is not registered yet.",
             runner=upstream.upstream_id,
@@ -115,15 +120,15 @@
         self._events.upstream_changed(upstream)
 
     def expire(self) -> None:
-        """Drop upstreams whose entry is still missing after the grace period.
+        """Drop upstreams whose entry is still missing once the store is stable.
 
-        Does nothing until the store has been stable for long enough.
+        One that was reported before it has an entry is kept for its own grace period too.
         """
-        if not self._missing_since or not self._is_store_stable():
+        if not self._kept_until or not self._is_store_stable():
             return
         now = self._clock()
-        for upstream_id, since in list(self._missing_since.items()):
-            if now - since >= EXPIRY_GRACE_S:
+        for upstream_id, until in list(self._kept_until.items()):
+            if now >= until:
                 self._remove(upstream_id, "entry still missing after the grace period")
 
     def _handle_removal(self, row: StoredRow) -> None:
@@ -132,7 +137,7 @@
         if upstream is None:
             return
         if upstream.state is RegistrationState.READY and not self._is_store_stable():
-            self._missing_since.setdefault(upstream_id, self._clock())
+            self._kept_until.setdefault(upstream_id, self._clock())
             self._log.info(
                 "A registry entry expired around a store outage; its upstream is kept for now.",
                 runner=upstream_id,
@@ -143,7 +148,7 @@
         self._remove(upstream_id, "entry removed")
 
     def _remove(self, upstream_id: UpstreamId, reason: str) -> None:
-        self._missing_since.pop(upstream_id, None)
+        self._kept_until.pop(upstream_id, None)
         upstream = self.upstreams.pop(upstream_id, None)
         if upstream is not None:
             self._log.info("An upstream was dropped.", runner=upstream_id, reason=reason)
--- a/src/dragonflyhold/gateway/store_contact.py
+++ b/src/dragonflyhold/gateway/store_contact.py
@@ -16,6 +16,10 @@
 # outage began, and intervals may be a fifth longer than stated. Few entries expire in shorter
 # outages; they are back with their next renewal.
 EXPIRY_INTERVALS = 1.8
+# Reserve before the time at which removals bind a process again, for dropping upstreams in turn.
+BINDING_MARGIN_S = 0.35
+# A call that failed after a longer time was held up by a pause of the process.
+MAX_CALL_S = 1.0
 
 
 class ContactState(enum.Enum):
@@ -47,16 +51,28 @@
     An outage after which entries may be missing lasts for ``renewal_s`` times
     ``EXPIRY_INTERVALS`` at least, counted from the last read that succeeded before it. Outages
     that follow one another within the grace period count as one.
+
+    From ``binding_s`` after the end of an outage, what the store removed binds this process as any
+    other. The outage may have ended as early as the last failed call began, so the doubt ends
+    before that time and ``binding_s`` are over, even if the return was noticed late.
     """
 
-    def __init__(self, renewal_s: float, clock: Callable[[], float] = monotonic_now) -> None:
+    def __init__(
+        self,
+        renewal_s: float,
+        clock: Callable[[], float] = monotonic_now,
+        binding_s: float = float("inf"),
+    ) -> None:
         self._min_outage_s = EXPIRY_INTERVALS * renewal_s
         self._clock = clock
+        self._max_doubt_s = binding_s - BINDING_MARGIN_S
         self._is_away = False
         # Start of the last call that succeeded.
         self._read_at: float | None = None
         # Start of the current or last outage, at the earliest.
         self._away_since = float("-inf")
+        # Earliest end of the current or last outage.
+        self._back_from = float("-inf")
         self._returned_at = float("-inf")
         self._returning_until = float("-inf")
         # Why the last doubt arose, ``None`` if there was none.
@@ -73,8 +89,9 @@
             return ContactState.RETURNING
         return ContactState.CONFIRMED
 
-    def note_failed(self) -> None:
-        """Record a call that failed."""
+    def note_failed(self, started_at: float) -> None:
+        """Record a call that failed, with the time at which it began."""
+        self._back_from = max(started_at, self._clock() - MAX_CALL_S)
         if self._is_away:
             return
         self._is_away = True
@@ -90,7 +107,9 @@
             self._is_away = False
             self._returned_at = now
             if now - self._away_since >= self._min_outage_s:
-                self._returning_until = now + RETURN_GRACE_S
+                self._returning_until = min(
+                    now + RETURN_GRACE_S, self._back_from + self._max_doubt_s
+                )
                 if self._away_since > float("-inf"):
                     self._reason = DoubtReason.OUTAGE
                 elif self._reason is None:
--- a/src/dragonflyhold/gateway/watch.py
+++ b/src/dragonflyhold/gateway/watch.py
@@ -58,14 +58,16 @@
         rules: TableRules = NO_RULES,
         count: Callable[[str], None] = lambda event: None,
         renewal_s: float = 0.0,
+        binding_s: float = float("inf"),
         wait_limit: Callable[[], float] = lambda: LONG_FEED_WAIT_S,
     ) -> None:
         self.table = table
         self.has_read = False
         # Monotonic time since which no call has succeeded, ``None`` while the store is available.
         self.unavailable_since: float | None = clock()
-        # Whether rows that disappear were removed; owners renew theirs every ``renewal_s``.
-        self.contact = StoreContact(renewal_s, clock)
+        # Whether rows that disappear were removed. Owners renew theirs every ``renewal_s``, and
+        # removals bind this process from ``binding_s`` after an outage.
+        self.contact = StoreContact(renewal_s, clock, binding_s)
         # Monotonic time for which the rows are complete, ``None`` before the first read: the start
         # of the last call, whose response may have been read much later.
         self.read_at: float | None = None
@@ -156,6 +158,7 @@
     async def run(self) -> None:
         """Watch the table until cancelled."""
         while True:
+            started_at = self._clock()
             try:
                 await self._read_or_restart()
             except HistoryTruncatedError as error:
@@ -166,8 +169,11 @@
                 )
                 self.table_rows.position = None
             except PlatformUnavailableError as error:
-                self._note_unavailable(error)
-                await asyncio.sleep(self._backoff_s * random.uniform(0.5, 1.0))
+                self._note_unavailable(error, started_at)
+                # A call that has waited in vain has spared the store for as long.
+                delay_s = self._backoff_s * random.uniform(0.5, 1.0)
+                waited_s = self._clock() - started_at
+                await asyncio.sleep(max(MIN_BACKOFF_S, delay_s - waited_s))
                 self._backoff_s = min(self._backoff_s * 2, MAX_BACKOFF_S)
             else:
                 if self._pause_s:
@@ -219,8 +225,8 @@
             return wait_s
         return max(FEED_WAIT_S, wait_s * random.uniform(1 - LONG_WAIT_JITTER, 1.0))
 
-    def _note_unavailable(self, error: PlatformUnavailableError) -> None:
-        self.contact.note_failed()
+    def _note_unavailable(self, error: PlatformUnavailableError, started_at: float) -> None:
+        self.contact.note_failed(started_at)
         if self.unavailable_since is None:
             self.unavailable_since = self._clock()
             self._log.warning("The store is unavailable.", table=self.table, error=str(error))
--- a/src/dragonflyhold/platform/settings.py
+++ b/src/dragonflyhold/platform/settings.py
@@ -33,6 +33,8 @@
 
     # Time within which a draining upstream must stop getting new requests.
     drain_s: float = 2.0
+    # Time after the end of a disruption from which the limits of this class bind a process again.
+    contact_s: float = 3.0
     # Time from SIGTERM until the process is killed.
     grace_s: float = 8.0
     # Time for which an old adapter version may be served after a new one is published.
@@ -164,6 +166,7 @@
     max_key_age_s = number("revoke_ms", DEFAULT_MAX_KEY_AGE_S, 0.001)
     return Bounds(
         drain_s=number("drain_ms", default.drain_s, 0.001),
+        contact_s=number("contact_ms", default.contact_s, 0.001),
         grace_s=number("grace_s", default.grace_s, 1.0),
         version_s=number("version_ms", default.version_s, 0.001),
         retry_ratio=number("retry_budget_ratio", default.retry_ratio, 1.0),
--- a/tests/gateway/test_registry.py
+++ b/tests/gateway/test_registry.py
@@ -132,6 +132,18 @@
         harness.registry.expire()
         assert harness.removed == ["r1"]
 
+    def test_entry_removed_late_in_the_doubt_is_dropped_with_its_end(self) -> None:
+        """Guards against a grace period that begins with the removal instead of the return."""
+        harness = _Harness()
+        harness.write(ENTRY)
+        harness.is_store_stable = False
+        harness.now += EXPIRY_GRACE_S - 0.1
+        harness.remove()
+        harness.now += 0.1
+        harness.is_store_stable = True
+        harness.registry.expire()
+        assert harness.removed == ["r1"]
+
     def test_draining_upstream_is_dropped_during_outage(self) -> None:
         harness = _Harness()
         harness.write({**ENTRY, "state": "draining"})
--- a/tests/gateway/test_store_contact.py
+++ b/tests/gateway/test_store_contact.py
@@ -2,24 +2,30 @@
 
 import asyncio
 
+import pytest
+
+from dragonflyhold.gateway.daemon import HOUSEKEEPING_PERIOD_S
 from dragonflyhold.gateway.store_contact import (
     EXPIRY_INTERVALS,
     RETURN_GRACE_S,
     ContactState,
     StoreContact,
 )
+from dragonflyhold.platform.settings import Bounds
 from dragonflyhold.platform.standins.site import running_deployment
 from dragonflyhold.platform.standins.store import StoreFault
 
 RENEWAL_S = 1.2
 # Interval between the reads of a watch.
 READ_S = 1.2
+# Time after a disruption from which removals bind a gateway.
+BINDING_S = 3.0
 
 
 class _Harness:
-    def __init__(self, renewal_s: float = RENEWAL_S) -> None:
+    def __init__(self, renewal_s: float = RENEWAL_S, binding_s: float = float("inf")) -> None:
         self.now = 100.0
-        self.contact = StoreContact(renewal_s, lambda: self.now)
+        self.contact = StoreContact(renewal_s, lambda: self.now, binding_s)
 
     def read(self, wait_s: float = 0.0) -> ContactState:
         """Read after a time; return the state after it."""
@@ -27,10 +33,11 @@
         self.contact.note_read(self.now)
         return self.contact.state
 
-    def fail(self, wait_s: float = 0.0) -> ContactState:
-        """Fail to read after a time; return the state after it."""
-        self.now += wait_s
-        self.contact.note_failed()
+    def fail(self, wait_s: float = 0.0, call_s: float = 0.0) -> ContactState:
+        """Fail to read after a time, by a call that lasts; return the state after it."""
+        started_at = self.now + wait_s
+        self.now = started_at + call_s
+        self.contact.note_failed(started_at)
         return self.contact.state
 
     def state_after(self, wait_s: float) -> ContactState:
@@ -92,6 +99,61 @@
         assert harness.state_after(RETURN_GRACE_S) is ContactState.CONFIRMED
 
 
+class TestEndOfDoubt:
+    """What the store removed binds a gateway again in time after an outage."""
+
+    @pytest.mark.parametrize("call_s", [0.01, 0.8, 1.0])
+    @pytest.mark.parametrize("pause_s", [0.05, 0.5])
+    def test_doubt_ends_before_removals_bind_again(self, call_s: float, pause_s: float) -> None:
+        """Guards against upstreams that are kept longer if the return is noticed late."""
+        harness = _Harness(binding_s=BINDING_S)
+        harness.read()
+        harness.fail(EXPIRY_INTERVALS * RENEWAL_S, call_s)
+        harness.fail(pause_s, call_s)
+        # The store may be back as soon as the last failed call has begun.
+        back_at = harness.now - call_s
+        assert harness.read(pause_s) is ContactState.RETURNING
+        left_s = back_at + BINDING_S - HOUSEKEEPING_PERIOD_S - harness.now
+        assert harness.state_after(left_s) is ContactState.CONFIRMED
+
+    def test_paused_process_gives_entries_time_to_come_back(self) -> None:
+        """Guards against a gateway without upstreams that was paused through an outage."""
+        harness = _Harness(binding_s=BINDING_S)
+        harness.read()
+        harness.fail(READ_S, call_s=10.0)
+        assert harness.read(0.05) is ContactState.RETURNING
+        assert harness.state_after(RENEWAL_S) is ContactState.RETURNING
+
+
+class TestRemovalAfterOutage:
+    """An upstream that leaves just after an outage gets nothing once it may end."""
+
+    @pytest.mark.parametrize("fault", [StoreFault.REFUSING, StoreFault.UNRESPONSIVE])
+    @pytest.mark.parametrize("removal_delay_s", [0.6, 1.2, 1.8])
+    def test_upstream_is_dropped_in_time(self, fault: StoreFault, removal_delay_s: float) -> None:
+        """Guards against a grace period that begins with the removal instead of the return."""
+
+        async def run_scenario() -> float:
+            async with running_deployment(engines=0, plain=2) as deployment:
+                gateway, loop = deployment.gateways[0], asyncio.get_running_loop()
+                await asyncio.sleep(0.3)
+                deployment.store.fault = fault
+                await asyncio.sleep(3.0)
+                deployment.store.fault = StoreFault.NONE
+                back_at = loop.time()
+                await asyncio.sleep(removal_delay_s)
+                deployment.store.remove("servers", "p0")
+                removed_at = loop.time()
+                async with asyncio.timeout(6):
+                    while "p0" in gateway.gateway.table.views:
+                        await asyncio.sleep(0.01)
+                bounds = Bounds()
+                bound_at = max(removed_at + bounds.drain_s, back_at + bounds.contact_s)
+                return loop.time() - bound_at
+
+        assert asyncio.run(run_scenario()) < 0
+
+
 class TestRemovalAfterStart:
     """An upstream that leaves gets nothing, also from a gateway that has just started."""
 
