Don't add an upstream again that an agent reports after its removal

Requests could go to an engine that had left, for 2.2 s after the removal of its entry. Cause: an agent's report adds an incarnation without an entry for 2.2 s, and an entry that had been removed was not told apart from one that is yet to come. It takes an entry of the engine's previous incarnation that is still there. Change: the registry remembers the start times of dropped upstreams (4096 at most); a report adds one only if it has started later. This replaces the set of reported ids, which was never emptied. Test: test_not_added_again_after_its_entry_was_removed failed before; the one of a restart under the same id passes before and after. tests of incarnations, versions and the virtual site pass (53).

--- a/src/dragonflyhold/gateway/registry.py
+++ b/src/dragonflyhold/gateway/registry.py
@@ -14,6 +14,8 @@
 
 # Time for which an upstream is kept that was reported before it has an entry.
 EXPIRY_GRACE_S = RETURN_GRACE_S
+# Dropped upstreams that are remembered; agents report on engines that run, for a few seconds more.
+MAX_DROPPED = 4096
 
 
 class RegistryEvents(Protocol):
@@ -52,8 +54,8 @@
         self._may_have_expired = may_have_expired or (lambda removed_at: not is_store_stable())
         # Upstreams without an entry, with the time until which they are kept at least.
         self._kept_until: dict[UpstreamId, float] = {}
-        # Upstreams that were reported by an agent and have no entry yet.
-        self._peer_reported: set[UpstreamId] = set()
+        # Start times of upstreams that were dropped, oldest first.
+        self._dropped: dict[UpstreamId, int] = {}
         self._log = JsonLogger("registry")
 
     @property
@@ -77,7 +79,7 @@
             self._handle_removal(row)
             return
         self._kept_until.pop(upstream_id, None)
-        self._peer_reported.discard(upstream_id)
+        self._dropped.pop(upstream_id, None)
         old = self.upstreams.get(upstream_id)
         self.upstreams[upstream_id] = upstream
         if old is None or (old.start_time_ms, old.state, old.software) != (
@@ -101,16 +103,14 @@
         """Add an incarnation that an agent reports before its entry is read.
 
         One with a new id is dropped unless its entry appears within the grace period for outages,
-        and is kept while the store is not stable.
+        and is kept while the store is not stable. One that was dropped is not added again.
         """
         old = self.upstreams.get(upstream.upstream_id)
-        if upstream.upstream_id in self._peer_reported or (
-            old is not None and old.start_time_ms >= upstream.start_time_ms
-        ):
+        known = self._dropped.get(upstream.upstream_id) if old is None else old.start_time_ms
+        if known is not None and known >= upstream.start_time_ms:
             return
         self.upstreams[upstream.upstream_id] = upstream
         if old is None:
-            self._peer_reported.add(upstream.upstream_id)
             self._kept_until[upstream.upstream_id] = self._clock() + EXPIRY_GRACE_S
         self._log.info(
             "An agent reported an incarnation that is not registered yet.",
@@ -154,5 +154,8 @@
         self._kept_until.pop(upstream_id, None)
         upstream = self.upstreams.pop(upstream_id, None)
         if upstream is not None:
+            self._dropped[upstream_id] = upstream.start_time_ms
+            if len(self._dropped) > MAX_DROPPED:
+                del self._dropped[next(iter(self._dropped))]
             self._log.info("An upstream was dropped.", runner=upstream_id, reason=reason)
             self._events.upstream_removed(upstream)
--- a/tests/gateway/test_registry.py
+++ b/tests/gateway/test_registry.py
@@ -177,6 +177,23 @@
             "an upstream without an entry was added again from an agent's report"
         )
 
+    def test_not_added_again_after_its_entry_was_removed(self) -> None:
+        """Guards against an engine that has left and is used again while its agent reports it."""
+        harness = _Harness()
+        harness.write(ENTRY)
+        harness.write({**ENTRY, "born": 18}, "r2")
+        harness.remove("r2")
+        self._report_incarnation(harness)
+        assert harness.upstream_ids == ["r1"]
+
+    def test_restart_is_added_after_its_entry_was_removed(self) -> None:
+        harness = _Harness()
+        harness.write(ENTRY)
+        harness.write({**ENTRY, "born": 18}, "r2")
+        harness.remove("r2")
+        self._report_incarnation(harness, start_time_ms=19)
+        assert harness.upstream_ids == ["r1", "r2"]
+
     def test_kept_once_entry_exists(self) -> None:
         harness = _Harness()
         harness.write(ENTRY)
