Accept versions of a configuration above 10^12

A configuration with such a version, and all later ones, would be ignored. Cause: a version was checked like a time in milliseconds. One taken from a clock exceeds that limit. Change: an integer up to 2^53 - 1 is a version. Floats count as before. Test: test_versions_may_come_from_a_clock failed in 3 of 3 cases before.

--- a/src/dragonflyhold/platform/codec.py
+++ b/src/dragonflyhold/platform/codec.py
@@ -120,7 +120,7 @@
             group.sort(key=lambda route: -len(route.prefix))
         services = [_service(fields) for fields in value["services"]]
         return Configuration(
-            version=int(number(value["version"])),
+            version=_configuration_version(value["version"]),
             routes=routes,
             services={service.name: service for service in services},
             limits=_limits(value.get("limits") or {}),
@@ -130,6 +130,11 @@
         raise decode_error("configuration", error) from error
 
 
+def _configuration_version(value: Any) -> int:
+    """Return a version; a float counts if it is not too large."""
+    return integer(value) if isinstance(value, int) else int(number(value))
+
+
 def _route(fields: Mapping[str, Any]) -> Route:
     kind = fields["kind"]
     is_stream = kind == "streaming"
--- a/tests/platform/test_codec.py
+++ b/tests/platform/test_codec.py
@@ -62,6 +62,17 @@
         found = codec.decode_configuration({"version": 1, "routes": [fields], "services": []})
         assert found.routes["site.example"][0].retry_safety is retry_safety
 
+    @pytest.mark.parametrize("version", [10**12 + 1, 1_796_613_040_414, 2**53 - 1])
+    def test_versions_may_come_from_a_clock(self, version: int) -> None:
+        """Guards against configurations that are ignored from some version on."""
+        fields = {"version": version, "routes": [ROUTE], "services": []}
+        assert codec.decode_configuration(fields).version == version
+
+    @pytest.mark.parametrize("version", [-1, 2**53, True, "7", float("inf"), None])
+    def test_versions_without_an_order_are_rejected(self, version: object) -> None:
+        with pytest.raises(codec.DecodeError):
+            codec.decode_configuration({"version": version, "routes": [], "services": []})
+
     @pytest.mark.parametrize("value", [None, [], {}, {"version": 1, "routes": [{}]}])
     def test_invalid_configuration_is_rejected(self, value: object) -> None:
         with pytest.raises(codec.DecodeError):
