Show that the newest configuration is ignored

Cause: nothing showed that what is in force is not the newest. Change: the level config_ignored is 1 from an invalid row until the next valid one; the log line has the row's version and the configuration in force. What is served stays as it was. Test: test_an_ignored_configuration_shows_until_a_valid_one_comes; the attribute is new with it.

--- a/src/dragonflyhold/gateway/catalogue.py
+++ b/src/dragonflyhold/gateway/catalogue.py
@@ -26,6 +26,8 @@
         count: Callable[[str], None] = lambda event: None,
     ) -> None:
         self.configuration: Configuration | None = None
+        # Whether the newest row of the configuration is invalid, so that an older one is in force.
+        self.is_newest_invalid = False
         self.versions: dict[ModelAdapter, Version] = {}
         # Monotonic time at which this process first saw each current version.
         self.first_seen_at: dict[ModelAdapter, float] = {}
@@ -65,8 +67,13 @@
         except (ValueError, DecodeError) as error:
             self._count("operator_row_invalid")
             self._log.warning(
-                "An invalid row of the operator's table was ignored.", key=row.key, error=str(error)
+                "An invalid row of the operator's table was ignored.",
+                key=row.key,
+                row_version=row.version,
+                in_force=self.configuration.version if self.configuration is not None else None,
+                error=str(error),
             )
+            self.is_newest_invalid |= row.key == CONFIG_KEY
 
     def apply_version(self, key: ModelAdapter, version: Version) -> None:
         """Record an adapter version if it is newer than the known one."""
@@ -83,6 +90,7 @@
         self._on_version(key, version)
 
     def _apply_configuration(self, configuration: Configuration, row_version: int) -> None:
+        self.is_newest_invalid = False
         old = self.configuration
         if old is not None and configuration.version <= old.version:
             if configuration.version < old.version:
--- a/src/dragonflyhold/gateway/daemon.py
+++ b/src/dragonflyhold/gateway/daemon.py
@@ -352,6 +352,7 @@
         metrics.set_level("turned_away_runners", turned_away)
         metrics.set_level("load_unevenness", gateway.table.unevenness(now))
         metrics.set_level("config_version", configuration.version if configuration else 0)
+        metrics.set_level("config_ignored", int(gateway.catalogue.is_newest_invalid))
         accounts = configuration.accounts if configuration is not None else None
         self._has_account_levels |= accounts is not None
         if self._has_account_levels:
--- a/tests/platform/test_odd_values.py
+++ b/tests/platform/test_odd_values.py
@@ -246,6 +246,18 @@
         assert catalogue.configuration.version == 3
         assert events == ["operator_row_invalid"] * 4
 
+    def test_an_ignored_configuration_shows_until_a_valid_one_comes(self) -> None:
+        """Guards against operators who aren't told that what the store confirmed isn't in force."""
+        catalogue, _ = _catalogue()
+        catalogue.apply(StoredRow("config", 1, orjson.dumps(CONFIGURATION)))
+        assert not catalogue.is_newest_invalid
+        catalogue.apply(StoredRow("config", 2, orjson.dumps({"version": 9})))
+        catalogue.apply(StoredRow("version/base.a1", 3, b"[]"))
+        assert catalogue.is_newest_invalid
+        catalogue.apply(StoredRow("config", 4, orjson.dumps({**CONFIGURATION, "version": 11})))
+        catalogue.apply(StoredRow("version/base.a1", 5, b"[]"))
+        assert not catalogue.is_newest_invalid
+
 
 class TestAdapterVersions:
     """Guards against a version that does not fit into messages and commands."""
