Fail an exchange whose status is none of the protocol

Cause: each status below 200 counted as that of an interim answer, and each other one as a failure. Change: a status outside 100 to 599 fails the exchange at once as malformed. The client of the sidecars does the same for those that its library lets pass. Tests: TestOddStatuses, 10 of 10 odd ones failed before; a new case of the plain-service client with 600 failed before, that with 000 passed.

--- a/src/dragonflyhold/gateway/http_client.py
+++ b/src/dragonflyhold/gateway/http_client.py
@@ -45,6 +45,8 @@
 MAX_HEADER_BYTES = 32 * 1024
 # A connection that has carried this many ids is not reused, which bounds its memory.
 MAX_CARRIED_IDS = 1024
+# Statuses that the protocol has; those below 200 are of interim responses.
+STATUSES = range(100, 600)
 # The start of a response, which may also begin where an earlier one was cut.
 _STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] [0-9]{3}")
 _STATUS_LINE_PREFIXES = tuple(b"HTTP/"[:length] for length in range(1, 6))
@@ -438,6 +440,8 @@
         assert parser is not None
         fields = {name.lower(): value for name, value in self._headers}
         head = Head(parser.get_status_code(), self._headers, fields)
+        if head.status not in STATUSES:
+            raise ValueError(f"status {head.status} is none of the protocol")
         if head.status < 200:
             self._is_skipping = True
             self.is_certain = False
--- a/src/dragonflyhold/upstreams/http_calls.py
+++ b/src/dragonflyhold/upstreams/http_calls.py
@@ -19,6 +19,8 @@
 from dragonflyhold.upstreams.interface import UpstreamInterruptedError, UpstreamNotSentError
 
 READ_CHUNK_BYTES = 65_536
+# Statuses that the protocol has.
+STATUSES = range(100, 600)
 
 # Exceptions that the libraries raise if a connection fails or a response is malformed.
 _CONNECTION_ERRORS = (OSError, urllib3.exceptions.HTTPError, http.client.HTTPException, ValueError)
@@ -45,6 +47,9 @@
         except _CONNECTION_ERRORS as error:
             self.close()
             raise UpstreamInterruptedError(f"no response received: {error}") from error
+        if self.status not in STATUSES:
+            self.close()
+            raise UpstreamInterruptedError(f"status {self.status} is none of the protocol")
 
     @property
     def status(self) -> int:
--- a/tests/gateway/test_http_client.py
+++ b/tests/gateway/test_http_client.py
@@ -211,6 +211,35 @@
         assert closed in ([b""], [])
 
 
+class TestOddStatuses:
+    """Guards against an answer that is none, and against a wait for what follows it."""
+
+    @pytest.mark.parametrize("status", [b"000", b"001", b"099", b"600", b"999"])
+    @pytest.mark.parametrize("length", [b"", b"Content-Length: 3\r\n"])
+    def test_it_fails_the_exchange_at_once(self, status: bytes, length: bytes) -> None:
+        response = b"HTTP/1.1 %s X\r\nId: 1\r\n%s\r\nabc" % (status, length)
+
+        async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"body")
+            writer.write(response)
+            # Stays open, as that of an upstream in trouble may.
+            await reader.read()
+
+        async def run() -> ExchangeError:
+            async with _serve(script) as address, asyncio.timeout(1):
+                with pytest.raises(ExchangeError) as caught:
+                    await _exchange(ConnectionPool(), address)
+                await asyncio.sleep(0.05)
+            return caught.value
+
+        assert asyncio.run(run()).reason is FailureReason.MALFORMED
+
+    @pytest.mark.parametrize("status", [200, 299, 400, 599])
+    def test_others_are_answers(self, status: int) -> None:
+        response = OK.replace(b"200 OK", b"%d X" % status)
+        assert _run(_respond(response))[0] == [(status, b"abc")]
+
+
 class TestUnusableAddresses:
     """Guards against addresses that end a request, as no connection can be tried."""
 
--- a/tests/upstreams/test_plain.py
+++ b/tests/upstreams/test_plain.py
@@ -89,6 +89,9 @@
             b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
             # Without a length, a complete body cannot be told from a truncated one.
             b"HTTP/1.1 200 OK\r\n\r\nhalf",
+            # No statuses of the protocol.
+            b"HTTP/1.1 000 X\r\nContent-Length: 4\r\n\r\nhalf",
+            b"HTTP/1.1 600 X\r\nContent-Length: 4\r\n\r\nhalf",
         ],
     )
     def test_incomplete_response_is_interrupted(
