Read the registry without a pause only while the store is in doubt

Callers saw: nothing. Change: the pause is left out only until the contact is confirmed. Measured: tests of the contact, of departures and of restored stores pass.

--- a/src/dragonflyhold/gateway/daemon.py
+++ b/src/dragonflyhold/gateway/daemon.py
@@ -312,7 +312,8 @@
             self._refresh_quarantine()
             self.gateway.budget.set_gateways(self.gateway.agent_links.count_gateways())
             self.gateway.registry.expire()
-            if self.gateway.registry.has_missing:
+            if self.gateway.registry.has_missing and not is_stable:
+                # Those that come back are to be seen before the doubt ends.
                 self._registry_watch.read_soon()
             self.gateway.origins.tell_uncertain()
             self.gateway.account_limits.flush()
