Wait for a sidecar to report its stop before work is submitted in a test

Cause: request_stop starts a thread that tells the sidecar to leave, and returns. Beside load a request that is submitted meanwhile reaches the sidecar first and is accepted, which is right. Change: the test waits until the sidecar has reported that it leaves, as its neighbour does; from then on each submission must be refused. What follows is checked as before.

--- a/tests/sidecar/test_daemon.py
+++ b/tests/sidecar/test_daemon.py
@@ -201,6 +201,16 @@
         client.close()
 
 
+def _await_leaving(client: EntryClient) -> None:
+    """Wait until the sidecar reports that it leaves."""
+    deadline = time.monotonic() + TIMEOUT_S
+    while not any(
+        heartbeat.state == pb.UPSTREAM_STATE_LEAVING for heartbeat in list(client.heartbeats)
+    ):
+        assert time.monotonic() < deadline, "the sidecar has not reported that it leaves"
+        time.sleep(0.01)
+
+
 class TestStop:
     """Guards against requests and answers that are lost in a graceful stop."""
 
@@ -212,6 +222,8 @@
             client.submit(make_submit(tag))
             client.next_item("accepted")
         harness.daemon.request_stop()
+        # The stop begins in a thread of its own, and new work is refused once it is reported.
+        _await_leaving(client)
         client.submit(make_submit(9))
         assert client.next_item("refused").refused.code == "upstream_leaving"
         harness.engine.gate.set()
@@ -238,10 +250,7 @@
         else:
             vm = Vm("vm-1", "127.0.0.1", upstream.data_centre, VmState.LEAVING, "runner-1")
             harness.vms.vms = [vm]
-        while not any(
-            heartbeat.state == pb.UPSTREAM_STATE_LEAVING for heartbeat in list(client.heartbeats)
-        ):
-            time.sleep(0.01)
+        _await_leaving(client)
         client.submit(make_submit(1))
         assert client.next_item("refused").refused.code == "upstream_leaving"
         client.close()
