End the connections of an upstream in a test before its event loop ends

Cause: the upstream of the test served its connections one after the other, each for 0.2 s while idle, so that a probe of the gateway could outlast the test's wait beside load. Change: each connection has a thread; the test closes those that are idle, after a wait in which a probe ends. Its checks are the same.

--- a/tests/gateway/soak.py
+++ b/tests/gateway/soak.py
@@ -52,6 +52,7 @@
     request_gap_s = REQUEST_GAP_S
     # Range of the time between two faults.
     fault_gap_s = (0.3, 1.5)
+    longest_cut_s = 3.0
     # Messages that a gateway misses for some time.
     lost_messages: tuple[type, ...] = ()
 
@@ -195,7 +196,7 @@
         assert isinstance(loop, VirtualLoop)
         gateway, start = self._rng.choice(self.deployment.gateways), loop.time()
         loop.network.make_unreachable(gateway._settings.ip)
-        await asyncio.sleep(min(self._rng.uniform(0.3, 3.0), end - start))
+        await asyncio.sleep(min(self._rng.uniform(0.3, self.longest_cut_s), end - start))
         loop.network.make_reachable(gateway._settings.ip)
         self.cut[gateway].append((start, loop.time()))
 
--- a/tests/gateway/test_departure_soak.py
+++ b/tests/gateway/test_departure_soak.py
@@ -14,7 +14,7 @@
 import pytest
 
 from dragonflyhold.bench.virtual_network import create_task_on_vm
-from dragonflyhold.bench.virtual_time import VirtualLoop, run_virtual
+from dragonflyhold.bench.virtual_time import run_virtual
 from dragonflyhold.gateway import store_contact
 from dragonflyhold.gateway.daemon import GatewayDaemon
 from dragonflyhold.gateway.store_contact import StoreContact
@@ -38,6 +38,7 @@
     engines = 0
     plain = 4
     run_s = 40.0
+    longest_cut_s = LONGEST_OUTAGE_S
 
     def __init__(self, seed: int) -> None:
         super().__init__(seed)
@@ -85,15 +86,6 @@
         ip = f"10.3.0.{number + 1}"
         await create_task_on_vm(ip, self.deployment.add_plain(f"p{number}", host=ip))
 
-    async def _cut_gateway(self, end: float) -> None:
-        loop = asyncio.get_running_loop()
-        assert isinstance(loop, VirtualLoop)
-        gateway, start = self._rng.choice(self.deployment.gateways), loop.time()
-        loop.network.make_unreachable(gateway._settings.ip)
-        await asyncio.sleep(min(self._rng.uniform(0.3, LONGEST_OUTAGE_S), max(0, end - start)))
-        loop.network.make_reachable(gateway._settings.ip)
-        self.cut[gateway].append((start, loop.time()))
-
     async def _lose_store(self, end: float) -> None:
         loop, store = asyncio.get_running_loop(), self.deployment.store
         if self._is_store_busy:
--- a/tests/gateway/test_unfinished_uploads.py
+++ b/tests/gateway/test_unfinished_uploads.py
@@ -58,7 +58,7 @@
 
 @contextlib.contextmanager
 def _upstream(serve: Callable[[socket.socket], None]) -> Iterator[Address]:
-    """Run an upstream in a thread that serves each connection once."""
+    """Run an upstream that serves each connection once, in a thread of its own."""
     listener = socket.create_server(("127.0.0.1", 0))
 
     def run() -> None:
@@ -66,8 +66,11 @@
             while True:
                 sock, _ = listener.accept()
                 sock.settimeout(IDLE_S)
-                with contextlib.suppress(OSError), sock:
-                    serve(sock)
+                threading.Thread(target=serve_once, args=(sock,), daemon=True).start()
+
+    def serve_once(sock: socket.socket) -> None:
+        with contextlib.suppress(OSError), sock:
+            serve(sock)
 
     thread = threading.Thread(target=run, daemon=True)
     thread.start()
@@ -181,8 +184,12 @@
                     while set(views) != {"odd"}:
                         await asyncio.sleep(0.01)
                 status = (await deployment.call(path, body=b"u" * 60_000)).status
-                # Connections that carry nothing end before the event loop does.
+                pool = deployment.gateways[0].gateway.pool
+                # Connections that carry nothing, such as a probe of the upstream, end before the
+                # event loop does.
                 await asyncio.sleep(2 * IDLE_S)
+                pool.close_idle(address)
+                await asyncio.sleep(IDLE_S)
                 return status
 
         with _upstream(serve) as address:
